Lay the workspace, the first domain types and the protocols

Cause: nothing stood here. The seams come first, so that parts can be built side by side: ids, verdicts, the document's model, the blackboard, the peer protocol and the protocols towards the platform and the back ends.

Ruled out: generating the peer protocol's code during the build (needs a generator on every machine); it is generated by the jayhall-codegen crate with a compiler written in Rust, and committed.

--- /dev/null
+++ b/crates/jayhall-standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for the systems that jayhall meets.
--- /dev/null
+++ b/src/callers/mod.rs
@@ -0,0 +1,1 @@
+//! The HTTP listener that customers connect to.
--- /dev/null
+++ b/src/core/cells.rs
@@ -0,0 +1,35 @@
+//! Rendezvous hashing: which node does which job.
+//!
+//! No node is appointed. Every node computes the same answer from the members it knows, and a change
+//! of one member moves only that member's jobs. Two nodes may disagree for as long as their views of
+//! the membership differ; every user of this module has to make that harmless.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Returns the weight of `member` for `job`. The member with the largest weight does the job.
+pub fn weight(job: &str, member: &str) -> u64 {
+    xxh3_64_with_seed(member.as_bytes(), xxh3_64_with_seed(job.as_bytes(), 0))
+}
+
+/// Returns the member that does `job`, or `None` where there are no members.
+pub fn owner<'a, I>(job: &str, members: I) -> Option<&'a str>
+where
+    I: IntoIterator<Item = &'a str>,
+{
+    members
+        .into_iter()
+        .max_by_key(|member| (weight(job, member), *member))
+}
+
+/// Returns the members in the order in which they would do `job`, best first.
+pub fn ranked<'a, I>(job: &str, members: I) -> Vec<&'a str>
+where
+    I: IntoIterator<Item = &'a str>,
+{
+    let mut weighted: Vec<_> = members
+        .into_iter()
+        .map(|member| (weight(job, member), member))
+        .collect();
+    weighted.sort_unstable_by(|a, b| b.cmp(a));
+    weighted.into_iter().map(|(_, member)| member).collect()
+}
--- /dev/null
+++ b/src/core/membership/mod.rs
@@ -0,0 +1,5 @@
+//! Which nodes there are.
+
+mod member;
+
+pub use member::{Member, MemberState, MemberView};
--- /dev/null
+++ b/src/operators/mod.rs
@@ -0,0 +1,1 @@
+//! The HTTP listener for the console and the command line.
--- /dev/null
+++ b/src/ops/mod.rs
@@ -0,0 +1,1 @@
+//! One module for each operation.
--- /dev/null
+++ b/src/peers/mod.rs
@@ -0,0 +1,5 @@
+//! What nodes say to each other.
+
+mod pool;
+
+pub use pool::Pool;
--- /dev/null
+++ b/src/sources/mod.rs
@@ -0,0 +1,1 @@
+//! Adapters for back ends and for the platform.
--- /dev/null
+++ b/src/util/ini.rs
@@ -0,0 +1,100 @@
+//! INI text with the line of every heading and key, for messages that say where a mistake is.
+
+use ini_core::{Item, Parser};
+use thiserror::Error;
+
+/// A line that is neither a heading, a key with a value, a comment nor blank.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+#[error(
+    "line {line}: {text:?} is not a heading, a key with a value or a comment; write `key = value`"
+)]
+pub struct IniError {
+    /// Line, counted from 1.
+    pub line: u32,
+    /// The line's text.
+    pub text: Box<str>,
+}
+
+/// The module's result.
+pub type Result<T> = std::result::Result<T, IniError>;
+
+/// A key with its value.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct IniEntry {
+    /// Key, without white space around it.
+    pub key: Box<str>,
+    /// Value, without white space around it; empty where there is none.
+    pub value: Box<str>,
+    /// Line, counted from 1.
+    pub line: u32,
+}
+
+/// A heading with the keys below it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct IniSection {
+    /// First word of the heading, such as `customer`; empty for keys above the first heading.
+    pub kind: Box<str>,
+    /// Rest of the heading, such as `bekele`; empty where there is none.
+    pub name: Box<str>,
+    /// Line of the heading, counted from 1; 0 for keys above the first heading.
+    pub line: u32,
+    /// Keys in the order of the text.
+    pub entries: Vec<IniEntry>,
+}
+
+impl IniSection {
+    fn with_heading(heading: &str, line: u32) -> Self {
+        let (kind, name) = match heading.trim().split_once(char::is_whitespace) {
+            Some((kind, name)) => (kind, name.trim()),
+            None => (heading.trim(), ""),
+        };
+        Self {
+            kind: kind.into(),
+            name: name.into(),
+            line,
+            entries: Vec::new(),
+        }
+    }
+
+    /// Returns the last entry of a key.
+    pub fn entry(&self, key: &str) -> Option<&IniEntry> {
+        self.entries.iter().rev().find(|entry| &*entry.key == key)
+    }
+}
+
+/// Reads INI text. Comments start with `;` or `#` at the beginning of a line.
+///
+/// # Errors
+///
+/// Fails at the first line that is neither a heading, a key with a value, a comment nor blank.
+pub fn parse(text: &str) -> Result<Vec<IniSection>> {
+    let mut sections: Vec<IniSection> = Vec::new();
+    let mut parser = Parser::new(text).auto_trim(true);
+    while let Some(item) = parser.next() {
+        let line = parser.line();
+        match item {
+            Item::Section(heading) => sections.push(IniSection::with_heading(heading, line)),
+            Item::Property(key, _) if key.starts_with('#') => {}
+            Item::Property(key, Some(value)) => {
+                if sections.is_empty() {
+                    sections.push(IniSection::with_heading("", 0));
+                }
+                if let Some(section) = sections.last_mut() {
+                    section.entries.push(IniEntry {
+                        key: key.into(),
+                        value: value.into(),
+                        line,
+                    });
+                }
+            }
+            Item::Property(text, None) | Item::Error(text) => {
+                return Err(IniError {
+                    line,
+                    text: text.into(),
+                });
+            }
+            Item::Comment(_) | Item::Blank | Item::SectionEnd => {}
+        }
+    }
+    Ok(sections)
+}
--- /dev/null
+++ b/src/util/mod.rs
@@ -0,0 +1,3 @@
+//! Settings, logs, metrics and time.
+
+pub mod ini;
--- /dev/null
+++ b/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the library, one module a feature.
+
+mod ini;
