Read the operators' document and the settings of a node

Both are INI texts written by people, so both report every mistake at once, each with line, section, key, what is wrong and the remedy. One table of sections and keys with form, range and default serves the parser, and later the forms of the console and the check of the documentation.

--- /dev/null
+++ b/src/core/document/sections.rs
@@ -0,0 +1,138 @@
+//! Splits a text by headings, so that a change costs the sections that changed and not the text.
+
+use sha2::{Digest, Sha256};
+use thiserror::Error;
+
+/// SHA-256 of a whole text.
+pub type TextDigest = [u8; 32];
+
+/// What happens to one section.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SectionChange {
+    /// Heading without brackets; empty for the text above the first heading.
+    pub heading: Box<str>,
+    /// New text of the section with its heading, or `None` where the section goes away.
+    pub text: Option<Box<str>>,
+}
+
+/// Why a change could not be applied.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum ApplyError {
+    /// The text that results is not the one that was meant.
+    #[error("the changed text has another digest than the sender's")]
+    Digest,
+}
+
+/// The module's result.
+pub type Result<T> = std::result::Result<T, ApplyError>;
+
+struct Part<'a> {
+    heading: &'a str,
+    text: &'a str,
+}
+
+/// Returns the SHA-256 of a text.
+pub fn digest(text: &str) -> TextDigest {
+    Sha256::digest(text.as_bytes()).into()
+}
+
+/// Returns the changes that lead from one text to another, or `None` where sections cannot express
+/// them: headings that are there twice, or sections in another order.
+pub fn delta(old_text: &str, new_text: &str) -> Option<Vec<SectionChange>> {
+    let (old, new) = (split(old_text), split(new_text));
+    let mut changes: Vec<_> = old
+        .iter()
+        .filter(|part| find(&new, part.heading).is_none())
+        .map(|part| SectionChange {
+            heading: part.heading.into(),
+            text: None,
+        })
+        .collect();
+    for part in &new {
+        if find(&old, part.heading).is_none_or(|old| old.text != part.text) {
+            changes.push(SectionChange {
+                heading: part.heading.into(),
+                text: Some(part.text.into()),
+            });
+        }
+    }
+    (patch(&old, &changes) == new_text).then_some(changes)
+}
+
+/// Returns the text that results from changes.
+///
+/// # Errors
+///
+/// Fails where the result has another digest than the sender's text, so that a node never installs
+/// a text that nobody published.
+pub fn apply(old_text: &str, changes: &[SectionChange], expected: &TextDigest) -> Result<String> {
+    let text = patch(&split(old_text), changes);
+    if digest(&text) != *expected {
+        return Err(ApplyError::Digest);
+    }
+    Ok(text)
+}
+
+fn patch(old: &[Part<'_>], changes: &[SectionChange]) -> String {
+    let mut parts: Vec<(&str, &str)> = old.iter().map(|part| (part.heading, part.text)).collect();
+    for change in changes {
+        let position = parts
+            .iter()
+            .position(|(heading, _)| *heading == &*change.heading);
+        match (position, &change.text) {
+            (Some(index), Some(text)) => parts[index].1 = text,
+            (Some(index), None) => drop(parts.remove(index)),
+            (None, Some(text)) => {
+                let index = insertion_index(&parts, &change.heading);
+                parts.insert(index, (&change.heading, text));
+            }
+            (None, None) => {}
+        }
+    }
+    parts.into_iter().map(|(_, text)| text).collect()
+}
+
+/// Returns where a new section goes: behind the last one of its kind, else at the end.
+fn insertion_index(parts: &[(&str, &str)], heading: &str) -> usize {
+    if heading.is_empty() {
+        return 0;
+    }
+    parts
+        .iter()
+        .rposition(|(other, _)| kind(other) == kind(heading))
+        .map_or(parts.len(), |index| index + 1)
+}
+
+fn kind(heading: &str) -> &str {
+    heading.split_whitespace().next().unwrap_or("")
+}
+
+fn find<'p, 'a>(parts: &'p [Part<'a>], heading: &str) -> Option<&'p Part<'a>> {
+    parts.iter().find(|part| part.heading == heading)
+}
+
+fn split(text: &str) -> Vec<Part<'_>> {
+    let mut parts = Vec::new();
+    let mut current = Part {
+        heading: "",
+        text: "",
+    };
+    let (mut start, mut offset) = (0, 0);
+    for line in text.split_inclusive('\n') {
+        if let Some(heading) = heading_of(line) {
+            current.text = &text[start..offset];
+            parts.push(current);
+            current = Part { heading, text: "" };
+            start = offset;
+        }
+        offset += line.len();
+    }
+    current.text = &text[start..];
+    parts.push(current);
+    parts.retain(|part| !part.text.is_empty());
+    parts
+}
+
+fn heading_of(line: &str) -> Option<&str> {
+    line.trim().strip_prefix('[')?.strip_suffix(']')
+}
--- a/src/util/ini.rs
+++ b/src/util/ini.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    /// Returns what a text without the section says of it: nothing, in no line.
+    pub fn absent(kind: &str) -> Self {
+        Self::with_heading(kind, 0)
+    }
+
     /// Returns the last entry of a key.
     pub fn entry(&self, key: &str) -> Option<&IniEntry> {
         self.entries.iter().rev().find(|entry| &*entry.key == key)
@@ -68,7 +73,17 @@
 ///
 /// Fails at the first line that is neither a heading, a key with a value, a comment nor blank.
 pub fn parse(text: &str) -> Result<Vec<IniSection>> {
+    let (sections, errors) = parse_all(text);
+    match errors.into_iter().next() {
+        Some(e) => Err(e),
+        None => Ok(sections),
+    }
+}
+
+/// Reads INI text and goes on after a wrong line. Returns the sections and every wrong line.
+pub fn parse_all(text: &str) -> (Vec<IniSection>, Vec<IniError>) {
     let mut sections: Vec<IniSection> = Vec::new();
+    let mut errors = Vec::new();
     let mut parser = Parser::new(text).auto_trim(true);
     while let Some(item) = parser.next() {
         let line = parser.line();
@@ -87,14 +102,12 @@
                     });
                 }
             }
-            Item::Property(text, None) | Item::Error(text) => {
-                return Err(IniError {
-                    line,
-                    text: text.into(),
-                });
-            }
+            Item::Property(text, None) | Item::Error(text) => errors.push(IniError {
+                line,
+                text: text.into(),
+            }),
             Item::Comment(_) | Item::Blank | Item::SectionEnd => {}
         }
     }
-    Ok(sections)
+    (sections, errors)
 }
--- a/src/util/mod.rs
+++ b/src/util/mod.rs
@@ -1,3 +1,8 @@
 //! Settings, logs, metrics and time.
 
+pub mod fields;
 pub mod ini;
+pub mod problem;
+pub mod schema;
+pub mod settings;
+pub mod value;
--- /dev/null
+++ b/src/util/settings.rs
@@ -0,0 +1,427 @@
+//! Settings of one node: who it is, where it listens and where the platform is.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+use smallvec::SmallVec;
+use thiserror::Error;
+use tracing_subscriber::EnvFilter;
+
+use crate::util::fields::Fields;
+use crate::util::ini::{self, IniSection};
+use crate::util::problem::{Problem, Problems};
+use crate::util::schema::{KeySpec, Kind, SectionSpec};
+use crate::util::value::Hash;
+
+/// Why settings cannot be used.
+#[derive(Debug, Error)]
+pub enum SettingsError {
+    /// The file cannot be read.
+    #[error("{}: cannot be read: {source}", path.display())]
+    Read {
+        /// File of the settings.
+        path: PathBuf,
+        /// Error of the operating system.
+        source: std::io::Error,
+    },
+    /// The text has mistakes.
+    #[error("{}", with_path(path, problems))]
+    Wrong {
+        /// File of the settings.
+        path: PathBuf,
+        /// Every mistake.
+        problems: Problems,
+    },
+}
+
+/// The module's result.
+pub type Result<T> = std::result::Result<T, SettingsError>;
+
+/// Settings of one node.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Settings {
+    /// Who the node is.
+    pub node: NodeSettings,
+    /// Where it listens.
+    pub listen: ListenSettings,
+    /// Where the platform is.
+    pub platform: PlatformSettings,
+    /// Keys for connections between nodes; without them nodes talk over loopback only.
+    pub tls: Option<TlsSettings>,
+    /// SHA-256 of the operators' keys. Without any, nobody can sign in.
+    pub operator_keys: SmallVec<[Hash; 2]>,
+    /// Logs.
+    pub log: LogSettings,
+}
+
+/// Who the node is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NodeSettings {
+    /// Name for people; one is made where none is given.
+    pub name: Option<Box<str>>,
+    /// VM on which the node runs, as in the platform's list.
+    pub vm: Box<str>,
+    /// Region of the VM.
+    pub region: Box<str>,
+    /// Availability zone of the VM.
+    pub zone: Box<str>,
+}
+
+/// Addresses, at which the node listens and at which others reach it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListenSettings {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For operators.
+    pub operators: SocketAddr,
+    /// For other nodes.
+    pub peers: SocketAddr,
+}
+
+/// URLs of the platform, without a slash at the end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlatformSettings {
+    /// Key-value store.
+    pub store: Box<str>,
+    /// Cloud API.
+    pub cloud: Box<str>,
+    /// List of VMs.
+    pub list: Box<str>,
+    /// Weight store.
+    pub weights: Box<str>,
+}
+
+/// Files in PEM form.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TlsSettings {
+    /// Certificate of the node.
+    pub certificate: PathBuf,
+    /// Its private key.
+    pub key: PathBuf,
+    /// Certificate of the authority that signs every node's.
+    pub authority: PathBuf,
+}
+
+/// Logs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LogSettings {
+    /// Form of the lines.
+    pub format: LogFormat,
+    /// Filter in the form of `tracing`, such as `info,jayhall::peers=debug`.
+    pub filter: Box<str>,
+}
+
+/// Form of log lines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogFormat {
+    /// For people.
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// Who the node is.
+pub const NODE: SectionSpec = SectionSpec {
+    kind: "node",
+    is_named: false,
+    keys: &[
+        KeySpec::optional("name", Kind::Name, "", "name for people"),
+        KeySpec::required("vm", Kind::Name, "VM in the platform's list"),
+        KeySpec::required("region", Kind::Name, "region of the VM"),
+        KeySpec::required("zone", Kind::Name, "availability zone of the VM"),
+    ],
+};
+
+/// Where the node listens.
+pub const LISTEN: SectionSpec = SectionSpec {
+    kind: "listen",
+    is_named: false,
+    keys: &[
+        KeySpec::required("callers", Kind::Address, "address for callers"),
+        KeySpec::required("operators", Kind::Address, "address for operators"),
+        KeySpec::required("peers", Kind::Address, "address for other nodes"),
+    ],
+};
+
+/// Where the platform is.
+pub const PLATFORM: SectionSpec = SectionSpec {
+    kind: "platform",
+    is_named: false,
+    keys: &[
+        KeySpec::required("store", Kind::Url, "key-value store"),
+        KeySpec::required("cloud", Kind::Url, "cloud API"),
+        KeySpec::required("list", Kind::Url, "list of VMs"),
+        KeySpec::required("weights", Kind::Url, "weight store"),
+    ],
+};
+
+/// Keys for connections between nodes.
+pub const TLS: SectionSpec = SectionSpec {
+    kind: "tls",
+    is_named: false,
+    keys: &[
+        KeySpec::required("certificate", Kind::Path, "certificate of the node"),
+        KeySpec::required("key", Kind::Path, "private key of the node"),
+        KeySpec::required("authority", Kind::Path, "certificate of the authority"),
+    ],
+};
+
+/// Who may sign in as an operator.
+pub const OPERATORS: SectionSpec = SectionSpec {
+    kind: "operators",
+    is_named: false,
+    keys: &[KeySpec::optional(
+        "key_hashes",
+        Kind::Hashes,
+        "",
+        "hashes of the operators' keys",
+    )],
+};
+
+/// Logs.
+pub const LOG: SectionSpec = SectionSpec {
+    kind: "log",
+    is_named: false,
+    keys: &[
+        KeySpec::optional(
+            "format",
+            Kind::Choice(&["text", "json"]),
+            "text",
+            "form of the lines",
+        ),
+        KeySpec::optional(
+            "filter",
+            Kind::Text,
+            "info",
+            "filter in the form of tracing",
+        ),
+    ],
+};
+
+/// All sections of a node's settings.
+pub const SECTIONS: [&SectionSpec; 6] = [&NODE, &LISTEN, &PLATFORM, &TLS, &OPERATORS, &LOG];
+
+impl Settings {
+    /// Opens the settings in a file.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the file cannot be read, with every mistake of its text, and where a file that
+    /// it names does not exist.
+    pub fn open(path: impl AsRef<Path>) -> Result<Self> {
+        let path = path.as_ref();
+        let text = fs::read_to_string(path).map_err(|source| SettingsError::Read {
+            path: path.into(),
+            source,
+        })?;
+        let settings = Self::parse(&text).map_err(|problems| wrong(path, problems))?;
+        let missing = settings.missing_files(&text);
+        if missing.0.is_empty() {
+            Ok(settings)
+        } else {
+            Err(wrong(path, missing))
+        }
+    }
+
+    /// Reads and checks the text of settings, without a look at the files that it names.
+    ///
+    /// # Errors
+    ///
+    /// Fails with every mistake of the text.
+    pub fn parse(text: &str) -> std::result::Result<Self, Problems> {
+        let mut reader = Reader::new(text);
+        let settings = reader.read();
+        reader.check(&settings);
+        let mut problems = reader.problems;
+        match settings {
+            Some(settings) if problems.is_empty() => Ok(settings),
+            _ => {
+                problems.sort_by_key(|problem| problem.line);
+                Err(Problems(problems))
+            }
+        }
+    }
+
+    fn missing_files(&self, text: &str) -> Problems {
+        let Some(tls) = &self.tls else {
+            return Problems::default();
+        };
+        let mut reader = Reader::new(text);
+        let files = [
+            ("certificate", &tls.certificate),
+            ("key", &tls.key),
+            ("authority", &tls.authority),
+        ];
+        for (key, path) in files {
+            if let Err(e) = fs::File::open(path) {
+                let what = format!("{} cannot be read: {e}", path.display());
+                reader.report("tls", key, what, "name a file that the node may read");
+            }
+        }
+        Problems(reader.problems)
+    }
+}
+
+struct Reader {
+    sections: Vec<IniSection>,
+    problems: Vec<Problem>,
+}
+
+impl Reader {
+    fn new(text: &str) -> Self {
+        let (sections, errors) = ini::parse_all(text);
+        let mut reader = Self {
+            sections,
+            problems: errors.iter().map(Problem::from).collect(),
+        };
+        reader.check_headings();
+        reader
+    }
+
+    fn read(&mut self) -> Option<Settings> {
+        let node = self.read_section(&NODE, |fields| NodeSettings {
+            name: Some(fields.optional_name("name")).filter(|name| !name.is_empty()),
+            vm: fields.name("vm"),
+            region: fields.name("region"),
+            zone: fields.name("zone"),
+        });
+        let listen = self.read_section(&LISTEN, |fields| {
+            let addresses = (
+                fields.address("callers"),
+                fields.address("operators"),
+                fields.address("peers"),
+            );
+            let (Some(callers), Some(operators), Some(peers)) = addresses else {
+                return None;
+            };
+            Some(ListenSettings {
+                callers,
+                operators,
+                peers,
+            })
+        });
+        let platform = self.read_section(&PLATFORM, |fields| PlatformSettings {
+            store: fields.url("store"),
+            cloud: fields.url("cloud"),
+            list: fields.url("list"),
+            weights: fields.url("weights"),
+        });
+        let tls = self.section("tls").is_some().then(|| {
+            self.read_section(&TLS, |fields| TlsSettings {
+                certificate: PathBuf::from(&*fields.text("certificate")),
+                key: PathBuf::from(&*fields.text("key")),
+                authority: PathBuf::from(&*fields.text("authority")),
+            })
+        });
+        let operator_keys = self.read_section(&OPERATORS, |fields| fields.hashes("key_hashes"));
+        let log = self.read_section(&LOG, |fields| LogSettings {
+            format: match &*fields.choice("format") {
+                "json" => LogFormat::Json,
+                _ => LogFormat::Text,
+            },
+            filter: fields.text("filter"),
+        });
+        Some(Settings {
+            node,
+            listen: listen?,
+            platform,
+            tls,
+            operator_keys,
+            log,
+        })
+    }
+
+    fn check(&mut self, settings: &Option<Settings>) {
+        let Some(settings) = settings else { return };
+        if settings.tls.is_none() && !settings.listen.peers.ip().is_loopback() {
+            let what = format!("{} is not a loopback address", settings.listen.peers);
+            let remedy = "add a section [tls] or use 127.0.0.1";
+            self.report("listen", "peers", what, remedy);
+        }
+        if let Err(e) = EnvFilter::try_new(&settings.log.filter) {
+            let remedy = "write a level, such as info, or target=level";
+            self.report("log", "filter", e.to_string(), remedy);
+        }
+    }
+
+    fn check_headings(&mut self) {
+        for (index, section) in self.sections.iter().enumerate() {
+            if let Some(entry) = section.entries.first().filter(|_| section.kind.is_empty()) {
+                self.problems.push(Problem::above_headings(entry));
+                continue;
+            }
+            let is_known = SECTIONS.iter().any(|spec| spec.kind == &*section.kind);
+            let first = self.sections[..index]
+                .iter()
+                .find(|earlier| earlier.kind == section.kind);
+            let (what, remedy) = match (is_known, first) {
+                (false, _) => ("is not a known section".into(), known_headings()),
+                (true, Some(first)) => (
+                    format!("is there already in line {}", first.line),
+                    "merge the two".into(),
+                ),
+                (true, None) => continue,
+            };
+            self.problems.push(Problem {
+                line: section.line,
+                section: section.kind.clone(),
+                key: "".into(),
+                what: what.into(),
+                remedy: remedy.into(),
+            });
+        }
+    }
+
+    fn section(&self, kind: &str) -> Option<&IniSection> {
+        self.sections.iter().find(|section| &*section.kind == kind)
+    }
+
+    fn read_section<T>(
+        &mut self,
+        spec: &'static SectionSpec,
+        read: impl FnOnce(&mut Fields<'_>) -> T,
+    ) -> T {
+        let absent = IniSection::absent(spec.kind);
+        let section = self.sections.iter().find(|s| &*s.kind == spec.kind);
+        let mut fields = Fields::open(section.unwrap_or(&absent), spec, &mut self.problems);
+        read(&mut fields)
+    }
+
+    fn report(&mut self, kind: &str, key: &str, what: String, remedy: &str) {
+        let section = self.section(kind);
+        let entry = section.and_then(|section| section.entry(key));
+        let line = entry.map_or(section.map_or(0, |section| section.line), |e| e.line);
+        self.problems.push(Problem {
+            line,
+            section: kind.into(),
+            key: key.into(),
+            what: what.into(),
+            remedy: remedy.into(),
+        });
+    }
+}
+
+fn known_headings() -> String {
+    let known: Vec<_> = SECTIONS
+        .iter()
+        .map(|spec| format!("[{}]", spec.kind))
+        .collect();
+    format!("use one of: {}", known.join(", "))
+}
+
+fn wrong(path: &Path, problems: Problems) -> SettingsError {
+    SettingsError::Wrong {
+        path: path.into(),
+        problems,
+    }
+}
+
+fn with_path(path: &Path, problems: &Problems) -> String {
+    let lines: Vec<_> = problems
+        .0
+        .iter()
+        .map(|problem| format!("{}: {problem}", path.display()))
+        .collect();
+    lines.join("\n")
+}
--- /dev/null
+++ b/src/util/value.rs
@@ -0,0 +1,93 @@
+//! Values of keys: reading them and writing them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Longest name in bytes.
+const MAX_NAME_BYTES: usize = 64;
+/// Prefix of a hash.
+const HASH_PREFIX: &str = "sha256:";
+
+/// A SHA-256 hash.
+pub type Hash = [u8; 32];
+
+/// Units of time with their milliseconds, longest first.
+const UNITS: [(&str, u64); 5] = [
+    ("d", 24 * 60 * 60 * 1000),
+    ("h", 60 * 60 * 1000),
+    ("m", 60 * 1000),
+    ("s", 1000),
+    ("ms", 1),
+];
+
+/// Reads a length of time such as `330ms`, `5s` or `24h`.
+pub fn parse_duration(text: &str) -> Option<Duration> {
+    let digits = text.find(|c: char| !c.is_ascii_digit())?;
+    let number: u64 = text[..digits].parse().ok()?;
+    let unit = text[digits..].trim();
+    let (_, millis) = UNITS.iter().find(|(name, _)| *name == unit)?;
+    number.checked_mul(*millis).map(Duration::from_millis)
+}
+
+/// Writes a length of time in the longest unit that is exact. Parts of a millisecond are lost.
+pub fn format_duration(duration: Duration) -> String {
+    let millis = u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
+    let (unit, size) = UNITS
+        .iter()
+        .find(|(_, size)| millis > 0 && millis.is_multiple_of(*size))
+        .unwrap_or(&("ms", 1));
+    format!("{}{unit}", millis / size)
+}
+
+/// Reads `yes` or `no`.
+pub fn parse_yes_no(text: &str) -> Option<bool> {
+    match text {
+        "yes" => Some(true),
+        "no" => Some(false),
+        _ => None,
+    }
+}
+
+/// Writes `yes` or `no`.
+pub fn format_yes_no(value: bool) -> &'static str {
+    if value { "yes" } else { "no" }
+}
+
+/// Returns whether the text is a name: letters, digits, `.`, `_` and `-`, first a letter or digit.
+pub fn is_name(text: &str) -> bool {
+    let is_first = |c: char| c.is_ascii_alphanumeric();
+    let is_next = |c: char| is_first(c) || matches!(c, '.' | '_' | '-');
+    text.len() <= MAX_NAME_BYTES && text.starts_with(is_first) && text.chars().all(is_next)
+}
+
+/// Returns the parts of a list with commas between them, without empty ones.
+pub fn list(text: &str) -> impl Iterator<Item = &str> {
+    text.split(',')
+        .map(str::trim)
+        .filter(|part| !part.is_empty())
+}
+
+/// Reads a hash written `sha256:HEX`.
+pub fn parse_hash(text: &str) -> Option<Hash> {
+    let mut hash = Hash::default();
+    hex::decode_to_slice(text.strip_prefix(HASH_PREFIX)?, &mut hash).ok()?;
+    Some(hash)
+}
+
+/// Writes a hash as `sha256:HEX`.
+pub fn format_hash(hash: &Hash) -> String {
+    format!("{HASH_PREFIX}{}", hex::encode(hash))
+}
+
+/// Reads an IP number and a port.
+pub fn parse_address(text: &str) -> Option<SocketAddr> {
+    text.parse().ok()
+}
+
+/// Returns whether the text is a URL of HTTP with a host and without white space.
+pub fn is_http_url(text: &str) -> bool {
+    let rest = text
+        .strip_prefix("http://")
+        .or_else(|| text.strip_prefix("https://"));
+    rest.is_some_and(|rest| !rest.is_empty() && !rest.contains(char::is_whitespace))
+}
--- /dev/null
+++ b/tests/tables/main.rs
@@ -0,0 +1,16 @@
+//! Tests whose cases are table files.
+
+mod documents;
+
+datatest_stable::harness! {
+    {
+        test = documents::document_has_the_expected_problems,
+        root = "tests/tables/documents",
+        pattern = r".*\.ini$",
+    },
+    {
+        test = documents::settings_have_the_expected_problems,
+        root = "tests/tables/settings",
+        pattern = r".*\.ini$",
+    },
+}
