Add the store trait with an etcd adapter and an in-memory fake

Configuration, membership and the ledger all need compare-and-swap, leases and watches, and each has to know from an error whether its write may have taken effect. The trait is object safe (boxed futures) so that one handle is shared.

A 5xx of the platform counts as a lost answer, not as an outage that changed nothing: the API uses it also for calls that timed out inside the store. Only a failed connect, a rate limit and a 4xx are told as not run.

--- /dev/null
+++ b/src/sources/store/budget.rs
@@ -0,0 +1,87 @@
+//! Keeps a node within its share of the store's calls.
+
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::time::Instant;
+
+use super::error::{Result, StoreError};
+
+/// Longest time that a call waits for its turn; behind that it is refused at once.
+const MAX_TURN_WAIT: Duration = Duration::from_millis(250);
+
+/// A share of the store's calls.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CallRate {
+    /// Calls a second in the long run; must be positive.
+    pub per_second: f64,
+    /// Calls that may be made at once after a quiet time; at least 1.
+    pub burst: u32,
+}
+
+/// A token bucket: each call takes one token and waits a short time for it.
+#[derive(Debug)]
+pub struct CallBudget {
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    rate: CallRate,
+    /// Negative while calls wait for their turn.
+    tokens: f64,
+    updated: Instant,
+}
+
+impl CallBudget {
+    /// Creates a full bucket.
+    pub fn new(rate: CallRate) -> Self {
+        Self {
+            state: Mutex::new(State {
+                rate,
+                tokens: f64::from(rate.burst),
+                updated: Instant::now(),
+            }),
+        }
+    }
+
+    /// Changes the share, such as after a change in the number of nodes.
+    pub fn set_rate(&self, rate: CallRate) {
+        let mut state = self.state.lock();
+        state.refill(Instant::now());
+        state.rate = rate;
+    }
+
+    /// Waits for the caller's turn.
+    ///
+    /// # Errors
+    ///
+    /// Fails at once with [`StoreError::RateLimited`] where the turn is too far off.
+    pub async fn take(&self) -> Result<()> {
+        let wait = self.state.lock().reserve(Instant::now())?;
+        if !wait.is_zero() {
+            tokio::time::sleep(wait).await;
+        }
+        Ok(())
+    }
+}
+
+impl State {
+    fn refill(&mut self, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.updated).as_secs_f64();
+        self.updated = now;
+        self.tokens =
+            (self.tokens + elapsed * self.rate.per_second).min(f64::from(self.rate.burst));
+    }
+
+    fn reserve(&mut self, now: Instant) -> Result<Duration> {
+        self.refill(now);
+        let missing = (1.0 - self.tokens).max(0.0);
+        let wait = Duration::from_secs_f64(missing / self.rate.per_second);
+        if wait > MAX_TURN_WAIT {
+            return Err(StoreError::RateLimited { retry_after: wait });
+        }
+        self.tokens -= 1.0;
+        Ok(wait)
+    }
+}
--- /dev/null
+++ b/src/sources/store/memory/state.rs
@@ -0,0 +1,240 @@
+//! Data of the fake store.
+
+use std::collections::{BTreeMap, HashMap};
+use std::ops::Bound;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use crate::sources::store::MAX_VALUE_BYTES;
+use crate::sources::store::error::{Result, StoreError};
+use crate::sources::store::types::{
+    Compare, Condition, Key, KeyRange, KeyValue, LeaseGrant, LeaseId, Op, OpResult, RangeReply,
+    Revision, Transaction, TransactionReply, WatchEvent, WatchRequest,
+};
+
+/// Time unit in which the store grants leases.
+const LEASE_GRANULARITY: Duration = Duration::from_secs(1);
+
+#[derive(Debug)]
+struct Lease {
+    ttl: Duration,
+    deadline: Instant,
+}
+
+#[derive(Debug)]
+struct Watcher {
+    range: KeyRange,
+    tx: mpsc::UnboundedSender<Result<WatchEvent>>,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct State {
+    revision: Revision,
+    entries: BTreeMap<Key, KeyValue>,
+    leases: HashMap<LeaseId, Lease>,
+    last_lease: LeaseId,
+    history: Vec<(Revision, WatchEvent)>,
+    watchers: Vec<Watcher>,
+}
+
+impl State {
+    pub(super) fn range(&mut self, range: &KeyRange) -> RangeReply {
+        self.expire();
+        RangeReply {
+            revision: self.revision,
+            entries: self.find(range),
+        }
+    }
+
+    pub(super) fn transact(&mut self, req: &Transaction) -> Result<TransactionReply> {
+        self.expire();
+        let succeeded = req.compares.iter().all(|compare| self.holds(compare));
+        let ops = if succeeded { &req.then } else { &req.otherwise };
+        for op in ops {
+            self.check(op)?;
+        }
+        let next = self.revision + 1;
+        let results = ops.iter().map(|op| self.apply(op, next)).collect();
+        Ok(TransactionReply {
+            revision: self.revision,
+            succeeded,
+            results,
+        })
+    }
+
+    pub(super) fn grant(&mut self, ttl: Duration) -> LeaseGrant {
+        self.expire();
+        self.last_lease += 1;
+        let ttl = ttl.max(LEASE_GRANULARITY);
+        let lease = Lease {
+            ttl,
+            deadline: Instant::now() + ttl,
+        };
+        self.leases.insert(self.last_lease, lease);
+        LeaseGrant {
+            id: self.last_lease,
+            ttl,
+        }
+    }
+
+    pub(super) fn keep_alive(&mut self, id: LeaseId) -> Result<LeaseGrant> {
+        self.expire();
+        let lease = self.leases.get_mut(&id).ok_or(StoreError::LeaseNotFound)?;
+        lease.deadline = Instant::now() + lease.ttl;
+        Ok(LeaseGrant { id, ttl: lease.ttl })
+    }
+
+    pub(super) fn revoke(&mut self, id: LeaseId) -> Result<()> {
+        self.expire();
+        self.leases.remove(&id).ok_or(StoreError::LeaseNotFound)?;
+        self.delete_keys_of(id);
+        Ok(())
+    }
+
+    pub(super) fn watch(
+        &mut self,
+        req: WatchRequest,
+    ) -> mpsc::UnboundedReceiver<Result<WatchEvent>> {
+        self.expire();
+        let (tx, rx) = mpsc::unbounded_channel();
+        let revision = self.revision;
+        let past = self
+            .history
+            .iter()
+            .filter(|(at, _)| req.from.is_some_and(|from| *at >= from))
+            .filter(|(_, event)| req.range.contains(key_of(event)))
+            .map(|(_, event)| event.clone());
+        for event in std::iter::once(WatchEvent::Started { revision }).chain(past) {
+            let _ = tx.send(Ok(event));
+        }
+        self.watchers.push(Watcher {
+            range: req.range,
+            tx,
+        });
+        rx
+    }
+
+    pub(super) fn break_watches(&mut self) {
+        for watcher in self.watchers.drain(..) {
+            let _ = watcher.tx.send(Err(StoreError::AnswerLost {
+                cause: "connection closed".into(),
+            }));
+        }
+    }
+
+    /// Returns when the lease ends, or `None` once it has ended.
+    pub(super) fn deadline_of(&mut self, id: LeaseId) -> Option<Instant> {
+        self.expire();
+        self.leases.get(&id).map(|lease| lease.deadline)
+    }
+
+    fn expire(&mut self) {
+        let now = Instant::now();
+        let ended: Vec<LeaseId> = self
+            .leases
+            .iter()
+            .filter(|(_, lease)| lease.deadline <= now)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in ended {
+            self.leases.remove(&id);
+            self.delete_keys_of(id);
+        }
+    }
+
+    fn delete_keys_of(&mut self, id: LeaseId) {
+        let next = self.revision + 1;
+        let keys: Vec<Key> = self
+            .entries
+            .values()
+            .filter(|entry| entry.lease == Some(id))
+            .map(|entry| entry.key.clone())
+            .collect();
+        for key in keys {
+            self.delete(&key, next);
+        }
+    }
+
+    fn find(&self, range: &KeyRange) -> Vec<KeyValue> {
+        self.entries
+            .range::<str, _>((Bound::Included(range.start()), Bound::Unbounded))
+            .take_while(|(key, _)| range.contains(key))
+            .map(|(_, entry)| entry.clone())
+            .collect()
+    }
+
+    fn holds(&self, compare: &Compare) -> bool {
+        let entry = self.entries.get(&compare.key);
+        match compare.condition {
+            Condition::ModRevision(wanted) => entry.map_or(0, |e| e.mod_revision) == wanted,
+            Condition::CreateRevision(wanted) => entry.map_or(0, |e| e.create_revision) == wanted,
+            Condition::Version(wanted) => entry.map_or(0, |e| e.version) == wanted,
+        }
+    }
+
+    fn check(&self, op: &Op) -> Result<()> {
+        match op {
+            Op::Put { value, .. } if value.len() > MAX_VALUE_BYTES => Err(StoreError::Refused {
+                cause: "the value is too large".into(),
+            }),
+            Op::Put {
+                lease: Some(id), ..
+            } if !self.leases.contains_key(id) => Err(StoreError::LeaseNotFound),
+            Op::Put { .. } | Op::Delete(_) | Op::Get(_) => Ok(()),
+        }
+    }
+
+    fn apply(&mut self, op: &Op, next: Revision) -> OpResult {
+        match op {
+            Op::Put { key, value, lease } => {
+                let old = self.entries.get(key);
+                let entry = KeyValue {
+                    key: key.clone(),
+                    value: value.clone(),
+                    create_revision: old.map_or(next, |e| e.create_revision),
+                    mod_revision: next,
+                    version: old.map_or(0, |e| e.version) + 1,
+                    lease: *lease,
+                };
+                self.entries.insert(key.clone(), entry.clone());
+                self.publish(next, WatchEvent::Put(entry));
+                OpResult::Put
+            }
+            Op::Delete(range) => {
+                let found = self.find(range);
+                for entry in &found {
+                    self.delete(&entry.key, next);
+                }
+                OpResult::Deleted(found.len() as u64)
+            }
+            Op::Get(range) => OpResult::Got(self.find(range)),
+        }
+    }
+
+    fn delete(&mut self, key: &str, next: Revision) {
+        self.entries.remove(key);
+        let event = WatchEvent::Deleted {
+            key: key.into(),
+            revision: next,
+        };
+        self.publish(next, event);
+    }
+
+    fn publish(&mut self, revision: Revision, event: WatchEvent) {
+        self.revision = revision;
+        let key = key_of(&event).to_owned();
+        self.watchers
+            .retain(|w| !w.range.contains(&key) || w.tx.send(Ok(event.clone())).is_ok());
+        self.history.push((revision, event));
+    }
+}
+
+fn key_of(event: &WatchEvent) -> &str {
+    match event {
+        WatchEvent::Started { .. } => "",
+        WatchEvent::Put(entry) => &entry.key,
+        WatchEvent::Deleted { key, .. } => key,
+    }
+}
