Publish the document by compare-and-swap and spread it by gossip

The store keeps a small head (revision, publish id, digest, changed sections), a copy of each head and the whole text of each of the last 256 revisions. A publish is one transaction on the head's revision. A lost answer is settled by running the same transaction again: at most one attempt can take effect, and the record of our revision names the call that made it. After five attempts without an answer the error says may_have_run.

Two nodes of each region watch the head; the others learn the revision by gossip and fetch the changed sections from a peer, the whole text where the digest does not fit, and ask the store only after three failed fetches. Watches that drop events are covered by a read every 5 s on average.

--- /dev/null
+++ b/src/ops/publish/difference.rs
@@ -0,0 +1,17 @@
+//! The difference between two texts, for people.
+
+use similar::TextDiff;
+
+/// Lines shown around a change.
+const CONTEXT_LINES: usize = 3;
+
+/// Returns the unified difference between two texts with their names; empty where they are equal.
+pub fn difference(old: (&str, &str), new: (&str, &str)) -> Box<str> {
+    let diff = TextDiff::from_lines(old.1, new.1);
+    let mut unified = diff.unified_diff();
+    unified
+        .context_radius(CONTEXT_LINES)
+        .header(old.0, new.0)
+        .to_string()
+        .into()
+}
--- /dev/null
+++ b/src/ops/spread/mod.rs
@@ -0,0 +1,196 @@
+//! Brings published documents to every node.
+//!
+//! A few nodes of each region watch the store. All others learn revisions from gossip and fetch the
+//! changed sections from a peer that has them. The store is asked by other nodes only when they start
+//! and when no peer gives what gossip has announced, so that its load does not grow with the fleet.
+
+mod bootstrap;
+mod budget;
+mod fetch;
+mod holders;
+mod jitter;
+mod peer;
+mod replica;
+mod version;
+mod watcher;
+
+use std::sync::Arc;
+
+use jayhall_wire::{DocumentRevision, FetchDocumentReply, FetchDocumentRequest};
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use xxhash_rust::xxh3::xxh3_64;
+
+pub use peer::{DocumentPeers, PeerError};
+pub use replica::{ConfigInstaller, Installation, Installer};
+pub use version::{Version, VersionError};
+
+use crate::core::id::{Address, ConfigRevision};
+use crate::node::Blackboard;
+use crate::ops::publish::{Archive, Published};
+use crate::sources::store::Store;
+use budget::ReplyBudget;
+use holders::Holder;
+use jitter::Jitter;
+use replica::Replica;
+
+/// What a node needs to take part.
+pub struct SpreadConfig {
+    /// Identity and members are read from it; [`ConfigInstaller`] writes to it.
+    pub blackboard: Arc<Blackboard>,
+    /// The platform's store.
+    pub store: Arc<dyn Store>,
+    /// Way to other nodes.
+    pub peers: Arc<dyn DocumentPeers>,
+    /// Documents that are spread.
+    pub installers: Vec<Arc<dyn Installer>>,
+}
+
+/// Spreads documents for as long as it lives.
+pub struct Spread {
+    shared: Arc<Shared>,
+    ready: watch::Receiver<bool>,
+    _tasks: JoinSet<()>,
+}
+
+/// What the tasks share.
+struct Shared {
+    blackboard: Arc<Blackboard>,
+    store: Arc<dyn Store>,
+    peers: Arc<dyn DocumentPeers>,
+    replicas: Vec<Arc<Replica>>,
+    jitter: Jitter,
+    whole_replies: ReplyBudget,
+}
+
+impl Spread {
+    /// Starts to spread documents.
+    pub fn spawn(cfg: SpreadConfig) -> Arc<Self> {
+        let seed = xxh3_64(cfg.blackboard.identity.node.as_bytes());
+        let replicas = cfg.installers.into_iter().map(Replica::new).map(Arc::new);
+        let shared = Arc::new(Shared {
+            blackboard: cfg.blackboard,
+            store: cfg.store,
+            peers: cfg.peers,
+            replicas: replicas.collect(),
+            jitter: Jitter::new(seed),
+            whole_replies: ReplyBudget::default(),
+        });
+        let (ready_tx, ready) = watch::channel(false);
+        let mut tasks = JoinSet::new();
+        tasks.spawn(bootstrap_all(shared.clone(), ready_tx));
+        for replica in &shared.replicas {
+            tasks.spawn(fetch::follow_gossip(shared.clone(), replica.clone()));
+            tasks.spawn(watcher::follow_store(
+                shared.clone(),
+                replica.clone(),
+                ready.clone(),
+            ));
+        }
+        Arc::new(Self {
+            shared,
+            ready,
+            _tasks: tasks,
+        })
+    }
+
+    /// Waits until the node has asked several peers and the store, and has a revision of every
+    /// document. A node serves no caller before.
+    pub async fn ready(&self) {
+        let mut ready = self.ready.clone();
+        // The sender lives as long as the tasks, which this value owns.
+        let _ = ready.wait_for(|is_ready| *is_ready).await;
+    }
+
+    /// Answers a peer. Revision 0 stands for an unknown document, for one without a revision yet, and
+    /// for a node that has given its share of whole texts; the peer then asks another node.
+    pub fn handle_fetch(&self, req: &FetchDocumentRequest) -> FetchDocumentReply {
+        let Some(replica) = self.shared.replica(&req.document) else {
+            return FetchDocumentReply::default();
+        };
+        let reply = replica.reply(req.base_revision);
+        if !reply.is_delta && !self.shared.whole_replies.take() {
+            metrics::counter!("jayhall_document_replies_total", "form" => "busy").increment(1);
+            return FetchDocumentReply::default();
+        }
+        let form = if reply.is_delta { "delta" } else { "whole" };
+        metrics::counter!("jayhall_document_replies_total", "form" => form).increment(1);
+        reply
+    }
+
+    /// Returns the revisions that gossip announces.
+    pub fn revisions(&self) -> Vec<DocumentRevision> {
+        let replicas = self.shared.replicas.iter();
+        replicas
+            .map(|replica| DocumentRevision {
+                document: replica.name().to_owned(),
+                revision: replica.revision(),
+            })
+            .collect()
+    }
+
+    /// Notes what a node announced by gossip; `address` is where its peers connect.
+    pub fn heard(&self, address: Address, revisions: &[DocumentRevision]) {
+        for announced in revisions {
+            let Some(replica) = self.shared.replica(&announced.document) else {
+                continue;
+            };
+            if announced.revision > replica.revision() {
+                replica.holders.add(Holder {
+                    address,
+                    revision: announced.revision,
+                });
+            }
+        }
+    }
+
+    /// Puts in force what this node has just published itself.
+    pub fn published(&self, document: &str, published: Published) -> Installation {
+        match self.shared.replica(document) {
+            Some(replica) => replica.install(published.into()),
+            None => Installation::NotNewer,
+        }
+    }
+
+    /// Returns the latest version of a document on this node.
+    pub fn latest(&self, document: &str) -> Option<Arc<Version>> {
+        self.shared.replica(document)?.latest()
+    }
+
+    /// Returns a version that this node still keeps.
+    pub fn version(&self, document: &str, revision: ConfigRevision) -> Option<Arc<Version>> {
+        self.shared.replica(document)?.version(revision)
+    }
+
+    /// Returns a receiver that follows the revision of a document on this node.
+    pub fn watch_revision(&self, document: &str) -> Option<watch::Receiver<ConfigRevision>> {
+        Some(self.shared.replica(document)?.watch_revision())
+    }
+
+    /// Returns the revisions that were put in force on this node, oldest first; a bounded number.
+    pub fn installed(&self, document: &str) -> Vec<ConfigRevision> {
+        let replica = self.shared.replica(document);
+        replica.map_or_else(Vec::new, |replica| replica.log())
+    }
+}
+
+impl Shared {
+    fn replica(&self, document: &str) -> Option<&Arc<Replica>> {
+        self.replicas
+            .iter()
+            .find(|replica| replica.name() == document)
+    }
+
+    fn archive(&self, replica: &Replica) -> Archive {
+        Archive::open(self.store.clone(), replica.name())
+    }
+}
+
+async fn bootstrap_all(shared: Arc<Shared>, ready: watch::Sender<bool>) {
+    for replica in &shared.replicas {
+        bootstrap::bootstrap(&shared, replica).await;
+    }
+    ready.send_replace(true);
+    // Keeps the sender, so that a receiver can tell the end of the process from readiness.
+    std::future::pending::<()>().await;
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,4 +5,5 @@
 
 mod document;
 mod ini;
+mod promise_config;
 mod store_contract;
