--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,10 +4,14 @@
 //! decision is a function of (state, event, time), so that a test can replay it exactly and so that
 //! the cost of a decision can be measured on its own.
 
+pub mod answer;
 pub mod cells;
+pub mod dispatch;
 pub mod document;
+pub mod explain;
 pub mod fleet;
 pub mod id;
 pub mod membership;
+pub mod request;
 pub mod time;
 pub mod verdict;
--- /dev/null
+++ b/src/ops/follow.rs
@@ -0,0 +1,201 @@
+//! Finds the node that serves a request and streams its answer.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::stream::{BoxStream, StreamExt};
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+use tokio_stream::wrappers::ReceiverStream;
+
+use crate::core::answer::GivenUp;
+use crate::core::cells;
+use crate::core::id::{NodeId, TokenOffset};
+use crate::core::request::Completion;
+use crate::node::NodeContext;
+use crate::ops::requests::{Entry, Progress, Requests};
+
+/// Longest silence of a reader's stream.
+const HEARTBEAT: Duration = Duration::from_millis(500);
+/// Longest wait for another node to answer whether it knows a request.
+const ASK_TIMEOUT: Duration = Duration::from_millis(800);
+/// Longest silence of a node that streams an answer.
+const SILENCE: Duration = Duration::from_secs(2);
+/// Nodes that are asked at most.
+const MAX_ASKED: usize = 8;
+/// Events that a slow reader may be behind.
+const EVENT_BUFFER: usize = 16;
+
+/// What a reader of an answer is told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AnswerEvent {
+    /// Tokens; none where the event only shows that the connection lives.
+    Tokens {
+        /// Offset of the first one.
+        offset: TokenOffset,
+        /// The tokens.
+        tokens: Vec<Box<str>>,
+    },
+    /// All tokens have been told.
+    Whole(Completion),
+    /// No more tokens will come.
+    GivenUp(GivenUp),
+    /// Another node serves the request.
+    Elsewhere(NodeId),
+    /// The node does not know the request.
+    Unknown,
+}
+
+impl AnswerEvent {
+    /// Returns whether no event follows this one.
+    pub fn is_last(&self) -> bool {
+        !matches!(self, Self::Tokens { .. })
+    }
+}
+
+/// Events of one answer.
+pub type AnswerEvents = BoxStream<'static, AnswerEvent>;
+
+/// Finds requests and streams their answers.
+#[derive(Clone, Debug)]
+pub struct Follower {
+    cx: NodeContext,
+    requests: Arc<Requests>,
+}
+
+impl Follower {
+    /// Creates the operation.
+    pub fn new(cx: NodeContext, requests: Arc<Requests>) -> Self {
+        Self { cx, requests }
+    }
+
+    /// Streams the answer of a request that this node serves or has served.
+    pub fn follow_local(&self, id: &str, customer: &str, from: TokenOffset) -> AnswerEvents {
+        match self.requests.get(id) {
+            Some(entry) if &**entry.customer() == customer => follow_entry(entry, from),
+            _ => futures::stream::iter([AnswerEvent::Unknown]).boxed(),
+        }
+    }
+
+    /// Streams the answer of a request, whichever node serves it. Ends with `Unknown` where no node
+    /// that could serve it knows it.
+    pub async fn follow(&self, id: &str, customer: &str, from: TokenOffset) -> AnswerEvents {
+        let mut local = self.follow_local(id, customer, from);
+        let mut first_asked = None;
+        match local.next().await {
+            Some(AnswerEvent::Unknown) | None => {}
+            Some(AnswerEvent::Elsewhere(node)) => first_asked = Some(node),
+            Some(event) => return prepend(event, local),
+        }
+        let mut to_ask: VecDeque<NodeId> = first_asked.into_iter().collect();
+        to_ask.extend(self.candidates(id));
+        let mut asked: Vec<NodeId> = vec![self.cx.board.identity.node.clone()];
+        while let Some(node) = to_ask.pop_front() {
+            if asked.len() > MAX_ASKED || asked.contains(&node) {
+                continue;
+            }
+            asked.push(node.clone());
+            match self.ask(&node, id, customer, from).await {
+                Some((AnswerEvent::Elsewhere(next), _)) => to_ask.push_front(next),
+                Some((AnswerEvent::Unknown, _)) | None => {}
+                Some((event, rest)) => return prepend(event, rest),
+            }
+        }
+        futures::stream::iter([AnswerEvent::Unknown]).boxed()
+    }
+
+    /// Returns the nodes that may know a request, best first: its replicas are chosen by the same order.
+    fn candidates(&self, id: &str) -> Vec<NodeId> {
+        let view = self.cx.board.members.read();
+        let own = &self.cx.board.identity.region;
+        let names = |is_own: bool| {
+            view.members
+                .iter()
+                .filter(move |member| (member.region == *own) == is_own)
+                .map(|member| &*member.node)
+        };
+        cells::ranked(id, names(true))
+            .into_iter()
+            .chain(cells::ranked(id, names(false)))
+            .map(NodeId::from)
+            .collect()
+    }
+
+    async fn ask(
+        &self,
+        node: &str,
+        id: &str,
+        customer: &str,
+        from: TokenOffset,
+    ) -> Option<(AnswerEvent, AnswerEvents)> {
+        let address = self.cx.board.members.read().get(node)?.peer_address;
+        let mut client = self.cx.pool.client(address);
+        let asked = client.follow(jayhall_wire::FollowRequest {
+            request: id.into(),
+            customer: customer.into(),
+            from_offset: from,
+        });
+        let stream = timeout(ASK_TIMEOUT, asked).await.ok()?.ok()?.into_inner();
+        let mut events = decoded(stream);
+        let first = timeout(ASK_TIMEOUT, events.next()).await.ok()??;
+        Some((first, events))
+    }
+}
+
+/// Decodes the events of another node; a node that falls silent ends the stream.
+fn decoded(stream: tonic::Streaming<jayhall_wire::AnswerEvent>) -> AnswerEvents {
+    tokio_stream::StreamExt::timeout(stream, SILENCE)
+        .take_while(|event| futures::future::ready(matches!(event, Ok(Ok(_)))))
+        .filter_map(|event| async { AnswerEvent::try_from(event.ok()?.ok()?).ok() })
+        .boxed()
+}
+
+fn prepend(event: AnswerEvent, rest: AnswerEvents) -> AnswerEvents {
+    futures::stream::iter([event]).chain(rest).boxed()
+}
+
+/// Streams what a request of this node has and gets.
+pub fn follow_entry(entry: Arc<Entry>, from: TokenOffset) -> AnswerEvents {
+    let (tx, rx) = mpsc::channel(EVENT_BUFFER);
+    tokio::spawn(tell(entry, from, tx));
+    ReceiverStream::new(rx).boxed()
+}
+
+async fn tell(entry: Arc<Entry>, from: TokenOffset, tx: mpsc::Sender<AnswerEvent>) {
+    let mut changes = entry.watch();
+    let mut offset = from;
+    let mut is_due = false;
+    loop {
+        changes.mark_unchanged();
+        let event = match entry.read(offset) {
+            Progress::Tokens(tokens) => {
+                let event = AnswerEvent::Tokens {
+                    offset,
+                    tokens: tokens.clone(),
+                };
+                offset += TokenOffset::try_from(tokens.len()).unwrap_or(0);
+                Some(event)
+            }
+            Progress::Whole(completion) => Some(AnswerEvent::Whole(completion)),
+            Progress::GivenUp(given_up) => Some(AnswerEvent::GivenUp(given_up)),
+            Progress::Elsewhere(node) => Some(AnswerEvent::Elsewhere(node)),
+            Progress::Pending if is_due => Some(AnswerEvent::Tokens {
+                offset,
+                tokens: Vec::new(),
+            }),
+            Progress::Pending => None,
+        };
+        if let Some(event) = event {
+            let is_last = event.is_last();
+            if tx.send(event).await.is_err() || is_last {
+                return;
+            }
+        }
+        let waited = timeout(HEARTBEAT, changes.changed()).await;
+        is_due = waited.is_err();
+        if matches!(waited, Ok(Err(_))) || tx.is_closed() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/src/ops/hand_over.rs
@@ -0,0 +1,166 @@
+//! Passes the serving of requests to other nodes when this one leaves, and takes them from others.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use futures::stream;
+use tokio::time::timeout;
+
+use crate::core::explain::Decision;
+use crate::core::id::NodeId;
+use crate::node::{NodeContext, Phase};
+use crate::ops::replicate::{Replicator, replica_candidates};
+use crate::ops::requests::{Entry, Requests, Role};
+use crate::ops::run_request::Runner;
+use crate::peers::convert_request::HandOver;
+
+/// Longest wait for a node to take one request.
+const TIMEOUT: Duration = Duration::from_millis(1500);
+/// Requests that are passed on at once.
+const CONCURRENCY: usize = 64;
+
+/// Passes requests to other nodes and takes them from others.
+#[derive(Debug)]
+pub struct HandOvers {
+    cx: NodeContext,
+    requests: Arc<Requests>,
+    replicator: Arc<Replicator>,
+    runner: Arc<Runner>,
+}
+
+/// What became of a request that another node wants to pass on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Taken {
+    /// This node serves it now.
+    Yes,
+    /// This node cannot take it.
+    No {
+        /// Why.
+        cause: Box<str>,
+    },
+}
+
+impl HandOvers {
+    /// Creates the operation.
+    pub fn new(
+        cx: NodeContext,
+        requests: Arc<Requests>,
+        replicator: Arc<Replicator>,
+        runner: Arc<Runner>,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            cx,
+            requests,
+            replicator,
+            runner,
+        })
+    }
+
+    /// Passes on all requests that this node serves. Returns how many it still serves.
+    pub async fn pass_on_all(&self, cause: &str) -> usize {
+        stream::iter(self.requests.served())
+            .for_each_concurrent(CONCURRENCY, |entry| async move {
+                self.pass_on(&entry, cause).await;
+            })
+            .await;
+        self.requests.served_open().len()
+    }
+
+    /// Passes on one request: to its replica, which has the copy, or else to the next best node.
+    async fn pass_on(&self, entry: &Entry, cause: &str) {
+        let own = &self.cx.board.identity.node;
+        let view = self.cx.board.members.read();
+        let mut candidates = replica_candidates(entry.id(), own, &view);
+        if let Some(replica) = entry.replica() {
+            candidates.sort_by_key(|node| *node != replica);
+        }
+        for node in candidates {
+            if entry.role() != Role::Serving {
+                return;
+            }
+            if self.offer(entry, &node, cause).await {
+                entry.hand_over(node);
+                metrics::counter!("jayhall_handovers_total", "direction" => "out").increment(1);
+                return;
+            }
+        }
+    }
+
+    async fn offer(&self, entry: &Entry, node: &NodeId, cause: &str) -> bool {
+        let own = &self.cx.board.identity.node;
+        let members = self.cx.board.members.read();
+        let Some(member) = members.get(node) else {
+            return false;
+        };
+        let offer = HandOver {
+            from: own.clone(),
+            snapshot: entry.snapshot(),
+            cause: cause.into(),
+        };
+        let mut client = self.cx.pool.client(member.peer_address);
+        let reply = timeout(
+            TIMEOUT,
+            client.hand_over(jayhall_wire::HandOverRequest::from(offer)),
+        )
+        .await;
+        matches!(reply, Ok(Ok(reply)) if reply.get_ref().accepted)
+    }
+
+    /// Takes a request that another node passes on.
+    pub fn take(&self, offer: HandOver) -> Taken {
+        if *self.cx.board.phase.read() != Phase::Serving {
+            return Taken::No {
+                cause: "the node is itself leaving or not ready".into(),
+            };
+        }
+        let own = self.cx.board.identity.node.clone();
+        let id = offer.snapshot.request.id.clone();
+        if let Some(known) = self.requests.get(&id) {
+            if known.role() == Role::Serving {
+                return Taken::Yes;
+            }
+        }
+        let entry = Arc::new(Entry::serving(offer.snapshot));
+        entry.note(Decision::HandedOver {
+            from: offer.from,
+            to: own,
+            cause: offer.cause,
+        });
+        if !self.requests.insert(Arc::clone(&entry)) {
+            return Taken::No {
+                cause: "the node has no room".into(),
+            };
+        }
+        metrics::counter!("jayhall_handovers_total", "direction" => "in").increment(1);
+        self.begin(entry);
+        Taken::Yes
+    }
+
+    /// Serves the copies of a node that is gone.
+    pub fn promote_copies_of(&self, node: &str) {
+        for entry in self.requests.copies_of(node) {
+            if !entry.promote() {
+                continue;
+            }
+            entry.note(Decision::HandedOver {
+                from: node.into(),
+                to: self.cx.board.identity.node.clone(),
+                cause: "it is gone".into(),
+            });
+            metrics::counter!("jayhall_promotions_total").increment(1);
+            self.begin(entry);
+        }
+    }
+
+    fn begin(&self, entry: Arc<Entry>) {
+        let replicator = Arc::clone(&self.replicator);
+        let runner = Arc::clone(&self.runner);
+        tokio::spawn(async move {
+            replicator.secure(&entry).await;
+            if entry.is_open() {
+                runner.spawn(entry);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/ops/home/drive.rs
@@ -0,0 +1,222 @@
+//! Runs one attempt on one engine.
+
+use std::time::Duration;
+
+use futures::StreamExt;
+use tokio::time::{Instant, timeout};
+
+use super::run::{Ended, Run};
+use crate::core::dispatch::Attachment;
+use crate::core::fleet::Backend;
+use crate::core::verdict::Verdict;
+use crate::sources::engine::{EngineAttempt, EngineClient, EngineError, EngineEvent, EngineStream};
+use crate::util::time::unix_now;
+
+/// Longest silence of a stream before it is attached again over a new connection.
+const SILENCE: Duration = Duration::from_secs(1);
+/// Longest time without a new token, over all connections, before the engine is given up.
+const STALL: Duration = Duration::from_secs(15);
+/// Time before a reclaim at which what is left of an answer is moved.
+const MOVE_MARGIN: Duration = Duration::from_secs(3);
+/// Longest wait for an export of the engine's cache.
+const EXPORT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for which an engine that was out of reach gets nothing new.
+const OUT_OF_REACH_PAUSE: Duration = Duration::from_secs(1);
+
+/// What became of an attempt on an engine.
+pub(super) enum Outcome {
+    /// The run has ended; its readers have been told.
+    Ended,
+    /// The engine has started nothing; the run waits again.
+    Requeue { pause: Duration },
+}
+
+/// Why reading a stream stopped.
+enum Read {
+    Finished,
+    EndedElsewhere,
+    Broken,
+    Silent,
+}
+
+/// Runs an attempt on an engine until it ends.
+pub(super) async fn run_on_engine(
+    engines: &EngineClient,
+    run: &Run,
+    engine: &Backend,
+    attach: bool,
+) -> Outcome {
+    if run.has_ended() {
+        return Outcome::Ended;
+    }
+    let attachment = run.order.attachment.clone().filter(|_| attach);
+    let engine_attempt = attachment.as_ref().map_or(run.attempt, |a| a.attempt);
+    let opened = match &attachment {
+        Some(attachment) => {
+            let id = &run.order.request.id;
+            engines
+                .attach(engine.address, id, attachment, run.base)
+                .await
+        }
+        None => start(engines, run, engine).await,
+    };
+    let stream = match opened {
+        Ok(stream) => stream,
+        Err(EngineError::Busy { retry_after, .. }) => {
+            return Outcome::Requeue { pause: retry_after };
+        }
+        Err(EngineError::NotReached { .. }) if !attach => {
+            return Outcome::Requeue {
+                pause: OUT_OF_REACH_PAUSE,
+            };
+        }
+        Err(e) => {
+            end_moved(run, &e.to_string(), e.verdict());
+            return Outcome::Ended;
+        }
+    };
+    run.begin_running(&engine.vm, engine_attempt);
+    let attachment = Attachment {
+        engine: engine.vm.clone(),
+        attempt: engine_attempt,
+    };
+    read_to_end(engines, run, engine, &attachment, stream).await;
+    Outcome::Ended
+}
+
+async fn start(
+    engines: &EngineClient,
+    run: &Run,
+    engine: &Backend,
+) -> crate::sources::engine::Result<EngineStream> {
+    let attempt = EngineAttempt {
+        request: &run.order.request,
+        attempt: run.attempt,
+        priority: 0,
+        prior_tokens: &run.order.prior_tokens,
+        kv_blob: run.order.kv_blob.as_deref(),
+    };
+    engines.start(engine.address, attempt).await
+}
+
+async fn read_to_end(
+    engines: &EngineClient,
+    run: &Run,
+    engine: &Backend,
+    attachment: &Attachment,
+    mut stream: EngineStream,
+) {
+    let id = &run.order.request.id;
+    let mut last_token = Instant::now();
+    loop {
+        let before = run.next_offset();
+        let read = read_stream(run, &mut stream).await;
+        if run.next_offset() > before {
+            last_token = Instant::now();
+        }
+        if run.is_moving() {
+            wait_for_end(run).await;
+            return;
+        }
+        match read {
+            Read::Finished => return,
+            Read::EndedElsewhere => {
+                cancel_unless_continued(engines, run, engine).await;
+                return;
+            }
+            Read::Silent | Read::Broken if last_token.elapsed() >= STALL => {
+                end_moved(
+                    run,
+                    "the engine made no token for too long",
+                    Verdict::MayHaveRun,
+                );
+                let _ = engines.cancel(engine.address, id).await;
+                return;
+            }
+            Read::Silent | Read::Broken => {}
+        }
+        let from = run.next_offset();
+        match engines.attach(engine.address, id, attachment, from).await {
+            Ok(attached) => stream = attached,
+            Err(e) => {
+                end_moved(run, &e.to_string(), e.verdict());
+                return;
+            }
+        }
+    }
+}
+
+async fn read_stream(run: &Run, stream: &mut EngineStream) -> Read {
+    let mut state = run.state.subscribe();
+    loop {
+        let next = tokio::select! {
+            next = timeout(SILENCE, stream.next()) => next,
+            _ = state.wait_for(|state| state.ended.is_some()) => return Read::EndedElsewhere,
+        };
+        match next {
+            Err(_) => return Read::Silent,
+            Ok(None | Some(Err(_))) => return Read::Broken,
+            Ok(Some(Ok(EngineEvent::Token { offset, text }))) => {
+                if run.take_token(offset, text) < offset {
+                    return Read::Broken;
+                }
+            }
+            Ok(Some(Ok(EngineEvent::Finished(completion)))) => {
+                run.end(Ended::Finished(completion));
+                return Read::Finished;
+            }
+        }
+    }
+}
+
+/// Waits until whoever moves the run off its engine has ended it.
+async fn wait_for_end(run: &Run) {
+    let mut state = run.state.subscribe();
+    let _ = state.wait_for(|state| state.ended.is_some()).await;
+}
+
+async fn cancel_unless_continued(engines: &EngineClient, run: &Run, engine: &Backend) {
+    let continues = matches!(
+        run.state.borrow().ended,
+        Some(Ended::Moved {
+            engine_continues: true,
+            ..
+        })
+    );
+    if !continues {
+        let _ = engines.cancel(engine.address, &run.order.request.id).await;
+    }
+}
+
+fn end_moved(run: &Run, cause: &str, verdict: Verdict) {
+    run.end(Ended::Moved {
+        cause: cause.into(),
+        engine_continues: false,
+        kv_blob: None,
+        verdict,
+    });
+}
+
+/// Returns whether what runs on an engine has to be moved now.
+pub(super) fn must_move(engine: &Backend) -> bool {
+    match engine.reclaim_at {
+        Some(at) => unix_now() + u64::try_from(MOVE_MARGIN.as_millis()).unwrap_or(0) >= at,
+        None => engine.is_leaving,
+    }
+}
+
+/// Stops an attempt on an engine that leaves and tells readers to run the rest elsewhere.
+pub(super) async fn move_off(engines: EngineClient, run: std::sync::Arc<Run>, engine: Backend) {
+    let id = run.order.request.id.clone();
+    let exported = timeout(EXPORT_TIMEOUT, engines.export_kv(engine.address, &id)).await;
+    let kv_blob = match exported {
+        Ok(Ok(exported)) => Some(exported.blob),
+        _ => None,
+    };
+    run.end(Ended::Moved {
+        cause: format!("the cloud takes back the engine {}", engine.vm).into(),
+        engine_continues: false,
+        kv_blob,
+        verdict: Verdict::MayHaveRun,
+    });
+}
--- /dev/null
+++ b/src/ops/home/run.rs
@@ -0,0 +1,252 @@
+//! One attempt at a home, from the queue to its end.
+//!
+//! The tokens stay with the run until it is forgotten, so that a serving node whose connection was lost
+//! can subscribe again and miss nothing.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use super::LINGER;
+use crate::core::dispatch::{Attachment, DispatchEvent, DispatchOrder};
+use crate::core::id::{AttemptNumber, TokenOffset, VmId};
+use crate::core::request::Completion;
+use crate::core::verdict::Verdict;
+
+/// How an attempt ended.
+#[derive(Clone, Debug)]
+pub(super) enum Ended {
+    /// The answer is whole.
+    Finished(Completion),
+    /// Its deadline passed in the queue.
+    Expired { retry_after_ms: u32 },
+    /// The rest has to be run elsewhere.
+    Moved {
+        cause: Box<str>,
+        engine_continues: bool,
+        kv_blob: Option<Box<[u8]>>,
+        verdict: Verdict,
+    },
+    /// Nobody wants the rest.
+    Cancelled,
+}
+
+/// The engine that runs an attempt.
+#[derive(Clone, Debug)]
+pub(super) struct Running {
+    pub(super) engine: VmId,
+    pub(super) engine_attempt: AttemptNumber,
+    pub(super) waited_ms: u32,
+}
+
+/// What readers of a run see.
+#[derive(Clone, Debug, Default)]
+pub(super) struct RunState {
+    pub(super) position: u32,
+    pub(super) running: Option<Running>,
+    pub(super) tokens: Vec<Box<str>>,
+    pub(super) ended: Option<Ended>,
+    is_moving: bool,
+    unread_since: Option<Instant>,
+}
+
+/// One attempt at a home.
+#[derive(Debug)]
+pub(super) struct Run {
+    pub(super) order: DispatchOrder,
+    pub(super) attempt: AttemptNumber,
+    /// Offset of the first token that this run makes.
+    pub(super) base: TokenOffset,
+    pub(super) taken_at: Instant,
+    pub(super) state: watch::Sender<RunState>,
+    readers: AtomicU32,
+}
+
+/// Counts one reader of a run for as long as it lives.
+pub(super) struct Reading(Arc<Run>);
+
+impl Drop for Reading {
+    fn drop(&mut self) {
+        self.0.readers.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+impl Run {
+    pub(super) fn new(order: DispatchOrder) -> Self {
+        Self {
+            attempt: order.attempt,
+            base: TokenOffset::try_from(order.prior_tokens.len()).unwrap_or(TokenOffset::MAX),
+            taken_at: Instant::now(),
+            state: watch::Sender::new(RunState::default()),
+            readers: AtomicU32::new(0),
+            order,
+        }
+    }
+
+    /// Counts a reader until the result is dropped.
+    pub(super) fn reading(self: &Arc<Self>) -> Reading {
+        self.readers.fetch_add(1, Ordering::Relaxed);
+        Reading(Arc::clone(self))
+    }
+
+    /// Returns whether the reader of `order` can go on with what this run makes.
+    pub(super) fn can_continue(&self, order: &DispatchOrder) -> bool {
+        let state = self.state.borrow();
+        let have = order.prior_tokens.len();
+        let base = self.base as usize;
+        let is_useful = matches!(state.ended, None | Some(Ended::Finished(_)));
+        is_useful && have >= base && have <= base + state.tokens.len()
+    }
+
+    pub(super) fn tell_position(&self, position: u32) {
+        self.state.send_if_modified(|state| {
+            let changed = state.position != position;
+            state.position = position;
+            changed
+        });
+    }
+
+    pub(super) fn begin_running(&self, engine: &VmId, engine_attempt: AttemptNumber) {
+        let waited_ms = crate::util::time::as_millis_u32(self.taken_at.elapsed());
+        self.state.send_modify(|state| {
+            state.running = Some(Running {
+                engine: engine.clone(),
+                engine_attempt,
+                waited_ms,
+            });
+        });
+    }
+
+    /// Takes a token. Returns the offset that is expected next.
+    pub(super) fn take_token(&self, offset: TokenOffset, text: Box<str>) -> TokenOffset {
+        let mut next = 0;
+        self.state.send_if_modified(|state| {
+            let expected = self.base + u32::try_from(state.tokens.len()).unwrap_or(u32::MAX);
+            let is_next = offset == expected && state.ended.is_none();
+            if is_next {
+                state.tokens.push(text);
+            }
+            next = expected + u32::from(is_next);
+            is_next
+        });
+        next
+    }
+
+    /// Returns the offset that is expected next.
+    pub(super) fn next_offset(&self) -> TokenOffset {
+        self.base + u32::try_from(self.state.borrow().tokens.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Ends the run, unless it has ended.
+    pub(super) fn end(&self, ended: Ended) {
+        self.state.send_if_modified(|state| {
+            let is_first = state.ended.is_none();
+            if is_first {
+                state.ended = Some(ended);
+            }
+            is_first
+        });
+    }
+
+    pub(super) fn cancel(&self) {
+        self.end(Ended::Cancelled);
+    }
+
+    pub(super) fn has_ended(&self) -> bool {
+        self.state.borrow().ended.is_some()
+    }
+
+    pub(super) fn engine(&self) -> Option<VmId> {
+        let state = self.state.borrow();
+        let running = state.running.as_ref()?;
+        state.ended.is_none().then(|| running.engine.clone())
+    }
+
+    /// Returns whether the run is being moved off its engine.
+    pub(super) fn is_moving(&self) -> bool {
+        self.state.borrow().is_moving
+    }
+
+    /// Marks the run as moving. Returns whether it was not before.
+    pub(super) fn begin_move(&self) -> bool {
+        let mut is_first = false;
+        self.state.send_if_modified(|state| {
+            is_first = !state.is_moving;
+            state.is_moving = true;
+            false
+        });
+        is_first
+    }
+
+    /// Returns whether nobody has read the run for so long that it can be dropped, and cancels it.
+    pub(super) fn is_forgotten(&self) -> bool {
+        if self.readers.load(Ordering::Relaxed) > 0 {
+            self.state.send_if_modified(|state| {
+                state.unread_since = None;
+                false
+            });
+            return false;
+        }
+        let mut since = Instant::now();
+        self.state.send_if_modified(|state| {
+            since = *state.unread_since.get_or_insert(since);
+            false
+        });
+        let is_forgotten = since.elapsed() >= LINGER;
+        if is_forgotten {
+            self.cancel();
+        }
+        is_forgotten
+    }
+}
+
+impl Ended {
+    /// Returns the event that tells a serving node of the end.
+    pub(super) fn event(&self, run: &Run, state: &RunState) -> DispatchEvent {
+        match self {
+            Self::Finished(completion) => DispatchEvent::Finished {
+                total: run.base + u32::try_from(state.tokens.len()).unwrap_or(u32::MAX),
+                completion: completion.clone(),
+            },
+            Self::Expired { retry_after_ms } => DispatchEvent::Refused {
+                cause: "no engine became free before its deadline".into(),
+                verdict: Verdict::NotRun,
+                retry_after_ms: *retry_after_ms,
+            },
+            Self::Moved {
+                cause,
+                engine_continues,
+                kv_blob,
+                verdict,
+            } => DispatchEvent::Moved {
+                cause: cause.clone(),
+                attachment: state
+                    .running
+                    .as_ref()
+                    .filter(|_| *engine_continues)
+                    .map(Running::attachment),
+                kv_blob: kv_blob.clone(),
+                verdict: match state.running {
+                    Some(_) => Verdict::MayHaveRun,
+                    None => *verdict,
+                },
+            },
+            Self::Cancelled => DispatchEvent::Refused {
+                cause: "the attempt was cancelled".into(),
+                verdict: Verdict::MayHaveRun,
+                retry_after_ms: 0,
+            },
+        }
+    }
+}
+
+impl Running {
+    fn attachment(&self) -> Attachment {
+        Attachment {
+            engine: self.engine.clone(),
+            attempt: self.engine_attempt,
+        }
+    }
+}
--- /dev/null
+++ b/src/ops/home/subscribe.rs
@@ -0,0 +1,91 @@
+//! Tells one reader what happens to a run.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+use super::run::Run;
+use crate::core::dispatch::DispatchEvent;
+use crate::core::id::TokenOffset;
+
+/// Longest silence towards a reader; an event is repeated so that silence means a lost connection.
+const HEARTBEAT: Duration = Duration::from_millis(500);
+
+/// Starts to tell a reader, who has the tokens before `offset`.
+pub(super) fn spawn(run: Arc<Run>, offset: TokenOffset, tx: mpsc::Sender<DispatchEvent>) {
+    let rx = run.state.subscribe();
+    let reading = run.reading();
+    tokio::spawn(async move {
+        let _reading = reading;
+        let mut reader = Reader {
+            run,
+            offset,
+            has_started: false,
+        };
+        reader.tell(rx, tx).await;
+    });
+}
+
+struct Reader {
+    run: Arc<Run>,
+    offset: TokenOffset,
+    has_started: bool,
+}
+
+impl Reader {
+    async fn tell(
+        &mut self,
+        mut rx: tokio::sync::watch::Receiver<super::run::RunState>,
+        tx: mpsc::Sender<DispatchEvent>,
+    ) {
+        rx.mark_changed();
+        loop {
+            let changed = timeout(HEARTBEAT, rx.changed()).await;
+            let events = self.news(&rx.borrow_and_update(), changed.is_err());
+            for event in events {
+                let is_last = event.is_last();
+                if tx.send(event).await.is_err() || is_last {
+                    return;
+                }
+            }
+            if tx.is_closed() {
+                return;
+            }
+        }
+    }
+
+    /// Returns what the reader does not know yet; at least one event where `is_due`.
+    fn news(&mut self, state: &super::run::RunState, is_due: bool) -> Vec<DispatchEvent> {
+        let mut events = Vec::new();
+        if let Some(running) = state.running.as_ref().filter(|_| !self.has_started) {
+            self.has_started = true;
+            events.push(DispatchEvent::Started {
+                engine: running.engine.clone(),
+                engine_attempt: running.engine_attempt,
+                waited_ms: running.waited_ms,
+            });
+        }
+        let known = (self.offset - self.run.base) as usize;
+        let tokens = state.tokens.get(known..).unwrap_or_default().to_vec();
+        if !tokens.is_empty() {
+            let offset = self.offset;
+            self.offset += u32::try_from(tokens.len()).unwrap_or(u32::MAX);
+            events.push(DispatchEvent::Tokens { offset, tokens });
+        }
+        if let Some(ended) = &state.ended {
+            events.push(ended.event(&self.run, state));
+        } else if !self.has_started {
+            events.push(DispatchEvent::Queued {
+                position: state.position,
+                expected_wait_ms: 0,
+            });
+        } else if events.is_empty() && is_due {
+            let offset = self.offset;
+            let tokens = Vec::new();
+            events.push(DispatchEvent::Tokens { offset, tokens });
+        }
+        events
+    }
+}
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -1,1 +1,10 @@
 //! One module for each operation.
+
+pub mod choose_home;
+pub mod follow;
+pub mod hand_over;
+pub mod home;
+pub(crate) mod keep_copy;
+pub mod replicate;
+pub mod requests;
+pub mod run_request;
--- /dev/null
+++ b/src/ops/replicate.rs
@@ -0,0 +1,346 @@
+//! Second copies of accepted requests on a node of another availability zone.
+//!
+//! One connection for each replica node carries the updates of all requests; what gathers while an
+//! update is under way goes with the next one. A replica that does not acknowledge in time is replaced,
+//! and every request it had a copy of gets another replica.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use jayhall_wire as wire;
+use parking_lot::Mutex;
+use tokio::sync::{Notify, mpsc};
+use tokio::time::{Instant, timeout};
+use tokio_stream::wrappers::ReceiverStream;
+
+use crate::core::cells;
+use crate::core::explain::Decision;
+use crate::core::id::{NodeId, RequestId, TokenOffset};
+use crate::core::membership::MemberView;
+use crate::node::NodeContext;
+use crate::ops::requests::{CopyUpdate, Entry, Requests};
+use crate::peers::convert_request::ReplicaUpdate;
+
+/// Longest wait for an acknowledgement before another replica is taken.
+const ACK_TIMEOUT: Duration = Duration::from_millis(400);
+/// Replicas that are tried before a request is accepted without one.
+const MAX_TRIES: usize = 3;
+/// Updates that may be on their way to one replica.
+const UPDATE_BUFFER: usize = 1024;
+/// Time for which a replica that failed is not taken again.
+const FAILED_PAUSE: Duration = Duration::from_secs(5);
+
+/// Sends updates of requests that this node serves to their replicas.
+#[derive(Debug)]
+pub struct Replicator {
+    cx: NodeContext,
+    requests: Arc<Requests>,
+    links: Mutex<HashMap<NodeId, Arc<Link>>>,
+    failed: Mutex<HashMap<NodeId, Instant>>,
+}
+
+/// What one replica still has to be told.
+#[derive(Debug, Default)]
+struct Link {
+    dirty: Mutex<HashSet<RequestId>>,
+    dropped: Mutex<Vec<RequestId>>,
+    wake: Notify,
+}
+
+/// What a replica was told of one request.
+#[derive(Clone, Copy, Debug, Default)]
+struct Told {
+    is_accepted: bool,
+    offset: TokenOffset,
+}
+
+/// Returns the nodes that may keep the copy of a request, best first: another zone of the same region,
+/// then the same zone.
+pub fn replica_candidates(request: &str, serving: &str, view: &MemberView) -> Vec<NodeId> {
+    let Some(own) = view.get(serving) else {
+        return Vec::new();
+    };
+    let in_region = || {
+        view.working_in_region(&own.region)
+            .filter(|member| &*member.node != serving)
+    };
+    let other_zone = in_region()
+        .filter(|member| member.zone != own.zone)
+        .map(|member| &*member.node);
+    let same_zone = in_region()
+        .filter(|member| member.zone == own.zone)
+        .map(|member| &*member.node);
+    cells::ranked(request, other_zone)
+        .into_iter()
+        .chain(cells::ranked(request, same_zone))
+        .map(NodeId::from)
+        .collect()
+}
+
+impl Replicator {
+    /// Creates a replicator without connections.
+    pub fn new(cx: NodeContext, requests: Arc<Requests>) -> Arc<Self> {
+        Arc::new(Self {
+            cx,
+            requests,
+            links: Mutex::default(),
+            failed: Mutex::default(),
+        })
+    }
+
+    /// Finds a replica for a request and waits until it has the copy. Returns the replica, or `None`
+    /// where no other node could take it in time; the request then has no copy for now.
+    pub async fn secure(self: &Arc<Self>, entry: &Arc<Entry>) -> Option<NodeId> {
+        for replica in self.candidates(entry).into_iter().take(MAX_TRIES) {
+            entry.set_replica(Some(replica.clone()));
+            self.touch(entry);
+            if wait_copied(entry).await {
+                return Some(replica);
+            }
+            self.fail(&replica);
+        }
+        entry.set_replica(None);
+        None
+    }
+
+    /// Sends what is new of a request to its replica.
+    pub fn touch(self: &Arc<Self>, entry: &Entry) {
+        if let Some(replica) = entry.replica() {
+            let link = self.link(&replica);
+            link.dirty.lock().insert(entry.id().clone());
+            link.wake.notify_one();
+        }
+    }
+
+    /// Moves copies away from replicas that do not work any more, and finds replicas for requests
+    /// without one.
+    pub fn refresh(self: &Arc<Self>) {
+        let view = self.cx.board.members.read();
+        for entry in self.requests.served_open() {
+            let replica = entry.replica();
+            let is_working = replica
+                .as_deref()
+                .and_then(|replica| view.get(replica))
+                .is_some_and(|member| member.takes_work());
+            if !is_working {
+                self.replace(&entry, "the node that kept it is leaving or gone");
+                if let Some(old) = replica {
+                    self.release(&old, &entry);
+                }
+            }
+        }
+    }
+
+    fn candidates(&self, entry: &Entry) -> Vec<NodeId> {
+        let view = self.cx.board.members.read();
+        let now = Instant::now();
+        let mut failed = self.failed.lock();
+        failed.retain(|_, until| *until > now);
+        let own = &self.cx.board.identity.node;
+        let mut candidates = replica_candidates(entry.id(), own, &view);
+        candidates.retain(|node| !failed.contains_key(node));
+        candidates
+    }
+
+    /// Gives a request another replica.
+    fn replace(self: &Arc<Self>, entry: &Arc<Entry>, cause: &str) {
+        let replica = self.candidates(entry).into_iter().next();
+        if replica.is_none() && entry.replica().is_none() {
+            return;
+        }
+        entry.set_replica(replica.clone());
+        entry.note(Decision::ReplicaChanged {
+            replica,
+            cause: cause.into(),
+        });
+        self.touch(entry);
+    }
+
+    /// Tells a former replica that its copy is of no use any more.
+    fn release(self: &Arc<Self>, replica: &NodeId, entry: &Entry) {
+        let link = self.link(replica);
+        link.dropped.lock().push(entry.id().clone());
+        link.wake.notify_one();
+    }
+
+    fn link(self: &Arc<Self>, replica: &NodeId) -> Arc<Link> {
+        let mut links = self.links.lock();
+        if let Some(link) = links.get(replica) {
+            return Arc::clone(link);
+        }
+        let link = Arc::new(Link::default());
+        links.insert(replica.clone(), Arc::clone(&link));
+        tokio::spawn(Arc::clone(self).carry(replica.clone(), Arc::clone(&link)));
+        link
+    }
+
+    /// Carries updates to one replica until it fails.
+    async fn carry(self: Arc<Self>, replica: NodeId, link: Arc<Link>) {
+        let result = self.exchange(&replica, &link).await;
+        if result.is_err() {
+            self.fail(&replica);
+        }
+    }
+
+    async fn exchange(&self, replica: &NodeId, link: &Link) -> Result<(), tonic::Status> {
+        let address = self
+            .cx
+            .board
+            .members
+            .read()
+            .get(replica)
+            .map(|member| member.peer_address)
+            .ok_or_else(|| tonic::Status::unavailable("the replica is no member"))?;
+        let (tx, rx) = mpsc::channel::<wire::ReplicaUpdate>(UPDATE_BUFFER);
+        let mut client = self.cx.pool.client(address);
+        let opened = timeout(ACK_TIMEOUT, client.replicate(ReceiverStream::new(rx))).await;
+        let mut acks = opened
+            .map_err(|_| tonic::Status::deadline_exceeded("no stream to the replica"))??
+            .into_inner();
+        let mut told: HashMap<RequestId, Told> = HashMap::new();
+        let mut sequence = 0;
+        loop {
+            let sent = self
+                .send_news(replica, link, &mut told, &mut sequence, &tx)
+                .await?;
+            if sent.is_empty() {
+                link.wake.notified().await;
+                continue;
+            }
+            self.await_ack(sequence, &mut acks).await?;
+            for (entry, offset) in sent {
+                entry.set_safe(replica, offset);
+            }
+        }
+    }
+
+    /// Sends one update for each request that has news. Returns the requests with their offsets.
+    async fn send_news(
+        &self,
+        replica: &NodeId,
+        link: &Link,
+        told: &mut HashMap<RequestId, Told>,
+        sequence: &mut u64,
+        tx: &mpsc::Sender<wire::ReplicaUpdate>,
+    ) -> Result<Vec<(Arc<Entry>, TokenOffset)>, tonic::Status> {
+        let dirty: Vec<_> = link.dirty.lock().drain().collect();
+        let dropped = std::mem::take(&mut *link.dropped.lock());
+        let mut sent = Vec::new();
+        for id in dirty {
+            let Some(entry) = self.requests.get(&id) else {
+                told.remove(&id);
+                continue;
+            };
+            if entry.replica().as_ref() != Some(replica) {
+                told.remove(&id);
+                continue;
+            }
+            let state = told.entry(id.clone()).or_default();
+            let (update, offset) = self.news_of(&entry, state, sequence);
+            tx.send(update.into())
+                .await
+                .map_err(|_| tonic::Status::unavailable("the replica closed the stream"))?;
+            if !entry.is_open() {
+                told.remove(&id);
+            }
+            sent.push((entry, offset));
+        }
+        for id in dropped {
+            told.remove(&id);
+            *sequence += 1;
+            tx.send(self.drop_of(id, *sequence).into())
+                .await
+                .map_err(|_| tonic::Status::unavailable("the replica closed the stream"))?;
+        }
+        Ok(sent)
+    }
+
+    fn news_of(
+        &self,
+        entry: &Entry,
+        told: &mut Told,
+        sequence: &mut u64,
+    ) -> (ReplicaUpdate, TokenOffset) {
+        *sequence += 1;
+        let news = entry.news(self.cx.board.identity.node.clone(), told.offset);
+        let total = told.offset + TokenOffset::try_from(news.tokens.len()).unwrap_or(0);
+        let update = ReplicaUpdate {
+            sequence: *sequence,
+            request: entry.id().clone(),
+            accepted: (!told.is_accepted).then(|| entry.request()),
+            update: news,
+            is_dropped: false,
+        };
+        *told = Told {
+            is_accepted: true,
+            offset: total,
+        };
+        (update, total)
+    }
+
+    fn drop_of(&self, request: RequestId, sequence: u64) -> ReplicaUpdate {
+        ReplicaUpdate {
+            sequence,
+            request,
+            accepted: None,
+            update: CopyUpdate {
+                from: self.cx.board.identity.node.clone(),
+                attempt: 0,
+                offset: 0,
+                tokens: Vec::new(),
+                completion: None,
+                engine: None,
+            },
+            is_dropped: true,
+        }
+    }
+
+    /// Waits until the replica has acknowledged an update.
+    async fn await_ack(
+        &self,
+        sequence: u64,
+        acks: &mut tonic::Streaming<wire::ReplicaAck>,
+    ) -> Result<(), tonic::Status> {
+        loop {
+            let ack = timeout(ACK_TIMEOUT, acks.message())
+                .await
+                .map_err(|_| tonic::Status::deadline_exceeded("no acknowledgement"))??
+                .ok_or_else(|| tonic::Status::unavailable("the replica closed the stream"))?;
+            for superseded in ack.superseded {
+                if let Some(entry) = self.requests.get(&superseded.request) {
+                    entry.hand_over(superseded.by.into());
+                }
+            }
+            if ack.sequence >= sequence {
+                return Ok(());
+            }
+        }
+    }
+
+    /// Gives every request that a failed replica had a copy of another one.
+    fn fail(self: &Arc<Self>, replica: &NodeId) {
+        self.links.lock().remove(replica);
+        self.failed
+            .lock()
+            .insert(replica.clone(), Instant::now() + FAILED_PAUSE);
+        metrics::counter!("jayhall_replica_failures_total").increment(1);
+        for entry in self.requests.served() {
+            if entry.replica().as_ref() == Some(replica) {
+                self.replace(&entry, "the node that kept it did not answer in time");
+            }
+        }
+    }
+}
+
+async fn wait_copied(entry: &Entry) -> bool {
+    let mut changes = entry.watch();
+    let copied = async {
+        while !entry.is_copied() {
+            if changes.changed().await.is_err() {
+                return;
+            }
+        }
+    };
+    timeout(ACK_TIMEOUT, copied).await.is_ok()
+}
--- /dev/null
+++ b/src/ops/run_request.rs
@@ -0,0 +1,389 @@
+//! Runs the requests that this node serves, attempt after attempt, until each has its whole answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use futures::stream::BoxStream;
+use rand::RngExt;
+use tokio::time::{sleep, timeout};
+use tokio_stream::wrappers::ReceiverStream;
+
+use crate::core::answer::{Applied, GivenUp};
+use crate::core::dispatch::{Attachment, DispatchEvent, DispatchOrder};
+use crate::core::explain::Decision;
+use crate::core::id::AttemptNumber;
+use crate::core::verdict::Verdict;
+use crate::node::NodeContext;
+use crate::ops::choose_home::{HomeChoice, Target};
+use crate::ops::home::Home;
+use crate::ops::replicate::Replicator;
+use crate::ops::requests::{Entry, Role};
+use crate::util::time::{as_millis_u32, unix_now};
+
+/// Longest silence of a home before the attempt is taken elsewhere.
+const HOME_SILENCE: Duration = Duration::from_secs(2);
+/// Longest wait for a home to take an order.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Shortest wait before the next attempt.
+const MIN_BACKOFF: Duration = Duration::from_millis(20);
+/// Longest wait before the next attempt.
+const MAX_BACKOFF: Duration = Duration::from_secs(1);
+/// Time after which a caller should ask again for a model without engines.
+const NO_ENGINE_RETRY: Duration = Duration::from_secs(2);
+
+/// Runs the requests that this node serves.
+#[derive(Debug)]
+pub struct Runner {
+    cx: NodeContext,
+    home: Arc<Home>,
+    replicator: Arc<Replicator>,
+    choice: HomeChoice,
+}
+
+/// What is kept from one attempt to the next.
+#[derive(Debug, Default)]
+struct Carried {
+    attachment: Option<Attachment>,
+    kv_blob: Option<Box<[u8]>>,
+    may_have_run: bool,
+    failures: u32,
+}
+
+/// What became of an attempt.
+enum Outcome {
+    /// The request is done here.
+    Done,
+    /// Another attempt is due.
+    Again { cause: Box<str> },
+    /// No more attempts are made.
+    GiveUp(GivenUp),
+}
+
+impl Runner {
+    /// Creates a runner.
+    pub fn new(cx: NodeContext, home: Arc<Home>, replicator: Arc<Replicator>) -> Arc<Self> {
+        Arc::new(Self {
+            cx,
+            home,
+            replicator,
+            choice: HomeChoice::default(),
+        })
+    }
+
+    /// Starts to run a request that this node serves.
+    pub fn spawn(self: &Arc<Self>, entry: Arc<Entry>) {
+        tokio::spawn(Arc::clone(self).run(entry));
+    }
+
+    async fn run(self: Arc<Self>, entry: Arc<Entry>) {
+        let mut carried = Carried {
+            attachment: entry.engine(),
+            may_have_run: entry.engine().is_some(),
+            ..Carried::default()
+        };
+        while entry.role() == Role::Serving && entry.is_open() {
+            match self.attempt(&entry, &mut carried).await {
+                Outcome::Done => return,
+                Outcome::GiveUp(given_up) => {
+                    self.give_up(&entry, given_up);
+                    return;
+                }
+                Outcome::Again { cause } => {
+                    entry.note(Decision::Moved {
+                        cause,
+                        tokens_kept: u32::try_from(entry.snapshot().tokens.len())
+                            .unwrap_or(u32::MAX),
+                    });
+                    metrics::counter!("jayhall_attempts_repeated_total").increment(1);
+                    sleep(backoff(carried.failures)).await;
+                    carried.failures += 1;
+                }
+            }
+        }
+    }
+
+    fn give_up(&self, entry: &Entry, given_up: GivenUp) {
+        entry.note(Decision::Refused {
+            cause: given_up.cause.clone(),
+            verdict: given_up.verdict,
+            retry_after_ms: given_up.retry_after_ms,
+        });
+        entry.give_up(given_up);
+        self.replicator.touch(entry);
+    }
+
+    async fn attempt(&self, entry: &Arc<Entry>, carried: &mut Carried) -> Outcome {
+        let snapshot = entry.snapshot();
+        let Some(time_left) = self.time_left(&snapshot.request, snapshot.tokens.is_empty()) else {
+            return Outcome::GiveUp(GivenUp {
+                cause: "no engine could start it before its deadline".into(),
+                verdict: carried.verdict(),
+                retry_after_ms: as_millis_u32(NO_ENGINE_RETRY),
+            });
+        };
+        let Some(target) = self.target(&snapshot.request.model, carried) else {
+            return Outcome::Again {
+                cause: "no engine serves the model at present".into(),
+            };
+        };
+        let attempt = entry.begin_attempt();
+        let order = DispatchOrder {
+            attempt,
+            from: self.cx.board.identity.node.clone(),
+            prior_tokens: snapshot.tokens,
+            request: snapshot.request,
+            preferred_engine: Some(target.engine.clone()),
+            attachment: carried.attachment.take(),
+            kv_blob: carried.kv_blob.take(),
+            deadline_ms: as_millis_u32(time_left),
+        };
+        self.choice.begin(&target.engine);
+        let outcome = self.follow(entry, order, &target, carried).await;
+        self.choice.end(&target.engine);
+        outcome
+    }
+
+    /// Returns the time until the first token is due, or `None` where it has passed.
+    fn time_left(
+        &self,
+        request: &crate::core::request::AcceptedRequest,
+        has_no_token: bool,
+    ) -> Option<Duration> {
+        let config = self.cx.board.config.read();
+        let deadline = config
+            .document
+            .rank(&request.rank)
+            .map_or(MAX_BACKOFF, |rule| rule.deadline);
+        let waited = Duration::from_millis(unix_now().saturating_sub(request.accepted_at));
+        match deadline.checked_sub(waited) {
+            Some(left) if !left.is_zero() => Some(left),
+            _ if has_no_token => None,
+            _ => Some(Duration::ZERO),
+        }
+    }
+
+    fn target(&self, model: &str, carried: &Carried) -> Option<Target> {
+        let attached = carried.attachment.as_ref().and_then(|attachment| {
+            let fleet = self.cx.board.fleet.read();
+            let engine = fleet.get(&attachment.engine)?;
+            let home = crate::ops::home::home_of(engine, &self.cx.board.members.read())?;
+            Some(Target {
+                home,
+                engine: engine.vm.clone(),
+            })
+        });
+        attached.or_else(|| self.choice.choose(&self.cx.board, model))
+    }
+
+    async fn follow(
+        &self,
+        entry: &Arc<Entry>,
+        order: DispatchOrder,
+        target: &Target,
+        carried: &mut Carried,
+    ) -> Outcome {
+        let attempt = order.attempt;
+        let mut events = match self.open(target, order).await {
+            Ok(events) => events,
+            Err(outcome) => return outcome,
+        };
+        let mut changes = entry.watch();
+        loop {
+            let event = tokio::select! {
+                event = timeout(HOME_SILENCE, events.next()) => event,
+                () = left_serving(entry, &mut changes) => return Outcome::Done,
+            };
+            let event = match event {
+                Ok(Some(event)) => event,
+                Ok(None) | Err(_) => {
+                    self.forget(target);
+                    carried.attachment = entry.engine();
+                    carried.may_have_run = true;
+                    return Outcome::Again {
+                        cause: format!("node {} fell silent", target.home).into(),
+                    };
+                }
+            };
+            if let Some(outcome) = self.take(entry, attempt, event, target, carried) {
+                return outcome;
+            }
+        }
+    }
+
+    /// Takes one event. Returns what became of the attempt once it has ended.
+    fn take(
+        &self,
+        entry: &Arc<Entry>,
+        attempt: AttemptNumber,
+        event: DispatchEvent,
+        target: &Target,
+        carried: &mut Carried,
+    ) -> Option<Outcome> {
+        match event {
+            DispatchEvent::Queued {
+                position,
+                expected_wait_ms,
+            } => {
+                if position > 0 && carried.failures == 0 {
+                    note_queued(entry, target, position, expected_wait_ms);
+                }
+                None
+            }
+            DispatchEvent::Started {
+                engine,
+                engine_attempt,
+                waited_ms,
+            } => {
+                carried.may_have_run = true;
+                entry.set_engine(Some(Attachment {
+                    engine: engine.clone(),
+                    attempt: engine_attempt,
+                }));
+                entry.note(Decision::Started {
+                    engine,
+                    attempt,
+                    waited_ms,
+                });
+                None
+            }
+            DispatchEvent::Tokens { offset, tokens } => {
+                if !tokens.is_empty() {
+                    carried.failures = 0;
+                    self.applied(entry, entry.apply_tokens(attempt, offset, tokens))
+                } else {
+                    None
+                }
+            }
+            DispatchEvent::Finished { total, completion } => {
+                entry.note(Decision::Completed {
+                    prompt_tokens: completion.prompt_tokens,
+                    cached_tokens: completion.cached_tokens,
+                    completion_tokens: total,
+                });
+                self.applied(entry, entry.apply_end(attempt, total, completion));
+                Some(Outcome::Done)
+            }
+            DispatchEvent::Refused {
+                cause,
+                verdict,
+                retry_after_ms,
+            } => {
+                carried.may_have_run |= verdict != Verdict::NotRun;
+                Some(Outcome::GiveUp(GivenUp {
+                    cause,
+                    verdict: carried.verdict(),
+                    retry_after_ms,
+                }))
+            }
+            DispatchEvent::Moved {
+                cause,
+                attachment,
+                kv_blob,
+                verdict,
+            } => {
+                carried.may_have_run |= verdict != Verdict::NotRun;
+                carried.attachment = attachment;
+                carried.kv_blob = kv_blob;
+                if carried.attachment.is_none() {
+                    entry.set_engine(None);
+                }
+                Some(Outcome::Again { cause })
+            }
+        }
+    }
+
+    fn applied(&self, entry: &Entry, applied: Applied) -> Option<Outcome> {
+        match applied {
+            Applied::Grown => {
+                self.replicator.touch(entry);
+                None
+            }
+            Applied::Unchanged => None,
+            Applied::StaleAttempt => Some(Outcome::Done),
+        }
+    }
+
+    async fn open(
+        &self,
+        target: &Target,
+        order: DispatchOrder,
+    ) -> Result<BoxStream<'static, DispatchEvent>, Outcome> {
+        if target.home == self.cx.board.identity.node {
+            return Ok(ReceiverStream::new(self.home.dispatch(order)).boxed());
+        }
+        let again = |cause: String| Outcome::Again {
+            cause: cause.into(),
+        };
+        let members = self.cx.board.members.read();
+        let Some(member) = members.get(&target.home) else {
+            return Err(again(format!("node {} is gone", target.home)));
+        };
+        let address = member.peer_address;
+        let mut client = self.cx.pool.client(address);
+        let opened = timeout(ORDER_TIMEOUT, client.dispatch(wire_order(&order))).await;
+        match opened {
+            Ok(Ok(res)) => Ok(res
+                .into_inner()
+                .take_while(|event| futures::future::ready(event.is_ok()))
+                .filter_map(|event| async { DispatchEvent::try_from(event.ok()?).ok() })
+                .boxed()),
+            Ok(Err(_)) | Err(_) => {
+                self.cx.pool.forget(address);
+                Err(again(format!("node {} took no order", target.home)))
+            }
+        }
+    }
+
+    /// Drops the connection to a home that fell silent, so that the next attempt uses a new one.
+    fn forget(&self, target: &Target) {
+        if let Some(member) = self.cx.board.members.read().get(&target.home) {
+            self.cx.pool.forget(member.peer_address);
+        }
+    }
+}
+
+impl Carried {
+    fn verdict(&self) -> Verdict {
+        if self.may_have_run {
+            Verdict::MayHaveRun
+        } else {
+            Verdict::NotRun
+        }
+    }
+}
+
+fn wire_order(order: &DispatchOrder) -> jayhall_wire::DispatchRequest {
+    order.into()
+}
+
+fn note_queued(entry: &Entry, target: &Target, position: u32, expected_wait_ms: u32) {
+    let is_noted = entry
+        .record()
+        .entries
+        .iter()
+        .any(|known| matches!(known.decision, Decision::Queued { .. }));
+    if !is_noted {
+        entry.note(Decision::Queued {
+            home: target.home.clone(),
+            position,
+            expected_wait_ms,
+        });
+    }
+}
+
+/// Waits until this node does not serve the request any more.
+async fn left_serving(entry: &Entry, changes: &mut tokio::sync::watch::Receiver<()>) {
+    while entry.role() == Role::Serving {
+        if changes.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+fn backoff(failures: u32) -> Duration {
+    let longest = MIN_BACKOFF
+        .saturating_mul(1 << failures.min(10))
+        .min(MAX_BACKOFF);
+    longest.mul_f64(rand::rng().random_range(0.5..1.0))
+}
--- /dev/null
+++ b/src/peers/convert_request.rs
@@ -0,0 +1,439 @@
+//! Conversions of requests and answers between the domain and the wire.
+
+use jayhall_wire as wire;
+use thiserror::Error;
+
+use crate::core::answer::GivenUp;
+use crate::core::dispatch::{Attachment, DispatchEvent, DispatchOrder};
+use crate::core::explain::{Record, RecordEntry};
+use crate::core::request::{AcceptedRequest, Completion};
+use crate::core::verdict::Verdict;
+use crate::ops::follow::AnswerEvent;
+use crate::ops::requests::{CopyUpdate, Snapshot};
+
+/// A message of another node that makes no sense.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+#[error("a peer's message has no valid `{field}`")]
+pub struct MalformedMessage {
+    /// The field that is missing or not valid.
+    pub field: &'static str,
+}
+
+/// The module's result.
+pub type Result<T> = std::result::Result<T, MalformedMessage>;
+
+fn malformed<E>(field: &'static str) -> impl FnOnce(E) -> MalformedMessage {
+    move |_| MalformedMessage { field }
+}
+
+fn missing(field: &'static str) -> MalformedMessage {
+    MalformedMessage { field }
+}
+
+/// Converts texts of the wire.
+pub(crate) fn texts(tokens: Vec<String>) -> Vec<Box<str>> {
+    tokens.into_iter().map(String::into_boxed_str).collect()
+}
+
+/// Converts texts to the wire.
+pub(crate) fn strings(tokens: &[Box<str>]) -> Vec<String> {
+    tokens.iter().map(ToString::to_string).collect()
+}
+
+impl From<&RecordEntry> for wire::RecordEntry {
+    fn from(entry: &RecordEntry) -> Self {
+        Self {
+            at_unix_ms: entry.at,
+            entry: serde_json::to_string(entry).unwrap_or_default(),
+        }
+    }
+}
+
+impl TryFrom<&wire::RecordEntry> for RecordEntry {
+    type Error = MalformedMessage;
+
+    fn try_from(entry: &wire::RecordEntry) -> Result<Self> {
+        serde_json::from_str(&entry.entry).map_err(malformed("record"))
+    }
+}
+
+/// Converts a record to the wire.
+pub(crate) fn record_to_wire(record: &Record) -> Vec<wire::RecordEntry> {
+    record.entries.iter().map(Into::into).collect()
+}
+
+/// Converts a record of the wire.
+///
+/// # Errors
+///
+/// Fails where an entry is not valid.
+pub(crate) fn record_from_wire(entries: &[wire::RecordEntry], left_out: u32) -> Result<Record> {
+    let entries = entries
+        .iter()
+        .map(RecordEntry::try_from)
+        .collect::<Result<_>>()?;
+    Ok(Record { entries, left_out })
+}
+
+impl From<&AcceptedRequest> for wire::AcceptedRequest {
+    fn from(request: &AcceptedRequest) -> Self {
+        Self {
+            id: request.id.to_string(),
+            customer: request.customer.to_string(),
+            rank: request.rank.to_string(),
+            model: request.model.to_string(),
+            body: serde_json::to_vec(&request.messages).unwrap_or_default(),
+            max_tokens: request.max_tokens,
+            is_stream: false,
+            accepted_at_unix_ms: request.accepted_at,
+            prompt_tokens: request.prompt_tokens,
+            record: record_to_wire(&request.record),
+        }
+    }
+}
+
+impl TryFrom<wire::AcceptedRequest> for AcceptedRequest {
+    type Error = MalformedMessage;
+
+    fn try_from(request: wire::AcceptedRequest) -> Result<Self> {
+        if request.id.is_empty() {
+            return Err(missing("id"));
+        }
+        Ok(Self {
+            id: request.id.into(),
+            customer: request.customer.into(),
+            rank: request.rank.into(),
+            model: request.model.into(),
+            messages: serde_json::from_slice(&request.body).map_err(malformed("body"))?,
+            max_tokens: request.max_tokens,
+            prompt_tokens: request.prompt_tokens,
+            accepted_at: request.accepted_at_unix_ms,
+            record: record_from_wire(&request.record, 0)?,
+        })
+    }
+}
+
+fn finished_to_wire(total: u32, completion: Completion) -> wire::Finished {
+    wire::Finished {
+        reason: completion.reason.into(),
+        prompt_tokens: completion.prompt_tokens,
+        cached_tokens: completion.cached_tokens,
+        completion_tokens: completion.completion_tokens,
+        total,
+    }
+}
+
+impl From<wire::Finished> for Completion {
+    fn from(finished: wire::Finished) -> Self {
+        Self {
+            reason: finished.reason.into(),
+            prompt_tokens: finished.prompt_tokens,
+            cached_tokens: finished.cached_tokens,
+            completion_tokens: finished.completion_tokens,
+        }
+    }
+}
+
+impl From<Completion> for wire::Finished {
+    fn from(completion: Completion) -> Self {
+        finished_to_wire(0, completion)
+    }
+}
+
+fn attachment_from_wire(engine: String, attempt: u32) -> Option<Attachment> {
+    (!engine.is_empty()).then(|| Attachment {
+        engine: engine.into(),
+        attempt,
+    })
+}
+
+fn attachment_to_wire(attachment: Option<Attachment>) -> (String, u32) {
+    attachment.map_or_else(Default::default, |a| (a.engine.into(), a.attempt))
+}
+
+fn blob_from_wire(blob: Vec<u8>) -> Option<Box<[u8]>> {
+    (!blob.is_empty()).then(|| blob.into())
+}
+
+fn verdict_from_wire(verdict: &str) -> Verdict {
+    match verdict {
+        "not_run" => Verdict::NotRun,
+        "ran" => Verdict::Ran,
+        _ => Verdict::MayHaveRun,
+    }
+}
+
+impl From<&DispatchOrder> for wire::DispatchRequest {
+    fn from(order: &DispatchOrder) -> Self {
+        let (attach_engine, attach_attempt) = attachment_to_wire(order.attachment.clone());
+        Self {
+            request: Some((&order.request).into()),
+            attempt: order.attempt,
+            from: order.from.to_string(),
+            prior_tokens: strings(&order.prior_tokens),
+            preferred_engine: order.preferred_engine.clone().unwrap_or_default().into(),
+            attach_engine,
+            attach_attempt,
+            kv_blob: order.kv_blob.clone().unwrap_or_default().into(),
+            deadline_ms: order.deadline_ms,
+        }
+    }
+}
+
+impl TryFrom<wire::DispatchRequest> for DispatchOrder {
+    type Error = MalformedMessage;
+
+    fn try_from(order: wire::DispatchRequest) -> Result<Self> {
+        let preferred = order.preferred_engine;
+        Ok(Self {
+            request: order.request.ok_or(missing("request"))?.try_into()?,
+            attempt: order.attempt,
+            from: order.from.into(),
+            prior_tokens: texts(order.prior_tokens),
+            preferred_engine: (!preferred.is_empty()).then(|| preferred.into()),
+            attachment: attachment_from_wire(order.attach_engine, order.attach_attempt),
+            kv_blob: blob_from_wire(order.kv_blob),
+            deadline_ms: order.deadline_ms,
+        })
+    }
+}
+
+impl From<DispatchEvent> for wire::DispatchEvent {
+    fn from(event: DispatchEvent) -> Self {
+        use wire::dispatch_event::Event;
+        let event = match event {
+            DispatchEvent::Queued {
+                position,
+                expected_wait_ms,
+            } => Event::Queued(wire::Queued {
+                position,
+                expected_wait_ms,
+            }),
+            DispatchEvent::Started {
+                engine,
+                engine_attempt,
+                waited_ms,
+            } => Event::Started(wire::Started {
+                engine: engine.into(),
+                waited_ms,
+                engine_attempt,
+            }),
+            DispatchEvent::Tokens { offset, tokens } => Event::Tokens(wire::Tokens {
+                offset,
+                tokens: strings(&tokens),
+            }),
+            DispatchEvent::Finished { total, completion } => {
+                Event::Finished(finished_to_wire(total, completion))
+            }
+            DispatchEvent::Refused {
+                cause,
+                verdict,
+                retry_after_ms,
+            } => Event::Refused(wire::Refused {
+                cause: cause.into(),
+                retry_after_ms,
+                verdict: verdict.to_string(),
+            }),
+            DispatchEvent::Moved {
+                cause,
+                attachment,
+                kv_blob,
+                verdict,
+            } => {
+                let (engine, engine_attempt) = attachment_to_wire(attachment);
+                Event::Moved(wire::Moved {
+                    cause: cause.into(),
+                    kv_blob: kv_blob.unwrap_or_default().into(),
+                    engine,
+                    engine_attempt,
+                    verdict: verdict.to_string(),
+                })
+            }
+        };
+        Self { event: Some(event) }
+    }
+}
+
+impl TryFrom<wire::DispatchEvent> for DispatchEvent {
+    type Error = MalformedMessage;
+
+    fn try_from(event: wire::DispatchEvent) -> Result<Self> {
+        use wire::dispatch_event::Event;
+        Ok(match event.event.ok_or(missing("event"))? {
+            Event::Queued(queued) => Self::Queued {
+                position: queued.position,
+                expected_wait_ms: queued.expected_wait_ms,
+            },
+            Event::Started(started) => Self::Started {
+                engine: started.engine.into(),
+                engine_attempt: started.engine_attempt,
+                waited_ms: started.waited_ms,
+            },
+            Event::Tokens(tokens) => Self::Tokens {
+                offset: tokens.offset,
+                tokens: texts(tokens.tokens),
+            },
+            Event::Finished(finished) => Self::Finished {
+                total: finished.total,
+                completion: finished.into(),
+            },
+            Event::Refused(refused) => Self::Refused {
+                verdict: verdict_from_wire(&refused.verdict),
+                cause: refused.cause.into(),
+                retry_after_ms: refused.retry_after_ms,
+            },
+            Event::Moved(moved) => Self::Moved {
+                verdict: verdict_from_wire(&moved.verdict),
+                cause: moved.cause.into(),
+                attachment: attachment_from_wire(moved.engine, moved.engine_attempt),
+                kv_blob: blob_from_wire(moved.kv_blob),
+            },
+        })
+    }
+}
+
+/// An update to a replica, with the whole request in the first one.
+#[derive(Clone, Debug)]
+pub struct ReplicaUpdate {
+    /// Grows with each update of a connection.
+    pub sequence: u64,
+    /// The request's id.
+    pub request: Box<str>,
+    /// Set in the first update of a request.
+    pub accepted: Option<AcceptedRequest>,
+    /// What is new.
+    pub update: CopyUpdate,
+    /// Set when the copy is of no use any more.
+    pub is_dropped: bool,
+}
+
+impl From<ReplicaUpdate> for wire::ReplicaUpdate {
+    fn from(update: ReplicaUpdate) -> Self {
+        let copy = update.update;
+        let (engine, engine_attempt) = attachment_to_wire(copy.engine);
+        Self {
+            sequence: update.sequence,
+            from: copy.from.into(),
+            request: update.request.into(),
+            accepted: update.accepted.as_ref().map(Into::into),
+            attempt: copy.attempt,
+            offset: copy.offset,
+            tokens: strings(&copy.tokens),
+            finished: copy.completion.map(Into::into),
+            dropped: update.is_dropped,
+            engine,
+            engine_attempt,
+        }
+    }
+}
+
+impl TryFrom<wire::ReplicaUpdate> for ReplicaUpdate {
+    type Error = MalformedMessage;
+
+    fn try_from(update: wire::ReplicaUpdate) -> Result<Self> {
+        Ok(Self {
+            sequence: update.sequence,
+            request: update.request.into(),
+            accepted: update.accepted.map(TryInto::try_into).transpose()?,
+            update: CopyUpdate {
+                from: update.from.into(),
+                attempt: update.attempt,
+                offset: update.offset,
+                tokens: texts(update.tokens),
+                completion: update.finished.map(Into::into),
+                engine: attachment_from_wire(update.engine, update.engine_attempt),
+            },
+            is_dropped: update.dropped,
+        })
+    }
+}
+
+/// A request that its serving node passes on.
+#[derive(Clone, Debug)]
+pub struct HandOver {
+    /// Node that served the request.
+    pub from: Box<str>,
+    /// Everything needed to go on.
+    pub snapshot: Snapshot,
+    /// Why it is passed on.
+    pub cause: Box<str>,
+}
+
+impl From<HandOver> for wire::HandOverRequest {
+    fn from(hand_over: HandOver) -> Self {
+        let snapshot = hand_over.snapshot;
+        let (engine, engine_attempt) = attachment_to_wire(snapshot.engine);
+        Self {
+            from: hand_over.from.into(),
+            request: Some((&snapshot.request).into()),
+            attempt: snapshot.attempt,
+            tokens: strings(&snapshot.tokens),
+            finished: snapshot.completion.map(Into::into),
+            engine,
+            engine_attempt,
+            cause: hand_over.cause.into(),
+        }
+    }
+}
+
+impl TryFrom<wire::HandOverRequest> for HandOver {
+    type Error = MalformedMessage;
+
+    fn try_from(hand_over: wire::HandOverRequest) -> Result<Self> {
+        Ok(Self {
+            from: hand_over.from.into(),
+            snapshot: Snapshot {
+                request: hand_over.request.ok_or(missing("request"))?.try_into()?,
+                attempt: hand_over.attempt,
+                tokens: texts(hand_over.tokens),
+                completion: hand_over.finished.map(Into::into),
+                engine: attachment_from_wire(hand_over.engine, hand_over.engine_attempt),
+            },
+            cause: hand_over.cause.into(),
+        })
+    }
+}
+
+impl From<AnswerEvent> for wire::AnswerEvent {
+    fn from(event: AnswerEvent) -> Self {
+        use wire::answer_event::Event;
+        let event = match event {
+            AnswerEvent::Tokens { offset, tokens } => Event::Tokens(wire::Tokens {
+                offset,
+                tokens: strings(&tokens),
+            }),
+            AnswerEvent::Whole(completion) => Event::Finished(completion.into()),
+            AnswerEvent::GivenUp(given_up) => Event::Refused(wire::Refused {
+                cause: given_up.cause.into(),
+                retry_after_ms: given_up.retry_after_ms,
+                verdict: given_up.verdict.to_string(),
+            }),
+            AnswerEvent::Elsewhere(node) => Event::Successor(node.into()),
+            AnswerEvent::Unknown => Event::Unknown(true),
+        };
+        Self { event: Some(event) }
+    }
+}
+
+impl TryFrom<wire::AnswerEvent> for AnswerEvent {
+    type Error = MalformedMessage;
+
+    fn try_from(event: wire::AnswerEvent) -> Result<Self> {
+        use wire::answer_event::Event;
+        Ok(match event.event.ok_or(missing("event"))? {
+            Event::Tokens(tokens) => Self::Tokens {
+                offset: tokens.offset,
+                tokens: texts(tokens.tokens),
+            },
+            Event::Finished(finished) => Self::Whole(finished.into()),
+            Event::Refused(refused) => Self::GivenUp(GivenUp {
+                verdict: verdict_from_wire(&refused.verdict),
+                cause: refused.cause.into(),
+                retry_after_ms: refused.retry_after_ms,
+            }),
+            Event::Successor(node) => Self::Elsewhere(node.into()),
+            Event::Unknown(_) => Self::Unknown,
+            Event::Accepted(_) => return Err(missing("event")),
+        })
+    }
+}
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -1,5 +1,6 @@
 //! What nodes say to each other.
 
+pub mod convert_request;
 mod pool;
 
 pub use pool::Pool;
--- a/src/sources/mod.rs
+++ b/src/sources/mod.rs
@@ -1,1 +1,3 @@
 //! Adapters for back ends and for the platform.
+
+pub mod engine;
--- a/src/util/mod.rs
+++ b/src/util/mod.rs
@@ -1,3 +1,4 @@
 //! Settings, logs, metrics and time.
 
 pub mod ini;
+pub mod time;
--- /dev/null
+++ b/src/util/time.rs
@@ -0,0 +1,18 @@
+//! The wall clock, for what is shown to people or kept in the store.
+
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use crate::core::time::UnixMillis;
+
+/// Returns the time now. A clock before 1970 counts as 1970.
+pub fn unix_now() -> UnixMillis {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    UnixMillis::try_from(since.as_millis()).unwrap_or(UnixMillis::MAX)
+}
+
+/// Returns a duration in whole milliseconds, at most `u32::MAX`.
+pub fn as_millis_u32(duration: std::time::Duration) -> u32 {
+    u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
+}
