--- a/src/util/mod.rs
+++ b/src/util/mod.rs
@@ -1,4 +1,9 @@
 //! Settings, logs, metrics and time.
 
+pub mod fields;
 pub mod ini;
 pub mod time;
+pub mod problem;
+pub mod schema;
+pub mod settings;
+pub mod value;
