--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,3 +6,4 @@
 
 mod ini;
 mod store_contract;
+mod policy_queue;
