Serve callers and peers from one process

Cause: the operations had no listeners. Callers get chat completions, fetch by id, lists and explanations; peers get dispatch, copies, hand-over and follow.

Ruled out: redirecting a caller who fetches by id to the serving node (the caller may not reach every node); any node finds the request and passes its answer on.

--- /dev/null
+++ b/src/callers/chat.rs
@@ -0,0 +1,47 @@
+//! Requests for a model's answer.
+
+use salvo::prelude::*;
+
+use super::answer::{write_stream, write_whole};
+use super::problem::Problem;
+use super::wire::ChatBody;
+use super::{CallerContext, read_body};
+use crate::ops::follow::follow_entry;
+
+/// Takes requests for a model's answer.
+#[derive(Clone, Debug)]
+pub(super) struct Complete(pub(super) CallerContext);
+
+#[handler]
+impl Complete {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
+        if let Err(problem) = self.complete(req, res).await {
+            problem.write(res);
+        }
+    }
+}
+
+impl Complete {
+    async fn complete(&self, req: &mut Request, res: &mut Response) -> Result<(), Problem> {
+        let cx = &self.0;
+        let customer = cx.customer(req)?;
+        let body = read_body(req).await?;
+        let body: ChatBody = serde_json::from_slice(&body).map_err(|e| {
+            Problem::not_run(
+                StatusCode::BAD_REQUEST,
+                "Invalid JSON",
+                format!("the body is no valid request: {e}"),
+            )
+        })?;
+        let is_stream = body.stream;
+        let entry = cx.accept.accept(&customer, body.into()).await?;
+        let id = entry.id().clone();
+        let events = follow_entry(entry, 0);
+        if is_stream {
+            write_stream(cx, res, &id, events);
+        } else {
+            write_whole(cx, res, &id, events).await;
+        }
+        Ok(())
+    }
+}
--- a/src/callers/mod.rs
+++ b/src/callers/mod.rs
@@ -1,1 +1,98 @@
 //! The HTTP listener that customers connect to.
+
+mod answer;
+mod chat;
+mod lists;
+mod problem;
+mod requests;
+mod wire;
+
+use std::time::Duration;
+
+use salvo::http::header;
+use salvo::prelude::*;
+
+use crate::core::document::CustomerRule;
+use crate::node::NodeContext;
+use crate::ops::accept::Accept;
+use crate::ops::follow::Follower;
+
+pub use problem::Problem;
+
+/// Longest body of a call, in bytes.
+const MAX_BODY: usize = 4 * 1024 * 1024;
+/// Longest time that a caller may take to send a body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// What the handlers of calls need.
+#[derive(Clone, Debug)]
+pub struct CallerContext {
+    /// The process.
+    pub cx: NodeContext,
+    /// Accepts requests.
+    pub accept: Accept,
+    /// Finds and streams answers.
+    pub follower: Follower,
+}
+
+impl CallerContext {
+    /// Returns the customer whose key a call carries.
+    fn customer(&self, req: &Request) -> Result<CustomerRule, Problem> {
+        req.headers()
+            .get(header::AUTHORIZATION)
+            .and_then(|value| value.to_str().ok())
+            .and_then(|value| value.strip_prefix("Bearer "))
+            .and_then(|key| self.accept.customer_of(key.trim()))
+            .ok_or_else(Problem::no_key)
+    }
+
+    /// Returns where callers reach a node.
+    fn caller_address(&self, node: &str) -> Option<Box<str>> {
+        let members = self.cx.board.members.read();
+        let member = members.get(node)?;
+        Some(member.caller_address.to_string().into())
+    }
+}
+
+/// Returns the routes of the callers' listener.
+pub fn router(cx: &CallerContext) -> Router {
+    Router::with_path("v1")
+        .push(Router::with_path("chat/completions").post(chat::Complete(cx.clone())))
+        .push(Router::with_path("requests/{id}").get(requests::Fetch(cx.clone())))
+        .push(Router::with_path("requests/{id}/explanation").get(requests::Explain(cx.clone())))
+        .push(Router::with_path("models").get(lists::Models(cx.clone())))
+        .push(Router::with_path("directory").get(lists::Directory(cx.clone())))
+}
+
+/// Reads a body within its limits.
+async fn read_body(req: &mut Request) -> Result<Vec<u8>, Problem> {
+    let too_large = || {
+        Problem::not_run(
+            StatusCode::PAYLOAD_TOO_LARGE,
+            "Body too large",
+            format!("the body may have {MAX_BODY} bytes"),
+        )
+    };
+    let declared = req
+        .headers()
+        .get(header::CONTENT_LENGTH)
+        .and_then(|value| value.to_str().ok()?.parse::<usize>().ok());
+    if declared.is_some_and(|length| length > MAX_BODY) {
+        return Err(too_large());
+    }
+    let read = tokio::time::timeout(BODY_TIMEOUT, req.payload_with_max_size(MAX_BODY)).await;
+    match read {
+        Ok(Ok(body)) => Ok(body.to_vec()),
+        Ok(Err(salvo::http::ParseError::PayloadTooLarge)) => Err(too_large()),
+        Ok(Err(e)) => Err(Problem::not_run(
+            StatusCode::BAD_REQUEST,
+            "Body not read",
+            format!("the body could not be read: {e}"),
+        )),
+        Err(_) => Err(Problem::not_run(
+            StatusCode::REQUEST_TIMEOUT,
+            "Body too slow",
+            "the body did not arrive within 10 s; send it again",
+        )),
+    }
+}
--- /dev/null
+++ b/src/callers/problem.rs
@@ -0,0 +1,124 @@
+//! Refusals as problem documents (RFC 9457).
+
+use std::time::Duration;
+
+use salvo::http::{StatusCode, header};
+use salvo::prelude::Response;
+use serde::Serialize;
+
+use crate::core::answer::GivenUp;
+use crate::core::verdict::Verdict;
+use crate::ops::accept::{Refusal, RefusalKind};
+
+/// A refusal as callers see it.
+#[derive(Clone, Debug, Serialize)]
+pub struct Problem {
+    /// Kind of problem, as a URI reference.
+    #[serde(rename = "type")]
+    pub kind: &'static str,
+    /// Short text that is the same for all problems of a kind.
+    pub title: &'static str,
+    /// HTTP status.
+    pub status: u16,
+    /// What happened and what to do.
+    pub detail: Box<str>,
+    /// Whether the request may have run.
+    pub verdict: Verdict,
+    /// Milliseconds after which it makes sense to ask again.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub retry_after_ms: Option<u64>,
+    /// The request, if it got an id.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub request_id: Option<Box<str>>,
+}
+
+impl Problem {
+    /// Creates a problem of a request that has not run.
+    pub fn not_run(status: StatusCode, title: &'static str, detail: impl Into<Box<str>>) -> Self {
+        Self {
+            kind: "about:blank",
+            title,
+            status: status.as_u16(),
+            detail: detail.into(),
+            verdict: Verdict::NotRun,
+            retry_after_ms: None,
+            request_id: None,
+        }
+    }
+
+    /// Sets when it makes sense to ask again.
+    #[must_use]
+    pub fn retry_after(mut self, after: Duration) -> Self {
+        self.retry_after_ms = Some(u64::try_from(after.as_millis()).unwrap_or(u64::MAX));
+        self
+    }
+
+    /// Sets the request's id.
+    #[must_use]
+    pub fn for_request(mut self, id: &str) -> Self {
+        self.request_id = Some(id.into());
+        self
+    }
+
+    /// Returns the answer to a call without a valid key.
+    pub fn no_key() -> Self {
+        Self::not_run(
+            StatusCode::UNAUTHORIZED,
+            "No valid key",
+            "send `Authorization: Bearer KEY` with a key of your organisation that is in force",
+        )
+    }
+
+    /// Returns the answer to a fetch of a request that the customer does not have.
+    pub fn unknown_request(id: &str) -> Self {
+        Self::not_run(
+            StatusCode::NOT_FOUND,
+            "Unknown request",
+            "no request with this id is kept for you; answers are kept for two minutes",
+        )
+        .for_request(id)
+    }
+
+    /// Writes the problem as an answer.
+    pub fn write(&self, res: &mut Response) {
+        let status = StatusCode::from_u16(self.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        res.status_code(status);
+        let headers = res.headers_mut();
+        headers.insert(
+            header::CONTENT_TYPE,
+            header::HeaderValue::from_static("application/problem+json"),
+        );
+        if let Some(after) = self.retry_after_ms {
+            headers.insert(header::RETRY_AFTER, after.div_ceil(1000).into());
+        }
+        let body = serde_json::to_vec(self).unwrap_or_default();
+        let _ = res.write_body(body);
+    }
+}
+
+impl From<Refusal> for Problem {
+    fn from(refusal: Refusal) -> Self {
+        let (status, title) = match refusal.kind {
+            RefusalKind::Invalid => (StatusCode::BAD_REQUEST, "Invalid request"),
+            RefusalKind::Unknown => (StatusCode::NOT_FOUND, "Unknown name"),
+            RefusalKind::OverLimit => (StatusCode::TOO_MANY_REQUESTS, "Limit reached"),
+            RefusalKind::TooLate => (StatusCode::SERVICE_UNAVAILABLE, "Deadline cannot be met"),
+            RefusalKind::Unavailable => (StatusCode::SERVICE_UNAVAILABLE, "Not available now"),
+        };
+        let problem = Self::not_run(status, title, refusal.cause);
+        match refusal.retry_after {
+            Some(after) => problem.retry_after(after),
+            None => problem,
+        }
+    }
+}
+
+impl From<GivenUp> for Problem {
+    fn from(given_up: GivenUp) -> Self {
+        Self {
+            verdict: given_up.verdict,
+            ..Self::not_run(StatusCode::SERVICE_UNAVAILABLE, "Given up", given_up.cause)
+                .retry_after(Duration::from_millis(u64::from(given_up.retry_after_ms)))
+        }
+    }
+}
--- /dev/null
+++ b/src/node/process.rs
@@ -0,0 +1,156 @@
+//! One process: its operations, controllers and listeners.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::{Blackboard, NodeContext, Phase};
+use crate::callers::CallerContext;
+use crate::ops::accept::Accept;
+use crate::ops::follow::Follower;
+use crate::ops::hand_over::HandOvers;
+use crate::ops::home::Home;
+use crate::ops::replicate::Replicator;
+use crate::ops::requests::Requests;
+use crate::ops::run_request::Runner;
+use crate::peers::Pool;
+use crate::sources::engine::EngineClient;
+
+/// Time between two looks at replicas and at old answers.
+const UPKEEP_INTERVAL: Duration = Duration::from_millis(250);
+/// Longest wait for a connection to a back end.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The operations of one process.
+#[derive(Debug)]
+pub struct Node {
+    /// What operations need.
+    pub cx: NodeContext,
+    /// Requests that this node serves or keeps copies of.
+    pub requests: Arc<Requests>,
+    /// Home of engines.
+    pub home: Arc<Home>,
+    /// Copies on other nodes.
+    pub replicator: Arc<Replicator>,
+    /// Attempts of requests.
+    pub runner: Arc<Runner>,
+    /// Requests that pass from node to node.
+    pub hand_overs: Arc<HandOvers>,
+    /// Answers on any node.
+    pub follower: Follower,
+}
+
+impl Node {
+    /// Creates the operations and starts their upkeep.
+    pub fn spawn(board: Arc<Blackboard>, pool: Arc<Pool>, http: reqwest::Client) -> Arc<Self> {
+        let cx = NodeContext {
+            board,
+            pool,
+            engines: EngineClient::new(http),
+        };
+        let requests = Arc::new(Requests::default());
+        let home = Home::spawn(cx.clone());
+        let replicator = Replicator::new(cx.clone(), Arc::clone(&requests));
+        let runner = Runner::new(cx.clone(), Arc::clone(&home), Arc::clone(&replicator));
+        let hand_overs = HandOvers::new(
+            cx.clone(),
+            Arc::clone(&requests),
+            Arc::clone(&replicator),
+            Arc::clone(&runner),
+        );
+        let follower = Follower::new(cx.clone(), Arc::clone(&requests));
+        let node = Arc::new(Self {
+            cx,
+            requests,
+            home,
+            replicator,
+            runner,
+            hand_overs,
+            follower,
+        });
+        tokio::spawn(upkeep(Arc::clone(&node)));
+        node
+    }
+
+    /// Returns what the handlers of calls need.
+    pub fn caller_context(&self) -> CallerContext {
+        CallerContext {
+            cx: self.cx.clone(),
+            accept: Accept::new(
+                self.cx.clone(),
+                Arc::clone(&self.requests),
+                Arc::clone(&self.replicator),
+                Arc::clone(&self.runner),
+            ),
+            follower: self.follower.clone(),
+        }
+    }
+
+    /// Takes no new work and passes on what there is. Returns when nothing is left or time is up.
+    pub async fn leave(&self, cause: &str, within: Duration) -> Left {
+        let until = Instant::now() + within;
+        self.cx.board.phase.write(Phase::Leaving);
+        self.home.leave();
+        let mut remaining = self.hand_overs.pass_on_all(cause).await;
+        while Instant::now() < until && (remaining > 0 || !self.requests.copied_nodes().is_empty())
+        {
+            tokio::time::sleep(UPKEEP_INTERVAL).await;
+            remaining = self.hand_overs.pass_on_all(cause).await;
+        }
+        self.cx.board.phase.write(Phase::Stopped);
+        if remaining == 0 {
+            Left::Clean
+        } else {
+            Left::WithRequests(remaining)
+        }
+    }
+}
+
+/// How a node has left.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Left {
+    /// Every request was passed on.
+    Clean,
+    /// So many requests could not be passed on in time.
+    WithRequests(usize),
+}
+
+/// Returns the HTTP client that a process uses towards back ends and the platform.
+///
+/// # Errors
+///
+/// Fails where the client cannot be set up.
+pub fn http_client() -> reqwest::Result<reqwest::Client> {
+    reqwest::Client::builder()
+        .connect_timeout(CONNECT_TIMEOUT)
+        .tcp_nodelay(true)
+        .no_proxy()
+        .build()
+}
+
+/// Finds replicas where they are missing, serves copies of nodes that are gone, drops old answers.
+async fn upkeep(node: Arc<Node>) {
+    let mut tick = tokio::time::interval(UPKEEP_INTERVAL);
+    loop {
+        tick.tick().await;
+        if *node.cx.board.phase.read() == Phase::Stopped {
+            return;
+        }
+        node.replicator.refresh();
+        promote_copies_of_gone(&node);
+        node.requests.drop_old(Instant::now());
+    }
+}
+
+fn promote_copies_of_gone(node: &Node) {
+    let members = node.cx.board.members.read();
+    if *node.cx.board.phase.read() != Phase::Serving {
+        return;
+    }
+    for gone in node.requests.copied_nodes() {
+        if members.get(&gone).is_none() {
+            node.hand_overs.promote_copies_of(&gone);
+        }
+    }
+}
--- /dev/null
+++ b/src/ops/accept.rs
@@ -0,0 +1,234 @@
+//! Decides whether a request for a model's answer is accepted, and begins it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use sha2::{Digest, Sha256};
+use uuid::Uuid;
+
+use crate::core::document::{CustomerRule, Document};
+use crate::core::explain::{Decision, Record};
+use crate::core::request::{AcceptedRequest, ChatMessage, estimate_prompt_tokens};
+use crate::core::verdict::Verdict;
+use crate::node::{NodeContext, Phase};
+use crate::ops::replicate::Replicator;
+use crate::ops::requests::{Entry, Requests, Snapshot};
+use crate::ops::run_request::Runner;
+use crate::util::time::unix_now;
+
+/// Time after which a caller should ask another node, where this one takes nothing.
+const LEAVING_RETRY: Duration = Duration::from_millis(100);
+/// Time after which a caller should ask again, where this node is full.
+const FULL_RETRY: Duration = Duration::from_secs(2);
+
+/// A request as a caller puts it.
+#[derive(Clone, Debug)]
+pub struct ChatCall {
+    /// Model asked for.
+    pub model: Box<str>,
+    /// The conversation.
+    pub messages: Vec<ChatMessage>,
+    /// Longest answer in tokens; the model's limit where none is asked for.
+    pub max_tokens: Option<u32>,
+    /// Rank of work; the customer's first one where none is asked for.
+    pub rank: Option<Box<str>>,
+}
+
+/// What is wrong with a request, or why it is not taken now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RefusalKind {
+    /// The request can never be taken as it is.
+    Invalid,
+    /// No such model, service or rank.
+    Unknown,
+    /// A limit of the customer is reached.
+    OverLimit,
+    /// The deadline could not be met.
+    TooLate,
+    /// This node takes nothing now.
+    Unavailable,
+}
+
+/// A request that is not taken. It has not run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Kind of refusal.
+    pub kind: RefusalKind,
+    /// In words for the caller.
+    pub cause: Box<str>,
+    /// When it makes sense to ask again; `None` where it never does.
+    pub retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// Creates a refusal of a request that can never be taken as it is.
+    pub fn invalid(cause: impl Into<Box<str>>) -> Self {
+        Self {
+            kind: RefusalKind::Invalid,
+            cause: cause.into(),
+            retry_after: None,
+        }
+    }
+
+    fn unknown(cause: impl Into<Box<str>>) -> Self {
+        Self {
+            kind: RefusalKind::Unknown,
+            cause: cause.into(),
+            retry_after: None,
+        }
+    }
+
+    fn unavailable(cause: impl Into<Box<str>>, retry_after: Duration) -> Self {
+        Self {
+            kind: RefusalKind::Unavailable,
+            cause: cause.into(),
+            retry_after: Some(retry_after),
+        }
+    }
+
+    /// Returns whether the request may have run: it has not.
+    pub fn verdict(&self) -> Verdict {
+        Verdict::NotRun
+    }
+}
+
+/// The module's result.
+pub type Result<T> = std::result::Result<T, Refusal>;
+
+/// Decides whether requests are accepted, and begins them.
+#[derive(Clone, Debug)]
+pub struct Accept {
+    cx: NodeContext,
+    requests: Arc<Requests>,
+    replicator: Arc<Replicator>,
+    runner: Arc<Runner>,
+}
+
+impl Accept {
+    /// Creates the operation.
+    pub fn new(
+        cx: NodeContext,
+        requests: Arc<Requests>,
+        replicator: Arc<Replicator>,
+        runner: Arc<Runner>,
+    ) -> Self {
+        Self {
+            cx,
+            requests,
+            replicator,
+            runner,
+        }
+    }
+
+    /// Returns the customer to whom an API key belongs.
+    pub fn customer_of(&self, key: &str) -> Option<CustomerRule> {
+        let hash = Sha256::digest(key.as_bytes()).into();
+        let config = self.cx.board.config.read();
+        config.document.customer_by_key(&hash).cloned()
+    }
+
+    /// Accepts a request: it is copied to a second node before the call returns, and runs.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the request is not taken; it has not run then.
+    pub async fn accept(&self, customer: &CustomerRule, call: ChatCall) -> Result<Arc<Entry>> {
+        self.check_phase()?;
+        let request = self.checked(customer, call)?;
+        let entry = Arc::new(Entry::serving(Snapshot {
+            request,
+            attempt: 0,
+            tokens: Vec::new(),
+            completion: None,
+            engine: None,
+        }));
+        if !self.requests.insert(Arc::clone(&entry)) {
+            return Err(Refusal::unavailable("this node is full", FULL_RETRY));
+        }
+        let replica = self.replicator.secure(&entry).await;
+        let request = entry.request();
+        entry.note(Decision::Accepted {
+            node: self.cx.board.identity.node.clone(),
+            customer: request.customer,
+            rank: request.rank,
+            model: request.model,
+            prompt_tokens: request.prompt_tokens,
+            replica,
+        });
+        self.runner.spawn(Arc::clone(&entry));
+        Ok(entry)
+    }
+
+    fn check_phase(&self) -> Result<()> {
+        match *self.cx.board.phase.read() {
+            Phase::Serving => Ok(()),
+            Phase::Starting => Err(Refusal::unavailable(
+                "this node has no configuration yet",
+                LEAVING_RETRY,
+            )),
+            Phase::Leaving | Phase::Stopped => Err(Refusal::unavailable(
+                "this node is leaving; ask the directory for another",
+                LEAVING_RETRY,
+            )),
+        }
+    }
+
+    fn checked(&self, customer: &CustomerRule, call: ChatCall) -> Result<AcceptedRequest> {
+        let config = self.cx.board.config.read();
+        let rank = rank_of(&config.document, customer, call.rank.as_deref())?;
+        let model = config.document.model(&call.model).ok_or_else(|| {
+            Refusal::unknown(format!(
+                "there is no model {:?}; GET /v1/models lists them",
+                call.model
+            ))
+        })?;
+        let prompt_tokens = estimate_prompt_tokens(&call.messages);
+        if call.messages.is_empty() || prompt_tokens == 0 {
+            return Err(Refusal::invalid("`messages` has no text"));
+        }
+        if prompt_tokens > model.max_prompt_tokens {
+            return Err(Refusal::invalid(format!(
+                "the prompt has about {prompt_tokens} tokens; the model takes {}",
+                model.max_prompt_tokens
+            )));
+        }
+        let max_tokens = call.max_tokens.unwrap_or(model.max_answer_tokens);
+        if max_tokens == 0 || max_tokens > model.max_answer_tokens {
+            return Err(Refusal::invalid(format!(
+                "`max_tokens` must lie between 1 and {}",
+                model.max_answer_tokens
+            )));
+        }
+        Ok(AcceptedRequest {
+            id: Uuid::now_v7().to_string().into(),
+            customer: customer.name.clone(),
+            rank,
+            model: model.name.clone(),
+            messages: call.messages,
+            max_tokens,
+            prompt_tokens,
+            accepted_at: unix_now(),
+            record: Record::default(),
+        })
+    }
+}
+
+fn rank_of(doc: &Document, customer: &CustomerRule, asked: Option<&str>) -> Result<Box<str>> {
+    let Some(asked) = asked else {
+        return customer
+            .ranks
+            .first()
+            .cloned()
+            .ok_or_else(|| Refusal::invalid("the customer has no rank of work"));
+    };
+    if doc.rank(asked).is_none() {
+        return Err(Refusal::unknown(format!("there is no rank {asked:?}")));
+    }
+    if !customer.ranks.iter().any(|rank| &**rank == asked) {
+        return Err(Refusal::invalid(format!(
+            "customer {} may not ask for rank {asked:?}",
+            customer.name
+        )));
+    }
+    Ok(asked.into())
+}
--- /dev/null
+++ b/src/ops/directory.rs
@@ -0,0 +1,56 @@
+//! Tells callers which nodes to use.
+
+use std::time::Duration;
+
+use rand::seq::SliceRandom;
+
+use crate::core::id::{Address, ZoneId};
+use crate::node::Blackboard;
+
+/// Addresses in one answer.
+const MAX_ADDRESSES: usize = 4;
+
+/// Nodes that a caller may use, best first.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Directory {
+    /// Where callers connect.
+    pub addresses: Vec<Address>,
+    /// How long the answer may be kept.
+    pub lifetime: Duration,
+}
+
+/// Returns nodes of the own region in random order, spread over zones; nodes of other regions only
+/// where the own one has none.
+pub fn directory(board: &Blackboard) -> Directory {
+    let members = board.members.read();
+    let own = &board.identity.region;
+    let mut nodes: Vec<_> = members.working_in_region(own).collect();
+    if nodes.is_empty() {
+        nodes = members.working().collect();
+    }
+    nodes.shuffle(&mut rand::rng());
+    let mut seen: Vec<(&ZoneId, u32)> = Vec::new();
+    let mut ordered: Vec<(u32, Address)> = Vec::new();
+    for node in nodes {
+        let turn = match seen.iter_mut().find(|(zone, _)| *zone == &node.zone) {
+            Some((_, count)) => {
+                *count += 1;
+                *count
+            }
+            None => {
+                seen.push((&node.zone, 0));
+                0
+            }
+        };
+        ordered.push((turn, node.caller_address));
+    }
+    ordered.sort_by_key(|(turn, _)| *turn);
+    Directory {
+        addresses: ordered
+            .into_iter()
+            .map(|(_, address)| address)
+            .take(MAX_ADDRESSES)
+            .collect(),
+        lifetime: board.config.read().document.rules.directory_lifetime,
+    }
+}
--- a/src/ops/follow.rs
+++ b/src/ops/follow.rs
@@ -11,10 +11,12 @@
 
 use crate::core::answer::GivenUp;
 use crate::core::cells;
+use crate::core::explain::Record;
 use crate::core::id::{NodeId, TokenOffset};
 use crate::core::request::Completion;
 use crate::node::NodeContext;
-use crate::ops::requests::{Entry, Progress, Requests};
+use crate::ops::requests::{Entry, Progress, Requests, Role};
+use crate::peers::convert_request::record_from_wire;
 
 /// Longest silence of a reader's stream.
 const HEARTBEAT: Duration = Duration::from_millis(500);
@@ -57,6 +59,23 @@
 /// Events of one answer.
 pub type AnswerEvents = BoxStream<'static, AnswerEvent>;
 
+/// What a search for a request found.
+pub struct Found {
+    /// Whether a node knows the request, though the one that serves it may not answer now.
+    pub is_known: bool,
+    /// The answer; only `Unknown` where no node serves it now.
+    pub events: AnswerEvents,
+}
+
+impl Found {
+    fn with(first: AnswerEvent, rest: AnswerEvents) -> Self {
+        Self {
+            is_known: true,
+            events: prepend(first, rest),
+        }
+    }
+}
+
 /// Finds requests and streams their answers.
 #[derive(Clone, Debug)]
 pub struct Follower {
@@ -78,17 +97,22 @@
         }
     }
 
-    /// Streams the answer of a request, whichever node serves it. Ends with `Unknown` where no node
-    /// that could serve it knows it.
-    pub async fn follow(&self, id: &str, customer: &str, from: TokenOffset) -> AnswerEvents {
+    /// Streams the answer of a request, whichever node serves it.
+    pub async fn follow(&self, id: &str, customer: &str, from: TokenOffset) -> Found {
+        let mut found = Found {
+            is_known: false,
+            events: futures::stream::iter([AnswerEvent::Unknown]).boxed(),
+        };
         let mut local = self.follow_local(id, customer, from);
-        let mut first_asked = None;
+        let mut to_ask = VecDeque::new();
         match local.next().await {
             Some(AnswerEvent::Unknown) | None => {}
-            Some(AnswerEvent::Elsewhere(node)) => first_asked = Some(node),
-            Some(event) => return prepend(event, local),
+            Some(AnswerEvent::Elsewhere(node)) => {
+                found.is_known = true;
+                to_ask.push_back(node);
+            }
+            Some(event) => return Found::with(event, local),
         }
-        let mut to_ask: VecDeque<NodeId> = first_asked.into_iter().collect();
         to_ask.extend(self.candidates(id));
         let mut asked: Vec<NodeId> = vec![self.cx.board.identity.node.clone()];
         while let Some(node) = to_ask.pop_front() {
@@ -97,12 +121,51 @@
             }
             asked.push(node.clone());
             match self.ask(&node, id, customer, from).await {
-                Some((AnswerEvent::Elsewhere(next), _)) => to_ask.push_front(next),
+                Some((AnswerEvent::Elsewhere(next), _)) => {
+                    found.is_known = true;
+                    to_ask.push_front(next);
+                }
                 Some((AnswerEvent::Unknown, _)) | None => {}
-                Some((event, rest)) => return prepend(event, rest),
+                Some((event, rest)) => return Found::with(event, rest),
             }
         }
-        futures::stream::iter([AnswerEvent::Unknown]).boxed()
+        found
+    }
+
+    /// Returns the record of a request of a customer, or of any customer for operators.
+    pub async fn explain(&self, id: &str, customer: Option<&str>) -> Option<Record> {
+        if let Some(record) = self.explain_local(id, customer) {
+            return Some(record);
+        }
+        for node in self.candidates(id).into_iter().take(MAX_ASKED) {
+            if let Some(record) = self.ask_record(&node, id, customer).await {
+                return Some(record);
+            }
+        }
+        None
+    }
+
+    /// Returns the record of a request that this node serves or has served.
+    pub fn explain_local(&self, id: &str, customer: Option<&str>) -> Option<Record> {
+        let entry = self.requests.get(id)?;
+        if customer.is_some_and(|customer| customer != &**entry.customer()) {
+            return None;
+        }
+        (entry.role() == Role::Serving).then(|| entry.record())
+    }
+
+    async fn ask_record(&self, node: &str, id: &str, customer: Option<&str>) -> Option<Record> {
+        let address = self.cx.board.members.read().get(node)?.peer_address;
+        let mut client = self.cx.pool.client(address);
+        let asked = client.explain(jayhall_wire::ExplainRequest {
+            request: id.into(),
+            customer: customer.unwrap_or_default().into(),
+        });
+        let reply = timeout(ASK_TIMEOUT, asked).await.ok()?.ok()?.into_inner();
+        if !reply.found {
+            return None;
+        }
+        record_from_wire(&reply.record, reply.left_out).ok()
     }
 
     /// Returns the nodes that may know a request, best first: its replicas are chosen by the same order.
--- a/src/ops/home/mod.rs
+++ b/src/ops/home/mod.rs
@@ -22,7 +22,7 @@
 use crate::core::fleet::Backend;
 use crate::core::id::{ModelName, RequestId, VmId};
 use crate::core::verdict::Verdict;
-use crate::node::NodeContext;
+use crate::node::{NodeContext, Phase};
 
 use charge::Charge;
 use queue::{ModelQueue, Waiting};
@@ -139,6 +139,9 @@
     }
 
     fn take(self: &Arc<Self>, order: DispatchOrder) -> Result<Arc<Run>, DispatchEvent> {
+        if *self.cx.board.phase.read() >= Phase::Leaving {
+            return Err(moved("the node that would keep its queue is leaving"));
+        }
         let known = self.state.lock().runs.get(&order.request.id).cloned();
         if let Some(run) = known {
             if run.attempt > order.attempt {
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -1,6 +1,8 @@
 //! One module for each operation.
 
+pub mod accept;
 pub mod choose_home;
+pub mod directory;
 pub mod follow;
 pub mod hand_over;
 pub mod home;
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -3,4 +3,7 @@
 pub mod convert_request;
 mod pool;
 
+mod server;
+
 pub use pool::Pool;
+pub use server::PeerService;
--- a/src/util/mod.rs
+++ b/src/util/mod.rs
@@ -2,8 +2,8 @@
 
 pub mod fields;
 pub mod ini;
-pub mod time;
 pub mod problem;
 pub mod schema;
 pub mod settings;
+pub mod time;
 pub mod value;
