Add the stand-in for the store

Calls are limited by token buckets and counted; an outage, lost answers, lost watch messages and repeated requests are faults.

--- a/crates/jayhall-standins/src/bin/jayhall-standin.rs
+++ b/crates/jayhall-standins/src/bin/jayhall-standin.rs
@@ -7,14 +7,16 @@
 use eyre::{Result, WrapErr, bail, eyre};
 use getopts::{Matches, Options};
 use jayhall_standins::engine::{self, EngineSettings};
+use jayhall_standins::store::{self, StoreSettings};
 
 const USAGE: &str = "Usage: jayhall-standin KIND --listen IP:PORT [options]
 
-KIND is engine.
+KIND is engine or store.
 
 Faults: POST /faults with a JSON object sets those named, GET shows them, DELETE ends all.
   all kinds  freeze, refuse, lose_answer_next, delay_ms, drop_silently
-  engine     stop_after_tokens, slow_factor, leaving, duplicate_tokens, reorder_tokens";
+  engine     stop_after_tokens, slow_factor, leaving, duplicate_tokens, reorder_tokens
+  store      outage, drop_watch_events, duplicate_next";
 
 fn options() -> Options {
     let mut opts = Options::new();
@@ -33,6 +35,8 @@
     opts.optopt("", "event-gaps", "engine: share of lost events", "0..1");
     opts.optflag("", "ignores-fencing", "engine: takes any order");
     opts.optflag("", "no-kv-export", "engine: cannot export KV cache");
+    opts.optopt("", "writes-per-second", "store: limit of writes", "N");
+    opts.optopt("", "reads-per-second", "store: limit of reads", "N");
     opts
 }
 
@@ -82,6 +86,16 @@
     })
 }
 
+fn store_settings(matches: &Matches, listen: SocketAddr) -> Result<StoreSettings> {
+    let d = StoreSettings::default();
+    Ok(StoreSettings {
+        listen,
+        writes_per_second: value(matches, "writes-per-second", d.writes_per_second)?,
+        reads_per_second: value(matches, "reads-per-second", d.reads_per_second)?,
+        ..d
+    })
+}
+
 async fn run(kind: &str, matches: &Matches, listen: SocketAddr) -> Result<()> {
     match kind {
         "engine" => {
@@ -89,6 +103,11 @@
             println!("listening on {}", engine.address);
             engine.wait().await;
         }
+        "store" => {
+            let store = store::spawn(store_settings(matches, listen)?).await?;
+            println!("listening on {}", store.address);
+            store.wait().await;
+        }
         _ => bail!("unknown kind {kind:?}; see --help"),
     }
     Ok(())
--- a/crates/jayhall-standins/src/faults.rs
+++ b/crates/jayhall-standins/src/faults.rs
@@ -106,19 +106,29 @@
         Ok(faults)
     }
 
+    /// Waits until the faults satisfy a condition.
+    pub(crate) async fn wait_for(&self, condition: impl Fn(&T) -> bool + Send) {
+        // The sender lives in `self`, so that waiting cannot fail.
+        let _ = self.tx.subscribe().wait_for(condition).await;
+    }
+
     /// Waits until the stand-in is not frozen.
     pub(crate) async fn unfrozen(&self) {
-        // The sender lives in `self`, so that waiting cannot fail.
-        let _ = self.tx.subscribe().wait_for(|f| !f.common().freeze).await;
+        self.wait_for(|faults| !faults.common().freeze).await;
     }
 
-    /// Returns whether the next answer is to be lost, and counts it.
-    pub(crate) fn loses_answer(&self) -> bool {
+    /// Lowers a counter of the faults by one and returns whether it was above zero.
+    pub(crate) fn count_down(&self, counter: impl Fn(&mut T) -> &mut u32) -> bool {
         self.tx.send_if_modified(|faults| {
-            let left = &mut faults.common_mut().lose_answer_next;
-            let loses = *left > 0;
+            let left = counter(faults);
+            let counts = *left > 0;
             *left = left.saturating_sub(1);
-            loses
+            counts
         })
     }
+
+    /// Returns whether the next answer is to be lost, and counts it.
+    pub(crate) fn loses_answer(&self) -> bool {
+        self.count_down(|faults| &mut faults.common_mut().lose_answer_next)
+    }
 }
--- a/crates/jayhall-standins/src/lib.rs
+++ b/crates/jayhall-standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod engine;
 mod faults;
 mod server;
+pub mod store;
 
 pub use faults::{CommonFaults, FaultError, FaultSet};
 pub use server::{Result, SpawnError};
