Add the stand-ins for cloud, VM list, plain service and weight store

They complete the kinds that docs/PROTOCOLS.md names, in one binary `jayhall-standin KIND` and as functions `spawn` for tests inside one process. The cloud records the VMs that it starts and leaves it to a harness to start what runs on them, so that no stand-in starts processes.

--- a/crates/jayhall-standins/src/bin/jayhall-standin.rs
+++ b/crates/jayhall-standins/src/bin/jayhall-standin.rs
@@ -6,17 +6,30 @@
 
 use eyre::{Result, WrapErr, bail, eyre};
 use getopts::{Matches, Options};
+use jayhall_standins::cloud::{self, CloudSettings};
 use jayhall_standins::engine::{self, EngineSettings};
+use jayhall_standins::service::{self, ServiceSettings};
 use jayhall_standins::store::{self, StoreSettings};
+use jayhall_standins::vm_list::{self, VmListSettings};
+use jayhall_standins::weights::{self, WeightsSettings};
 
 const USAGE: &str = "Usage: jayhall-standin KIND --listen IP:PORT [options]
 
-KIND is engine or store.
+KIND is cloud, engine, service, store, vm-list or weights.
 
 Faults: POST /faults with a JSON object sets those named, GET shows them, DELETE ends all.
   all kinds  freeze, refuse, lose_answer_next, delay_ms, drop_silently
+  cloud      refuse_starts: list of ZONE or ZONE/MARKET, * for all zones
   engine     stop_after_tokens, slow_factor, leaving, duplicate_tokens, reorder_tokens
-  store      outage, drop_watch_events, duplicate_next";
+  store      outage, drop_watch_events, duplicate_next
+
+For tests:
+  cloud      POST /test/notice {\"vm\", \"in_ms\"}, POST /test/wave {\"zone\", \"in_ms\"},
+             GET /test/started, PUT /test/prices
+  engine     GET /test/orders, POST /test/clear_cache, GET /v1/records
+  service    GET /effects
+  store      GET /counters
+  vm-list    PUT /test/vms (all), POST /test/vms (one), DELETE /test/vms/VM, PUT /test/lag {\"lag_ms\"}";
 
 fn options() -> Options {
     let mut opts = Options::new();
@@ -35,6 +48,23 @@
     opts.optopt("", "event-gaps", "engine: share of lost events", "0..1");
     opts.optflag("", "ignores-fencing", "engine: takes any order");
     opts.optflag("", "no-kv-export", "engine: cannot export KV cache");
+    opts.optopt("", "load-ms", "engine: time to load a model", "MS");
+    opts.optopt("", "prices", "cloud: JSON file with prices", "FILE");
+    opts.optopt("", "call-ms", "service: time of a call", "MS");
+    opts.optflag("", "deduplicates", "service: a repeated key has no effect");
+    opts.optopt(
+        "",
+        "lag-ms",
+        "vm-list: how long a change stays unseen",
+        "MS",
+    );
+    opts.optopt("", "bytes", "weights: size of all weights", "N");
+    opts.optopt(
+        "",
+        "bytes-per-second",
+        "weights: rate of all downloads",
+        "N",
+    );
     opts.optopt("", "writes-per-second", "store: limit of writes", "N");
     opts.optopt("", "reads-per-second", "store: limit of reads", "N");
     opts
@@ -80,6 +110,7 @@
         event_lag: millis(matches, "event-lag-ms", d.event_lag)?,
         event_gap_probability: value(matches, "event-gaps", d.event_gap_probability)?,
         seed: value(matches, "seed", d.seed)?,
+        load_time: millis(matches, "load-ms", d.load_time)?,
         checks_fencing: !matches.opt_present("ignores-fencing"),
         exports_kv: !matches.opt_present("no-kv-export"),
         ..d
@@ -96,18 +127,62 @@
     })
 }
 
+fn service_settings(matches: &Matches, listen: SocketAddr) -> Result<ServiceSettings> {
+    Ok(ServiceSettings {
+        listen,
+        delay: millis(matches, "call-ms", ServiceSettings::default().delay)?,
+        deduplicates: matches.opt_present("deduplicates"),
+    })
+}
+
+fn cloud_settings(matches: &Matches, listen: SocketAddr) -> Result<CloudSettings> {
+    let mut settings = CloudSettings {
+        listen,
+        ..CloudSettings::default()
+    };
+    if let Some(path) = matches.opt_str("prices") {
+        let text = std::fs::read_to_string(&path).wrap_err(path)?;
+        settings.prices = serde_json::from_str(&text)?;
+    }
+    Ok(settings)
+}
+
+fn vm_list_settings(matches: &Matches, listen: SocketAddr) -> Result<VmListSettings> {
+    let d = VmListSettings::default();
+    Ok(VmListSettings {
+        listen,
+        lag: millis(matches, "lag-ms", d.lag)?,
+        ..d
+    })
+}
+
+fn weights_settings(matches: &Matches, listen: SocketAddr) -> Result<WeightsSettings> {
+    let d = WeightsSettings::default();
+    Ok(WeightsSettings {
+        listen,
+        bytes: value(matches, "bytes", d.bytes)?,
+        bytes_per_second: value(matches, "bytes-per-second", d.bytes_per_second)?,
+        ..d
+    })
+}
+
+/// Runs a stand-in until it stops.
+macro_rules! serve {
+    ($spawned:expr) => {{
+        let standin = $spawned.await?;
+        println!("listening on {}", standin.address);
+        standin.wait().await;
+    }};
+}
+
 async fn run(kind: &str, matches: &Matches, listen: SocketAddr) -> Result<()> {
     match kind {
-        "engine" => {
-            let engine = engine::spawn(engine_settings(matches, listen)?).await?;
-            println!("listening on {}", engine.address);
-            engine.wait().await;
-        }
-        "store" => {
-            let store = store::spawn(store_settings(matches, listen)?).await?;
-            println!("listening on {}", store.address);
-            store.wait().await;
-        }
+        "cloud" => serve!(cloud::spawn(cloud_settings(matches, listen)?)),
+        "engine" => serve!(engine::spawn(engine_settings(matches, listen)?)),
+        "service" => serve!(service::spawn(service_settings(matches, listen)?)),
+        "store" => serve!(store::spawn(store_settings(matches, listen)?)),
+        "vm-list" => serve!(vm_list::spawn(vm_list_settings(matches, listen)?)),
+        "weights" => serve!(weights::spawn(weights_settings(matches, listen)?)),
         _ => bail!("unknown kind {kind:?}; see --help"),
     }
     Ok(())
--- a/crates/jayhall-standins/src/server.rs
+++ b/crates/jayhall-standins/src/server.rs
@@ -9,7 +9,7 @@
 use futures::future::BoxFuture;
 use futures::stream::{self, BoxStream};
 use salvo::conn::tcp::TcpAcceptor;
-use salvo::http::{Method, ResBody, StatusCode};
+use salvo::http::{HeaderMap, Method, ResBody, StatusCode};
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, Server, async_trait};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -37,6 +37,7 @@
     pub(crate) method: Method,
     pub(crate) path: Box<str>,
     pub(crate) query: Vec<(Box<str>, Box<str>)>,
+    pub(crate) headers: HeaderMap,
     pub(crate) body: Vec<u8>,
 }
 
@@ -205,6 +206,7 @@
             query: query
                 .map(|(k, v)| (k.as_str().into(), v.as_str().into()))
                 .collect(),
+            headers: req.headers().clone(),
             body: match req.payload_with_max_size(MAX_BODY_BYTES).await {
                 Ok(bytes) => bytes.to_vec(),
                 Err(_) => Vec::new(),
