Keep membership by probing and gossip

Nodes have to know each other without a coordination service. Each node runs a state machine of events and actions on passed-in time: it probes bounded sets of members of its zone, of the other zones of its region and of other regions, asks others before it suspects, and lets a suspect refute by a higher incarnation. Changes ride on the exchanges, urgent ones are pushed at once. Digests of 64 buckets find what two views differ in.

A death that is heard of a member believed alive is checked by a probe first; taken at once, the first contact after a healed cut would have buried the other side.

ops::gossip drives the machine over tonic: a silent connection is replaced by a new one before a node counts as unanswering.

--- /dev/null
+++ b/src/core/membership/budget.rs
@@ -0,0 +1,35 @@
+//! Bytes that a node may send.
+
+use super::tuning::{BURST_BYTES, BYTES_PER_SECOND};
+use crate::core::time::Moment;
+
+/// A token bucket over bytes. It may fall below zero by what cannot be put off.
+#[derive(Debug)]
+pub(super) struct ByteBudget {
+    available: f64,
+    filled_at: Moment,
+}
+
+impl ByteBudget {
+    /// Creates a full bucket.
+    pub(super) fn new(now: Moment) -> Self {
+        Self {
+            available: BURST_BYTES as f64,
+            filled_at: now,
+        }
+    }
+
+    /// Returns the bytes that may be sent now.
+    pub(super) fn available(&mut self, now: Moment) -> usize {
+        let passed = now.saturating_sub(self.filled_at).as_secs_f64();
+        self.filled_at = now.max(self.filled_at);
+        let filled = self.available + passed * BYTES_PER_SECOND as f64;
+        self.available = filled.min(BURST_BYTES as f64);
+        self.available.max(0.0) as usize
+    }
+
+    /// Takes what was sent. The debt is bounded by the burst.
+    pub(super) fn take(&mut self, bytes: usize) {
+        self.available = (self.available - bytes as f64).max(-(BURST_BYTES as f64));
+    }
+}
--- /dev/null
+++ b/src/core/membership/machine.rs
@@ -0,0 +1,458 @@
+//! The membership of one node as a state machine: events in, actions out.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use rand::rngs::ChaCha8Rng;
+use rand::{RngExt, SeedableRng};
+use smallvec::SmallVec;
+
+use super::budget::ByteBudget;
+use super::message::{DocumentRevisions, MemberRecord, Message, StateChange};
+use super::outbox::Outbox;
+use super::reports::{BackendNotice, CustomerUse, HomeLoad, Reports};
+use super::table::{DeadMember, Table};
+use super::targets::Targets;
+use super::updates::{Priority, UpdateKey, UpdateQueue};
+use super::{Member, MemberState, MemberView, tuning};
+use crate::core::id::{Address, NodeId};
+use crate::core::time::Moment;
+
+/// What happens to a node's membership.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// Time has passed.
+    Tick,
+    /// Another node started an exchange; calls for [`Action::Reply`].
+    Received(Message),
+    /// An exchange was answered.
+    Answered {
+        /// The member asked; `None` where only its address was known.
+        node: Option<NodeId>,
+        /// Its answer.
+        message: Message,
+    },
+    /// An exchange was not answered, neither on the kept connection nor on a new one.
+    Unanswered {
+        /// The member asked; `None` where only its address was known.
+        node: Option<NodeId>,
+    },
+    /// Others have probed a member.
+    ProbedThrough {
+        /// The member.
+        node: NodeId,
+        /// Whether one of them got an answer.
+        is_answered: bool,
+    },
+    /// Addresses at which nodes may be found.
+    Seeds(Vec<Address>),
+    /// This node leaves.
+    Leave,
+    /// A home's queue has changed; the sequence is set here.
+    LoadReported(HomeLoad),
+    /// This node's count of a customer's use has changed; node and sequence are set here.
+    UseReported(CustomerUse),
+    /// A back end is leaving.
+    NoticeReported(BackendNotice),
+    /// This node has other revisions of documents.
+    DocumentsChanged(DocumentRevisions),
+}
+
+/// What is to be done about an event.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Action {
+    /// Answer the exchange that was received.
+    Reply(Message),
+    /// Start an exchange.
+    Exchange {
+        /// The member; `None` where only its address is known.
+        node: Option<NodeId>,
+        /// Where it is.
+        address: Address,
+        /// What to say.
+        message: Message,
+    },
+    /// Have other members probe one that did not answer.
+    ProbeThrough {
+        /// The member.
+        node: NodeId,
+        /// Where it is.
+        address: Address,
+        /// Where the others are.
+        via: SmallVec<[Address; 3]>,
+    },
+    /// Publish the members anew.
+    MembersChanged,
+    /// A node has newer documents.
+    NewerDocuments {
+        /// Where it is.
+        address: Address,
+        /// Its revisions, only the newer ones.
+        documents: DocumentRevisions,
+    },
+    /// A notice for a back end was heard for the first time.
+    NoticeHeard(BackendNotice),
+}
+
+/// Actions in the order in which they are to be done.
+pub type Actions = Vec<Action>;
+
+/// The membership as one node knows it.
+#[derive(Debug)]
+pub struct Membership {
+    pub(super) own: Member,
+    pub(super) table: Table,
+    pub(super) targets: Targets,
+    pub(super) updates: UpdateQueue,
+    pub(super) reports: Reports,
+    pub(super) outbox: Outbox,
+    pub(super) budget: ByteBudget,
+    pub(super) documents: DocumentRevisions,
+    pub(super) seeds: Vec<Address>,
+    pub(super) rng: ChaCha8Rng,
+    /// When suspected members are declared dead.
+    pub(super) suspicions: BTreeMap<NodeId, Moment>,
+    /// Members that others call dead and this node does not; probed before all others.
+    pub(super) doubted: VecDeque<NodeId>,
+    /// Incarnations with which others call members dead, until these refute it.
+    pub(super) doubts: BTreeMap<NodeId, u64>,
+    /// Members that others are asked to probe.
+    pub(super) probed_through: BTreeSet<NodeId>,
+    pub(super) next_probe: Moment,
+    pub(super) next_push: Moment,
+    pub(super) next_sync: Moment,
+    pub(super) next_sum: Moment,
+    pub(super) next_reconnect: Moment,
+    pub(super) is_push_due: bool,
+    pub(super) is_joined: bool,
+    pub(super) is_complete: bool,
+    pub(super) mismatches: u32,
+    pub(super) published_version: u64,
+    pub(super) changed_at: Moment,
+    pub(super) sync_wait: Duration,
+}
+
+impl Membership {
+    /// Creates the membership of a node that knows only itself. The same seed and the same events
+    /// give the same actions.
+    pub fn new(own: Member, seed: u64, now: Moment) -> Self {
+        let mut table = Table::default();
+        table.set(own.clone());
+        Self {
+            own,
+            table,
+            targets: Targets::default(),
+            updates: UpdateQueue::default(),
+            reports: Reports::default(),
+            outbox: Outbox::default(),
+            budget: ByteBudget::new(now),
+            documents: DocumentRevisions::new(),
+            seeds: Vec::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            suspicions: BTreeMap::new(),
+            doubted: VecDeque::new(),
+            doubts: BTreeMap::new(),
+            probed_through: BTreeSet::new(),
+            next_probe: now,
+            next_push: now,
+            next_sync: now,
+            next_sum: now,
+            next_reconnect: now,
+            is_push_due: false,
+            is_joined: false,
+            is_complete: false,
+            mismatches: 0,
+            published_version: 0,
+            changed_at: now,
+            sync_wait: tuning::JOIN_SYNC_INTERVAL,
+        }
+    }
+
+    /// Takes an event and returns what is to be done about it.
+    pub fn handle(&mut self, now: Moment, event: Event) -> Actions {
+        let mut actions = Actions::new();
+        match event {
+            Event::Tick => self.tick(now, &mut actions),
+            Event::Received(message) => self.receive(now, message, &mut actions),
+            Event::Answered { node, message } => self.answered(now, node, message, &mut actions),
+            Event::Unanswered { node } => self.unanswered(now, node, &mut actions),
+            Event::ProbedThrough { node, is_answered } => {
+                self.probed_through(now, &node, is_answered);
+            }
+            Event::Seeds(seeds) => self.seeds = seeds,
+            Event::Leave => self.leave(),
+            Event::LoadReported(load) => self.outbox.put_load(load),
+            Event::UseReported(used) => self.outbox.put_use(used),
+            Event::NoticeReported(notice) => self.take_notice(now, notice, &mut actions),
+            Event::DocumentsChanged(documents) => self.set_documents(documents),
+        }
+        self.publish(now, &mut actions);
+        actions
+    }
+
+    /// Returns the members that are not dead, this node among them.
+    pub fn view(&self) -> MemberView {
+        MemberView {
+            members: self.table.members().cloned().collect(),
+        }
+    }
+
+    /// Returns this node's own record.
+    pub fn own(&self) -> &Member {
+        &self.own
+    }
+
+    /// Returns the table of members.
+    pub fn table(&self) -> &Table {
+        &self.table
+    }
+
+    /// Returns the values that nodes have reported.
+    pub fn reports(&self) -> &Reports {
+        &self.reports
+    }
+
+    /// Returns the number of changes that are still to be told.
+    pub fn pending_updates(&self) -> usize {
+        self.updates.len()
+    }
+
+    /// Returns whether the node has found the others, and holds all members that the last of them
+    /// held. It stays so once reached.
+    pub fn is_complete(&self) -> bool {
+        self.is_complete
+    }
+
+    fn receive(&mut self, now: Moment, message: Message, actions: &mut Actions) {
+        let sender = message.from.clone();
+        let asked = message.buckets.clone();
+        let told = keys_of(&message);
+        let digest = message.members_digest;
+        let corrections = self.merge(now, message, actions);
+        self.compare(now, &sender, digest, actions);
+        let reply = if asked.is_empty() {
+            self.compose(now, Some(&sender), &told, &corrections)
+        } else {
+            self.compose_page(now, &sender, &asked, &corrections)
+        };
+        actions.push(Action::Reply(reply));
+    }
+
+    fn answered(
+        &mut self,
+        now: Moment,
+        node: Option<NodeId>,
+        message: Message,
+        actions: &mut Actions,
+    ) {
+        self.is_joined = true;
+        let sender = message.from.clone();
+        if let Some(node) = node.filter(|node| *node != sender) {
+            // The address belongs to another life of the process now.
+            self.probed_through(now, &node, false);
+        }
+        let digest = message.members_digest;
+        let corrections = self.merge(now, message, actions);
+        for node in corrections {
+            self.tell_member(&node, Priority::Member);
+        }
+        self.compare(now, &sender, digest, actions);
+    }
+
+    /// Asks for missing members when the digests stay unequal: at once while this node's view is
+    /// quiet, and after some exchanges while changes are on their way.
+    fn compare(&mut self, now: Moment, sender: &NodeId, digest: u64, actions: &mut Actions) {
+        if digest == self.table.digest() {
+            self.mismatches = 0;
+            self.is_complete = true;
+            return;
+        }
+        self.mismatches += 1;
+        let is_quiet = now >= self.changed_at + tuning::QUIET_TIME;
+        let is_due = is_quiet || self.mismatches >= tuning::MISMATCHES_BEFORE_SYNC;
+        if self.is_complete && is_due && now >= self.next_sync {
+            self.next_sync = now + tuning::SYNC_INTERVAL;
+            self.ask_for_members(now, sender, actions);
+        }
+    }
+
+    /// Asks a member for the members that this node lacks.
+    pub(super) fn ask_for_members(&mut self, now: Moment, node: &NodeId, actions: &mut Actions) {
+        let Some(address) = self.table.get(node).map(|m| m.peer_address) else {
+            return;
+        };
+        let message = self.compose_sync(now, Some(node));
+        actions.push(Action::Exchange {
+            node: Some(node.clone()),
+            address,
+            message,
+        });
+    }
+
+    fn unanswered(&mut self, now: Moment, node: Option<NodeId>, actions: &mut Actions) {
+        let Some(node) = node else { return };
+        let Some(member) = self.table.get(&node) else {
+            return;
+        };
+        if member.state == MemberState::Suspect || self.probed_through.contains(&node) {
+            return;
+        }
+        let address = member.peer_address;
+        let via = self.helpers(&node);
+        if via.is_empty() {
+            self.probed_through(now, &node, false);
+            return;
+        }
+        self.probed_through.insert(node.clone());
+        actions.push(Action::ProbeThrough { node, address, via });
+    }
+
+    fn helpers(&mut self, node: &NodeId) -> SmallVec<[Address; 3]> {
+        let some = self
+            .targets
+            .some(tuning::INDIRECT_PROBES, Some(node), &mut self.rng);
+        some.iter()
+            .filter_map(|node| self.table.get(node))
+            .map(|member| member.peer_address)
+            .take(tuning::INDIRECT_PROBES)
+            .collect()
+    }
+
+    fn probed_through(&mut self, now: Moment, node: &NodeId, is_answered: bool) {
+        self.probed_through.remove(node);
+        if is_answered {
+            return;
+        }
+        match self.table.get(node).map(|member| member.state) {
+            Some(MemberState::Alive) => self.suspect(now, node),
+            Some(MemberState::Leaving) => self.declare_dead(now, node),
+            _ => {}
+        }
+    }
+
+    /// Marks a member as suspect and starts the time in which it can refute.
+    pub(super) fn suspect(&mut self, now: Moment, node: &NodeId) {
+        let Some(member) = self.table.get(node) else {
+            return;
+        };
+        if member.state != MemberState::Alive || *node == self.own.node {
+            return;
+        }
+        let mut member = member.clone();
+        member.state = MemberState::Suspect;
+        self.table.set(member);
+        let timeout = tuning::suspicion_timeout(self.table.len());
+        self.suspicions.insert(node.clone(), now + timeout);
+        self.tell_member(node, Priority::Urgent);
+        self.ask_suspect(node);
+    }
+
+    /// Probes a suspect next, on a few of the nodes that hear of the suspicion, so that the suspect
+    /// hears of it early enough to refute it.
+    fn ask_suspect(&mut self, node: &NodeId) {
+        let share = tuning::SUSPECT_ASKERS / self.table.len() as f64;
+        if self.rng.random_bool(share.min(1.0)) {
+            self.doubted.push_back(node.clone());
+        }
+    }
+
+    /// Marks a member as dead and forgets what it reported.
+    pub(super) fn declare_dead(&mut self, now: Moment, node: &NodeId) {
+        let Some(member) = self.table.get(node) else {
+            return;
+        };
+        let dead = DeadMember {
+            incarnation: member.incarnation,
+            died_at: now,
+            retry_address: (member.state != MemberState::Leaving).then_some(member.peer_address),
+        };
+        self.table.bury(node, dead);
+        self.suspicions.remove(node);
+        self.doubts.remove(node);
+        self.reports.drop_node(node);
+        self.tell_member(node, Priority::Member);
+    }
+
+    /// Queues the state of a member to be told to others.
+    pub(super) fn tell_member(&mut self, node: &NodeId, priority: Priority) {
+        let pushed = match priority {
+            Priority::Urgent => tuning::PUSH_FANOUT as u32,
+            _ => 0,
+        };
+        let transmissions = pushed + tuning::transmissions(self.table.len());
+        let key = UpdateKey::Member(node.clone());
+        self.updates.push(key, priority, transmissions);
+        self.is_push_due |= priority == Priority::Urgent;
+    }
+
+    /// Changes this node's own record.
+    pub(super) fn set_own(&mut self, state: MemberState, incarnation: u64, priority: Priority) {
+        self.own.state = state;
+        self.own.incarnation = incarnation;
+        self.table.set(self.own.clone());
+        let node = self.own.node.clone();
+        self.tell_member(&node, priority);
+    }
+
+    fn leave(&mut self) {
+        if self.own.state != MemberState::Leaving {
+            let incarnation = self.own.incarnation + 1;
+            self.set_own(MemberState::Leaving, incarnation, Priority::Urgent);
+        }
+    }
+
+    fn set_documents(&mut self, documents: DocumentRevisions) {
+        self.is_push_due |= documents != self.documents;
+        self.documents = documents;
+    }
+
+    fn publish(&mut self, now: Moment, actions: &mut Actions) {
+        if self.table.version() != self.published_version {
+            self.published_version = self.table.version();
+            self.changed_at = now;
+            actions.push(Action::MembersChanged);
+        }
+    }
+
+    /// Returns what this node says about a member.
+    pub(super) fn record(&self, node: &NodeId) -> Option<MemberRecord> {
+        if let Some(member) = self.table.get(node) {
+            return Some(match member.state {
+                MemberState::Alive => MemberRecord::Full(member.clone()),
+                state => MemberRecord::Change(StateChange {
+                    node: node.clone(),
+                    state,
+                    incarnation: member.incarnation,
+                }),
+            });
+        }
+        let dead = self.table.dead(node)?;
+        Some(MemberRecord::Change(StateChange {
+            node: node.clone(),
+            state: MemberState::Dead,
+            incarnation: dead.incarnation,
+        }))
+    }
+}
+
+/// Returns the keys of what a message tells.
+fn keys_of(message: &Message) -> BTreeSet<UpdateKey> {
+    use super::reports::ReportKey;
+    let members = message
+        .members
+        .iter()
+        .map(|r| UpdateKey::Member(r.node().into()));
+    let loads = message
+        .loads
+        .iter()
+        .map(|l| UpdateKey::Report(ReportKey::Load(l.node.clone(), l.model.clone())));
+    let uses = message
+        .uses
+        .iter()
+        .map(|u| UpdateKey::Report(ReportKey::Use(u.node.clone(), u.customer.clone())));
+    let notices = message
+        .notices
+        .iter()
+        .map(|n| UpdateKey::Report(ReportKey::Notice(n.vm.clone())));
+    members.chain(loads).chain(uses).chain(notices).collect()
+}
--- /dev/null
+++ b/src/core/membership/merge.rs
@@ -0,0 +1,239 @@
+//! How a node takes in what another one says.
+
+use super::machine::{Action, Actions, Membership};
+use super::message::{DocumentRevision, MemberRecord, Message};
+use super::reports::{BackendNotice, CustomerUse, HomeLoad, ReportKey};
+use super::table::DeadMember;
+use super::updates::{Priority, UpdateKey};
+use super::{Member, MemberState};
+use crate::core::id::NodeId;
+use crate::core::time::Moment;
+
+/// Members that are called dead by others and wait to be probed.
+const MAX_DOUBTED: usize = 256;
+
+/// What became of a record.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Merged {
+    /// It was news and has been taken.
+    Taken,
+    /// It was known.
+    Known,
+    /// It is older than what this node knows.
+    Stale,
+    /// It was left aside.
+    Ignored,
+}
+
+impl Membership {
+    /// Takes in a message. Returns the members of which the sender has an old view.
+    pub(super) fn merge(
+        &mut self,
+        now: Moment,
+        message: Message,
+        actions: &mut Actions,
+    ) -> Vec<NodeId> {
+        let mut corrections = Vec::new();
+        for record in message.members {
+            let node: NodeId = record.node().into();
+            match self.merge_member(now, record) {
+                Merged::Known => self.updates.heard(&UpdateKey::Member(node)),
+                Merged::Stale => corrections.push(node),
+                Merged::Taken | Merged::Ignored => {}
+            }
+        }
+        for load in message.loads {
+            self.merge_load(load);
+        }
+        for used in message.uses {
+            self.merge_use(used);
+        }
+        for notice in message.notices {
+            self.take_notice(now, notice, actions);
+        }
+        self.merge_documents(&message.from, &message.documents, actions);
+        corrections
+    }
+
+    fn merge_member(&mut self, now: Moment, record: MemberRecord) -> Merged {
+        if record.node() == &*self.own.node {
+            return self.merge_own(&record);
+        }
+        let node: NodeId = record.node().into();
+        if self.table.get(&node).is_some() {
+            return self.merge_known(now, &node, record);
+        }
+        match (self.table.dead(&node), record) {
+            (Some(dead), record) if record.incarnation() <= dead.incarnation => {
+                match record.state() {
+                    MemberState::Dead => Merged::Known,
+                    _ => Merged::Stale,
+                }
+            }
+            (_, MemberRecord::Full(member)) if member.state != MemberState::Dead => {
+                self.take_member(member)
+            }
+            (None, record) if record.state() == MemberState::Dead => {
+                let dead = DeadMember {
+                    incarnation: record.incarnation(),
+                    died_at: now,
+                    retry_address: None,
+                };
+                self.table.bury(&node, dead);
+                Merged::Taken
+            }
+            _ => Merged::Ignored,
+        }
+    }
+
+    /// Refutes what is wrong about this node. Only here an incarnation is raised.
+    fn merge_own(&mut self, record: &MemberRecord) -> Merged {
+        let is_wrong = record.state() != self.own.state && record.state() > MemberState::Alive;
+        if record.incarnation() < self.own.incarnation {
+            return Merged::Stale;
+        }
+        if is_wrong || record.incarnation() > self.own.incarnation {
+            let state = self.own.state;
+            self.set_own(state, record.incarnation() + 1, Priority::Urgent);
+            return Merged::Stale;
+        }
+        Merged::Known
+    }
+
+    fn merge_known(&mut self, now: Moment, node: &NodeId, record: MemberRecord) -> Merged {
+        let Some(known) = self.table.get(node) else {
+            return Merged::Ignored;
+        };
+        let (known_state, known_incarnation) = (known.state, known.incarnation);
+        if record.incarnation() < known_incarnation {
+            return Merged::Stale;
+        }
+        let is_newer = record.incarnation() > known_incarnation;
+        match (record.state(), known_state) {
+            (state, known) if state == known && !is_newer => Merged::Known,
+            (MemberState::Alive, _) if is_newer => self.take_record(node, record),
+            (MemberState::Alive, _) => Merged::Stale,
+            (MemberState::Leaving, known) if is_newer || known < MemberState::Leaving => {
+                self.take_record(node, record)
+            }
+            (MemberState::Suspect, MemberState::Alive) => {
+                self.suspect(now, node);
+                Merged::Taken
+            }
+            (MemberState::Dead, MemberState::Alive) => self.doubt(node, record.incarnation()),
+            (MemberState::Dead, _) => {
+                self.declare_dead(now, node);
+                Merged::Taken
+            }
+            _ => Merged::Known,
+        }
+    }
+
+    /// Probes a member that another node calls dead, before it is believed. Without that, the first
+    /// contact after a healed cut would bring the death of all members of the other side.
+    fn doubt(&mut self, node: &NodeId, incarnation: u64) -> Merged {
+        if self.doubts.len() < MAX_DOUBTED && !self.doubts.contains_key(node) {
+            self.doubts.insert(node.clone(), incarnation);
+            self.doubted.push_back(node.clone());
+        }
+        Merged::Ignored
+    }
+
+    fn take_record(&mut self, node: &NodeId, record: MemberRecord) -> Merged {
+        let member = match record {
+            MemberRecord::Full(member) => member,
+            MemberRecord::Change(change) => {
+                let Some(known) = self.table.get(node) else {
+                    return Merged::Ignored;
+                };
+                Member {
+                    state: change.state,
+                    incarnation: change.incarnation,
+                    ..known.clone()
+                }
+            }
+        };
+        self.take_member(member)
+    }
+
+    fn take_member(&mut self, mut member: Member) -> Merged {
+        let node = member.node.clone();
+        self.suspicions.remove(&node);
+        self.doubts.remove(&node);
+        if member.state == MemberState::Suspect {
+            // The sender's suspicion is taken only once the member itself is known.
+            member.state = MemberState::Alive;
+        }
+        let priority = match member.state {
+            MemberState::Leaving => Priority::Urgent,
+            _ => Priority::Member,
+        };
+        self.table.set(member);
+        self.tell_member(&node, priority);
+        Merged::Taken
+    }
+
+    fn is_in_region(&self, node: &str) -> bool {
+        let member = self.table.get(node);
+        member.is_some_and(|member| member.region == self.own.region)
+    }
+
+    fn merge_load(&mut self, load: HomeLoad) {
+        if !self.is_in_region(&load.node) || load.node == self.own.node {
+            return;
+        }
+        let key = UpdateKey::Report(ReportKey::Load(load.node.clone(), load.model.clone()));
+        match self.reports.take_load(load) {
+            Some(taken) => self.tell_report(Some(taken)),
+            None => self.updates.heard(&key),
+        }
+    }
+
+    fn merge_use(&mut self, used: CustomerUse) {
+        let is_own = used.node == self.own.node;
+        if is_own || !(used.is_sum() || self.is_in_region(&used.node)) {
+            return;
+        }
+        let key = UpdateKey::Report(ReportKey::Use(used.node.clone(), used.customer.clone()));
+        match self.reports.take_use(used) {
+            Some(taken) => self.tell_report(Some(taken)),
+            None => self.updates.heard(&key),
+        }
+    }
+
+    pub(super) fn take_notice(
+        &mut self,
+        now: Moment,
+        notice: BackendNotice,
+        actions: &mut Actions,
+    ) {
+        let key = UpdateKey::Report(ReportKey::Notice(notice.vm.clone()));
+        match self.reports.take_notice(notice.clone(), now) {
+            Some(taken) => {
+                self.tell_report(Some(taken));
+                actions.push(Action::NoticeHeard(notice));
+            }
+            None => self.updates.heard(&key),
+        }
+    }
+
+    fn merge_documents(
+        &mut self,
+        from: &NodeId,
+        documents: &[DocumentRevision],
+        actions: &mut Actions,
+    ) {
+        let newer = documents.iter().filter(|heard| {
+            let own = self
+                .documents
+                .iter()
+                .find(|own| own.document == heard.document);
+            own.is_none_or(|own| own.revision < heard.revision)
+        });
+        let documents: super::message::DocumentRevisions = newer.cloned().collect();
+        let address = self.table.get(from).map(|member| member.peer_address);
+        if let (false, Some(address)) = (documents.is_empty(), address) {
+            actions.push(Action::NewerDocuments { address, documents });
+        }
+    }
+}
--- /dev/null
+++ b/src/core/membership/table.rs
@@ -0,0 +1,179 @@
+//! The members that a node knows, with digests for comparing two views.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::tuning::{BUCKETS, DEAD_REMEMBERED};
+use super::{Member, MemberState};
+use crate::core::id::{Address, NodeId, RegionId};
+use crate::core::time::Moment;
+
+/// A member that was lost.
+#[derive(Clone, Debug)]
+pub struct DeadMember {
+    /// Incarnation with which it died; only a higher one brings it back.
+    pub incarnation: u64,
+    /// When this node heard of it.
+    pub died_at: Moment,
+    /// Where it can be tried again; `None` for members that said that they leave.
+    pub retry_address: Option<Address>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    member: Member,
+    hash: u64,
+}
+
+impl Entry {
+    /// Suspicion is left out, so that it does not make two views differ.
+    fn digest(&self) -> u64 {
+        let is_leaving = u64::from(self.member.state == MemberState::Leaving);
+        mix(self.hash ^ mix((self.member.incarnation << 1) | is_leaving))
+    }
+
+    fn bucket(&self) -> usize {
+        (self.hash % BUCKETS as u64) as usize
+    }
+}
+
+/// The members that a node knows, and the dead ones that it remembers.
+#[derive(Debug)]
+pub struct Table {
+    live: BTreeMap<NodeId, Entry>,
+    regions: BTreeMap<RegionId, usize>,
+    dead: BTreeMap<NodeId, DeadMember>,
+    dead_order: VecDeque<NodeId>,
+    buckets: [u64; BUCKETS],
+    digest: u64,
+    version: u64,
+}
+
+impl Default for Table {
+    fn default() -> Self {
+        Self {
+            live: BTreeMap::new(),
+            regions: BTreeMap::new(),
+            dead: BTreeMap::new(),
+            dead_order: VecDeque::new(),
+            buckets: [0; BUCKETS],
+            digest: 0,
+            version: 0,
+        }
+    }
+}
+
+impl Table {
+    /// Returns the member with the name, unless it is dead.
+    pub fn get(&self, node: &str) -> Option<&Member> {
+        self.live.get(node).map(|entry| &entry.member)
+    }
+
+    /// Returns what is remembered of a dead member.
+    pub fn dead(&self, node: &str) -> Option<&DeadMember> {
+        self.dead.get(node)
+    }
+
+    /// Returns the dead members that are remembered.
+    pub fn dead_members(&self) -> impl Iterator<Item = &DeadMember> {
+        self.dead.values()
+    }
+
+    /// Returns the members by name.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.live.values().map(|entry| &entry.member)
+    }
+
+    /// Returns the members with the hashes of their names.
+    pub fn hashed(&self) -> impl Iterator<Item = (u64, &Member)> {
+        self.live.values().map(|entry| (entry.hash, &entry.member))
+    }
+
+    /// Returns the members in a bucket.
+    pub fn in_bucket(&self, bucket: usize) -> impl Iterator<Item = &Member> {
+        self.live
+            .values()
+            .filter(move |entry| entry.bucket() == bucket)
+            .map(|entry| &entry.member)
+    }
+
+    /// Returns the number of members.
+    pub fn len(&self) -> usize {
+        self.live.len()
+    }
+
+    /// Returns whether there is no member.
+    pub fn is_empty(&self) -> bool {
+        self.live.is_empty()
+    }
+
+    /// Returns the number of members of a region.
+    pub fn region_len(&self, region: &str) -> usize {
+        self.regions.get(region).copied().unwrap_or(0)
+    }
+
+    /// Returns a digest that is equal for equal views.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
+    /// Returns the digests of the buckets.
+    pub fn bucket_digests(&self) -> &[u64; BUCKETS] {
+        &self.buckets
+    }
+
+    /// Returns a number that grows with every change.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Sets a member, in place of what was known of it.
+    pub fn set(&mut self, member: Member) {
+        self.take_out(&member.node.clone());
+        self.dead.remove(&member.node);
+        *self.regions.entry(member.region.clone()).or_insert(0) += 1;
+        let hash = xxh3_64(member.node.as_bytes());
+        let entry = Entry { member, hash };
+        self.toggle(&entry);
+        self.live.insert(entry.member.node.clone(), entry);
+        self.version += 1;
+    }
+
+    /// Marks a member as dead. Forgets the longest dead one when too many are remembered.
+    pub fn bury(&mut self, node: &NodeId, dead: DeadMember) {
+        self.take_out(node);
+        self.version += 1;
+        if self.dead.insert(node.clone(), dead).is_none() {
+            self.dead_order.push_back(node.clone());
+        }
+        while self.dead_order.len() > DEAD_REMEMBERED {
+            if let Some(oldest) = self.dead_order.pop_front() {
+                self.dead.remove(&oldest);
+            }
+        }
+    }
+
+    fn take_out(&mut self, node: &NodeId) {
+        let Some(entry) = self.live.remove(node) else {
+            return;
+        };
+        self.toggle(&entry);
+        if let Some(count) = self.regions.get_mut(&entry.member.region) {
+            *count -= 1;
+        }
+    }
+
+    fn toggle(&mut self, entry: &Entry) {
+        let digest = entry.digest();
+        self.digest ^= digest;
+        self.buckets[entry.bucket()] ^= digest;
+    }
+}
+
+/// Spreads the bits of a number over all bits of the result.
+pub(super) fn mix(value: u64) -> u64 {
+    let value = (value ^ (value >> 33)).wrapping_mul(0xff51_afd7_ed55_8ccd);
+    let value = (value ^ (value >> 33)).wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    value ^ (value >> 33)
+}
--- /dev/null
+++ b/src/core/membership/updates.rs
@@ -0,0 +1,98 @@
+//! Changes that still have to be told to other nodes.
+
+use std::collections::BTreeMap;
+
+use super::reports::ReportKey;
+use crate::core::id::NodeId;
+
+/// Names a change.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum UpdateKey {
+    /// State of a member.
+    Member(NodeId),
+    /// A reported value.
+    Report(ReportKey),
+}
+
+/// Order in which changes are told when a message cannot take all of them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Priority {
+    /// Leaving members and back ends, refutations.
+    Urgent,
+    /// Other changes of members.
+    Member,
+    /// Reported values.
+    Report,
+}
+
+#[derive(Debug)]
+struct Pending {
+    priority: Priority,
+    sent: u32,
+    remaining: u32,
+    age: u64,
+}
+
+/// Changes that still have to be told, each a bounded number of times.
+#[derive(Debug, Default)]
+pub(super) struct UpdateQueue {
+    pending: BTreeMap<UpdateKey, Pending>,
+    next_age: u64,
+}
+
+impl UpdateQueue {
+    /// Adds a change, to be told `transmissions` times. Replaces an older change of the same key.
+    pub(super) fn push(&mut self, key: UpdateKey, priority: Priority, transmissions: u32) {
+        self.next_age += 1;
+        let pending = Pending {
+            priority,
+            sent: 0,
+            remaining: transmissions,
+            age: self.next_age,
+        };
+        self.pending.insert(key, pending);
+    }
+
+    /// Notes that another node told the same change, so that fewer transmissions are needed. Urgent
+    /// changes are told as often as planned, for those whom the first push has missed.
+    pub(super) fn heard(&mut self, key: &UpdateKey) {
+        let pending = self.pending.get_mut(key);
+        if let Some(pending) = pending.filter(|p| p.priority != Priority::Urgent) {
+            pending.remaining = pending.remaining.saturating_sub(1);
+            if pending.remaining == 0 {
+                self.pending.remove(key);
+            }
+        }
+    }
+
+    /// Returns the changes in the order in which they should be told: urgent ones first, then those
+    /// told least often, then the newest.
+    pub(super) fn in_order(&self) -> Vec<(UpdateKey, Priority)> {
+        let mut keys: Vec<_> = self.pending.iter().collect();
+        keys.sort_unstable_by_key(|(_, p)| (p.priority, p.sent, u64::MAX - p.age));
+        keys.into_iter()
+            .map(|(key, p)| (key.clone(), p.priority))
+            .collect()
+    }
+
+    /// Notes that a change was sent once.
+    pub(super) fn sent(&mut self, key: &UpdateKey) {
+        if let Some(pending) = self.pending.get_mut(key) {
+            pending.sent += 1;
+            pending.remaining -= 1;
+            if pending.remaining == 0 {
+                self.pending.remove(key);
+            }
+        }
+    }
+
+    /// Drops a change.
+    pub(super) fn remove(&mut self, key: &UpdateKey) {
+        self.pending.remove(key);
+    }
+
+    /// Returns the number of changes.
+    pub(super) fn len(&self) -> usize {
+        self.pending.len()
+    }
+}
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -8,3 +8,4 @@
 pub mod replicate;
 pub mod requests;
 pub mod run_request;
+pub mod gossip;
--- a/src/peers/pool.rs
+++ b/src/peers/pool.rs
@@ -34,6 +34,13 @@
         PeerClient::new(channel)
     }
 
+    /// Drops the connections to the addresses for which `is_needed` is false.
+    pub fn retain(&self, is_needed: impl Fn(Address) -> bool) {
+        self.channels
+            .lock()
+            .retain(|address, _| is_needed(*address));
+    }
+
     /// Drops the connection to an address, so that the next use makes a new one.
     pub fn forget(&self, address: Address) {
         self.channels.lock().remove(&address);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -7,3 +7,4 @@
 mod ini;
 mod store_contract;
 mod policy_queue;
+mod membership;
--- /dev/null
+++ b/tests/testsuite/membership/mod.rs
@@ -0,0 +1,4 @@
+//! Membership on injected time.
+
+mod net;
+mod states;
--- /dev/null
+++ b/tests/testsuite/membership/net.rs
@@ -0,0 +1,348 @@
+//! Delivers the messages of membership state machines to each other, on time that it keeps itself.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use jayhall::core::id::{Address, NodeId};
+use jayhall::core::membership::{
+    Action, Event, Member, MemberState, Membership, Message, StateChange,
+};
+use jayhall::core::time::Moment;
+use rand::rngs::ChaCha8Rng;
+use rand::{RngExt, SeedableRng};
+
+/// Time between two ticks of each machine.
+pub(super) const TICK: Duration = Duration::from_millis(100);
+/// Time after which an exchange counts as unanswered, both tries together.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(1200);
+/// Time after which an indirect probe counts as unanswered.
+const INDIRECT_TIMEOUT: Duration = Duration::from_millis(1500);
+/// One way between two nodes of a region.
+const NEAR_LATENCY: Duration = Duration::from_millis(1);
+/// One way between two nodes of different regions.
+const FAR_LATENCY: Duration = Duration::from_millis(12);
+
+/// The node that started an exchange, and the member that it meant to ask.
+type Asker = (usize, Option<NodeId>);
+
+#[derive(Debug)]
+enum Delivery {
+    Tick(usize),
+    Event(usize, Event),
+    Request(usize, usize, Option<NodeId>, Message),
+}
+
+/// A node in the loop.
+#[derive(Debug)]
+pub(super) struct Node {
+    /// Its state machine.
+    pub(super) machine: Membership,
+    /// Whether it answers.
+    pub(super) is_up: bool,
+    /// Bytes that it has sent, as bounded by the machine's own count.
+    pub(super) sent: usize,
+    /// Messages that it has sent.
+    pub(super) messages: usize,
+    /// Revisions of which it was told, and where they are.
+    pub(super) heard: Vec<(Address, u64)>,
+}
+
+/// Machines with messages under way between them.
+pub(super) struct Net {
+    /// The nodes, in the order in which they were added.
+    pub(super) nodes: Vec<Node>,
+    /// Time of the loop.
+    pub(super) now: Moment,
+    /// Chance that a message is lost.
+    pub(super) loss: f64,
+    /// Regions between which nothing is delivered.
+    pub(super) cut: Option<(&'static str, &'static str)>,
+    /// Members that some other node has declared dead while they were up.
+    pub(super) false_deaths: BTreeSet<NodeId>,
+    queue: BTreeMap<(Moment, u64), Delivery>,
+    next: u64,
+    by_address: BTreeMap<Address, usize>,
+    rng: ChaCha8Rng,
+}
+
+impl Net {
+    /// Creates an empty loop.
+    pub(super) fn new(seed: u64) -> Self {
+        Self {
+            nodes: Vec::new(),
+            now: Moment::ZERO,
+            loss: 0.0,
+            cut: None,
+            false_deaths: BTreeSet::new(),
+            queue: BTreeMap::new(),
+            next: 0,
+            by_address: BTreeMap::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Creates nodes spread over zones, each given as region and zone, that all know the first ones.
+    pub(super) fn with_nodes(seed: u64, count: usize, zones: &[(&str, &str)]) -> Self {
+        let mut net = Self::new(seed);
+        for at in 0..count {
+            let (region, zone) = zones[at % zones.len()];
+            net.add(region, zone);
+        }
+        net
+    }
+
+    /// Starts a node that knows the first three as seeds. Returns its number.
+    pub(super) fn add(&mut self, region: &str, zone: &str) -> usize {
+        let at = self.nodes.len();
+        self.start(member(at, region, zone))
+    }
+
+    /// Ends a node without a word and starts another process at its address. Returns its number.
+    pub(super) fn restart(&mut self, at: usize) -> usize {
+        self.nodes[at].is_up = false;
+        let old = self.nodes[at].machine.own().clone();
+        let mut new = member(self.nodes.len(), &old.region, &old.zone);
+        new.peer_address = old.peer_address;
+        self.start(new)
+    }
+
+    fn start(&mut self, member: Member) -> usize {
+        let at = self.nodes.len();
+        self.by_address.insert(member.peer_address, at);
+        let mut machine = Membership::new(member, 1000 + at as u64, self.now);
+        let seeds = (0..3).map(address).collect();
+        machine.handle(self.now, Event::Seeds(seeds));
+        self.nodes.push(Node {
+            machine,
+            is_up: true,
+            sent: 0,
+            messages: 0,
+            heard: Vec::new(),
+        });
+        let jitter = TICK.mul_f64(self.rng.random_range(0.0..1.0));
+        self.push(jitter, Delivery::Tick(at));
+        at
+    }
+
+    /// Runs the loop for a time.
+    pub(super) fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while let Some(entry) = self.queue.first_entry() {
+            if entry.key().0 > end {
+                break;
+            }
+            let ((at, _), delivery) = entry.remove_entry();
+            self.now = at;
+            self.deliver(delivery);
+        }
+        self.now = end;
+    }
+
+    /// Runs until the condition holds, at most for a time. Returns the time it took.
+    pub(super) fn run_until(
+        &mut self,
+        most: Duration,
+        is_met: impl Fn(&Self) -> bool,
+    ) -> Option<Duration> {
+        let start = self.now;
+        while self.now < start + most {
+            if is_met(self) {
+                return Some(self.now - start);
+            }
+            self.run(TICK / 2);
+        }
+        is_met(self).then(|| self.now - start)
+    }
+
+    /// Has a node take an event at once.
+    pub(super) fn event(&mut self, at: usize, event: Event) {
+        let actions = self.nodes[at].machine.handle(self.now, event);
+        self.act(at, actions, None);
+    }
+
+    /// Has another node tell a node something.
+    pub(super) fn tell(&mut self, at: usize, message: Message) {
+        self.event(at, Event::Received(message));
+    }
+
+    /// Returns the name of a node.
+    pub(super) fn name(&self, at: usize) -> NodeId {
+        self.nodes[at].machine.own().node.clone()
+    }
+
+    /// Returns the state of a node as another sees it; dead ones are `None`.
+    pub(super) fn seen(&self, by: usize, at: usize) -> Option<MemberState> {
+        let table = self.nodes[by].machine.table();
+        table.get(&self.name(at)).map(|member| member.state)
+    }
+
+    /// Returns whether all nodes that are up see the same `count` members.
+    pub(super) fn is_settled(&self, count: usize) -> bool {
+        let mut up = self.nodes.iter().filter(|node| node.is_up);
+        up.all(|node| {
+            let members = node.machine.table().members();
+            let alive = members.filter(|m| m.state != MemberState::Suspect);
+            alive.count() == count && node.machine.table().len() == count
+        })
+    }
+
+    fn push(&mut self, delay: Duration, delivery: Delivery) {
+        self.next += 1;
+        self.queue.insert((self.now + delay, self.next), delivery);
+    }
+
+    fn deliver(&mut self, delivery: Delivery) {
+        match delivery {
+            Delivery::Tick(at) => {
+                self.push(TICK, Delivery::Tick(at));
+                if self.nodes[at].is_up {
+                    self.event(at, Event::Tick);
+                }
+            }
+            Delivery::Event(at, event) => {
+                if self.nodes[at].is_up {
+                    self.event(at, event);
+                }
+            }
+            Delivery::Request(from, to, node, message) => self.answer((from, node), to, message),
+        }
+    }
+
+    fn answer(&mut self, asker: Asker, to: usize, message: Message) {
+        let event = Event::Received(message);
+        let actions = self.nodes[to].machine.handle(self.now, event);
+        self.act(to, actions, Some(asker));
+    }
+
+    fn act(&mut self, at: usize, actions: Vec<Action>, asker: Option<Asker>) {
+        for action in actions {
+            match action {
+                Action::Exchange {
+                    node,
+                    address,
+                    message,
+                } => self.exchange(at, node, address, message),
+                Action::Reply(message) => {
+                    if let Some(asker) = asker.clone() {
+                        self.reply(at, asker, message);
+                    }
+                }
+                Action::ProbeThrough { node, address, via } => {
+                    self.probe_through(at, node, address, &via);
+                }
+                Action::NewerDocuments { address, documents } => {
+                    let heard = documents.iter().map(|d| (address, d.revision));
+                    self.nodes[at].heard.extend(heard);
+                }
+                Action::MembersChanged => self.check_deaths(at),
+                Action::NoticeHeard(_) => {}
+            }
+        }
+    }
+
+    fn exchange(&mut self, from: usize, node: Option<NodeId>, address: Address, message: Message) {
+        self.count(from, &message);
+        let to = self.by_address.get(&address).copied();
+        let passed = to.filter(|to| self.passes_twice(from, *to));
+        match passed {
+            Some(to) => self.push(
+                self.latency(from, to),
+                Delivery::Request(from, to, node, message),
+            ),
+            None => {
+                let event = Event::Unanswered { node };
+                self.push(EXCHANGE_TIMEOUT, Delivery::Event(from, event));
+            }
+        }
+    }
+
+    fn reply(&mut self, from: usize, (to, node): Asker, message: Message) {
+        self.count(from, &message);
+        let event = Event::Answered { node, message };
+        self.push(self.latency(from, to), Delivery::Event(to, event));
+    }
+
+    fn probe_through(&mut self, from: usize, node: NodeId, address: Address, via: &[Address]) {
+        let target = self.by_address[&address];
+        let mut is_answered = false;
+        for helper in via {
+            let helper = self.by_address[helper];
+            is_answered |= self.passes(from, helper) && self.passes_twice(helper, target);
+        }
+        let delay = match is_answered {
+            true => self.latency(from, target) * 2,
+            false => INDIRECT_TIMEOUT,
+        };
+        let event = Event::ProbedThrough { node, is_answered };
+        self.push(delay, Delivery::Event(from, event));
+    }
+
+    /// Returns whether an exchange passes in one of two tries, as on a kept and a new connection.
+    fn passes_twice(&mut self, from: usize, to: usize) -> bool {
+        self.passes(from, to) || self.passes(from, to)
+    }
+
+    fn passes(&mut self, from: usize, to: usize) -> bool {
+        let (a, b) = (&self.nodes[from], &self.nodes[to]);
+        let regions = (&*a.machine.own().region, &*b.machine.own().region);
+        let is_cut = self
+            .cut
+            .is_some_and(|(a, b)| regions == (a, b) || regions == (b, a));
+        let is_possible = a.is_up && b.is_up && !is_cut;
+        // Either direction may lose its message.
+        is_possible && !self.rng.random_bool(self.loss) && !self.rng.random_bool(self.loss)
+    }
+
+    fn latency(&self, from: usize, to: usize) -> Duration {
+        let (a, b) = (&self.nodes[from].machine, &self.nodes[to].machine);
+        match a.own().region == b.own().region {
+            true => NEAR_LATENCY,
+            false => FAR_LATENCY,
+        }
+    }
+
+    fn count(&mut self, at: usize, message: &Message) {
+        self.nodes[at].sent += message.size();
+        self.nodes[at].messages += 1;
+    }
+
+    fn check_deaths(&mut self, at: usize) {
+        let table = self.nodes[at].machine.table();
+        let up = self.nodes.iter().filter(|node| node.is_up);
+        let dead = up
+            .map(|node| &node.machine.own().node)
+            .filter(|node| table.dead(node).is_some());
+        self.false_deaths.extend(dead.cloned());
+    }
+}
+
+/// Returns the address of a node.
+pub(super) fn address(at: usize) -> Address {
+    let ip = Ipv4Addr::from_bits(0x0a00_0000 + at as u32);
+    SocketAddr::new(IpAddr::V4(ip), 7000)
+}
+
+/// Returns the record of a node that has just started.
+pub(super) fn member(at: usize, region: &str, zone: &str) -> Member {
+    Member {
+        node: format!("n{at}-018f3a5e-7c1b-7def-8a45-{at:012x}").into(),
+        vm: format!("vm-{at}").into(),
+        region: region.into(),
+        zone: zone.into(),
+        peer_address: address(at),
+        caller_address: address(at),
+        operator_address: address(at),
+        state: MemberState::Alive,
+        incarnation: 1,
+    }
+}
+
+/// Returns what a node would say about a state of another.
+pub(super) fn change(node: &NodeId, state: MemberState, incarnation: u64) -> StateChange {
+    StateChange {
+        node: node.clone(),
+        state,
+        incarnation,
+    }
+}
