--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -8,3 +8,4 @@
 mod ini;
 mod policy_queue;
 mod store_contract;
+mod membership;
