Refuse at arrival what cannot be served in time or is beyond a limit

A request that waits only to time out costs its caller the wait and the fleet a queue. The expected wait comes from the work ahead and the rate that more urgent arrivals leave, not below the rank's floor. Refused callers book the drain rate, so that they do not come back together.

Limits over nodes: an even split was ruled out, as callers on one of eight nodes get an eighth; an owner node per customer costs a hop per request and an outage when it goes. Nodes spread cumulative counters and spend at most a share of what is left until they hear of each other; overuse is paid back.

Tests run eight nodes at ten times the limit and bound the excess.

--- /dev/null
+++ b/crates/jayhall-scenarios/src/limits.rs
@@ -0,0 +1,201 @@
+//! A customer's limit over several nodes, kept in different ways.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use jayhall::core::admission::{CustomerLimits, LimitRule, UseReport};
+use jayhall::core::id::CustomerId;
+use jayhall::core::time::Moment;
+use serde::Serialize;
+
+/// How the nodes keep the limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LimitPolicy {
+    /// Every node enforces its even part of rate and burst.
+    EqualSplit,
+    /// One node, chosen by the customer's name, is asked for every request.
+    Owner,
+    /// Every node keeps its view, hears of the others' use and spends its share until it hears.
+    Gossip,
+    /// As `Gossip`, but a node spends from cold all that it believes is left.
+    GossipWholePool,
+}
+
+/// Which nodes the customer's callers use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Callers {
+    /// All on one node.
+    OneNode,
+    /// On three nodes in turn, as the directory gives three addresses.
+    ThreeNodes,
+    /// On all nodes in turn.
+    AllNodes,
+    /// All on one node, another one every five seconds.
+    Moving,
+}
+
+/// A run.
+#[derive(Clone, Copy, Debug)]
+pub struct LimitRun {
+    /// How the limit is kept.
+    pub policy: LimitPolicy,
+    /// Which nodes are used.
+    pub callers: Callers,
+    /// Nodes that take requests.
+    pub nodes: u32,
+    /// Demand in multiples of the limit.
+    pub demand: f64,
+    /// Time from use to the arrival of the counters at all other nodes, beside the reporting interval.
+    pub delay: Duration,
+    /// Length of the run.
+    pub length: Duration,
+}
+
+/// What came out.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct LimitOutcome {
+    /// Tokens admitted.
+    pub admitted: u64,
+    /// Burst and rate over the whole run.
+    pub allowed: u64,
+    /// Largest excess over burst and rate at any time since the start.
+    pub largest_excess: u64,
+    /// Requests for which another node had to be asked before they were admitted.
+    pub remote_questions: u64,
+}
+
+/// The limit in all runs: 1,000 tokens a second and ten seconds of burst.
+pub const RULE: LimitRule = LimitRule {
+    tokens_per_second: 1_000,
+    burst_tokens: 10_000,
+    max_in_flight: 10_000,
+};
+/// Tokens of one request.
+pub const REQUEST_TOKENS: u32 = 200;
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+/// The nodes have been up for a minute when the callers come.
+const START: Moment = Moment::from_secs(60);
+const MOVE_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Runs one policy.
+pub fn run(run: &LimitRun) -> LimitOutcome {
+    let mut fleet = Fleet::new(run);
+    let per_second = f64::from(RULE.tokens_per_second) * run.demand / f64::from(REQUEST_TOKENS);
+    let step = Duration::from_secs_f64(1.0 / per_second);
+    let mut outcome = LimitOutcome {
+        admitted: 0,
+        allowed: allowed_until(run.length),
+        largest_excess: 0,
+        remote_questions: 0,
+    };
+    let mut elapsed = Duration::ZERO;
+    let mut turn = 0;
+    while elapsed < run.length {
+        let now = START + elapsed;
+        fleet.spread(now);
+        let node = target(run, turn, elapsed);
+        turn += 1;
+        if run.policy == LimitPolicy::Owner && node != 0 {
+            outcome.remote_questions += 1;
+        }
+        if fleet.admit(node, now) {
+            outcome.admitted += u64::from(REQUEST_TOKENS);
+            let excess = outcome.admitted.saturating_sub(allowed_until(elapsed));
+            outcome.largest_excess = outcome.largest_excess.max(excess);
+        }
+        elapsed += step;
+    }
+    outcome
+}
+
+fn allowed_until(elapsed: Duration) -> u64 {
+    let refilled = elapsed.as_secs_f64() * f64::from(RULE.tokens_per_second);
+    u64::from(RULE.burst_tokens) + refilled as u64
+}
+
+fn target(run: &LimitRun, turn: u32, elapsed: Duration) -> usize {
+    let node = match run.callers {
+        Callers::OneNode => 1,
+        Callers::ThreeNodes => turn % run.nodes.min(3),
+        Callers::AllNodes => turn % run.nodes,
+        Callers::Moving => (elapsed.as_secs() / MOVE_INTERVAL.as_secs()) as u32 % run.nodes,
+    };
+    node as usize
+}
+
+struct Fleet {
+    policy: LimitPolicy,
+    rule: LimitRule,
+    customer: CustomerId,
+    nodes: Vec<CustomerLimits>,
+    reports: VecDeque<(Moment, UseReport)>,
+    delay: Duration,
+    next_report: Moment,
+}
+
+impl Fleet {
+    fn new(run: &LimitRun) -> Self {
+        let known_nodes = match run.policy {
+            LimitPolicy::Gossip => run.nodes,
+            LimitPolicy::EqualSplit | LimitPolicy::Owner | LimitPolicy::GossipWholePool => 1,
+        };
+        let start = |n| {
+            let mut limits = CustomerLimits::new(format!("n{n}").into(), Moment::ZERO);
+            limits.set_nodes(known_nodes);
+            limits
+        };
+        let part = match run.policy {
+            LimitPolicy::EqualSplit => run.nodes,
+            LimitPolicy::Gossip | LimitPolicy::GossipWholePool | LimitPolicy::Owner => 1,
+        };
+        Self {
+            policy: run.policy,
+            rule: LimitRule {
+                tokens_per_second: RULE.tokens_per_second / part,
+                burst_tokens: RULE.burst_tokens / part,
+                ..RULE
+            },
+            customer: "c".into(),
+            nodes: (0..run.nodes).map(start).collect(),
+            reports: VecDeque::new(),
+            delay: run.delay,
+            next_report: Moment::ZERO,
+        }
+    }
+
+    fn admit(&mut self, node: usize, now: Moment) -> bool {
+        let node = match self.policy {
+            LimitPolicy::Owner => 0,
+            _ => node,
+        };
+        self.nodes[node]
+            .admit(&self.customer, &self.rule, REQUEST_TOKENS, now)
+            .is_ok()
+    }
+
+    fn spread(&mut self, now: Moment) {
+        if matches!(self.policy, LimitPolicy::EqualSplit | LimitPolicy::Owner) {
+            return;
+        }
+        if now >= self.next_report {
+            self.next_report = now + REPORT_INTERVAL;
+            for node in &mut self.nodes {
+                let due = node
+                    .take_reports()
+                    .into_iter()
+                    .map(|r| (now + self.delay, r));
+                self.reports.extend(due);
+            }
+        }
+        while self.reports.front().is_some_and(|(due, _)| *due <= now) {
+            let Some((_, report)) = self.reports.pop_front() else {
+                return;
+            };
+            for node in &mut self.nodes {
+                node.merge(&report, &self.rule, now);
+            }
+        }
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,6 +4,7 @@
 //! decision is a function of (state, event, time), so that a test can replay it exactly and so that
 //! the cost of a decision can be measured on its own.
 
+pub mod admission;
 pub mod cells;
 pub mod document;
 pub mod estimate;
--- /dev/null
+++ b/tests/testsuite/policy_admission.rs
@@ -0,0 +1,202 @@
+//! Refusal at arrival, times to come back, and limits over several nodes.
+
+use std::time::Duration;
+
+use jayhall::core::admission::{
+    Cause, CustomerLimits, LimitRule, MAX_RETRY_AFTER, Refusal, ReturnSchedule, SPREAD_DELAY,
+    UseReport, Wait, check_deadline, expected_wait,
+};
+use jayhall::core::time::Moment;
+use jayhall::core::verdict::Verdict;
+use jayhall_scenarios::limits::{
+    Callers, LimitOutcome, LimitPolicy, LimitRun, REQUEST_TOKENS, RULE, run,
+};
+use rand::SeedableRng;
+use rand::rngs::ChaCha8Rng;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn busy() -> Wait {
+    Wait {
+        free_slots: 0,
+        tokens_ahead: 2_000,
+        tokens_per_second: Some(1_000.0),
+        urgent_tokens_per_second: 0.0,
+        floor_percent: 0,
+        next_free_slot: Duration::ZERO,
+    }
+}
+
+#[test]
+fn a_free_slot_means_no_wait_and_an_unmeasured_home_is_tried() {
+    let free = Wait {
+        free_slots: 1,
+        tokens_ahead: 0,
+        ..busy()
+    };
+    assert_eq!(expected_wait(&free), Some(Duration::ZERO));
+    let unknown = Wait {
+        tokens_per_second: None,
+        ..busy()
+    };
+    assert_eq!(expected_wait(&unknown), None);
+    assert!(check_deadline(&unknown, Duration::ZERO).is_ok());
+}
+
+#[test]
+fn more_urgent_arrivals_lengthen_the_wait_down_to_the_floor() {
+    assert_eq!(expected_wait(&busy()), Some(2 * SECOND));
+    let half = Wait {
+        urgent_tokens_per_second: 500.0,
+        ..busy()
+    };
+    assert_eq!(expected_wait(&half), Some(4 * SECOND));
+    let flooded = Wait {
+        urgent_tokens_per_second: 9_000.0,
+        floor_percent: 10,
+        ..busy()
+    };
+    assert_eq!(expected_wait(&flooded), Some(20 * SECOND));
+    let starved = Wait {
+        floor_percent: 0,
+        ..flooded
+    };
+    assert_eq!(expected_wait(&starved), Some(Duration::MAX));
+}
+
+#[test]
+fn a_deadline_that_cannot_be_met_is_refused_as_not_run() {
+    assert!(check_deadline(&busy(), 3 * SECOND).is_ok());
+    let refusal = check_deadline(&busy(), SECOND).unwrap_err();
+    assert_eq!(refusal.verdict(), Verdict::NotRun);
+    assert_eq!(refusal.retry_after, Duration::from_millis(1_100));
+    assert_eq!(refusal.retry_after_seconds(), 2);
+    assert!(matches!(refusal.cause, Cause::DeadlineUnreachable { .. }));
+}
+
+#[test]
+fn refused_callers_come_back_no_faster_than_they_can_be_served() {
+    let mut rng = ChaCha8Rng::seed_from_u64(5);
+    let mut schedule = ReturnSchedule::default();
+    let refusal = Refusal {
+        cause: Cause::NoBackend,
+        retry_after: SECOND,
+    };
+    let mut returns = [0u32; 128];
+    for _ in 0..300 {
+        let told = schedule.book(refusal, 200, Some(1_000.0), Moment::ZERO, &mut rng);
+        returns[told.retry_after.as_secs() as usize] += 1;
+    }
+    // 1,000 tokens a second serve 5 requests; the fixed time of the baseline brings all 300 at once.
+    let most = returns.iter().max().copied().unwrap();
+    assert!(most <= 10, "{most} callers come back within one second");
+    let mut last = Duration::ZERO;
+    for _ in 0..3_000 {
+        last = schedule
+            .book(refusal, 200, Some(1_000.0), Moment::ZERO, &mut rng)
+            .retry_after;
+        assert!(last <= MAX_RETRY_AFTER);
+    }
+    assert!(last >= MAX_RETRY_AFTER * 3 / 4);
+}
+
+fn limited(policy: LimitPolicy, callers: Callers, nodes: u32) -> LimitOutcome {
+    run(&LimitRun {
+        policy,
+        callers,
+        nodes,
+        demand: 10.0,
+        delay: SECOND,
+        length: 60 * SECOND,
+    })
+}
+
+#[test]
+fn a_limit_over_eight_nodes_holds_up_to_the_stated_error() {
+    let one_delay = u64::from(RULE.tokens_per_second) * SPREAD_DELAY.as_secs();
+    for callers in [
+        Callers::OneNode,
+        Callers::ThreeNodes,
+        Callers::AllNodes,
+        Callers::Moving,
+    ] {
+        let outcome = limited(LimitPolicy::Gossip, callers, 8);
+        // From cold every node takes a third of the burst; three nodes therefore never exceed it.
+        let from_cold = match callers {
+            Callers::AllNodes => u64::from(RULE.burst_tokens) * 5 / 3,
+            _ => 0,
+        };
+        let error = from_cold + one_delay + 8 * u64::from(REQUEST_TOKENS);
+        assert!(outcome.largest_excess <= error, "{callers:?}: {outcome:?}");
+        // Overuse is paid back: at the end no more was admitted than burst and rate allow.
+        let slack = one_delay + 8 * u64::from(REQUEST_TOKENS);
+        assert!(
+            outcome.admitted <= outcome.allowed + slack,
+            "{callers:?}: {outcome:?}"
+        );
+        // The customer gets nine tenths of what it may have, wherever its callers connect.
+        assert!(
+            outcome.admitted * 10 >= outcome.allowed * 9,
+            "{callers:?}: {outcome:?}"
+        );
+    }
+}
+
+#[test]
+fn an_even_split_wastes_the_limit_of_callers_on_one_node() {
+    let split = limited(LimitPolicy::EqualSplit, Callers::OneNode, 8);
+    assert!(split.admitted * 7 < split.allowed, "{split:?}");
+}
+
+#[test]
+fn unfinished_requests_count_over_nodes_and_a_gone_node_frees_its_own() {
+    let rule = LimitRule {
+        max_in_flight: 3,
+        ..RULE
+    };
+    let customer = "c".into();
+    let mut limits = CustomerLimits::new("n1".into(), Moment::ZERO);
+    limits.set_nodes(3);
+    let report = UseReport {
+        node: "n2".into(),
+        customer: "c".into(),
+        tokens: 10,
+        in_flight: 2,
+        sequence: 1,
+    };
+    limits.merge(&report, &rule, Moment::ZERO);
+    limits.admit(&customer, &rule, 10, Moment::ZERO).unwrap();
+    let refusal = limits
+        .admit(&customer, &rule, 10, Moment::ZERO)
+        .unwrap_err();
+    assert_eq!(refusal.cause, Cause::InFlightLimit { max_in_flight: 3 });
+    limits.finish("c", 10, 12, Moment::ZERO);
+    limits.admit(&customer, &rule, 10, Moment::ZERO).unwrap();
+    limits.forget_node("n2");
+    limits.admit(&customer, &rule, 10, 10 * SECOND).unwrap();
+    let told = limits.take_reports();
+    assert_eq!((told[0].tokens, told[0].in_flight), (32, 2));
+    assert_eq!(limits.take_reports(), []);
+}
+
+#[test]
+fn settled_estimates_are_charged_as_used() {
+    let rule = LimitRule {
+        burst_tokens: 1_000,
+        ..RULE
+    };
+    let customer = "c".into();
+    let mut limits = CustomerLimits::new("n1".into(), Moment::ZERO);
+    limits.admit(&customer, &rule, 900, Moment::ZERO).unwrap();
+    limits.finish("c", 900, 6_000, Moment::ZERO);
+    let refusal = limits.admit(&customer, &rule, 1, Moment::ZERO).unwrap_err();
+    assert_eq!(
+        refusal.cause,
+        Cause::TokenLimit {
+            tokens_per_second: 1_000
+        }
+    );
+    assert_eq!(refusal.retry_after, 5 * SECOND);
+    let paid_back = Duration::from_millis(5_001);
+    limits.admit(&customer, &rule, 1, paid_back).unwrap();
+}
