Keep resumed requests in the queue past their deadline

The deadline is for the first token. A request that was moved from a leaving engine has had it, was accepted and must not be given up on; it keeps its place by its first deadline.

--- a/src/core/queue/fair.rs
+++ b/src/core/queue/fair.rs
@@ -74,7 +74,9 @@
         self.ranks[level]
             .queue
             .insert(&item, key, self.rules.memory_tokens);
-        self.by_deadline.insert(key);
+        if !item.is_resumed {
+            self.by_deadline.insert(key);
+        }
         self.sequences.insert(item.id.clone(), sequence);
         self.items.insert(sequence, item);
         Ok(())
@@ -136,7 +138,7 @@
         std::iter::from_fn(|| self.pop_expired(now)).collect()
     }
 
-    /// Returns the earliest deadline, which is when `expire` has to be called next.
+    /// Returns the earliest deadline of a request that can expire; after it `expire` has to be called.
     pub fn next_deadline(&self) -> Option<Moment> {
         self.by_deadline.first().map(|key| key.0)
     }
--- a/src/core/queue/item.rs
+++ b/src/core/queue/item.rs
@@ -28,6 +28,8 @@
     pub arrived: Moment,
     /// Engine whose prefix cache suits the request.
     pub preferred_engine: Option<VmId>,
+    /// Whether a part of the answer has been made already. Such a request never expires.
+    pub is_resumed: bool,
 }
 
 /// What the holder of a free slot does next.
--- a/tests/testsuite/policy_queue.rs
+++ b/tests/testsuite/policy_queue.rs
@@ -27,6 +27,7 @@
         deadline: Moment::from_millis(due_ms),
         arrived: Moment::ZERO,
         preferred_engine: None,
+        is_resumed: false,
     }
 }
 
@@ -356,6 +357,19 @@
     assert_eq!(queue.pop(late), Next::Empty);
 }
 
+#[test]
+fn a_resumed_request_goes_by_its_deadline_but_never_expires() {
+    let mut queue = FairQueue::new(rules());
+    queue.push(item(1, "a", 0, 100, 300)).unwrap();
+    let mut resumed = item(2, "a", 0, 100, 100);
+    resumed.is_resumed = true;
+    queue.push(resumed).unwrap();
+    assert_eq!(queue.next_deadline(), Some(Moment::from_millis(300)));
+    let late = Moment::from_millis(301);
+    assert_eq!(queue.expire(late), [item(1, "a", 0, 100, 300)]);
+    assert_eq!(&*served(queue.pop(late)).id, "r2");
+}
+
 #[test]
 fn a_name_waits_once() {
     let mut queue = FairQueue::new(rules());
