--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -5,6 +5,7 @@
 //! the cost of a decision can be measured on its own.
 
 pub mod answer;
+pub mod admission;
 pub mod cells;
 pub mod dispatch;
 pub mod document;
