--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -4,8 +4,8 @@
 //! decision is a function of (state, event, time), so that a test can replay it exactly and so that
 //! the cost of a decision can be measured on its own.
 
-pub mod answer;
 pub mod admission;
+pub mod answer;
 pub mod cells;
 pub mod dispatch;
 pub mod document;
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -1,7 +1,7 @@
 //! What nodes say to each other.
 
-pub mod convert_request;
 mod convert_member;
+pub mod convert_request;
 mod pool;
 
 mod server;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,7 +6,7 @@
 // The linter allows this in test functions by itself, but not in the functions that they share.
 
 mod ini;
+mod membership;
 mod policy_admission;
 mod policy_queue;
 mod store_contract;
-mod membership;
