Queue at the home by rank, customer and deadline

Cause: the home served in order of arrival within a rank, so that one customer could hold up all others.

Ruled out: a queue for each engine (a request would wait behind a slow engine while another is free).

--- a/src/ops/home/charge.rs
+++ b/src/ops/home/charge.rs
@@ -81,4 +81,10 @@
             .get(model)
             .map_or(0, |charge| charge.slots_per_engine)
     }
+
+    /// Returns the slots of all engines of a model.
+    pub(super) fn total_slots(&self, model: &str) -> u32 {
+        let engines = u32::try_from(self.engines(model).len()).unwrap_or(u32::MAX);
+        self.slots(model).saturating_mul(engines)
+    }
 }
--- a/src/ops/home/mod.rs
+++ b/src/ops/home/mod.rs
@@ -19,13 +19,15 @@
 use tokio::time::Instant;
 
 use crate::core::dispatch::{DispatchEvent, DispatchOrder};
+use crate::core::document::Document;
 use crate::core::fleet::Backend;
 use crate::core::id::{ModelName, RequestId, VmId};
+use crate::core::queue::WaitingTokens;
 use crate::core::verdict::Verdict;
 use crate::node::{NodeContext, Phase};
 
 use charge::Charge;
-use queue::{ModelQueue, Waiting};
+use queue::ModelQueue;
 use run::{Ended, Run};
 
 pub use charge::home_of;
@@ -65,7 +67,7 @@
 }
 
 /// What a home has and does for one model.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ModelLoad {
     /// Requests that the engines may run at once.
     pub slots: u32,
@@ -73,6 +75,10 @@
     pub running: u32,
     /// Requests that wait.
     pub waiting: u32,
+    /// Tokens that wait, by rank level.
+    pub waiting_tokens: WaitingTokens,
+    /// Tokens a second of all slots together; 0 before the first observation.
+    pub tokens_per_second: u32,
 }
 
 impl Home {
@@ -168,34 +174,34 @@
         match attached {
             Some(engine) => self.start(&mut state, Arc::clone(&run), engine, true),
             None => {
-                let waiting = Waiting::new(Arc::clone(&run), &self.cx.board);
                 let model = run.order.request.model.clone();
-                state.queues.entry(model.clone()).or_default().push(waiting);
+                self.queue(&mut state, Arc::clone(&run));
                 self.pump(&mut state, &charge, &model);
             }
         }
         Ok(run)
     }
 
+    /// Puts a request into its model's queue.
+    fn queue(&self, state: &mut State, run: Arc<Run>) {
+        let config = self.cx.board.config.read();
+        state
+            .queues
+            .entry(run.order.request.model.clone())
+            .or_insert_with(ModelQueue::new)
+            .push(run, &config.document);
+    }
+
     /// Gives waiting requests of a model to free engines.
     fn pump(self: &Arc<Self>, state: &mut State, charge: &Charge, model: &str) {
         let now = Instant::now();
-        loop {
-            let Some(queue) = state.queues.get_mut(model) else {
+        while let Some(engine) = state.free_engine(charge, model, now) {
+            let popped = state.queues.get_mut(model).and_then(ModelQueue::pop);
+            let Some((run, preferred)) = popped else {
                 return;
             };
-            queue.end_expired(now);
-            if queue.is_empty() {
-                return;
-            }
-            let Some(engine) = state.free_engine(charge, model, now) else {
-                return;
-            };
-            let Some(waiting) = state.queues.get_mut(model).and_then(ModelQueue::pop) else {
-                return;
-            };
-            let engine = state.preferred(charge, &waiting, now).unwrap_or(engine);
-            self.start(state, waiting.run, engine, false);
+            let preferred = preferred.and_then(|vm| state.preferred(charge, model, &vm, now));
+            self.start(state, run, preferred.unwrap_or(engine), false);
         }
     }
 
@@ -205,21 +211,25 @@
     }
 
     async fn drive(self: Arc<Self>, run: Arc<Run>, engine: Backend, attach: bool) {
+        let begun = Instant::now();
         let outcome = drive::run_on_engine(&self.cx.engines, &run, &engine, attach).await;
         let charge = Charge::of(&self.cx.board);
         let mut state = self.state.lock();
         let engine_use = state.engines.entry(engine.vm.clone()).or_default();
         engine_use.running = engine_use.running.saturating_sub(1);
-        match outcome {
-            drive::Outcome::Ended => {}
-            drive::Outcome::Requeue { pause } => {
-                engine_use.paused_until = Some(Instant::now() + pause);
-                let waiting = Waiting::new(Arc::clone(&run), &self.cx.board);
-                let model = run.order.request.model.clone();
-                state.queues.entry(model).or_default().push(waiting);
-            }
+        let pause = match outcome {
+            drive::Outcome::Ended => None,
+            drive::Outcome::Requeue { pause } => Some(pause),
+        };
+        engine_use.paused_until = pause.map(|pause| Instant::now() + pause);
+        let model = &run.order.request.model;
+        if let Some(queue) = state.queues.get_mut(model) {
+            queue.settle(&run, begun.elapsed());
+        }
+        if pause.is_some() {
+            self.queue(&mut state, Arc::clone(&run));
         }
-        self.pump(&mut state, &charge, &run.order.request.model);
+        self.pump(&mut state, &charge, model);
     }
 
     /// Looks at deadlines, at leaving engines and at runs that have ended.
@@ -230,9 +240,11 @@
             let charge = Charge::of(&self.cx.board);
             let mut state = self.state.lock();
             state.runs.retain(|_, run| !run.is_forgotten());
+            let config = self.cx.board.config.read();
             let models: Vec<_> = state.queues.keys().cloned().collect();
             for model in models {
                 if charge.has(&model) {
+                    state.prepare(&charge, &model, &config.document);
                     self.pump(&mut state, &charge, &model);
                 } else if let Some(queue) = state.queues.remove(&model) {
                     queue.move_all("this node has no engine for the model any more");
@@ -258,6 +270,16 @@
 }
 
 impl State {
+    /// Brings a queue's rules, deadlines and positions up to date.
+    fn prepare(&mut self, charge: &Charge, model: &str, doc: &Document) {
+        let slots = charge.total_slots(model);
+        if let Some(queue) = self.queues.get_mut(model) {
+            queue.set_rules(doc);
+            queue.end_expired(Instant::now());
+            queue.tell_positions(slots);
+        }
+    }
+
     fn load_of(&self, charge: &Charge, model: &str) -> ModelLoad {
         let engines = charge.engines(model);
         let running = engines
@@ -265,11 +287,14 @@
             .filter_map(|engine| self.engines.get(&engine.vm))
             .map(|engine_use| engine_use.running)
             .sum();
-        let slots = charge.slots(model);
+        let slots = charge.total_slots(model);
+        let queue = self.queues.get(model);
         ModelLoad {
-            slots: slots * u32::try_from(engines.len()).unwrap_or(u32::MAX),
+            slots,
             running,
-            waiting: self.queues.get(model).map_or(0, ModelQueue::len),
+            waiting: queue.map_or(0, ModelQueue::len),
+            waiting_tokens: queue.map(ModelQueue::waiting_tokens).unwrap_or_default(),
+            tokens_per_second: queue.map_or(0, |queue| queue.tokens_per_second(slots)),
         }
     }
 
@@ -296,15 +321,12 @@
             .cloned()
     }
 
-    /// Returns the engine that a waiting request prefers, if it is free.
-    fn preferred(&self, charge: &Charge, waiting: &Waiting, now: Instant) -> Option<Backend> {
-        let order = &waiting.run.order;
-        let vm = order.preferred_engine.as_ref()?;
-        let model = &order.request.model;
+    /// Returns the engine that a request prefers, if it is free.
+    fn preferred(&self, charge: &Charge, model: &str, vm: &str, now: Instant) -> Option<Backend> {
         charge
             .engines(model)
             .iter()
-            .find(|engine| engine.vm == *vm && self.is_free(vm, charge.slots(model), now))
+            .find(|engine| &*engine.vm == vm && self.is_free(vm, charge.slots(model), now))
             .cloned()
     }
 }
--- a/src/ops/home/queue.rs
+++ b/src/ops/home/queue.rs
@@ -1,88 +1,154 @@
-//! Requests that wait for an engine of one model.
+//! Requests that wait for an engine of one model, in the order of service.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::time::Instant;
 
 use super::run::{Ended, Run};
-use crate::core::id::RankLevel;
+use crate::core::admission::DrainRate;
+use crate::core::document::Document;
+use crate::core::estimate::Estimator;
+use crate::core::id::{RankLevel, RequestId, VmId};
+use crate::core::queue::{FairQueue, Item, Next, QueueRules, WaitingTokens};
+use crate::core::time::Moment;
 use crate::core::verdict::Verdict;
-use crate::node::Blackboard;
 use crate::util::time::as_millis_u32;
 
-/// Time after which a caller whose request waited in vain should ask again.
+/// Shortest time after which a caller whose request waited in vain should ask again.
 const EXPIRED_RETRY: Duration = Duration::from_secs(1);
 
-/// A request that waits for an engine.
-#[derive(Debug)]
-pub(super) struct Waiting {
-    pub(super) run: Arc<Run>,
+/// What the queue charged for a request that an engine runs.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Charged {
     level: RankLevel,
-    due: Instant,
-}
-
-impl Waiting {
-    pub(super) fn new(run: Arc<Run>, board: &Blackboard) -> Self {
-        let config = board.config.read();
-        let level = config
-            .document
-            .rank(&run.order.request.rank)
-            .map_or(RankLevel::MAX, |rule| rule.level);
-        let due = run.taken_at + Duration::from_millis(u64::from(run.order.deadline_ms));
-        Self { run, level, due }
-    }
+    tokens: u32,
 }
 
 /// Requests that wait for an engine of one model.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct ModelQueue {
-    waiting: Vec<Waiting>,
+    origin: Instant,
+    fair: FairQueue,
+    runs: HashMap<RequestId, Arc<Run>>,
+    charged: HashMap<RequestId, Charged>,
+    estimator: Estimator,
+    drain: DrainRate,
 }
 
 impl ModelQueue {
-    pub(super) fn push(&mut self, waiting: Waiting) {
-        self.waiting.push(waiting);
-        self.waiting.sort_by_key(|w| (w.level, w.run.taken_at));
-        self.tell_positions();
+    pub(super) fn new() -> Self {
+        Self {
+            origin: Instant::now(),
+            fair: FairQueue::new(QueueRules::default()),
+            runs: HashMap::new(),
+            charged: HashMap::new(),
+            estimator: Estimator::default(),
+            drain: DrainRate::default(),
+        }
+    }
+
+    /// Puts the document's rules in force.
+    pub(super) fn set_rules(&mut self, doc: &Document) {
+        self.fair.set_rules(QueueRules::from_document(doc));
     }
 
-    pub(super) fn pop(&mut self) -> Option<Waiting> {
-        if self.waiting.is_empty() {
-            return None;
+    /// Adds a request; one that waits already stays as it is.
+    pub(super) fn push(&mut self, run: Arc<Run>, doc: &Document) {
+        let item = self.item(&run, doc);
+        if self.fair.push(item).is_ok() {
+            self.runs.insert(run.order.request.id.clone(), run);
         }
-        let first = self.waiting.remove(0);
-        self.tell_positions();
-        Some(first)
     }
 
-    pub(super) fn is_empty(&self) -> bool {
-        self.waiting.is_empty()
+    /// Takes the next request, with the engine that it prefers.
+    pub(super) fn pop(&mut self) -> Option<(Arc<Run>, Option<VmId>)> {
+        loop {
+            match self.fair.pop(self.moment(Instant::now())) {
+                Next::Serve(item) => {
+                    let Some(run) = self.runs.remove(&item.id) else {
+                        continue;
+                    };
+                    if run.has_ended() {
+                        self.fair
+                            .settle(&item.customer, item.level, item.cost_tokens, 0);
+                        continue;
+                    }
+                    self.charged.insert(
+                        item.id,
+                        Charged {
+                            level: item.level,
+                            tokens: item.cost_tokens,
+                        },
+                    );
+                    return Some((run, item.preferred_engine));
+                }
+                Next::Expired(item) => self.end_expired_run(&item),
+                Next::Empty => return None,
+            }
+        }
     }
 
-    pub(super) fn len(&self) -> u32 {
-        u32::try_from(self.waiting.len()).unwrap_or(u32::MAX)
+    /// Corrects the charge of a request that has left its engine after `service`.
+    pub(super) fn settle(&mut self, run: &Run, service: Duration) {
+        let request = &run.order.request;
+        let Some(charged) = self.charged.remove(&request.id) else {
+            return;
+        };
+        let made = run.next_offset() - run.base;
+        let actual = if made == 0 {
+            0
+        } else {
+            request.prompt_tokens.saturating_add(made)
+        };
+        self.fair
+            .settle(&request.customer, charged.level, charged.tokens, actual);
+        if actual > 0 {
+            self.drain.observe(actual, service);
+        }
+        if matches!(run.state.borrow().ended, Some(Ended::Finished(_))) {
+            self.estimator
+                .observe(&request.customer, &request.model, run.next_offset());
+        }
     }
 
-    /// Ends requests whose deadline has passed or that nobody waits for any more.
+    /// Ends requests whose deadline has passed, and drops those that nobody waits for any more.
     pub(super) fn end_expired(&mut self, now: Instant) {
-        self.waiting.retain(|waiting| {
-            if waiting.run.has_ended() {
-                return false;
-            }
-            let expired = waiting.due <= now && waiting.run.order.prior_tokens.is_empty();
-            if expired {
-                waiting.run.end(Ended::Expired {
-                    retry_after_ms: as_millis_u32(EXPIRED_RETRY),
-                });
-            }
-            !expired
-        });
+        for item in self.fair.expire(self.moment(now)) {
+            self.end_expired_run(&item);
+        }
+        let ended: Vec<RequestId> = self
+            .runs
+            .iter()
+            .filter(|(_, run)| run.has_ended())
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in ended {
+            self.fair.remove(&id);
+            self.runs.remove(&id);
+        }
     }
 
+    /// Tells every waiting request what is in front of it, where `slots` are in use.
+    pub(super) fn tell_positions(&self, slots: u32) {
+        let rate = self.drain.tokens_per_second(slots);
+        for (id, run) in &self.runs {
+            let Some(ahead) = self.fair.position(id) else {
+                continue;
+            };
+            let wait = match rate {
+                Some(rate) if rate > 0.0 => Duration::from_secs_f64(ahead.tokens as f64 / rate),
+                _ => Duration::ZERO,
+            };
+            run.tell_position(ahead.requests, as_millis_u32(wait));
+        }
+    }
+
+    /// Ends all waiting requests with a move.
     pub(super) fn move_all(self, cause: &str) {
-        for waiting in self.waiting {
-            waiting.run.end(Ended::Moved {
+        for run in self.runs.into_values() {
+            run.end(Ended::Moved {
                 cause: cause.into(),
                 engine_continues: false,
                 kv_blob: None,
@@ -91,9 +157,59 @@
         }
     }
 
-    fn tell_positions(&self) {
-        for (waiting, position) in self.waiting.iter().zip(0..) {
-            waiting.run.tell_position(position);
+    pub(super) fn is_empty(&self) -> bool {
+        self.fair.is_empty()
+    }
+
+    pub(super) fn len(&self) -> u32 {
+        u32::try_from(self.fair.len()).unwrap_or(u32::MAX)
+    }
+
+    pub(super) fn waiting_tokens(&self) -> WaitingTokens {
+        self.fair.waiting_tokens()
+    }
+
+    /// Returns the tokens a second of `slots` busy slots; 0 before the first observation.
+    pub(super) fn tokens_per_second(&self, slots: u32) -> u32 {
+        self.drain
+            .tokens_per_second(slots)
+            .map_or(0, |rate| rate.min(f64::from(u32::MAX)) as u32)
+    }
+
+    fn end_expired_run(&mut self, item: &Item) {
+        if let Some(run) = self.runs.remove(&item.id) {
+            let mean = self.drain.mean_service().unwrap_or(EXPIRED_RETRY);
+            run.end(Ended::Expired {
+                retry_after_ms: as_millis_u32(mean.max(EXPIRED_RETRY)),
+            });
+        }
+    }
+
+    fn item(&self, run: &Run, doc: &Document) -> Item {
+        let request = &run.order.request;
+        let estimate = self.estimator.estimate(
+            &request.customer,
+            &request.model,
+            request.prompt_tokens,
+            request.max_tokens,
+        );
+        let arrived = self.moment(run.taken_at);
+        Item {
+            id: request.id.clone(),
+            customer: request.customer.clone(),
+            level: doc.rank(&request.rank).map_or(0, |rule| rule.level),
+            weight: doc
+                .customer(&request.customer)
+                .map_or(1, |rule| rule.weight),
+            cost_tokens: estimate.cost_tokens(),
+            deadline: arrived + Duration::from_millis(u64::from(run.order.deadline_ms)),
+            arrived,
+            preferred_engine: run.order.preferred_engine.clone(),
+            is_resumed: !run.order.prior_tokens.is_empty(),
         }
     }
+
+    fn moment(&self, at: Instant) -> Moment {
+        at.saturating_duration_since(self.origin)
+    }
 }
--- a/src/ops/home/run.rs
+++ b/src/ops/home/run.rs
@@ -45,6 +45,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct RunState {
     pub(super) position: u32,
+    pub(super) expected_wait_ms: u32,
     pub(super) running: Option<Running>,
     pub(super) tokens: Vec<Box<str>>,
     pub(super) ended: Option<Ended>,
@@ -100,10 +101,11 @@
         is_useful && have >= base && have <= base + state.tokens.len()
     }
 
-    pub(super) fn tell_position(&self, position: u32) {
+    pub(super) fn tell_position(&self, position: u32, expected_wait_ms: u32) {
         self.state.send_if_modified(|state| {
             let changed = state.position != position;
             state.position = position;
+            state.expected_wait_ms = expected_wait_ms;
             changed
         });
     }
--- a/src/ops/home/subscribe.rs
+++ b/src/ops/home/subscribe.rs
@@ -79,7 +79,7 @@
         } else if !self.has_started {
             events.push(DispatchEvent::Queued {
                 position: state.position,
-                expected_wait_ms: 0,
+                expected_wait_ms: state.expected_wait_ms,
             });
         } else if events.is_empty() && is_due {
             let offset = self.offset;
