--- a/src/sources/mod.rs
+++ b/src/sources/mod.rs
@@ -1,4 +1,8 @@
 //! Adapters for back ends and for the platform.
 
+pub mod cloud;
 pub mod engine;
+pub mod platform;
 pub mod store;
+pub mod vm_list;
+pub mod weights;
--- /dev/null
+++ b/src/sources/weights.rs
@@ -0,0 +1,61 @@
+//! The platform's weight store, which gives out weights at a limited rate.
+
+use std::time::Duration;
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use reqwest::Method;
+use serde::Deserialize;
+
+use crate::sources::platform::{PlatformClient, Result};
+
+/// Longest wait for one set of weights.
+const DEADLINE: Duration = Duration::from_secs(600);
+
+/// The weight store. Every call ends within a deadline of the implementation's own.
+pub trait WeightStore: Send + Sync {
+    /// Fetches one version of a model's weights and returns their size in bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`Limited`](crate::sources::platform::PlatformError::Limited) where the store says
+    /// when to come back, or where it gives no usable answer.
+    fn fetch<'a>(&'a self, weights: &'a str, version: &'a str) -> BoxFuture<'a, Result<u64>>;
+}
+
+#[derive(Debug, Deserialize)]
+struct WeightsWire {
+    bytes: u64,
+}
+
+/// The weight store over HTTP.
+#[derive(Clone, Debug)]
+pub struct HttpWeightStore {
+    client: PlatformClient,
+}
+
+impl HttpWeightStore {
+    /// Creates a client for the store at a URL without a slash at the end.
+    pub fn new(http: reqwest::Client, url: &str) -> Self {
+        Self::with_deadline(http, url, DEADLINE)
+    }
+
+    /// Creates a client with a deadline of its own.
+    pub fn with_deadline(http: reqwest::Client, url: &str, deadline: Duration) -> Self {
+        Self {
+            client: PlatformClient::new("the weight store", http, url, deadline),
+        }
+    }
+}
+
+impl WeightStore for HttpWeightStore {
+    fn fetch<'a>(&'a self, weights: &'a str, version: &'a str) -> BoxFuture<'a, Result<u64>> {
+        async move {
+            let path = format!("/v1/weights/{weights}/{version}");
+            let req = self.client.request(Method::GET, &path);
+            let fetched: WeightsWire = self.client.call(req).await?;
+            Ok(fetched.bytes)
+        }
+        .boxed()
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,4 +9,5 @@
 mod membership;
 mod policy_admission;
 mod policy_queue;
+mod sources_platform;
 mod store_contract;
