--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -2,3 +2,14 @@
 
 pub mod publish;
 pub mod spread;
+pub mod accept;
+pub mod choose_home;
+pub mod directory;
+pub mod follow;
+pub mod gossip;
+pub mod hand_over;
+pub mod home;
+pub(crate) mod keep_copy;
+pub mod replicate;
+pub mod requests;
+pub mod run_request;
--- a/src/util/mod.rs
+++ b/src/util/mod.rs
@@ -5,4 +5,5 @@
 pub mod problem;
 pub mod schema;
 pub mod settings;
+pub mod time;
 pub mod value;
