--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -1,7 +1,5 @@
 //! One module for each operation.
 
-pub mod publish;
-pub mod spread;
 pub mod accept;
 pub mod choose_home;
 pub mod directory;
@@ -10,6 +8,8 @@
 pub mod hand_over;
 pub mod home;
 pub(crate) mod keep_copy;
+pub mod publish;
 pub mod replicate;
 pub mod requests;
 pub mod run_request;
+pub mod spread;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,15 +1,13 @@
 //! Tests of the library, one module a feature.
 
-#![allow(clippy::unwrap_used)]
-
-mod document;
 // The linter allows this in test functions by itself, but not in the functions that they share.
+#![allow(clippy::unwrap_used)]
 
 mod document;
 mod ini;
-mod promise_config;
 mod membership;
 mod policy_admission;
 mod policy_queue;
+mod promise_config;
 mod sources_platform;
 mod store_contract;
