Add the operators' API

Calls under /api/v1 show, check, publish and compare the document, change a customer's keys, and give status, explanations and the order to leave. Operators show a key whose hash is in the node's settings; all hashes are compared in constant time. Keys of customers are changed in the text, one line, so that comments and the order of the document stay; the key itself never leaves its maker.

The node refuses a text made from a revision below its own even where the store has gone back, because nodes never install a lower one.

--- a/src/core/document/mod.rs
+++ b/src/core/document/mod.rs
@@ -1,6 +1,7 @@
 //! The operators' document: services, customers, ranks of work and the rules that bind them.
 
 mod check;
+pub mod edit;
 mod model;
 mod parse;
 mod render;
--- a/src/core/document/sections.rs
+++ b/src/core/document/sections.rs
@@ -73,6 +73,20 @@
     Ok(text)
 }
 
+/// Returns the text that results from changes, whatever it is.
+pub(super) fn patch_text(old_text: &str, changes: &[SectionChange]) -> String {
+    patch(&split(old_text), changes)
+}
+
+/// Returns the text of a section with its heading.
+pub fn section_text<'a>(text: &'a str, heading: &str) -> Option<&'a str> {
+    let parts = split(text);
+    parts
+        .iter()
+        .find(|part| part.heading == heading)
+        .map(|part| part.text)
+}
+
 fn patch(old: &[Part<'_>], changes: &[SectionChange]) -> String {
     let mut parts: Vec<(&str, &str)> = old.iter().map(|part| (part.heading, part.text)).collect();
     for change in changes {
--- a/src/operators/mod.rs
+++ b/src/operators/mod.rs
@@ -1,1 +1,47 @@
 //! The HTTP listener for the console and the command line.
+
+mod api;
+mod auth;
+mod control;
+mod desk;
+mod keys;
+mod problem;
+mod status;
+pub mod wire;
+
+use std::sync::Arc;
+
+use salvo::Router;
+
+pub use auth::Operator;
+pub use control::{NodeControl, QueueStatus};
+pub use problem::OperatorProblem;
+
+use crate::node::Blackboard;
+use crate::ops::publish::Publisher;
+use crate::ops::spread::Spread;
+use crate::util::value::Hash;
+
+/// Largest body of a call in bytes: a document of the largest size in JSON.
+const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+
+/// What the handlers need.
+#[derive(Clone)]
+pub struct OperatorContext {
+    /// What controllers write.
+    pub blackboard: Arc<Blackboard>,
+    /// Documents on this node.
+    pub spread: Arc<Spread>,
+    /// Publisher of the operators' document.
+    pub publisher: Publisher,
+    /// The node itself.
+    pub control: Arc<dyn NodeControl>,
+    /// SHA-256 of the operators' keys. Without any, every call is refused.
+    pub operator_keys: Arc<[Hash]>,
+}
+
+/// Returns the routes of the operators' listener.
+pub fn router(cx: OperatorContext) -> Router {
+    let cx = Arc::new(cx);
+    Router::new().push(Router::with_path("api/v1").push(api::router(&cx)))
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod document;
 mod ini;
 mod membership;
+mod operators;
 mod policy_admission;
 mod policy_queue;
 mod promise_config;
--- a/tests/testsuite/promise_config/mod.rs
+++ b/tests/testsuite/promise_config/mod.rs
@@ -1,5 +1,5 @@
 //! An accepted configuration is in force everywhere within seconds and never reverts.
 
-mod cluster;
+pub(crate) mod cluster;
 mod publishing;
 mod spreading;
