--- /dev/null
+++ b/src/bin/jayhall/commands/check.rs
@@ -0,0 +1,32 @@
+//! `jayhall check`
+
+use jayhall::core::document::Document;
+use serde_json::json;
+
+use super::{print, read_file};
+use crate::failure::Failure;
+use crate::options::CommandLine;
+
+pub(super) fn run(line: &CommandLine) -> Result<(), Failure> {
+    let [path] = line.arguments()?;
+    let document = parse(path, &read_file(path)?)?;
+    let body = json!({
+        "ranks": document.ranks.len(),
+        "models": document.models.len(),
+        "services": document.services.len(),
+        "customers": document.customers.len(),
+    });
+    print(line, &body, |_| {
+        format!(
+            "{path}: no mistakes; {} ranks, {} models, {} services, {} customers\n",
+            document.ranks.len(),
+            document.models.len(),
+            document.services.len(),
+            document.customers.len()
+        )
+    })
+}
+
+pub(super) fn parse(path: &str, text: &str) -> Result<Document, Failure> {
+    Document::parse(text).map_err(|problems| Failure::Invalid(path.into(), problems))
+}
--- /dev/null
+++ b/src/bin/jayhall/commands/drain.rs
@@ -0,0 +1,77 @@
+//! `jayhall drain`
+
+use std::time::Duration;
+
+use eyre::eyre;
+use jayhall::core::id::Address;
+use jayhall::operators::OperatorClient;
+use jayhall::operators::wire::{NodeBody, StatusBody};
+use tokio::time::{Instant, sleep};
+
+use super::print;
+use crate::failure::Failure;
+use crate::options::CommandLine;
+
+/// Longest wait for a node to leave.
+const MAX_WAIT: Duration = Duration::from_secs(300);
+/// Time between two looks at the node.
+const LOOK_INTERVAL: Duration = Duration::from_secs(1);
+
+pub(super) async fn run(line: &CommandLine) -> Result<(), Failure> {
+    let [name] = line.arguments()?;
+    let client = line.client()?;
+    let status = client.status().await?;
+    let node = find(&status, name).ok_or_else(|| {
+        Failure::usage(format!(
+            "no node or VM is called {name}; see `jayhall status`"
+        ))
+    })?;
+    let address: Address = node
+        .operator_address
+        .parse()
+        .map_err(|e| eyre!("{}: {e}", node.operator_address))
+        .map_err(Failure::Other)?;
+    let body = client.at(address).drain().await?;
+    print(line, &body, |body| {
+        format!("{} hands over its work and leaves\n", body.node)
+    })?;
+    if line.waits() {
+        wait(&client.at(address), &client, &node.node).await?;
+    }
+    Ok(())
+}
+
+fn find<'a>(status: &'a StatusBody, name: &str) -> Option<&'a NodeBody> {
+    status
+        .nodes
+        .iter()
+        .find(|node| *node.node == *name || *node.vm == *name)
+}
+
+/// Waits until the node no longer answers, or another node no longer knows it.
+async fn wait(node: &OperatorClient, other: &OperatorClient, name: &str) -> Result<(), Failure> {
+    let started = Instant::now();
+    while started.elapsed() < MAX_WAIT {
+        sleep(LOOK_INTERVAL).await;
+        let is_gone = match node.status().await {
+            Ok(status) => *status.node != *name || &*status.phase == "stopped",
+            Err(_) => match other.status().await {
+                Ok(status) => find(&status, name).is_none_or(|node| &*node.state != "alive"),
+                // The node that was asked is the one that leaves.
+                Err(_) => true,
+            },
+        };
+        if is_gone {
+            eprintln!("{name} has left after {} s", started.elapsed().as_secs());
+            return Ok(());
+        }
+        eprintln!(
+            "{name} is still leaving after {} s ...",
+            started.elapsed().as_secs()
+        );
+    }
+    Err(Failure::Other(eyre!(
+        "{name} has not left within {} s",
+        MAX_WAIT.as_secs()
+    )))
+}
--- /dev/null
+++ b/src/bin/jayhall/options.rs
@@ -0,0 +1,146 @@
+//! Reads the arguments.
+
+use std::fs;
+
+use getopts::{Matches, Options};
+use jayhall::core::id::Address;
+use jayhall::operators::OperatorClient;
+
+use crate::failure::Failure;
+use crate::help::{self, COMMANDS, CommandSpec};
+
+/// Environment variable that stands for `--node`.
+pub(crate) const NODE_VARIABLE: &str = "JAYHALL_NODE";
+/// Environment variable that stands for `--key-file`.
+pub(crate) const KEY_FILE_VARIABLE: &str = "JAYHALL_KEY_FILE";
+
+/// What the arguments ask for.
+pub(crate) enum Invocation {
+    /// Show a text.
+    Help(String),
+    /// Run a command.
+    Run(CommandLine),
+}
+
+/// A command with its arguments.
+pub(crate) struct CommandLine {
+    /// Which command.
+    pub(crate) command: &'static CommandSpec,
+    matches: Matches,
+}
+
+/// Returns the options that all commands take.
+pub(crate) fn options() -> Options {
+    let mut options = Options::new();
+    options
+        .optopt("", "node", "operators' address of any node", "ADDRESS")
+        .optopt("", "key-file", "file with your operator's key", "FILE")
+        .optopt("", "author", "your name for the history", "NAME")
+        .optopt(
+            "",
+            "base",
+            "revision that you have changed, or `latest`",
+            "REVISION",
+        )
+        .optopt("", "revision", "revision to show", "REVISION")
+        .optopt("", "count", "number of times to show", "NUMBER")
+        .optflag("", "wait", "wait until the node has left")
+        .optflag("", "json", "print JSON")
+        .optflag("h", "help", "show this help");
+    options
+}
+
+/// Reads the arguments.
+pub(crate) fn read(args: &[String]) -> Result<Invocation, Failure> {
+    let matches = options()
+        .parse(args)
+        .map_err(|e| Failure::usage(e.to_string()))?;
+    let name = matches.free.first().map(String::as_str);
+    let command = COMMANDS.iter().find(|spec| Some(spec.name) == name);
+    match (name, command) {
+        (None, _) if !matches.opt_present("help") => Err(Failure::usage("no command was given")),
+        (None | Some("help"), _) => Ok(Invocation::Help(help::overview(&options()))),
+        (_, Some(spec)) if matches.opt_present("help") => Ok(Invocation::Help(help::of(spec))),
+        (_, Some(command)) => {
+            check_options(command, &matches)?;
+            Ok(Invocation::Run(CommandLine { command, matches }))
+        }
+        (Some(name), None) => Err(Failure::usage(format!("there is no command `{name}`"))),
+    }
+}
+
+fn check_options(command: &CommandSpec, matches: &Matches) -> Result<(), Failure> {
+    for option in help::SPECIAL_OPTIONS {
+        if matches.opt_present(option) && !command.options.contains(&option) {
+            let text = format!("`{}` takes no --{option}", command.name);
+            return Err(Failure::usage(text));
+        }
+    }
+    Ok(())
+}
+
+impl CommandLine {
+    /// Returns the arguments behind the command; fails unless there are so many.
+    pub(crate) fn arguments<const N: usize>(&self) -> Result<[&str; N], Failure> {
+        let arguments: Vec<&str> = self.matches.free[1..].iter().map(String::as_str).collect();
+        <[&str; N]>::try_from(arguments).map_err(|_| self.wrong_arguments())
+    }
+
+    /// Returns all arguments behind the command.
+    pub(crate) fn all_arguments(&self) -> Vec<&str> {
+        self.matches.free[1..].iter().map(String::as_str).collect()
+    }
+
+    pub(crate) fn wrong_arguments(&self) -> Failure {
+        let CommandSpec {
+            name, arguments, ..
+        } = self.command;
+        Failure::usage(format!("write `jayhall {name} {arguments}`"))
+    }
+
+    pub(crate) fn is_json(&self) -> bool {
+        self.matches.opt_present("json")
+    }
+
+    pub(crate) fn waits(&self) -> bool {
+        self.matches.opt_present("wait")
+    }
+
+    pub(crate) fn author(&self) -> String {
+        let user = || std::env::var("USER").unwrap_or_default();
+        self.matches.opt_str("author").unwrap_or_else(user)
+    }
+
+    pub(crate) fn text_option(&self, name: &str) -> Option<String> {
+        self.matches.opt_str(name)
+    }
+
+    pub(crate) fn number_option(&self, name: &str) -> Result<Option<u64>, Failure> {
+        let number = |text: String| {
+            text.parse()
+                .map_err(|_| Failure::usage(format!("--{name} takes a number, not {text:?}")))
+        };
+        self.matches.opt_str(name).map(number).transpose()
+    }
+
+    /// Opens the client of the node that the options or the environment name.
+    pub(crate) fn client(&self) -> Result<OperatorClient, Failure> {
+        let address = self.value("node", NODE_VARIABLE)?;
+        let address: Address = address.parse().map_err(|_| {
+            Failure::usage(format!(
+                "{address:?} is not an IP number with a port, such as 10.0.0.3:8081"
+            ))
+        })?;
+        let path = self.value("key-file", KEY_FILE_VARIABLE)?;
+        let key = fs::read_to_string(&path)
+            .map_err(|e| Failure::usage(format!("{path} cannot be read: {e}")))?;
+        Ok(OperatorClient::open(address, key.trim())?)
+    }
+
+    fn value(&self, option: &str, variable: &str) -> Result<String, Failure> {
+        self.matches
+            .opt_str(option)
+            .or_else(|| std::env::var(variable).ok())
+            .ok_or_else(|| Failure::usage(format!("give --{option} or set {variable}")))
+    }
+}
--- a/src/operators/mod.rs
+++ b/src/operators/mod.rs
@@ -2,6 +2,7 @@
 
 mod api;
 mod auth;
+mod client;
 mod control;
 mod desk;
 mod keys;
@@ -14,6 +15,7 @@
 use salvo::Router;
 
 pub use auth::Operator;
+pub use client::{ClientError, OperatorClient};
 pub use control::{NodeControl, QueueStatus};
 pub use problem::OperatorProblem;
 
--- a/src/util/time.rs
+++ b/src/util/time.rs
@@ -16,3 +16,14 @@
 pub fn as_millis_u32(duration: std::time::Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
+
+/// Returns a time for people, such as `2026-01-31 12:00:00 UTC`.
+pub fn format_utc(millis: UnixMillis) -> String {
+    let format =
+        time::macros::format_description!("[year]-[month]-[day] [hour]:[minute]:[second] UTC");
+    i64::try_from(millis / 1000)
+        .ok()
+        .and_then(|seconds| time::OffsetDateTime::from_unix_timestamp(seconds).ok())
+        .and_then(|time| time.format(format).ok())
+        .unwrap_or_else(|| format!("{millis} ms after 1970"))
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 // The linter allows this in test functions by itself, but not in the functions that they share.
 #![allow(clippy::unwrap_used)]
 
+mod command_line;
 mod document;
 mod ini;
 mod membership;
