Start nodes and stand-ins as processes and show the whole path

Cause: nothing ran end to end. jayhalld assembles the operations, with controllers on a thread of their own; a harness starts a small fleet on loopback; cargo xtask demo checks answers token for token.

Ruled out: fixed ports (two runs on one machine would collide); every process binds port 0 and says where it listens.

--- /dev/null
+++ b/src/bin/jayhalld/main.rs
@@ -0,0 +1,105 @@
+//! The daemon on every entry VM.
+
+use std::process::ExitCode;
+
+use eyre::{Result, WrapErr};
+use getopts::Options;
+use jayhall::node::{Daemon, Left};
+use jayhall::util::logs;
+use jayhall::util::settings::Settings;
+use tokio::signal::unix::{SignalKind, signal};
+
+const BRIEF: &str = "Usage: jayhalld --settings FILE [--check]";
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(code) => code,
+        Err(e) => {
+            eprintln!("jayhalld: {e:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<ExitCode> {
+    let mut opts = Options::new();
+    opts.optopt("s", "settings", "settings of the node", "FILE");
+    opts.optflag("", "check", "check the settings and exit");
+    opts.optflag("h", "help", "show this text");
+    let matches = opts
+        .parse(std::env::args().skip(1))
+        .wrap_err("reading the command line; see --help")?;
+    if matches.opt_present("help") {
+        print!("{}", opts.usage(BRIEF));
+        return Ok(ExitCode::SUCCESS);
+    }
+    let Some(path) = matches.opt_str("settings") else {
+        eprint!("{}", opts.usage(BRIEF));
+        return Ok(ExitCode::from(2));
+    };
+    let settings = Settings::open(&path)?;
+    if matches.opt_present("check") {
+        println!("{path}: no mistakes");
+        return Ok(ExitCode::SUCCESS);
+    }
+    logs::init(&settings.log)?;
+    serve(&settings)
+}
+
+fn serve(settings: &Settings) -> Result<ExitCode> {
+    let control = control_runtime()?;
+    let traffic = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .thread_name("traffic")
+        .build()
+        .wrap_err("starting the threads for traffic")?;
+    traffic.block_on(async {
+        let daemon = Daemon::spawn(settings, &control).await?;
+        announce(&daemon);
+        let left = daemon.run_until(stop_signal()).await;
+        Ok(match left {
+            Left::Clean => ExitCode::SUCCESS,
+            Left::WithRequests(_) => ExitCode::FAILURE,
+        })
+    })
+}
+
+/// Starts the thread of all controllers. Control has a thread of its own, so that traffic never delays
+/// it and its cost can be seen.
+fn control_runtime() -> Result<tokio::runtime::Handle> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .wrap_err("starting the control thread")?;
+    let handle = runtime.handle().clone();
+    std::thread::Builder::new()
+        .name("control".into())
+        .spawn(move || runtime.block_on(std::future::pending::<()>()))
+        .wrap_err("starting the control thread")?;
+    Ok(handle)
+}
+
+/// Says where the process listens, for whoever started it.
+fn announce(daemon: &Daemon) {
+    let identity = daemon.identity();
+    println!(
+        "listening callers={} operators={} peers={}",
+        identity.caller_address, identity.operator_address, identity.peer_address
+    );
+}
+
+/// Waits for a signal that asks the process to stop.
+async fn stop_signal() {
+    let wait = |kind| async move {
+        match signal(kind) {
+            Ok(mut signals) => {
+                signals.recv().await;
+            }
+            Err(_) => std::future::pending().await,
+        }
+    };
+    tokio::select! {
+        () = wait(SignalKind::terminate()) => {}
+        () = wait(SignalKind::interrupt()) => {}
+    }
+}
--- a/src/callers/lists.rs
+++ b/src/callers/lists.rs
@@ -3,7 +3,8 @@
 use salvo::prelude::*;
 
 use super::CallerContext;
-use super::wire::{DirectoryBody, ModelEntry, ModelList};
+use super::wire::{DirectoryBody, HealthBody, ModelEntry, ModelList};
+use crate::node::Phase;
 use crate::ops::directory::directory;
 
 /// Lists the models.
@@ -52,3 +53,25 @@
         }));
     }
 }
+
+/// Tells whether the node serves, for health checks.
+#[derive(Clone, Debug)]
+pub(super) struct Health(pub(super) CallerContext);
+
+#[handler]
+impl Health {
+    async fn handle(&self, res: &mut Response) {
+        let board = &self.0.cx.board;
+        let is_serving = *board.phase.read() == Phase::Serving;
+        if !is_serving {
+            res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        res.render(Json(HealthBody {
+            serving: is_serving,
+            node: board.identity.node.clone(),
+            revision: board.config.read().revision,
+            members: board.members.read().members.len(),
+            backends: board.fleet.read().backends.len(),
+        }));
+    }
+}
--- a/src/callers/mod.rs
+++ b/src/callers/mod.rs
@@ -61,6 +61,7 @@
         .push(Router::with_path("requests/{id}").get(requests::Fetch(cx.clone())))
         .push(Router::with_path("requests/{id}/explanation").get(requests::Explain(cx.clone())))
         .push(Router::with_path("models").get(lists::Models(cx.clone())))
+        .push(Router::with_path("health").get(lists::Health(cx.clone())))
         .push(Router::with_path("directory").get(lists::Directory(cx.clone())))
 }
 
--- a/src/callers/wire.rs
+++ b/src/callers/wire.rs
@@ -153,3 +153,12 @@
     pub(super) address: Option<Box<str>>,
     pub(super) path: Box<str>,
 }
+
+#[derive(Debug, Serialize)]
+pub(super) struct HealthBody {
+    pub(super) serving: bool,
+    pub(super) node: Box<str>,
+    pub(super) revision: u64,
+    pub(super) members: usize,
+    pub(super) backends: usize,
+}
--- /dev/null
+++ b/src/node/daemon.rs
@@ -0,0 +1,243 @@
+//! Starts a process from its settings, and stops it gracefully.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+
+use eyre::{Result, WrapErr};
+use jayhall_wire::peer_server::PeerServer;
+use salvo::conn::tcp::TcpAcceptor;
+use salvo::prelude::*;
+use salvo::server::ServerHandle;
+use tokio::sync::oneshot;
+use tokio_stream::wrappers::TcpListenerStream;
+use uuid::Uuid;
+
+use super::{Blackboard, Identity, Left, Node, Phase, http_client};
+use crate::core::id::Address;
+use crate::core::membership::{DocumentRevision, DocumentRevisions};
+use crate::ops::gossip::{Documents, Gossip, GossipSetup};
+use crate::ops::spread::{ConfigInstaller, Spread, SpreadConfig};
+use crate::ops::watch_fleet::{FleetWatch, FleetWatcher};
+use crate::peers::{PeerService, Pool};
+use crate::sources::cloud::HttpCloud;
+use crate::sources::store::{EtcdConfig, EtcdStore, Store};
+use crate::sources::vm_list::HttpVmList;
+use crate::util::settings::Settings;
+use crate::util::time::unix_now;
+
+/// Longest time for a planned stop that no notice limits.
+const STOP_WITHIN: Duration = Duration::from_secs(25);
+/// Time that is kept between the end of a hand-over and the reclaim.
+const RECLAIM_MARGIN: Duration = Duration::from_secs(1);
+/// Longest wait for callers' connections to end after all requests are handed over.
+const CLOSE_WITHIN: Duration = Duration::from_secs(3);
+/// Largest message between nodes, in bytes: a long conversation with its cache state.
+const MAX_PEER_MESSAGE: usize = 64 * 1024 * 1024;
+
+/// A running process.
+pub struct Daemon {
+    node: Arc<Node>,
+    gossip: Gossip,
+    fleet: FleetWatcher,
+    callers: ServerHandle,
+    peers: Option<oneshot::Sender<()>>,
+}
+
+/// Listeners that are bound, with the addresses under which others reach them.
+struct Listeners {
+    callers: TcpListener,
+    operators: TcpListener,
+    peers: TcpListener,
+}
+
+impl Listeners {
+    fn bind(settings: &Settings) -> Result<Self> {
+        let bind = |name: &str, address: SocketAddr| {
+            let listener = TcpListener::bind(address).wrap_err_with(|| {
+                format!("listening for {name} on {address}; set [listen] {name}")
+            })?;
+            listener.set_nonblocking(true)?;
+            Ok::<_, eyre::Report>(listener)
+        };
+        Ok(Self {
+            callers: bind("callers", settings.listen.callers)?,
+            operators: bind("operators", settings.listen.operators)?,
+            peers: bind("peers", settings.listen.peers)?,
+        })
+    }
+}
+
+/// Tells gossip of the documents that are spread.
+struct SpreadDocuments(Arc<Spread>);
+
+impl Documents for SpreadDocuments {
+    fn revisions(&self) -> DocumentRevisions {
+        self.0
+            .revisions()
+            .into_iter()
+            .map(|revision| DocumentRevision {
+                document: revision.document.into(),
+                revision: revision.revision,
+            })
+            .collect()
+    }
+
+    fn heard(&self, from: Address, newer: &[DocumentRevision]) {
+        let revisions: Vec<_> = newer
+            .iter()
+            .map(|revision| jayhall_wire::DocumentRevision {
+                document: revision.document.to_string(),
+                revision: revision.revision,
+            })
+            .collect();
+        self.0.heard(from, &revisions);
+    }
+}
+
+impl Daemon {
+    /// Starts a process. Controllers run on `control`, traffic on the current runtime. Returns once
+    /// all listeners are bound; callers are served as soon as there is a document.
+    ///
+    /// # Errors
+    ///
+    /// Fails where a listener cannot be bound.
+    pub async fn spawn(settings: &Settings, control: &tokio::runtime::Handle) -> Result<Self> {
+        let listeners = Listeners::bind(settings)?;
+        let board = Blackboard::new(identity(settings, &listeners)?);
+        let pool = Arc::new(Pool::default());
+        let http = http_client().wrap_err("setting up the HTTP client")?;
+        let store: Arc<dyn Store> =
+            Arc::new(EtcdStore::open(EtcdConfig::new(&settings.platform.store))?);
+
+        let _on_control = control.enter();
+        let spread = Spread::spawn(SpreadConfig {
+            blackboard: Arc::clone(&board),
+            store,
+            peers: Arc::clone(&pool) as _,
+            installers: vec![Arc::new(ConfigInstaller(Arc::clone(&board)))],
+        });
+        let gossip = Gossip::spawn(GossipSetup {
+            blackboard: Arc::clone(&board),
+            pool: Arc::clone(&pool),
+            seeds: Vec::new(),
+            documents: Arc::new(SpreadDocuments(Arc::clone(&spread))),
+            rng_seed: rand::random(),
+        });
+        let fleet = FleetWatch {
+            board: Arc::clone(&board),
+            gossip: gossip.clone(),
+            list: Arc::new(HttpVmList::new(http.clone(), &settings.platform.list)),
+            cloud: Arc::new(HttpCloud::new(http.clone(), &settings.platform.cloud)),
+        }
+        .spawn();
+        tokio::spawn(begin_serving(Arc::clone(&board), Arc::clone(&spread)));
+        drop(_on_control);
+
+        let node = Node::spawn(board, pool, http);
+        let peers = serve_peers(
+            listeners.peers,
+            PeerService::new(Arc::clone(&node), gossip.clone(), spread),
+        )?;
+        let callers = serve_callers(listeners.callers, &node)?;
+        drop(listeners.operators);
+        Ok(Self {
+            node,
+            gossip,
+            fleet,
+            callers,
+            peers: Some(peers),
+        })
+    }
+
+    /// Returns who this process is.
+    pub fn identity(&self) -> &Identity {
+        &self.node.cx.board.identity
+    }
+
+    /// Waits until the cloud takes the VM back or `stop` ends, then leaves gracefully.
+    pub async fn run_until<F>(mut self, stop: F) -> Left
+    where
+        F: Future<Output = ()>,
+    {
+        let (cause, within) = tokio::select! {
+            notice = self.fleet.own_notice() => {
+                let left = notice.reclaim_at.saturating_sub(unix_now());
+                let left = Duration::from_millis(left).saturating_sub(RECLAIM_MARGIN);
+                ("the cloud takes back its VM", left)
+            }
+            () = stop => ("it is being stopped", STOP_WITHIN),
+        };
+        self.leave(cause, within).await
+    }
+
+    async fn leave(&mut self, cause: &str, within: Duration) -> Left {
+        tracing::info!(cause, within_ms = within.as_millis(), "leaving");
+        self.gossip.leave().await;
+        let left = self.node.leave(cause, within).await;
+        self.callers.stop_graceful(Some(CLOSE_WITHIN));
+        tokio::time::sleep(CLOSE_WITHIN.min(within)).await;
+        if let Some(peers) = self.peers.take() {
+            let _ = peers.send(());
+        }
+        tracing::info!(?left, "left");
+        left
+    }
+}
+
+fn identity(settings: &Settings, listeners: &Listeners) -> Result<Identity> {
+    let name = settings.node.name.as_ref().unwrap_or(&settings.node.vm);
+    Ok(Identity {
+        node: format!("{name}-{}", &Uuid::new_v4().simple().to_string()[..8]).into(),
+        vm: settings.node.vm.clone(),
+        region: settings.node.region.clone(),
+        zone: settings.node.zone.clone(),
+        peer_address: listeners.peers.local_addr()?,
+        caller_address: listeners.callers.local_addr()?,
+        operator_address: listeners.operators.local_addr()?,
+    })
+}
+
+/// Lets the node serve callers once it has a document.
+async fn begin_serving(board: Arc<Blackboard>, spread: Arc<Spread>) {
+    spread.ready().await;
+    let mut config = board.config.watch();
+    while config.borrow_and_update().revision == 0 {
+        if config.changed().await.is_err() {
+            return;
+        }
+    }
+    board
+        .phase
+        .update(|phase| (*phase == Phase::Starting).then_some(Phase::Serving));
+    tracing::info!(revision = board.config.read().revision, "serving");
+}
+
+fn serve_callers(listener: TcpListener, node: &Node) -> Result<ServerHandle> {
+    let listener = tokio::net::TcpListener::from_std(listener)?;
+    let server = Server::new(TcpAcceptor::try_from(listener)?);
+    let handle = server.handle();
+    let router = crate::callers::router(&node.caller_context());
+    tokio::spawn(async move { server.serve(router).await });
+    Ok(handle)
+}
+
+fn serve_peers(listener: TcpListener, service: PeerService) -> Result<oneshot::Sender<()>> {
+    let listener = tokio::net::TcpListener::from_std(listener)?;
+    let (tx, rx) = oneshot::channel::<()>();
+    let service = PeerServer::new(service)
+        .max_decoding_message_size(MAX_PEER_MESSAGE)
+        .max_encoding_message_size(MAX_PEER_MESSAGE);
+    let server = tonic::transport::Server::builder()
+        .tcp_nodelay(true)
+        .add_service(service)
+        .serve_with_incoming_shutdown(TcpListenerStream::new(listener), async move {
+            let _ = rx.await;
+        });
+    tokio::spawn(async move {
+        if let Err(e) = server.await {
+            tracing::error!(error = %e, "the listener for nodes has ended");
+        }
+    });
+    Ok(tx)
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -2,8 +2,10 @@
 
 mod blackboard;
 mod context;
+mod daemon;
 mod process;
 
 pub use blackboard::{Blackboard, Identity, Installed, Phase, SectionOf};
 pub use context::NodeContext;
+pub use daemon::Daemon;
 pub use process::{Left, Node, http_client};
--- a/src/ops/home/queue.rs
+++ b/src/ops/home/queue.rs
@@ -157,10 +157,6 @@
         }
     }
 
-    pub(super) fn is_empty(&self) -> bool {
-        self.fair.is_empty()
-    }
-
     pub(super) fn len(&self) -> u32 {
         u32::try_from(self.fair.len()).unwrap_or(u32::MAX)
     }
--- a/src/peers/server.rs
+++ b/src/peers/server.rs
@@ -13,8 +13,10 @@
 use super::convert_request::{HandOver, MalformedMessage, ReplicaUpdate, record_to_wire};
 use crate::core::dispatch::DispatchOrder;
 use crate::node::Node;
+use crate::ops::gossip::{Gossip, GossipError};
 use crate::ops::hand_over::Taken;
 use crate::ops::keep_copy;
+use crate::ops::spread::Spread;
 
 /// Acknowledgements that may wait for the network.
 const ACK_BUFFER: usize = 1024;
@@ -22,15 +24,21 @@
 type Events<T> = Pin<Box<dyn Stream<Item = Result<T, Status>> + Send>>;
 
 /// Answers other nodes.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct PeerService {
     node: Arc<Node>,
+    gossip: Gossip,
+    spread: Arc<Spread>,
 }
 
 impl PeerService {
     /// Creates the service of a node.
-    pub fn new(node: Arc<Node>) -> Self {
-        Self { node }
+    pub fn new(node: Arc<Node>, gossip: Gossip, spread: Arc<Spread>) -> Self {
+        Self {
+            node,
+            gossip,
+            spread,
+        }
     }
 }
 
@@ -48,23 +56,28 @@
 
     async fn gossip(
         &self,
-        _req: Request<wire::GossipRequest>,
+        req: Request<wire::GossipRequest>,
     ) -> Result<Response<wire::GossipReply>, Status> {
-        Err(Status::unimplemented("gossip"))
+        let reply = self.gossip.handle_gossip(req.into_inner()).await;
+        reply.map(Response::new).map_err(|e| match e {
+            GossipError::Convert(e) => Status::invalid_argument(e.to_string()),
+            GossipError::Busy => Status::resource_exhausted(e.to_string()),
+        })
     }
 
     async fn probe(
         &self,
-        _req: Request<wire::ProbeRequest>,
+        req: Request<wire::ProbeRequest>,
     ) -> Result<Response<wire::ProbeReply>, Status> {
-        Err(Status::unimplemented("probe"))
+        let reply = self.gossip.handle_probe(req.into_inner()).await;
+        Ok(Response::new(reply))
     }
 
     async fn fetch_document(
         &self,
-        _req: Request<wire::FetchDocumentRequest>,
+        req: Request<wire::FetchDocumentRequest>,
     ) -> Result<Response<wire::FetchDocumentReply>, Status> {
-        Err(Status::unimplemented("fetch_document"))
+        Ok(Response::new(self.spread.handle_fetch(req.get_ref())))
     }
 
     async fn dispatch(
--- a/src/util/mod.rs
+++ b/src/util/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod fields;
 pub mod ini;
+pub mod logs;
 pub mod problem;
 pub mod schema;
 pub mod settings;
--- /dev/null
+++ b/xtask/src/demo/checks.rs
@@ -0,0 +1,280 @@
+//! What the demo shows, each with a check.
+
+use std::time::Duration;
+
+use eyre::{Result, bail, ensure, eyre};
+use futures::future::join_all;
+use jayhall_harness::{Answer, Ask, Caller, Fleet};
+use jayhall_standins::engine::{Message, expected_answer};
+use serde_json::json;
+
+/// Outcomes of the checks.
+#[derive(Debug, Default)]
+pub(crate) struct Checks {
+    passed: u32,
+    failed: u32,
+}
+
+/// Notice that the demo gives before a VM is taken back.
+const NOTICE: Duration = Duration::from_secs(12);
+
+impl Checks {
+    /// Runs all checks, one after another.
+    pub(crate) async fn run_all(&mut self, fleet: &mut Fleet) {
+        let streamed = streamed_answer(fleet).await;
+        self.record("a streamed answer is whole, token for token", streamed);
+        let batch = batch_of_all_ranks(fleet).await;
+        self.record(
+            "a batch of all three ranks from five customers is answered",
+            batch,
+        );
+        let refused = bad_input(fleet).await;
+        self.record("bad input gets a clear error and did not run", refused);
+        let lookup = idempotent_call(fleet).await;
+        self.record("a call of an idempotent service is answered", lookup);
+        let booking = booking_twice(fleet).await;
+        self.record("a booking sent twice with one key has one effect", booking);
+        let engine = engine_reclaim(fleet).await;
+        self.record(
+            "an engine is reclaimed in mid-stream; the answer is whole",
+            engine,
+        );
+        let entry = entry_reclaim(fleet).await;
+        self.record(
+            "an entry VM is reclaimed in mid-stream; the answer is whole",
+            entry,
+        );
+    }
+
+    fn record(&mut self, what: &str, outcome: Result<()>) {
+        match outcome {
+            Ok(()) => {
+                self.passed += 1;
+                println!("ok      {what}\n");
+            }
+            Err(e) => {
+                self.failed += 1;
+                println!("FAILED  {what}: {e:#}\n");
+            }
+        }
+    }
+
+    /// Prints the last line.
+    ///
+    /// # Errors
+    ///
+    /// Fails where a check has failed.
+    pub(crate) fn finish(self) -> Result<()> {
+        println!(
+            "demo: {} checks passed, {} failed",
+            self.passed, self.failed
+        );
+        if self.failed > 0 {
+            bail!("{} checks failed", self.failed);
+        }
+        Ok(())
+    }
+}
+
+fn ask(text: &str, rank: &str, max_tokens: u32, is_stream: bool) -> Ask {
+    Ask {
+        model: "bucket-assistant".into(),
+        text: text.into(),
+        rank: rank.into(),
+        max_tokens,
+        is_stream,
+    }
+}
+
+/// Checks that an answer is the one that any engine makes.
+fn ensure_whole(answer: &Answer, ask: &Ask) -> Result<()> {
+    if let Some(problem) = &answer.problem {
+        bail!("refused: {problem}");
+    }
+    ensure!(answer.is_whole, "the end of the answer is missing");
+    let messages = [Message {
+        role: "user".into(),
+        content: ask.text.as_str().into(),
+    }];
+    let expected = expected_answer(&ask.model, &messages, ask.max_tokens).concat();
+    ensure!(
+        answer.text == expected,
+        "the answer differs: {:?} instead of {:?}",
+        answer.text,
+        expected
+    );
+    Ok(())
+}
+
+async fn explain(caller: &Caller, id: &str) -> Result<()> {
+    for sentence in caller.explain(id).await? {
+        println!("        {sentence}");
+    }
+    Ok(())
+}
+
+async fn streamed_answer(fleet: &Fleet) -> Result<()> {
+    let caller = fleet.caller("bekele");
+    let ask = ask(
+        "Which hoop fits a bucket of twelve litres? len=40",
+        "urgent",
+        100,
+        true,
+    );
+    let answer = caller.ask(&ask).await?;
+    ensure_whole(&answer, &ask)?;
+    explain(&caller, &answer.id).await
+}
+
+async fn batch_of_all_ranks(fleet: &Fleet) -> Result<()> {
+    let customers = [
+        "bekele",
+        "hawassa-hoops",
+        "selam",
+        "grand-hotel",
+        "kiln-club",
+    ];
+    let ranks = ["urgent", "quick", "bulk"];
+    let mut asks = Vec::new();
+    for (i, customer) in customers.iter().enumerate() {
+        for (j, rank) in ranks.iter().enumerate() {
+            let text = format!("Question {i} of {customer} about staves, rank {rank}. len=30");
+            asks.push((fleet.caller(customer), ask(&text, rank, 60, j % 2 == 0)));
+        }
+    }
+    let answers = join_all(asks.iter().map(|(caller, ask)| caller.ask(ask))).await;
+    for ((_, ask), answer) in asks.iter().zip(answers) {
+        ensure_whole(&answer?, ask)?;
+    }
+    println!("        {} requests answered", asks.len());
+    Ok(())
+}
+
+async fn bad_input(fleet: &Fleet) -> Result<()> {
+    let caller = fleet.caller("bekele");
+    let unknown = Ask {
+        model: "no-such-model".into(),
+        ..ask("Hello", "", 10, false)
+    };
+    let cases = [
+        (caller.ask(&unknown).await?, 404),
+        (
+            caller.ask(&ask("Hello", "no-such-rank", 10, false)).await?,
+            404,
+        ),
+        (caller.ask(&ask("", "", 10, false)).await?, 400),
+        (
+            fleet
+                .caller("nobody")
+                .ask(&ask("Hello", "", 10, true))
+                .await?,
+            401,
+        ),
+    ];
+    for (answer, status) in cases {
+        ensure!(
+            answer.status == status,
+            "{} instead of {status}",
+            answer.status
+        );
+        let problem = answer.problem.ok_or_else(|| eyre!("no problem document"))?;
+        ensure!(problem["verdict"] == "not_run", "{problem}");
+        println!(
+            "        {status}: {}",
+            problem["detail"].as_str().unwrap_or_default()
+        );
+    }
+    Ok(())
+}
+
+async fn idempotent_call(fleet: &Fleet) -> Result<()> {
+    let caller = fleet.caller("selam");
+    let answer = caller.call("catalogue", "", &json!({"q": "hoops"})).await?;
+    ensure!(answer.status == 200, "{} {}", answer.status, answer.body);
+    explain(&caller, &answer.id).await
+}
+
+async fn booking_twice(fleet: &Fleet) -> Result<()> {
+    let caller = fleet.caller("bekele");
+    let key = uuid::Uuid::now_v7().to_string();
+    let body = json!({"slot": "kiln 2, Friday 09:00"});
+    let first = caller.call("kiln", &key, &body).await?;
+    ensure!(first.status == 200, "{} {}", first.status, first.body);
+    let second = caller.call("kiln", &key, &body).await?;
+    ensure!(second.status == 200, "{} {}", second.status, second.body);
+    ensure!(first.body == second.body, "the outcomes differ");
+    let mut effects = 0;
+    for (backend, process) in &fleet.backends {
+        if backend.kind == "service" {
+            let counts = fleet.get(process, "/effects").await?;
+            let counts = counts.as_object().cloned().unwrap_or_default();
+            effects += counts.values().filter_map(|n| n.as_u64()).sum::<u64>();
+        }
+    }
+    println!("        effects counted by the back ends of kiln and catalogue: {effects}");
+    explain(&caller, &second.id).await
+}
+
+/// Waits until an engine runs a request, and returns the engine's VM.
+async fn running_engine(fleet: &Fleet) -> Result<String> {
+    for _ in 0..200 {
+        for (backend, process) in &fleet.backends {
+            if backend.kind != "engine" {
+                continue;
+            }
+            let records = fleet.get(process, "/v1/records").await?;
+            let is_running = records.as_array().is_some_and(|records| {
+                records
+                    .iter()
+                    .any(|r| r["state"] == "running" && r["tokens"].as_u64() > Some(3))
+            });
+            if is_running {
+                return Ok(backend.vm.clone());
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    bail!("no engine runs the request")
+}
+
+async fn engine_reclaim(fleet: &Fleet) -> Result<()> {
+    let caller = fleet.caller("grand-hotel");
+    let ask = ask(
+        "Describe the lake for our guests. len=600",
+        "quick",
+        900,
+        true,
+    );
+    let (answer, notice) = tokio::join!(caller.ask(&ask), async {
+        let vm = running_engine(fleet).await?;
+        println!("        the cloud takes back {vm} in 4 s");
+        fleet.notice(&vm, Duration::from_secs(4)).await
+    });
+    notice?;
+    let answer = answer?;
+    ensure_whole(&answer, &ask)?;
+    explain(&caller, &answer.id).await
+}
+
+async fn entry_reclaim(fleet: &mut Fleet) -> Result<()> {
+    let node = fleet.nodes.remove(0);
+    let caller = fleet.caller("kiln-club");
+    let at_node = fleet.caller("kiln-club").with_nodes(vec![node.callers()]);
+    let ask = ask(
+        "Read this contract and list its clauses. len=500",
+        "bulk",
+        900,
+        true,
+    );
+    let notice = async {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        println!("        the cloud takes back {} in {NOTICE:?}", node.vm);
+        fleet.notice(&node.vm, NOTICE).await
+    };
+    let (answer, notice) = tokio::join!(at_node.ask(&ask), notice);
+    notice?;
+    let answer = answer?;
+    ensure_whole(&answer, &ask)?;
+    ensure!(answer.resumes > 0, "the stream was never moved");
+    explain(&caller, &answer.id).await
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -2,6 +2,8 @@
 
 use std::process::ExitCode;
 
+mod demo;
+
 const USAGE: &str = "\
 Usage: cargo xtask TASK [OPTIONS]
 
@@ -11,6 +13,20 @@
   slopes    Measures what control costs as nodes and engines grow";
 
 fn main() -> ExitCode {
-    eprintln!("{USAGE}");
-    ExitCode::from(2)
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let rest = args.get(1..).unwrap_or_default();
+    let outcome = match args.first().map(String::as_str) {
+        Some("demo") => demo::run(rest),
+        _ => {
+            eprintln!("{USAGE}");
+            return ExitCode::from(2);
+        }
+    };
+    match outcome {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("xtask: {e:#}");
+            ExitCode::FAILURE
+        }
+    }
 }
