--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -1,9 +1,23 @@
-//! Which back ends there are.
+//! Which back ends there are, which ones there should be, and what leads from one to the other.
 
+mod demand;
+mod explain;
 mod listing;
 mod offer;
+pub mod orders;
+mod placement;
+mod plan;
+mod refusals;
+mod steps;
 mod view;
 
+pub use demand::{EngineBounds, ModelDemand, Need, NeedWindow, size};
 pub use listing::{EntryVm, RejectedVm, VmListing};
 pub use offer::{MicroPrice, Offer, ReclaimNotice};
+pub use placement::{Place, Placed, Placement, place};
+pub use plan::{
+    ClassCapacity, EngineVm, FleetPlan, ModelInput, ModelPlan, PlanInput, ZoneRisk, plan,
+};
+pub use refusals::{Refusals, Supply};
+pub use steps::{Step, StepCause, next_steps};
 pub use view::{Backend, BackendKind, FleetView, Market};
--- /dev/null
+++ b/src/core/fleet/placement.rs
@@ -0,0 +1,153 @@
+//! Where the engines of one model run: the cheapest places that keep the floor of urgent work when any
+//! zone loses its reclaimable VMs.
+
+use super::{Market, MicroPrice, Need};
+use crate::core::id::ZoneId;
+
+/// A place where VMs of one class can be had.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// How the VMs are paid for.
+    pub market: Market,
+    /// Price of a VM an hour, with what its reclaims cost.
+    pub price: MicroPrice,
+    /// VMs of the model that run here.
+    pub running: u32,
+    /// Most VMs that can be had here, those that run among them; `None` for no limit.
+    pub available: Option<u32>,
+}
+
+/// VMs of one model in one place.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Placed {
+    /// Availability zone.
+    pub zone: ZoneId,
+    /// How the VMs are paid for.
+    pub market: Market,
+    /// Number of VMs.
+    pub count: u32,
+}
+
+/// Where the engines of one model run. Orders by how well it serves, then by cost.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Placement {
+    /// Engines by place; none with a count of zero.
+    pub placed: Vec<Placed>,
+    /// Urgent engines that would be missing after the worst loss of a zone.
+    pub floor_shortfall: u32,
+    /// Engines missing now.
+    pub shortfall: u32,
+    /// Price of all an hour, with the bonus for VMs that already run.
+    pub cost: MicroPrice,
+}
+
+impl Placement {
+    /// Returns the number of engines.
+    pub fn total(&self) -> u32 {
+        self.placed.iter().map(|placed| placed.count).sum()
+    }
+
+    /// Returns the engines that are left when the worst zone loses its reclaimable VMs.
+    pub fn survivors(&self) -> u32 {
+        let reclaimable = self
+            .placed
+            .iter()
+            .filter(|p| p.market == Market::Reclaimable);
+        self.total() - reclaimable.map(|p| p.count).max().unwrap_or(0)
+    }
+
+    /// Returns the number of engines in a place.
+    pub fn count(&self, zone: &str, market: Market) -> u32 {
+        let here = self.placed.iter();
+        here.filter(|p| &*p.zone == zone && p.market == market)
+            .map(|p| p.count)
+            .sum()
+    }
+
+    /// Returns what makes one placement better than another; smaller is better.
+    pub fn rank(&self) -> (u32, u32, MicroPrice) {
+        (self.floor_shortfall, self.shortfall, self.cost)
+    }
+}
+
+/// VMs of one place at one price.
+#[derive(Clone, Copy, Debug)]
+struct Segment {
+    place: usize,
+    price: MicroPrice,
+    count: u32,
+}
+
+/// Places engines at the lowest cost that keeps the floor.
+///
+/// VMs that already run count as cheaper by `running_bonus_percent`, so that small changes of price
+/// move nothing. Each zone has at most one place in each market.
+///
+/// For a largest number of reclaimable VMs in one zone, `cap`, the floor needs `floor + cap` engines,
+/// and the cheapest ones are those with the lowest prices. Trying every cap finds the best placement; a
+/// cap beyond `wanted` only adds engines.
+pub fn place(need: Need, places: &[Place], running_bonus_percent: u64) -> Placement {
+    let segments = segments(places, running_bonus_percent);
+    (0..=need.wanted)
+        .map(|cap| fill(need, places, &segments, cap))
+        .min_by_key(Placement::rank)
+        .unwrap_or_default()
+}
+
+/// Returns what can be had, cheapest first.
+fn segments(places: &[Place], running_bonus_percent: u64) -> Vec<Segment> {
+    let mut segments = Vec::with_capacity(places.len() * 2);
+    for (place, at) in places.iter().enumerate() {
+        let available = at.available.unwrap_or(u32::MAX);
+        let running = at.running.min(available);
+        segments.push(Segment {
+            place,
+            price: at.price - at.price * running_bonus_percent / 100,
+            count: running,
+        });
+        segments.push(Segment {
+            place,
+            price: at.price,
+            count: available - running,
+        });
+    }
+    segments.sort_by_key(|segment| (segment.price, segment.place));
+    segments
+}
+
+/// Takes the cheapest VMs with at most `cap` reclaimable ones in one zone.
+fn fill(need: Need, places: &[Place], segments: &[Segment], cap: u32) -> Placement {
+    let total = need
+        .wanted
+        .max(need.floor.saturating_add(cap))
+        .min(need.max);
+    let mut counts = vec![0; places.len()];
+    let mut left = total;
+    let mut cost = 0;
+    for segment in segments {
+        let limit = match places[segment.place].market {
+            Market::Reclaimable => cap - counts[segment.place],
+            Market::OnDemand => u32::MAX,
+        };
+        let taken = segment.count.min(limit).min(left);
+        counts[segment.place] += taken;
+        left -= taken;
+        cost += MicroPrice::from(taken) * segment.price;
+    }
+    let placed = places.iter().zip(counts).filter(|(_, count)| *count > 0);
+    let placed = placed.map(|(place, count)| Placed {
+        zone: place.zone.clone(),
+        market: place.market,
+        count,
+    });
+    let mut placement = Placement {
+        placed: placed.collect(),
+        cost,
+        ..Placement::default()
+    };
+    placement.floor_shortfall = need.floor.saturating_sub(placement.survivors());
+    placement.shortfall = need.wanted.saturating_sub(placement.total());
+    placement
+}
