Authenticate peers with mutual TLS

Anyone who reached a node's peer port could tell it anything. Peers now show certificates of one authority, through tonic's TLS on rustls; a listener refuses a peer without one, and a node gives nothing to a listener of another authority.

Pool::open takes the certificates and when to ping. Gossip pings only while a call is under way: with 56 probed members a ping a second on every idle connection would cost more than the gossip itself.

--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -3,9 +3,10 @@
 mod convert_member;
 pub mod convert_request;
 mod pool;
-
 mod server;
+pub mod tls;
 
 pub use convert_member::ConvertError;
-pub use pool::Pool;
+pub use pool::{Pings, Pool, PoolError};
 pub use server::PeerService;
+pub use tls::PeerTls;
--- /dev/null
+++ b/tests/testsuite/membership/peers.rs
@@ -0,0 +1,203 @@
+//! Gossip between real listeners on loopback, in plain text and with certificates.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use jayhall::core::membership::{BackendNotice, Member, MemberState};
+use jayhall::peers::tls::PEER_NAME;
+use jayhall::peers::{PeerTls, Pings, Pool};
+use jayhall_wire::GossipRequest;
+use rcgen::{BasicConstraints, CertificateParams, CertifiedIssuer, IsCa, KeyPair};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use super::stub::StubNode;
+
+/// Longest wait for what is due within seconds.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// An authority that signs certificates for the tests.
+struct Authority(CertifiedIssuer<'static, KeyPair>);
+
+impl Authority {
+    fn new() -> Self {
+        let mut params = CertificateParams::new(Vec::new()).unwrap();
+        params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+        let key = KeyPair::generate().unwrap();
+        Self(CertifiedIssuer::self_signed(params, key).unwrap())
+    }
+
+    fn certificate(&self, name: &str) -> (String, String) {
+        let key = KeyPair::generate().unwrap();
+        let params = CertificateParams::new(vec![name.to_owned()]).unwrap();
+        let certificate = params.signed_by(&key, &self.0).unwrap();
+        (certificate.pem(), key.serialize_pem())
+    }
+
+    /// Returns what a node of this authority is given.
+    fn tls(&self) -> PeerTls {
+        self.tls_trusting(self)
+    }
+
+    fn tls_trusting(&self, trusted: &Authority) -> PeerTls {
+        let (certificate, key) = self.certificate(PEER_NAME);
+        let authority = trusted.0.pem();
+        PeerTls::from_pem(certificate.as_bytes(), key.as_bytes(), authority.as_bytes())
+    }
+}
+
+async fn is_answered(pool: &Pool, address: SocketAddr) -> bool {
+    let req = GossipRequest {
+        from: "stranger".into(),
+        ..GossipRequest::default()
+    };
+    let mut client = pool.client(address);
+    let answer = tokio::time::timeout(Duration::from_secs(5), client.gossip(req)).await;
+    matches!(answer, Ok(Ok(_)))
+}
+
+#[tokio::test]
+async fn nodes_join_through_a_seed_and_notice_that_one_is_gone() {
+    let first = StubNode::spawn(0, "addis-1", &[], None).await;
+    let seeds = [first.address];
+    let second = StubNode::spawn(1, "addis-2", &seeds, None).await;
+    let third = StubNode::spawn(2, "addis-1", &seeds, None).await;
+    for node in [&first, &second, &third] {
+        assert!(node.wait_for(3, PATIENCE).await);
+    }
+    drop(third);
+    for node in [&first, &second] {
+        assert!(node.wait_for(2, PATIENCE).await);
+    }
+}
+
+#[tokio::test]
+async fn nodes_with_certificates_of_one_authority_join() {
+    let authority = Authority::new();
+    let first = StubNode::spawn(0, "addis-1", &[], Some(authority.tls())).await;
+    let seeds = [first.address];
+    let second = StubNode::spawn(1, "addis-2", &seeds, Some(authority.tls())).await;
+    assert!(first.wait_for(2, PATIENCE).await);
+    assert!(second.wait_for(2, PATIENCE).await);
+}
+
+#[tokio::test]
+async fn peers_without_a_certificate_of_the_authority_are_refused() {
+    let authority = Authority::new();
+    let other = Authority::new();
+    let node = StubNode::spawn(0, "addis-1", &[], Some(authority.tls())).await;
+
+    let plain = Pool::open(None, Pings::InUse).unwrap();
+    assert!(!is_answered(&plain, node.address).await, "plain text");
+
+    // The certificate is of another authority, the node's own is trusted.
+    let forged = other.tls_trusting(&authority);
+    let forged = Pool::open(Some(&forged), Pings::InUse).unwrap();
+    assert!(
+        !is_answered(&forged, node.address).await,
+        "forged certificate"
+    );
+
+    let right = Pool::open(Some(&authority.tls()), Pings::InUse).unwrap();
+    assert!(is_answered(&right, node.address).await, "right certificate");
+}
+
+#[tokio::test]
+async fn a_node_gives_nothing_to_a_listener_of_another_authority() {
+    let authority = Authority::new();
+    let other = Authority::new();
+    let node = StubNode::spawn(0, "addis-1", &[], Some(other.tls())).await;
+    let pool = Pool::open(Some(&authority.tls()), Pings::InUse).unwrap();
+    assert!(!is_answered(&pool, node.address).await);
+}
+
+#[tokio::test]
+async fn a_certificate_with_another_name_is_refused() {
+    let authority = Authority::new();
+    let (certificate, key) = authority.certificate("web.example");
+    let pem = authority.0.pem();
+    let tls = PeerTls::from_pem(certificate.as_bytes(), key.as_bytes(), pem.as_bytes());
+    let node = StubNode::spawn(0, "addis-1", &[], Some(tls)).await;
+    let pool = Pool::open(Some(&authority.tls()), Pings::InUse).unwrap();
+    assert!(!is_answered(&pool, node.address).await);
+}
+
+#[test]
+fn files_that_make_no_sense_are_refused_when_the_pool_is_opened() {
+    let tls = PeerTls::from_pem(b"no certificate", b"no key", b"no authority");
+    assert!(Pool::open(Some(&tls), Pings::InUse).is_err());
+}
+
+/// Passes bytes on to a node until it is told to go silent; connections made later work again.
+async fn silencing_proxy(to: SocketAddr) -> (SocketAddr, Arc<watch::Sender<u32>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let silenced = Arc::new(watch::Sender::new(0));
+    let rounds = Arc::clone(&silenced);
+    tokio::spawn(async move {
+        while let Ok((near, _)) = listener.accept().await {
+            let far = TcpStream::connect(to).await.unwrap();
+            let (near_rx, near_tx) = near.into_split();
+            let (far_rx, far_tx) = far.into_split();
+            tokio::spawn(pass(near_rx, far_tx, rounds.subscribe()));
+            tokio::spawn(pass(far_rx, near_tx, rounds.subscribe()));
+        }
+    });
+    (address, silenced)
+}
+
+/// Takes all bytes, and delivers none after the silence has begun.
+async fn pass(
+    mut rx: impl AsyncReadExt + Unpin,
+    mut tx: impl AsyncWriteExt + Unpin,
+    silenced: watch::Receiver<u32>,
+) {
+    let round = *silenced.borrow();
+    let mut buf = vec![0; 16 * 1024];
+    while let Ok(read) = rx.read(&mut buf).await {
+        if read == 0 {
+            return;
+        }
+        if *silenced.borrow() == round && tx.write_all(&buf[..read]).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Starts a node that others reach only through a proxy.
+async fn node_behind_proxy(at: usize, seeds: &[SocketAddr]) -> (StubNode, Arc<watch::Sender<u32>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let (address, silenced) = silencing_proxy(listener.local_addr().unwrap()).await;
+    let node = StubNode::spawn_on(listener, at, "addis-1", (address, seeds), None);
+    (node, silenced)
+}
+
+#[tokio::test]
+async fn a_silent_connection_is_not_taken_for_a_dead_node() {
+    let (first, first_silenced) = node_behind_proxy(0, &[]).await;
+    let (second, second_silenced) = node_behind_proxy(1, &[first.address]).await;
+    assert!(first.wait_for(2, PATIENCE).await && second.wait_for(2, PATIENCE).await);
+    for round in 0..3 {
+        first_silenced.send_modify(|round| *round += 1);
+        second_silenced.send_modify(|round| *round += 1);
+        let vm: Box<str> = format!("engine-{round}").into();
+        let notice = BackendNotice {
+            vm: vm.clone(),
+            reclaim_at: 1,
+        };
+        second.gossip.report_notice(notice).await;
+        let mut reports = first.gossip.watch_reports();
+        let heard = reports.wait_for(|r| r.notices.iter().any(|n| n.vm == vm));
+        let mut members = first.board.members.watch();
+        let doubt = members.wait_for(|view| {
+            let is_alive = |m: &Member| m.state == MemberState::Alive;
+            view.members.len() < 2 || !view.members.iter().all(is_alive)
+        });
+        tokio::select! {
+            heard = tokio::time::timeout(PATIENCE, heard) => assert!(heard.is_ok()),
+            _ = doubt => panic!("the node behind the silent connection is doubted"),
+        }
+    }
+}
