--- a/src/core/fleet/plan.rs
+++ b/src/core/fleet/plan.rs
@@ -205,8 +205,7 @@
     for offer in offers {
         for market in [Market::Reclaimable, Market::OnDemand] {
             let supply = offer.supply(market);
-            let serves =
-                |e: &&EngineVm| e.supply == supply && e.model.as_ref() == Some(&model.demand.model);
+            let running = count(input.engines, &supply, Some(&model.demand.model));
             places.push(Place {
                 zone: offer.zone.clone(),
                 market,
--- a/tests/testsuite/fleet_plan.rs
+++ b/tests/testsuite/fleet_plan.rs
@@ -342,3 +342,22 @@
         "a model that operators removed is retired"
     );
 }
+
+#[test]
+fn a_model_does_not_count_on_engines_of_another_where_starts_are_refused() {
+    let mut fleet = Fleet::default();
+    let batch = model("batch", 0, 3000);
+    fleet.settle(std::slice::from_ref(&batch), &offers());
+    for zone in ZONES {
+        for market in [Market::Reclaimable, Market::OnDemand] {
+            fleet.refusals.refused(supply(zone, market), Moment::ZERO);
+        }
+    }
+    let plan = fleet.plan(
+        &[batch, model("assistant", 800, 0)],
+        &offers(),
+        Moment::ZERO,
+    );
+    let shortfalls = ["assistant", "batch"].map(|m| plan.model(m).unwrap().placement.shortfall);
+    assert_eq!(shortfalls, [1, 0]);
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod document;
 // The linter allows this in test functions by itself, but not in the functions that they share.
 
+mod fleet_plan;
 mod fleet_plan;
 mod ini;
 mod membership;
