Add roles by rendezvous hashing and reports of loads and use

Cause: homes, copies and shards need one place that assigns them, and loads need a way to other nodes.

--- /dev/null
+++ b/src/core/cells/homes.rs
@@ -0,0 +1,81 @@
+//! The homes of all engines, computed once for each change of members or engines.
+
+use std::collections::BTreeMap;
+
+use super::owner;
+use super::roles::engine_job;
+use crate::core::fleet::{Backend, BackendKind, FleetView};
+use crate::core::id::{NodeId, RegionId, VmId, ZoneId};
+use crate::core::membership::MemberView;
+
+/// The homes of engines. Finding one of them here costs a look-up, where [`super::home_of`] goes
+/// through all members.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Homes {
+    by_engine: BTreeMap<VmId, NodeId>,
+}
+
+type Names<'a> = Vec<&'a str>;
+
+/// Working members by region, and by zone within it.
+#[derive(Default)]
+struct Cells<'a> {
+    regions: BTreeMap<&'a RegionId, Names<'a>>,
+    zones: BTreeMap<(&'a RegionId, &'a ZoneId), Names<'a>>,
+}
+
+impl<'a> Cells<'a> {
+    fn of(view: &'a MemberView) -> Self {
+        let mut cells = Self::default();
+        for member in view.working() {
+            let node = &*member.node;
+            cells.regions.entry(&member.region).or_default().push(node);
+            let zone = cells.zones.entry((&member.region, &member.zone));
+            zone.or_default().push(node);
+        }
+        cells
+    }
+
+    fn home_of(&self, engine: &Backend) -> Option<&'a str> {
+        let zone = self.zones.get(&(&engine.region, &engine.zone));
+        let names = zone.or_else(|| self.regions.get(&engine.region))?;
+        owner(&engine_job(&engine.vm), names.iter().copied())
+    }
+}
+
+impl Homes {
+    /// Computes the homes of all engines of a region, or of all regions for `None`. Engines without
+    /// any working member in their region have none.
+    pub fn of(fleet: &FleetView, view: &MemberView, region: Option<&str>) -> Self {
+        let cells = Cells::of(view);
+        let engines = fleet
+            .backends
+            .iter()
+            .filter(|backend| backend.kind == BackendKind::Engine)
+            .filter(|backend| region.is_none_or(|region| *backend.region == *region));
+        let by_engine = engines
+            .filter_map(|engine| Some((engine.vm.clone(), cells.home_of(engine)?.into())))
+            .collect();
+        Self { by_engine }
+    }
+
+    /// Returns the home of an engine.
+    pub fn get(&self, engine: &str) -> Option<&NodeId> {
+        self.by_engine.get(engine)
+    }
+
+    /// Returns all engines with their homes, by VM of the engine.
+    pub fn iter(&self) -> impl Iterator<Item = (&VmId, &NodeId)> {
+        self.by_engine.iter()
+    }
+
+    /// Returns the number of engines that have a home.
+    pub fn len(&self) -> usize {
+        self.by_engine.len()
+    }
+
+    /// Returns whether no engine has a home.
+    pub fn is_empty(&self) -> bool {
+        self.by_engine.is_empty()
+    }
+}
--- a/src/core/cells.rs
+++ b/src/core/cells/mod.rs
@@ -4,6 +4,12 @@
 //! of one member moves only that member's jobs. Two nodes may disagree for as long as their views of
 //! the membership differ; every user of this module has to make that harmless.
 
+mod homes;
+mod roles;
+
+pub use homes::Homes;
+pub use roles::{home_of, replica_candidates, replica_of, shard_owner};
+
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Returns the weight of `member` for `job`. The member with the largest weight does the job.
--- /dev/null
+++ b/src/core/cells/roles.rs
@@ -0,0 +1,67 @@
+//! Which member is home of an engine, keeps the copy of a request or owns a shard.
+
+use super::{owner, ranked};
+use crate::core::fleet::Backend;
+use crate::core::id::NodeId;
+use crate::core::membership::{Member, MemberView};
+
+/// Returns the node that is home of an engine and so owns its queue and slots: a working member of the
+/// engine's zone, else of its region.
+pub fn home_of(engine: &Backend, view: &MemberView) -> Option<NodeId> {
+    let job = engine_job(&engine.vm);
+    let in_region = || view.working_in_region(&engine.region);
+    let in_zone = in_region().filter(|member| member.zone == engine.zone);
+    owner(&job, in_zone.map(name))
+        .or_else(|| owner(&job, in_region().map(name)))
+        .map(NodeId::from)
+}
+
+/// Returns the nodes that may keep the copy of a request, best first: those of another zone of the
+/// serving node's region, then those of its own zone. The serving node is not among them, nor is one
+/// that leaves.
+pub fn replica_candidates(request: &str, serving: &str, view: &MemberView) -> Vec<NodeId> {
+    let Some(serving) = view.get(serving) else {
+        return Vec::new();
+    };
+    let in_region = || {
+        view.working_in_region(&serving.region)
+            .filter(|member| member.node != serving.node)
+    };
+    let other_zone = in_region().filter(|member| member.zone != serving.zone);
+    let same_zone = in_region().filter(|member| member.zone == serving.zone);
+    let mut nodes = ranked(request, other_zone.map(name));
+    nodes.extend(ranked(request, same_zone.map(name)));
+    nodes.into_iter().map(NodeId::from).collect()
+}
+
+/// Returns the node that should keep the copy of a request: one in another zone of the serving node's
+/// region wherever there is one.
+pub fn replica_of(request: &str, serving: &str, view: &MemberView) -> Option<NodeId> {
+    let serving = view.get(serving)?;
+    let in_region = || {
+        view.working_in_region(&serving.region)
+            .filter(|member| member.node != serving.node)
+    };
+    let other_zone = in_region().filter(|member| member.zone != serving.zone);
+    owner(request, other_zone.map(name))
+        .or_else(|| owner(request, in_region().map(name)))
+        .map(NodeId::from)
+}
+
+/// Returns the node that owns a shard of the ledger: a working member of the region in which the store
+/// is, else of any.
+pub fn shard_owner(shard: u32, store_region: Option<&str>, view: &MemberView) -> Option<NodeId> {
+    let job = format!("shard/{shard}");
+    let near =
+        store_region.and_then(|region| owner(&job, view.working_in_region(region).map(name)));
+    near.or_else(|| owner(&job, view.working().map(name)))
+        .map(NodeId::from)
+}
+
+pub(super) fn engine_job(vm: &str) -> String {
+    format!("engine/{vm}")
+}
+
+fn name(member: &Member) -> &str {
+    &member.node
+}
--- a/src/core/membership/machine.rs
+++ b/src/core/membership/machine.rs
@@ -18,6 +18,9 @@
 use crate::core::id::{Address, NodeId};
 use crate::core::time::Moment;
 
+/// Incarnation of a member that leaves and never had to refute anything.
+const LEAVING_INCARNATION: u64 = 2;
+
 /// What happens to a node's membership.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -130,6 +133,7 @@
     pub(super) published_version: u64,
     pub(super) changed_at: Moment,
     pub(super) sync_wait: Duration,
+    pub(super) sums: u32,
 }
 
 impl Membership {
@@ -165,6 +169,7 @@
             published_version: 0,
             changed_at: now,
             sync_wait: tuning::JOIN_SYNC_INTERVAL,
+            sums: 0,
         }
     }
 
@@ -212,6 +217,11 @@
         &self.reports
     }
 
+    /// Returns the revisions of this node's documents.
+    pub fn documents(&self) -> &DocumentRevisions {
+        &self.documents
+    }
+
     /// Returns the number of changes that are still to be told.
     pub fn pending_updates(&self) -> usize {
         self.updates.len()
@@ -417,13 +427,20 @@
     /// Returns what this node says about a member.
     pub(super) fn record(&self, node: &NodeId) -> Option<MemberRecord> {
         if let Some(member) = self.table.get(node) {
-            return Some(match member.state {
-                MemberState::Alive => MemberRecord::Full(member.clone()),
-                state => MemberRecord::Change(StateChange {
+            let is_full = match member.state {
+                MemberState::Alive => true,
+                // A member that has refuted its death may be unknown to those who believed it.
+                MemberState::Leaving => member.incarnation > LEAVING_INCARNATION,
+                MemberState::Suspect | MemberState::Dead => false,
+            };
+            return Some(if is_full {
+                MemberRecord::Full(member.clone())
+            } else {
+                MemberRecord::Change(StateChange {
                     node: node.clone(),
-                    state,
+                    state: member.state,
                     incarnation: member.incarnation,
-                }),
+                })
             });
         }
         let dead = self.table.dead(node)?;
--- a/src/core/membership/outbox.rs
+++ b/src/core/membership/outbox.rs
@@ -4,37 +4,40 @@
 use std::time::Duration;
 
 use super::reports::{CustomerUse, HomeLoad};
-use super::tuning::{REPORT_INTERVAL, REPORT_INTERVAL_PER_MEMBER};
+use super::tuning::{REPEAT_INTERVALS, REPORT_INTERVAL, REPORT_INTERVAL_PER_MEMBER};
 use crate::core::id::{CustomerId, ModelName};
 use crate::core::time::Moment;
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Slot<T> {
-    waiting: Option<T>,
+    value: T,
+    is_told: bool,
     told_at: Option<Moment>,
 }
 
-impl<T> Default for Slot<T> {
-    fn default() -> Self {
-        Self {
-            waiting: None,
-            told_at: None,
-        }
+impl<T: Clone> Slot<T> {
+    fn put(&mut self, value: T) {
+        self.value = value;
+        self.is_told = false;
     }
-}
 
-impl<T> Slot<T> {
-    fn take_due(&mut self, now: Moment, interval: Duration) -> Option<T> {
-        if self.told_at.is_some_and(|told_at| told_at + interval > now) {
+    /// Returns the value if its turn has come. An unchanged one is told again now and then, for those
+    /// whom it has not reached.
+    fn due(&mut self, now: Moment, interval: Duration) -> Option<T> {
+        let wait = match self.is_told {
+            true => interval * REPEAT_INTERVALS,
+            false => interval,
+        };
+        if self.told_at.is_some_and(|told_at| told_at + wait > now) {
             return None;
         }
-        let value = self.waiting.take()?;
+        self.is_told = true;
         self.told_at = Some(now);
-        Some(value)
+        Some(self.value.clone())
     }
 }
 
-/// This node's own reports that wait for their turn. A newer value replaces a waiting one.
+/// This node's own reports, the last value of each.
 #[derive(Debug, Default)]
 pub(super) struct Outbox {
     loads: BTreeMap<ModelName, Slot<HomeLoad>>,
@@ -42,30 +45,30 @@
 }
 
 impl Outbox {
-    /// Puts a load in place of a waiting one for the same model.
+    /// Puts a load in place of the last one for the same model.
     pub(super) fn put_load(&mut self, load: HomeLoad) {
         let slot = self.loads.entry(load.model.clone()).or_default();
-        slot.waiting = Some(load);
+        slot.put(load);
     }
 
-    /// Puts a use in place of a waiting one for the same customer.
+    /// Puts a use in place of the last one for the same customer.
     pub(super) fn put_use(&mut self, used: CustomerUse) {
         let slot = self.uses.entry(used.customer.clone()).or_default();
-        slot.waiting = Some(used);
+        slot.put(used);
     }
 
-    /// Takes the loads whose turn has come in a region of `members` nodes.
+    /// Returns the loads whose turn has come in a region of `members` nodes.
     pub(super) fn due_loads(&mut self, now: Moment, members: usize) -> Vec<HomeLoad> {
         let interval = interval(members);
         let slots = self.loads.values_mut();
-        slots.filter_map(|s| s.take_due(now, interval)).collect()
+        slots.filter_map(|s| s.due(now, interval)).collect()
     }
 
-    /// Takes the uses whose turn has come in a region of `members` nodes.
+    /// Returns the uses whose turn has come in a region of `members` nodes.
     pub(super) fn due_uses(&mut self, now: Moment, members: usize) -> Vec<CustomerUse> {
         let interval = interval(members);
         let slots = self.uses.values_mut();
-        slots.filter_map(|s| s.take_due(now, interval)).collect()
+        slots.filter_map(|s| s.due(now, interval)).collect()
     }
 }
 
--- a/src/core/membership/tick.rs
+++ b/src/core/membership/tick.rs
@@ -188,11 +188,13 @@
             sum.tokens += used.tokens;
             sum.in_flight += used.in_flight;
         }
+        self.sums = self.sums.wrapping_add(1);
+        let is_repeat = self.sums.is_multiple_of(tuning::REPEAT_INTERVALS);
         for (customer, mut sum) in sums {
             let known = self.reports.used(&node, &customer);
             let is_same =
                 known.is_some_and(|k| k.tokens == sum.tokens && k.in_flight == sum.in_flight);
-            if !is_same {
+            if is_repeat || !is_same {
                 sum.node = node.clone();
                 sum.customer = customer;
                 self.report_use(sum);
--- a/src/core/membership/tuning.rs
+++ b/src/core/membership/tuning.rs
@@ -65,6 +65,8 @@
 pub const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// The same for each member of the region, so that the bytes of all reports stay flat.
 pub const REPORT_INTERVAL_PER_MEMBER: Duration = Duration::from_millis(20);
+/// Report intervals after which an unchanged value is told again.
+pub const REPEAT_INTERVALS: u32 = 8;
 /// Time between two sums of a region's use.
 pub const SUM_INTERVAL: Duration = Duration::from_secs(2);
 /// Values of each kind that a node keeps.
--- a/src/core/membership/updates.rs
+++ b/src/core/membership/updates.rs
@@ -53,11 +53,11 @@
         self.pending.insert(key, pending);
     }
 
-    /// Notes that another node told the same change, so that fewer transmissions are needed. Urgent
-    /// changes are told as often as planned, for those whom the first push has missed.
+    /// Notes that another node told the same change, so that fewer transmissions are needed. Changes
+    /// not told yet stay, and urgent ones are told as often as planned, for those whom the first push has missed.
     pub(super) fn heard(&mut self, key: &UpdateKey) {
         let pending = self.pending.get_mut(key);
-        if let Some(pending) = pending.filter(|p| p.priority != Priority::Urgent) {
+        if let Some(pending) = pending.filter(|p| p.priority != Priority::Urgent && p.sent > 0) {
             pending.remaining = pending.remaining.saturating_sub(1);
             if pending.remaining == 0 {
                 self.pending.remove(key);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod document;
 // The linter allows this in test functions by itself, but not in the functions that they share.
 
+mod cells;
 mod ini;
 mod membership;
 mod policy_admission;
--- /dev/null
+++ b/tests/testsuite/membership/against_full_mesh.rs
@@ -0,0 +1,137 @@
+//! Membership against a naive version in which every node probes every other one each second.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use jayhall::core::membership::{Event, MemberState};
+use jayhall::core::time::Moment;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
+
+use super::net::Net;
+
+const SECOND: Duration = Duration::from_secs(1);
+const ZONES: [(&str, &str); 3] = [
+    ("addis", "addis-1"),
+    ("addis", "addis-2"),
+    ("hawassa", "hawassa-1"),
+];
+/// Silence after which the naive version gives a member up.
+const NAIVE_TIMEOUT: Duration = Duration::from_secs(6);
+/// Time in which both versions have to agree once nothing happens any more.
+const QUIET: Duration = Duration::from_secs(90);
+
+/// The naive version: who answered whom last.
+#[derive(Default)]
+struct FullMesh {
+    answered: BTreeMap<(usize, usize), Moment>,
+}
+
+impl FullMesh {
+    fn probe_all(&mut self, net: &Net) {
+        for by in 0..net.nodes.len() {
+            for at in 0..net.nodes.len() {
+                if net.nodes[by].is_up && net.nodes[at].is_up && !net.is_cut(by, at) {
+                    self.answered.insert((by, at), net.now);
+                }
+            }
+        }
+    }
+
+    fn sees(&self, net: &Net, by: usize, at: usize) -> bool {
+        let answered = self.answered.get(&(by, at));
+        answered.is_some_and(|answered| *answered + NAIVE_TIMEOUT > net.now)
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Crash(usize),
+    Freeze(usize),
+    Thaw,
+    Leave(usize),
+    Join(usize),
+    Restart(usize),
+    Cut,
+    Heal,
+}
+
+fn steps() -> impl Strategy<Value = Vec<(Step, u64)>> {
+    let step = prop_oneof![
+        2 => (3..8_usize).prop_map(Step::Crash),
+        1 => (3..8_usize).prop_map(Step::Freeze),
+        1 => Just(Step::Thaw),
+        2 => (0..8_usize).prop_map(Step::Leave),
+        2 => (0..3_usize).prop_map(Step::Join),
+        2 => (3..8_usize).prop_map(Step::Restart),
+        1 => Just(Step::Cut),
+        1 => Just(Step::Heal),
+    ];
+    prop::collection::vec((step, 0..20_u64), 1..7)
+}
+
+/// Nodes that a script has stopped for a while.
+fn apply(net: &mut Net, step: &Step, frozen: &mut Vec<usize>) {
+    match *step {
+        Step::Crash(at) => net.nodes[at].is_up = false,
+        Step::Freeze(at) if net.nodes[at].is_up => {
+            net.nodes[at].is_up = false;
+            frozen.push(at);
+        }
+        Step::Freeze(_) => {}
+        Step::Thaw => {
+            for at in frozen.drain(..) {
+                net.nodes[at].is_up = true;
+            }
+        }
+        Step::Leave(at) if net.nodes[at].is_up => net.event(at, Event::Leave),
+        Step::Leave(_) => {}
+        Step::Join(zone) => {
+            net.add(ZONES[zone].0, ZONES[zone].1);
+        }
+        Step::Restart(at) if net.nodes[at].is_up => {
+            net.restart(at);
+        }
+        Step::Restart(_) => {}
+        Step::Cut => net.cut = Some(("addis", "hawassa")),
+        Step::Heal => net.cut = None,
+    }
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 48,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(71),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn after_any_script_all_see_what_a_full_mesh_sees(steps in steps(), seed in 0..1000_u64) {
+        let mut net = Net::with_nodes(seed, 8, &ZONES);
+        prop_assert!(net.run_until(30 * SECOND, |net| net.is_settled(8)).is_some());
+        net.loss = 0.01;
+        let mut frozen = Vec::new();
+        for (step, wait) in &steps {
+            apply(&mut net, step, &mut frozen);
+            net.run(SECOND * u32::try_from(*wait).unwrap());
+        }
+        apply(&mut net, &Step::Heal, &mut frozen);
+        apply(&mut net, &Step::Thaw, &mut frozen);
+        let mut naive = FullMesh::default();
+        for _ in 0..QUIET.as_secs() {
+            net.run(SECOND);
+            naive.probe_all(&net);
+        }
+        for by in (0..net.nodes.len()).filter(|by| net.nodes[*by].is_up) {
+            for at in 0..net.nodes.len() {
+                let state = net.seen(by, at);
+                prop_assert_eq!(state.is_some(), naive.sees(&net, by, at), "{} sees {}", by, at);
+                let is_leaving = net.nodes[at].machine.own().state == MemberState::Leaving;
+                let sees_leaving = state == Some(MemberState::Leaving);
+                prop_assert_eq!(sees_leaving, is_leaving && state.is_some());
+            }
+        }
+    }
+}
--- a/tests/testsuite/membership/net.rs
+++ b/tests/testsuite/membership/net.rs
@@ -44,6 +44,8 @@
     pub(super) sent: usize,
     /// Messages that it has sent.
     pub(super) messages: usize,
+    /// Bytes of its largest message.
+    pub(super) largest: usize,
     /// Revisions of which it was told, and where they are.
     pub(super) heard: Vec<(Address, u64)>,
 }
@@ -118,6 +120,7 @@
             is_up: true,
             sent: 0,
             messages: 0,
+            largest: 0,
             heard: Vec::new(),
         });
         let jitter = TICK.mul_f64(self.rng.random_range(0.0..1.0));
@@ -187,6 +190,14 @@
         })
     }
 
+    /// Returns whether nothing is delivered between two nodes.
+    pub(super) fn is_cut(&self, a: usize, b: usize) -> bool {
+        let region = |at: usize| &*self.nodes[at].machine.own().region;
+        let regions = (region(a), region(b));
+        self.cut
+            .is_some_and(|(a, b)| regions == (a, b) || regions == (b, a))
+    }
+
     fn push(&mut self, delay: Duration, delivery: Delivery) {
         self.next += 1;
         self.queue.insert((self.now + delay, self.next), delivery);
@@ -284,12 +295,8 @@
     }
 
     fn passes(&mut self, from: usize, to: usize) -> bool {
-        let (a, b) = (&self.nodes[from], &self.nodes[to]);
-        let regions = (&*a.machine.own().region, &*b.machine.own().region);
-        let is_cut = self
-            .cut
-            .is_some_and(|(a, b)| regions == (a, b) || regions == (b, a));
-        let is_possible = a.is_up && b.is_up && !is_cut;
+        let is_up = self.nodes[from].is_up && self.nodes[to].is_up;
+        let is_possible = is_up && !self.is_cut(from, to);
         // Either direction may lose its message.
         is_possible && !self.rng.random_bool(self.loss) && !self.rng.random_bool(self.loss)
     }
@@ -303,7 +310,9 @@
     }
 
     fn count(&mut self, at: usize, message: &Message) {
-        self.nodes[at].sent += message.size();
+        let size = message.size();
+        self.nodes[at].sent += size;
+        self.nodes[at].largest = self.nodes[at].largest.max(size);
         self.nodes[at].messages += 1;
     }
 
--- a/tests/testsuite/membership/stub.rs
+++ b/tests/testsuite/membership/stub.rs
@@ -141,11 +141,6 @@
         }
     }
 
-    /// Returns the number of members that the node knows.
-    pub(super) fn members(&self) -> usize {
-        self.board.members.read().members.len()
-    }
-
     /// Waits until the node knows so many members, at most for a time.
     pub(super) async fn wait_for(&self, count: usize, most: Duration) -> bool {
         let mut rx = self.board.members.watch();
