--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 
 mod fleet_plan;
 mod fleet_plan;
+mod cells;
 mod ini;
 mod membership;
 mod policy_admission;
