--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,9 +6,8 @@
 mod document;
 // The linter allows this in test functions by itself, but not in the functions that they share.
 
-mod fleet_plan;
-mod fleet_plan;
 mod cells;
+mod fleet_plan;
 mod ini;
 mod membership;
 mod policy_admission;
