--- /dev/null
+++ b/tests/testsuite/configuration_page.rs
@@ -0,0 +1,87 @@
+//! docs/CONFIGURATION.md lists exactly the keys that the code knows.
+
+use std::fmt::Write;
+
+use jayhall::core::document::schema;
+use jayhall::util::schema::{KeySpec, Kind, SectionSpec};
+use jayhall::util::settings;
+use jayhall::util::value::format_duration;
+
+const PAGE: &str = include_str!("../../docs/CONFIGURATION.md");
+
+fn form(kind: Kind) -> &'static str {
+    match kind {
+        Kind::Text => "text",
+        Kind::Name => "name",
+        Kind::Names => "names with commas",
+        Kind::Number { .. } => "whole number",
+        Kind::Time { .. } => "time",
+        Kind::YesNo => "yes or no",
+        Kind::Choice(_) => "word",
+        Kind::Hashes => "hashes with commas",
+        Kind::Address => "IP number and port",
+        Kind::Url => "URL",
+        Kind::Path => "file",
+    }
+}
+
+fn range(kind: Kind) -> String {
+    match kind {
+        Kind::Number { min, max } => format!("{min} to {max}"),
+        Kind::Time { min, max } => format!("{} to {}", format_duration(min), format_duration(max)),
+        Kind::Choice(words) => words.join(", "),
+        _ => "".into(),
+    }
+}
+
+fn row(spec: &KeySpec) -> String {
+    let default = match spec.default {
+        None => "must be given".into(),
+        Some("") => "empty".into(),
+        Some(value) => format!("`{value}`"),
+    };
+    let (form, range) = (form(spec.kind), range(spec.kind));
+    format!(
+        "| `{}` | {form} | {default} | {range} | {} |\n",
+        spec.key, spec.label
+    )
+}
+
+fn part(spec: &SectionSpec) -> String {
+    let name = if spec.is_named { " NAME" } else { "" };
+    let mut text = format!(
+        "### `[{}{name}]`\n| key | form | default | range | meaning |\n|---|---|---|---|---|\n",
+        spec.kind
+    );
+    for key in spec.keys {
+        let _ = write!(text, "{}", row(key));
+    }
+    text
+}
+
+#[test]
+fn every_key_of_the_code_is_in_the_page_and_the_reverse() {
+    let specs: Vec<_> = schema::SECTIONS.iter().chain(&settings::SECTIONS).collect();
+    for spec in &specs {
+        let part = part(spec);
+        assert!(
+            PAGE.contains(&part),
+            "put this into docs/CONFIGURATION.md:\n{part}"
+        );
+    }
+    let keys: usize = specs.iter().map(|spec| spec.keys.len()).sum();
+    let rows = PAGE.lines().filter(|line| line.starts_with("| `")).count();
+    assert_eq!(
+        rows, keys,
+        "the page has rows for keys that the code does not know"
+    );
+}
+
+#[test]
+fn the_examples_of_the_page_are_valid() {
+    let examples: Vec<_> = PAGE.split("```ini\n").skip(1).collect();
+    assert_eq!(examples.len(), 2);
+    let text = |example: &str| example.split("```").next().unwrap().to_owned();
+    jayhall::core::document::Document::parse(&text(examples[0])).unwrap();
+    settings::Settings::parse(&text(examples[1])).unwrap();
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,11 +3,10 @@
 // The linter allows this in test functions by itself, but not in the functions that they share.
 #![allow(clippy::unwrap_used)]
 
+mod cells;
 mod command_line;
+mod configuration_page;
 mod document;
-// The linter allows this in test functions by itself, but not in the functions that they share.
-
-mod cells;
 mod fleet_plan;
 mod ini;
 mod membership;
