--- a/src/core/document/sections.rs
+++ b/src/core/document/sections.rs
@@ -83,16 +83,21 @@
     let parts = split(text);
     parts
         .iter()
-        .find(|part| part.heading == heading)
+        .find(|part| is_same_heading(part.heading, heading))
         .map(|part| part.text)
 }
 
+/// Returns whether two headings differ in white space only.
+fn is_same_heading(one: &str, other: &str) -> bool {
+    one.split_whitespace().eq(other.split_whitespace())
+}
+
 fn patch(old: &[Part<'_>], changes: &[SectionChange]) -> String {
     let mut parts: Vec<(&str, &str)> = old.iter().map(|part| (part.heading, part.text)).collect();
     for change in changes {
         let position = parts
             .iter()
-            .position(|(heading, _)| *heading == &*change.heading);
+            .position(|(heading, _)| is_same_heading(heading, &change.heading));
         match (position, &change.text) {
             (Some(index), Some(text)) => parts[index].1 = text,
             (Some(index), None) => drop(parts.remove(index)),
--- /dev/null
+++ b/src/operators/console/edit.rs
@@ -0,0 +1,139 @@
+//! The document by sections: overview, forms, and the preview of a change.
+
+use maud::{Markup, html};
+use salvo::http::StatusCode;
+
+use super::Console;
+use super::form::{SectionForm, spec_of};
+use super::page::{csrf, mistakes, page};
+use super::publish::preview;
+use super::visit::{Reply, Visit};
+use crate::core::document::Problems;
+use crate::core::document::edit::{put_section, remove_section};
+use crate::core::document::schema::SECTIONS;
+use crate::operators::OperatorContext;
+use crate::operators::problem::OperatorProblem;
+use crate::util::ini::{self, IniSection};
+use crate::util::schema::SectionSpec;
+
+pub(super) fn overview(console: &Console, visit: &Visit) -> Reply {
+    let current = console.desk.current();
+    let (sections, _) = ini::parse_all(&current.text);
+    let body = html! {
+        @match current.revision {
+            0 => p { "No document is in force yet. Begin with a rank and a customer in the whole text." },
+            revision => p { "Revision " (revision) " is in force on this node." },
+        }
+        @for spec in SECTIONS {
+            section {
+                h2 { (title_of(spec)) }
+                (section_links(spec, &sections))
+            }
+        }
+    };
+    Reply::ok(page(visit, "Configuration", &body))
+}
+
+fn section_links(spec: &SectionSpec, sections: &[IniSection]) -> Markup {
+    let of_kind: Vec<_> = sections
+        .iter()
+        .filter(|section| &*section.kind == spec.kind)
+        .collect();
+    html! {
+        ul {
+            @if spec.is_named {
+                @for section in &of_kind {
+                    li { a href=(link(spec, &section.name)) { (section.name) } }
+                }
+                li { a href=(link(spec, "")) { "New " (spec.kind) } }
+            } @else {
+                li { a href=(link(spec, "")) { "Change" } }
+            }
+        }
+    }
+}
+
+fn title_of(spec: &SectionSpec) -> &'static str {
+    match spec.kind {
+        "rules" => "Rules",
+        "rank" => "Ranks of work",
+        "model" => "Models",
+        "service" => "Services",
+        "machine-class" => "Machine classes",
+        _ => "Customers",
+    }
+}
+
+fn link(spec: &SectionSpec, name: &str) -> String {
+    // Names of a valid document need no escapes in a URL.
+    format!("/console/edit?kind={}&name={name}", spec.kind)
+}
+
+pub(super) fn show(console: &Console, visit: &Visit) -> Reply {
+    let Some(spec) = spec_of(visit.field("kind")) else {
+        return visit.problem(&OperatorProblem::not_found(
+            "there is no such kind of section",
+        ));
+    };
+    let current = console.desk.current();
+    let name = visit.field("name");
+    let form = SectionForm::of_text(spec, name, &current.text, current.revision);
+    Reply::ok(form_page(visit, &form))
+}
+
+/// Checks a form and shows what publishing it would change.
+pub(super) async fn run(console: &Console, visit: &Visit) -> Reply {
+    let Some(spec) = spec_of(visit.field("kind")) else {
+        return visit.problem(&OperatorProblem::not_found(
+            "there is no such kind of section",
+        ));
+    };
+    let mut form = SectionForm::of_visit(spec, visit);
+    let base = match console.desk.base(form.base_revision).await {
+        Ok(base) => base,
+        Err(problem) => return visit.problem(&problem),
+    };
+    let text = match visit.field("action") {
+        "delete" => remove_section(&base, &form.heading()),
+        _ => put_section(&base, &form.heading(), &form.values),
+    };
+    let checked = match form.taken_name(&base) {
+        Some(problem) => Err(Problems(vec![problem])),
+        None => OperatorContext::check(&text),
+    };
+    match checked {
+        Ok(_) => Reply::ok(preview(visit, form.base_revision, &base, &text)),
+        Err(problems) => {
+            form.problems = problems;
+            Reply::Html(StatusCode::UNPROCESSABLE_ENTITY, form_page(visit, &form))
+        }
+    }
+}
+
+fn form_page(visit: &Visit, form: &SectionForm) -> Markup {
+    let kind = form.spec.kind;
+    let title = match (&*form.name, form.is_new) {
+        (_, true) if form.spec.is_named => format!("New {kind}"),
+        ("", _) => title_of(form.spec).into(),
+        (name, _) => format!("{kind} {name}"),
+    };
+    let others: Vec<_> = form.other_problems().into_iter().map(Into::into).collect();
+    let body = html! {
+        @if !form.problems.0.is_empty() {
+            p role="alert" { "There are mistakes; nothing was changed." }
+        }
+        (mistakes(&others))
+        form method="post" action="/console/edit" {
+            (csrf(visit))
+            input type="hidden" name="kind" value=(kind);
+            input type="hidden" name="new" value=(if form.is_new { "yes" } else { "no" });
+            input type="hidden" name="base_revision" value=(form.base_revision);
+            (form.fields())
+            button name="action" value="save" { "Preview the change" }
+            @if form.spec.is_named && !form.is_new {
+                button name="action" value="delete" { "Preview the deletion" }
+            }
+        }
+    };
+    page(visit, &title, &body)
+}
--- /dev/null
+++ b/src/operators/console/page.rs
@@ -0,0 +1,100 @@
+//! What all pages share.
+
+use maud::{DOCTYPE, Markup, html};
+
+use super::visit::Visit;
+use crate::operators::problem::OperatorProblem;
+use crate::operators::wire::ProblemBody;
+
+/// Returns a whole page.
+pub(super) fn page(visit: &Visit, title: &str, body: &Markup) -> Markup {
+    html! {
+        (DOCTYPE)
+        html lang="en" {
+            head {
+                meta charset="utf-8";
+                meta name="viewport" content="width=device-width, initial-scale=1";
+                title { (title) " – jayhall" }
+                link rel="stylesheet" href="/console/style.css";
+            }
+            body {
+                a.skip href="#main" { "Skip to the content" }
+                header { (navigation(visit)) }
+                main id="main" {
+                    h1 { (title) }
+                    (body)
+                }
+            }
+        }
+    }
+}
+
+fn navigation(visit: &Visit) -> Markup {
+    html! {
+        @if visit.session.is_some() {
+            nav aria-label="Console" {
+                a href="/console" { "Configuration" }
+                a href="/console/document" { "Whole text" }
+                a href="/console/history" { "History" }
+                a href="/console/fleet" { "Fleet" }
+                a href="/console/request" { "Requests" }
+            }
+            form method="post" action="/console/sign-out" {
+                (csrf(visit))
+                button { "Sign out" }
+            }
+        }
+    }
+}
+
+/// Returns the hidden field that shows that a form comes from this console.
+pub(super) fn csrf(visit: &Visit) -> Markup {
+    html! { input type="hidden" name="csrf" value=(visit.csrf()); }
+}
+
+/// Returns a list of mistakes.
+pub(super) fn mistakes(problems: &[ProblemBody]) -> Markup {
+    html! {
+        @if !problems.is_empty() {
+            ul.mistakes {
+                @for problem in problems {
+                    li {
+                        @if problem.line > 0 { "Line " (problem.line) ": " }
+                        @if !problem.section.is_empty() { "[" (problem.section) "] " }
+                        @if !problem.key.is_empty() { b { (problem.key) } ": " }
+                        (problem.what) "; " (problem.remedy)
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// Returns a difference, with added and removed lines marked.
+pub(super) fn difference(text: &str) -> Markup {
+    let class = |line: &str| match line.as_bytes().first() {
+        Some(b'+') => "added",
+        Some(b'-') => "removed",
+        _ => "same",
+    };
+    html! {
+        pre.difference tabindex="0" aria-label="Difference" {
+            @for line in text.lines() { span class=(class(line)) { (line) "\n" } }
+        }
+    }
+}
+
+/// Returns the page of a refusal.
+pub(super) fn problem(visit: &Visit, problem: &OperatorProblem) -> Markup {
+    let body = html! {
+        p role="alert" { (problem.detail) }
+        @if let Some(after) = problem.retry_after_s { p { "Come back after " (after) " s." } }
+        (mistakes(&problem.problems))
+        @if let Some(text) = &problem.difference {
+            p { "Lines with - are in force, those with + are yours." }
+            (difference(text))
+        }
+        p { a href="/console" { "Back to the configuration" } }
+    };
+    page(visit, &problem.title, &body)
+}
--- /dev/null
+++ b/src/operators/console/publish.rs
@@ -0,0 +1,97 @@
+//! The whole text, the preview of a change, and publishing.
+
+use maud::{Markup, html};
+use salvo::http::StatusCode;
+
+use super::Console;
+use super::page::{csrf, difference as marked, mistakes, page};
+use super::visit::{Reply, Visit};
+use crate::operators::OperatorContext;
+use crate::operators::wire::{ProblemBody, PublishBody};
+use crate::ops::publish::difference;
+
+/// Lines of the field for the whole text.
+const TEXT_ROWS: u32 = 30;
+
+pub(super) fn text(console: &Console, visit: &Visit) -> Reply {
+    let current = console.desk.current();
+    Reply::ok(text_page(visit, current.revision, &current.text, &[]))
+}
+
+/// Checks the whole text and shows what publishing it would change.
+pub(super) async fn preview_text(console: &Console, visit: &Visit) -> Reply {
+    // Browsers send line ends of their own.
+    let text = visit.field("text").replace("\r\n", "\n");
+    let base_revision = visit.revision("base_revision");
+    if let Err(problems) = OperatorContext::check(&text) {
+        let problems: Vec<_> = problems.0.iter().map(ProblemBody::from).collect();
+        let markup = text_page(visit, base_revision, &text, &problems);
+        return Reply::Html(StatusCode::UNPROCESSABLE_ENTITY, markup);
+    }
+    match console.desk.base(base_revision).await {
+        Ok(base) => Reply::ok(preview(visit, base_revision, &base, &text)),
+        Err(problem) => visit.problem(&problem),
+    }
+}
+
+/// Publishes a previewed text.
+pub(super) async fn run(console: &Console, visit: &Visit) -> Reply {
+    let Some(session) = &visit.session else {
+        return Reply::SeeOther("/console/sign-in".into());
+    };
+    let body = PublishBody {
+        text: visit.field("text").replace("\r\n", "\n").into(),
+        base_revision: visit.revision("base_revision"),
+        author: visit.field("author").into(),
+    };
+    match console.desk.publish(&session.operator, body).await {
+        Ok(_) => Reply::SeeOther("/console/history".into()),
+        Err(problem) => visit.problem(&problem),
+    }
+}
+
+fn text_page(visit: &Visit, base: u64, text: &str, problems: &[ProblemBody]) -> Markup {
+    let is_wrong = !problems.is_empty();
+    let body = html! {
+        @if is_wrong { p role="alert" { "There are mistakes; nothing was changed." } }
+        (mistakes(problems))
+        form method="post" action="/console/document" {
+            (csrf(visit))
+            input type="hidden" name="base_revision" value=(base);
+            label for="text" { "Whole text, made from revision " (base) }
+            textarea id="text" name="text" rows=(TEXT_ROWS) spellcheck="false"
+                aria-invalid=[is_wrong.then_some("true")] {
+                // A browser drops the first line end of a text field.
+                "\n" (text)
+            }
+            button { "Preview the change" }
+        }
+    };
+    page(visit, "Whole text", &body)
+}
+
+/// Returns the page that shows a change before it is published.
+pub(super) fn preview(visit: &Visit, base_revision: u64, base: &str, text: &str) -> Markup {
+    let old = format!("revision {base_revision}");
+    let changes = difference((&old, base), ("your change", text));
+    let body = html! {
+        @if changes.is_empty() {
+            p { "This changes nothing." }
+        } @else {
+            p { "Lines with - go away, lines with + are new." }
+            (marked(&changes))
+            form method="post" action="/console/publish" {
+                (csrf(visit))
+                input type="hidden" name="base_revision" value=(base_revision);
+                textarea.hidden name="text" aria-hidden="true" tabindex="-1" readonly { "\n" (text) }
+                p {
+                    label for="author" { "Your name, for the history" }
+                    input id="author" name="author" autocomplete="name";
+                }
+                button { "Publish" }
+            }
+        }
+        p { a href="/console" { "Back without a change" } }
+    };
+    page(visit, "Preview", &body)
+}
--- a/src/operators/desk.rs
+++ b/src/operators/desk.rs
@@ -35,6 +35,14 @@
         Ok(ConfigBody { revision, text })
     }
 
+    /// Returns the text from which a change was made; empty for revision 0.
+    pub(super) async fn base(&self, revision: ConfigRevision) -> Result<Box<str>> {
+        match revision {
+            0 => Ok("".into()),
+            revision => Ok(self.revision(revision).await?.text),
+        }
+    }
+
     /// Returns the latest revision of the store.
     pub(super) async fn stored(&self) -> Result<ConfigBody> {
         let stored = self.publisher.archive().head().await?;
--- a/src/operators/mod.rs
+++ b/src/operators/mod.rs
@@ -3,6 +3,7 @@
 mod api;
 mod auth;
 mod client;
+mod console;
 mod control;
 mod desk;
 mod keys;
@@ -45,5 +46,7 @@
 /// Returns the routes of the operators' listener.
 pub fn router(cx: OperatorContext) -> Router {
     let cx = Arc::new(cx);
-    Router::new().push(Router::with_path("api/v1").push(api::router(&cx)))
+    Router::new()
+        .push(Router::with_path("api/v1").push(api::router(&cx)))
+        .push(Router::with_path("console").push(console::router(&cx)))
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod cells;
 mod command_line;
 mod configuration_page;
+mod console;
 mod document;
 mod fleet_plan;
 mod ini;
