--- a/crates/jayhall-harness/src/caller.rs
+++ b/crates/jayhall-harness/src/caller.rs
@@ -113,6 +113,14 @@
         }
     }
 
+    /// Makes the caller ask a node first.
+    #[must_use]
+    pub fn starting_at(mut self, node: SocketAddr) -> Self {
+        self.nodes.retain(|known| *known != node);
+        self.nodes.insert(0, node);
+        self
+    }
+
     /// Limits the caller to some nodes.
     #[must_use]
     pub fn with_nodes(mut self, nodes: Vec<SocketAddr>) -> Self {
--- a/crates/jayhall-harness/src/layout.rs
+++ b/crates/jayhall-harness/src/layout.rs
@@ -182,3 +182,14 @@
 region_link_megabits = 20
 directory_lifetime = 5s
 ";
+
+/// Returns a fleet that is just large enough for tests of failures: two zones in one region, one in
+/// another, and more than one node and engine where copies need a place.
+pub fn small() -> Layout {
+    let mut layout = association();
+    for zone in &mut layout.zones {
+        zone.nodes = if zone.zone == "hawassa-1" { 1 } else { 2 };
+        zone.engines = 1;
+    }
+    layout
+}
--- a/crates/jayhall-harness/src/lib.rs
+++ b/crates/jayhall-harness/src/lib.rs
@@ -10,5 +10,5 @@
 
 pub use caller::{Answer, Ask, Caller, ServiceAnswer};
 pub use fleet::{Fleet, FleetOptions, NodeHandle};
-pub use layout::{Backend, Layout, Zone, association};
+pub use layout::{Backend, Layout, Zone, association, small};
 pub use process::{Process, bin_dir};
--- a/src/ops/hand_over.rs
+++ b/src/ops/hand_over.rs
@@ -116,10 +116,9 @@
         }
         let own = self.cx.board.identity.node.clone();
         let id = offer.snapshot.request.id.clone();
-        if let Some(known) = self.requests.get(&id) {
-            if known.role() == Role::Serving {
-                return Taken::Yes;
-            }
+        let known = self.requests.get(&id);
+        if known.is_some_and(|known| known.role() == Role::Serving) {
+            return Taken::Yes;
         }
         let entry = Arc::new(Entry::serving(offer.snapshot));
         entry.note(Decision::HandedOver {
--- a/src/ops/replicate.rs
+++ b/src/ops/replicate.rs
@@ -17,7 +17,7 @@
 use crate::core::cells;
 use crate::core::explain::Decision;
 use crate::core::id::{NodeId, RequestId, TokenOffset};
-use crate::core::membership::MemberView;
+use crate::core::membership::{Member, MemberView};
 use crate::node::NodeContext;
 use crate::ops::requests::{CopyUpdate, Entry, Requests};
 use crate::peers::convert_request::ReplicaUpdate;
@@ -122,7 +122,7 @@
             let is_working = replica
                 .as_deref()
                 .and_then(|replica| view.get(replica))
-                .is_some_and(|member| member.takes_work());
+                .is_some_and(Member::takes_work);
             if !is_working {
                 self.replace(&entry, "the node that kept it is leaving or gone");
                 if let Some(old) = replica {
--- a/src/ops/run_request.rs
+++ b/src/ops/run_request.rs
@@ -194,16 +194,13 @@
                 event = timeout(HOME_SILENCE, events.next()) => event,
                 () = left_serving(entry, &mut changes) => return Outcome::Done,
             };
-            let event = match event {
-                Ok(Some(event)) => event,
-                Ok(None) | Err(_) => {
-                    self.forget(target);
-                    carried.attachment = entry.engine();
-                    carried.may_have_run = true;
-                    return Outcome::Again {
-                        cause: format!("node {} fell silent", target.home).into(),
-                    };
-                }
+            let Ok(Some(event)) = event else {
+                self.forget(target);
+                carried.attachment = entry.engine();
+                carried.may_have_run = true;
+                return Outcome::Again {
+                    cause: format!("node {} fell silent", target.home).into(),
+                };
             };
             if let Some(outcome) = self.take(entry, attempt, event, target, carried) {
                 return outcome;
