--- a/tests/testsuite/membership/stub.rs
+++ b/crates/jayhall-harness/src/gossip_node.rs
@@ -79,48 +79,56 @@
 }
 
 /// A node that only gossips, until it is dropped.
-pub(super) struct StubNode {
+pub struct GossipNode {
     /// Its membership.
-    pub(super) gossip: Gossip,
+    pub gossip: Gossip,
     /// Where the members are published.
-    pub(super) board: Arc<Blackboard>,
+    pub board: Arc<Blackboard>,
     /// Where it listens.
-    pub(super) address: Address,
+    pub address: Address,
     _stop: oneshot::Sender<()>,
 }
 
-impl StubNode {
+impl GossipNode {
     /// Starts a node on a free port of loopback.
-    pub(super) async fn spawn(
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no port or the certificates make no sense.
+    pub async fn spawn(
         at: usize,
         zone: &str,
         seeds: &[Address],
         tls: Option<PeerTls>,
-    ) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
+    ) -> eyre::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
         Self::spawn_on(listener, at, zone, (address, seeds), tls)
     }
 
     /// Starts a node that tells others the address at which they reach it.
-    pub(super) fn spawn_on(
+    ///
+    /// # Errors
+    ///
+    /// Fails if the certificates make no sense.
+    pub fn spawn_on(
         listener: TcpListener,
         at: usize,
         zone: &str,
         (address, seeds): (Address, &[Address]),
         tls: Option<PeerTls>,
-    ) -> Self {
+    ) -> eyre::Result<Self> {
         let board = Blackboard::new(identity(at, zone, address));
         let gossip = Gossip::spawn(GossipSetup {
             blackboard: Arc::clone(&board),
-            pool: Arc::new(Pool::open(tls.as_ref(), Pings::InUse).unwrap()),
+            pool: Arc::new(Pool::open(tls.as_ref(), Pings::InUse)?),
             seeds: seeds.to_vec(),
             documents: Arc::new(NoDocuments),
             rng_seed: at as u64,
         });
         let mut server = Server::builder();
         if let Some(tls) = tls {
-            server = server.tls_config(tls.server()).unwrap();
+            server = server.tls_config(tls.server())?;
         }
         let server = server.add_service(PeerServer::new(Stub(gossip.clone())));
         let incoming = TcpListenerStream::new(listener);
@@ -133,16 +141,16 @@
             // A broken listener shows as a missing member.
             let _ = server.serve_with_incoming_shutdown(incoming, stopped).await;
         });
-        Self {
+        Ok(Self {
             gossip,
             board,
             address,
             _stop: stop,
-        }
+        })
     }
 
     /// Waits until the node knows so many members, at most for a time.
-    pub(super) async fn wait_for(&self, count: usize, most: Duration) -> bool {
+    pub async fn wait_for(&self, count: usize, most: Duration) -> bool {
         let mut rx = self.board.members.watch();
         let is_met = rx.wait_for(|view| view.members.len() == count);
         tokio::time::timeout(most, is_met).await.is_ok()
--- a/crates/jayhall-harness/src/lib.rs
+++ b/crates/jayhall-harness/src/lib.rs
@@ -5,10 +5,13 @@
 
 mod caller;
 mod fleet;
+mod gossip_node;
 mod layout;
+pub mod net;
 mod process;
 
 pub use caller::{Answer, Ask, Caller, ServiceAnswer};
 pub use fleet::{Fleet, FleetOptions, NodeHandle};
+pub use gossip_node::GossipNode;
 pub use layout::{Backend, Layout, Zone, association, small};
 pub use process::{Process, bin_dir};
--- a/tests/testsuite/membership/net.rs
+++ b/crates/jayhall-harness/src/net.rs
@@ -1,19 +1,21 @@
 //! Delivers the messages of membership state machines to each other, on time that it keeps itself.
+//!
+//! For tests of membership and for measuring what it costs; it knows nothing else of a node.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use jayhall::core::id::{Address, NodeId};
 use jayhall::core::membership::{
-    Action, Event, Member, MemberState, Membership, Message, StateChange,
+    Action, Event, Member, MemberRecord, MemberState, Membership, Message, StateChange,
 };
 use jayhall::core::time::Moment;
 use rand::rngs::ChaCha8Rng;
 use rand::{RngExt, SeedableRng};
 
 /// Time between two ticks of each machine.
-pub(super) const TICK: Duration = Duration::from_millis(100);
+pub const TICK: Duration = Duration::from_millis(100);
 /// Time after which an exchange counts as unanswered, both tries together.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Time after which an indirect probe counts as unanswered.
@@ -35,42 +37,44 @@
 
 /// A node in the loop.
 #[derive(Debug)]
-pub(super) struct Node {
+pub struct Node {
     /// Its state machine.
-    pub(super) machine: Membership,
+    pub machine: Membership,
     /// Whether it answers.
-    pub(super) is_up: bool,
+    pub is_up: bool,
     /// Bytes that it has sent, as bounded by the machine's own count.
-    pub(super) sent: usize,
+    pub sent: usize,
     /// Messages that it has sent.
-    pub(super) messages: usize,
+    pub messages: usize,
     /// Bytes of its largest message.
-    pub(super) largest: usize,
+    pub largest: usize,
     /// Revisions of which it was told, and where they are.
-    pub(super) heard: Vec<(Address, u64)>,
+    pub heard: Vec<(Address, u64)>,
 }
 
 /// Machines with messages under way between them.
-pub(super) struct Net {
+pub struct Net {
     /// The nodes, in the order in which they were added.
-    pub(super) nodes: Vec<Node>,
+    pub nodes: Vec<Node>,
     /// Time of the loop.
-    pub(super) now: Moment,
+    pub now: Moment,
     /// Chance that a message is lost.
-    pub(super) loss: f64,
+    pub loss: f64,
     /// Regions between which nothing is delivered.
-    pub(super) cut: Option<(&'static str, &'static str)>,
+    pub cut: Option<(&'static str, &'static str)>,
     /// Members that some other node has declared dead while they were up.
-    pub(super) false_deaths: BTreeSet<NodeId>,
+    pub false_deaths: BTreeSet<NodeId>,
     queue: BTreeMap<(Moment, u64), Delivery>,
     next: u64,
+    /// Processor time that the machines have taken.
+    pub busy: Duration,
     by_address: BTreeMap<Address, usize>,
     rng: ChaCha8Rng,
 }
 
 impl Net {
     /// Creates an empty loop.
-    pub(super) fn new(seed: u64) -> Self {
+    pub fn new(seed: u64) -> Self {
         Self {
             nodes: Vec::new(),
             now: Moment::ZERO,
@@ -79,13 +83,18 @@
             false_deaths: BTreeSet::new(),
             queue: BTreeMap::new(),
             next: 0,
+            busy: Duration::ZERO,
             by_address: BTreeMap::new(),
             rng: ChaCha8Rng::seed_from_u64(seed),
         }
     }
 
     /// Creates nodes spread over zones, each given as region and zone, that all know the first ones.
-    pub(super) fn with_nodes(seed: u64, count: usize, zones: &[(&str, &str)]) -> Self {
+    ///
+    /// # Panics
+    ///
+    /// Panics if `zones` is empty.
+    pub fn with_nodes(seed: u64, count: usize, zones: &[(&str, &str)]) -> Self {
         let mut net = Self::new(seed);
         for at in 0..count {
             let (region, zone) = zones[at % zones.len()];
@@ -94,14 +103,31 @@
         net
     }
 
+    /// Tells every node of every other one, in place of a start in which they find each other.
+    pub fn introduce_all(&mut self) {
+        let owns = self.nodes.iter().map(|node| node.machine.own().clone());
+        let members: Vec<_> = owns.map(MemberRecord::Full).collect();
+        for at in 0..self.nodes.len() {
+            let message = Message {
+                from: self.name(at),
+                members: members.clone(),
+                ..Message::default()
+            };
+            // The answer goes nowhere.
+            self.nodes[at]
+                .machine
+                .handle(self.now, Event::Received(message));
+        }
+    }
+
     /// Starts a node that knows the first three as seeds. Returns its number.
-    pub(super) fn add(&mut self, region: &str, zone: &str) -> usize {
+    pub fn add(&mut self, region: &str, zone: &str) -> usize {
         let at = self.nodes.len();
         self.start(member(at, region, zone))
     }
 
     /// Ends a node without a word and starts another process at its address. Returns its number.
-    pub(super) fn restart(&mut self, at: usize) -> usize {
+    pub fn restart(&mut self, at: usize) -> usize {
         self.nodes[at].is_up = false;
         let old = self.nodes[at].machine.own().clone();
         let mut new = member(self.nodes.len(), &old.region, &old.zone);
@@ -129,7 +155,7 @@
     }
 
     /// Runs the loop for a time.
-    pub(super) fn run(&mut self, time: Duration) {
+    pub fn run(&mut self, time: Duration) {
         let end = self.now + time;
         while let Some(entry) = self.queue.first_entry() {
             if entry.key().0 > end {
@@ -143,7 +169,7 @@
     }
 
     /// Runs until the condition holds, at most for a time. Returns the time it took.
-    pub(super) fn run_until(
+    pub fn run_until(
         &mut self,
         most: Duration,
         is_met: impl Fn(&Self) -> bool,
@@ -159,29 +185,29 @@
     }
 
     /// Has a node take an event at once.
-    pub(super) fn event(&mut self, at: usize, event: Event) {
-        let actions = self.nodes[at].machine.handle(self.now, event);
+    pub fn event(&mut self, at: usize, event: Event) {
+        let actions = self.handle(at, event);
         self.act(at, actions, None);
     }
 
     /// Has another node tell a node something.
-    pub(super) fn tell(&mut self, at: usize, message: Message) {
+    pub fn tell(&mut self, at: usize, message: Message) {
         self.event(at, Event::Received(message));
     }
 
     /// Returns the name of a node.
-    pub(super) fn name(&self, at: usize) -> NodeId {
+    pub fn name(&self, at: usize) -> NodeId {
         self.nodes[at].machine.own().node.clone()
     }
 
     /// Returns the state of a node as another sees it; dead ones are `None`.
-    pub(super) fn seen(&self, by: usize, at: usize) -> Option<MemberState> {
+    pub fn seen(&self, by: usize, at: usize) -> Option<MemberState> {
         let table = self.nodes[by].machine.table();
         table.get(&self.name(at)).map(|member| member.state)
     }
 
     /// Returns whether all nodes that are up see the same `count` members.
-    pub(super) fn is_settled(&self, count: usize) -> bool {
+    pub fn is_settled(&self, count: usize) -> bool {
         let mut up = self.nodes.iter().filter(|node| node.is_up);
         up.all(|node| {
             let members = node.machine.table().members();
@@ -191,7 +217,7 @@
     }
 
     /// Returns whether nothing is delivered between two nodes.
-    pub(super) fn is_cut(&self, a: usize, b: usize) -> bool {
+    pub fn is_cut(&self, a: usize, b: usize) -> bool {
         let region = |at: usize| &*self.nodes[at].machine.own().region;
         let regions = (region(a), region(b));
         self.cut
@@ -220,9 +246,16 @@
         }
     }
 
+    fn handle(&mut self, at: usize, event: Event) -> Vec<Action> {
+        let start = Instant::now();
+        let actions = self.nodes[at].machine.handle(self.now, event);
+        self.busy += start.elapsed();
+        actions
+    }
+
     fn answer(&mut self, asker: Asker, to: usize, message: Message) {
         let event = Event::Received(message);
-        let actions = self.nodes[to].machine.handle(self.now, event);
+        let actions = self.handle(to, event);
         self.act(to, actions, Some(asker));
     }
 
@@ -327,13 +360,13 @@
 }
 
 /// Returns the address of a node.
-pub(super) fn address(at: usize) -> Address {
+pub fn address(at: usize) -> Address {
     let ip = Ipv4Addr::from_bits(0x0a00_0000 + at as u32);
     SocketAddr::new(IpAddr::V4(ip), 7000)
 }
 
 /// Returns the record of a node that has just started.
-pub(super) fn member(at: usize, region: &str, zone: &str) -> Member {
+pub fn member(at: usize, region: &str, zone: &str) -> Member {
     Member {
         node: format!("n{at}-018f3a5e-7c1b-7def-8a45-{at:012x}").into(),
         vm: format!("vm-{at}").into(),
@@ -348,7 +381,7 @@
 }
 
 /// Returns what a node would say about a state of another.
-pub(super) fn change(node: &NodeId, state: MemberState, incarnation: u64) -> StateChange {
+pub fn change(node: &NodeId, state: MemberState, incarnation: u64) -> StateChange {
     StateChange {
         node: node.clone(),
         state,
--- a/src/core/membership/merge.rs
+++ b/src/core/membership/merge.rs
@@ -164,12 +164,14 @@
             // The sender's suspicion is taken only once the member itself is known.
             member.state = MemberState::Alive;
         }
-        let priority = match member.state {
-            MemberState::Leaving => Priority::Urgent,
-            _ => Priority::Member,
-        };
+        let state = member.state;
         self.table.set(member);
-        self.tell_member(&node, priority);
+        match state {
+            MemberState::Leaving => self.tell_member(&node, Priority::Urgent),
+            // What a starting node learns, the others know already.
+            _ if self.is_complete => self.tell_member(&node, Priority::Member),
+            _ => {}
+        }
         Merged::Taken
     }
 
--- a/tests/testsuite/membership/against_full_mesh.rs
+++ b/tests/testsuite/membership/against_full_mesh.rs
@@ -8,7 +8,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed};
 
-use super::net::Net;
+use jayhall_harness::net::Net;
 
 const SECOND: Duration = Duration::from_secs(1);
 const ZONES: [(&str, &str); 3] = [
--- a/tests/testsuite/membership/mod.rs
+++ b/tests/testsuite/membership/mod.rs
@@ -1,9 +1,7 @@
 //! Membership on injected time, and gossip between listeners on loopback.
 
 mod against_full_mesh;
-mod net;
 mod peers;
 mod reports;
 mod states;
-mod stub;
 mod wire;
--- a/tests/testsuite/membership/peers.rs
+++ b/tests/testsuite/membership/peers.rs
@@ -13,7 +13,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use super::stub::StubNode;
+use jayhall_harness::GossipNode;
 
 /// Longest wait for what is due within seconds.
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -60,10 +60,10 @@
 
 #[tokio::test]
 async fn nodes_join_through_a_seed_and_notice_that_one_is_gone() {
-    let first = StubNode::spawn(0, "addis-1", &[], None).await;
+    let first = GossipNode::spawn(0, "addis-1", &[], None).await.unwrap();
     let seeds = [first.address];
-    let second = StubNode::spawn(1, "addis-2", &seeds, None).await;
-    let third = StubNode::spawn(2, "addis-1", &seeds, None).await;
+    let second = GossipNode::spawn(1, "addis-2", &seeds, None).await.unwrap();
+    let third = GossipNode::spawn(2, "addis-1", &seeds, None).await.unwrap();
     for node in [&first, &second, &third] {
         assert!(node.wait_for(3, PATIENCE).await);
     }
@@ -76,9 +76,13 @@
 #[tokio::test]
 async fn nodes_with_certificates_of_one_authority_join() {
     let authority = Authority::new();
-    let first = StubNode::spawn(0, "addis-1", &[], Some(authority.tls())).await;
+    let first = GossipNode::spawn(0, "addis-1", &[], Some(authority.tls()))
+        .await
+        .unwrap();
     let seeds = [first.address];
-    let second = StubNode::spawn(1, "addis-2", &seeds, Some(authority.tls())).await;
+    let second = GossipNode::spawn(1, "addis-2", &seeds, Some(authority.tls()))
+        .await
+        .unwrap();
     assert!(first.wait_for(2, PATIENCE).await);
     assert!(second.wait_for(2, PATIENCE).await);
 }
@@ -87,7 +91,9 @@
 async fn peers_without_a_certificate_of_the_authority_are_refused() {
     let authority = Authority::new();
     let other = Authority::new();
-    let node = StubNode::spawn(0, "addis-1", &[], Some(authority.tls())).await;
+    let node = GossipNode::spawn(0, "addis-1", &[], Some(authority.tls()))
+        .await
+        .unwrap();
 
     let plain = Pool::open(None, Pings::InUse).unwrap();
     assert!(!is_answered(&plain, node.address).await, "plain text");
@@ -108,7 +114,9 @@
 async fn a_node_gives_nothing_to_a_listener_of_another_authority() {
     let authority = Authority::new();
     let other = Authority::new();
-    let node = StubNode::spawn(0, "addis-1", &[], Some(other.tls())).await;
+    let node = GossipNode::spawn(0, "addis-1", &[], Some(other.tls()))
+        .await
+        .unwrap();
     let pool = Pool::open(Some(&authority.tls()), Pings::InUse).unwrap();
     assert!(!is_answered(&pool, node.address).await);
 }
@@ -119,7 +127,9 @@
     let (certificate, key) = authority.certificate("web.example");
     let pem = authority.0.pem();
     let tls = PeerTls::from_pem(certificate.as_bytes(), key.as_bytes(), pem.as_bytes());
-    let node = StubNode::spawn(0, "addis-1", &[], Some(tls)).await;
+    let node = GossipNode::spawn(0, "addis-1", &[], Some(tls))
+        .await
+        .unwrap();
     let pool = Pool::open(Some(&authority.tls()), Pings::InUse).unwrap();
     assert!(!is_answered(&pool, node.address).await);
 }
@@ -167,10 +177,13 @@
 }
 
 /// Starts a node that others reach only through a proxy.
-async fn node_behind_proxy(at: usize, seeds: &[SocketAddr]) -> (StubNode, Arc<watch::Sender<u32>>) {
+async fn node_behind_proxy(
+    at: usize,
+    seeds: &[SocketAddr],
+) -> (GossipNode, Arc<watch::Sender<u32>>) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let (address, silenced) = silencing_proxy(listener.local_addr().unwrap()).await;
-    let node = StubNode::spawn_on(listener, at, "addis-1", (address, seeds), None);
+    let node = GossipNode::spawn_on(listener, at, "addis-1", (address, seeds), None).unwrap();
     (node, silenced)
 }
 
--- a/tests/testsuite/membership/reports.rs
+++ b/tests/testsuite/membership/reports.rs
@@ -6,7 +6,7 @@
     BackendNotice, CustomerUse, DocumentRevision, Event, HomeLoad, Message, sum_name, tuning,
 };
 
-use super::net::Net;
+use jayhall_harness::net::Net;
 
 const SECOND: Duration = Duration::from_secs(1);
 const ZONES: [(&str, &str); 3] = [
--- a/tests/testsuite/membership/states.rs
+++ b/tests/testsuite/membership/states.rs
@@ -4,7 +4,7 @@
 
 use jayhall::core::membership::{Event, MemberRecord, MemberState, Message};
 
-use super::net::{Net, change};
+use jayhall_harness::net::{Net, change};
 
 const ZONES: [(&str, &str); 3] = [
     ("addis", "addis-1"),
--- /dev/null
+++ b/xtask/src/slopes/decisions.rs
@@ -0,0 +1,96 @@
+//! What it costs to find homes, copies and owners by rendezvous.
+
+use std::hint::black_box;
+use std::time::{Duration, Instant};
+
+use jayhall::core::cells::{Homes, home_of, replica_of, shard_owner};
+use jayhall::core::fleet::{Backend, BackendKind, FleetView, Market};
+use jayhall::core::membership::{Member, MemberView};
+use jayhall_harness::net;
+
+use super::report::Series;
+
+const ENGINES: [usize; 6] = [10, 50, 200, 900, 2700, 5400];
+const MEMBERS: [usize; 6] = [8, 32, 128, 256, 512, 1100];
+const REGIONS: usize = 6;
+const ZONES_PER_REGION: usize = 3;
+/// Least time over which one decision is repeated.
+const MEASURED: Duration = Duration::from_millis(300);
+
+/// Measures the decisions at all sizes.
+pub(super) fn measure() -> Vec<Series> {
+    let mut table = Series::new(
+        "homes of all engines, microseconds, 1,100 members",
+        "engines",
+    );
+    let members = view(1100);
+    for count in ENGINES {
+        let fleet = fleet(count);
+        table.push(count, time(|| Homes::of(black_box(&fleet), &members, None)));
+    }
+    let size = "members";
+    let mut home = Series::new("home of one engine, microseconds", size);
+    let mut copy = Series::new("copy of one request, microseconds", size);
+    let mut owner = Series::new("owner of one shard, microseconds", size);
+    for count in MEMBERS {
+        let view = view(count);
+        let engine = engine(1);
+        home.push(count, time(|| home_of(black_box(&engine), &view)));
+        let serving = &view.members[0].node;
+        copy.push(
+            count,
+            time(|| replica_of(black_box("request"), serving, &view)),
+        );
+        owner.push(count, time(|| shard_owner(black_box(7), Some("r0"), &view)));
+    }
+    vec![table, home, copy, owner]
+}
+
+fn time<T>(decide: impl Fn() -> T) -> f64 {
+    let start = Instant::now();
+    let mut rounds = 0_u32;
+    while start.elapsed() < MEASURED {
+        black_box(decide());
+        rounds += 1;
+    }
+    start.elapsed().as_secs_f64() * 1e6 / f64::from(rounds)
+}
+
+fn place(at: usize) -> (String, String) {
+    let region = at % REGIONS;
+    let zone = at / REGIONS % ZONES_PER_REGION;
+    (format!("r{region}"), format!("r{region}-{zone}"))
+}
+
+fn view(count: usize) -> MemberView {
+    let members = (0..count).map(|at| {
+        let (region, zone) = place(at);
+        net::member(at, &region, &zone)
+    });
+    let mut members: Vec<Member> = members.collect();
+    members.sort_by(|a, b| a.node.cmp(&b.node));
+    MemberView { members }
+}
+
+fn fleet(count: usize) -> FleetView {
+    FleetView {
+        revision: 1,
+        backends: (0..count).map(engine).collect(),
+    }
+}
+
+fn engine(at: usize) -> Backend {
+    let (region, zone) = place(at);
+    Backend {
+        vm: format!("engine-{at}").into(),
+        kind: BackendKind::Engine,
+        region: region.into(),
+        zone: zone.into(),
+        class: "small".into(),
+        market: Market::Reclaimable,
+        address: net::address(at),
+        serves: [Box::from("chat")].into_iter().collect(),
+        reclaim_at: None,
+        is_leaving: false,
+    }
+}
--- /dev/null
+++ b/xtask/src/slopes/members.rs
@@ -0,0 +1,180 @@
+//! What membership costs a node, with the state machines of all nodes in one process.
+//!
+//! Time is that of the loop, so only the machines' own processor time counts. Encoding and the network
+//! are measured by `loopback`.
+
+use std::time::Duration;
+
+use eyre::{Result, WrapErr};
+use jayhall::core::membership::{CustomerUse, Event, HomeLoad, MemberState};
+use jayhall_harness::net::Net;
+
+use super::report::Series;
+
+const SECOND: Duration = Duration::from_secs(1);
+const SIZES: [usize; 10] = [2, 4, 8, 16, 32, 64, 128, 256, 512, 1100];
+/// Time for the first exchanges to settle.
+const WARM_UP: u32 = 20;
+/// Time that is measured.
+const MEASURED: u32 = 30;
+/// Longest wait for a change to be known by all.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// Models for which each node reports its load each second.
+const MODELS: [&str; 2] = ["chat", "designs"];
+/// Customers whose use each node reports each second.
+const CUSTOMERS: [&str; 5] = ["abebe", "bekele", "chaltu", "desta", "eleni"];
+/// Members of 1,100 that leave at once in a wave, in percent.
+const WAVE_PERCENT: usize = 48;
+
+/// Returns the zones of a fleet: three of two regions for small ones, 16 of 6 regions for large ones.
+fn zones(count: usize) -> Vec<(&'static str, &'static str)> {
+    const LARGE: [(&str, &str); 16] = [
+        ("r0", "r0-0"),
+        ("r0", "r0-1"),
+        ("r0", "r0-2"),
+        ("r1", "r1-0"),
+        ("r1", "r1-1"),
+        ("r1", "r1-2"),
+        ("r2", "r2-0"),
+        ("r2", "r2-1"),
+        ("r2", "r2-2"),
+        ("r3", "r3-0"),
+        ("r3", "r3-1"),
+        ("r3", "r3-2"),
+        ("r4", "r4-0"),
+        ("r4", "r4-1"),
+        ("r5", "r5-0"),
+        ("r5", "r5-1"),
+    ];
+    if count >= 64 {
+        LARGE.to_vec()
+    } else {
+        vec![("r0", "r0-0"), ("r0", "r0-1"), ("r1", "r1-0")]
+    }
+}
+
+fn fleet(count: usize) -> Net {
+    let mut net = Net::with_nodes(1, count, &zones(count));
+    net.introduce_all();
+    net.run(SECOND * WARM_UP);
+    net
+}
+
+fn reset(net: &mut Net) {
+    net.busy = Duration::ZERO;
+    for node in &mut net.nodes {
+        (node.sent, node.messages, node.largest) = (0, 0, 0);
+    }
+}
+
+fn report_all(net: &mut Net, second: u32) {
+    for at in 0..net.nodes.len() {
+        for model in MODELS {
+            let load = HomeLoad {
+                model: model.into(),
+                slots: 40,
+                running: second,
+                waiting_tokens: [1000, 1000, 1000].into_iter().collect(),
+                ..HomeLoad::default()
+            };
+            net.event(at, Event::LoadReported(load));
+        }
+        for customer in CUSTOMERS {
+            let used = CustomerUse {
+                customer: customer.into(),
+                tokens: u64::from(second) * 100,
+                in_flight: 3,
+                ..CustomerUse::default()
+            };
+            net.event(at, Event::UseReported(used));
+        }
+    }
+}
+
+/// Returns the resident memory of this process in bytes.
+pub(super) fn resident_bytes() -> Result<f64> {
+    const PAGE_BYTES: f64 = 4096.0;
+    let text = std::fs::read_to_string("/proc/self/statm")?;
+    let pages: f64 = text.split(' ').nth(1).unwrap_or_default().parse()?;
+    Ok(pages * PAGE_BYTES)
+}
+
+/// Measures membership at all sizes up to `most`.
+pub(super) fn measure(most: usize) -> Result<Vec<Series>> {
+    let members = "members";
+    let mut quiet_cpu = Series::new("quiet: processor time, microseconds/s per node", members);
+    let mut quiet_bytes = Series::new("quiet: bytes sent/s per node", members);
+    let mut busy_cpu = Series::new(
+        "with reports: processor time, microseconds/s per node",
+        members,
+    );
+    let mut busy_bytes = Series::new("with reports: bytes sent/s per node", members);
+    let mut largest = Series::new("with reports: largest message, bytes", members);
+    let mut memory = Series::new("with reports: memory per node, kilobytes", members);
+    let mut leaving = Series::new("time until all know that a node leaves, ms", members);
+    let mut wave = Series::new("time until all know that 48% leave at once, ms", members);
+    for count in SIZES.into_iter().filter(|count| *count <= most) {
+        eprintln!("slopes: {count} members");
+        let before = resident_bytes()?;
+        let mut net = fleet(count);
+        let per_node = |total: f64| total / count as f64 / f64::from(MEASURED);
+
+        reset(&mut net);
+        net.run(SECOND * MEASURED);
+        quiet_cpu.push(count, per_node(net.busy.as_secs_f64() * 1e6));
+        let sent: usize = net.nodes.iter().map(|node| node.sent).sum();
+        quiet_bytes.push(count, per_node(sent as f64));
+
+        reset(&mut net);
+        for second in 0..MEASURED {
+            report_all(&mut net, second);
+            net.run(SECOND);
+        }
+        busy_cpu.push(count, per_node(net.busy.as_secs_f64() * 1e6));
+        let sent: usize = net.nodes.iter().map(|node| node.sent).sum();
+        busy_bytes.push(count, per_node(sent as f64));
+        let most = net.nodes.iter().map(|node| node.largest).max();
+        largest.push(count, most.unwrap_or(0) as f64);
+        let grown = resident_bytes()? - before;
+        memory.push(count, grown / count as f64 / 1024.0);
+
+        leaving.push(count, time_to_leave(&mut net, &[0])?);
+        let wave_len = count * WAVE_PERCENT / 100;
+        if wave_len > 0 {
+            let nodes: Vec<_> = (1..=wave_len).collect();
+            wave.push(count, time_to_leave(&mut net, &nodes)?);
+        }
+    }
+    Ok(vec![
+        quiet_cpu,
+        quiet_bytes,
+        busy_cpu,
+        busy_bytes,
+        largest,
+        memory,
+        leaving,
+        wave,
+    ])
+}
+
+/// Has nodes leave at once. Returns the milliseconds until all others know.
+fn time_to_leave(net: &mut Net, nodes: &[usize]) -> Result<f64> {
+    for at in nodes {
+        net.event(*at, Event::Leave);
+    }
+    let names: Vec<_> = nodes.iter().map(|at| net.name(*at)).collect();
+    let took = net.run_until(PATIENCE, |net| {
+        net.nodes.iter().all(|node| {
+            let table = node.machine.table();
+            let is_known = |name| {
+                table
+                    .get(name)
+                    .is_none_or(|m| m.state == MemberState::Leaving)
+            };
+            names.iter().all(|name| is_known(name))
+        })
+    });
+    took.map(|took| took.as_secs_f64() * 1e3)
+        .ok_or_else(|| eyre::eyre!("not all nodes know of the leaving ones"))
+        .wrap_err_with(|| format!("{} members, {} leaving", net.nodes.len(), nodes.len()))
+}
