Add the ledger's state machine and search its states in small bounds

A call that may not be repeated has to run at most once though its owner may die, freeze or lose the store's answer at any step. The ledger dispatches a call only once its intent is in the store under the writer's own name and attempt; every write compares the revision of the shard's head. Another writer's intent is never void.

The search visits every order of asks, store calls, lost answers, late writes, crashes and ends of attempts for two owners. Two of its tests take a mechanism out and have to find a double run: the store without the compare, and a life that reuses the name of the one before.

--- /dev/null
+++ b/src/core/ledger/page.rs
@@ -0,0 +1,132 @@
+//! Values that a shard keeps in the store.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+
+use super::entry::{Entry, EntryState, Outcome};
+use super::key::{EntryKey, Epoch};
+use crate::core::id::{AttemptNumber, NodeId};
+
+/// Counts changes of the store as a whole, from 1.
+pub type Revision = u64;
+
+/// Largest encoded page, in bytes.
+pub const MAX_PAGE_BYTES: usize = 256 * 1024;
+/// Largest body that is kept with an outcome, in bytes.
+pub const MAX_BODY_BYTES: usize = 2 * 1024;
+/// Size of a page up to which bodies are kept; what is above is left to entries, in bytes.
+const MAX_BYTES_WITH_BODIES: usize = 160 * 1024;
+/// Most that an entry takes beyond its texts and its body, in bytes.
+const ENTRY_BYTES: usize = 72;
+/// Most that a page takes beyond its entries, in bytes.
+const PAGE_BYTES: usize = 16;
+/// Longest content type that is kept, in bytes.
+const MAX_CONTENT_TYPE_BYTES: usize = 64;
+
+/// The value that each write of a shard compares and replaces.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Head {
+    /// Life of a process that wrote last; empty before the first write.
+    pub writer: NodeId,
+    /// Number of the write among those of the shard.
+    pub sequence: u64,
+    /// First page that is kept. Keys of earlier pages are expired, whatever the clock says.
+    pub floor: Epoch,
+}
+
+/// Entries of one span of time.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub struct Page {
+    entries: BTreeMap<EntryKey, Entry>,
+    bytes: usize,
+}
+
+impl Page {
+    /// Returns an entry.
+    pub fn get(&self, key: &EntryKey) -> Option<&Entry> {
+        self.entries.get(key)
+    }
+
+    /// Returns all entries, sorted by key.
+    pub fn entries(&self) -> impl ExactSizeIterator<Item = (&EntryKey, &Entry)> {
+        self.entries.iter()
+    }
+
+    /// Returns whether a new entry has room, its outcome without a body included.
+    pub fn has_room(&self, key: &EntryKey, writer: &str) -> bool {
+        self.bytes + intent_bytes(key, writer) + PAGE_BYTES <= MAX_PAGE_BYTES
+    }
+
+    /// Returns an upper bound of the encoded size in bytes.
+    pub fn max_encoded_bytes(&self) -> usize {
+        self.bytes + PAGE_BYTES
+    }
+
+    /// Sets an entry. What is too large of an outcome is left out.
+    pub fn insert(&mut self, key: EntryKey, mut entry: Entry) {
+        self.remove(&key);
+        if let EntryState::Answered(outcome) = &mut entry.state {
+            trim(outcome);
+        }
+        if self.bytes + entry_bytes(&key, &entry) > MAX_BYTES_WITH_BODIES
+            && let EntryState::Answered(outcome) = &mut entry.state
+        {
+            outcome.body = None;
+        }
+        self.bytes += entry_bytes(&key, &entry);
+        self.entries.insert(key, entry);
+    }
+
+    /// Removes an entry.
+    pub fn remove(&mut self, key: &EntryKey) {
+        if let Some(old) = self.entries.remove(key) {
+            self.bytes -= entry_bytes(key, &old);
+        }
+    }
+
+    /// Removes the intents of a writer that `is_void` names: those that were never dispatched.
+    pub fn remove_intents(&mut self, of: &str, is_void: impl Fn(&EntryKey, AttemptNumber) -> bool) {
+        let void: Vec<EntryKey> = self
+            .entries
+            .iter()
+            .filter(|(key, entry)| match &entry.state {
+                EntryState::Intent { writer, attempt } => &**writer == of && is_void(key, *attempt),
+                EntryState::Answered(_) | EntryState::MayHaveRun => false,
+            })
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in void {
+            self.remove(&key);
+        }
+    }
+}
+
+fn trim(outcome: &mut Outcome) {
+    if outcome
+        .body
+        .as_ref()
+        .is_some_and(|body| body.len() > MAX_BODY_BYTES)
+    {
+        outcome.body = None;
+    }
+    if outcome.content_type.len() > MAX_CONTENT_TYPE_BYTES {
+        outcome.content_type = Box::default();
+    }
+}
+
+/// An intent takes the room that its outcome without a body may need.
+fn intent_bytes(key: &EntryKey, writer: &str) -> usize {
+    ENTRY_BYTES + key.customer.len() + writer.len().max(MAX_CONTENT_TYPE_BYTES)
+}
+
+fn entry_bytes(key: &EntryKey, entry: &Entry) -> usize {
+    match &entry.state {
+        EntryState::Intent { writer, .. } => intent_bytes(key, writer),
+        EntryState::Answered(outcome) => {
+            let body = outcome.body.as_ref().map_or(0, Bytes::len);
+            ENTRY_BYTES + key.customer.len() + outcome.content_type.len() + body
+        }
+        EntryState::MayHaveRun => ENTRY_BYTES + key.customer.len(),
+    }
+}
--- /dev/null
+++ b/src/core/ledger/shard/commit.rs
@@ -0,0 +1,168 @@
+//! Writes of a shard.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::{Cache, InStoreCall, MAX_DROPPED_AT_ONCE, Shard, Written, millis};
+use crate::core::id::AttemptNumber;
+use crate::core::ledger::entry::{BodyDigest, Entry, EntryState, Outcome, Settlement};
+use crate::core::ledger::key::{EntryKey, Epoch, MAX_KEY_AHEAD, epoch_at};
+use crate::core::ledger::page::{Head, Page, Revision};
+use crate::core::ledger::step::{Commit, Step};
+use crate::core::time::UnixMillis;
+
+impl Shard {
+    pub(super) fn build_commit(
+        &mut self,
+        wanted: &[Epoch],
+        now: UnixMillis,
+        retention: Duration,
+    ) -> Option<Commit> {
+        let cache = self.cache.as_ref()?;
+        let mut pages = wanted_pages(cache, wanted);
+        let intents = self.add_intents(&mut pages);
+        let settled = self.add_settlements(&mut pages);
+        if intents.is_empty() && settled.is_empty() {
+            return None;
+        }
+        for page in pages.values_mut() {
+            page.remove_intents(&self.writer, |key, attempt| self.is_void(key, attempt));
+        }
+        let (floor, dropped) = self.raise_floor(cache, now, retention);
+        let head = Head {
+            writer: self.writer.clone(),
+            sequence: cache.head.sequence + 1,
+            floor,
+        };
+        let expected = cache.revision;
+        let pages: Vec<_> = pages
+            .into_iter()
+            .filter(|(epoch, _)| *epoch >= floor)
+            .collect();
+        self.in_store_call = Some(InStoreCall::Commit(Written {
+            head: head.clone(),
+            pages: pages.clone(),
+            dropped: dropped.clone(),
+            intents,
+            settled,
+        }));
+        Some(Commit {
+            expected,
+            head,
+            pages,
+            dropped,
+        })
+    }
+
+    pub(super) fn add_intents(
+        &self,
+        pages: &mut BTreeMap<Epoch, Page>,
+    ) -> Vec<(EntryKey, AttemptNumber)> {
+        let mut added = Vec::new();
+        for (key, queued) in &self.queued {
+            let Some(page) = pages.get_mut(&key.key.epoch()) else {
+                continue;
+            };
+            if !page.has_room(key, &self.writer) {
+                continue;
+            }
+            let state = EntryState::Intent {
+                writer: self.writer.clone(),
+                attempt: queued.attempt,
+            };
+            let digest = queued.digest;
+            page.insert(key.clone(), Entry { digest, state });
+            added.push((key.clone(), queued.attempt));
+        }
+        added
+    }
+
+    pub(super) fn add_settlements(
+        &self,
+        pages: &mut BTreeMap<Epoch, Page>,
+    ) -> Vec<(EntryKey, AttemptNumber)> {
+        let mut added = Vec::new();
+        for (key, running) in &self.running {
+            let Some(settlement) = &running.settlement else {
+                continue;
+            };
+            let Some(page) = pages.get_mut(&key.key.epoch()) else {
+                continue;
+            };
+            settle(page, key, running.digest, settlement);
+            added.push((key.clone(), running.attempt));
+        }
+        added
+    }
+
+    /// Returns whether an own intent was never dispatched and is not about to be.
+    pub(super) fn is_void(&self, key: &EntryKey, attempt: AttemptNumber) -> bool {
+        let is_queued = self.queued.get(key).is_some_and(|q| q.attempt == attempt);
+        let is_running = self.running.get(key).is_some_and(|r| r.attempt == attempt);
+        !is_queued && !is_running
+    }
+
+    pub(super) fn applied(
+        &mut self,
+        now: UnixMillis,
+        revision: Revision,
+        written: Written,
+    ) -> Vec<Step> {
+        if let Some(cache) = &mut self.cache {
+            cache.revision = revision;
+            cache.head = written.head;
+            cache.pages.extend(written.pages);
+            cache
+                .pages
+                .retain(|epoch, _| !written.dropped.contains(epoch));
+        }
+        for (key, attempt) in written.settled {
+            if self.running.get(&key).is_some_and(|r| r.attempt == attempt) {
+                self.running.remove(&key);
+            }
+        }
+        let started = written.intents.into_iter();
+        let mut steps: Vec<Step> = started
+            .filter_map(|(key, attempt)| self.start(key, attempt))
+            .collect();
+        steps.extend(self.resolve_queued(now));
+        self.trim_cache(now);
+        steps
+    }
+
+    /// Returns the floor of the next write and the pages below it that the write deletes. The floor
+    /// stays behind the retention by the most that clocks may differ, and below all waiting calls.
+    pub(super) fn raise_floor(
+        &self,
+        cache: &Cache,
+        now: UnixMillis,
+        retention: Duration,
+    ) -> (Epoch, Vec<Epoch>) {
+        let old = cache.head.floor;
+        let oldest = now.saturating_sub(millis(retention) + millis(MAX_KEY_AHEAD));
+        let queued = self.queued.keys().map(|key| key.key.epoch());
+        let wanted = queued.fold(epoch_at(oldest), Epoch::min);
+        if cache.revision == 0 {
+            return (wanted, Vec::new());
+        }
+        let floor = wanted.clamp(old, old + MAX_DROPPED_AT_ONCE);
+        (floor, (old..floor).collect())
+    }
+}
+
+/// Returns copies of the pages that a write may change.
+fn wanted_pages(cache: &Cache, wanted: &[Epoch]) -> BTreeMap<Epoch, Page> {
+    wanted
+        .iter()
+        .filter_map(|epoch| Some((*epoch, cache.pages.get(epoch)?.clone())))
+        .collect()
+}
+
+fn settle(page: &mut Page, key: &EntryKey, digest: BodyDigest, settlement: &Settlement) {
+    let state = match settlement {
+        Settlement::Answered(outcome) => EntryState::Answered(Outcome::clone(outcome)),
+        Settlement::MayHaveRun => EntryState::MayHaveRun,
+        Settlement::NotRun => return page.remove(key),
+    };
+    page.insert(key.clone(), Entry { digest, state });
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -8,6 +8,7 @@
 pub mod document;
 pub mod fleet;
 pub mod id;
+pub mod ledger;
 pub mod membership;
 pub mod time;
 pub mod verdict;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,4 +4,5 @@
 #![allow(clippy::unwrap_used)]
 
 mod ini;
+mod ledger_search;
 mod store_contract;
