--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -1,5 +1,11 @@
 //! How one process is assembled and stopped.
 
 mod blackboard;
+mod context;
+mod daemon;
+mod process;
 
 pub use blackboard::{Blackboard, Identity, Installed, Phase, SectionOf};
+pub use context::NodeContext;
+pub use daemon::Daemon;
+pub use process::{Left, Node, http_client};
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -1,1 +1,16 @@
 //! One module for each operation.
+
+pub mod accept;
+pub mod choose_home;
+pub mod directory;
+pub mod follow;
+pub mod gossip;
+pub mod hand_over;
+pub mod home;
+pub(crate) mod keep_copy;
+pub mod publish;
+pub mod replicate;
+pub mod requests;
+pub mod run_request;
+pub mod spread;
+pub mod watch_fleet;
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -1,5 +1,12 @@
 //! What nodes say to each other.
 
+mod convert_member;
+pub mod convert_request;
 mod pool;
+mod server;
+pub mod tls;
 
-pub use pool::Pool;
+pub use convert_member::ConvertError;
+pub use pool::{Pings, Pool, PoolError};
+pub use server::PeerService;
+pub use tls::PeerTls;
--- a/src/util/mod.rs
+++ b/src/util/mod.rs
@@ -1,3 +1,10 @@
 //! Settings, logs, metrics and time.
 
+pub mod fields;
 pub mod ini;
+pub mod logs;
+pub mod problem;
+pub mod schema;
+pub mod settings;
+pub mod time;
+pub mod value;
