--- a/src/core/ledger/shard/mod.rs
+++ b/src/core/ledger/shard/mod.rs
@@ -10,7 +10,7 @@
 use super::entry::{BodyDigest, Entry, Settlement};
 use super::key::{EntryKey, Epoch, epoch_at};
 use super::page::{Head, Page, Revision};
-use super::step::{CommitResult, Next, Step};
+use super::step::{CommitResult, Next, Step, Want};
 use crate::core::id::{AttemptNumber, NodeId};
 use crate::core::time::UnixMillis;
 
@@ -145,25 +145,33 @@
         self.running.len()
     }
 
+    /// Returns which kind of call [`Shard::next`] would ask for.
+    pub fn want(&self) -> Want {
+        let wanted = self.wanted_epochs();
+        if self.in_store_call.is_some() || wanted.is_empty() {
+            return Want::Nothing;
+        }
+        match self.cache.is_none() || !self.missing(&wanted).is_empty() {
+            true => Want::Load,
+            false => Want::Commit,
+        }
+    }
+
     /// Returns what the shard needs from the store. After `Load` or `Commit` the answer is due before
     /// anything else is asked.
     pub fn next(&mut self, now: UnixMillis, retention: Duration) -> Next {
-        if self.in_store_call.is_some() {
-            return Next::Wait;
-        }
         let wanted = self.wanted_epochs();
-        if wanted.is_empty() {
-            return Next::Idle;
-        }
-        let missing = self.missing(&wanted);
-        if self.cache.is_none() || !missing.is_empty() {
-            self.in_store_call = Some(InStoreCall::Load);
-            return Next::Load(missing);
+        match self.want() {
+            Want::Nothing if self.in_store_call.is_some() => Next::Wait,
+            Want::Nothing => Next::Idle,
+            Want::Load => {
+                self.in_store_call = Some(InStoreCall::Load);
+                Next::Load(self.missing(&wanted))
+            }
+            Want::Commit => self
+                .build_commit(&wanted, now, retention)
+                .map_or(Next::Idle, Next::Commit),
         }
-        let Some(commit) = self.build_commit(&wanted, now, retention) else {
-            return Next::Idle;
-        };
-        Next::Commit(commit)
     }
 
     /// Takes the answer to `Load`. Returns what becomes of waiting calls.
--- a/src/core/ledger/step.rs
+++ b/src/core/ledger/step.rs
@@ -78,6 +78,17 @@
     Refuse(EntryKey, Refusal),
 }
 
+/// Kind of call that a shard would make next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Want {
+    /// None, or one is under way.
+    Nothing,
+    /// A read.
+    Load,
+    /// A write.
+    Commit,
+}
+
 /// What a shard needs from the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Next {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -17,5 +17,6 @@
 pub mod membership;
 pub mod queue;
 pub mod request;
+pub mod service_call;
 pub mod time;
 pub mod verdict;
--- /dev/null
+++ b/src/ops/call_service/ask.rs
@@ -0,0 +1,100 @@
+//! Asks the owner of a shard over the peer protocol.
+
+use std::error::Error;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::BoxFuture;
+use jayhall_wire as wire;
+use thiserror::Error;
+use tonic::Status;
+
+use crate::core::id::Address;
+use crate::core::service_call::{CallReply, ServiceCall};
+use crate::core::verdict::Verdict;
+use crate::peers::Pool;
+
+/// How much longer than the caller's time an answer is waited for, so that the owner's own refusal
+/// arrives.
+const ANSWER_MARGIN: Duration = Duration::from_millis(250);
+
+/// Why another node gave no answer.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub enum AskError {
+    /// Nothing was sent.
+    #[error("the node was not reached")]
+    NotSent,
+    /// Something was sent and no answer came.
+    #[error("the node's answer was lost")]
+    Lost,
+}
+
+impl AskError {
+    /// Returns whether the call may have run.
+    pub fn verdict(self) -> Verdict {
+        match self {
+            Self::NotSent => Verdict::NotRun,
+            Self::Lost => Verdict::MayHaveRun,
+        }
+    }
+}
+
+/// Asks other nodes to run calls.
+pub trait AskOwner: Send + Sync {
+    /// Asks one node once.
+    fn ask(
+        &self,
+        address: Address,
+        call: ServiceCall,
+    ) -> BoxFuture<'static, Result<CallReply, AskError>>;
+}
+
+/// Asks over the peer protocol.
+#[derive(Clone, Debug)]
+pub struct PeerOwners {
+    pool: Arc<Pool>,
+}
+
+impl PeerOwners {
+    /// Creates a client on a pool of connections.
+    pub fn new(pool: Arc<Pool>) -> Self {
+        Self { pool }
+    }
+}
+
+impl AskOwner for PeerOwners {
+    fn ask(
+        &self,
+        address: Address,
+        call: ServiceCall,
+    ) -> BoxFuture<'static, Result<CallReply, AskError>> {
+        let pool = self.pool.clone();
+        Box::pin(async move {
+            let within = call.timeout + ANSWER_MARGIN;
+            let mut client = pool.client(address);
+            let asked = client.call_service(wire::ServiceCallRequest::from(call));
+            match tokio::time::timeout(within, asked).await {
+                Ok(Ok(reply)) => Ok(reply.into_inner().into()),
+                Ok(Err(status)) => {
+                    pool.forget(address);
+                    Err(failure(&status))
+                }
+                Err(_) => {
+                    pool.forget(address);
+                    Err(AskError::Lost)
+                }
+            }
+        })
+    }
+}
+
+fn failure(status: &Status) -> AskError {
+    let mut cause = status.source();
+    while let Some(e) = cause {
+        if e.is::<tonic::ConnectError>() {
+            return AskError::NotSent;
+        }
+        cause = e.source();
+    }
+    AskError::Lost
+}
--- /dev/null
+++ b/src/ops/call_service/backends.rs
@@ -0,0 +1,115 @@
+//! Which back end of a service gets the next call of this node.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use crate::core::document::ServiceRule;
+use crate::core::fleet::{Backend, BackendKind};
+use crate::core::id::{Address, VmId};
+use crate::node::Blackboard;
+
+/// Calls of this node that are under way.
+#[derive(Debug)]
+pub(super) struct Backends {
+    board: Arc<Blackboard>,
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    in_flight: Mutex<HashMap<VmId, u16>>,
+    freed: Notify,
+}
+
+/// What a wait for a back end gave.
+pub(super) enum Acquired {
+    /// The right to send one call.
+    Slot(Slot),
+    /// No back end, or none with a free slot in time.
+    Nothing,
+}
+
+/// The right to send one call to a back end; given back when dropped.
+#[derive(Debug)]
+pub(super) struct Slot {
+    pub(super) vm: VmId,
+    pub(super) address: Address,
+    shared: Arc<Shared>,
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let mut in_flight = self.shared.in_flight.lock();
+        if let Some(count) = in_flight.get_mut(&self.vm) {
+            *count -= 1;
+            if *count == 0 {
+                in_flight.remove(&self.vm);
+            }
+        }
+        drop(in_flight);
+        self.shared.freed.notify_waiters();
+    }
+}
+
+enum Choice {
+    Slot(Slot),
+    /// All back ends are at their limit.
+    Full,
+    NoBackend,
+}
+
+impl Backends {
+    pub(super) fn new(board: Arc<Blackboard>) -> Self {
+        Self {
+            board,
+            shared: Arc::default(),
+        }
+    }
+
+    /// Waits for a free slot on a back end that is not leaving and is none of `tried`.
+    pub(super) async fn acquire(
+        &self,
+        rule: &ServiceRule,
+        tried: &[VmId],
+        until: Instant,
+    ) -> Acquired {
+        loop {
+            let freed = self.shared.freed.notified();
+            match self.choose(rule, tried) {
+                Choice::Slot(slot) => return Acquired::Slot(slot),
+                Choice::NoBackend => return Acquired::Nothing,
+                Choice::Full => {}
+            }
+            if tokio::time::timeout_at(until, freed).await.is_err() {
+                return Acquired::Nothing;
+            }
+        }
+    }
+
+    fn choose(&self, rule: &ServiceRule, tried: &[VmId]) -> Choice {
+        let fleet = self.board.fleet.read();
+        let mut in_flight = self.shared.in_flight.lock();
+        let count_of = |backend: &Backend| in_flight.get(&backend.vm).copied().unwrap_or(0);
+        let least = fleet
+            .serving(BackendKind::Service, &rule.name)
+            .filter(|backend| !tried.contains(&backend.vm))
+            .map(|backend| (count_of(backend), backend))
+            .min_by_key(|(count, backend)| (*count, backend.vm.clone()));
+        match least {
+            None => Choice::NoBackend,
+            Some((count, _)) if count >= rule.slots_per_backend => Choice::Full,
+            Some((_, backend)) => {
+                *in_flight.entry(backend.vm.clone()).or_default() += 1;
+                Choice::Slot(Slot {
+                    vm: backend.vm.clone(),
+                    address: backend.address,
+                    shared: self.shared.clone(),
+                })
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/ops/call_service/mod.rs
@@ -0,0 +1,189 @@
+//! Calls to plain services: the side that callers reach, and the side that owns a call's shard.
+
+mod ask;
+mod backends;
+mod entry;
+mod repeatable;
+mod retry_budget;
+
+use std::fmt;
+use std::sync::Arc;
+
+use futures::future::BoxFuture;
+use tokio::time::Instant;
+
+use crate::core::cells::shard_owner;
+use crate::core::document::ServiceRule;
+use crate::core::id::{NodeId, RegionId};
+use crate::core::ledger::{EntryKey, Settlement};
+use crate::core::service_call::{CallRefusal, CallReply, RefusalCause, ServiceCall};
+use crate::node::Blackboard;
+use crate::ops::ledger::{Clock, Dispatch, Ledger, LedgerContext};
+use crate::sources::service::{BackendAsk, BackendCall, CallBackend};
+use crate::sources::store::Store;
+pub use ask::{AskError, AskOwner, PeerOwners};
+use backends::{Acquired, Backends};
+pub use repeatable::RepeatableCall;
+use retry_budget::RetryBudget;
+
+/// Most back ends that one call is offered to; only the last of them may have got it.
+const MAX_BACKENDS_TRIED: usize = 4;
+
+/// What calls to services need of their process.
+#[derive(Clone)]
+pub struct CallServiceContext {
+    /// What controllers write and everything else reads.
+    pub board: Arc<Blackboard>,
+    /// The platform's store.
+    pub store: Arc<dyn Store>,
+    /// Asks other nodes.
+    pub owners: Arc<dyn AskOwner>,
+    /// Sends calls to back ends.
+    pub backends: Arc<dyn CallBackend>,
+    /// Region of the store, where shards are owned while a node there works; `None` for all regions.
+    pub store_region: Option<RegionId>,
+    /// The time of day.
+    pub clock: Clock,
+}
+
+/// Calls to plain services.
+pub struct CallService {
+    board: Arc<Blackboard>,
+    owners: Arc<dyn AskOwner>,
+    store_region: Option<RegionId>,
+    sender: Arc<Sender>,
+    ledger: Ledger,
+    retries: RetryBudget,
+}
+
+impl fmt::Debug for CallService {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("CallService").finish_non_exhaustive()
+    }
+}
+
+impl CallService {
+    /// Starts the ledger's tasks and returns the running handle.
+    pub fn spawn(cx: CallServiceContext) -> Self {
+        let sender = Arc::new(Sender {
+            backends: Backends::new(cx.board.clone()),
+            board: cx.board.clone(),
+            client: cx.backends,
+        });
+        let ledger = Ledger::spawn(&LedgerContext {
+            board: cx.board.clone(),
+            store: cx.store,
+            dispatch: Arc::new(sender.clone()),
+            clock: cx.clock,
+        });
+        Self {
+            board: cx.board,
+            owners: cx.owners,
+            store_region: cx.store_region,
+            sender,
+            ledger,
+            retries: RetryBudget::default(),
+        }
+    }
+
+    /// Answers a call that another node forwards: runs it, or names the owner of its shard.
+    pub async fn handle(&self, call: ServiceCall) -> CallReply {
+        match self.owner_of(&call.entry_key()) {
+            Some(owner) if owner == self.board.identity.node => self.run_here(call).await,
+            Some(owner) => CallReply::Owner(owner),
+            None => no_owner(),
+        }
+    }
+
+    /// Returns the number of calls of this process that were sent and whose end is not yet in the store.
+    /// A process that leaves waits until there are none.
+    pub fn unsettled(&self) -> usize {
+        self.ledger.unsettled()
+    }
+
+    /// Returns the node that owns the shard of a call, as this node sees the members.
+    pub fn owner_of(&self, key: &EntryKey) -> Option<NodeId> {
+        let members = self.board.members.read();
+        let shard = u32::from(key.shard());
+        shard_owner(shard, self.store_region.as_deref(), &members)
+    }
+
+    async fn run_here(&self, call: ServiceCall) -> CallReply {
+        let config = self.board.config.read();
+        if config.document.service(&call.service).is_none() {
+            let refusal = CallRefusal::not_run(RefusalCause::UnknownService, None);
+            return CallReply::Refused(refusal);
+        }
+        self.ledger.run(call).await
+    }
+}
+
+fn no_owner() -> CallReply {
+    CallReply::Refused(CallRefusal::not_run(
+        RefusalCause::NoOwner,
+        Some(entry::OWNER_PAUSE),
+    ))
+}
+
+/// Sends calls to back ends with free slots.
+struct Sender {
+    board: Arc<Blackboard>,
+    backends: Backends,
+    client: Arc<dyn CallBackend>,
+}
+
+impl Sender {
+    fn rule(&self, service: &str) -> Option<ServiceRule> {
+        self.board.config.read().document.service(service).cloned()
+    }
+
+    /// Offers a call to one back end after another, until one may have got it.
+    async fn send_once(&self, rule: &ServiceRule, ask: BackendAsk, until: Instant) -> Settlement {
+        let mut tried = Vec::new();
+        while tried.len() < MAX_BACKENDS_TRIED {
+            let slot = match self.backends.acquire(rule, &tried, until).await {
+                Acquired::Slot(slot) => slot,
+                Acquired::Nothing => return Settlement::NotRun,
+            };
+            // The process may have been paused until now.
+            if Instant::now() >= until {
+                return Settlement::NotRun;
+            }
+            let call = BackendCall {
+                address: slot.address,
+                ask: ask.clone(),
+                timeout: rule.timeout,
+            };
+            match self.client.call(call).await {
+                Settlement::NotRun => tried.push(slot.vm.clone()),
+                settlement => return settlement,
+            }
+        }
+        Settlement::NotRun
+    }
+}
+
+impl Sender {
+    async fn send_call(self: Arc<Self>, call: Arc<ServiceCall>, until: Instant) -> Settlement {
+        let Some(rule) = self.rule(&call.service) else {
+            return Settlement::NotRun;
+        };
+        let ask = BackendAsk::Call {
+            key: call.key,
+            content_type: call.content_type.clone(),
+            body: call.body.clone(),
+        };
+        self.send_once(&rule, ask, until).await
+    }
+}
+
+/// A handle to the sender that the ledger holds.
+impl Dispatch for Arc<Sender> {
+    fn dispatch(
+        &self,
+        call: Arc<ServiceCall>,
+        deadline: Instant,
+    ) -> BoxFuture<'static, Settlement> {
+        Box::pin(self.clone().send_call(call, deadline))
+    }
+}
--- /dev/null
+++ b/src/ops/ledger/mod.rs
@@ -0,0 +1,122 @@
+//! Runs calls that may not be repeated under the ledger's rules.
+//!
+//! One task per shard owns a [`Shard`](crate::core::ledger::Shard) and groups its writes: at most one
+//! write and one read in [`COMMIT_INTERVAL`], so that the store's load is bounded by the number of
+//! shards and not by calls or nodes.
+
+mod persist;
+mod refusal;
+mod task;
+mod waiters;
+
+use std::fmt;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use futures::future::BoxFuture;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+
+use crate::core::id::NodeId;
+use crate::core::ledger::{SHARDS, Settlement};
+use crate::core::service_call::{CallRefusal, CallReply, RefusalCause, ServiceCall};
+use crate::core::time::UnixMillis;
+use crate::core::verdict::Verdict;
+use crate::node::Blackboard;
+use crate::sources::store::Store;
+use task::ShardTask;
+use waiters::Waiter;
+
+/// Shortest time between two writes of a shard, and between two reads.
+pub const COMMIT_INTERVAL: Duration = Duration::from_millis(250);
+/// Most calls that wait for a shard's task to look at them.
+const MAX_ARRIVALS: usize = 1024;
+/// Pause that is asked of callers where too many calls wait.
+const BUSY_PAUSE: Duration = Duration::from_secs(1);
+
+/// Returns the time of day.
+pub type Clock = Arc<dyn Fn() -> UnixMillis + Send + Sync>;
+
+/// Sends calls whose intent is in the ledger.
+pub trait Dispatch: Send + Sync {
+    /// Sends a call at most once, and not at all once `deadline` is over.
+    fn dispatch(&self, call: Arc<ServiceCall>, deadline: Instant)
+    -> BoxFuture<'static, Settlement>;
+}
+
+/// What the ledger needs of its process.
+#[derive(Clone)]
+pub struct LedgerContext {
+    /// What controllers write and everything else reads.
+    pub board: Arc<Blackboard>,
+    /// The platform's store.
+    pub store: Arc<dyn Store>,
+    /// Sends calls.
+    pub dispatch: Arc<dyn Dispatch>,
+    /// The time of day.
+    pub clock: Clock,
+}
+
+struct Arrived {
+    call: Arc<ServiceCall>,
+    waiter: Waiter,
+}
+
+/// The running tasks of all shards. Dropping it stops them, as the end of the process would.
+pub struct Ledger {
+    shards: Vec<mpsc::Sender<Arrived>>,
+    unsettled: Arc<AtomicUsize>,
+}
+
+impl fmt::Debug for Ledger {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Ledger").finish_non_exhaustive()
+    }
+}
+
+impl Ledger {
+    /// Starts the tasks. Each start writes under a name of its own, so that it never takes intents of an
+    /// earlier one for its own.
+    pub fn spawn(cx: &LedgerContext) -> Self {
+        let unsettled = Arc::new(AtomicUsize::new(0));
+        let life = uuid::Uuid::new_v4().simple().to_string();
+        let writer: NodeId = format!("{}/{}", cx.board.identity.node, &life[..16]).into();
+        let spawn = |index| {
+            let (tx, rx) = mpsc::channel(MAX_ARRIVALS);
+            let task = ShardTask::new(index, writer.clone(), cx.clone(), rx, unsettled.clone());
+            tokio::spawn(task.run());
+            tx
+        };
+        Self {
+            shards: (0..SHARDS).map(spawn).collect(),
+            unsettled,
+        }
+    }
+
+    /// Runs a call unless its key ran before. Answers within the call's timeout.
+    pub async fn run(&self, call: ServiceCall) -> CallReply {
+        let shard = usize::from(call.entry_key().shard());
+        let (tx, rx) = oneshot::channel();
+        let arrived = Arrived {
+            waiter: Waiter::new(Instant::now() + call.timeout, tx),
+            call: Arc::new(call),
+        };
+        if self.shards[shard].try_send(arrived).is_err() {
+            return CallReply::Refused(CallRefusal::not_run(RefusalCause::Busy, Some(BUSY_PAUSE)));
+        }
+        rx.await.unwrap_or({
+            CallReply::Refused(CallRefusal {
+                verdict: Verdict::MayHaveRun,
+                cause: RefusalCause::InProgress,
+                retry_after: Some(BUSY_PAUSE),
+            })
+        })
+    }
+
+    /// Returns the number of calls of this process that were sent and whose end is not yet in the store.
+    /// A process that leaves waits until there are none.
+    pub fn unsettled(&self) -> usize {
+        self.unsettled.load(Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/src/ops/ledger/persist.rs
@@ -0,0 +1,114 @@
+//! A shard's head and pages in the store.
+
+use crate::core::ledger::{
+    CodecError, Commit, CommitResult, Epoch, Head, Page, ShardIndex, Snapshot,
+};
+use crate::sources::store::{
+    Compare, Condition, Key, KeyRange, KeyValue, Op, OpResult, Store, StoreError, Transaction,
+};
+
+/// The store's answer to a shard.
+pub(super) enum StoreAnswer {
+    Loaded(Snapshot),
+    LoadFailed(LoadError),
+    Committed(CommitResult),
+}
+
+/// Why a shard could not be read.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum LoadError {
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    #[error(transparent)]
+    Codec(#[from] CodecError),
+}
+
+fn head_key(shard: ShardIndex) -> Key {
+    format!("ledger/{shard:02}").into()
+}
+
+fn page_key(shard: ShardIndex, epoch: Epoch) -> Key {
+    format!("ledger/{shard:02}/{epoch:010}").into()
+}
+
+/// Reads the head and pages at one revision.
+pub(super) async fn load(store: &dyn Store, shard: ShardIndex, epochs: Vec<Epoch>) -> StoreAnswer {
+    match try_load(store, shard, &epochs).await {
+        Ok(snapshot) => StoreAnswer::Loaded(snapshot),
+        Err(e) => StoreAnswer::LoadFailed(e),
+    }
+}
+
+async fn try_load(
+    store: &dyn Store,
+    shard: ShardIndex,
+    epochs: &[Epoch],
+) -> Result<Snapshot, LoadError> {
+    let pages = epochs.iter().map(|epoch| page_key(shard, *epoch));
+    let keys = std::iter::once(head_key(shard)).chain(pages);
+    let req = Transaction {
+        then: keys.map(|key| Op::Get(KeyRange::One(key))).collect(),
+        ..Transaction::default()
+    };
+    let reply = store.transact(req).await?;
+    let mut found = reply.results.into_iter().map(first);
+    let (revision, head) = match found.next().flatten() {
+        Some(entry) => (entry.mod_revision, Head::decode(&entry.value)?),
+        None => (0, Head::default()),
+    };
+    let pages: Result<Vec<_>, CodecError> = epochs
+        .iter()
+        .zip(found)
+        .map(|(epoch, entry)| Ok((*epoch, decode_page(entry)?)))
+        .collect();
+    Ok(Snapshot {
+        revision,
+        head,
+        pages: pages?,
+    })
+}
+
+fn first(result: OpResult) -> Option<KeyValue> {
+    match result {
+        OpResult::Got(entries) => entries.into_iter().next(),
+        OpResult::Put | OpResult::Deleted(_) => None,
+    }
+}
+
+fn decode_page(entry: Option<KeyValue>) -> Result<Page, CodecError> {
+    entry.map_or_else(|| Ok(Page::default()), |entry| Page::decode(&entry.value))
+}
+
+/// Writes a commit if the head is still at its expected revision.
+pub(super) async fn commit(store: &dyn Store, shard: ShardIndex, commit: Commit) -> StoreAnswer {
+    let req = transaction(shard, &commit);
+    StoreAnswer::Committed(match store.transact(req).await {
+        Ok(reply) if reply.succeeded => CommitResult::Applied(reply.revision),
+        Ok(_) => CommitResult::Conflict,
+        Err(StoreError::AnswerLost { .. }) => CommitResult::Unknown,
+        Err(_) => CommitResult::NotApplied,
+    })
+}
+
+fn transaction(shard: ShardIndex, commit: &Commit) -> Transaction {
+    let put = |key, value| Op::Put {
+        key,
+        value,
+        lease: None,
+    };
+    let pages = commit.pages.iter();
+    let puts = pages.map(|(epoch, page)| put(page_key(shard, *epoch), page.encode()));
+    let dropped = commit.dropped.iter();
+    let deletes = dropped.map(|epoch| Op::Delete(KeyRange::One(page_key(shard, *epoch))));
+    Transaction {
+        compares: vec![Compare {
+            key: head_key(shard),
+            condition: Condition::ModRevision(commit.expected),
+        }],
+        then: std::iter::once(put(head_key(shard), commit.head.encode()))
+            .chain(puts)
+            .chain(deletes)
+            .collect(),
+        otherwise: Vec::new(),
+    }
+}
--- /dev/null
+++ b/src/ops/ledger/refusal.rs
@@ -0,0 +1,50 @@
+//! Refusals of the ledger as callers are told them.
+
+use std::time::Duration;
+
+use crate::core::ledger::{EntryKey, Refusal};
+use crate::core::membership::MemberView;
+use crate::core::service_call::{CallRefusal, RefusalCause};
+
+/// Shortest pause that is asked of callers while the store is down.
+const STORE_PAUSE: Duration = Duration::from_secs(1);
+/// Range over which their return is spread, in milliseconds.
+const STORE_PAUSE_SPREAD_MS: u64 = 4_000;
+/// Pause that is asked of callers where a call is under way or cannot be begun.
+const SHORT_PAUSE: Duration = Duration::from_millis(500);
+
+/// Returns what a caller is told.
+pub(super) fn tell(key: &EntryKey, refusal: &Refusal, members: &MemberView) -> CallRefusal {
+    let (cause, retry_after) = match refusal {
+        Refusal::BodyDiffers => (RefusalCause::BodyDiffers, None),
+        Refusal::KeyAhead => (RefusalCause::KeyAhead, None),
+        Refusal::KeyExpired => (RefusalCause::KeyExpired, None),
+        Refusal::PageFull { next_page_in } => (RefusalCause::LedgerFull, Some(*next_page_in)),
+        Refusal::QueueFull => (RefusalCause::Busy, Some(SHORT_PAUSE)),
+        Refusal::StoreDown => (RefusalCause::StoreDown, Some(store_pause(key))),
+        Refusal::StartedElsewhere { writer } if is_member(writer, members) => {
+            (RefusalCause::InProgress, Some(SHORT_PAUSE))
+        }
+        Refusal::StartedElsewhere { .. } => (RefusalCause::OwnerLost, None),
+        Refusal::AnswerLost => (RefusalCause::AnswerLost, None),
+        Refusal::NotDispatched => (RefusalCause::NoBackend, Some(SHORT_PAUSE)),
+    };
+    CallRefusal {
+        verdict: refusal.verdict(),
+        cause,
+        retry_after,
+    }
+}
+
+/// Spreads the return of callers, so that they do not come all at once when the store is back.
+fn store_pause(key: &EntryKey) -> Duration {
+    let bytes = key.key.as_bytes();
+    let spread = u64::from(u16::from_be_bytes([bytes[14], bytes[15]]));
+    STORE_PAUSE + Duration::from_millis(spread % STORE_PAUSE_SPREAD_MS)
+}
+
+/// Returns whether the process that writes under a name is a member.
+fn is_member(writer: &str, members: &MemberView) -> bool {
+    let node = writer.split('/').next().unwrap_or_default();
+    members.get(node).is_some()
+}
--- /dev/null
+++ b/src/ops/ledger/task.rs
@@ -0,0 +1,322 @@
+//! The task of one shard.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use futures::StreamExt;
+use futures::future::BoxFuture;
+use futures::stream::FuturesUnordered;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use super::persist::{self, StoreAnswer};
+use super::refusal::tell;
+use super::waiters::{Expired, Waiter, Waiters};
+use super::{Arrived, COMMIT_INTERVAL, LedgerContext};
+use crate::core::id::{AttemptNumber, NodeId};
+use crate::core::ledger::{
+    Arrival, CommitResult, EntryKey, Next, Outcome, Refusal, Settlement, Shard, ShardIndex, Step,
+    Want,
+};
+use crate::core::service_call::{CallRefusal, CallReply, RefusalCause, ServiceCall};
+use crate::core::verdict::Verdict;
+
+/// Time between two looks at a store that gives no answers.
+const STORE_RETRY_INTERVAL: Duration = Duration::from_secs(1);
+/// Time until the task wakes by itself where nothing else is due.
+const IDLE_WAKE: Duration = Duration::from_secs(60);
+/// Pause that is asked of callers whose call is under way.
+const IN_PROGRESS_PAUSE: Duration = Duration::from_millis(500);
+
+struct Ended {
+    key: EntryKey,
+    attempt: AttemptNumber,
+    settlement: Settlement,
+}
+
+/// Drives one shard's state machine.
+pub(super) struct ShardTask {
+    index: ShardIndex,
+    cx: LedgerContext,
+    rx: mpsc::Receiver<Arrived>,
+    shard: Shard,
+    waiters: Waiters,
+    running: FuturesUnordered<BoxFuture<'static, Ended>>,
+    store_call: Option<BoxFuture<'static, StoreAnswer>>,
+    next_load: Instant,
+    next_commit: Instant,
+    /// Set while the store gives no answers: when it is looked at again.
+    down_until: Option<Instant>,
+    unsettled: Arc<AtomicUsize>,
+    counted: usize,
+}
+
+impl ShardTask {
+    pub(super) fn new(
+        index: ShardIndex,
+        writer: NodeId,
+        cx: LedgerContext,
+        rx: mpsc::Receiver<Arrived>,
+        unsettled: Arc<AtomicUsize>,
+    ) -> Self {
+        let now = Instant::now();
+        Self {
+            index,
+            cx,
+            rx,
+            shard: Shard::new(writer),
+            waiters: Waiters::default(),
+            running: FuturesUnordered::new(),
+            store_call: None,
+            next_load: now,
+            next_commit: now,
+            down_until: None,
+            unsettled,
+            counted: 0,
+        }
+    }
+
+    pub(super) async fn run(mut self) {
+        loop {
+            self.begin_store_call();
+            self.count_unsettled();
+            let wake = self.wake_at();
+            tokio::select! {
+                biased;
+                answer = answer_of(&mut self.store_call) => self.take_answer(answer),
+                Some(ended) = self.running.next() => self.end(ended),
+                arrived = self.rx.recv() => match arrived {
+                    Some(arrived) => self.arrive(arrived),
+                    None => return,
+                },
+                () = tokio::time::sleep_until(wake) => {}
+            }
+            self.expire(Instant::now());
+        }
+    }
+
+    fn retention(&self) -> Duration {
+        self.cx.board.config.read().document.rules.ledger_retention
+    }
+
+    fn arrive(&mut self, arrived: Arrived) {
+        let key = arrived.call.entry_key();
+        let digest = arrived.call.digest();
+        let now = (self.cx.clock)();
+        let is_known = self.waiters.get(&key).is_some();
+        match self.shard.arrive(now, self.retention(), &key, digest) {
+            Arrival::Replay(outcome) => arrived.waiter.answer(replay(outcome)),
+            Arrival::Refused(refusal) => self.refuse_one(&key, &refusal, arrived.waiter),
+            Arrival::Queued if self.is_store_down() => {
+                self.shard.withdraw(&key);
+                self.refuse_one(&key, &Refusal::StoreDown, arrived.waiter);
+            }
+            Arrival::Queued | Arrival::Joined => {
+                metrics::counter!("ledger_calls", "joined" => if is_known { "yes" } else { "no" })
+                    .increment(1);
+                self.waiters.add(key, arrived.call, arrived.waiter);
+            }
+        }
+    }
+
+    /// Returns whether the store was seen down and one call is already looking at it, or none shall yet.
+    fn is_store_down(&self) -> bool {
+        let is_too_early = |until: Instant| Instant::now() < until;
+        self.down_until
+            .is_some_and(|until| is_too_early(until) || self.store_call.is_some())
+    }
+
+    fn refuse_one(&self, key: &EntryKey, refusal: &Refusal, waiter: Waiter) {
+        waiter.answer(self.refusal(key, refusal));
+    }
+
+    fn refusal(&self, key: &EntryKey, refusal: &Refusal) -> CallReply {
+        let refusal = tell(key, refusal, &self.cx.board.members.read());
+        metrics::counter!("ledger_refusals", "cause" => refusal.cause.as_str()).increment(1);
+        CallReply::Refused(refusal)
+    }
+
+    fn begin_store_call(&mut self) {
+        let Some(due) = self.store_call_due() else {
+            return;
+        };
+        let now = Instant::now();
+        if due > now {
+            return;
+        }
+        let index = self.index;
+        let store = self.cx.store.clone();
+        match self.shard.next((self.cx.clock)(), self.retention()) {
+            Next::Idle | Next::Wait => self.next_commit = now + COMMIT_INTERVAL,
+            Next::Load(epochs) => {
+                self.next_load = now + COMMIT_INTERVAL;
+                let load = async move { persist::load(&*store, index, epochs).await };
+                self.store_call = Some(Box::pin(load));
+            }
+            Next::Commit(commit) => {
+                self.next_commit = now + COMMIT_INTERVAL;
+                metrics::counter!("ledger_commits").increment(1);
+                let commit = async move { persist::commit(&*store, index, commit).await };
+                self.store_call = Some(Box::pin(commit));
+            }
+        }
+    }
+
+    /// Returns when the next store call may be made, if one is needed.
+    fn store_call_due(&self) -> Option<Instant> {
+        let due = match self.shard.want() {
+            Want::Nothing => return None,
+            Want::Load => self.next_load,
+            Want::Commit => self.next_commit,
+        };
+        Some(self.down_until.map_or(due, |until| until.max(due)))
+    }
+
+    fn wake_at(&self) -> Instant {
+        let idle = Instant::now() + IDLE_WAKE;
+        let deadline = self.waiters.next_deadline().unwrap_or(idle);
+        let due = self.store_call_due().unwrap_or(idle);
+        deadline.min(due).min(idle)
+    }
+
+    fn take_answer(&mut self, answer: StoreAnswer) {
+        self.store_call = None;
+        let now = (self.cx.clock)();
+        let steps = match answer {
+            StoreAnswer::Loaded(snapshot) => {
+                self.store_answered();
+                self.shard.loaded(now, snapshot)
+            }
+            StoreAnswer::LoadFailed(e) => {
+                self.store_failed(&e.to_string());
+                self.shard.load_failed()
+            }
+            StoreAnswer::Committed(result) => {
+                match result {
+                    CommitResult::Applied(_) | CommitResult::Conflict => self.store_answered(),
+                    CommitResult::NotApplied => self.store_failed("a write was not taken"),
+                    CommitResult::Unknown => self.next_load = Instant::now(),
+                }
+                self.shard.committed(now, result)
+            }
+        };
+        for step in steps {
+            self.take(step);
+        }
+    }
+
+    fn store_answered(&mut self) {
+        if self.down_until.take().is_some() {
+            tracing::info!(shard = self.index, "the ledger's store answers again");
+        }
+    }
+
+    fn store_failed(&mut self, cause: &str) {
+        if self.down_until.is_none() {
+            tracing::warn!(shard = self.index, cause, "the ledger's store fails");
+        }
+        self.down_until = Some(Instant::now() + STORE_RETRY_INTERVAL);
+    }
+
+    fn take(&mut self, step: Step) {
+        match step {
+            Step::Dispatch(key, attempt) => self.dispatch(key, attempt),
+            Step::Replay(key, outcome) => self.waiters.answer(&key, replay(outcome)),
+            Step::Refuse(key, refusal) => {
+                let reply = self.refusal(&key, &refusal);
+                self.waiters.answer(&key, reply);
+            }
+        }
+    }
+
+    /// Sends a call, unless nobody waits for it any more: then it was told as not run.
+    fn dispatch(&mut self, key: EntryKey, attempt: AttemptNumber) {
+        let pending = self.waiters.get(&key);
+        let pending = pending.and_then(|p| Some((p.call.clone(), p.deadline()?)));
+        match pending {
+            Some((call, deadline)) if deadline > Instant::now() => {
+                self.spawn_dispatch(key, attempt, call, deadline);
+            }
+            _ => self.end(Ended {
+                key,
+                attempt,
+                settlement: Settlement::NotRun,
+            }),
+        }
+    }
+
+    fn spawn_dispatch(
+        &self,
+        key: EntryKey,
+        attempt: AttemptNumber,
+        call: Arc<ServiceCall>,
+        deadline: Instant,
+    ) {
+        let settlement = self.cx.dispatch.dispatch(call, deadline);
+        self.running.push(Box::pin(async move {
+            Ended {
+                key,
+                attempt,
+                settlement: settlement.await,
+            }
+        }));
+    }
+
+    /// Tells callers at once how their call ended; the store learns it with the next write.
+    fn end(&mut self, ended: Ended) {
+        let reply = match &ended.settlement {
+            Settlement::Answered(outcome) => CallReply::Answered {
+                outcome: outcome.clone(),
+                is_replay: false,
+            },
+            Settlement::NotRun => self.refusal(&ended.key, &Refusal::NotDispatched),
+            Settlement::MayHaveRun => self.refusal(&ended.key, &Refusal::AnswerLost),
+        };
+        self.shard
+            .finish(&ended.key, ended.attempt, ended.settlement);
+        self.waiters.answer(&ended.key, reply);
+    }
+
+    fn expire(&mut self, now: Instant) {
+        for expired in self.waiters.take_expired(now) {
+            let reply = self.reply_to_expired(&expired);
+            for waiter in expired.waiters {
+                waiter.answer(reply.clone());
+            }
+        }
+    }
+
+    /// A call that nobody waits for any more is taken back if it can be; else it may run.
+    fn reply_to_expired(&mut self, expired: &Expired) -> CallReply {
+        if !expired.others_wait && self.shard.withdraw(&expired.key) {
+            return self.refusal(&expired.key, &Refusal::StoreDown);
+        }
+        CallReply::Refused(CallRefusal {
+            verdict: Verdict::MayHaveRun,
+            cause: RefusalCause::InProgress,
+            retry_after: Some(IN_PROGRESS_PAUSE),
+        })
+    }
+
+    fn count_unsettled(&mut self) {
+        let running = self.shard.running();
+        self.unsettled.fetch_add(running, Ordering::Relaxed);
+        self.unsettled.fetch_sub(self.counted, Ordering::Relaxed);
+        self.counted = running;
+    }
+}
+
+fn replay(outcome: Outcome) -> CallReply {
+    CallReply::Answered {
+        outcome,
+        is_replay: true,
+    }
+}
+
+async fn answer_of(call: &mut Option<BoxFuture<'static, StoreAnswer>>) -> StoreAnswer {
+    match call {
+        Some(call) => call.await,
+        None => std::future::pending().await,
+    }
+}
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -1,6 +1,7 @@
 //! One module for each operation.
 
 pub mod accept;
+pub mod call_service;
 pub mod choose_home;
 pub mod directory;
 pub mod follow;
@@ -8,6 +9,7 @@
 pub mod hand_over;
 pub mod home;
 pub(crate) mod keep_copy;
+pub mod ledger;
 pub mod publish;
 pub mod replicate;
 pub mod requests;
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -2,6 +2,7 @@
 
 mod convert_member;
 pub mod convert_request;
+mod convert_service;
 mod pool;
 mod server;
 pub mod tls;
--- a/src/sources/mod.rs
+++ b/src/sources/mod.rs
@@ -3,6 +3,7 @@
 pub mod cloud;
 pub mod engine;
 pub mod platform;
+pub mod service;
 pub mod store;
 pub mod vm_list;
 pub mod weights;
--- /dev/null
+++ b/src/sources/service.rs
@@ -0,0 +1,160 @@
+//! Calls to plain services.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures::StreamExt;
+use futures::future::BoxFuture;
+use reqwest::header::{CONTENT_TYPE, HeaderMap};
+use reqwest::{Client, RequestBuilder, Response, StatusCode, redirect, retry};
+
+use crate::core::id::Address;
+use crate::core::ledger::{IdempotencyKey, Outcome, Settlement};
+
+/// Longest wait for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Largest answer that is read, in bytes.
+const MAX_ANSWER_BYTES: usize = 1024 * 1024;
+/// Header that names a call.
+const KEY_HEADER: &str = "idempotency-key";
+
+/// A call to one back end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BackendCall {
+    /// Where it goes.
+    pub address: Address,
+    /// What is asked.
+    pub ask: BackendAsk,
+    /// Longest time until the answer is whole.
+    pub timeout: Duration,
+}
+
+/// What is asked of a back end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum BackendAsk {
+    /// A call with a key, which changes something.
+    Call {
+        /// Names the call.
+        key: IdempotencyKey,
+        /// Content type of the body; empty where there is none.
+        content_type: Box<str>,
+        /// Body.
+        body: Bytes,
+    },
+    /// An idempotent lookup.
+    Lookup {
+        /// Query string without the question mark.
+        query: Box<str>,
+    },
+}
+
+/// Sends calls to back ends.
+pub trait CallBackend: Send + Sync {
+    /// Sends a call once, and says how that ended. Never sends it again by itself.
+    fn call(&self, call: BackendCall) -> BoxFuture<'static, Settlement>;
+}
+
+/// Calls plain services over HTTP.
+///
+/// Each call has a connection of its own: one that was left open may have gone silent, and a call sent
+/// into it could neither be told as not run nor be sent again. Redirects are not followed, as that
+/// would send the call twice.
+#[derive(Clone, Debug)]
+pub struct ServiceClient {
+    client: Client,
+}
+
+impl ServiceClient {
+    /// Creates a client.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the HTTP client cannot be made.
+    pub fn open() -> reqwest::Result<Self> {
+        let client = Client::builder()
+            .connect_timeout(CONNECT_TIMEOUT)
+            .pool_max_idle_per_host(0)
+            .redirect(redirect::Policy::none())
+            .retry(retry::never())
+            .no_proxy()
+            .tcp_nodelay(true)
+            .build()?;
+        Ok(Self { client })
+    }
+
+    fn request(&self, call: &BackendCall) -> RequestBuilder {
+        let base = format!("http://{}", call.address);
+        match &call.ask {
+            BackendAsk::Call {
+                key,
+                content_type,
+                body,
+            } => {
+                let request = self.client.post(format!("{base}/call"));
+                let request = request.header(KEY_HEADER, key.to_string());
+                let request = match content_type.is_empty() {
+                    true => request,
+                    false => request.header(CONTENT_TYPE, &**content_type),
+                };
+                request.body(body.clone())
+            }
+            BackendAsk::Lookup { query } => self.client.get(format!("{base}/lookup?{query}")),
+        }
+    }
+}
+
+impl CallBackend for ServiceClient {
+    fn call(&self, call: BackendCall) -> BoxFuture<'static, Settlement> {
+        let request = self.request(&call);
+        Box::pin(async move {
+            tokio::time::timeout(call.timeout, exchange(request))
+                .await
+                .unwrap_or(Settlement::MayHaveRun)
+        })
+    }
+}
+
+async fn exchange(request: RequestBuilder) -> Settlement {
+    match request.send().await {
+        Ok(response) => read(response).await,
+        Err(e) if e.is_connect() || e.is_builder() => Settlement::NotRun,
+        Err(_) => Settlement::MayHaveRun,
+    }
+}
+
+/// The protocol of services does not say that a refusal comes before the work, so that one may have run.
+async fn read(response: Response) -> Settlement {
+    let status = response.status();
+    if status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS {
+        return Settlement::MayHaveRun;
+    }
+    let content_type = content_type(response.headers());
+    match read_body(response).await {
+        Some(body) => Settlement::Answered(Outcome {
+            status: status.as_u16(),
+            content_type,
+            body: Some(body),
+        }),
+        None => Settlement::MayHaveRun,
+    }
+}
+
+fn content_type(headers: &HeaderMap) -> Box<str> {
+    let value = headers.get(CONTENT_TYPE);
+    value
+        .and_then(|v| v.to_str().ok())
+        .unwrap_or_default()
+        .into()
+}
+
+async fn read_body(response: Response) -> Option<Bytes> {
+    let mut stream = response.bytes_stream();
+    let mut body = Vec::new();
+    while let Some(chunk) = stream.next().await {
+        body.extend_from_slice(&chunk.ok()?);
+        if body.len() > MAX_ANSWER_BYTES {
+            return None;
+        }
+    }
+    Some(body.into())
+}
