Run calls that may not be repeated under the ledger, proved under failure

A call is forwarded to the shard's owner, which any node computes; two nodes that both think they own it are harmless, as each write compares the head's revision. An owner's lease was ruled out: it adds store calls and a wait for its end, and the compare alone keeps the promise. A lost answer between nodes is asked for again with the same key; a lost answer of the service never is.

The contract of the store now also runs against the etcd adapter and the store's stand-in.

--- a/src/sources/store/memory/mod.rs
+++ b/src/sources/store/memory/mod.rs
@@ -66,7 +66,8 @@
 #[derive(Debug, Default)]
 struct Plan {
     standing: Option<Fault>,
-    next_writes: VecDeque<Fault>,
+    /// `None` for a write that goes well.
+    next_writes: VecDeque<Option<Fault>>,
     delay: Duration,
     counts: CallCounts,
 }
@@ -101,7 +102,12 @@
 
     /// Lets the next write fail with a fault, behind the faults that are already waiting.
     pub fn fail_next_write(&self, fault: Fault) {
-        self.plan.lock().next_writes.push_back(fault);
+        self.plan.lock().next_writes.push_back(Some(fault));
+    }
+
+    /// Lets the next write go well, behind the faults that are already waiting.
+    pub fn pass_next_write(&self) {
+        self.plan.lock().next_writes.push_back(None);
     }
 
     /// Lets each call take this long.
@@ -163,7 +169,7 @@
         };
         *counter += 1;
         let planned = match kind {
-            CallKind::Write => self.next_writes.pop_front(),
+            CallKind::Write => self.next_writes.pop_front().flatten(),
             CallKind::Read | CallKind::Watch => None,
         };
         (planned.or(self.standing), self.delay)
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,16 +3,18 @@
 // The linter allows this in test functions by itself, but not in the functions that they share.
 #![allow(clippy::unwrap_used)]
 
-mod document;
-// The linter allows this in test functions by itself, but not in the functions that they share.
-
 mod cells;
+mod document;
 mod fleet_plan;
 mod ini;
 mod ledger_search;
 mod membership;
 mod policy_admission;
 mod policy_queue;
+mod promise_at_most_once;
 mod promise_config;
+mod promise_not_run;
+mod service_http;
+mod service_nodes;
 mod sources_platform;
 mod store_contract;
--- /dev/null
+++ b/tests/testsuite/promise_at_most_once.rs
@@ -0,0 +1,244 @@
+//! A call that may not be repeated runs at most once. The service's effect counter is the judge.
+
+use std::time::Duration;
+
+use jayhall::core::service_call::{CallReply, RefusalCause};
+use jayhall::core::verdict::Verdict;
+
+use crate::service_nodes::{Mode, NODES, Nodes, assert_ran, assert_refused};
+
+/// Longer than any call takes.
+const LONG: Duration = Duration::from_secs(60);
+
+#[tokio::test(start_paused = true)]
+async fn one_key_at_two_nodes_at_once_runs_once() {
+    let nodes = Nodes::start();
+    nodes.service.set_mode(Mode::Slow);
+    let call = nodes.call_owned_by(0, 1);
+    let (one, two) = tokio::join!(nodes.ask(1, &call), nodes.ask(2, &call));
+    assert_ne!(
+        assert_ran(&one),
+        assert_ran(&two),
+        "one of them is a replay"
+    );
+    assert_eq!(nodes.effects(&call), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_repeat_replays_the_answer() {
+    let nodes = Nodes::start();
+    let call = nodes.call_owned_by(0, 1);
+    assert!(!assert_ran(&nodes.ask(1, &call).await));
+    tokio::time::sleep(LONG).await;
+    assert!(assert_ran(&nodes.ask(2, &call).await));
+    assert_eq!(nodes.effects(&call), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_repeat_with_another_body_is_refused() {
+    let nodes = Nodes::start();
+    let call = nodes.call_owned_by(0, 1);
+    assert_ran(&nodes.ask(1, &call).await);
+    let mut other = call.clone();
+    other.body = "{\"staves\":4000}".into();
+    let reply = nodes.ask(2, &other).await;
+    assert_refused(&reply, Verdict::NotRun, RefusalCause::BodyDiffers);
+    assert_eq!(nodes.effects(&call), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_owner_killed_between_intent_and_dispatch() {
+    let nodes = Nodes::start();
+    nodes.sends[0].set_open(false);
+    let call = nodes.call_owned_by(0, 1);
+    let asked = nodes.spawn_ask(1, &call);
+    nodes.writes_taken(1).await;
+    nodes.kill(0);
+    nodes.lose_sight_of(0);
+    let reply = asked.await.unwrap();
+    assert_refused(&reply, Verdict::MayHaveRun, RefusalCause::OwnerLost);
+    let reply = nodes.ask(2, &call).await;
+    assert_refused(&reply, Verdict::MayHaveRun, RefusalCause::OwnerLost);
+    assert_eq!(nodes.effects(&call), 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_owner_killed_between_dispatch_and_outcome() {
+    let nodes = Nodes::start();
+    nodes.service.set_mode(Mode::Slow);
+    let call = nodes.call_owned_by(0, 1);
+    let asked = nodes.spawn_ask(1, &call);
+    nodes.effect_of(&call).await;
+    nodes.kill(0);
+    nodes.lose_sight_of(0);
+    let reply = asked.await.unwrap();
+    assert_refused(&reply, Verdict::MayHaveRun, RefusalCause::OwnerLost);
+    tokio::time::sleep(LONG).await;
+    let reply = nodes.ask(2, &call).await;
+    assert_refused(&reply, Verdict::MayHaveRun, RefusalCause::OwnerLost);
+    assert_eq!(nodes.effects(&call), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_owner_frozen_with_a_write_under_way() {
+    let nodes = Nodes::start();
+    nodes.writes[0].set_open(false);
+    let call = nodes.call_owned_by(0, 1);
+    let mut patient = call.clone();
+    patient.timeout = LONG * 10;
+    let frozen = nodes.spawn_ask(0, &patient);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    nodes.lose_sight_of(0);
+    assert!(!assert_ran(&nodes.ask(1, &call).await));
+    tokio::time::sleep(LONG).await;
+    nodes.writes[0].set_open(true);
+    assert!(
+        assert_ran(&frozen.await.unwrap()),
+        "it finds the other's run"
+    );
+    assert_eq!(nodes.effects(&call), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_owner_frozen_with_a_dispatch_under_way() {
+    let nodes = Nodes::start();
+    nodes.sends[0].set_open(false);
+    let call = nodes.call_owned_by(0, 1);
+    let frozen = nodes.spawn_ask(0, &call);
+    nodes.writes_taken(1).await;
+    nodes.lose_sight_of(0);
+    let reply = nodes.ask(1, &call).await;
+    assert_refused(&reply, Verdict::MayHaveRun, RefusalCause::OwnerLost);
+    let reply = frozen.await.unwrap();
+    assert_refused(&reply, Verdict::MayHaveRun, RefusalCause::InProgress);
+    nodes.sends[0].set_open(true);
+    tokio::time::sleep(LONG).await;
+    assert_eq!(nodes.effects(&call), 1, "the late dispatch is the only one");
+    assert!(
+        assert_ran(&nodes.ask(1, &call).await),
+        "its outcome is recorded"
+    );
+    assert_eq!(nodes.effects(&call), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn two_nodes_that_both_think_they_own_the_shard() {
+    let nodes = Nodes::start();
+    for at in 0..3 {
+        nodes.see(at, &[NODES[at]]);
+    }
+    for _ in 0..20 {
+        let call = nodes.call_owned_by(0, 0);
+        let replies = tokio::join!(
+            nodes.ask(0, &call),
+            nodes.ask(1, &call),
+            nodes.ask(2, &call)
+        );
+        let replies = [replies.0, replies.1, replies.2];
+        assert!(
+            replies
+                .iter()
+                .any(|reply| !matches!(reply, CallReply::Refused(_)))
+        );
+        assert_eq!(nodes.effects(&call), 1);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_node_with_an_older_view_is_told_the_owner() {
+    let nodes = Nodes::start();
+    nodes.see_leaving(1, 0);
+    let call = loop {
+        let call = nodes.call_owned_by(2, 1);
+        if nodes.node(2).owner_of(&call.entry_key()).as_deref() == Some(NODES[0]) {
+            break call;
+        }
+    };
+    assert_ran(&nodes.ask(1, &call).await);
+    assert_eq!(nodes.effects(&call), 1);
+    let at_owner = nodes.node(0).handle(call.clone()).await;
+    assert!(assert_ran(&at_owner), "the owner has run it");
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_answer_lost_between_nodes_is_asked_for_again() {
+    let nodes = Nodes::start();
+    nodes.lose_answers_of(0, true);
+    let call = nodes.call_owned_by(0, 1);
+    let asked = nodes.spawn_ask(1, &call);
+    nodes.effect_of(&call).await;
+    nodes.lose_answers_of(0, false);
+    assert!(assert_ran(&asked.await.unwrap()));
+    assert_eq!(nodes.effects(&call), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_caller_that_is_gone_while_its_call_runs_finds_the_answer_later() {
+    let nodes = Nodes::start();
+    nodes.service.set_mode(Mode::Slow);
+    let call = nodes.call_owned_by(0, 1);
+    let asked = nodes.spawn_ask(1, &call);
+    nodes.effect_of(&call).await;
+    asked.abort();
+    tokio::time::sleep(LONG).await;
+    assert!(assert_ran(&nodes.ask(2, &call).await));
+    assert_eq!(nodes.effects(&call), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_answer_lost_by_the_service_is_never_asked_for_again() {
+    let nodes = Nodes::start();
+    nodes.service.set_mode(Mode::LoseAnswer);
+    let call = nodes.call_owned_by(0, 1);
+    let reply = nodes.ask(1, &call).await;
+    assert_refused(&reply, Verdict::MayHaveRun, RefusalCause::AnswerLost);
+    nodes.service.set_mode(Mode::Answer);
+    nodes.kill(0);
+    nodes.lose_sight_of(0);
+    let reply = nodes.ask(2, &call).await;
+    assert_eq!(nodes.effects(&call), 1);
+    assert!(matches!(
+        reply,
+        CallReply::Refused(refusal) if refusal.verdict == Verdict::MayHaveRun
+    ));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_repeat_after_hours_and_after_compaction() {
+    let nodes = Nodes::start();
+    let call = nodes.call_owned_by(0, 1);
+    assert_ran(&nodes.ask(1, &call).await);
+    tokio::time::sleep(LONG).await;
+    nodes.pass_hours(23);
+    assert!(
+        assert_ran(&nodes.ask(2, &call).await),
+        "within the retention"
+    );
+    nodes.pass_hours(3);
+    let reply = nodes.ask(1, &call).await;
+    assert_refused(&reply, Verdict::MayHaveRun, RefusalCause::KeyExpired);
+    // Other calls of the shard write it, which drops the page; then a clock goes back.
+    assert!(nodes.has_page_of(&call).await);
+    while nodes.has_page_of(&call).await {
+        let later = nodes.call_in_shard_of(&call, 1);
+        assert_ran(&nodes.ask(1, &later).await);
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+    nodes.turn_clock_back(5);
+    nodes.kill(0);
+    nodes.lose_sight_of(0);
+    let reply = nodes.ask(2, &call).await;
+    assert_refused(&reply, Verdict::MayHaveRun, RefusalCause::KeyExpired);
+    assert_eq!(nodes.effects(&call), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_key_from_the_future_is_refused() {
+    let nodes = Nodes::start();
+    nodes.pass_hours(1);
+    let call = nodes.call_owned_by(0, 1);
+    nodes.turn_clock_back(1);
+    let reply = nodes.ask(1, &call).await;
+    assert_refused(&reply, Verdict::NotRun, RefusalCause::KeyAhead);
+    assert_eq!(nodes.effects(&call), 0);
+}
--- a/tests/testsuite/store_contract.rs
+++ b/tests/testsuite/store_contract.rs
@@ -6,9 +6,11 @@
 use futures::StreamExt;
 use jayhall::core::verdict::Verdict;
 use jayhall::sources::store::{
-    Compare, Condition, Fault, KeyRange, MemoryStore, Op, OpResult, RangeRequest, Store,
-    StoreError, Transaction, WatchEvent, WatchRequest,
+    CallRate, Compare, Condition, EtcdConfig, EtcdStore, Fault, KeyRange, MemoryStore, Op,
+    OpResult, RangeRequest, Store, StoreError, Transaction, WatchEvent, WatchRequest,
 };
+use jayhall_standins::CommonFaults;
+use jayhall_standins::store::{self, StoreFaults, StoreSettings};
 
 async fn value_of(store: &dyn Store, key: &str) -> Option<Vec<u8>> {
     let reply = store.range(RangeRequest::one(key)).await.unwrap();
@@ -157,6 +159,63 @@
     all_cases(Arc::new(MemoryStore::new())).await;
 }
 
+#[tokio::test]
+async fn the_etcd_adapter_keeps_the_contract() {
+    let standin = store::spawn(StoreSettings::default()).await.unwrap();
+    let cfg = EtcdConfig::new(&format!("http://{}", standin.address));
+    all_cases(Arc::new(EtcdStore::open(cfg).unwrap())).await;
+}
+
+#[tokio::test]
+async fn the_etcd_adapter_tells_what_became_of_a_call() {
+    let standin = store::spawn(StoreSettings::default()).await.unwrap();
+    let mut cfg = EtcdConfig::new(&format!("http://{}", standin.address));
+    cfg.call_timeout = Duration::from_millis(300);
+    let etcd = EtcdStore::open(cfg).unwrap();
+    let verdict_of = async |key: &str| {
+        let swap = Transaction::swap(key, 0, "v".into());
+        etcd.transact(swap).await.unwrap_err().verdict()
+    };
+    let faults = |common| StoreFaults {
+        common,
+        ..StoreFaults::default()
+    };
+    standin.set_faults(faults(CommonFaults {
+        lose_answer_next: 1,
+        ..CommonFaults::default()
+    }));
+    assert_eq!(verdict_of("lost").await, Verdict::MayHaveRun);
+    let found = value_of(&etcd, "lost").await;
+    assert_eq!(found.as_deref(), Some(&b"v"[..]));
+    standin.set_faults(faults(CommonFaults {
+        freeze: true,
+        ..CommonFaults::default()
+    }));
+    assert_eq!(verdict_of("frozen").await, Verdict::MayHaveRun);
+    drop(standin);
+    let nobody = EtcdStore::open(EtcdConfig::new("http://127.0.0.1:1")).unwrap();
+    let e = nobody.range(RangeRequest::one("k")).await.unwrap_err();
+    assert!(matches!(e, StoreError::NotReached { .. }), "{e}");
+}
+
+#[tokio::test]
+async fn a_node_stays_within_its_share_of_the_store() {
+    let standin = store::spawn(StoreSettings::default()).await.unwrap();
+    let mut cfg = EtcdConfig::new(&format!("http://{}", standin.address));
+    cfg.writes = CallRate {
+        per_second: 0.5,
+        burst: 3,
+    };
+    let etcd = EtcdStore::open(cfg).unwrap();
+    for number in 0..3 {
+        let swap = Transaction::swap(&format!("k{number}"), 0, "v".into());
+        etcd.transact(swap).await.unwrap();
+    }
+    let e = etcd.transact(Transaction::swap("k3", 0, "v".into())).await;
+    assert!(matches!(e, Err(StoreError::RateLimited { .. })), "{e:?}");
+    assert_eq!(value_of(&etcd, "k3").await, None);
+}
+
 #[tokio::test(start_paused = true)]
 async fn a_lease_ends_in_time_and_watchers_learn_of_it() {
     let store = MemoryStore::new();
