Share slots by work, route by corrected loads, and measure both beside baselines

The expected wait leaves out what the floors of less urgent ranks take, so that fewer urgent requests wait in vain.

--- /dev/null
+++ b/crates/jayhall-scenarios/src/clock.rs
@@ -0,0 +1,63 @@
+//! Events in the order of their time.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use jayhall::core::time::Moment;
+
+/// Events to come; of two at the same time the one added first comes first.
+#[derive(Debug)]
+pub struct Agenda<E> {
+    events: BinaryHeap<Reverse<Entry<E>>>,
+    next: u64,
+}
+
+#[derive(Debug)]
+struct Entry<E> {
+    at: (Moment, u64),
+    event: E,
+}
+
+impl<E> PartialEq for Entry<E> {
+    fn eq(&self, other: &Self) -> bool {
+        self.at == other.at
+    }
+}
+
+impl<E> Eq for Entry<E> {}
+
+impl<E> PartialOrd for Entry<E> {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl<E> Ord for Entry<E> {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        self.at.cmp(&other.at)
+    }
+}
+
+impl<E> Default for Agenda<E> {
+    fn default() -> Self {
+        Self {
+            events: BinaryHeap::new(),
+            next: 0,
+        }
+    }
+}
+
+impl<E> Agenda<E> {
+    /// Adds an event.
+    pub fn add(&mut self, at: Moment, event: E) {
+        let at = (at, self.next);
+        self.next += 1;
+        self.events.push(Reverse(Entry { at, event }));
+    }
+
+    /// Takes the earliest event.
+    pub fn take(&mut self) -> Option<(Moment, E)> {
+        let Reverse(entry) = self.events.pop()?;
+        Some((entry.at.0, entry.event))
+    }
+}
--- a/crates/jayhall-scenarios/src/lib.rs
+++ b/crates/jayhall-scenarios/src/lib.rs
@@ -4,4 +4,7 @@
 //! time and counts what follows. Every loop is deterministic for its seed. Tests assert bounds on the
 //! outcomes; `cargo xtask policy` prints them.
 
+pub mod clock;
 pub mod limits;
+pub mod service;
+pub mod workload;
--- /dev/null
+++ b/crates/jayhall-scenarios/src/service.rs
@@ -0,0 +1,335 @@
+//! One home's queue and slots under load, in different orders of service.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use jayhall::core::admission::{DrainRate, RankArrivals, Wait, check_deadline};
+use jayhall::core::estimate::{Estimator, work_tokens};
+use jayhall::core::queue::{FairQueue, Item, Next, QueueRules};
+use jayhall::core::time::Moment;
+use serde::Serialize;
+
+use crate::clock::Agenda;
+use crate::workload::{Arrival, CUSTOMERS, DEADLINES, FLOORS, SLOTS};
+
+/// The order in which waiting requests are served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OrderPolicy {
+    /// What jayhall does.
+    Jayhall,
+    /// As jayhall, but requests are refused only when their deadline passes.
+    NoAdmission,
+    /// As jayhall, but ranks have no floors.
+    NoFloor,
+    /// As jayhall, but all customers count as one.
+    NoFairness,
+    /// As jayhall, but every answer is estimated at 128 tokens.
+    BlindEstimate,
+    /// As jayhall, but a prompt token costs as much as an answer token.
+    RawTokens,
+    /// First come, first served; nothing is refused.
+    FirstCome,
+}
+
+/// The estimator learns each rank's answers apart.
+const MODELS: [&str; 3] = ["urgent", "normal", "long"];
+/// Longest answer that is estimated.
+const MAX_ANSWER_TOKENS: u32 = 4_000;
+/// Time between two looks at passed deadlines.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(50);
+
+/// What became of the requests of one rank and customer.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Tally {
+    /// Requests that arrived.
+    pub offered: u32,
+    /// Requests that started before their deadline.
+    pub in_time: u32,
+    /// Requests that started later.
+    pub late: u32,
+    /// Requests that were refused at arrival.
+    pub refused: u32,
+    /// Requests that were given up on when their deadline passed.
+    pub expired: u32,
+    /// Slot-seconds of requests that started in time.
+    pub useful_seconds: f64,
+    /// Work tokens of requests that started in time.
+    pub useful_work: u64,
+    /// Waits of the started requests in milliseconds.
+    #[serde(skip)]
+    pub waits: Vec<u32>,
+}
+
+impl Tally {
+    fn add(&mut self, other: &Self) {
+        self.offered += other.offered;
+        self.in_time += other.in_time;
+        self.late += other.late;
+        self.refused += other.refused;
+        self.expired += other.expired;
+        self.useful_seconds += other.useful_seconds;
+        self.useful_work += other.useful_work;
+        self.waits.extend(&other.waits);
+    }
+
+    /// Returns the percentage of offered requests that started in time.
+    pub fn in_time_percent(&self) -> f64 {
+        f64::from(self.in_time) * 100.0 / f64::from(self.offered.max(1))
+    }
+
+    /// Returns a percentile of the waits of started requests, in milliseconds.
+    pub fn wait_percentile(&self, percent: usize) -> u32 {
+        let mut waits = self.waits.clone();
+        waits.sort_unstable();
+        let last = waits.len().saturating_sub(1);
+        waits.get(last * percent / 100).copied().unwrap_or(0)
+    }
+}
+
+/// What came out of a run.
+#[derive(Clone, Debug, Default)]
+pub struct ServiceOutcome {
+    tallies: HashMap<(usize, u8), Tally>,
+    /// Useful slot-seconds a second, as a percentage of all slots.
+    pub useful_percent: f64,
+}
+
+impl ServiceOutcome {
+    /// Returns the sum over customers.
+    pub fn rank(&self, level: u8) -> Tally {
+        self.sum(|(_, l)| *l == level)
+    }
+
+    /// Returns the sum over ranks.
+    pub fn customer(&self, customer: usize) -> Tally {
+        self.sum(|(c, _)| *c == customer)
+    }
+
+    /// Returns the tally of one customer's rank.
+    pub fn tally(&self, customer: usize, level: u8) -> Tally {
+        self.sum(|key| *key == (customer, level))
+    }
+
+    /// Returns the share of a rank in all useful work tokens, in percent.
+    pub fn work_percent(&self, level: u8) -> f64 {
+        let all = self.sum(|_| true).useful_work.max(1);
+        self.rank(level).useful_work as f64 * 100.0 / all as f64
+    }
+
+    fn sum(&self, is_counted: impl Fn(&(usize, u8)) -> bool) -> Tally {
+        let mut total = Tally::default();
+        for (_, tally) in self.tallies.iter().filter(|(key, _)| is_counted(key)) {
+            total.add(tally);
+        }
+        total
+    }
+}
+
+enum Event {
+    Arrive(usize),
+    Finish(usize, u32),
+    Sweep,
+}
+
+struct Loop<'a> {
+    policy: OrderPolicy,
+    arrivals: &'a [Arrival],
+    agenda: Agenda<Event>,
+    fair: FairQueue,
+    first_come: VecDeque<usize>,
+    estimator: Estimator,
+    drain: DrainRate,
+    rank_arrivals: RankArrivals,
+    free_slots: u32,
+    outcome: ServiceOutcome,
+}
+
+/// Runs one policy over arrivals until `length` has passed; what still waits then is not counted as
+/// started.
+pub fn run(policy: OrderPolicy, arrivals: &[Arrival], length: Duration) -> ServiceOutcome {
+    let mut rules = QueueRules::default();
+    if policy != OrderPolicy::NoFloor {
+        rules.floors = FLOORS.into_iter().collect();
+    }
+    let mut service = Loop {
+        policy,
+        arrivals,
+        agenda: Agenda::default(),
+        fair: FairQueue::new(rules),
+        first_come: VecDeque::new(),
+        estimator: Estimator::default(),
+        drain: DrainRate::default(),
+        rank_arrivals: RankArrivals::default(),
+        free_slots: SLOTS,
+        outcome: ServiceOutcome::default(),
+    };
+    for (index, arrival) in arrivals.iter().enumerate() {
+        service.agenda.add(arrival.at, Event::Arrive(index));
+    }
+    service.agenda.add(Moment::ZERO, Event::Sweep);
+    while let Some((now, event)) = service.agenda.take() {
+        if now > length {
+            break;
+        }
+        service.handle(now, event);
+    }
+    let useful: f64 = service
+        .outcome
+        .tallies
+        .values()
+        .map(|t| t.useful_seconds)
+        .sum();
+    let all = length.as_secs_f64() * f64::from(SLOTS);
+    service.outcome.useful_percent = useful * 100.0 / all;
+    service.outcome
+}
+
+impl Loop<'_> {
+    fn handle(&mut self, now: Moment, event: Event) {
+        match event {
+            Event::Arrive(index) => self.arrive(now, index),
+            Event::Finish(index, estimated) => self.finish(index, estimated),
+            Event::Sweep => {
+                for item in self.fair.expire(now) {
+                    self.expired(&item);
+                }
+                self.agenda.add(now + SWEEP_INTERVAL, Event::Sweep);
+            }
+        }
+        self.fill_slots(now);
+    }
+
+    fn arrive(&mut self, now: Moment, index: usize) {
+        self.tally(index).offered += 1;
+        if self.policy == OrderPolicy::FirstCome {
+            self.first_come.push_back(index);
+            return;
+        }
+        let item = self.item(index);
+        if self.policy != OrderPolicy::NoAdmission && !self.is_admitted(now, &item) {
+            self.tally(index).refused += 1;
+            return;
+        }
+        self.rank_arrivals
+            .observe(item.level, item.cost_tokens, now);
+        // Names are unique.
+        let _ = self.fair.push(item);
+    }
+
+    fn is_admitted(&mut self, now: Moment, item: &Item) -> bool {
+        let service = self.drain.mean_service().unwrap_or_default();
+        let wait = Wait {
+            free_slots: self.free_slots,
+            tokens_ahead: self.fair.ahead_of(item).tokens,
+            tokens_per_second: self.drain.tokens_per_second(SLOTS),
+            urgent_tokens_per_second: self.rank_arrivals.above(item.level, now),
+            floor_percent: FLOORS[usize::from(item.level)],
+            floors_below_percent: self.fair.floors_below(item.level),
+            next_free_slot: service / SLOTS,
+        };
+        check_deadline(&wait, item.deadline - now).is_ok()
+    }
+
+    fn item(&self, index: usize) -> Item {
+        let arrival = &self.arrivals[index];
+        let name = CUSTOMERS[arrival.customer].0;
+        let model = MODELS[usize::from(arrival.level)];
+        let answer = match self.policy {
+            OrderPolicy::BlindEstimate => 128,
+            _ => {
+                let estimate = self.estimator.estimate(name, model, 0, MAX_ANSWER_TOKENS);
+                estimate.answer_tokens
+            }
+        };
+        let cost_tokens = self.cost(arrival.prompt_tokens, answer);
+        let customer = match self.policy {
+            OrderPolicy::NoFairness => "all",
+            _ => name,
+        };
+        Item {
+            id: index.to_string().into(),
+            customer: customer.into(),
+            level: arrival.level,
+            weight: 1,
+            cost_tokens,
+            deadline: arrival.at + DEADLINES[usize::from(arrival.level)],
+            arrived: arrival.at,
+            preferred_engine: None,
+            is_resumed: false,
+        }
+    }
+
+    fn fill_slots(&mut self, now: Moment) {
+        while self.free_slots > 0 {
+            let Some((index, estimated)) = self.next(now) else {
+                return;
+            };
+            let arrival = self.arrivals[index];
+            let wait = now - arrival.at;
+            let is_in_time = wait <= DEADLINES[usize::from(arrival.level)];
+            let tally = self.tally(index);
+            tally.waits.push(wait.as_millis() as u32);
+            if is_in_time {
+                tally.in_time += 1;
+                tally.useful_seconds += arrival.service().as_secs_f64();
+                tally.useful_work +=
+                    u64::from(work_tokens(arrival.prompt_tokens, arrival.answer_tokens));
+            } else {
+                tally.late += 1;
+            }
+            self.free_slots -= 1;
+            self.agenda
+                .add(now + arrival.service(), Event::Finish(index, estimated));
+        }
+    }
+
+    fn next(&mut self, now: Moment) -> Option<(usize, u32)> {
+        if self.policy == OrderPolicy::FirstCome {
+            return self.first_come.pop_front().map(|index| (index, 0));
+        }
+        loop {
+            match self.fair.pop(now) {
+                Next::Serve(item) => return Some((index_of(&item), item.cost_tokens)),
+                Next::Expired(item) => self.expired(&item),
+                Next::Empty => return None,
+            }
+        }
+    }
+
+    fn finish(&mut self, index: usize, estimated: u32) {
+        self.free_slots += 1;
+        let arrival = self.arrivals[index];
+        let name = CUSTOMERS[arrival.customer].0;
+        let model = MODELS[usize::from(arrival.level)];
+        self.estimator.observe(name, model, arrival.answer_tokens);
+        let actual = self.cost(arrival.prompt_tokens, arrival.answer_tokens);
+        self.drain.observe(actual, arrival.service());
+        let customer = match self.policy {
+            OrderPolicy::NoFairness => "all",
+            _ => name,
+        };
+        self.fair.settle(customer, arrival.level, estimated, actual);
+    }
+
+    fn cost(&self, prompt_tokens: u32, answer_tokens: u32) -> u32 {
+        match self.policy {
+            OrderPolicy::RawTokens => prompt_tokens + answer_tokens,
+            _ => work_tokens(prompt_tokens, answer_tokens),
+        }
+    }
+
+    fn expired(&mut self, item: &Item) {
+        self.tally(index_of(item)).expired += 1;
+    }
+
+    fn tally(&mut self, index: usize) -> &mut Tally {
+        let arrival = &self.arrivals[index];
+        let key = (arrival.customer, arrival.level);
+        self.outcome.tallies.entry(key).or_default()
+    }
+}
+
+fn index_of(item: &Item) -> usize {
+    item.id.parse().unwrap_or(0)
+}
--- /dev/null
+++ b/crates/jayhall-scenarios/src/workload.rs
@@ -0,0 +1,176 @@
+//! Requests of several customers and ranks, drawn with a fixed seed.
+
+use std::time::Duration;
+
+use jayhall::core::id::RankLevel;
+use jayhall::core::time::Moment;
+use rand::rngs::ChaCha8Rng;
+use rand::{RngExt, SeedableRng};
+
+/// The most urgent rank: quick questions while a carpenter or a couple waits.
+pub const URGENT: RankLevel = 0;
+/// Booking texts, quotes and the like.
+pub const NORMAL: RankLevel = 1;
+/// Long contracts and arch designs.
+pub const LONG: RankLevel = 2;
+/// Longest wait for the first token, by rank level.
+pub const DEADLINES: [Duration; 3] = [
+    Duration::from_secs(4),
+    Duration::from_secs(20),
+    Duration::from_secs(180),
+];
+/// Share of service in percent that each rank keeps.
+pub const FLOORS: [u8; 3] = [0, 20, 10];
+/// Requests that a home's three engines run at once.
+pub const SLOTS: u32 = 24;
+/// Prompt tokens that one slot computes a second.
+pub const PREFILL_PER_SECOND: f64 = 2_000.0;
+/// Answer tokens that one slot makes a second.
+pub const DECODE_PER_SECOND: f64 = 40.0;
+/// Length of a run.
+pub const RUN: Duration = Duration::from_secs(300);
+
+/// Customers, with their share of the ordinary load in percent. All have the same weight.
+pub const CUSTOMERS: [(&str, u32); 5] = [
+    ("large", 40),
+    ("second", 25),
+    ("middle", 15),
+    ("small", 10),
+    ("smallest", 10),
+];
+
+/// A request that arrives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Arrival {
+    /// When.
+    pub at: Moment,
+    /// Index into [`CUSTOMERS`].
+    pub customer: usize,
+    /// Rank level.
+    pub level: RankLevel,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Tokens of the answer.
+    pub answer_tokens: u32,
+}
+
+impl Arrival {
+    /// Returns how long the request holds a slot.
+    pub fn service(&self) -> Duration {
+        let prefill = f64::from(self.prompt_tokens) / PREFILL_PER_SECOND;
+        let decode = f64::from(self.answer_tokens) / DECODE_PER_SECOND;
+        Duration::from_secs_f64(prefill + decode)
+    }
+}
+
+/// Mean tokens of prompt and answer, by rank level.
+const SIZES: [(u32, u32); 3] = [(100, 60), (300, 100), (4_000, 400)];
+/// Shares of the ranks in the requests of ordinary load, in percent.
+const RANK_SHARES: [u32; 3] = [20, 50, 30];
+
+/// What arrives.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Mix {
+    /// Ordinary load of all customers, in multiples of the capacity.
+    pub ordinary: f64,
+    /// Additional load of the rank level, in multiples of the capacity, by all customers.
+    pub flood: [f64; 3],
+    /// Additional load of rank `NORMAL` by the large customer alone.
+    pub large_caller: f64,
+    /// Whether answers are either a tenth or the tenfold of the mean, at random.
+    pub is_erratic: bool,
+}
+
+impl Mix {
+    /// Returns ordinary load.
+    pub fn ordinary(ordinary: f64) -> Self {
+        Self {
+            ordinary,
+            flood: [0.0; 3],
+            large_caller: 0.0,
+            is_erratic: false,
+        }
+    }
+
+    /// Draws the arrivals of one run in the order of their time.
+    pub fn draw(&self, seed: u64) -> Vec<Arrival> {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut arrivals = Vec::new();
+        for (customer, (_, share)) in CUSTOMERS.iter().enumerate() {
+            let share = f64::from(*share) / 100.0;
+            for level in [URGENT, NORMAL, LONG] {
+                let rate = self.rate(level) * share + self.extra(customer, level);
+                self.draw_stream(customer, level, rate, &mut rng, &mut arrivals);
+            }
+        }
+        arrivals.sort_by_key(|arrival| arrival.at);
+        arrivals
+    }
+
+    /// Returns the requests a second of a rank over all customers.
+    fn rate(&self, level: RankLevel) -> f64 {
+        let index = usize::from(level);
+        let share = f64::from(RANK_SHARES[index]) / 100.0;
+        self.ordinary * ordinary_capacity() * share + self.flood[index] * rank_capacity(level)
+    }
+
+    fn extra(&self, customer: usize, level: RankLevel) -> f64 {
+        match (customer, level) {
+            (0, NORMAL) => self.large_caller * rank_capacity(NORMAL),
+            _ => 0.0,
+        }
+    }
+
+    fn draw_stream(
+        &self,
+        customer: usize,
+        level: RankLevel,
+        rate: f64,
+        rng: &mut ChaCha8Rng,
+        arrivals: &mut Vec<Arrival>,
+    ) {
+        if rate <= 0.0 {
+            return;
+        }
+        let (prompt, answer) = SIZES[usize::from(level)];
+        let mut at = 0.0;
+        loop {
+            at += -(1.0 - rng.random::<f64>()).ln() / rate;
+            if at >= RUN.as_secs_f64() {
+                return;
+            }
+            let factor = match self.is_erratic {
+                false => rng.random_range(0.5..1.5),
+                // Nine of ten are a tenth, so that the mean is about the same.
+                true if rng.random_bool(0.9) => 0.1,
+                true => 9.1,
+            };
+            arrivals.push(Arrival {
+                at: Moment::from_secs_f64(at),
+                customer,
+                level,
+                prompt_tokens: (f64::from(prompt) * rng.random_range(0.5..1.5)) as u32 + 1,
+                answer_tokens: (f64::from(answer) * factor) as u32 + 1,
+            });
+        }
+    }
+}
+
+fn service_seconds(level: RankLevel) -> f64 {
+    let (prompt, answer) = SIZES[usize::from(level)];
+    f64::from(prompt) / PREFILL_PER_SECOND + f64::from(answer) / DECODE_PER_SECOND
+}
+
+/// Returns the requests of a rank a second that fill all slots.
+fn rank_capacity(level: RankLevel) -> f64 {
+    f64::from(SLOTS) / service_seconds(level)
+}
+
+/// Returns the requests of the ordinary mix a second that fill all slots.
+fn ordinary_capacity() -> f64 {
+    let seconds: f64 = [URGENT, NORMAL, LONG]
+        .into_iter()
+        .map(|level| service_seconds(level) * f64::from(RANK_SHARES[usize::from(level)]) / 100.0)
+        .sum();
+    f64::from(SLOTS) / seconds
+}
--- a/src/core/admission/wait.rs
+++ b/src/core/admission/wait.rs
@@ -21,6 +21,8 @@
     pub urgent_tokens_per_second: f64,
     /// Share of service in percent that the request's rank keeps.
     pub floor_percent: u8,
+    /// Share of service in percent that waiting, less urgent ranks keep.
+    pub floors_below_percent: u8,
     /// Time until the next slot is likely to become free.
     pub next_free_slot: Duration,
 }
@@ -28,14 +30,16 @@
 /// Returns how long a request is expected to wait for a slot, or `None` where that is unknown.
 ///
 /// Work that is more urgent and still to come delays the request, too: what is ahead drains at the
-/// rate that the more urgent arrivals leave, but at least at the rank's floor.
+/// rate that the more urgent arrivals and the floors of less urgent ranks leave, but at least at the
+/// rank's own floor.
 pub fn expected_wait(wait: &Wait) -> Option<Duration> {
     if wait.free_slots > 0 && wait.tokens_ahead == 0 {
         return Some(Duration::ZERO);
     }
     let rate = wait.tokens_per_second.filter(|rate| *rate > 0.0)?;
     let floor = rate * f64::from(wait.floor_percent) / 100.0;
-    let left = (rate - wait.urgent_tokens_per_second).max(floor);
+    let below = rate * f64::from(wait.floors_below_percent.min(100)) / 100.0;
+    let left = (rate - below - wait.urgent_tokens_per_second).max(floor);
     if left <= 0.0 {
         return Some(Duration::MAX);
     }
--- a/src/core/estimate.rs
+++ b/src/core/estimate.rs
@@ -10,6 +10,9 @@
 
 /// Answer tokens assumed where nothing is known.
 pub const DEFAULT_ANSWER_TOKENS: u32 = 128;
+/// Prompt tokens that take an engine about as long as one answer token: a prompt is computed many
+/// tokens at a time, an answer one by one.
+pub const PROMPT_TOKENS_PER_WORK_TOKEN: u32 = 16;
 /// Pairs of customer and model that are remembered.
 const REMEMBERED_PAIRS: usize = 8192;
 /// Weight of the latest answer, as 1 in this many.
@@ -27,10 +30,22 @@
 }
 
 impl Estimate {
-    /// Returns the tokens of prompt and answer together.
-    pub fn cost_tokens(self) -> u32 {
+    /// Returns the tokens of prompt and answer together, which customers' limits count.
+    pub fn total_tokens(self) -> u32 {
         self.prompt_tokens.saturating_add(self.answer_tokens)
     }
+
+    /// Returns the cost in the queue, which shares out the time of slots.
+    pub fn work_tokens(self) -> u32 {
+        work_tokens(self.prompt_tokens, self.answer_tokens)
+    }
+}
+
+/// Returns the cost in the queue of a prompt, less what was cached, and an answer.
+pub fn work_tokens(computed_prompt_tokens: u32, answer_tokens: u32) -> u32 {
+    computed_prompt_tokens
+        .div_ceil(PROMPT_TOKENS_PER_WORK_TOKEN)
+        .saturating_add(answer_tokens)
 }
 
 #[derive(Clone, Copy, Debug, Default)]
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -16,5 +16,7 @@
 pub mod membership;
 pub mod queue;
 pub mod request;
+pub mod retry;
+pub mod routing;
 pub mod time;
 pub mod verdict;
--- a/src/core/queue/fair.rs
+++ b/src/core/queue/fair.rs
@@ -163,6 +163,14 @@
             .collect()
     }
 
+    /// Returns the share of service in percent that waiting ranks less urgent than `level` keep.
+    pub fn floors_below(&self, level: RankLevel) -> u8 {
+        (usize::from(level) + 1..self.ranks.len())
+            .filter(|below| !self.ranks[*below].queue.is_empty())
+            .map(|below| self.rules.floor(below))
+            .fold(0, u8::saturating_add)
+    }
+
     /// Returns how many requests wait.
     pub fn len(&self) -> usize {
         self.items.len()
--- a/src/core/queue/item.rs
+++ b/src/core/queue/item.rs
@@ -20,7 +20,7 @@
     pub level: RankLevel,
     /// Weight of the customer; 0 counts as 1.
     pub weight: u32,
-    /// Estimated tokens, prompt and answer together.
+    /// Estimated cost in work tokens; see [`crate::core::estimate::Estimate::work_tokens`].
     pub cost_tokens: u32,
     /// When the first token is due at the latest.
     pub deadline: Moment,
--- /dev/null
+++ b/src/core/routing/blocks.rs
@@ -0,0 +1,81 @@
+//! Blocks of a prompt, as engines cache them.
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use crate::core::request::ChatMessage;
+
+/// Tokens in one cache block.
+pub const BLOCK_TOKENS: u32 = 16;
+
+/// Hash of a block; it covers the model and all tokens up to the block's end.
+pub type BlockHash = u64;
+
+/// Hashes of the full blocks of a prompt, from its start.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PromptBlocks {
+    /// One hash a block.
+    pub hashes: Vec<BlockHash>,
+}
+
+impl PromptBlocks {
+    /// Returns the blocks of a conversation. A token is a word with the white space before it, and
+    /// every message begins with a token that names its role.
+    pub fn of_messages(model: &str, messages: &[ChatMessage]) -> Self {
+        let mut hasher = BlockHasher::new(model);
+        for message in messages {
+            hasher.push(&format!("<|{}|>", message.role));
+            push_words(&mut hasher, &message.content);
+        }
+        hasher.push("<|assistant|>");
+        Self {
+            hashes: hasher.hashes,
+        }
+    }
+}
+
+fn push_words(hasher: &mut BlockHasher, text: &str) {
+    let mut start = 0;
+    let mut is_in_word = false;
+    for (at, c) in text.char_indices() {
+        if c.is_whitespace() && is_in_word {
+            hasher.push(&text[start..at]);
+            start = at;
+        }
+        is_in_word = !c.is_whitespace();
+    }
+    if is_in_word {
+        hasher.push(&text[start..]);
+    }
+}
+
+struct BlockHasher {
+    seed: BlockHash,
+    block: String,
+    tokens: u32,
+    hashes: Vec<BlockHash>,
+}
+
+impl BlockHasher {
+    fn new(model: &str) -> Self {
+        Self {
+            seed: xxh3_64(model.as_bytes()),
+            block: String::new(),
+            tokens: 0,
+            hashes: Vec::new(),
+        }
+    }
+
+    fn push(&mut self, token: &str) {
+        if self.tokens > 0 {
+            self.block.push('\0');
+        }
+        self.block.push_str(token);
+        self.tokens += 1;
+        if self.tokens == BLOCK_TOKENS {
+            self.seed = xxh3_64_with_seed(self.block.as_bytes(), self.seed);
+            self.hashes.push(self.seed);
+            self.block.clear();
+            self.tokens = 0;
+        }
+    }
+}
--- /dev/null
+++ b/src/core/routing/health.rs
@@ -0,0 +1,299 @@
+//! Ejection of silent, failing and slow engines, and their careful return.
+//!
+//! An ejected engine gets nothing until its time is over, then one request as a probe. Times double
+//! with every failed probe and have a random part, so that engines that failed together do not return
+//! together. Never more than a stated share is ejected: when most engines look bad, the cause is
+//! likely elsewhere, and serving badly is better than not serving.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::{Rng, RngExt};
+
+use crate::core::id::VmId;
+use crate::core::time::Moment;
+
+/// Weight of the latest answer in the smoothed token interval, as 1 in this many.
+const SMOOTHED_ANSWERS: u32 = 8;
+/// Healthy time after which earlier ejections no longer lengthen the next one.
+const FORGIVEN_AFTER: Duration = Duration::from_secs(120);
+/// Random part of an ejection in percent.
+const SPREAD_PERCENT: u64 = 50;
+
+/// When engines are ejected and for how long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HealthRules {
+    /// Failures in a row that eject an engine.
+    pub failures: u32,
+    /// Multiple of the median token interval from which an engine is slow.
+    pub slow_factor: u32,
+    /// Shortest ejection.
+    pub first_ejection: Duration,
+    /// Longest ejection.
+    pub longest_ejection: Duration,
+    /// Largest ejected share of the engines in percent; of two or more engines one may always be.
+    pub max_ejected_percent: u32,
+}
+
+impl Default for HealthRules {
+    fn default() -> Self {
+        Self {
+            failures: 3,
+            slow_factor: 4,
+            first_ejection: Duration::from_secs(2),
+            longest_ejection: Duration::from_secs(60),
+            max_ejected_percent: 34,
+        }
+    }
+}
+
+/// What was seen of a request on an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Observation {
+    /// It was answered, with a mean time between tokens.
+    Answered {
+        /// Mean time between tokens.
+        token_interval: Duration,
+    },
+    /// It failed, for another reason than a full engine.
+    Failed,
+    /// Nothing came for longer than the token timeout.
+    Silent,
+}
+
+/// Whether an engine gets requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Availability {
+    /// It does.
+    Usable,
+    /// It gets one request as a probe; see `start_probe`.
+    Probe,
+    /// It gets none until then.
+    Ejected {
+        /// When it may be probed.
+        until: Moment,
+    },
+    /// It gets none while its probe runs.
+    Probing,
+}
+
+/// A change that is worth a line in the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HealthChange {
+    /// The engine gets no requests until then.
+    Ejected {
+        /// When it may be probed.
+        until: Moment,
+    },
+    /// The probe was answered.
+    Readmitted,
+    /// The engine would have been ejected but for the largest share.
+    Kept,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Usable { since: Moment },
+    Ejected { until: Moment },
+    Probing,
+}
+
+#[derive(Clone, Debug)]
+struct EngineHealth {
+    state: State,
+    failures: u32,
+    ejections: u32,
+    token_interval: Duration,
+    answers: u32,
+}
+
+impl EngineHealth {
+    fn new(now: Moment) -> Self {
+        Self {
+            state: State::Usable { since: now },
+            failures: 0,
+            ejections: 0,
+            token_interval: Duration::ZERO,
+            answers: 0,
+        }
+    }
+
+    fn is_usable(&self) -> bool {
+        matches!(self.state, State::Usable { .. })
+    }
+
+    fn smooth(&mut self, interval: Duration) {
+        self.answers = self.answers.saturating_add(1);
+        let parts = self.answers.min(SMOOTHED_ANSWERS);
+        self.token_interval = (self.token_interval * (parts - 1) + interval) / parts;
+    }
+}
+
+/// Health of the engines of one home.
+#[derive(Debug, Default)]
+pub struct HealthBook {
+    rules: HealthRules,
+    engines: BTreeMap<VmId, EngineHealth>,
+}
+
+impl HealthBook {
+    /// Creates a book without engines.
+    pub fn new(rules: HealthRules) -> Self {
+        Self {
+            rules,
+            engines: BTreeMap::new(),
+        }
+    }
+
+    /// Sets which engines there are. New ones are usable.
+    pub fn set_engines<'a>(&mut self, engines: impl IntoIterator<Item = &'a VmId>, now: Moment) {
+        let mut kept = BTreeMap::new();
+        for vm in engines {
+            let health = self.engines.remove(vm);
+            kept.insert(vm.clone(), health.unwrap_or_else(|| EngineHealth::new(now)));
+        }
+        self.engines = kept;
+    }
+
+    /// Returns whether an engine gets requests. Unknown engines are usable.
+    pub fn availability(&self, vm: &str, now: Moment) -> Availability {
+        match self.engines.get(vm).map(|health| health.state) {
+            None | Some(State::Usable { .. }) => Availability::Usable,
+            Some(State::Probing) => Availability::Probing,
+            Some(State::Ejected { until }) if until <= now => Availability::Probe,
+            Some(State::Ejected { until }) => Availability::Ejected { until },
+        }
+    }
+
+    /// Marks that a request is sent to an engine as its probe. Returns whether it may be.
+    pub fn start_probe(&mut self, vm: &str, now: Moment) -> bool {
+        if self.availability(vm, now) != Availability::Probe {
+            return false;
+        }
+        if let Some(health) = self.engines.get_mut(vm) {
+            health.state = State::Probing;
+        }
+        true
+    }
+
+    /// Marks that a probe ended without saying anything of the engine, such as by its caller going.
+    pub fn cancel_probe(&mut self, vm: &str, now: Moment) {
+        if let Some(health) = self.engines.get_mut(vm)
+            && health.state == State::Probing
+        {
+            health.state = State::Ejected { until: now };
+        }
+    }
+
+    /// Learns from a request on an engine.
+    pub fn observe(
+        &mut self,
+        vm: &str,
+        observation: Observation,
+        now: Moment,
+        rng: &mut impl Rng,
+    ) -> Option<HealthChange> {
+        let limit = self.slow_limit(vm);
+        let failures = self.rules.failures;
+        let health = self.engines.get_mut(vm)?;
+        match observation {
+            Observation::Answered { token_interval } => {
+                health.failures = 0;
+                health.smooth(token_interval);
+                if health.state == State::Probing {
+                    return self.finish_probe(vm, token_interval, limit, now, rng);
+                }
+                let is_measured = health.answers >= SMOOTHED_ANSWERS;
+                let is_slow = is_measured && limit.is_some_and(|l| health.token_interval > l);
+                if is_slow {
+                    self.eject(vm, now, rng)
+                } else {
+                    None
+                }
+            }
+            Observation::Failed => {
+                health.failures += 1;
+                let is_over = health.failures >= failures || health.state == State::Probing;
+                if is_over {
+                    self.eject(vm, now, rng)
+                } else {
+                    None
+                }
+            }
+            Observation::Silent => self.eject(vm, now, rng),
+        }
+    }
+
+    fn finish_probe(
+        &mut self,
+        vm: &str,
+        token_interval: Duration,
+        limit: Option<Duration>,
+        now: Moment,
+        rng: &mut impl Rng,
+    ) -> Option<HealthChange> {
+        if limit.is_some_and(|limit| token_interval > limit) {
+            return self.eject(vm, now, rng);
+        }
+        let health = self.engines.get_mut(vm)?;
+        health.state = State::Usable { since: now };
+        health.answers = 1;
+        health.token_interval = token_interval;
+        Some(HealthChange::Readmitted)
+    }
+
+    fn eject(&mut self, vm: &str, now: Moment, rng: &mut impl Rng) -> Option<HealthChange> {
+        let has_room = self.ejected() < self.max_ejected();
+        let rules = self.rules;
+        let health = self.engines.get_mut(vm)?;
+        if let State::Ejected { .. } = health.state {
+            // An answer of a request from before the ejection.
+            return None;
+        }
+        if health.is_usable() && !has_room {
+            health.failures = 0;
+            return Some(HealthChange::Kept);
+        }
+        if let State::Usable { since } = health.state
+            && now.saturating_sub(since) >= FORGIVEN_AFTER
+        {
+            health.ejections = 0;
+        }
+        let doubled = rules.first_ejection * 2u32.saturating_pow(health.ejections.min(16));
+        let time = doubled.min(rules.longest_ejection);
+        let millis = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        let part = rng.random_range(0..=millis * SPREAD_PERCENT / 100);
+        let until = now + time + Duration::from_millis(part);
+        health.ejections += 1;
+        health.failures = 0;
+        health.state = State::Ejected { until };
+        Some(HealthChange::Ejected { until })
+    }
+
+    fn ejected(&self) -> usize {
+        let usable = self.engines.values().filter(|h| h.is_usable()).count();
+        self.engines.len() - usable
+    }
+
+    fn max_ejected(&self) -> usize {
+        let share = self.engines.len() * self.rules.max_ejected_percent as usize / 100;
+        share.max(usize::from(self.engines.len() > 1))
+    }
+
+    /// Returns the token interval from which an engine is slow: a multiple of the others' median.
+    fn slow_limit(&self, vm: &str) -> Option<Duration> {
+        let mut intervals: Vec<Duration> = self
+            .engines
+            .iter()
+            .filter(|(name, health)| &***name != vm && health.is_usable())
+            .filter(|(_, health)| health.answers >= SMOOTHED_ANSWERS)
+            .map(|(_, health)| health.token_interval)
+            .collect();
+        if intervals.is_empty() {
+            return None;
+        }
+        let middle = intervals.len() / 2;
+        let (_, median, _) = intervals.select_nth_unstable(middle);
+        Some(*median * self.rules.slow_factor)
+    }
+}
--- /dev/null
+++ b/src/core/routing/load.rs
@@ -0,0 +1,158 @@
+//! Load of homes, from late reports and from what this node has sent since.
+
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+use crate::core::admission::{Wait, expected_wait};
+use crate::core::id::{NodeId, RankLevel};
+use crate::core::queue::WaitingTokens;
+use crate::core::time::Moment;
+
+/// Age from which a report says nothing any more.
+const MAX_AGE: Duration = Duration::from_secs(10);
+
+/// Load of a home's queue for one model.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Grows with every report of the home.
+    pub sequence: u64,
+    /// When the home measured it, at the latest. Reports carry no time; a receiver takes the time of
+    /// arrival less the usual delay.
+    pub as_of: Moment,
+    /// Requests that the home's engines run at once.
+    pub slots: u32,
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Waiting tokens by rank level.
+    pub waiting_tokens: WaitingTokens,
+    /// Tokens served a second by all slots; 0 where nothing was measured.
+    pub tokens_per_second: u32,
+}
+
+/// A request that this node sent to a home.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Dispatched {
+    /// When it was sent.
+    pub at: Moment,
+    /// Its rank level.
+    pub level: RankLevel,
+    /// Its estimated cost.
+    pub cost_tokens: u32,
+}
+
+/// Load of a home as this node believes it to be.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LoadEstimate {
+    /// Slots of the home.
+    pub slots: u32,
+    /// Slots that are free for this request.
+    pub free_slots: u32,
+    /// Tokens that are served before a request of the level.
+    pub tokens_ahead: u64,
+    /// Tokens served a second by all slots.
+    pub tokens_per_second: Option<f64>,
+    /// Age of the report.
+    pub age: Duration,
+}
+
+impl LoadEstimate {
+    /// Returns the expected wait of a request whose rank keeps `floor_percent` of the service.
+    ///
+    /// Without a measured rate a home with free slots is taken to have no wait, and another one is
+    /// taken to have a wait that no deadline allows.
+    pub fn wait(&self, floor_percent: u8) -> Duration {
+        let wait = Wait {
+            free_slots: self.free_slots,
+            tokens_ahead: self.tokens_ahead,
+            tokens_per_second: self.tokens_per_second,
+            urgent_tokens_per_second: 0.0,
+            floor_percent,
+            floors_below_percent: 0,
+            next_free_slot: Duration::ZERO,
+        };
+        expected_wait(&wait).unwrap_or(match self.free_slots {
+            0 => MAX_AGE,
+            _ => Duration::ZERO,
+        })
+    }
+}
+
+#[derive(Debug, Default)]
+struct HomeEntry {
+    report: LoadReport,
+    since: VecDeque<Dispatched>,
+}
+
+/// Loads of the homes of one model.
+#[derive(Debug, Default)]
+pub struct LoadBook {
+    homes: HashMap<NodeId, HomeEntry>,
+}
+
+impl LoadBook {
+    /// Takes in a report; an old one is ignored. What was sent before it was measured is in it.
+    pub fn report(&mut self, home: &NodeId, report: LoadReport) {
+        let entry = self.homes.entry(home.clone()).or_default();
+        if entry.report.sequence >= report.sequence {
+            return;
+        }
+        entry.since.retain(|sent| sent.at > report.as_of);
+        entry.report = report;
+    }
+
+    /// Remembers a request that this node sends to a home.
+    pub fn dispatched(&mut self, home: &NodeId, sent: Dispatched) {
+        let entry = self.homes.entry(home.clone()).or_default();
+        let oldest = sent.at.saturating_sub(MAX_AGE);
+        while entry.since.front().is_some_and(|first| first.at < oldest) {
+            entry.since.pop_front();
+        }
+        entry.since.push_back(sent);
+    }
+
+    /// Forgets a request that has ended.
+    pub fn finished(&mut self, home: &str, sent: &Dispatched) {
+        let Some(entry) = self.homes.get_mut(home) else {
+            return;
+        };
+        if let Some(at) = entry.since.iter().position(|other| other == sent) {
+            entry.since.remove(at);
+        }
+    }
+
+    /// Forgets a home that has gone.
+    pub fn forget(&mut self, home: &str) {
+        self.homes.remove(home);
+    }
+
+    /// Returns the believed load of a home before a request of `level`, or `None` where the home has
+    /// not reported.
+    pub fn estimate(&self, home: &str, level: RankLevel, now: Moment) -> Option<LoadEstimate> {
+        let entry = self.homes.get(home).filter(|e| e.report.sequence > 0)?;
+        let report = &entry.report;
+        let sent = u32::try_from(entry.since.len()).unwrap_or(u32::MAX);
+        let sent_tokens: u64 = entry
+            .since
+            .iter()
+            .filter(|sent| sent.level <= level)
+            .map(|sent| u64::from(sent.cost_tokens))
+            .sum();
+        let levels = usize::from(level) + 1;
+        let waiting: u64 = report.waiting_tokens.iter().take(levels).sum();
+        let taken = report.running.saturating_add(report.waiting);
+        let free_slots = report.slots.saturating_sub(taken.saturating_add(sent));
+        let started = report.slots.saturating_sub(taken).min(sent);
+        // What went to free slots runs already and is ahead of nobody.
+        let queued = sent_tokens * u64::from(sent - started) / u64::from(sent.max(1));
+        Some(LoadEstimate {
+            slots: report.slots,
+            free_slots,
+            tokens_ahead: waiting + queued,
+            tokens_per_second: (report.tokens_per_second > 0)
+                .then(|| f64::from(report.tokens_per_second)),
+            age: now.saturating_sub(report.as_of),
+        })
+    }
+}
--- a/src/ops/home/queue.rs
+++ b/src/ops/home/queue.rs
@@ -9,7 +9,7 @@
 use super::run::{Ended, Run};
 use crate::core::admission::DrainRate;
 use crate::core::document::Document;
-use crate::core::estimate::Estimator;
+use crate::core::estimate::{Estimator, work_tokens};
 use crate::core::id::{RankLevel, RequestId, VmId};
 use crate::core::queue::{FairQueue, Item, Next, QueueRules, WaitingTokens};
 use crate::core::time::Moment;
@@ -100,7 +100,7 @@
         let actual = if made == 0 {
             0
         } else {
-            request.prompt_tokens.saturating_add(made)
+            work_tokens(request.prompt_tokens, made)
         };
         self.fair
             .settle(&request.customer, charged.level, charged.tokens, actual);
@@ -197,7 +197,7 @@
             weight: doc
                 .customer(&request.customer)
                 .map_or(1, |rule| rule.weight),
-            cost_tokens: estimate.cost_tokens(),
+            cost_tokens: estimate.work_tokens(),
             deadline: arrived + Duration::from_millis(u64::from(run.order.deadline_ms)),
             arrived,
             preferred_engine: run.order.preferred_engine.clone(),
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod membership;
 mod policy_admission;
 mod policy_queue;
+mod policy_service;
 mod promise_config;
 mod sources_platform;
 mod store_contract;
--- a/tests/testsuite/policy_admission.rs
+++ b/tests/testsuite/policy_admission.rs
@@ -23,6 +23,7 @@
         tokens_per_second: Some(1_000.0),
         urgent_tokens_per_second: 0.0,
         floor_percent: 0,
+        floors_below_percent: 0,
         next_free_slot: Duration::ZERO,
     }
 }
@@ -62,6 +63,11 @@
         ..flooded
     };
     assert_eq!(expected_wait(&starved), Some(Duration::MAX));
+    let shared = Wait {
+        floors_below_percent: 20,
+        ..busy()
+    };
+    assert_eq!(expected_wait(&shared), Some(Duration::from_millis(2_500)));
 }
 
 #[test]
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 mod demo;
+mod policy;
 
 const USAGE: &str = "\
 Usage: cargo xtask TASK [OPTIONS]
@@ -17,6 +18,7 @@
     let rest = args.get(1..).unwrap_or_default();
     let outcome = match args.first().map(String::as_str) {
         Some("demo") => demo::run(rest),
+        Some("policy") => policy::run(rest),
         _ => {
             eprintln!("{USAGE}");
             return ExitCode::from(2);
