--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -17,6 +17,8 @@
 pub mod membership;
 pub mod queue;
 pub mod request;
+pub mod retry;
+pub mod routing;
 pub mod service_call;
 pub mod time;
 pub mod verdict;
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -4,6 +4,7 @@
 
 mod demo;
 mod slopes;
+mod policy;
 
 const USAGE: &str = "\
 Usage: cargo xtask TASK [OPTIONS]
@@ -19,6 +20,7 @@
     let outcome = match args.first().map(String::as_str) {
         Some("demo") => demo::run(rest),
         Some("slopes") => slopes::run(rest),
+        Some("policy") => policy::run(rest),
         _ => {
             eprintln!("{USAGE}");
             return ExitCode::from(2);
