Keep the fleet under one lease a zone, with fencing numbers on orders

The keeper of a zone is who holds its lease in the store; the revision of that write is the fencing number. It plans from demand, prices and the list of VMs, and takes the steps of its own zone. A start whose answer was lost is repeated with its token. Demand of other regions is told through the store by the keepers, so that calls grow with zones only.

--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -8,6 +8,7 @@
 mod placement;
 mod plan;
 mod refusals;
+mod risk;
 mod steps;
 mod view;
 
@@ -19,5 +20,6 @@
     ClassCapacity, EngineVm, FleetPlan, ModelInput, ModelPlan, PlanInput, ZoneRisk, plan,
 };
 pub use refusals::{Refusals, Supply};
+pub use risk::RiskMeter;
 pub use steps::{Step, StepCause, next_steps};
 pub use view::{Backend, BackendKind, FleetView, Market};
--- a/src/core/fleet/orders.rs
+++ b/src/core/fleet/orders.rs
@@ -82,10 +82,17 @@
 pub struct Versioned {
     /// Name that requests ask for.
     pub name: ModelName,
-    /// Version.
+    /// Version; empty where any will do.
     pub version: Box<str>,
 }
 
+impl Versioned {
+    /// Returns whether what is loaded will do for what is wanted.
+    fn is_met_by(&self, loaded: &Self) -> bool {
+        self.name == loaded.name && (self.version.is_empty() || self.version == loaded.version)
+    }
+}
+
 /// What an engine has loaded, or shall have.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct EngineState {
@@ -122,7 +129,9 @@
     let goes = loaded.filter(|v| !is_wanted(&v.name));
     orders.extend(goes.cloned().map(EngineOrder::Unload));
     let missing = |wanted: &[Versioned], observed: &[Versioned]| -> SmallVec<[Versioned; 2]> {
-        let missing = wanted.iter().filter(|v| !observed.contains(v));
+        let missing = wanted
+            .iter()
+            .filter(|v| !observed.iter().any(|o| v.is_met_by(o)));
         missing.cloned().collect()
     };
     let models = missing(&wanted.models, &observed.models);
--- a/src/core/fleet/plan.rs
+++ b/src/core/fleet/plan.rs
@@ -11,8 +11,8 @@
 
 /// How much cheaper a VM that runs counts than one that would have to start, in percent.
 const RUNNING_BONUS_PERCENT: u64 = 10;
-/// Seconds in an hour.
-const HOUR_SECONDS: u64 = 3600;
+/// Seconds in a thousand hours.
+const THOUSAND_HOURS_SECONDS: u128 = 3_600_000;
 
 /// What one engine of a class makes of a model.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -227,8 +227,9 @@
     }
     let risk = input.risks.iter().find(|risk| risk.zone == offer.zone);
     let reclaims = risk.map_or(0, |risk| risk.reclaims_per_thousand_hours);
-    let lost = price * reclaims * input.replacement_time.as_secs() / (1000 * HOUR_SECONDS);
-    price + lost
+    let lost_seconds = u128::from(reclaims) * u128::from(input.replacement_time.as_secs());
+    let lost = u128::from(price) * lost_seconds / THOUSAND_HOURS_SECONDS;
+    price.saturating_add(MicroPrice::try_from(lost).unwrap_or(MicroPrice::MAX))
 }
 
 /// Takes the engines without a model that a plan uses out of the limits.
--- /dev/null
+++ b/src/ops/keep_fleet/desk.rs
@@ -0,0 +1,174 @@
+//! What a keeper remembers between two rounds: what it has begun and what it has seen.
+
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use super::demand::RegionDemand;
+use crate::core::document::Document;
+use crate::core::fleet::{
+    Backend, BackendKind, ClassCapacity, EngineBounds, EngineVm, FleetPlan, FleetView, ModelDemand,
+    ModelInput, Need, NeedWindow, Offer, PlanInput, Refusals, RiskMeter, Supply, plan,
+};
+use crate::core::id::{MachineClass, ModelName, VmId};
+use crate::core::time::Moment;
+
+/// How long a need is remembered, so that a dip of demand stops no engine.
+const NEED_WINDOW: Duration = Duration::from_secs(300);
+/// Time between the loss of a VM and the first token of its replacement.
+const REPLACEMENT_TIME: Duration = Duration::from_secs(180);
+/// How long a started VM may take until the platform's list shows it; later it counts as lost.
+const START_TIMEOUT: Duration = Duration::from_secs(180);
+
+/// A start whose VM is not in the list yet.
+#[derive(Clone, Debug)]
+pub(super) struct PendingStart {
+    pub(super) supply: Supply,
+    pub(super) token: Box<str>,
+    pub(super) begun_at: Moment,
+    /// The VM, once the cloud has named it.
+    pub(super) vm: Option<VmId>,
+    /// Whether the cloud has started nothing and will not.
+    pub(super) is_void: bool,
+}
+
+/// An engine that is to go.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Retiring {
+    pub(super) since: Moment,
+}
+
+/// What a keeper remembers between two rounds.
+#[derive(Debug, Default)]
+pub(super) struct Desk {
+    pub(super) offers: Vec<Offer>,
+    pub(super) offers_read_at: Option<Moment>,
+    pub(super) refusals: Refusals,
+    pub(super) starts: Vec<PendingStart>,
+    pub(super) retiring: HashMap<VmId, Retiring>,
+    /// Models that engines were ordered to load.
+    pub(super) assigned: HashMap<VmId, ModelName>,
+    pub(super) starts_begun: u64,
+    /// When each engine is to be looked at again.
+    pub(super) looks: HashMap<VmId, Moment>,
+    pub(super) demand_told_at: Option<Moment>,
+    /// Demand of all regions, as last told.
+    pub(super) told: Vec<RegionDemand>,
+    pub(super) last_plan: FleetPlan,
+    windows: HashMap<(ModelName, MachineClass), NeedWindow>,
+    risks: RiskMeter,
+    noticed: HashSet<VmId>,
+    looked_at: Moment,
+}
+
+impl Desk {
+    /// Takes in what the list and the notices show.
+    pub(super) fn observe(&mut self, fleet: &FleetView, now: Moment) {
+        self.count_reclaims(fleet, now);
+        self.starts.retain(|start| {
+            let is_listed = start.vm.as_ref().is_some_and(|vm| fleet.get(vm).is_some());
+            !is_listed && now < start.begun_at + START_TIMEOUT
+        });
+        self.assigned.retain(|vm, _| fleet.get(vm).is_some());
+        self.retiring.retain(|vm, _| fleet.get(vm).is_some());
+        self.looks.retain(|vm, _| fleet.get(vm).is_some());
+    }
+
+    /// Returns the engines that take work, with the models that they serve or load.
+    pub(super) fn engines(&self, fleet: &FleetView) -> Vec<EngineVm> {
+        let engines = fleet.backends.iter();
+        let engines = engines.filter(|b| b.kind == BackendKind::Engine && !b.is_leaving);
+        let staying = engines.filter(|b| !self.retiring.contains_key(&b.vm));
+        staying.map(|b| self.engine(b)).collect()
+    }
+
+    /// Returns the wanted fleet.
+    pub(super) fn plan(
+        &mut self,
+        document: &Document,
+        demand: &[ModelDemand],
+        engines: &[EngineVm],
+        now: Moment,
+    ) -> FleetPlan {
+        let models: Vec<ModelInput> = model_inputs(document, demand);
+        let risks = self.risks.risks();
+        let input = PlanInput {
+            models: &models,
+            offers: &self.offers,
+            risks: &risks,
+            engines,
+            refusals: &self.refusals,
+            zones: &document.rules.zones,
+            replacement_time: REPLACEMENT_TIME,
+        };
+        let windows = &mut self.windows;
+        plan(&input, now, |model, class, need: Need| {
+            let window = windows.entry((model.clone(), class.clone()));
+            let window = window.or_insert_with(|| NeedWindow::new(NEED_WINDOW));
+            window.update(need, now)
+        })
+    }
+
+    fn engine(&self, backend: &Backend) -> EngineVm {
+        let served = backend.serves.first().cloned();
+        let assigned = self.assigned.get(&backend.vm).cloned();
+        EngineVm {
+            vm: backend.vm.clone(),
+            supply: Supply {
+                zone: backend.zone.clone(),
+                class: backend.class.clone(),
+                market: backend.market,
+            },
+            is_ready: served.is_some()
+                && assigned.as_ref().is_none_or(|a| Some(a) == served.as_ref()),
+            model: assigned.or(served),
+        }
+    }
+
+    fn count_reclaims(&mut self, fleet: &FleetView, now: Moment) {
+        let elapsed = now.saturating_sub(self.looked_at);
+        self.looked_at = now;
+        for backend in &fleet.backends {
+            let is_new = backend.reclaim_at.is_some() && self.noticed.insert(backend.vm.clone());
+            self.risks.observe(&backend.zone, elapsed, is_new);
+        }
+        self.noticed.retain(|vm| fleet.get(vm).is_some());
+    }
+}
+
+/// Joins the operators' rules with the demand.
+fn model_inputs(document: &Document, demand: &[ModelDemand]) -> Vec<ModelInput> {
+    let rules = document.models.iter();
+    let inputs = rules.map(|rule| {
+        let known = demand.iter().find(|d| d.model == rule.name);
+        let tokens_per_second = known.map(|d| d.tokens_per_second.clone());
+        ModelInput {
+            demand: ModelDemand {
+                model: rule.name.clone(),
+                tokens_per_second: tokens_per_second.unwrap_or_default(),
+            },
+            bounds: EngineBounds {
+                min: rule.min_engines.into(),
+                max: rule.max_engines.into(),
+            },
+            classes: capacities(document, rule.slots_per_engine.into()),
+        }
+    });
+    inputs.collect()
+}
+
+/// Returns what an engine makes that runs all its slots at the interval that the operators promise.
+fn capacities(document: &Document, slots: u64) -> Vec<ClassCapacity> {
+    let interval = document
+        .ranks
+        .first()
+        .map(|rank| rank.token_interval_target);
+    let interval_ms = interval.map_or(0, |interval| interval.as_millis() as u64);
+    let tokens_per_second = slots * 1000 / interval_ms.max(1);
+    let classes = document.machine_classes.iter();
+    let classes = classes.filter(|class| class.accelerators > 0);
+    let capacity = |class: &MachineClass| ClassCapacity {
+        class: class.clone(),
+        tokens_per_second: tokens_per_second.max(1),
+    };
+    classes.map(|class| capacity(&class.name)).collect()
+}
--- /dev/null
+++ b/src/ops/keep_fleet/mod.rs
@@ -0,0 +1,211 @@
+//! Keeps the fleet: starts and stops VMs and gives orders to engines, one keeper for each zone.
+
+mod demand;
+mod desk;
+mod host;
+mod lease;
+mod orders;
+mod round;
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::{MissedTickBehavior, interval, sleep};
+
+use crate::core::cells;
+use crate::core::fleet::orders::{Tenure, TenureRules};
+use crate::core::id::{NodeId, ZoneId};
+use crate::core::membership::Member;
+use crate::node::{Blackboard, Phase};
+use crate::sources::cloud::Cloud;
+use crate::sources::engine::EngineControl;
+use crate::sources::store::{LeaseId, Store};
+
+pub use host::FleetHost;
+pub use lease::{Campaign, Candidate, Clock, Holder, Renewal};
+
+/// Nodes that strive for the lease on one zone.
+const CANDIDATES_PER_ZONE: usize = 2;
+/// Time between two looks for zones without a keeper task.
+const ZONE_INTERVAL: Duration = Duration::from_secs(5);
+/// Renewals of the lease within its time to live.
+const RENEWALS_PER_LEASE: u32 = 3;
+
+/// What keepers work with.
+#[derive(Clone)]
+pub struct KeeperSetup {
+    /// What controllers write and everything else reads.
+    pub board: Arc<Blackboard>,
+    /// The platform's store, for leases.
+    pub store: Arc<dyn Store>,
+    /// The cloud.
+    pub cloud: Arc<dyn Cloud>,
+    /// Engines.
+    pub engines: Arc<dyn EngineControl>,
+    /// The node's demand and its way to announce that an engine leaves.
+    pub host: Arc<dyn FleetHost>,
+    /// Times that all keepers agree on.
+    pub rules: TenureRules,
+    /// Time between two rounds of a keeper.
+    pub round_interval: Duration,
+    /// Engines that may start or load at once, as the weight store's rate allows.
+    pub max_loads: usize,
+}
+
+/// The keepers of one node. They end when this is dropped.
+#[derive(Debug)]
+pub struct KeepFleet {
+    task: JoinHandle<()>,
+}
+
+impl KeepFleet {
+    /// Starts to strive for the zones that fall to this node, on the current runtime.
+    pub fn spawn(setup: KeeperSetup) -> Self {
+        Self {
+            task: tokio::spawn(keep_zones(setup)),
+        }
+    }
+}
+
+impl Drop for KeepFleet {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Runs one keeper task for each zone that was ever seen.
+async fn keep_zones(setup: KeeperSetup) {
+    let clock = Clock::start();
+    let mut known: BTreeSet<ZoneId> = BTreeSet::new();
+    let mut tasks = JoinSet::new();
+    loop {
+        for zone in zones(&setup.board) {
+            if known.insert(zone.clone()) {
+                let keeper = ZoneKeeper {
+                    setup: setup.clone(),
+                    clock,
+                    zone,
+                };
+                tasks.spawn(keeper.run());
+            }
+        }
+        sleep(ZONE_INTERVAL).await;
+    }
+}
+
+/// Returns the zones in which there is something to keep.
+fn zones(board: &Blackboard) -> BTreeSet<ZoneId> {
+    let fleet = board.fleet.read();
+    let members = board.members.read();
+    let backends = fleet.backends.iter().map(|b| b.zone.clone());
+    let nodes = members.members.iter().map(|m| m.zone.clone());
+    let mut zones: BTreeSet<ZoneId> = backends.chain(nodes).collect();
+    zones.extend(board.config.read().document.rules.zones.iter().cloned());
+    zones.insert(board.identity.zone.clone());
+    zones
+}
+
+/// Returns the nodes that strive for a zone: those in it, or any where it has none.
+fn candidates(board: &Blackboard, zone: &str) -> Vec<NodeId> {
+    let members = board.members.read();
+    let in_zone: Vec<&Member> = members.working().filter(|m| &*m.zone == zone).collect();
+    let eligible = match in_zone.is_empty() {
+        true => members.working().collect(),
+        false => in_zone,
+    };
+    let job = format!("keep-fleet/{zone}");
+    let ranked = cells::ranked(&job, eligible.iter().map(|m| &*m.node));
+    let first = ranked.into_iter().take(CANDIDATES_PER_ZONE);
+    first.map(NodeId::from).collect()
+}
+
+/// One zone, as one node may keep it.
+pub(crate) struct ZoneKeeper {
+    setup: KeeperSetup,
+    clock: Clock,
+    zone: ZoneId,
+}
+
+/// What the rounds of a keeper know of its lease, which is renewed beside them.
+pub(crate) struct Held {
+    lease: LeaseId,
+    tenure: Mutex<Tenure>,
+}
+
+impl Held {
+    pub(crate) fn tenure(&self) -> Tenure {
+        *self.tenure.lock()
+    }
+
+    /// Ends the tenure, since a newer one was met.
+    pub(crate) fn end(&self) {
+        self.tenure.lock().holds_until = Duration::ZERO;
+    }
+}
+
+impl ZoneKeeper {
+    async fn run(self) {
+        let rules = self.setup.rules;
+        let node = self.setup.board.identity.node.clone();
+        let store = self.setup.store.clone();
+        let mut candidate = Candidate::new(store, self.clock, rules, &self.zone, &node);
+        loop {
+            if !self.is_candidate() {
+                sleep(rules.lease / 2).await;
+                continue;
+            }
+            candidate = match candidate.campaign().await {
+                Campaign::Won(holder) => self.hold(holder).await,
+                Campaign::Lost(candidate, error) => {
+                    if let Some(e) = error {
+                        tracing::debug!(zone = &*self.zone, error = %e, "no keeper lease");
+                    }
+                    candidate
+                }
+            };
+            sleep(rules.lease / 2).await;
+        }
+    }
+
+    fn is_candidate(&self) -> bool {
+        let board = &self.setup.board;
+        let is_serving = *board.phase.read() == Phase::Serving;
+        is_serving && candidates(board, &self.zone).contains(&board.identity.node)
+    }
+
+    /// Works as the keeper until the lease ends or the node leaves.
+    async fn hold(&self, mut holder: Holder) -> Candidate {
+        let zone = &*self.zone;
+        tracing::info!(zone, fence = holder.tenure().fence, "keeps the zone");
+        metrics::counter!("jayhall_keeper_tenures_total").increment(1);
+        let held = Held {
+            lease: holder.lease(),
+            tenure: Mutex::new(holder.tenure()),
+        };
+        let rounds = self.rounds(&held);
+        tokio::pin!(rounds);
+        let mut renewals = interval(self.setup.rules.lease / RENEWALS_PER_LEASE);
+        renewals.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                biased;
+                _ = renewals.tick() => {}
+                () = &mut rounds => continue,
+            }
+            if *self.setup.board.phase.read() >= Phase::Leaving {
+                return holder.resign().await;
+            }
+            holder = match holder.renew().await {
+                Renewal::Kept(holder) => holder,
+                Renewal::Ended(candidate) => {
+                    tracing::info!(zone, "no longer keeps the zone");
+                    return candidate;
+                }
+            };
+            *held.tenure.lock() = holder.tenure();
+        }
+    }
+}
--- /dev/null
+++ b/src/ops/keep_fleet/round.rs
@@ -0,0 +1,220 @@
+//! One round of a keeper: look, plan, take the steps of its own zone.
+
+use std::time::Duration;
+
+use tokio::time::{MissedTickBehavior, interval};
+
+use super::demand::{RegionDemand, exchange, total};
+use super::desk::{Desk, PendingStart, Retiring};
+use super::{Held, ZoneKeeper};
+use crate::core::fleet::orders::Permit;
+use crate::core::fleet::{
+    BackendKind, FleetPlan, FleetView, ModelDemand, Step, Supply, next_steps,
+};
+use crate::core::id::VmId;
+use crate::core::verdict::Verdict;
+use crate::sources::cloud::{StartOutcome, StartVm, VmRole};
+use crate::util::time::unix_now;
+
+/// Time between two reads of the cloud's prices.
+const OFFERS_INTERVAL: Duration = Duration::from_secs(60);
+/// Time between two exchanges of demand with the other regions.
+const DEMAND_INTERVAL: Duration = Duration::from_secs(30);
+/// Time from the announcement that an engine leaves until no node gives it work, the lag of its load
+/// report included.
+const QUIET_TIME: Duration = Duration::from_secs(5);
+/// Time after which a leaving engine that does not answer is stopped.
+const UNANSWERED_LIMIT: Duration = Duration::from_secs(600);
+
+impl ZoneKeeper {
+    /// Makes rounds for ever.
+    pub(super) async fn rounds(&self, held: &Held) {
+        let mut desk = Desk::default();
+        let mut ticks = interval(self.setup.round_interval);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            ticks.tick().await;
+            self.round(&mut desk, held).await;
+        }
+    }
+
+    async fn round(&self, desk: &mut Desk, held: &Held) {
+        self.read_offers(desk).await;
+        let installed = self.setup.board.config.read();
+        if desk.offers.is_empty() || installed.revision == 0 || !self.holds(held) {
+            return;
+        }
+        let document = &installed.document;
+        let fleet = self.setup.board.fleet.read();
+        let now = self.clock.now();
+        desk.observe(&fleet, now);
+        let demand = self.demand(desk, held).await;
+        let engines = desk.engines(&fleet);
+        let plan = desk.plan(document, &demand, &engines, now);
+        self.tell(desk, &plan);
+        let starting: Vec<Supply> = desk.starts.iter().map(|s| s.supply.clone()).collect();
+        let steps = next_steps(&plan, &engines, &starting, self.setup.max_loads);
+        let own = steps.into_iter().filter(|s| s.supply().zone == self.zone);
+        for step in own {
+            self.take(step, desk, held).await;
+        }
+        self.repeat_starts(desk, held).await;
+        self.order(desk, held, &fleet, document).await;
+        self.retire(desk, held, &fleet).await;
+    }
+
+    /// Returns whether the lease still holds for long enough to act.
+    fn holds(&self, held: &Held) -> bool {
+        let rules = &self.setup.rules;
+        held.tenure().permit(true, self.clock.now(), rules) == Permit::Send
+    }
+
+    async fn read_offers(&self, desk: &mut Desk) {
+        let now = self.clock.now();
+        if desk
+            .offers_read_at
+            .is_some_and(|at| now < at + OFFERS_INTERVAL)
+        {
+            return;
+        }
+        match self.setup.cloud.offers().await {
+            Ok(offers) => {
+                desk.offers = offers;
+                desk.offers_read_at = Some(now);
+            }
+            // The last prices are good enough until the cloud answers.
+            Err(e) => tracing::debug!(error = %e, "prices not read"),
+        }
+    }
+
+    /// Returns the demand of all regions, the others' as last told.
+    async fn demand(&self, desk: &mut Desk, held: &Held) -> Vec<ModelDemand> {
+        let now = self.clock.now();
+        let own = RegionDemand {
+            region: self.setup.board.identity.region.clone(),
+            models: self.setup.host.demand(),
+        };
+        if desk
+            .demand_told_at
+            .is_none_or(|at| now >= at + DEMAND_INTERVAL)
+        {
+            desk.demand_told_at = Some(now);
+            match exchange(&*self.setup.store, &self.zone, held.lease, &own).await {
+                Ok(told) => desk.told = told,
+                Err(e) => tracing::debug!(error = %e, "demand not told"),
+            }
+        }
+        total(own, &desk.told)
+    }
+
+    /// Logs the plan when it has changed.
+    fn tell(&self, desk: &mut Desk, plan: &FleetPlan) {
+        if desk.last_plan != *plan {
+            for model in &plan.models {
+                tracing::info!(zone = &*self.zone, "{model}");
+            }
+            desk.last_plan = plan.clone();
+        }
+        let short: u32 = plan
+            .models
+            .iter()
+            .map(|m| m.placement.floor_shortfall)
+            .sum();
+        metrics::gauge!("jayhall_keeper_floor_shortfall").set(f64::from(short));
+    }
+
+    async fn take(&self, step: Step, desk: &mut Desk, held: &Held) {
+        tracing::info!(zone = &*self.zone, "{step}");
+        match step {
+            Step::Load { vm, model, .. } => {
+                desk.assigned.insert(vm, model);
+            }
+            Step::Retire { vm, .. } => self.begin_retirement(vm, desk).await,
+            Step::Start { supply, .. } => {
+                desk.starts_begun += 1;
+                let fence = held.tenure().fence;
+                let token = format!("{}-{fence}-{}", self.zone, desk.starts_begun);
+                desk.starts.push(PendingStart {
+                    supply,
+                    token: token.into(),
+                    begun_at: self.clock.now(),
+                    vm: None,
+                    is_void: false,
+                });
+            }
+        }
+    }
+
+    /// Asks the cloud for the VMs that it has not named yet. A call whose answer was lost is repeated with
+    /// the same token, so that it starts no second VM.
+    async fn repeat_starts(&self, desk: &mut Desk, held: &Held) {
+        let mut starts = std::mem::take(&mut desk.starts);
+        for start in &mut starts {
+            if start.vm.is_none() && self.holds(held) {
+                self.start(start, desk).await;
+            }
+        }
+        starts.retain(|start| !start.is_void);
+        desk.starts = starts;
+    }
+
+    async fn start(&self, start: &mut PendingStart, desk: &mut Desk) {
+        let req = StartVm {
+            zone: start.supply.zone.clone(),
+            class: start.supply.class.clone(),
+            role: VmRole::Engine,
+            market: start.supply.market,
+            token: start.token.clone(),
+        };
+        match self.setup.cloud.start_vm(req).await {
+            Ok(StartOutcome::Started(vm)) => {
+                metrics::counter!("jayhall_keeper_starts_total").increment(1);
+                desk.refusals.started(&start.supply);
+                start.vm = Some(vm);
+            }
+            Ok(StartOutcome::NoCapacity) => {
+                metrics::counter!("jayhall_keeper_refused_starts_total").increment(1);
+                desk.refusals
+                    .refused(start.supply.clone(), self.clock.now());
+                start.is_void = true;
+            }
+            Err(e) => {
+                tracing::debug!(error = %e, "start not confirmed");
+                start.is_void = e.verdict() == Verdict::NotRun;
+            }
+        }
+    }
+
+    async fn begin_retirement(&self, vm: VmId, desk: &mut Desk) {
+        let since = self.clock.now();
+        desk.retiring.insert(vm.clone(), Retiring { since });
+        self.setup.host.announce_leaving(vm, unix_now()).await;
+    }
+
+    /// Stops the VMs of leaving engines that have nothing left to do.
+    async fn retire(&self, desk: &mut Desk, held: &Held, fleet: &FleetView) {
+        let now = self.clock.now();
+        let engines = fleet.backends.iter();
+        let engines = engines.filter(|b| b.kind == BackendKind::Engine && b.zone == self.zone);
+        for engine in engines {
+            if engine.is_leaving {
+                // A former keeper may have begun this, or the cloud.
+                let known = desk.retiring.entry(engine.vm.clone());
+                known.or_insert(Retiring { since: now });
+            }
+            let Some(retiring) = desk.retiring.get(&engine.vm).copied() else {
+                continue;
+            };
+            if now < retiring.since + QUIET_TIME || !self.holds(held) {
+                continue;
+            }
+            let may_stop = match self.setup.engines.load(engine.address).await {
+                Ok(load) => load.is_idle(),
+                Err(_) => now >= retiring.since + UNANSWERED_LIMIT,
+            };
+            if may_stop && let Err(e) = self.setup.cloud.stop_vm(engine.vm.clone()).await {
+                tracing::debug!(vm = &*engine.vm, error = %e, "VM not stopped yet");
+            }
+        }
+    }
+}
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -8,6 +8,7 @@
 pub mod hand_over;
 pub mod home;
 pub(crate) mod keep_copy;
+pub mod keep_fleet;
 pub mod publish;
 pub mod replicate;
 pub mod requests;
--- /dev/null
+++ b/src/sources/engine/control.rs
@@ -0,0 +1,206 @@
+//! Control of engines: their state, their load, and orders with fencing numbers.
+
+use std::time::Duration;
+
+use futures::FutureExt;
+use futures::future::BoxFuture;
+use reqwest::{RequestBuilder, Response, StatusCode};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use tokio::time::timeout;
+
+use super::{EngineClient, EngineError, Result, checked, lost};
+use crate::core::fleet::orders::{EngineOrder, EngineState, Versioned};
+use crate::core::id::{Address, FencingNumber};
+
+/// Longest wait for an engine's answer to a question about its state.
+const STATE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What an engine made of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderOutcome {
+    /// It carries the order out.
+    Taken,
+    /// It has seen a higher fencing number and does nothing.
+    Fenced {
+        /// Highest number that it has seen, where it says so.
+        highest: Option<FencingNumber>,
+    },
+}
+
+/// Requests that an engine has, some hundred milliseconds ago.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+pub struct EngineLoad {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait in the engine.
+    pub waiting: u32,
+}
+
+impl EngineLoad {
+    /// Returns whether the engine had nothing to do.
+    pub fn is_idle(&self) -> bool {
+        self.running == 0 && self.waiting == 0
+    }
+}
+
+/// Control of engines. Every call ends within a deadline.
+pub trait EngineControl: Send + Sync {
+    /// Returns what an engine has loaded.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the engine gives no usable answer.
+    fn state(&self, engine: Address) -> BoxFuture<'_, Result<EngineState>>;
+
+    /// Returns the load of an engine.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the engine gives no usable answer.
+    fn load(&self, engine: Address) -> BoxFuture<'_, Result<EngineLoad>>;
+
+    /// Gives an order, which arrives within `deadline` or not at all.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the engine gives no usable answer; the verdict says whether it may have been taken.
+    fn order(
+        &self,
+        engine: Address,
+        fence: FencingNumber,
+        order: EngineOrder,
+        deadline: Duration,
+    ) -> BoxFuture<'_, Result<OrderOutcome>>;
+}
+
+#[derive(Debug, Deserialize)]
+struct ModelsWire {
+    data: Vec<ModelWire>,
+    #[serde(default)]
+    role: Box<str>,
+}
+
+#[derive(Debug, Deserialize)]
+struct ModelWire {
+    id: Box<str>,
+    #[serde(default)]
+    version: Box<str>,
+    #[serde(default)]
+    is_adapter: bool,
+}
+
+impl From<ModelsWire> for EngineState {
+    fn from(wire: ModelsWire) -> Self {
+        let (adapters, models): (Vec<_>, Vec<_>) =
+            wire.data.into_iter().partition(|m| m.is_adapter);
+        let versioned = |m: ModelWire| Versioned {
+            name: m.id,
+            version: m.version,
+        };
+        Self {
+            models: models.into_iter().map(versioned).collect(),
+            adapters: adapters.into_iter().map(versioned).collect(),
+            role: wire.role,
+        }
+    }
+}
+
+#[derive(Debug, Serialize)]
+struct OrderWire {
+    fence: FencingNumber,
+    order: &'static str,
+    name: Box<str>,
+    version: Box<str>,
+}
+
+impl OrderWire {
+    fn new(fence: FencingNumber, order: EngineOrder) -> Self {
+        let (order, target) = match order {
+            EngineOrder::Unload(target) => ("unload_model", target),
+            EngineOrder::LoadModel(target) => ("load_model", target),
+            EngineOrder::LoadAdapter(target) => ("load_adapter", target),
+            EngineOrder::SetRole(name) => {
+                let version = Box::default();
+                ("set_role", Versioned { name, version })
+            }
+        };
+        Self {
+            fence,
+            order,
+            name: target.name,
+            version: target.version,
+        }
+    }
+}
+
+#[derive(Debug, Deserialize)]
+struct FencedWire {
+    highest_fence: FencingNumber,
+}
+
+impl EngineClient {
+    async fn ask<T: DeserializeOwned>(&self, engine: Address, path: &str) -> Result<T> {
+        let req = self.http.get(format!("http://{engine}{path}"));
+        let exchange = async {
+            let res = checked(engine, Ok(req.send().await))?;
+            res.json().await.map_err(|e| lost(engine, &e))
+        };
+        match timeout(STATE_TIMEOUT, exchange).await {
+            Ok(answer) => answer,
+            Err(elapsed) => Err(lost(engine, &elapsed)),
+        }
+    }
+
+    async fn send_order(&self, engine: Address, req: RequestBuilder) -> Result<OrderOutcome> {
+        let res = match req.send().await {
+            Ok(res) if res.status() == StatusCode::CONFLICT => return Ok(fenced(res).await),
+            sent => checked(engine, Ok(sent)),
+        };
+        res.map(|_| OrderOutcome::Taken)
+    }
+}
+
+async fn fenced(res: Response) -> OrderOutcome {
+    let wire = res.json::<FencedWire>().await.ok();
+    OrderOutcome::Fenced {
+        highest: wire.map(|wire| wire.highest_fence),
+    }
+}
+
+impl EngineControl for EngineClient {
+    fn state(&self, engine: Address) -> BoxFuture<'_, Result<EngineState>> {
+        async move {
+            let models: ModelsWire = self.ask(engine, "/v1/models").await?;
+            Ok(models.into())
+        }
+        .boxed()
+    }
+
+    fn load(&self, engine: Address) -> BoxFuture<'_, Result<EngineLoad>> {
+        async move { self.ask(engine, "/v1/load").await }.boxed()
+    }
+
+    fn order(
+        &self,
+        engine: Address,
+        fence: FencingNumber,
+        order: EngineOrder,
+        deadline: Duration,
+    ) -> BoxFuture<'_, Result<OrderOutcome>> {
+        let url = format!("http://{engine}/v1/orders");
+        let req = self.http.post(url).json(&OrderWire::new(fence, order));
+        async move {
+            // The deadline is looked at first, so that a process that wakes late sends nothing.
+            tokio::select! {
+                biased;
+                () = tokio::time::sleep(deadline) => Err(EngineError::Lost {
+                    address: engine,
+                    detail: "no answer to an order in time".into(),
+                }),
+                outcome = self.send_order(engine, req) => outcome,
+            }
+        }
+        .boxed()
+    }
+}
--- a/src/sources/engine/mod.rs
+++ b/src/sources/engine/mod.rs
@@ -1,5 +1,6 @@
 //! Model engines, over their OpenAI-style HTTP interface.
 
+mod control;
 mod wire;
 
 use std::time::Duration;
@@ -15,6 +16,8 @@
 use crate::core::request::{AcceptedRequest, Completion};
 use crate::core::verdict::Verdict;
 
+pub use control::{EngineControl, EngineLoad, OrderOutcome};
+
 use wire::{Chunk, CompletionRequest, KvExport, KvExported};
 
 /// Longest wait for the head of an engine's answer, queueing in the engine included.
