Prove that a keeper that wakes late does no lasting harm

Two keepers in one process, over the fake store, the cloud and an engine stand-in on a paused clock: the first freezes with an order in hand, the second wins the lease after it has ended. An engine that checks numbers refuses the late order. One that does not gets the second keeper's first order no sooner than a lease and the longest order after the freeze, takes the late order all the same, and is brought back at the next look.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -13,5 +13,6 @@
 mod policy_admission;
 mod policy_queue;
 mod promise_config;
+mod promise_fencing;
 mod sources_platform;
 mod store_contract;
