Tell refused starts to the other keepers and retire engines with notice

The test of a cloud that refuses all reclaimable starts failed: each keeper knew only its own zone's refusal and left the engines to the other zones, so that nothing was started. Keepers now exchange refusals with the demand of their region, one call each 10 s. A retired engine is announced with ten minutes to finish, again each minute, since nodes forget notices; its VM is stopped once it is idle.

--- a/src/core/fleet/refusals.rs
+++ b/src/core/fleet/refusals.rs
@@ -33,6 +33,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Refusals {
     by_supply: HashMap<Supply, Refusal>,
+    /// Refusals that others met, with the time before which none is tried again.
+    heard: HashMap<Supply, Moment>,
 }
 
 impl Refusals {
@@ -52,9 +54,22 @@
         self.by_supply.remove(supply);
     }
 
+    /// Replaces the refusals that others met.
+    pub fn heard(&mut self, refused: impl IntoIterator<Item = (Supply, Moment)>) {
+        self.heard = refused.into_iter().collect();
+    }
+
+    /// Returns the refusals met here, with the time before which no start is tried.
+    pub fn own(&self, now: Moment) -> impl Iterator<Item = (&Supply, Moment)> {
+        let refused = self.by_supply.iter();
+        let refused = refused.map(|(supply, refusal)| (supply, refusal.until));
+        refused.filter(move |(_, until)| now < *until)
+    }
+
     /// Returns until when no start is tried, if there was a refusal lately.
     pub fn until(&self, supply: &Supply, now: Moment) -> Option<Moment> {
-        let refusal = self.by_supply.get(supply)?;
-        (now < refusal.until).then_some(refusal.until)
+        let own = self.by_supply.get(supply).map(|refusal| refusal.until);
+        let until = own.max(self.heard.get(supply).copied())?;
+        (now < until).then_some(until)
     }
 }
--- a/src/ops/keep_fleet/desk.rs
+++ b/src/ops/keep_fleet/desk.rs
@@ -3,14 +3,14 @@
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
-use super::demand::RegionDemand;
+use super::report::{KeeperReport, Refused};
 use crate::core::document::Document;
 use crate::core::fleet::{
     Backend, BackendKind, ClassCapacity, EngineBounds, EngineVm, FleetPlan, FleetView, ModelDemand,
     ModelInput, Need, NeedWindow, Offer, PlanInput, Refusals, RiskMeter, Supply, plan,
 };
 use crate::core::id::{MachineClass, ModelName, VmId};
-use crate::core::time::Moment;
+use crate::core::time::{Moment, UnixMillis};
 
 /// How long a need is remembered, so that a dip of demand stops no engine.
 const NEED_WINDOW: Duration = Duration::from_secs(300);
@@ -35,6 +35,16 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Retiring {
     pub(super) since: Moment,
+    /// Set where this keeper began it.
+    pub(super) announced: Option<Announced>,
+}
+
+/// What nodes were told of an engine that is to go.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Announced {
+    pub(super) stops_at: UnixMillis,
+    /// When to tell them again.
+    pub(super) repeat_at: Moment,
 }
 
 /// What a keeper remembers between two rounds.
@@ -50,9 +60,10 @@
     pub(super) starts_begun: u64,
     /// When each engine is to be looked at again.
     pub(super) looks: HashMap<VmId, Moment>,
-    pub(super) demand_told_at: Option<Moment>,
-    /// Demand of all regions, as last told.
-    pub(super) told: Vec<RegionDemand>,
+    /// When this keeper's report is to be told again.
+    pub(super) report_at: Moment,
+    /// What the keepers of other zones told last.
+    pub(super) told: Vec<KeeperReport>,
     pub(super) last_plan: FleetPlan,
     windows: HashMap<(ModelName, MachineClass), NeedWindow>,
     risks: RiskMeter,
@@ -108,6 +119,24 @@
         })
     }
 
+    /// Takes in what the other keepers told.
+    pub(super) fn hear(&mut self, told: Vec<KeeperReport>, now: Moment) {
+        let refused = told.iter().flat_map(|report| report.refused.iter());
+        let refused = refused.map(|refused| (refused.supply.clone(), now + refused.left));
+        self.refusals.heard(refused);
+        self.told = told;
+    }
+
+    /// Returns the starts that the cloud refused this keeper.
+    pub(super) fn refused(&self, now: Moment) -> Vec<Refused> {
+        let own = self.refusals.own(now);
+        own.map(|(supply, until)| Refused {
+            supply: supply.clone(),
+            left: until.saturating_sub(now),
+        })
+        .collect()
+    }
+
     fn engine(&self, backend: &Backend) -> EngineVm {
         let served = backend.serves.first().cloned();
         let assigned = self.assigned.get(&backend.vm).cloned();
--- a/src/ops/keep_fleet/mod.rs
+++ b/src/ops/keep_fleet/mod.rs
@@ -1,10 +1,10 @@
 //! Keeps the fleet: starts and stops VMs and gives orders to engines, one keeper for each zone.
 
-mod demand;
 mod desk;
 mod host;
 mod lease;
 mod orders;
+mod report;
 mod round;
 
 use std::collections::BTreeSet;
--- /dev/null
+++ b/src/ops/keep_fleet/report.rs
@@ -0,0 +1,169 @@
+//! What keepers tell each other through the store: the demand of their region and the starts that the
+//! cloud refused them.
+//!
+//! Loads are gossiped within a region only, and a refusal is seen by the zone's keeper alone, while every
+//! keeper plans the whole fleet. Each writes its report under its own lease and reads the others', so
+//! that the calls grow with zones and not with nodes or requests.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::core::fleet::{Market, ModelDemand, Supply};
+use crate::core::id::{MachineClass, ModelName, RegionId, ZoneId};
+use crate::sources::store::{
+    KeyRange, LeaseId, Op, OpResult, Result, Store, Transaction, TransactionReply,
+};
+
+/// Start of the keys under which keepers report.
+const REPORT_PREFIX: &str = "fleet/report/";
+
+#[derive(Debug, Serialize, Deserialize)]
+struct ReportWire {
+    zone: ZoneId,
+    region: RegionId,
+    models: Vec<ModelWire>,
+    refused: Vec<RefusedWire>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct ModelWire {
+    model: ModelName,
+    tokens_per_second: Vec<u64>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct RefusedWire {
+    zone: ZoneId,
+    class: MachineClass,
+    is_reclaimable: bool,
+    left_ms: u64,
+}
+
+/// A supply whose starts were refused, and for how long none is tried.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Refused {
+    pub(super) supply: Supply,
+    pub(super) left: Duration,
+}
+
+/// What one keeper tells the others.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct KeeperReport {
+    pub(super) zone: ZoneId,
+    /// Region of the keeper's node.
+    pub(super) region: RegionId,
+    /// Demand in that region.
+    pub(super) models: Vec<ModelDemand>,
+    pub(super) refused: Vec<Refused>,
+}
+
+impl From<&KeeperReport> for ReportWire {
+    fn from(report: &KeeperReport) -> Self {
+        let models = report.models.iter().map(|demand| ModelWire {
+            model: demand.model.clone(),
+            tokens_per_second: demand.tokens_per_second.to_vec(),
+        });
+        let refused = report.refused.iter().map(|refused| RefusedWire {
+            zone: refused.supply.zone.clone(),
+            class: refused.supply.class.clone(),
+            is_reclaimable: refused.supply.market == Market::Reclaimable,
+            left_ms: refused.left.as_millis() as u64,
+        });
+        Self {
+            zone: report.zone.clone(),
+            region: report.region.clone(),
+            models: models.collect(),
+            refused: refused.collect(),
+        }
+    }
+}
+
+impl From<ReportWire> for KeeperReport {
+    fn from(wire: ReportWire) -> Self {
+        let models = wire.models.into_iter().map(|model| ModelDemand {
+            model: model.model,
+            tokens_per_second: model.tokens_per_second.into(),
+        });
+        let refused = wire.refused.into_iter().map(|refused| Refused {
+            supply: Supply {
+                zone: refused.zone,
+                class: refused.class,
+                market: match refused.is_reclaimable {
+                    true => Market::Reclaimable,
+                    false => Market::OnDemand,
+                },
+            },
+            left: Duration::from_millis(refused.left_ms),
+        });
+        Self {
+            zone: wire.zone,
+            region: wire.region,
+            models: models.collect(),
+            refused: refused.collect(),
+        }
+    }
+}
+
+/// Tells a keeper's report and returns those of the other zones, in one call.
+pub(super) async fn exchange(
+    store: &dyn Store,
+    lease: LeaseId,
+    own: &KeeperReport,
+) -> Result<Vec<KeeperReport>> {
+    let value = serde_json::to_vec(&ReportWire::from(own)).unwrap_or_default();
+    let exchange = Transaction {
+        then: vec![
+            Op::Put {
+                key: format!("{REPORT_PREFIX}{}", own.zone).into(),
+                value: value.into(),
+                lease: Some(lease),
+            },
+            Op::Get(KeyRange::Prefix(REPORT_PREFIX.into())),
+        ],
+        ..Transaction::default()
+    };
+    let mut reports = store.transact(exchange).await.map(told)?;
+    reports.retain(|report| report.zone != own.zone);
+    Ok(reports)
+}
+
+fn told(reply: TransactionReply) -> Vec<KeeperReport> {
+    let results = reply.results.into_iter();
+    let found = results.filter_map(|result| match result {
+        OpResult::Got(entries) => Some(entries),
+        OpResult::Put | OpResult::Deleted(_) => None,
+    });
+    let entries = found.flatten();
+    let wires = entries.filter_map(|kv| serde_json::from_slice::<ReportWire>(&kv.value).ok());
+    wires.map(KeeperReport::from).collect()
+}
+
+/// Adds up the demand of a region, known at first hand, and of the others. Where several keepers of one
+/// region told, the last one counts.
+pub(super) fn total(own: KeeperReport, told: &[KeeperReport]) -> Vec<ModelDemand> {
+    let mut regions: BTreeMap<RegionId, Vec<ModelDemand>> = BTreeMap::new();
+    for demand in told {
+        regions.insert(demand.region.clone(), demand.models.clone());
+    }
+    regions.insert(own.region, own.models);
+    let mut total: BTreeMap<ModelName, ModelDemand> = BTreeMap::new();
+    for demand in regions.into_values().flatten() {
+        let sum = total.entry(demand.model.clone());
+        sum.and_modify(|sum| sum.merge(&demand)).or_insert(demand);
+    }
+    total.into_values().collect()
+}
+
+impl ModelDemand {
+    fn merge(&mut self, other: &Self) {
+        let levels = self.tokens_per_second.len();
+        let levels = levels.max(other.tokens_per_second.len());
+        self.tokens_per_second.resize(levels, 0);
+        let sums = self.tokens_per_second.iter_mut();
+        for (sum, more) in sums.zip(&other.tokens_per_second) {
+            *sum += more;
+        }
+    }
+}
--- a/src/ops/keep_fleet/round.rs
+++ b/src/ops/keep_fleet/round.rs
@@ -4,27 +4,30 @@
 
 use tokio::time::{MissedTickBehavior, interval};
 
-use super::demand::{RegionDemand, exchange, total};
-use super::desk::{Desk, PendingStart, Retiring};
+use super::desk::{Announced, Desk, PendingStart, Retiring};
+use super::report::{KeeperReport, exchange, total};
 use super::{Held, ZoneKeeper};
 use crate::core::fleet::orders::Permit;
 use crate::core::fleet::{
     BackendKind, FleetPlan, FleetView, ModelDemand, Step, Supply, next_steps,
 };
 use crate::core::id::VmId;
+use crate::core::time::{Moment, UnixMillis};
 use crate::core::verdict::Verdict;
 use crate::sources::cloud::{StartOutcome, StartVm, VmRole};
 use crate::util::time::unix_now;
 
 /// Time between two reads of the cloud's prices.
 const OFFERS_INTERVAL: Duration = Duration::from_secs(60);
-/// Time between two exchanges of demand with the other regions.
-const DEMAND_INTERVAL: Duration = Duration::from_secs(30);
+/// Time between two exchanges of reports with the other keepers.
+const REPORT_INTERVAL: Duration = Duration::from_secs(10);
 /// Time from the announcement that an engine leaves until no node gives it work, the lag of its load
 /// report included.
 const QUIET_TIME: Duration = Duration::from_secs(5);
-/// Time after which a leaving engine that does not answer is stopped.
-const UNANSWERED_LIMIT: Duration = Duration::from_secs(600);
+/// Time that a retired engine has to finish what it runs; what is left then is moved by its home.
+const RETIREMENT_TIME: Duration = Duration::from_secs(600);
+/// Time between two announcements that an engine leaves, since nodes forget them in the end.
+const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(60);
 
 impl ZoneKeeper {
     /// Makes rounds for ever.
@@ -90,18 +93,17 @@
     /// Returns the demand of all regions, the others' as last told.
     async fn demand(&self, desk: &mut Desk, held: &Held) -> Vec<ModelDemand> {
         let now = self.clock.now();
-        let own = RegionDemand {
+        let own = KeeperReport {
+            zone: self.zone.clone(),
             region: self.setup.board.identity.region.clone(),
             models: self.setup.host.demand(),
+            refused: desk.refused(now),
         };
-        if desk
-            .demand_told_at
-            .is_none_or(|at| now >= at + DEMAND_INTERVAL)
-        {
-            desk.demand_told_at = Some(now);
-            match exchange(&*self.setup.store, &self.zone, held.lease, &own).await {
-                Ok(told) => desk.told = told,
-                Err(e) => tracing::debug!(error = %e, "demand not told"),
+        if now >= desk.report_at {
+            desk.report_at = now + REPORT_INTERVAL;
+            match exchange(&*self.setup.store, held.lease, &own).await {
+                Ok(told) => desk.hear(told, now),
+                Err(e) => tracing::debug!(error = %e, "report not told"),
             }
         }
         total(own, &desk.told)
@@ -186,13 +188,35 @@
     }
 
     async fn begin_retirement(&self, vm: VmId, desk: &mut Desk) {
-        let since = self.clock.now();
-        desk.retiring.insert(vm.clone(), Retiring { since });
-        self.setup.host.announce_leaving(vm, unix_now()).await;
+        let stops_at = unix_now() + RETIREMENT_TIME.as_millis() as UnixMillis;
+        let retiring = Retiring {
+            since: self.clock.now(),
+            announced: Some(Announced {
+                stops_at,
+                repeat_at: Moment::ZERO,
+            }),
+        };
+        desk.retiring.insert(vm, retiring);
+        self.announce(desk).await;
+    }
+
+    /// Announces the retirements that this keeper began.
+    async fn announce(&self, desk: &mut Desk) {
+        let now = self.clock.now();
+        for (vm, retiring) in &mut desk.retiring {
+            if let Some(announced) = &mut retiring.announced
+                && announced.repeat_at <= now
+            {
+                announced.repeat_at = now + ANNOUNCE_INTERVAL;
+                let host = &self.setup.host;
+                host.announce_leaving(vm.clone(), announced.stops_at).await;
+            }
+        }
     }
 
     /// Stops the VMs of leaving engines that have nothing left to do.
     async fn retire(&self, desk: &mut Desk, held: &Held, fleet: &FleetView) {
+        self.announce(desk).await;
         let now = self.clock.now();
         let engines = fleet.backends.iter();
         let engines = engines.filter(|b| b.kind == BackendKind::Engine && b.zone == self.zone);
@@ -200,7 +224,10 @@
             if engine.is_leaving {
                 // A former keeper may have begun this, or the cloud.
                 let known = desk.retiring.entry(engine.vm.clone());
-                known.or_insert(Retiring { since: now });
+                known.or_insert(Retiring {
+                    since: now,
+                    announced: None,
+                });
             }
             let Some(retiring) = desk.retiring.get(&engine.vm).copied() else {
                 continue;
@@ -210,7 +237,7 @@
             }
             let may_stop = match self.setup.engines.load(engine.address).await {
                 Ok(load) => load.is_idle(),
-                Err(_) => now >= retiring.since + UNANSWERED_LIMIT,
+                Err(_) => now >= retiring.since + RETIREMENT_TIME,
             };
             if may_stop && let Err(e) = self.setup.cloud.stop_vm(engine.vm.clone()).await {
                 tracing::debug!(vm = &*engine.vm, error = %e, "VM not stopped yet");
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod cells;
 mod fleet_plan;
 mod ini;
+mod keep_fleet;
 mod membership;
 mod policy_admission;
 mod policy_queue;
