--- /dev/null
+++ b/examples/fleet_cost.rs
@@ -0,0 +1,285 @@
+//! Cost per thousand tokens of the fleet plan and of naive ones, while zones lose their reclaimable VMs.
+//!
+//! A deterministic computation in simulated time: `cargo run --release --example fleet_cost`.
+
+use std::time::Duration;
+
+use jayhall::core::fleet::{
+    ClassCapacity, EngineBounds, EngineVm, FleetPlan, Market, MicroPrice, ModelDemand, ModelInput,
+    Need, NeedWindow, Offer, PlanInput, Refusals, Step, Supply, next_steps, plan,
+};
+use jayhall::core::id::ZoneId;
+use jayhall::core::time::Moment;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+/// Zones with the price of a reclaimable VM an hour, in millionths.
+const ZONES: [(&str, MicroPrice); 3] = [
+    ("addis-1", 900_000),
+    ("addis-2", 1_000_000),
+    ("hawassa-1", 700_000),
+];
+/// Price of an on-demand VM an hour, in millionths.
+const ON_DEMAND_PRICE: MicroPrice = 3_000_000;
+/// Tokens a second of one engine.
+const ENGINE_RATE: u64 = 1000;
+/// Tokens a second that urgent callers ask for.
+const URGENT_RATE: u64 = 3200;
+/// Tokens a second that the other callers ask for.
+const OTHER_RATE: u64 = 8000;
+/// Simulated time of one run.
+const DAY: Duration = Duration::from_secs(24 * 3600);
+/// Simulated time of one step.
+const TICK: Duration = Duration::from_secs(10);
+/// Time between the start of a VM and its first token.
+const START_TIME: Duration = Duration::from_secs(180);
+/// Time for which a zone that was lost refuses reclaimable starts.
+const OUTAGE: Duration = Duration::from_secs(3600);
+/// Losses of a zone in one run.
+const LOSSES: usize = 3;
+/// Runs, each with a seed of its own.
+const SEEDS: u64 = 20;
+/// Engines that start or load at once.
+const MAX_LOADS: usize = 4;
+/// Time in which a backlog is to be worked off.
+const DRAIN_SECONDS: u64 = 600;
+
+#[derive(Clone, Copy, Debug)]
+enum Strategy {
+    Plan,
+    NoFloor,
+    CheapestZone,
+    AllOnDemand,
+}
+
+struct Running {
+    engine: EngineVm,
+    ready_at: Moment,
+}
+
+#[derive(Default)]
+struct Totals {
+    cost_micros: f64,
+    urgent_served: u64,
+    urgent_late: u64,
+    other_served: u64,
+    largest_backlog: u64,
+    /// Steps in which urgent work was late.
+    late_ticks: u64,
+}
+
+struct Run {
+    strategy: Strategy,
+    fleet: Vec<Running>,
+    refusals: Refusals,
+    window: NeedWindow,
+    /// Zones and when they are lost.
+    losses: Vec<(Moment, &'static str)>,
+    backlog: u64,
+    started: u64,
+    totals: Totals,
+}
+
+impl Run {
+    fn new(strategy: Strategy, seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let losses = (0..LOSSES).map(|_| {
+            let at = Duration::from_secs(rng.random_range(3600..DAY.as_secs()));
+            (at, ZONES[rng.random_range(0..ZONES.len())].0)
+        });
+        Self {
+            strategy,
+            fleet: Vec::new(),
+            refusals: Refusals::default(),
+            window: NeedWindow::new(Duration::from_secs(300)),
+            losses: losses.collect(),
+            backlog: 0,
+            started: 0,
+            totals: Totals::default(),
+        }
+    }
+
+    fn is_out(&self, zone: &str, now: Moment) -> bool {
+        let mut losses = self.losses.iter();
+        losses.any(|(at, lost)| *lost == zone && *at <= now && now < *at + OUTAGE)
+    }
+
+    /// Simulates one day. Counting starts once the fleet had time to start.
+    fn simulate(mut self) -> Totals {
+        let mut now = Moment::ZERO;
+        while now < DAY {
+            self.lose(now);
+            self.keep(now);
+            self.serve(now);
+            now += TICK;
+        }
+        self.totals
+    }
+
+    fn lose(&mut self, now: Moment) {
+        let out: Vec<&str> = ZONES.iter().map(|(zone, _)| *zone).collect();
+        let out: Vec<&str> = out.into_iter().filter(|z| self.is_out(z, now)).collect();
+        self.fleet.retain(|running| {
+            let supply = &running.engine.supply;
+            supply.market == Market::OnDemand || !out.contains(&&*supply.zone)
+        });
+    }
+
+    fn keep(&mut self, now: Moment) {
+        for running in &mut self.fleet {
+            running.engine.is_ready = running.engine.model.is_some() && running.ready_at <= now;
+        }
+        let engines: Vec<EngineVm> = self.fleet.iter().map(|r| r.engine.clone()).collect();
+        let plan = self.plan(&engines, now);
+        for step in next_steps(&plan, &engines, &[], MAX_LOADS) {
+            self.take(step, now);
+        }
+    }
+
+    fn plan(&mut self, engines: &[EngineVm], now: Moment) -> FleetPlan {
+        let offers = offers();
+        self.exclude(now);
+        let model = ModelInput {
+            demand: ModelDemand {
+                model: "assistant".into(),
+                tokens_per_second: [URGENT_RATE, OTHER_RATE + self.backlog / DRAIN_SECONDS]
+                    .into_iter()
+                    .collect(),
+            },
+            bounds: EngineBounds { min: 1, max: 60 },
+            classes: vec![ClassCapacity {
+                class: "gpu-small".into(),
+                tokens_per_second: ENGINE_RATE,
+            }],
+        };
+        let zones: Vec<ZoneId> = match self.strategy {
+            Strategy::CheapestZone => vec!["hawassa-1".into()],
+            _ => Vec::new(),
+        };
+        let input = PlanInput {
+            models: &[model],
+            offers: &offers,
+            risks: &[],
+            engines,
+            refusals: &self.refusals,
+            zones: &zones,
+            replacement_time: START_TIME,
+        };
+        let (window, strategy) = (&mut self.window, self.strategy);
+        plan(&input, now, |_, _, need| {
+            let need = window.update(need, now);
+            match strategy {
+                Strategy::Plan => need,
+                _ => Need { floor: 0, ..need },
+            }
+        })
+    }
+
+    /// Excludes the market that a naive strategy does not use.
+    fn exclude(&mut self, now: Moment) {
+        let excluded = match self.strategy {
+            Strategy::Plan => return,
+            Strategy::NoFloor | Strategy::CheapestZone => Market::OnDemand,
+            Strategy::AllOnDemand => Market::Reclaimable,
+        };
+        let supplies = offers().into_iter().map(|offer| offer.supply(excluded));
+        self.refusals
+            .heard(supplies.map(|supply| (supply, now + TICK)));
+    }
+
+    fn take(&mut self, step: Step, now: Moment) {
+        match step {
+            Step::Start { supply, model, .. } => {
+                if supply.market == Market::Reclaimable && self.is_out(&supply.zone, now) {
+                    self.refusals.refused(supply, now);
+                    return;
+                }
+                self.refusals.started(&supply);
+                self.started += 1;
+                self.fleet.push(Running {
+                    engine: EngineVm {
+                        vm: format!("vm-{:05}", self.started).into(),
+                        supply,
+                        model: Some(model),
+                        is_ready: false,
+                    },
+                    ready_at: now + START_TIME,
+                });
+            }
+            Step::Retire { vm, .. } => self.fleet.retain(|r| r.engine.vm != vm),
+            Step::Load { .. } => {}
+        }
+    }
+
+    /// Serves urgent work first; what is not served at once is late, other work waits.
+    fn serve(&mut self, now: Moment) {
+        let seconds = TICK.as_secs();
+        let hours = TICK.as_secs_f64() / 3600.0;
+        if now < Duration::from_secs(3600) {
+            return;
+        }
+        let prices = self.fleet.iter().map(|r| price(&r.engine.supply));
+        self.totals.cost_micros += prices.sum::<MicroPrice>() as f64 * hours;
+        let ready = self.fleet.iter().filter(|r| r.ready_at <= now).count() as u64;
+        let capacity = ready * ENGINE_RATE * seconds;
+        let urgent = (URGENT_RATE * seconds).min(capacity);
+        let other = (OTHER_RATE * seconds + self.backlog).min(capacity - urgent);
+        self.backlog = OTHER_RATE * seconds + self.backlog - other;
+        let late = URGENT_RATE * seconds - urgent;
+        self.totals.urgent_served += urgent;
+        self.totals.urgent_late += late;
+        self.totals.late_ticks += u64::from(late > 0);
+        self.totals.other_served += other;
+        self.totals.largest_backlog = self.totals.largest_backlog.max(self.backlog);
+    }
+}
+
+fn offers() -> Vec<Offer> {
+    let offer = |(zone, price): &(&str, MicroPrice)| Offer {
+        zone: (*zone).into(),
+        class: "gpu-small".into(),
+        reclaimable: *price,
+        on_demand: ON_DEMAND_PRICE,
+        currency: "USD".into(),
+    };
+    ZONES.iter().map(offer).collect()
+}
+
+fn price(supply: &Supply) -> MicroPrice {
+    let zone = ZONES.iter().find(|(zone, _)| *zone == &*supply.zone);
+    match (supply.market, zone) {
+        (Market::Reclaimable, Some((_, price))) => *price,
+        _ => ON_DEMAND_PRICE,
+    }
+}
+
+fn main() {
+    println!(
+        "{SEEDS} runs of a day with {LOSSES} losses of a zone each; urgent {URGENT_RATE} and other {OTHER_RATE} tokens/s"
+    );
+    println!(
+        "strategy       USD per 1000 tokens   urgent late   minutes late a run   largest backlog"
+    );
+    for strategy in [
+        Strategy::Plan,
+        Strategy::NoFloor,
+        Strategy::CheapestZone,
+        Strategy::AllOnDemand,
+    ] {
+        let runs = (0..SEEDS).map(|seed| Run::new(strategy, seed).simulate());
+        let runs: Vec<Totals> = runs.collect();
+        let sum = |of: fn(&Totals) -> u64| runs.iter().map(of).sum::<u64>() as f64;
+        let cost: f64 = runs.iter().map(|run| run.cost_micros).sum();
+        let urgent = sum(|run| run.urgent_served);
+        let late = sum(|run| run.urgent_late);
+        let per_thousand = cost / 1e6 / ((urgent + sum(|run| run.other_served)) / 1000.0);
+        let late_share = 100.0 * late / (urgent + late);
+        let minutes = sum(|run| run.late_ticks) * TICK.as_secs_f64() / 60.0 / SEEDS as f64;
+        let backlog = runs.iter().map(|run| run.largest_backlog).max();
+        println!(
+            "{:<14} {per_thousand:>19.6} {late_share:>12.3}% {minutes:>20.1} {:>13} tokens",
+            format!("{strategy:?}"),
+            backlog.unwrap_or(0)
+        );
+    }
+}
--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -1,11 +1,13 @@
 //! Which back ends there are, which ones there should be, and what leads from one to the other.
 
+mod counts;
 mod demand;
 mod explain;
 mod listing;
 mod offer;
 pub mod orders;
 mod placement;
+mod places;
 mod plan;
 mod refusals;
 mod risk;
--- a/src/core/fleet/plan.rs
+++ b/src/core/fleet/plan.rs
@@ -1,18 +1,16 @@
 //! The wanted fleet: how many engines each model has, of which class, where and in which market.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
-use super::placement::{Place, Placed, Placement, place};
+use super::placement::{Placed, Placement, place};
+use super::places::Planner;
 use super::refusals::{Refusals, Supply};
-use super::{EngineBounds, Market, MicroPrice, ModelDemand, Need, Offer, size};
+use super::{EngineBounds, Market, ModelDemand, Need, Offer, size};
 use crate::core::id::{MachineClass, ModelName, ZoneId};
 use crate::core::time::Moment;
 
 /// How much cheaper a VM that runs counts than one that would have to start, in percent.
 const RUNNING_BONUS_PERCENT: u64 = 10;
-/// Seconds in a thousand hours.
-const THOUSAND_HOURS_SECONDS: u128 = 3_600_000;
 
 /// What one engine of a class makes of a model.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -103,6 +101,15 @@
             && engine.supply.class == self.class
     }
 
+    /// Returns the supply of a place.
+    pub fn supply(&self, placed: &Placed) -> Supply {
+        Supply {
+            zone: placed.zone.clone(),
+            class: self.class.clone(),
+            market: placed.market,
+        }
+    }
+
     /// Returns the plan of a model that no offered class can run: its engines are left alone.
     fn unplaced(model: &ModelInput) -> Self {
         let need = Need {
@@ -133,16 +140,13 @@
     }
 }
 
-/// Supplies whose starts were refused, and engines without a model that are left in each.
-type Limits = HashMap<Supply, u32>;
-
 /// Returns the wanted fleet. Needs are passed through `smooth`, which may remember earlier ones.
 pub fn plan(
     input: &PlanInput<'_>,
     now: Moment,
     mut smooth: impl FnMut(&ModelName, &MachineClass, Need) -> Need,
 ) -> FleetPlan {
-    let mut limits = refused_limits(input, now);
+    let mut planner = Planner::new(input, now);
     let mut models: Vec<&ModelInput> = input.models.iter().collect();
     // Models with more urgent work choose first among supplies that are short.
     models.sort_by(|a, b| {
@@ -154,7 +158,7 @@
         let candidates = model.classes.iter().map(|class| {
             let need = size(&model.demand, model.bounds, class.tokens_per_second);
             let need = smooth(&model.demand.model, &class.class, need);
-            let places = places(input, model, &class.class, &limits);
+            let places = planner.places(&model.demand.model, &class.class);
             ModelPlan {
                 model: model.demand.model.clone(),
                 class: class.class.clone(),
@@ -164,89 +168,12 @@
         });
         let best = candidates.min_by_key(|plan| (plan.placement.rank(), plan.class.clone()));
         let best = best.unwrap_or_else(|| ModelPlan::unplaced(model));
-        take(&mut limits, &best, input.engines);
+        planner.take(&best);
         plans.push(best);
     }
     FleetPlan { models: plans }
 }
 
-/// Returns the supplies whose starts were refused: there a model has its own engines and, the first
-/// model that asks, those without a model.
-fn refused_limits(input: &PlanInput<'_>, now: Moment) -> Limits {
-    let mut limits = Limits::new();
-    for offer in input.offers {
-        for market in [Market::Reclaimable, Market::OnDemand] {
-            let supply = offer.supply(market);
-            if input.refusals.until(&supply, now).is_some() {
-                let idle = count(input.engines, &supply, None);
-                limits.insert(supply, idle);
-            }
-        }
-    }
-    limits
-}
-
-/// Returns the engines in a supply that have a model, or that have none.
-fn count(engines: &[EngineVm], supply: &Supply, model: Option<&ModelName>) -> u32 {
-    let here = engines.iter().filter(|e| e.supply == *supply);
-    here.filter(|e| e.model.as_ref() == model).count() as u32
-}
-
-fn places(
-    input: &PlanInput<'_>,
-    model: &ModelInput,
-    class: &MachineClass,
-    limits: &Limits,
-) -> Vec<Place> {
-    let is_allowed = |zone: &ZoneId| input.zones.is_empty() || input.zones.contains(zone);
-    let offers = input.offers.iter();
-    let offers = offers.filter(|offer| offer.class == *class && is_allowed(&offer.zone));
-    let mut places = Vec::new();
-    for offer in offers {
-        for market in [Market::Reclaimable, Market::OnDemand] {
-            let supply = offer.supply(market);
-            let running = count(input.engines, &supply, Some(&model.demand.model));
-            places.push(Place {
-                zone: offer.zone.clone(),
-                market,
-                price: price_with_risk(input, offer, market),
-                running,
-                available: limits.get(&supply).map(|idle| idle + running),
-            });
-        }
-    }
-    places
-}
-
-/// Returns the price of an hour of service: while a lost VM is replaced, the hours of its replacement
-/// are paid for and serve nothing.
-fn price_with_risk(input: &PlanInput<'_>, offer: &Offer, market: Market) -> MicroPrice {
-    let price = offer.price(market);
-    if market == Market::OnDemand {
-        return price;
-    }
-    let risk = input.risks.iter().find(|risk| risk.zone == offer.zone);
-    let reclaims = risk.map_or(0, |risk| risk.reclaims_per_thousand_hours);
-    let lost_seconds = u128::from(reclaims) * u128::from(input.replacement_time.as_secs());
-    let lost = u128::from(price) * lost_seconds / THOUSAND_HOURS_SECONDS;
-    price.saturating_add(MicroPrice::try_from(lost).unwrap_or(MicroPrice::MAX))
-}
-
-/// Takes the engines without a model that a plan uses out of the limits.
-fn take(limits: &mut Limits, plan: &ModelPlan, engines: &[EngineVm]) {
-    for placed in &plan.placement.placed {
-        let supply = Supply {
-            zone: placed.zone.clone(),
-            class: plan.class.clone(),
-            market: placed.market,
-        };
-        let running = count(engines, &supply, Some(&plan.model));
-        if let Some(idle) = limits.get_mut(&supply) {
-            *idle = idle.saturating_sub(placed.count.saturating_sub(running));
-        }
-    }
-}
-
 impl Offer {
     /// Returns the supply that the offer is about.
     pub fn supply(&self, market: Market) -> Supply {
--- a/src/core/fleet/steps.rs
+++ b/src/core/fleet/steps.rs
@@ -1,5 +1,6 @@
 //! What to do next to bring the fleet that runs to the wanted one.
 
+use super::counts::EngineCounts;
 use super::plan::{EngineVm, FleetPlan, ModelPlan};
 use super::refusals::Supply;
 use crate::core::id::{ModelName, VmId};
@@ -130,10 +131,11 @@
 
 /// Returns the missing engines, the most pressing first.
 fn gaps(plan: &FleetPlan, engines: &[EngineVm]) -> Vec<Gap> {
+    let counts = EngineCounts::new(engines);
     let mut gaps = Vec::new();
     for model in &plan.models {
-        let count = serving(engines, &model.model).count() as u32;
-        let missing = missing_supplies(model, engines);
+        let count = counts.of_model(&model.model);
+        let missing = missing_supplies(model, &counts);
         gaps.extend((count..).zip(missing).map(|(count, supply)| Gap {
             cause: cause(model, count),
             supply,
@@ -158,18 +160,15 @@
 
 /// Returns the supplies of a model's missing engines, one entry each, in turn over the places, so that
 /// the first engines are spread over the zones.
-fn missing_supplies(model: &ModelPlan, engines: &[EngineVm]) -> Vec<Supply> {
-    let mut by_place = Vec::new();
-    for placed in &model.placement.placed {
-        let supply = Supply {
-            zone: placed.zone.clone(),
-            class: model.class.clone(),
-            market: placed.market,
-        };
-        let here = serving(engines, &model.model).filter(|e| e.supply == supply);
-        let missing = placed.count.saturating_sub(here.count() as u32);
-        by_place.push((supply, missing));
-    }
+fn missing_supplies(model: &ModelPlan, counts: &EngineCounts<'_>) -> Vec<Supply> {
+    let placed = model.placement.placed.iter();
+    let mut by_place: Vec<(Supply, u32)> = placed
+        .map(|placed| {
+            let supply = model.supply(placed);
+            let here = counts.get(&supply, Some(&model.model));
+            (supply, placed.count.saturating_sub(here))
+        })
+        .collect();
     let mut supplies = Vec::new();
     while by_place.iter().any(|(_, missing)| *missing > 0) {
         for (supply, missing) in &mut by_place {
