--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -1,13 +1,16 @@
 //! Which back ends there are, which ones there should be, and what leads from one to the other.
 
+mod counts;
 mod demand;
 mod explain;
 mod listing;
 mod offer;
 pub mod orders;
 mod placement;
+mod places;
 mod plan;
 mod refusals;
+mod risk;
 mod steps;
 mod view;
 
@@ -19,5 +22,6 @@
     ClassCapacity, EngineVm, FleetPlan, ModelInput, ModelPlan, PlanInput, ZoneRisk, plan,
 };
 pub use refusals::{Refusals, Supply};
+pub use risk::RiskMeter;
 pub use steps::{Step, StepCause, next_steps};
 pub use view::{Backend, BackendKind, FleetView, Market};
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -10,6 +10,7 @@
 pub mod home;
 pub(crate) mod keep_copy;
 pub mod ledger;
+pub mod keep_fleet;
 pub mod publish;
 pub mod replicate;
 pub mod requests;
