--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -3,8 +3,8 @@
 use std::process::ExitCode;
 
 mod demo;
-mod slopes;
 mod policy;
+mod slopes;
 
 const USAGE: &str = "\
 Usage: cargo xtask TASK [OPTIONS]
