Call plain services through the ledger and open the operators' listener

Cause: two of the demo's seven checks failed with 404, since plain services were not routed.

Ruled out: a record of calls in the ledger itself (it is written to the store; an explanation is not worth a write); the node that took up a call keeps a bounded record of it.

--- a/src/callers/answer.rs
+++ b/src/callers/answer.rs
@@ -130,7 +130,7 @@
     format!("/v1/requests/{id}").into()
 }
 
-fn set_request_id(res: &mut Response, id: &str) {
+pub(super) fn set_request_id(res: &mut Response, id: &str) {
     if let Ok(value) = HeaderValue::from_str(id) {
         res.headers_mut().insert(REQUEST_ID, value);
     }
--- a/src/callers/mod.rs
+++ b/src/callers/mod.rs
@@ -5,8 +5,10 @@
 mod lists;
 mod problem;
 mod requests;
+mod services;
 mod wire;
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use salvo::http::header;
@@ -15,6 +17,8 @@
 use crate::core::document::CustomerRule;
 use crate::node::NodeContext;
 use crate::ops::accept::Accept;
+use crate::ops::call_records::CallRecords;
+use crate::ops::call_service::CallService;
 use crate::ops::follow::Follower;
 
 pub use problem::Problem;
@@ -33,6 +37,10 @@
     pub accept: Accept,
     /// Finds and streams answers.
     pub follower: Follower,
+    /// Calls plain services.
+    pub calls: Arc<CallService>,
+    /// Records of those calls.
+    pub records: Arc<CallRecords>,
 }
 
 impl CallerContext {
@@ -60,6 +68,12 @@
         .push(Router::with_path("chat/completions").post(chat::Complete(cx.clone())))
         .push(Router::with_path("requests/{id}").get(requests::Fetch(cx.clone())))
         .push(Router::with_path("requests/{id}/explanation").get(requests::Explain(cx.clone())))
+        .push(
+            Router::with_path("services/{service}")
+                .get(services::Call(cx.clone()))
+                .post(services::Call(cx.clone())),
+        )
+        .push(Router::with_path("idempotency-keys").post(services::IssueKey(cx.clone())))
         .push(Router::with_path("models").get(lists::Models(cx.clone())))
         .push(Router::with_path("health").get(lists::Health(cx.clone())))
         .push(Router::with_path("directory").get(lists::Directory(cx.clone())))
--- a/src/node/daemon.rs
+++ b/src/node/daemon.rs
@@ -9,18 +9,22 @@
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::prelude::*;
 use salvo::server::ServerHandle;
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 use tokio_stream::wrappers::TcpListenerStream;
 use uuid::Uuid;
 
-use super::{Blackboard, Identity, Left, Node, Phase, http_client};
+use super::control::Control;
+use super::{Blackboard, Connections, Identity, Left, Node, Phase, http_client};
 use crate::core::id::Address;
 use crate::core::membership::{DocumentRevision, DocumentRevisions};
+use crate::operators::OperatorContext;
 use crate::ops::gossip::{Documents, Gossip, GossipSetup};
+use crate::ops::publish::Publisher;
 use crate::ops::spread::{ConfigInstaller, Spread, SpreadConfig};
 use crate::ops::watch_fleet::{FleetWatch, FleetWatcher};
 use crate::peers::{PeerService, Pool};
 use crate::sources::cloud::HttpCloud;
+use crate::sources::service::ServiceClient;
 use crate::sources::store::{EtcdConfig, EtcdStore, Store};
 use crate::sources::vm_list::HttpVmList;
 use crate::util::settings::Settings;
@@ -41,6 +45,8 @@
     gossip: Gossip,
     fleet: FleetWatcher,
     callers: ServerHandle,
+    operators: ServerHandle,
+    drain: Arc<Notify>,
     peers: Option<oneshot::Sender<()>>,
 }
 
@@ -113,7 +119,7 @@
         let _on_control = control.enter();
         let spread = Spread::spawn(SpreadConfig {
             blackboard: Arc::clone(&board),
-            store,
+            store: Arc::clone(&store),
             peers: Arc::clone(&pool) as _,
             installers: vec![Arc::new(ConfigInstaller(Arc::clone(&board)))],
         });
@@ -134,18 +140,41 @@
         tokio::spawn(begin_serving(Arc::clone(&board), Arc::clone(&spread)));
         drop(_on_control);
 
-        let node = Node::spawn(board, pool, http);
+        let node = Node::spawn(
+            Arc::clone(&board),
+            Connections {
+                pool,
+                http,
+                store: Arc::clone(&store),
+                services: ServiceClient::open().wrap_err("setting up the client of services")?,
+            },
+        );
+        let drain = Arc::new(Notify::new());
+        let operators = serve_operators(
+            listeners.operators,
+            OperatorContext {
+                blackboard: board,
+                spread: Arc::clone(&spread),
+                publisher: Publisher::open(store),
+                control: Arc::new(Control {
+                    node: Arc::clone(&node),
+                    drain: Arc::clone(&drain),
+                }),
+                operator_keys: settings.operator_keys.iter().copied().collect(),
+            },
+        )?;
         let peers = serve_peers(
             listeners.peers,
             PeerService::new(Arc::clone(&node), gossip.clone(), spread),
         )?;
         let callers = serve_callers(listeners.callers, &node)?;
-        drop(listeners.operators);
         Ok(Self {
             node,
             gossip,
             fleet,
             callers,
+            operators,
+            drain,
             peers: Some(peers),
         })
     }
@@ -166,6 +195,7 @@
                 let left = Duration::from_millis(left).saturating_sub(RECLAIM_MARGIN);
                 ("the cloud takes back its VM", left)
             }
+            () = self.drain.notified() => ("an operator drains it", STOP_WITHIN),
             () = stop => ("it is being stopped", STOP_WITHIN),
         };
         self.leave(cause, within).await
@@ -176,6 +206,7 @@
         self.gossip.leave().await;
         let left = self.node.leave(cause, within).await;
         self.callers.stop_graceful(Some(CLOSE_WITHIN));
+        self.operators.stop_graceful(Some(CLOSE_WITHIN));
         tokio::time::sleep(CLOSE_WITHIN.min(within)).await;
         if let Some(peers) = self.peers.take() {
             let _ = peers.send(());
@@ -214,10 +245,17 @@
 }
 
 fn serve_callers(listener: TcpListener, node: &Node) -> Result<ServerHandle> {
+    serve_http(listener, crate::callers::router(&node.caller_context()))
+}
+
+fn serve_operators(listener: TcpListener, cx: OperatorContext) -> Result<ServerHandle> {
+    serve_http(listener, crate::operators::router(cx))
+}
+
+fn serve_http(listener: TcpListener, router: Router) -> Result<ServerHandle> {
     let listener = tokio::net::TcpListener::from_std(listener)?;
     let server = Server::new(TcpAcceptor::try_from(listener)?);
     let handle = server.handle();
-    let router = crate::callers::router(&node.caller_context());
     tokio::spawn(async move { server.serve(router).await });
     Ok(handle)
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -2,10 +2,11 @@
 
 mod blackboard;
 mod context;
+mod control;
 mod daemon;
 mod process;
 
 pub use blackboard::{Blackboard, Identity, Installed, Phase, SectionOf};
 pub use context::NodeContext;
 pub use daemon::Daemon;
-pub use process::{Left, Node, http_client};
+pub use process::{Connections, Left, Node, http_client};
--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -8,6 +8,8 @@
 use super::{Blackboard, NodeContext, Phase};
 use crate::callers::CallerContext;
 use crate::ops::accept::Accept;
+use crate::ops::call_records::CallRecords;
+use crate::ops::call_service::{CallService, CallServiceContext, PeerOwners};
 use crate::ops::follow::Follower;
 use crate::ops::hand_over::HandOvers;
 use crate::ops::home::Home;
@@ -16,6 +18,9 @@
 use crate::ops::run_request::Runner;
 use crate::peers::Pool;
 use crate::sources::engine::EngineClient;
+use crate::sources::service::ServiceClient;
+use crate::sources::store::Store;
+use crate::util::time::unix_now;
 
 /// Time between two looks at replicas and at old answers.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(250);
@@ -39,15 +44,39 @@
     pub hand_overs: Arc<HandOvers>,
     /// Answers on any node.
     pub follower: Follower,
+    /// Calls of plain services.
+    pub calls: Arc<CallService>,
+    /// Records of those calls.
+    pub records: Arc<CallRecords>,
+}
+
+/// What a process connects to.
+pub struct Connections {
+    /// Other nodes.
+    pub pool: Arc<Pool>,
+    /// Back ends and the platform.
+    pub http: reqwest::Client,
+    /// The platform's store.
+    pub store: Arc<dyn Store>,
+    /// Plain services.
+    pub services: ServiceClient,
 }
 
 impl Node {
     /// Creates the operations and starts their upkeep.
-    pub fn spawn(board: Arc<Blackboard>, pool: Arc<Pool>, http: reqwest::Client) -> Arc<Self> {
+    pub fn spawn(board: Arc<Blackboard>, connections: Connections) -> Arc<Self> {
+        let calls = Arc::new(CallService::spawn(CallServiceContext {
+            board: Arc::clone(&board),
+            store: connections.store,
+            owners: Arc::new(PeerOwners::new(Arc::clone(&connections.pool))),
+            backends: Arc::new(connections.services),
+            store_region: None,
+            clock: Arc::new(unix_now),
+        }));
         let cx = NodeContext {
             board,
-            pool,
-            engines: EngineClient::new(http),
+            pool: connections.pool,
+            engines: EngineClient::new(connections.http),
         };
         let requests = Arc::new(Requests::default());
         let home = Home::spawn(cx.clone());
@@ -59,7 +88,8 @@
             Arc::clone(&replicator),
             Arc::clone(&runner),
         );
-        let follower = Follower::new(cx.clone(), Arc::clone(&requests));
+        let records = Arc::new(CallRecords::default());
+        let follower = Follower::new(cx.clone(), Arc::clone(&requests), Arc::clone(&records));
         let node = Arc::new(Self {
             cx,
             requests,
@@ -68,6 +98,8 @@
             runner,
             hand_overs,
             follower,
+            calls,
+            records,
         });
         tokio::spawn(upkeep(Arc::clone(&node)));
         node
@@ -84,17 +116,23 @@
                 Arc::clone(&self.runner),
             ),
             follower: self.follower.clone(),
+            calls: Arc::clone(&self.calls),
+            records: Arc::clone(&self.records),
         }
     }
 
+    /// Returns whether others still rely on this node, for copies or for calls that were sent.
+    fn has_unsettled_work(&self) -> bool {
+        !self.requests.copied_nodes().is_empty() || self.calls.unsettled() > 0
+    }
+
     /// Takes no new work and passes on what there is. Returns when nothing is left or time is up.
     pub async fn leave(&self, cause: &str, within: Duration) -> Left {
         let until = Instant::now() + within;
         self.cx.board.phase.write(Phase::Leaving);
         self.home.leave();
         let mut remaining = self.hand_overs.pass_on_all(cause).await;
-        while Instant::now() < until && (remaining > 0 || !self.requests.copied_nodes().is_empty())
-        {
+        while Instant::now() < until && (remaining > 0 || self.has_unsettled_work()) {
             tokio::time::sleep(UPKEEP_INTERVAL).await;
             remaining = self.hand_overs.pass_on_all(cause).await;
         }
--- a/src/ops/follow.rs
+++ b/src/ops/follow.rs
@@ -15,6 +15,7 @@
 use crate::core::id::{NodeId, TokenOffset};
 use crate::core::request::Completion;
 use crate::node::NodeContext;
+use crate::ops::call_records::CallRecords;
 use crate::ops::requests::{Entry, Progress, Requests, Role};
 use crate::peers::convert_request::record_from_wire;
 
@@ -81,12 +82,17 @@
 pub struct Follower {
     cx: NodeContext,
     requests: Arc<Requests>,
+    calls: Arc<CallRecords>,
 }
 
 impl Follower {
     /// Creates the operation.
-    pub fn new(cx: NodeContext, requests: Arc<Requests>) -> Self {
-        Self { cx, requests }
+    pub fn new(cx: NodeContext, requests: Arc<Requests>, calls: Arc<CallRecords>) -> Self {
+        Self {
+            cx,
+            requests,
+            calls,
+        }
     }
 
     /// Streams the answer of a request that this node serves or has served.
@@ -145,9 +151,11 @@
         None
     }
 
-    /// Returns the record of a request that this node serves or has served.
+    /// Returns the record of a request that this node serves, or of a call that it took up.
     pub fn explain_local(&self, id: &str, customer: Option<&str>) -> Option<Record> {
-        let entry = self.requests.get(id)?;
+        let Some(entry) = self.requests.get(id) else {
+            return self.calls.get(id, customer);
+        };
         if customer.is_some_and(|customer| customer != &**entry.customer()) {
             return None;
         }
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -1,6 +1,7 @@
 //! One module for each operation.
 
 pub mod accept;
+pub mod call_records;
 pub mod call_service;
 pub mod choose_home;
 pub mod directory;
--- a/src/peers/server.rs
+++ b/src/peers/server.rs
@@ -12,6 +12,7 @@
 
 use super::convert_request::{HandOver, MalformedMessage, ReplicaUpdate, record_to_wire};
 use crate::core::dispatch::DispatchOrder;
+use crate::core::service_call::ServiceCall;
 use crate::node::Node;
 use crate::ops::gossip::{Gossip, GossipError};
 use crate::ops::hand_over::Taken;
@@ -139,9 +140,12 @@
 
     async fn call_service(
         &self,
-        _req: Request<wire::ServiceCallRequest>,
+        req: Request<wire::ServiceCallRequest>,
     ) -> Result<Response<wire::ServiceCallReply>, Status> {
-        Err(Status::unimplemented("call_service"))
+        let call = ServiceCall::try_from(req.into_inner())
+            .map_err(|e| Status::invalid_argument(e.to_string()))?;
+        let reply = self.node.calls.handle(call).await;
+        Ok(Response::new(reply.into()))
     }
 
     async fn explain(
