Give each node that serves a request a term of its own

Cause: a request that was handed over could be left with no serving node. The successor chose the leaving node as its replica; that node, which had not yet noted that its offer was taken, answered that it serves the request itself, and the successor yielded to it. Seen as 0 words and 118 resumes in promise_graceful_stop/one_node.ini, and with curl: each node named the other.

Ruled out: the search for the request (every node found the copy), the engine's stream (it ended whole), the order of the leaving steps (the same with the hand-over before the home's end).

Now a successor serves in a later term, an update of an earlier term is refused, one of a later term makes a node keep a copy, and the node that hands over is avoided as replica. A stale attempt is moved instead of being given up on.

--- a/src/core/answer/mod.rs
+++ b/src/core/answer/mod.rs
@@ -82,6 +82,16 @@
         self.attempt
     }
 
+    /// Drops the tokens from an offset on, since another node decides how the answer goes on.
+    pub fn truncate(&mut self, offset: TokenOffset) {
+        if offset < self.len() {
+            self.tokens.truncate(offset as usize);
+            self.early.clear();
+            self.end = None;
+            self.state = AnswerState::Open;
+        }
+    }
+
     /// Returns the number of the current attempt; 0 before the first.
     pub fn attempt(&self) -> AttemptNumber {
         self.attempt
--- a/src/core/id.rs
+++ b/src/core/id.rs
@@ -32,6 +32,10 @@
 pub type AttemptNumber = u32;
 /// Counts tokens of an answer, from 0.
 pub type TokenOffset = u32;
+/// Counts the nodes that took up the serving of one request, one after another.
+///
+/// A node yields to another that serves the same request in a later term.
+pub type Term = u64;
 /// Orders holders of a lease; a larger number belongs to a later holder.
 pub type FencingNumber = u64;
 /// Where a listener can be reached.
--- a/src/ops/accept.rs
+++ b/src/ops/accept.rs
@@ -137,6 +137,7 @@
         let request = self.checked(customer, call)?;
         let entry = Arc::new(Entry::serving(Snapshot {
             request,
+            term: 1,
             attempt: 0,
             tokens: Vec::new(),
             completion: None,
--- a/src/ops/hand_over.rs
+++ b/src/ops/hand_over.rs
@@ -11,7 +11,7 @@
 use crate::core::id::NodeId;
 use crate::node::{NodeContext, Phase};
 use crate::ops::replicate::{Replicator, replica_candidates};
-use crate::ops::requests::{Entry, Requests, Role};
+use crate::ops::requests::{Entry, HAND_OVER_TERMS, Requests, Role, Snapshot};
 use crate::ops::run_request::Runner;
 use crate::peers::convert_request::HandOver;
 
@@ -80,6 +80,7 @@
                 return;
             }
             if self.offer(entry, &node, cause).await {
+                self.release_copy(entry, &node);
                 entry.hand_over(node);
                 metrics::counter!("jayhall_handovers_total", "direction" => "out").increment(1);
                 return;
@@ -87,6 +88,13 @@
         }
     }
 
+    /// Lets a replica that is not the successor drop its copy.
+    fn release_copy(&self, entry: &Entry, successor: &NodeId) {
+        if let Some(replica) = entry.replica().filter(|replica| replica != successor) {
+            self.replicator.release(&replica, entry);
+        }
+    }
+
     async fn offer(&self, entry: &Entry, node: &NodeId, cause: &str) -> bool {
         let own = &self.cx.board.identity.node;
         let members = self.cx.board.members.read();
@@ -117,10 +125,16 @@
         let own = self.cx.board.identity.node.clone();
         let id = offer.snapshot.request.id.clone();
         let known = self.requests.get(&id);
-        if known.is_some_and(|known| known.role() == Role::Serving) {
+        let term = offer.snapshot.term;
+        if known.is_some_and(|known| known.role() == Role::Serving && known.term() > term) {
             return Taken::Yes;
         }
-        let entry = Arc::new(Entry::serving(offer.snapshot));
+        // The node that leaves may not be known as leaving here yet.
+        self.replicator.avoid(&offer.from);
+        let entry = Arc::new(Entry::serving(Snapshot {
+            term: term + HAND_OVER_TERMS,
+            ..offer.snapshot
+        }));
         entry.note(Decision::HandedOver {
             from: offer.from,
             to: own,
--- a/src/ops/home/mod.rs
+++ b/src/ops/home/mod.rs
@@ -34,8 +34,6 @@
 
 /// Time for which a run goes on without a reader.
 pub(crate) const LINGER: Duration = Duration::from_secs(10);
-/// Wait before a caller whose model has no engine asks again.
-const NO_ENGINE_RETRY: Duration = Duration::from_secs(2);
 /// Time between two looks at deadlines and at leaving engines.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(50);
 /// Events that a slow reader may be behind.
@@ -151,7 +149,7 @@
         let known = self.state.lock().runs.get(&order.request.id).cloned();
         if let Some(run) = known {
             if run.attempt > order.attempt {
-                return Err(refused("a later attempt has begun", Verdict::MayHaveRun));
+                return Err(moved("a later attempt has begun"));
             }
             if run.can_continue(&order) {
                 return Ok(run);
@@ -331,14 +329,6 @@
     }
 }
 
-fn refused(cause: &str, verdict: Verdict) -> DispatchEvent {
-    DispatchEvent::Refused {
-        cause: cause.into(),
-        verdict,
-        retry_after_ms: crate::util::time::as_millis_u32(NO_ENGINE_RETRY),
-    }
-}
-
 fn moved(cause: &str) -> DispatchEvent {
     DispatchEvent::Moved {
         cause: cause.into(),
--- a/src/ops/home/run.rs
+++ b/src/ops/home/run.rs
@@ -235,10 +235,11 @@
                     None => *verdict,
                 },
             },
-            Self::Cancelled => DispatchEvent::Refused {
-                cause: "the attempt was cancelled".into(),
+            Self::Cancelled => DispatchEvent::Moved {
+                cause: "another attempt took its place".into(),
+                attachment: None,
+                kv_blob: None,
                 verdict: Verdict::MayHaveRun,
-                retry_after_ms: 0,
             },
         }
     }
--- a/src/ops/keep_copy.rs
+++ b/src/ops/keep_copy.rs
@@ -64,6 +64,7 @@
 ) -> Result<Arc<Entry>, NoRoom> {
     let snapshot = Snapshot {
         request: accepted,
+        term: 0,
         attempt: 0,
         tokens: Vec::new(),
         completion: None,
--- a/src/ops/replicate.rs
+++ b/src/ops/replicate.rs
@@ -157,8 +157,15 @@
         self.touch(entry);
     }
 
+    /// Takes a node as replica for no request for a while, since it leaves or does not answer.
+    pub fn avoid(&self, node: &NodeId) {
+        self.failed
+            .lock()
+            .insert(node.clone(), Instant::now() + FAILED_PAUSE);
+    }
+
     /// Tells a former replica that its copy is of no use any more.
-    fn release(self: &Arc<Self>, replica: &NodeId, entry: &Entry) {
+    pub fn release(self: &Arc<Self>, replica: &NodeId, entry: &Entry) {
         let link = self.link(replica);
         link.dropped.lock().push(entry.id().clone());
         link.wake.notify_one();
@@ -286,6 +293,7 @@
             accepted: None,
             update: CopyUpdate {
                 from: self.cx.board.identity.node.clone(),
+                term: 0,
                 attempt: 0,
                 offset: 0,
                 tokens: Vec::new(),
@@ -308,8 +316,11 @@
                 .map_err(|_| tonic::Status::deadline_exceeded("no acknowledgement"))??
                 .ok_or_else(|| tonic::Status::unavailable("the replica closed the stream"))?;
             for superseded in ack.superseded {
-                if let Some(entry) = self.requests.get(&superseded.request) {
-                    entry.hand_over(superseded.by.into());
+                let by = superseded.by.into();
+                if by != self.cx.board.identity.node
+                    && let Some(entry) = self.requests.get(&superseded.request)
+                {
+                    entry.hand_over(by);
                 }
             }
             if ack.sequence >= sequence {
@@ -321,9 +332,7 @@
     /// Gives every request that a failed replica had a copy of another one.
     fn fail(self: &Arc<Self>, replica: &NodeId) {
         self.links.lock().remove(replica);
-        self.failed
-            .lock()
-            .insert(replica.clone(), Instant::now() + FAILED_PAUSE);
+        self.avoid(replica);
         metrics::counter!("jayhall_replica_failures_total").increment(1);
         for entry in self.requests.served() {
             if entry.replica().as_ref() == Some(replica) {
--- a/src/ops/requests/entry.rs
+++ b/src/ops/requests/entry.rs
@@ -1,8 +1,9 @@
 //! One request as a serving node or a replica holds it.
 //!
-//! A token is shown to callers only after the replica has it, or while there is no replica. A copy that
-//! was promoted refuses updates of its former serving node, so that two nodes never show different
-//! continuations of one answer.
+//! A token is shown to callers only after the replica has it, or while there is no replica. Each node
+//! that takes up the serving of a request does so in a later term. A copy that was promoted refuses
+//! updates of an earlier term, so that two nodes never show different continuations of one answer; a
+//! node that served in an earlier term yields to an update of a later one and keeps a copy.
 
 use parking_lot::Mutex;
 use tokio::sync::watch;
@@ -11,10 +12,16 @@
 use crate::core::answer::{Answer, AnswerState, Applied, GivenUp};
 use crate::core::dispatch::Attachment;
 use crate::core::explain::{Decision, Record, RecordEntry};
-use crate::core::id::{AttemptNumber, CustomerId, NodeId, RequestId, TokenOffset};
+use crate::core::id::{AttemptNumber, CustomerId, NodeId, RequestId, Term, TokenOffset};
 use crate::core::request::{AcceptedRequest, Completion};
 use crate::util::time::unix_now;
 
+/// Terms by which a node that serves a copy on its own goes ahead.
+const PROMOTION_TERMS: Term = 1;
+/// Terms by which a node that is handed a request goes ahead: it prevails over a copy that was promoted
+/// meanwhile.
+pub(crate) const HAND_OVER_TERMS: Term = 2;
+
 /// What this node is to a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Role {
@@ -52,6 +59,8 @@
 pub struct CopyUpdate {
     /// Node that serves the request.
     pub from: NodeId,
+    /// Term in which it serves.
+    pub term: Term,
     /// The attempt that made the tokens.
     pub attempt: AttemptNumber,
     /// Offset of the first token.
@@ -76,6 +85,8 @@
 pub struct Snapshot {
     /// The request, with its record.
     pub request: AcceptedRequest,
+    /// Term of the node that serves it.
+    pub term: Term,
     /// The attempt that made the latest tokens.
     pub attempt: AttemptNumber,
     /// All tokens so far.
@@ -100,6 +111,7 @@
     request: AcceptedRequest,
     answer: Answer,
     role: Role,
+    term: Term,
     replica: Option<NodeId>,
     /// Whether the replica has the request itself.
     is_copied: bool,
@@ -134,6 +146,7 @@
                 request: snapshot.request,
                 answer,
                 role,
+                term: snapshot.term,
                 replica: None,
                 is_copied: false,
                 engine: snapshot.engine,
@@ -203,6 +216,7 @@
         let state = self.state.lock();
         Snapshot {
             request: state.request.clone(),
+            term: state.term,
             attempt: state.answer.attempt(),
             tokens: state.answer.tokens().to_vec(),
             completion: state.completion(),
@@ -215,6 +229,7 @@
         let state = self.state.lock();
         CopyUpdate {
             from,
+            term: state.term,
             attempt: state.answer.attempt(),
             offset,
             tokens: state.answer.tokens()[offset as usize..].to_vec(),
@@ -324,6 +339,11 @@
         self.tell(Applied::Grown);
     }
 
+    /// Returns the term of the node that serves the request.
+    pub fn term(&self) -> Term {
+        self.state.lock().term
+    }
+
     /// Marks the request as served by another node.
     pub fn hand_over(&self, to: NodeId) {
         let mut state = self.state.lock();
@@ -339,6 +359,7 @@
         let was_copy = matches!(state.role, Role::Copy { .. });
         if was_copy {
             state.role = Role::Serving;
+            state.term += PROMOTION_TERMS;
             state.replica = None;
             state.safe = state.answer.len();
         }
@@ -351,14 +372,21 @@
     ///
     /// # Errors
     ///
-    /// Fails where this node, or another than the sender, serves the request by now.
+    /// Fails where a node serves the request in a later term than the sender's.
     pub fn apply_update(&self, own: &NodeId, update: CopyUpdate) -> Result<(), Superseded> {
         let mut state = self.state.lock();
-        match &mut state.role {
-            Role::Copy { from } => *from = update.from,
-            Role::Serving => return Err(Superseded { by: own.clone() }),
-            Role::HandedOver { to } => return Err(Superseded { by: to.clone() }),
+        let server = match &state.role {
+            Role::Copy { from } => from,
+            Role::Serving => own,
+            Role::HandedOver { to } => to,
+        };
+        if (state.term, server) > (update.term, &update.from) {
+            return Err(Superseded { by: server.clone() });
         }
+        let yields = state.role == Role::Serving;
+        state.role = Role::Copy { from: update.from };
+        state.term = update.term;
+        state.answer.truncate(update.offset);
         while state.answer.attempt() < update.attempt {
             state.answer.begin_attempt();
         }
@@ -372,6 +400,10 @@
         }
         state.engine = update.engine;
         state.mark_end();
+        drop(state);
+        if yields {
+            self.tell(Applied::Grown);
+        }
         Ok(())
     }
 
--- a/src/ops/requests/mod.rs
+++ b/src/ops/requests/mod.rs
@@ -11,6 +11,7 @@
 
 use crate::core::id::{NodeId, RequestId};
 
+pub(crate) use entry::HAND_OVER_TERMS;
 pub use entry::{CopyUpdate, Entry, Progress, Role, Snapshot, Superseded};
 
 /// Time for which an ended answer can still be fetched.
--- a/src/peers/convert_request.rs
+++ b/src/peers/convert_request.rs
@@ -323,6 +323,7 @@
             dropped: update.is_dropped,
             engine,
             engine_attempt,
+            term: copy.term,
         }
     }
 }
@@ -337,6 +338,7 @@
             accepted: update.accepted.map(TryInto::try_into).transpose()?,
             update: CopyUpdate {
                 from: update.from.into(),
+                term: update.term,
                 attempt: update.attempt,
                 offset: update.offset,
                 tokens: texts(update.tokens),
@@ -372,6 +374,7 @@
             engine,
             engine_attempt,
             cause: hand_over.cause.into(),
+            term: snapshot.term,
         }
     }
 }
@@ -384,6 +387,7 @@
             from: hand_over.from.into(),
             snapshot: Snapshot {
                 request: hand_over.request.ok_or(missing("request"))?.try_into()?,
+                term: hand_over.term,
                 attempt: hand_over.attempt,
                 tokens: texts(hand_over.tokens),
                 completion: hand_over.finished.map(Into::into),
