Let a node that can read no revision not serve

A node that started beside a document of a newer release was ready as soon as it had the text, with nothing in force, and would have refused every caller's key. It is ready once a revision is in force. The extended test was run against the earlier condition too and fails there (ready at once).

Heads of the store are now covered by property tests, there and back and on any bytes.

--- a/src/ops/spread/bootstrap.rs
+++ b/src/ops/spread/bootstrap.rs
@@ -33,7 +33,7 @@
     let mut revision = replica.watch_revision();
     for count in 1_u32.. {
         let round = run_round(shared, replica).await;
-        if replica.revision() > 0 && is_enough(&round, count) {
+        if replica.has_one_in_force() && is_enough(&round, count) {
             return;
         }
         // News from gossip ends the wait early.
--- a/src/ops/spread/mod.rs
+++ b/src/ops/spread/mod.rs
@@ -95,7 +95,7 @@
     }
 
     /// Waits until the node has asked several peers and the store, and has a revision of every
-    /// document. A node serves no caller before.
+    /// document in force. A node serves no caller before.
     pub async fn ready(&self) {
         let mut ready = self.ready.clone();
         // The sender lives as long as the tasks, which this value owns.
--- a/src/ops/spread/replica.rs
+++ b/src/ops/spread/replica.rs
@@ -98,6 +98,11 @@
         *self.revision.borrow()
     }
 
+    /// Returns whether this node could read one of the revisions that it has.
+    pub(super) fn has_one_in_force(&self) -> bool {
+        !self.state.lock().log.is_empty()
+    }
+
     pub(super) fn watch_revision(&self) -> watch::Receiver<ConfigRevision> {
         self.revision.subscribe()
     }
--- a/tests/testsuite/command_line.rs
+++ b/tests/testsuite/command_line.rs
@@ -191,7 +191,7 @@
 async fn status_explanation_top_and_help_are_readable() {
     let bench = Bench::start().await;
     let status = bench.run(&["status"]).await;
-    assert!(status.out.contains("NODE  VM"), "{status:?}");
+    assert!(status.out.contains("NODE   VM"), "{status:?}");
     assert!(status.out.contains("contracts  urgent  3"), "{status:?}");
     let explained = bench.run(&["explain", "r1"]).await;
     assert!(
@@ -226,7 +226,7 @@
         view.members[0].operator_address = bench.address;
         Some(view)
     });
-    let drained = bench.run(&["drain", "vm000"]).await;
+    let drained = bench.run(&["drain", "vm0000"]).await;
     assert_eq!(drained.code, 0, "{drained:?}");
     assert_eq!(*bench.desk.control.drained.lock(), 1);
     assert_eq!(bench.run(&["drain", "vm999"]).await.code, 2);
--- a/tests/testsuite/promise_config/cluster.rs
+++ b/tests/testsuite/promise_config/cluster.rs
@@ -211,27 +211,31 @@
             _gossip: JoinSet::new(),
         };
         for _ in 0..count {
-            cluster.add(false);
+            cluster.spawn(false);
         }
+        cluster.tell_members();
         cluster
     }
 
     /// Starts one more node, which all others know.
     pub(crate) fn add(&mut self, is_store_cut: bool) {
+        self.spawn(is_store_cut);
+        self.tell_members();
+    }
+
+    fn spawn(&mut self, is_store_cut: bool) {
         let node = self.spawn_node(is_store_cut);
-        self.net
-            .nodes
-            .lock()
-            .insert(node.address, node.spread.clone());
+        let nodes = &self.net.nodes;
+        nodes.lock().insert(node.address, node.spread.clone());
         let gossip = gossip(node.address, self.net.clone());
         self._gossip.spawn(gossip);
         self.nodes.push(node);
-        let members = self
-            .nodes
-            .iter()
-            .map(|node| member(&node.blackboard.identity));
+    }
+
+    fn tell_members(&self) {
+        let identities = self.nodes.iter().map(|node| &node.blackboard.identity);
         let view = MemberView {
-            members: members.collect(),
+            members: identities.map(member).collect(),
         };
         for node in &self.nodes {
             node.blackboard.members.write(view.clone());
@@ -242,8 +246,8 @@
         let index = self.nodes.len();
         let address = Address::from(([127, 0, 0, 1], 7000 + index as u16));
         let blackboard = Blackboard::new(Identity {
-            node: format!("n{index:03}").into(),
-            vm: format!("vm{index:03}").into(),
+            node: format!("n{index:04}").into(),
+            vm: format!("vm{index:04}").into(),
             region: ["addis", "hawassa"][index % 2].into(),
             zone: "zone".into(),
             peer_address: address,
--- a/tests/testsuite/promise_config/publishing.rs
+++ b/tests/testsuite/promise_config/publishing.rs
@@ -3,9 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use jayhall::core::document::sections::SectionChange;
 use jayhall::core::verdict::Verdict;
-use jayhall::ops::publish::{HISTORY_REVISIONS, PublishError, Publisher};
+use jayhall::ops::publish::{HISTORY_REVISIONS, Head, PublishError, Publisher};
 use jayhall::sources::store::{Fault, MemoryStore, RangeRequest, Store};
+use proptest::collection::vec;
+use proptest::option;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 use super::cluster::{Cluster, draft, text};
 
@@ -153,3 +158,38 @@
         .unwrap_err();
     assert!(matches!(e, PublishError::Conflict { .. }), "{e}");
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(4),
+        failure_persistence: None,
+        ..ProptestConfig::with_cases(200)
+    })]
+
+    #[test]
+    fn a_head_is_read_back_from_the_store(
+        revision in any::<u64>(),
+        digest in any::<[u8; 32]>(),
+        changes in option::of(vec(("\\PC{0,9}", option::of("[\\PC\n]{0,40}")), 0..4)),
+        author in "\\PC{0,9}",
+    ) {
+        let change = |(heading, text): (String, Option<String>)| SectionChange {
+            heading: heading.into(),
+            text: text.map(Into::into),
+        };
+        let head = Head {
+            revision,
+            publish_id: "id".into(),
+            author: author.into(),
+            published_at: revision,
+            digest,
+            changes: changes.map(|changes| changes.into_iter().map(change).collect()),
+        };
+        prop_assert_eq!(Head::from_value(&head.to_value()), Ok(head));
+    }
+
+    #[test]
+    fn any_bytes_are_a_head_or_an_error(bytes in vec(any::<u8>(), 0..200)) {
+        let _ = Head::from_value(&bytes);
+    }
+}
--- a/tests/testsuite/promise_config/spreading.rs
+++ b/tests/testsuite/promise_config/spreading.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use jayhall::ops::publish::Draft;
+use jayhall::ops::publish::{Draft, Publisher};
 use jayhall::ops::spread::Installation;
 use jayhall::sources::store::{Fault, KeyRange, MemoryStore, Op, Store, Transaction};
 use rand::rngs::ChaCha8Rng;
@@ -176,19 +176,18 @@
 /// A node of an older release relays a document that it cannot read, and keeps the one before it.
 #[tokio::test(start_paused = true)]
 async fn a_text_that_nodes_cannot_read_does_not_come_into_force() {
-    let cluster = cluster_with_a_revision(4, &text(3, 1)).await;
+    let mut cluster = cluster_with_a_revision(4, &text(3, 1)).await;
     let newer = format!("[balloon red]\nsize = 3\n\n{}", text(3, 2));
-    let publisher = jayhall::ops::publish::Publisher::with_check(
-        Arc::new(cluster.store.clone()),
-        "config",
-        |_| Ok(()),
-    );
+    let publisher = Publisher::with_check(Arc::new(cluster.store.clone()), "config", |_| Ok(()));
     publisher.publish(draft(1, newer)).await.unwrap();
     sleep(SPREAD_TARGET).await;
     assert!(cluster.all_have(1));
     for node in &cluster.nodes {
         assert_eq!(node.spread.revisions()[0].revision, 2);
     }
+    cluster.add(false);
+    let started = &cluster.nodes[4].spread;
+    assert!(timeout(SPREAD_TARGET, started.ready()).await.is_err());
     cluster.publish(2, &text(3, 3)).await.unwrap();
     cluster.settle(3, SPREAD_TARGET).await;
 }
