--- a/crates/jayhall-scenarios/src/lib.rs
+++ b/crates/jayhall-scenarios/src/lib.rs
@@ -4,4 +4,9 @@
 //! time and counts what follows. Every loop is deterministic for its seed. Tests assert bounds on the
 //! outcomes; `cargo xtask policy` prints them.
 
+pub mod clock;
+pub mod homes;
 pub mod limits;
+pub mod prefixes;
+pub mod service;
+pub mod workload;
