--- a/src/util/settings.rs
+++ b/src/util/settings/mod.rs
@@ -1,5 +1,7 @@
 //! Settings of one node: who it is, where it listens and where the platform is.
 
+mod schema;
+
 use std::fs;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -11,9 +13,11 @@
 use crate::util::fields::Fields;
 use crate::util::ini::{self, IniSection};
 use crate::util::problem::{Problem, Problems};
-use crate::util::schema::{KeySpec, Kind, SectionSpec};
+use crate::util::schema::SectionSpec;
 use crate::util::value::Hash;
 
+pub use schema::{LISTEN, LOG, NODE, OPERATORS, PLATFORM, SECTIONS, TLS};
+
 /// Why settings cannot be used.
 #[derive(Debug, Error)]
 pub enum SettingsError {
@@ -121,87 +125,6 @@
     Json,
 }
 
-/// Who the node is.
-pub const NODE: SectionSpec = SectionSpec {
-    kind: "node",
-    is_named: false,
-    keys: &[
-        KeySpec::optional("name", Kind::Name, "", "name for people"),
-        KeySpec::required("vm", Kind::Name, "VM in the platform's list"),
-        KeySpec::required("region", Kind::Name, "region of the VM"),
-        KeySpec::required("zone", Kind::Name, "availability zone of the VM"),
-    ],
-};
-
-/// Where the node listens.
-pub const LISTEN: SectionSpec = SectionSpec {
-    kind: "listen",
-    is_named: false,
-    keys: &[
-        KeySpec::required("callers", Kind::Address, "address for callers"),
-        KeySpec::required("operators", Kind::Address, "address for operators"),
-        KeySpec::required("peers", Kind::Address, "address for other nodes"),
-    ],
-};
-
-/// Where the platform is.
-pub const PLATFORM: SectionSpec = SectionSpec {
-    kind: "platform",
-    is_named: false,
-    keys: &[
-        KeySpec::required("store", Kind::Url, "key-value store"),
-        KeySpec::required("cloud", Kind::Url, "cloud API"),
-        KeySpec::required("list", Kind::Url, "list of VMs"),
-        KeySpec::required("weights", Kind::Url, "weight store"),
-    ],
-};
-
-/// Keys for connections between nodes.
-pub const TLS: SectionSpec = SectionSpec {
-    kind: "tls",
-    is_named: false,
-    keys: &[
-        KeySpec::required("certificate", Kind::Path, "certificate of the node"),
-        KeySpec::required("key", Kind::Path, "private key of the node"),
-        KeySpec::required("authority", Kind::Path, "certificate of the authority"),
-    ],
-};
-
-/// Who may sign in as an operator.
-pub const OPERATORS: SectionSpec = SectionSpec {
-    kind: "operators",
-    is_named: false,
-    keys: &[KeySpec::optional(
-        "key_hashes",
-        Kind::Hashes,
-        "",
-        "hashes of the operators' keys",
-    )],
-};
-
-/// Logs.
-pub const LOG: SectionSpec = SectionSpec {
-    kind: "log",
-    is_named: false,
-    keys: &[
-        KeySpec::optional(
-            "format",
-            Kind::Choice(&["text", "json"]),
-            "text",
-            "form of the lines",
-        ),
-        KeySpec::optional(
-            "filter",
-            Kind::Text,
-            "info",
-            "filter in the form of tracing",
-        ),
-    ],
-};
-
-/// All sections of a node's settings.
-pub const SECTIONS: [&SectionSpec; 6] = [&NODE, &LISTEN, &PLATFORM, &TLS, &OPERATORS, &LOG];
-
 impl Settings {
     /// Opens the settings in a file.
     ///
--- /dev/null
+++ b/src/util/settings/schema.rs
@@ -0,0 +1,84 @@
+//! Sections and keys of a node's settings.
+
+use crate::util::schema::{KeySpec, Kind, SectionSpec};
+
+/// Who the node is.
+pub const NODE: SectionSpec = SectionSpec {
+    kind: "node",
+    is_named: false,
+    keys: &[
+        KeySpec::optional("name", Kind::Name, "", "name for people"),
+        KeySpec::required("vm", Kind::Name, "VM in the platform's list"),
+        KeySpec::required("region", Kind::Name, "region of the VM"),
+        KeySpec::required("zone", Kind::Name, "availability zone of the VM"),
+    ],
+};
+
+/// Where the node listens.
+pub const LISTEN: SectionSpec = SectionSpec {
+    kind: "listen",
+    is_named: false,
+    keys: &[
+        KeySpec::required("callers", Kind::Address, "address for callers"),
+        KeySpec::required("operators", Kind::Address, "address for operators"),
+        KeySpec::required("peers", Kind::Address, "address for other nodes"),
+    ],
+};
+
+/// Where the platform is.
+pub const PLATFORM: SectionSpec = SectionSpec {
+    kind: "platform",
+    is_named: false,
+    keys: &[
+        KeySpec::required("store", Kind::Url, "key-value store"),
+        KeySpec::required("cloud", Kind::Url, "cloud API"),
+        KeySpec::required("list", Kind::Url, "list of VMs"),
+        KeySpec::required("weights", Kind::Url, "weight store"),
+    ],
+};
+
+/// Keys for connections between nodes.
+pub const TLS: SectionSpec = SectionSpec {
+    kind: "tls",
+    is_named: false,
+    keys: &[
+        KeySpec::required("certificate", Kind::Path, "certificate of the node"),
+        KeySpec::required("key", Kind::Path, "private key of the node"),
+        KeySpec::required("authority", Kind::Path, "certificate of the authority"),
+    ],
+};
+
+/// Who may sign in as an operator.
+pub const OPERATORS: SectionSpec = SectionSpec {
+    kind: "operators",
+    is_named: false,
+    keys: &[KeySpec::optional(
+        "key_hashes",
+        Kind::Hashes,
+        "",
+        "hashes of the operators' keys",
+    )],
+};
+
+/// Logs.
+pub const LOG: SectionSpec = SectionSpec {
+    kind: "log",
+    is_named: false,
+    keys: &[
+        KeySpec::optional(
+            "format",
+            Kind::Choice(&["text", "json"]),
+            "text",
+            "form of the lines",
+        ),
+        KeySpec::optional(
+            "filter",
+            Kind::Text,
+            "info",
+            "filter in the form of tracing",
+        ),
+    ],
+};
+
+/// All sections of a node's settings.
+pub const SECTIONS: [&SectionSpec; 6] = [&NODE, &LISTEN, &PLATFORM, &TLS, &OPERATORS, &LOG];
