--- a/tests/testsuite/promise_config/mod.rs
+++ b/tests/testsuite/promise_config/mod.rs
@@ -2,4 +2,5 @@
 
 pub(crate) mod cluster;
 mod publishing;
+mod real_store;
 mod spreading;
