--- a/src/core/membership/compose.rs
+++ b/src/core/membership/compose.rs
@@ -7,7 +7,7 @@
 use super::machine::Membership;
 use super::message::{MemberRecord, Message, StateChange};
 use super::reports::ReportKey;
-use super::tuning::{BUCKETS, MESSAGE_BYTES, PAGE_BYTES, RESERVED_BYTES};
+use super::tuning::{BUCKETS, MESSAGE_BYTES, PAGE_BYTES, REPORT_RESERVE_BYTES, RESERVED_BYTES};
 use super::updates::{Priority, UpdateKey};
 use super::{Member, MemberState};
 use crate::core::id::NodeId;
@@ -48,13 +48,17 @@
         corrections: &[NodeId],
     ) -> Message {
         let available = self.budget.available(now);
-        let is_short = available < RESERVED_BYTES;
+        let least = match available {
+            0..RESERVED_BYTES => Priority::Urgent,
+            RESERVED_BYTES..REPORT_RESERVE_BYTES => Priority::Member,
+            _ => Priority::Report,
+        };
         let limit = available.clamp(RESERVED_BYTES, MESSAGE_BYTES);
         let mut draft = self.draft(to, limit);
         for node in corrections {
             self.add_member(&mut draft, node);
         }
-        self.add_updates(&mut draft, to, told, is_short);
+        self.add_updates(&mut draft, to, told, least);
         self.finish(draft)
     }
 
@@ -152,14 +156,14 @@
         draft: &mut Draft,
         to: Option<&NodeId>,
         told: &BTreeSet<UpdateKey>,
-        is_short: bool,
+        least: Priority,
     ) {
         let region = to
             .and_then(|node| self.table.get(node))
             .map(|m| m.region.clone());
         let is_near = region.as_ref() == Some(&self.own.region);
         for (key, priority) in self.updates.in_order() {
-            if is_short && priority != Priority::Urgent {
+            if priority > least {
                 break;
             }
             if told.contains(&key) {
--- a/src/core/membership/targets.rs
+++ b/src/core/membership/targets.rs
@@ -11,8 +11,8 @@
 
 use super::table::{Table, mix};
 use super::tuning::{
-    LOCAL_TARGETS, PROBE_INTERVAL, REGION_EXCHANGES_PER_SECOND, REGION_PROBE_EVERY, REGION_TARGETS,
-    ZONE_PROBE_EVERY, ZONE_TARGETS,
+    LOCAL_TARGETS, PROBE_INTERVAL, REGION_EXCHANGES_PER_SECOND, REGION_PROBE_EVERY, REGION_PUSHES,
+    REGION_TARGETS, ZONE_PROBE_EVERY, ZONE_TARGETS,
 };
 use super::{Member, MemberState};
 use crate::core::id::NodeId;
@@ -106,7 +106,7 @@
     }
 
     /// Returns up to `count` distinct members of the region other than `except`, at random, and
-    /// beside them this node's share of the region's exchanges with other regions.
+    /// beside them this node's share of the region's pushes to other regions.
     pub(super) fn some(
         &self,
         count: usize,
@@ -125,7 +125,8 @@
         let far = self.region.chosen.iter().filter(|n| Some(*n) != except);
         let mut far: Vec<_> = far.collect();
         far.shuffle(rng);
-        let share = self.crossing_share().min(count as f64);
+        let share = f64::from(REGION_PUSHES) / self.region_len.max(1) as f64;
+        let share = share.min(count as f64);
         let crossings = share.trunc() as usize + usize::from(rng.random_bool(share.fract()));
         let wanted = crossings.max(usize::from(nodes.is_empty()));
         nodes.extend(far.into_iter().take(wanted));
--- a/src/core/membership/tuning.rs
+++ b/src/core/membership/tuning.rs
@@ -22,6 +22,8 @@
 pub const REGION_PROBE_EVERY: u32 = 4;
 /// Exchanges a second that all nodes of one region together start with other regions.
 pub const REGION_EXCHANGES_PER_SECOND: u32 = 8;
+/// The same for each urgent change that is pushed.
+pub const REGION_PUSHES: u32 = 16;
 /// Nodes that are told of an urgent change at once.
 pub const PUSH_FANOUT: usize = 4;
 /// Least time between two pushes of urgent changes by one node.
@@ -37,7 +39,9 @@
 /// Bytes that a node may send at once after a quiet time.
 pub const BURST_BYTES: usize = 32 * 1024;
 /// Bytes of a message that the budget leaves to urgent changes even when it is used up.
-pub const RESERVED_BYTES: usize = 512;
+pub const RESERVED_BYTES: usize = 1024;
+/// Bytes of the budget that reported values leave to changes of members.
+pub const REPORT_RESERVE_BYTES: usize = 24 * 1024;
 /// Parts into which members are split to find what two views differ in.
 pub const BUCKETS: usize = 64;
 /// Exchanges in a row with unequal digests after which a node asks for what it lacks.
--- a/xtask/src/slopes/members.rs
+++ b/xtask/src/slopes/members.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use eyre::{Result, WrapErr};
-use jayhall::core::membership::{CustomerUse, Event, HomeLoad, MemberState};
+use jayhall::core::membership::{CustomerUse, DocumentRevision, Event, HomeLoad, MemberState};
 use jayhall_harness::net::Net;
 
 use super::report::Series;
@@ -19,6 +19,10 @@
 const MEASURED: u32 = 30;
 /// Longest wait for a change to be known by all.
 const PATIENCE: Duration = Duration::from_secs(60);
+/// Time from hearing of a revision to having it.
+const FETCH: Duration = Duration::from_millis(250);
+/// Time between two looks at who has heard of a revision.
+const FETCH_STEP: Duration = Duration::from_millis(25);
 /// Models for which each node reports its load each second.
 const MODELS: [&str; 2] = ["chat", "designs"];
 /// Customers whose use each node reports each second.
@@ -111,6 +115,7 @@
     let mut busy_bytes = Series::new("with reports: bytes sent/s per node", members);
     let mut largest = Series::new("with reports: largest message, bytes", members);
     let mut memory = Series::new("with reports: memory per node, kilobytes", members);
+    let mut revision = Series::new("time until all have a new revision, ms", members);
     let mut leaving = Series::new("time until all know that a node leaves, ms", members);
     let mut wave = Series::new("time until all know that 48% leave at once, ms", members);
     for count in SIZES.into_iter().filter(|count| *count <= most) {
@@ -138,6 +143,7 @@
         let grown = resident_bytes()? - before;
         memory.push(count, grown / count as f64 / 1024.0);
 
+        revision.push(count, time_to_spread(&mut net)?);
         leaving.push(count, time_to_leave(&mut net, &[0])?);
         let wave_len = count * WAVE_PERCENT / 100;
         if wave_len > 0 {
@@ -152,11 +158,51 @@
         busy_bytes,
         largest,
         memory,
+        revision,
         leaving,
         wave,
     ])
 }
 
+/// Gives one node a new revision; whoever hears of it has it after [`FETCH`]. Returns the milliseconds
+/// until all have it.
+fn time_to_spread(net: &mut Net) -> Result<f64> {
+    let start = net.now;
+    let mut has_at: Vec<Option<Duration>> = vec![None; net.nodes.len()];
+    set_revision(net, 0);
+    has_at[0] = Some(start);
+    for node in &mut net.nodes {
+        node.heard.clear();
+    }
+    while net.now < start + PATIENCE {
+        net.run(FETCH_STEP);
+        for (at, has_at) in has_at.iter_mut().enumerate() {
+            let is_told = has_at.is_none() && !net.nodes[at].heard.is_empty();
+            if is_told {
+                *has_at = Some(net.now + FETCH);
+            }
+            if *has_at == Some(net.now) {
+                set_revision(net, at);
+            }
+        }
+        if has_at.iter().flatten().filter(|at| **at <= net.now).count() == has_at.len() {
+            return Ok((net.now - start).as_secs_f64() * 1e3);
+        }
+    }
+    Err(eyre::eyre!("not all nodes hear of a new revision"))
+}
+
+fn set_revision(net: &mut Net, at: usize) {
+    let revision = DocumentRevision {
+        document: "config".into(),
+        revision: 1,
+    };
+    net.event(
+        at,
+        Event::DocumentsChanged([revision].into_iter().collect()),
+    );
+}
+
 /// Has nodes leave at once. Returns the milliseconds until all others know.
 fn time_to_leave(net: &mut Net, nodes: &[usize]) -> Result<f64> {
     for at in nodes {
