--- a/tests/testsuite/membership/peers.rs
+++ b/tests/testsuite/membership/peers.rs
@@ -134,6 +134,23 @@
     assert!(!is_answered(&pool, node.address).await);
 }
 
+#[tokio::test]
+async fn a_file_with_two_authorities_takes_certificates_of_both() {
+    let (old, new) = (Authority::new(), Authority::new());
+    let both = format!("{}\n{}", old.0.pem(), new.0.pem());
+    let tls = |authority: &Authority| {
+        let (certificate, key) = authority.certificate(PEER_NAME);
+        PeerTls::from_pem(certificate.as_bytes(), key.as_bytes(), both.as_bytes())
+    };
+    let first = GossipNode::spawn(0, "addis-1", &[], Some(tls(&old)))
+        .await
+        .unwrap();
+    let second = GossipNode::spawn(1, "addis-1", &[first.address], Some(tls(&new)))
+        .await
+        .unwrap();
+    assert!(first.wait_for(2, PATIENCE).await && second.wait_for(2, PATIENCE).await);
+}
+
 #[test]
 fn files_that_make_no_sense_are_refused_when_the_pool_is_opened() {
     let tls = PeerTls::from_pem(b"no certificate", b"no key", b"no authority");
