Let messages to other regions take their full size

After a wave of leaving members the budget leaves 1 KB a message, too little for the few messages that have to tell a whole region.

--- a/src/core/membership/compose.rs
+++ b/src/core/membership/compose.rs
@@ -53,7 +53,11 @@
             RESERVED_BYTES..REPORT_RESERVE_BYTES => Priority::Member,
             _ => Priority::Report,
         };
-        let limit = available.clamp(RESERVED_BYTES, MESSAGE_BYTES);
+        // Few messages cross regions, and each of them has to tell a whole region.
+        let limit = match to.is_some_and(|node| self.is_far(node)) {
+            true => MESSAGE_BYTES,
+            false => available.clamp(RESERVED_BYTES, MESSAGE_BYTES),
+        };
         let mut draft = self.draft(to, limit);
         for node in corrections {
             self.add_member(&mut draft, node);
@@ -94,6 +98,11 @@
         self.finish(draft)
     }
 
+    fn is_far(&self, node: &NodeId) -> bool {
+        let member = self.table.get(node);
+        member.is_some_and(|member| member.region != self.own.region)
+    }
+
     fn draft(&self, to: Option<&NodeId>, limit: usize) -> Draft {
         let message = Message {
             from: self.own.node.clone(),
--- a/tests/testsuite/membership/states.rs
+++ b/tests/testsuite/membership/states.rs
@@ -174,3 +174,21 @@
     assert_eq!(net.seen(0, at), Some(MemberState::Alive));
     assert_eq!(net.seen(0, 4), None);
 }
+
+#[test]
+fn a_wave_of_leaving_members_is_known_everywhere_within_two_seconds() {
+    const WAVE: usize = 60;
+    let names: Vec<_> = (0..4).map(|region| format!("r{region}")).collect();
+    let zones: Vec<_> = names.iter().map(|name| (&**name, &**name)).collect();
+    for seed in 0..3 {
+        let mut net = Net::with_nodes(seed, 128, &zones);
+        net.introduce_all();
+        net.run(20 * SECOND);
+        (0..WAVE).for_each(|at| net.event(at, Event::Leave));
+        let took = net.run_until(2 * SECOND, |net| {
+            let is_leaving = |by, at| net.seen(by, at) == Some(MemberState::Leaving);
+            (0..128).all(|by| (0..WAVE).all(|at| is_leaving(by, at)))
+        });
+        assert!(took.is_some(), "seed {seed}");
+    }
+}
