--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -15,6 +15,8 @@
 mod promise_at_most_once;
 mod promise_config;
 mod promise_not_run;
+mod promise_service_faults;
+mod service_backends;
 mod service_http;
 mod service_nodes;
 mod sources_platform;
--- a/tests/testsuite/promise_at_most_once.rs
+++ b/tests/testsuite/promise_at_most_once.rs
@@ -124,8 +124,8 @@
 #[tokio::test(start_paused = true)]
 async fn two_nodes_that_both_think_they_own_the_shard() {
     let nodes = Nodes::start();
-    for at in 0..3 {
-        nodes.see(at, &[NODES[at]]);
+    for (at, name) in NODES.into_iter().enumerate() {
+        nodes.see(at, &[name]);
     }
     for _ in 0..20 {
         let call = nodes.call_owned_by(0, 0);
