Run the ledger over loopback against the stand-ins of store and service

The pure machine, the tasks and the adapters were each tested; this joins them without paused time: an order sent twice, a lost answer of the store settled by reading back, and an outage.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -18,6 +18,7 @@
 mod promise_service_faults;
 mod service_backends;
 mod service_http;
+mod service_loopback;
 mod service_nodes;
 mod sources_platform;
 mod store_contract;
