Let a page of the ledger hold one minute of keys

Each write carries whole pages. With ten minutes a busy page had ten times the entries, and a full page refused its calls for up to ten minutes.

--- a/src/core/ledger/key.rs
+++ b/src/core/ledger/key.rs
@@ -14,7 +14,7 @@
 /// Number of shards. It is part of where an entry is kept and must never change.
 pub const SHARDS: u16 = 32;
 /// Time of keys that one page covers. It is part of where an entry is kept and must never change.
-pub const PAGE_SPAN: Duration = Duration::from_secs(10 * 60);
+pub const PAGE_SPAN: Duration = Duration::from_secs(60);
 /// How far a key's time may be ahead of the clock of the node that looks at it.
 pub const MAX_KEY_AHEAD: Duration = Duration::from_secs(5 * 60);
 
--- a/src/core/ledger/page.rs
+++ b/src/core/ledger/page.rs
@@ -12,11 +12,11 @@
 pub type Revision = u64;
 
 /// Largest encoded page, in bytes.
-pub const MAX_PAGE_BYTES: usize = 256 * 1024;
+pub const MAX_PAGE_BYTES: usize = 64 * 1024;
 /// Largest body that is kept with an outcome, in bytes.
 pub const MAX_BODY_BYTES: usize = 2 * 1024;
 /// Size of a page up to which bodies are kept; what is above is left to entries, in bytes.
-const MAX_BYTES_WITH_BODIES: usize = 160 * 1024;
+const MAX_BYTES_WITH_BODIES: usize = 40 * 1024;
 /// Most that an entry takes beyond its texts and its body, in bytes.
 const ENTRY_BYTES: usize = 72;
 /// Most that a page takes beyond its entries, in bytes.
--- a/src/core/ledger/shard/mod.rs
+++ b/src/core/ledger/shard/mod.rs
@@ -17,7 +17,7 @@
 /// Most calls of a shard that wait for the store.
 const MAX_QUEUED: usize = 512;
 /// Most pages that one load reads or one write sets, so that a write stays under 1 MB.
-const MAX_PAGES_AT_ONCE: usize = 3;
+const MAX_PAGES_AT_ONCE: usize = 12;
 /// Most pages that one write deletes.
 const MAX_DROPPED_AT_ONCE: u64 = 32;
 /// Pages that are kept in memory without being needed.
