--- a/src/core/document/sections.rs
+++ b/src/core/document/sections.rs
@@ -73,12 +73,31 @@
     Ok(text)
 }
 
+/// Returns the text that results from changes, whatever it is.
+pub(super) fn patch_text(old_text: &str, changes: &[SectionChange]) -> String {
+    patch(&split(old_text), changes)
+}
+
+/// Returns the text of a section with its heading.
+pub fn section_text<'a>(text: &'a str, heading: &str) -> Option<&'a str> {
+    let parts = split(text);
+    parts
+        .iter()
+        .find(|part| is_same_heading(part.heading, heading))
+        .map(|part| part.text)
+}
+
+/// Returns whether two headings differ in white space only.
+fn is_same_heading(one: &str, other: &str) -> bool {
+    one.split_whitespace().eq(other.split_whitespace())
+}
+
 fn patch(old: &[Part<'_>], changes: &[SectionChange]) -> String {
     let mut parts: Vec<(&str, &str)> = old.iter().map(|part| (part.heading, part.text)).collect();
     for change in changes {
         let position = parts
             .iter()
-            .position(|(heading, _)| *heading == &*change.heading);
+            .position(|(heading, _)| is_same_heading(heading, &change.heading));
         match (position, &change.text) {
             (Some(index), Some(text)) => parts[index].1 = text,
             (Some(index), None) => drop(parts.remove(index)),
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -1,6 +1,7 @@
 //! One module for each operation.
 
 pub mod accept;
+pub mod call_records;
 pub mod call_service;
 pub mod choose_home;
 pub mod directory;
@@ -9,6 +10,7 @@
 pub mod hand_over;
 pub mod home;
 pub(crate) mod keep_copy;
+pub mod keep_fleet;
 pub mod ledger;
 pub mod publish;
 pub mod replicate;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,16 +4,25 @@
 #![allow(clippy::unwrap_used)]
 
 mod cells;
+mod command_line;
+mod configuration_page;
+mod console;
 mod document;
 mod fleet_plan;
 mod ini;
+mod keep_fleet;
 mod ledger_load;
 mod ledger_search;
 mod membership;
+mod operators;
 mod policy_admission;
 mod policy_queue;
+mod policy_retry;
+mod policy_routing;
+mod policy_service;
 mod promise_at_most_once;
 mod promise_config;
+mod promise_fencing;
 mod promise_not_run;
 mod promise_service_faults;
 mod service_backends;
