--- a/src/core/admission/limits.rs
+++ b/src/core/admission/limits.rs
@@ -12,6 +12,7 @@
 use super::{Cause, Refusal, Result};
 use crate::core::document::CustomerRule;
 use crate::core::id::{CustomerId, NodeId};
+use crate::core::membership::CustomerUse;
 use crate::core::time::Moment;
 
 /// Time in which a counter reaches all nodes; the unit of the error of a limit.
@@ -57,6 +58,30 @@
     pub sequence: u64,
 }
 
+impl From<CustomerUse> for UseReport {
+    fn from(used: CustomerUse) -> Self {
+        Self {
+            node: used.node,
+            customer: used.customer,
+            tokens: used.tokens,
+            in_flight: used.in_flight,
+            sequence: used.sequence,
+        }
+    }
+}
+
+impl From<UseReport> for CustomerUse {
+    fn from(report: UseReport) -> Self {
+        Self {
+            node: report.node,
+            customer: report.customer,
+            tokens: report.tokens,
+            in_flight: report.in_flight,
+            sequence: report.sequence,
+        }
+    }
+}
+
 /// One node's view of what every customer may still use.
 #[derive(Debug)]
 pub struct CustomerLimits {
--- a/src/core/routing/load.rs
+++ b/src/core/routing/load.rs
@@ -5,11 +5,16 @@
 
 use crate::core::admission::{Wait, expected_wait};
 use crate::core::id::{NodeId, RankLevel};
+use crate::core::membership::HomeLoad;
 use crate::core::queue::WaitingTokens;
 use crate::core::time::Moment;
 
-/// Age from which a report says nothing any more.
-const MAX_AGE: Duration = Duration::from_secs(10);
+/// Usual time from a home's measurement to the arrival of its report.
+const REPORT_DELAY: Duration = Duration::from_millis(500);
+/// Time for which a request that this node sent is remembered where no report comes.
+const SENT_MEMORY: Duration = Duration::from_secs(10);
+/// Wait that a full home of unknown rate is taken to have.
+const UNKNOWN_WAIT: Duration = Duration::from_secs(10);
 
 /// Load of a home's queue for one model.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -31,6 +36,21 @@
     pub tokens_per_second: u32,
 }
 
+impl LoadReport {
+    /// Takes a home's report that arrived at `now`, after the usual delay of reports.
+    pub fn from_home(load: &HomeLoad, now: Moment) -> Self {
+        Self {
+            sequence: load.sequence,
+            as_of: now.saturating_sub(REPORT_DELAY),
+            slots: load.slots,
+            running: load.running,
+            waiting: load.waiting,
+            waiting_tokens: load.waiting_tokens.clone(),
+            tokens_per_second: load.tokens_per_second,
+        }
+    }
+}
+
 /// A request that this node sent to a home.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Dispatched {
@@ -60,8 +80,8 @@
 impl LoadEstimate {
     /// Returns the expected wait of a request whose rank keeps `floor_percent` of the service.
     ///
-    /// Without a measured rate a home with free slots is taken to have no wait, and another one is
-    /// taken to have a wait that no deadline allows.
+    /// Without a measured rate a home with free slots is taken to have no wait, and another one ten
+    /// seconds.
     pub fn wait(&self, floor_percent: u8) -> Duration {
         let wait = Wait {
             free_slots: self.free_slots,
@@ -73,7 +93,7 @@
             next_free_slot: Duration::ZERO,
         };
         expected_wait(&wait).unwrap_or(match self.free_slots {
-            0 => MAX_AGE,
+            0 => UNKNOWN_WAIT,
             _ => Duration::ZERO,
         })
     }
@@ -105,7 +125,7 @@
     /// Remembers a request that this node sends to a home.
     pub fn dispatched(&mut self, home: &NodeId, sent: Dispatched) {
         let entry = self.homes.entry(home.clone()).or_default();
-        let oldest = sent.at.saturating_sub(MAX_AGE);
+        let oldest = sent.at.saturating_sub(SENT_MEMORY);
         while entry.since.front().is_some_and(|first| first.at < oldest) {
             entry.since.pop_front();
         }
