--- /dev/null
+++ b/tests/testsuite/policy_queue_naive.rs
@@ -0,0 +1,157 @@
+//! A naive queue that keeps one list and scans it for every decision.
+
+use jayhall::core::queue::{Item, Next, QueueRules};
+use jayhall::core::time::Moment;
+
+const VIRTUAL_UNITS: i64 = 1 << 16;
+
+/// Returns the rules of the tests.
+pub(crate) fn rules() -> QueueRules {
+    QueueRules {
+        floors: [0, 20, 10].into_iter().collect(),
+        floor_window_tokens: 2_000,
+        memory_tokens: 1_000,
+    }
+}
+
+/// One list, scanned for every decision.
+#[derive(Default)]
+pub(crate) struct NaiveQueue {
+    pub(crate) items: Vec<Item>,
+    /// Level, customer, weight and virtual time.
+    customers: Vec<(u8, Box<str>, i64, i64)>,
+    virtual_times: [i64; 3],
+    owed: [i64; 3],
+}
+
+impl NaiveQueue {
+    fn waits(&self, level: u8, customer: Option<&str>) -> bool {
+        self.items
+            .iter()
+            .any(|i| i.level == level && customer.is_none_or(|c| &*i.customer == c))
+    }
+
+    pub(crate) fn push(&mut self, item: Item) {
+        let memory = rules().memory_tokens as i64 * VIRTUAL_UNITS;
+        let now = self.virtual_times[usize::from(item.level)];
+        let was_waiting = self.waits(item.level, Some(&item.customer));
+        let known = self
+            .customers
+            .iter_mut()
+            .find(|c| c.0 == item.level && c.1 == item.customer);
+        match known {
+            Some(c) => {
+                c.2 = item.weight.into();
+                if !was_waiting {
+                    c.3 = c.3.clamp(now - memory, now + memory);
+                }
+            }
+            None => self.customers.push((
+                item.level,
+                item.customer.clone(),
+                item.weight.into(),
+                now - memory,
+            )),
+        }
+        self.items.push(item);
+    }
+
+    fn level(&self) -> Option<u8> {
+        let first = (0..3).find(|l| self.waits(*l, None))?;
+        let mut best = first;
+        let mut most = 0;
+        for level in first + 1..3 {
+            if self.waits(level, None) && self.owed[usize::from(level)] > most {
+                best = level;
+                most = self.owed[usize::from(level)];
+            }
+        }
+        Some(best)
+    }
+
+    pub(crate) fn pop(&mut self, now: Moment) -> Next {
+        let earliest = self
+            .items
+            .iter()
+            .enumerate()
+            .min_by_key(|(n, i)| (i.deadline, *n));
+        if let Some((n, i)) = earliest
+            && i.deadline < now
+        {
+            let item = self.items.remove(n);
+            self.forgive();
+            return Next::Expired(item);
+        }
+        let Some(level) = self.level() else {
+            return Next::Empty;
+        };
+        let waiting = self.customers.iter().filter(|c| c.0 == level);
+        let next = waiting
+            .filter(|c| self.waits(level, Some(&c.1)))
+            .min_by_key(|c| c.3)
+            .map(|c| (c.1.clone(), c.3));
+        let Some((customer, start)) = next else {
+            return Next::Empty;
+        };
+        let virtual_time = &mut self.virtual_times[usize::from(level)];
+        *virtual_time = (*virtual_time).max(start);
+        let own = self.items.iter().enumerate();
+        let due = own
+            .filter(|(_, i)| i.level == level && i.customer == customer)
+            .min_by_key(|(n, i)| (i.deadline, *n))
+            .map(|(n, _)| n);
+        let Some(index) = due else {
+            return Next::Empty;
+        };
+        let item = self.items.remove(index);
+        let cost = i64::from(item.cost_tokens);
+        self.charge(&item.customer, level, cost, cost);
+        Next::Serve(item)
+    }
+
+    pub(crate) fn charge(&mut self, customer: &str, level: u8, tokens: i64, request: i64) {
+        for other in 0..3u8 {
+            if other == level || self.waits(other, None) {
+                let bound = 2_000 * i64::from(rules().floor(other.into()));
+                self.add(
+                    other,
+                    tokens * i64::from(rules().floor(other.into())),
+                    bound,
+                    bound,
+                );
+            }
+        }
+        let credit = 2_000 * i64::from(rules().floor(level.into()));
+        self.add(level, -100 * tokens, credit.max(request * 100), credit);
+        if let Some(c) = self
+            .customers
+            .iter_mut()
+            .find(|c| c.0 == level && &*c.1 == customer)
+        {
+            c.3 += tokens * VIRTUAL_UNITS / c.2;
+        }
+        self.forgive();
+    }
+
+    fn add(&mut self, level: u8, change: i64, debt: i64, credit: i64) {
+        let owed = &mut self.owed[usize::from(level)];
+        let (low, high) = ((*owed).min(-debt), (*owed).max(credit));
+        *owed = (*owed + change).clamp(low, high);
+    }
+
+    fn forgive(&mut self) {
+        for level in 0..3u8 {
+            if !self.waits(level, None) {
+                let owed = &mut self.owed[usize::from(level)];
+                *owed = (*owed).min(0);
+            }
+        }
+    }
+
+    pub(crate) fn remove(&mut self, id: &str) -> Option<Item> {
+        let index = self.items.iter().position(|i| &*i.id == id)?;
+        let item = self.items.remove(index);
+        self.forgive();
+        Some(item)
+    }
+}
--- a/tests/testsuite/policy_routing.rs
+++ b/tests/testsuite/policy_routing.rs
@@ -1,13 +1,12 @@
-//! Choice of homes and engines, the prefix index, the link budget and the health of engines.
+//! Choice of homes and engines, the prefix index and the link budget.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
 use jayhall::core::request::ChatMessage;
 use jayhall::core::routing::{
-    Availability, CacheEvent, CacheEventKind, Candidate, Choice, Dispatched, Distance, HealthBook,
-    HealthChange, HealthRules, LinkAnswer, LinkBudget, LinkShares, LoadBook, LoadReport,
-    Observation, PrefixIndex, PromptBlocks, RouteRequest, TrafficKind, choose,
+    CacheEvent, CacheEventKind, Candidate, Choice, Dispatched, Distance, LinkAnswer, LinkBudget,
+    LinkShares, LoadBook, LoadReport, PrefixIndex, PromptBlocks, RouteRequest, TrafficKind, choose,
 };
 use jayhall::core::time::Moment;
 use jayhall_scenarios::homes::{self, HomePolicy, HomesRun};
@@ -304,82 +303,65 @@
     );
 }
 
-fn health(engines: usize) -> HealthBook {
-    let names: Vec<Box<str>> = (0..engines).map(|n| format!("e{n}").into()).collect();
-    let mut book = HealthBook::new(HealthRules::default());
-    book.set_engines(&names, Moment::ZERO);
-    book
-}
-
-#[test]
-fn a_silent_engine_is_ejected_and_returns_after_one_probe() {
-    let mut rng = ChaCha8Rng::seed_from_u64(3);
-    let mut book = health(4);
-    let change = book.observe("e1", Observation::Silent, Moment::ZERO, &mut rng);
-    let Some(HealthChange::Ejected { until }) = change else {
-        panic!("expected an ejection, got {change:?}");
-    };
-    assert!(until >= 2 * SECOND && until <= 3 * SECOND);
-    assert_eq!(
-        book.availability("e1", SECOND),
-        Availability::Ejected { until }
-    );
-    assert_eq!(book.availability("e1", until), Availability::Probe);
-    assert!(book.start_probe("e1", until));
-    assert!(!book.start_probe("e1", until));
-    assert_eq!(book.availability("e1", until), Availability::Probing);
-    let change = book.observe("e1", Observation::Failed, until, &mut rng);
-    let Some(HealthChange::Ejected { until: later }) = change else {
-        panic!("expected a longer ejection, got {change:?}");
+/// Time to a computed prompt, from nothing but the candidate and the request.
+fn naive_cost(candidate: &Candidate, request: &RouteRequest) -> Duration {
+    let way = match candidate.distance {
+        Distance::SameZone => 0,
+        Distance::SameRegion => 3,
+        Distance::OtherRegion => 24,
     };
-    assert!(later - until >= 4 * SECOND);
-    assert!(book.start_probe("e1", later));
-    let answered = Observation::Answered {
-        token_interval: Duration::from_millis(25),
-    };
-    let change = book.observe("e1", answered, later, &mut rng);
-    assert_eq!(change, Some(HealthChange::Readmitted));
-    assert_eq!(book.availability("e1", later), Availability::Usable);
+    let missing = 2_000 - candidate.cached_tokens;
+    candidate.wait + Duration::from_millis(way) + request.prefill_per_token * missing
 }
 
 #[test]
-fn a_slow_engine_is_ejected_but_not_when_all_are_slow() {
-    let mut rng = ChaCha8Rng::seed_from_u64(3);
-    let mut book = health(4);
-    let answered = |ms| Observation::Answered {
-        token_interval: Duration::from_millis(ms),
-    };
-    let mut changes = Vec::new();
-    for _ in 0..10 {
-        for engine in ["e0", "e1", "e2"] {
-            changes.extend(book.observe(engine, answered(200), SECOND, &mut rng));
-        }
-    }
-    assert_eq!(changes, []);
-    for _ in 0..10 {
-        changes.extend(book.observe("e3", answered(900), SECOND, &mut rng));
-    }
-    assert!(
-        matches!(changes[..], [HealthChange::Ejected { .. }]),
-        "{changes:?}"
-    );
-}
-
-#[test]
-fn never_more_than_the_stated_share_is_ejected() {
-    let mut rng = ChaCha8Rng::seed_from_u64(3);
-    for (engines, most) in [(1, 0), (2, 1), (3, 1), (6, 2), (18, 6)] {
-        let mut book = health(engines);
-        for n in 0..engines {
-            book.observe(
-                &format!("e{n}"),
-                Observation::Silent,
-                Moment::ZERO,
-                &mut rng,
-            );
-        }
-        let usable =
-            |n: &usize| book.availability(&format!("e{n}"), Moment::ZERO) == Availability::Usable;
-        assert_eq!(engines - (0..engines).filter(usable).count(), most);
-    }
+fn a_choice_is_eligible_and_near_the_best_by_a_naive_version() {
+    let one = (0..3u8, 0..9_000u64, 1..30u32, 0..2_000u32);
+    let strategy = (prop::collection::vec(one, 1..12), any::<u64>());
+    runner()
+        .run(&strategy, |(drawn, seed)| {
+            let candidates: Vec<Candidate> = drawn
+                .into_iter()
+                .map(|(distance, wait_ms, slots, cached_tokens)| Candidate {
+                    distance: [
+                        Distance::SameZone,
+                        Distance::SameRegion,
+                        Distance::OtherRegion,
+                    ][usize::from(distance)],
+                    wait: Duration::from_millis(wait_ms),
+                    slots,
+                    cached_tokens,
+                    price_per_hour: 0,
+                })
+                .collect();
+            let request = request();
+            let mut rng = ChaCha8Rng::seed_from_u64(seed);
+            let choice = choose(&candidates, &request, &mut link(), Moment::ZERO, &mut rng);
+            let is_remote = |c: &&Candidate| c.distance == Distance::OtherRegion;
+            let most_cached = candidates
+                .iter()
+                .map(|c| c.cached_tokens)
+                .max()
+                .unwrap_or(0);
+            // The part of the prompt that every candidate would have to compute decides nothing.
+            let common = request.prefill_per_token * (2_000 - most_cached);
+            let cost = |c: &Candidate| naive_cost(c, &request) - common;
+            let local = candidates.iter().filter(|c| !is_remote(c)).map(cost).min();
+            let remote = candidates.iter().filter(is_remote).map(cost).min();
+            let (index, best) = match choice {
+                Choice::Take(index) => (index, local),
+                Choice::Cross(index) => (index, remote),
+                Choice::None => (usize::MAX, None),
+            };
+            let best = best.expect("there is a candidate");
+            let is_cross = matches!(choice, Choice::Cross(_));
+            prop_assert_eq!(is_remote(&&candidates[index]), is_cross);
+            let near = best + Duration::from_millis(20).max(best / 5);
+            prop_assert!(cost(&candidates[index]) <= near);
+            let is_late = local.is_none_or(|local| local > request.deadline);
+            let helps = remote.is_some_and(|r| r <= request.deadline || local.is_none());
+            prop_assert_eq!(is_cross, is_late && helps);
+            Ok(())
+        })
+        .unwrap();
 }
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -11,6 +11,7 @@
 
 Tasks:
   demo      Starts everything on loopback, serves requests and checks the answers
+  policy    Measures the decisions beside baselines on injected time
   measure   Runs the real processes under load and reports the measures
   slopes    Measures what control costs as nodes and engines grow";
 
