--- a/crates/jayhall-scenarios/src/homes.rs
+++ b/crates/jayhall-scenarios/src/homes.rs
@@ -27,6 +27,8 @@
     LeastReported,
     /// The same, with the node's own requests since the report.
     LeastCorrected,
+    /// The better one of two homes drawn at random, with the node's own requests since the report.
+    TwoChoices,
 }
 
 /// A run: every entry node gets the same load.
@@ -213,6 +215,12 @@
         let candidates: Vec<Candidate> = (0..self.homes.len())
             .map(|home| self.candidate(now, node, home))
             .collect();
+        if self.run.policy == HomePolicy::TwoChoices {
+            let mut draw = || self.rng.random_range(0..candidates.len());
+            let (one, other) = (draw(), draw());
+            let is_better = candidates[other].wait < candidates[one].wait;
+            return if is_better { other } else { one };
+        }
         if self.run.policy != HomePolicy::Jayhall {
             let waits = candidates.iter().map(|c| c.wait);
             let least = waits.enumerate().min_by_key(|(_, wait)| *wait);
--- a/xtask/src/policy.rs
+++ b/xtask/src/policy.rs
@@ -33,8 +33,9 @@
     Callers::AllNodes,
     Callers::Moving,
 ];
-const HOMES: [HomePolicy; 4] = [
+const HOMES: [HomePolicy; 5] = [
     HomePolicy::Jayhall,
+    HomePolicy::TwoChoices,
     HomePolicy::LeastCorrected,
     HomePolicy::LeastReported,
     HomePolicy::RoundRobin,
