--- a/tests/testsuite/keep_fleet.rs
+++ b/tests/testsuite/keep_fleet.rs
@@ -49,6 +49,7 @@
     board: Arc<Blackboard>,
     host: Arc<TestHost>,
     cloud: Cloud,
+    store: MemoryStore,
     engines: Vec<(StartedVm, Engine)>,
     _keeper: KeepFleet,
 }
@@ -59,10 +60,11 @@
         cloud.set_faults(faults);
         let board = board();
         let host = Arc::new(TestHost::default());
+        let store = MemoryStore::new();
         let url = format!("http://{}", cloud.address);
         let setup = KeeperSetup {
             board: board.clone(),
-            store: Arc::new(MemoryStore::new()),
+            store: Arc::new(store.clone()),
             cloud: Arc::new(HttpCloud::new(reqwest::Client::new(), &url)),
             engines: Arc::new(EngineClient::new(reqwest::Client::new())),
             host: host.clone(),
@@ -74,6 +76,7 @@
             board,
             host,
             cloud,
+            store,
             engines: Vec::new(),
             _keeper: KeepFleet::spawn(setup),
         }
@@ -267,3 +270,16 @@
     leaving.dedup();
     assert_eq!(leaving.len(), grown - 3);
 }
+
+#[tokio::test(start_paused = true)]
+async fn calls_to_the_store_are_bounded_by_zones_and_time() {
+    let mut bench = Bench::spawn(CloudFaults::default()).await;
+    bench.settle().await;
+    let before = bench.store.counts();
+    bench.settle().await;
+    let after = bench.store.counts();
+    // A minute has 18 renewals of each zone's lease and 6 reports; both count as writes in the fake.
+    let writes = after.writes - before.writes;
+    assert!(writes <= 3 * (18 + 6 + 2), "{writes} writes a minute");
+    assert_eq!((after.reads, after.watches), (before.reads, 0));
+}
