Keep zones that only the cloud's offers name

A zone without entry VMs, back ends or a word in the document had no keeper, so that nothing was ever started in it. Nodes now read the zones of the cloud's offers.

--- a/src/ops/keep_fleet/mod.rs
+++ b/src/ops/keep_fleet/mod.rs
@@ -22,6 +22,7 @@
 use crate::node::{Blackboard, Phase};
 use crate::sources::cloud::Cloud;
 use crate::sources::engine::EngineControl;
+use crate::sources::platform;
 use crate::sources::store::{LeaseId, Store};
 
 pub use host::FleetHost;
@@ -31,6 +32,8 @@
 const CANDIDATES_PER_ZONE: usize = 2;
 /// Time between two looks for zones without a keeper task.
 const ZONE_INTERVAL: Duration = Duration::from_secs(5);
+/// Time between two looks for zones that the cloud offers.
+const OFFERED_ZONES_INTERVAL: Duration = Duration::from_secs(600);
 /// Renewals of the lease within its time to live.
 const RENEWALS_PER_LEASE: u32 = 3;
 
@@ -81,8 +84,24 @@
     let clock = Clock::start();
     let mut known: BTreeSet<ZoneId> = BTreeSet::new();
     let mut tasks = JoinSet::new();
+    let mut looks = interval(ZONE_INTERVAL);
+    let mut offers = interval(OFFERED_ZONES_INTERVAL);
+    for ticks in [&mut looks, &mut offers] {
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    }
     loop {
-        for zone in zones(&setup.board) {
+        let zones = tokio::select! {
+            _ = looks.tick() => zones(&setup.board),
+            _ = offers.tick() => match offered_zones(&setup).await {
+                Ok(zones) => zones,
+                Err(e) => {
+                    tracing::debug!(error = %e, "zones of the cloud not read");
+                    offers.reset_after(ZONE_INTERVAL);
+                    BTreeSet::new()
+                }
+            },
+        };
+        for zone in zones {
             if known.insert(zone.clone()) {
                 let keeper = ZoneKeeper {
                     setup: setup.clone(),
@@ -92,10 +111,19 @@
                 tasks.spawn(keeper.run());
             }
         }
-        sleep(ZONE_INTERVAL).await;
     }
 }
 
+/// Returns the zones in which the cloud offers VMs, as far as the operators allow them.
+async fn offered_zones(setup: &KeeperSetup) -> platform::Result<BTreeSet<ZoneId>> {
+    let offers = setup.cloud.offers().await?;
+    let allowed = setup.board.config.read();
+    let allowed = &allowed.document.rules.zones;
+    let zones = offers.into_iter().map(|offer| offer.zone);
+    let zones = zones.filter(|zone| allowed.is_empty() || allowed.contains(zone));
+    Ok(zones.collect())
+}
+
 /// Returns the zones in which there is something to keep.
 fn zones(board: &Blackboard) -> BTreeSet<ZoneId> {
     let fleet = board.fleet.read();
--- a/tests/testsuite/keep_fleet.rs
+++ b/tests/testsuite/keep_fleet.rs
@@ -5,7 +5,7 @@
 
 use futures::FutureExt;
 use futures::future::BoxFuture;
-use jayhall::core::document::{Document, MachineClassRule, ModelRule, RankRule, Rules};
+use jayhall::core::document::{Document, MachineClassRule, ModelRule, RankRule};
 use jayhall::core::fleet::orders::TenureRules;
 use jayhall::core::fleet::{Backend, BackendKind, FleetView, Market, ModelDemand};
 use jayhall::core::id::{Address, VmId};
@@ -164,10 +164,6 @@
             checks_fencing: true,
             accelerators: 1,
         }],
-        rules: Rules {
-            zones: ZONES.into_iter().map(Into::into).collect(),
-            ..Rules::default()
-        },
         ..Document::default()
     }
 }
