Refuse at arrival, choose engines by reported loads, and authenticate peers

Cause: the daemon used neither the limits nor the loads: every request was accepted, and an engine was chosen by this node's own count alone.

Ruled out: a call to the store for a customer's limit; a home computed for each request with a cache (the fleet controller computes homes and routes once for each change of members or back ends).

--- a/src/core/fleet/mod.rs
+++ b/src/core/fleet/mod.rs
@@ -11,6 +11,7 @@
 mod plan;
 mod refusals;
 mod risk;
+mod routes;
 mod steps;
 mod view;
 
@@ -23,5 +24,6 @@
 };
 pub use refusals::{Refusals, Supply};
 pub use risk::RiskMeter;
+pub use routes::{Route, Routes};
 pub use steps::{Step, StepCause, next_steps};
 pub use view::{Backend, BackendKind, FleetView, Market};
--- a/src/node/blackboard.rs
+++ b/src/node/blackboard.rs
@@ -7,8 +7,9 @@
 
 use tokio::sync::watch;
 
+use crate::core::cells::Homes;
 use crate::core::document::Document;
-use crate::core::fleet::FleetView;
+use crate::core::fleet::{FleetView, Routes};
 use crate::core::id::{Address, ConfigRevision, NodeId, RegionId, VmId, ZoneId};
 use crate::core::membership::MemberView;
 
@@ -108,6 +109,10 @@
     pub config: SectionOf<Installed>,
     /// Written by the fleet controller.
     pub fleet: SectionOf<FleetView>,
+    /// Homes of all engines; written by the fleet controller.
+    pub homes: SectionOf<Homes>,
+    /// Engines with their homes by model; written by the fleet controller.
+    pub routes: SectionOf<Routes>,
     /// Written by the life-cycle controller.
     pub phase: SectionOf<Phase>,
 }
@@ -120,7 +125,20 @@
             members: SectionOf::new(MemberView::default()),
             config: SectionOf::new(Installed::default()),
             fleet: SectionOf::new(FleetView::default()),
+            homes: SectionOf::new(Homes::default()),
+            routes: SectionOf::new(Routes::default()),
             phase: SectionOf::new(Phase::Starting),
         })
     }
+
+    /// Computes homes and routes anew from the members and the back ends.
+    pub fn refresh_routes(&self) {
+        let fleet = self.fleet.read();
+        let homes = Homes::of(&fleet, &self.members.read(), None);
+        let routes = Routes::of(&fleet, &homes);
+        self.homes
+            .update(|current| (*current != homes).then_some(homes));
+        self.routes
+            .update(|current| (*current != routes).then_some(routes));
+    }
 }
--- a/src/node/daemon.rs
+++ b/src/node/daemon.rs
@@ -20,9 +20,10 @@
 use crate::operators::OperatorContext;
 use crate::ops::gossip::{Documents, Gossip, GossipSetup};
 use crate::ops::publish::Publisher;
+use crate::ops::report::Reports;
 use crate::ops::spread::{ConfigInstaller, Spread, SpreadConfig};
 use crate::ops::watch_fleet::{FleetWatch, FleetWatcher};
-use crate::peers::{PeerService, Pool};
+use crate::peers::{PeerService, PeerTls, Pings, Pool};
 use crate::sources::cloud::HttpCloud;
 use crate::sources::service::ServiceClient;
 use crate::sources::store::{EtcdConfig, EtcdStore, Store};
@@ -111,7 +112,9 @@
     pub async fn spawn(settings: &Settings, control: &tokio::runtime::Handle) -> Result<Self> {
         let listeners = Listeners::bind(settings)?;
         let board = Blackboard::new(identity(settings, &listeners)?);
-        let pool = Arc::new(Pool::default());
+        let tls = settings.tls.as_ref().map(PeerTls::open).transpose()?;
+        let pool = Arc::new(Pool::open(tls.as_ref(), Pings::Always)?);
+        let gossip_pool = Arc::new(Pool::open(tls.as_ref(), Pings::InUse)?);
         let http = http_client().wrap_err("setting up the HTTP client")?;
         let store: Arc<dyn Store> =
             Arc::new(EtcdStore::open(EtcdConfig::new(&settings.platform.store))?);
@@ -125,7 +128,7 @@
         });
         let gossip = Gossip::spawn(GossipSetup {
             blackboard: Arc::clone(&board),
-            pool: Arc::clone(&pool),
+            pool: gossip_pool,
             seeds: Vec::new(),
             documents: Arc::new(SpreadDocuments(Arc::clone(&spread))),
             rng_seed: rand::random(),
@@ -149,6 +152,15 @@
                 services: ServiceClient::open().wrap_err("setting up the client of services")?,
             },
         );
+        control.spawn(
+            Reports {
+                gossip: gossip.clone(),
+                home: Arc::clone(&node.home),
+                choice: Arc::clone(&node.choice),
+                gate: Arc::clone(&node.gate),
+            }
+            .run(),
+        );
         let drain = Arc::new(Notify::new());
         let operators = serve_operators(
             listeners.operators,
@@ -166,6 +178,7 @@
         let peers = serve_peers(
             listeners.peers,
             PeerService::new(Arc::clone(&node), gossip.clone(), spread),
+            tls.as_ref(),
         )?;
         let callers = serve_callers(listeners.callers, &node)?;
         Ok(Self {
@@ -260,18 +273,28 @@
     Ok(handle)
 }
 
-fn serve_peers(listener: TcpListener, service: PeerService) -> Result<oneshot::Sender<()>> {
+fn serve_peers(
+    listener: TcpListener,
+    service: PeerService,
+    tls: Option<&PeerTls>,
+) -> Result<oneshot::Sender<()>> {
     let listener = tokio::net::TcpListener::from_std(listener)?;
     let (tx, rx) = oneshot::channel::<()>();
     let service = PeerServer::new(service)
         .max_decoding_message_size(MAX_PEER_MESSAGE)
         .max_encoding_message_size(MAX_PEER_MESSAGE);
-    let server = tonic::transport::Server::builder()
-        .tcp_nodelay(true)
-        .add_service(service)
-        .serve_with_incoming_shutdown(TcpListenerStream::new(listener), async move {
+    let mut server = tonic::transport::Server::builder().tcp_nodelay(true);
+    if let Some(tls) = tls {
+        server = server
+            .tls_config(tls.server())
+            .wrap_err("reading [tls]; check the certificate, the key and the authority")?;
+    }
+    let server = server.add_service(service).serve_with_incoming_shutdown(
+        TcpListenerStream::new(listener),
+        async move {
             let _ = rx.await;
-        });
+        },
+    );
     tokio::spawn(async move {
         if let Err(e) = server.await {
             tracing::error!(error = %e, "the listener for nodes has ended");
--- a/src/node/process.rs
+++ b/src/node/process.rs
@@ -8,8 +8,10 @@
 use super::{Blackboard, NodeContext, Phase};
 use crate::callers::CallerContext;
 use crate::ops::accept::Accept;
+use crate::ops::admit::Gate;
 use crate::ops::call_records::CallRecords;
 use crate::ops::call_service::{CallService, CallServiceContext, PeerOwners};
+use crate::ops::choose_home::HomeChoice;
 use crate::ops::follow::Follower;
 use crate::ops::hand_over::HandOvers;
 use crate::ops::home::Home;
@@ -48,6 +50,10 @@
     pub calls: Arc<CallService>,
     /// Records of those calls.
     pub records: Arc<CallRecords>,
+    /// Choice of homes.
+    pub choice: Arc<HomeChoice>,
+    /// Limits at arrival.
+    pub gate: Arc<Gate>,
 }
 
 /// What a process connects to.
@@ -81,7 +87,14 @@
         let requests = Arc::new(Requests::default());
         let home = Home::spawn(cx.clone());
         let replicator = Replicator::new(cx.clone(), Arc::clone(&requests));
-        let runner = Runner::new(cx.clone(), Arc::clone(&home), Arc::clone(&replicator));
+        let choice = Arc::new(HomeChoice::default());
+        let gate = Gate::new(Arc::clone(&cx.board), Arc::clone(&choice));
+        let runner = Runner::new(
+            cx.clone(),
+            Arc::clone(&home),
+            Arc::clone(&replicator),
+            Arc::clone(&choice),
+        );
         let hand_overs = HandOvers::new(
             cx.clone(),
             Arc::clone(&requests),
@@ -100,6 +113,8 @@
             follower,
             calls,
             records,
+            choice,
+            gate,
         });
         tokio::spawn(upkeep(Arc::clone(&node)));
         node
@@ -114,6 +129,7 @@
                 Arc::clone(&self.requests),
                 Arc::clone(&self.replicator),
                 Arc::clone(&self.runner),
+                Arc::clone(&self.gate),
             ),
             follower: self.follower.clone(),
             calls: Arc::clone(&self.calls),
--- a/src/ops/accept.rs
+++ b/src/ops/accept.rs
@@ -6,11 +6,13 @@
 use sha2::{Digest, Sha256};
 use uuid::Uuid;
 
+use crate::core::admission;
 use crate::core::document::{CustomerRule, Document};
 use crate::core::explain::{Decision, Record};
 use crate::core::request::{AcceptedRequest, ChatMessage, estimate_prompt_tokens};
 use crate::core::verdict::Verdict;
 use crate::node::{NodeContext, Phase};
+use crate::ops::admit::Gate;
 use crate::ops::replicate::Replicator;
 use crate::ops::requests::{Entry, Requests, Snapshot};
 use crate::ops::run_request::Runner;
@@ -92,6 +94,20 @@
     }
 }
 
+impl From<admission::Refusal> for Refusal {
+    fn from(refusal: admission::Refusal) -> Self {
+        let kind = match refusal.cause {
+            admission::Cause::DeadlineUnreachable { .. } => RefusalKind::TooLate,
+            _ => RefusalKind::OverLimit,
+        };
+        Self {
+            kind,
+            cause: refusal.cause.to_string().into(),
+            retry_after: Some(refusal.retry_after),
+        }
+    }
+}
+
 /// The module's result.
 pub type Result<T> = std::result::Result<T, Refusal>;
 
@@ -102,6 +118,7 @@
     requests: Arc<Requests>,
     replicator: Arc<Replicator>,
     runner: Arc<Runner>,
+    gate: Arc<Gate>,
 }
 
 impl Accept {
@@ -111,12 +128,14 @@
         requests: Arc<Requests>,
         replicator: Arc<Replicator>,
         runner: Arc<Runner>,
+        gate: Arc<Gate>,
     ) -> Self {
         Self {
             cx,
             requests,
             replicator,
             runner,
+            gate,
         }
     }
 
@@ -135,6 +154,7 @@
     pub async fn accept(&self, customer: &CustomerRule, call: ChatCall) -> Result<Arc<Entry>> {
         self.check_phase()?;
         let request = self.checked(customer, call)?;
+        let charge = self.gate.admit(customer, &request)?;
         let entry = Arc::new(Entry::serving(Snapshot {
             request,
             term: 1,
@@ -144,6 +164,7 @@
             engine: None,
         }));
         if !self.requests.insert(Arc::clone(&entry)) {
+            self.gate.settle(&charge, 0);
             return Err(Refusal::unavailable("this node is full", FULL_RETRY));
         }
         let replica = self.replicator.secure(&entry).await;
@@ -156,6 +177,7 @@
             prompt_tokens: request.prompt_tokens,
             replica,
         });
+        self.gate.settle_at_end(charge, Arc::clone(&entry));
         self.runner.spawn(Arc::clone(&entry));
         Ok(entry)
     }
--- /dev/null
+++ b/src/ops/admit.rs
@@ -0,0 +1,187 @@
+//! Refuses at arrival what a customer's limits or the deadline do not allow.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+use tokio::time::Instant;
+
+use crate::core::admission::{
+    CustomerLimits, LimitRule, Refusal, ReturnSchedule, UseReport, check_deadline,
+};
+use crate::core::document::CustomerRule;
+use crate::core::estimate::Estimator;
+use crate::core::id::CustomerId;
+use crate::core::request::AcceptedRequest;
+use crate::core::time::Moment;
+use crate::node::Blackboard;
+use crate::ops::choose_home::HomeChoice;
+use crate::ops::requests::{Entry, Role};
+
+/// The module's result.
+pub type Result<T> = std::result::Result<T, Refusal>;
+
+/// Refuses at arrival what cannot or may not be served.
+#[derive(Debug)]
+pub struct Gate {
+    board: Arc<Blackboard>,
+    choice: Arc<HomeChoice>,
+    origin: Instant,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    limits: CustomerLimits,
+    estimator: Estimator,
+    returns: ReturnSchedule,
+}
+
+/// What was charged for an admitted request; it has to be settled once.
+#[derive(Clone, Debug)]
+pub struct Charge {
+    customer: CustomerId,
+    estimated: u32,
+}
+
+impl Gate {
+    /// Creates the gate of a node that has just started.
+    pub fn new(board: Arc<Blackboard>, choice: Arc<HomeChoice>) -> Arc<Self> {
+        let limits = CustomerLimits::new(board.identity.node.clone(), Moment::ZERO);
+        Arc::new(Self {
+            board,
+            choice,
+            origin: Instant::now(),
+            state: Mutex::new(State {
+                limits,
+                estimator: Estimator::default(),
+                returns: ReturnSchedule::default(),
+            }),
+        })
+    }
+
+    /// Admits a request and charges its estimated cost.
+    ///
+    /// # Errors
+    ///
+    /// Refuses where a limit of the customer is reached or the deadline cannot be met.
+    pub fn admit(&self, customer: &CustomerRule, request: &AcceptedRequest) -> Result<Charge> {
+        let now = self.origin.elapsed();
+        let mut state = self.state.lock();
+        let estimate = state.estimator.estimate(
+            &customer.name,
+            &request.model,
+            request.prompt_tokens,
+            request.max_tokens,
+        );
+        let charge = Charge {
+            customer: customer.name.clone(),
+            estimated: estimate.total_tokens(),
+        };
+        let rule = LimitRule::from(customer);
+        state
+            .limits
+            .admit(&customer.name, &rule, charge.estimated, now)?;
+        let checked = self.check_deadline(&mut state, request, estimate.work_tokens(), now);
+        if let Err(refusal) = checked {
+            state
+                .limits
+                .finish(&customer.name, charge.estimated, 0, now);
+            return Err(refusal);
+        }
+        Ok(charge)
+    }
+
+    fn check_deadline(
+        &self,
+        state: &mut State,
+        request: &AcceptedRequest,
+        cost_tokens: u32,
+        now: Moment,
+    ) -> Result<()> {
+        let config = self.board.config.read();
+        let deadline = config
+            .document
+            .rank(&request.rank)
+            .map_or(Duration::MAX, |rule| rule.deadline);
+        let shortest = self
+            .choice
+            .shortest_wait(&self.board, &request.model, &request.rank);
+        let Some(wait) = shortest else {
+            return Ok(());
+        };
+        check_deadline(&wait, deadline)
+            .map(drop)
+            .map_err(|refusal| {
+                let nodes = self.board.members.read().working().count().max(1);
+                let rate = wait.tokens_per_second.map(|rate| rate / nodes as f64);
+                state
+                    .returns
+                    .book(refusal, cost_tokens, rate, now, &mut rand::rng())
+            })
+    }
+
+    /// Settles an admitted request that has ended: 0 actual tokens for one that never ran.
+    pub fn settle(&self, charge: &Charge, actual: u32) {
+        let now = self.origin.elapsed();
+        self.state
+            .lock()
+            .limits
+            .finish(&charge.customer, charge.estimated, actual, now);
+    }
+
+    /// Settles an admitted request once it has ended here.
+    pub fn settle_at_end(self: &Arc<Self>, charge: Charge, entry: Arc<Entry>) {
+        let gate = Arc::clone(self);
+        tokio::spawn(async move {
+            let mut changes = entry.watch();
+            while entry.is_open() && entry.role() == Role::Serving {
+                if changes.changed().await.is_err() {
+                    break;
+                }
+            }
+            gate.settle_ended(&charge, &entry);
+        });
+    }
+
+    fn settle_ended(&self, charge: &Charge, entry: &Entry) {
+        let snapshot = entry.snapshot();
+        let made = u32::try_from(snapshot.tokens.len()).unwrap_or(u32::MAX);
+        let request = &snapshot.request;
+        let actual = match made {
+            0 => 0,
+            made => request.prompt_tokens.saturating_add(made),
+        };
+        self.settle(charge, actual);
+        if snapshot.completion.is_some() {
+            self.state
+                .lock()
+                .estimator
+                .observe(&request.customer, &request.model, made);
+        }
+    }
+
+    /// Takes in other nodes' counters of customers.
+    pub fn merge(&self, reports: &[UseReport]) {
+        let now = self.origin.elapsed();
+        let config = self.board.config.read();
+        let nodes = self.board.members.read().working().count();
+        let mut state = self.state.lock();
+        state
+            .limits
+            .set_nodes(u32::try_from(nodes).unwrap_or(u32::MAX));
+        for report in reports {
+            if let Some(customer) = config.document.customer(&report.customer) {
+                state.limits.merge(report, &LimitRule::from(customer), now);
+            }
+        }
+        state
+            .limits
+            .retain_customers(|name| config.document.customer(name).is_some());
+    }
+
+    /// Returns this node's counters that changed since the last call.
+    pub fn take_reports(&self) -> Vec<UseReport> {
+        self.state.lock().limits.take_reports()
+    }
+}
--- a/src/ops/choose_home.rs
+++ b/src/ops/choose_home.rs
@@ -1,13 +1,32 @@
-//! Which home gets the next attempt of a request.
+//! Which engine, and so which home, gets the next attempt of a request.
+//!
+//! Loads come late by gossip; what this node has sent since is added, so that nodes do not all choose
+//! the home that looked idle in the last report. Prompts that an engine holds already draw their
+//! followers to it, as far as its queue allows.
 
-use std::collections::HashMap;
+use std::time::Duration;
 
 use parking_lot::Mutex;
+use tokio::time::Instant;
 
-use crate::core::fleet::BackendKind;
-use crate::core::id::{NodeId, VmId};
+use crate::core::admission::Wait;
+use crate::core::fleet::{Backend, Route};
+use crate::core::id::{NodeId, RankLevel, VmId};
+use crate::core::membership::HomeLoad;
+use crate::core::request::AcceptedRequest;
+use crate::core::routing::{
+    Candidate, Choice, Dispatched, Distance, LinkBudget, LinkShares, LoadBook, LoadReport,
+    PrefixIndex, PromptBlocks, RouteRequest, choose,
+};
+use crate::core::time::Moment;
 use crate::node::Blackboard;
-use crate::ops::home::home_of;
+
+/// Usual age of a report when it arrives.
+const REPORT_DELAY: Duration = Duration::from_millis(500);
+/// Time that an engine takes to compute one prompt token, where nothing else is known.
+const PREFILL_PER_TOKEN: Duration = Duration::from_micros(250);
+/// Bytes of a token on the link between regions, overhead included.
+const TOKEN_BYTES: u64 = 24;
 
 /// Where an attempt goes.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -18,60 +37,195 @@
     pub engine: VmId,
 }
 
-/// Chooses among homes by what this node has given to each engine.
-#[derive(Debug, Default)]
+/// An attempt that was counted when it was sent.
+#[derive(Clone, Debug)]
+pub struct Counted {
+    model: Box<str>,
+    home: NodeId,
+    sent: Dispatched,
+}
+
+/// Chooses engines by load, distance and held prompts.
+#[derive(Debug)]
 pub struct HomeChoice {
-    in_flight: Mutex<HashMap<VmId, u32>>,
+    origin: Instant,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    loads: Vec<(Box<str>, LoadBook)>,
+    prefixes: PrefixIndex,
+    link: LinkBudget,
+}
+
+impl Default for HomeChoice {
+    fn default() -> Self {
+        Self {
+            origin: Instant::now(),
+            state: Mutex::new(State {
+                loads: Vec::new(),
+                prefixes: PrefixIndex::new(PrefixIndex::MAX_ENTRIES),
+                link: LinkBudget::new(LinkShares::default(), 1, Moment::ZERO),
+            }),
+        }
+    }
 }
 
 impl HomeChoice {
-    /// Returns where an attempt for a model goes, or `None` where no engine serves the model.
-    ///
-    /// Engines of the own zone come before those of the region, and those before the rest, where they
-    /// have as little to do.
-    pub fn choose(&self, board: &Blackboard, model: &str) -> Option<Target> {
-        let members = board.members.read();
-        let fleet = board.fleet.read();
-        let in_flight = self.in_flight.lock();
-        let own = &board.identity;
-        fleet
-            .serving(BackendKind::Engine, model)
-            .filter_map(|engine| {
-                let home = home_of(engine, &members)?;
-                let load = in_flight.get(&engine.vm).copied().unwrap_or(0);
-                let distance = if engine.zone == own.zone {
-                    0
-                } else if engine.region == own.region {
-                    1
-                } else {
-                    2
-                };
-                let target = Target {
-                    home,
-                    engine: engine.vm.clone(),
-                };
-                Some((
-                    (distance / 2, load, distance, rand::random::<u32>()),
-                    target,
-                ))
+    /// Returns where an attempt goes, or `None` where no engine serves the model.
+    pub fn choose(
+        &self,
+        board: &Blackboard,
+        request: &AcceptedRequest,
+        deadline: Duration,
+    ) -> Option<Target> {
+        let (level, floor_percent) = rank_of(board, &request.rank);
+        let now = self.now();
+        let prompt = PromptBlocks::of_messages(&request.model, &request.messages);
+        let mut state = self.state.lock();
+        let mut targets = Vec::new();
+        let mut candidates = Vec::new();
+        let routes = board.routes.read();
+        let slots = slots_of(board, &request.model);
+        for Route { engine, home } in routes.serving(&request.model) {
+            let estimate = state.load(&request.model).estimate(home, level, now);
+            candidates.push(Candidate {
+                distance: distance(board, engine),
+                wait: estimate.map_or(Duration::ZERO, |load| load.wait(floor_percent)),
+                slots,
+                cached_tokens: state.prefixes.cached(&engine.vm, &prompt).expected(),
+                price_per_hour: 0,
+            });
+            targets.push((home, &engine.vm));
+        }
+        let tokens = u64::from(request.prompt_tokens) + u64::from(request.max_tokens);
+        let route = RouteRequest {
+            deadline,
+            prefill_per_token: PREFILL_PER_TOKEN,
+            bytes: tokens * TOKEN_BYTES,
+        };
+        let choice = choose(&candidates, &route, &mut state.link, now, &mut rand::rng());
+        let index = match choice {
+            Choice::Take(index) | Choice::Cross(index) => index,
+            Choice::None => return None,
+        };
+        let (home, engine) = targets[index];
+        let target = Target {
+            home: home.clone(),
+            engine: engine.clone(),
+        };
+        state.prefixes.routed(&target.engine, &prompt);
+        Some(target)
+    }
+
+    /// Returns what a request of a rank would wait for at the home that starts it first; `None` where
+    /// no engine of the region serves the model.
+    pub fn shortest_wait(&self, board: &Blackboard, model: &str, rank: &str) -> Option<Wait> {
+        let (level, floor_percent) = rank_of(board, rank);
+        let now = self.now();
+        let mut state = self.state.lock();
+        let load = state.load(model);
+        board
+            .routes
+            .read()
+            .serving(model)
+            .iter()
+            .filter(|route| route.engine.region == board.identity.region)
+            .filter_map(|route| load.estimate(&route.home, level, now))
+            .min_by_key(|load| load.wait(floor_percent))
+            .map(|load| Wait {
+                free_slots: load.free_slots,
+                tokens_ahead: load.tokens_ahead,
+                tokens_per_second: load.tokens_per_second,
+                floor_percent,
+                ..Wait::default()
             })
-            .min_by_key(|(key, _)| *key)
-            .map(|(_, target)| target)
     }
 
-    /// Counts an attempt that goes to an engine.
-    pub fn begin(&self, engine: &VmId) {
-        *self.in_flight.lock().entry(engine.clone()).or_default() += 1;
+    /// Takes in a home's report.
+    pub fn report(&self, load: &HomeLoad) {
+        let as_of = self.now().saturating_sub(REPORT_DELAY);
+        let report = LoadReport {
+            sequence: load.sequence,
+            as_of,
+            slots: load.slots,
+            running: load.running,
+            waiting: load.waiting,
+            waiting_tokens: load.waiting_tokens.iter().copied().collect(),
+            tokens_per_second: load.tokens_per_second,
+        };
+        self.state
+            .lock()
+            .load(&load.model)
+            .report(&load.node, report);
     }
 
-    /// Counts the end of an attempt.
-    pub fn end(&self, engine: &VmId) {
-        let mut in_flight = self.in_flight.lock();
-        if let Some(count) = in_flight.get_mut(engine) {
-            *count = count.saturating_sub(1);
-            if *count == 0 {
-                in_flight.remove(engine);
-            }
+    /// Counts an attempt that goes to a home.
+    pub fn begin(
+        &self,
+        target: &Target,
+        model: &str,
+        level: RankLevel,
+        cost_tokens: u32,
+    ) -> Counted {
+        let sent = Dispatched {
+            at: self.now(),
+            level,
+            cost_tokens,
+        };
+        self.state.lock().load(model).dispatched(&target.home, sent);
+        Counted {
+            model: model.into(),
+            home: target.home.clone(),
+            sent,
         }
     }
+
+    /// Counts the end of an attempt.
+    pub fn end(&self, counted: &Counted) {
+        let mut state = self.state.lock();
+        state
+            .load(&counted.model)
+            .finished(&counted.home, &counted.sent);
+    }
+
+    fn now(&self) -> Moment {
+        self.origin.elapsed()
+    }
+}
+
+impl State {
+    fn load(&mut self, model: &str) -> &mut LoadBook {
+        let known = self.loads.iter().position(|(name, _)| &**name == model);
+        let index = known.unwrap_or_else(|| {
+            self.loads.push((model.into(), LoadBook::default()));
+            self.loads.len() - 1
+        });
+        &mut self.loads[index].1
+    }
+}
+
+/// Returns the slots of one engine of a model.
+fn slots_of(board: &Blackboard, model: &str) -> u32 {
+    let config = board.config.read();
+    let rule = config.document.model(model);
+    rule.map_or(1, |rule| u32::from(rule.slots_per_engine))
+}
+
+fn rank_of(board: &Blackboard, rank: &str) -> (RankLevel, u8) {
+    let config = board.config.read();
+    let rule = config.document.rank(rank);
+    rule.map_or((0, 0), |rule| (rule.level, rule.floor_percent))
+}
+
+fn distance(board: &Blackboard, engine: &Backend) -> Distance {
+    let own = &board.identity;
+    if engine.zone == own.zone {
+        Distance::SameZone
+    } else if engine.region == own.region {
+        Distance::SameRegion
+    } else {
+        Distance::OtherRegion
+    }
 }
--- a/src/ops/hand_over.rs
+++ b/src/ops/hand_over.rs
@@ -7,10 +7,11 @@
 use futures::stream;
 use tokio::time::timeout;
 
+use crate::core::cells::replica_candidates;
 use crate::core::explain::Decision;
 use crate::core::id::NodeId;
 use crate::node::{NodeContext, Phase};
-use crate::ops::replicate::{Replicator, replica_candidates};
+use crate::ops::replicate::Replicator;
 use crate::ops::requests::{Entry, HAND_OVER_TERMS, Requests, Role, Snapshot};
 use crate::ops::run_request::Runner;
 use crate::peers::convert_request::HandOver;
--- a/src/ops/home/charge.rs
+++ b/src/ops/home/charge.rs
@@ -2,10 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use crate::core::cells;
-use crate::core::fleet::{Backend, BackendKind};
-use crate::core::id::{ModelName, NodeId};
-use crate::core::membership::MemberView;
+use crate::core::fleet::Backend;
+use crate::core::id::ModelName;
 use crate::node::Blackboard;
 
 /// The engines that a node is home of, by model, without those that leave.
@@ -20,35 +18,19 @@
     engines: Vec<Backend>,
 }
 
-/// Returns the node that is home of an engine: one of the engine's zone, else one of its region.
-pub fn home_of(engine: &Backend, view: &MemberView) -> Option<NodeId> {
-    let job = format!("engine/{}", engine.vm);
-    let in_zone = view
-        .working_in_region(&engine.region)
-        .filter(|member| member.zone == engine.zone)
-        .map(|member| &*member.node);
-    let in_region = view
-        .working_in_region(&engine.region)
-        .map(|member| &*member.node);
-    cells::owner(&job, in_zone)
-        .or_else(|| cells::owner(&job, in_region))
-        .map(NodeId::from)
-}
-
 impl Charge {
     /// Computes the engines that this node is home of now.
     pub(super) fn of(board: &Blackboard) -> Self {
-        let members = board.members.read();
-        let fleet = board.fleet.read();
+        let routes = board.routes.read();
         let config = board.config.read();
-        let own =
-            |engine: &Backend| home_of(engine, &members).as_ref() == Some(&board.identity.node);
+        let own = &board.identity.node;
         let mut models = BTreeMap::new();
         for rule in &config.document.models {
-            let engines: Vec<_> = fleet
-                .serving(BackendKind::Engine, &rule.name)
-                .filter(|engine| own(engine))
-                .cloned()
+            let engines: Vec<_> = routes
+                .serving(&rule.name)
+                .iter()
+                .filter(|route| route.home == *own)
+                .map(|route| route.engine.clone())
                 .collect();
             if !engines.is_empty() {
                 let slots_per_engine = u32::from(rule.slots_per_engine);
--- a/src/ops/home/mod.rs
+++ b/src/ops/home/mod.rs
@@ -30,8 +30,6 @@
 use queue::ModelQueue;
 use run::{Ended, Run};
 
-pub use charge::home_of;
-
 /// Time for which a run goes on without a reader.
 pub(crate) const LINGER: Duration = Duration::from_secs(10);
 /// Time between two looks at deadlines and at leaving engines.
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -1,6 +1,7 @@
 //! One module for each operation.
 
 pub mod accept;
+pub mod admit;
 pub mod call_records;
 pub mod call_service;
 pub mod choose_home;
@@ -14,6 +15,7 @@
 pub mod ledger;
 pub mod publish;
 pub mod replicate;
+pub mod report;
 pub mod requests;
 pub mod run_request;
 pub mod spread;
--- a/src/ops/replicate.rs
+++ b/src/ops/replicate.rs
@@ -14,10 +14,10 @@
 use tokio::time::{Instant, timeout};
 use tokio_stream::wrappers::ReceiverStream;
 
-use crate::core::cells;
+use crate::core::cells::replica_candidates;
 use crate::core::explain::Decision;
 use crate::core::id::{NodeId, RequestId, TokenOffset};
-use crate::core::membership::{Member, MemberView};
+use crate::core::membership::Member;
 use crate::node::NodeContext;
 use crate::ops::requests::{CopyUpdate, Entry, Requests};
 use crate::peers::convert_request::ReplicaUpdate;
@@ -55,29 +55,6 @@
     offset: TokenOffset,
 }
 
-/// Returns the nodes that may keep the copy of a request, best first: another zone of the same region,
-/// then the same zone.
-pub fn replica_candidates(request: &str, serving: &str, view: &MemberView) -> Vec<NodeId> {
-    let Some(own) = view.get(serving) else {
-        return Vec::new();
-    };
-    let in_region = || {
-        view.working_in_region(&own.region)
-            .filter(|member| &*member.node != serving)
-    };
-    let other_zone = in_region()
-        .filter(|member| member.zone != own.zone)
-        .map(|member| &*member.node);
-    let same_zone = in_region()
-        .filter(|member| member.zone == own.zone)
-        .map(|member| &*member.node);
-    cells::ranked(request, other_zone)
-        .into_iter()
-        .chain(cells::ranked(request, same_zone))
-        .map(NodeId::from)
-        .collect()
-}
-
 impl Replicator {
     /// Creates a replicator without connections.
     pub fn new(cx: NodeContext, requests: Arc<Requests>) -> Arc<Self> {
--- /dev/null
+++ b/src/ops/report.rs
@@ -0,0 +1,81 @@
+//! Tells other nodes this node's loads and counters, and takes in theirs.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::{MissedTickBehavior, interval};
+
+use crate::core::admission::UseReport;
+use crate::core::membership::{CustomerUse, HomeLoad};
+use crate::ops::admit::Gate;
+use crate::ops::choose_home::HomeChoice;
+use crate::ops::gossip::Gossip;
+use crate::ops::home::Home;
+
+/// Time between two reports; gossip itself limits how often a value is told.
+const REPORT_INTERVAL: Duration = Duration::from_millis(250);
+
+/// What is reported, and who takes in what others report.
+pub struct Reports {
+    /// Carries the reports.
+    pub gossip: Gossip,
+    /// This node's queues.
+    pub home: Arc<Home>,
+    /// Takes in loads.
+    pub choice: Arc<HomeChoice>,
+    /// Counts customers' use and takes in that of others.
+    pub gate: Arc<Gate>,
+}
+
+impl Reports {
+    /// Reports for as long as the process lives.
+    pub async fn run(self) {
+        let mut tick = interval(REPORT_INTERVAL);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tick.tick().await;
+            self.tell().await;
+            self.take_in();
+        }
+    }
+
+    async fn tell(&self) {
+        for (model, load) in self.home.loads() {
+            self.gossip
+                .report_load(HomeLoad {
+                    model,
+                    slots: load.slots,
+                    running: load.running,
+                    waiting: load.waiting,
+                    waiting_tokens: load.waiting_tokens.iter().copied().collect(),
+                    tokens_per_second: load.tokens_per_second,
+                    ..HomeLoad::default()
+                })
+                .await;
+        }
+        for used in self.gate.take_reports() {
+            self.gossip
+                .report_use(used.customer, used.tokens, used.in_flight)
+                .await;
+        }
+    }
+
+    fn take_in(&self) {
+        let reports = self.gossip.reports();
+        for load in &reports.loads {
+            self.choice.report(load);
+        }
+        let uses: Vec<UseReport> = reports.uses.iter().map(use_report).collect();
+        self.gate.merge(&uses);
+    }
+}
+
+fn use_report(used: &CustomerUse) -> UseReport {
+    UseReport {
+        node: used.node.clone(),
+        customer: used.customer.clone(),
+        tokens: used.tokens,
+        in_flight: used.in_flight,
+        sequence: used.sequence,
+    }
+}
--- a/src/ops/run_request.rs
+++ b/src/ops/run_request.rs
@@ -11,8 +11,10 @@
 
 use crate::core::answer::{Applied, GivenUp};
 use crate::core::dispatch::{Attachment, DispatchEvent, DispatchOrder};
+use crate::core::estimate::{DEFAULT_ANSWER_TOKENS, work_tokens};
 use crate::core::explain::Decision;
-use crate::core::id::AttemptNumber;
+use crate::core::id::{AttemptNumber, RankLevel};
+use crate::core::request::AcceptedRequest;
 use crate::core::verdict::Verdict;
 use crate::node::NodeContext;
 use crate::ops::choose_home::{HomeChoice, Target};
@@ -38,7 +40,7 @@
     cx: NodeContext,
     home: Arc<Home>,
     replicator: Arc<Replicator>,
-    choice: HomeChoice,
+    choice: Arc<HomeChoice>,
 }
 
 /// What is kept from one attempt to the next.
@@ -62,12 +64,17 @@
 
 impl Runner {
     /// Creates a runner.
-    pub fn new(cx: NodeContext, home: Arc<Home>, replicator: Arc<Replicator>) -> Arc<Self> {
+    pub fn new(
+        cx: NodeContext,
+        home: Arc<Home>,
+        replicator: Arc<Replicator>,
+        choice: Arc<HomeChoice>,
+    ) -> Arc<Self> {
         Arc::new(Self {
             cx,
             home,
             replicator,
-            choice: HomeChoice::default(),
+            choice,
         })
     }
 
@@ -122,7 +129,7 @@
                 retry_after_ms: as_millis_u32(NO_ENGINE_RETRY),
             });
         };
-        let Some(target) = self.target(&snapshot.request.model, carried) else {
+        let Some(target) = self.target(&snapshot.request, time_left, carried) else {
             return Outcome::Again {
                 cause: "no engine serves the model at present".into(),
             };
@@ -138,18 +145,23 @@
             kv_blob: carried.kv_blob.take(),
             deadline_ms: as_millis_u32(time_left),
         };
-        self.choice.begin(&target.engine);
+        let level = self.level(&order.request.rank);
+        let cost = work_tokens(order.request.prompt_tokens, DEFAULT_ANSWER_TOKENS);
+        let counted = self
+            .choice
+            .begin(&target, &order.request.model, level, cost);
         let outcome = self.follow(entry, order, &target, carried).await;
-        self.choice.end(&target.engine);
+        self.choice.end(&counted);
         outcome
     }
 
+    fn level(&self, rank: &str) -> RankLevel {
+        let config = self.cx.board.config.read();
+        config.document.rank(rank).map_or(0, |rule| rule.level)
+    }
+
     /// Returns the time until the first token is due, or `None` where it has passed.
-    fn time_left(
-        &self,
-        request: &crate::core::request::AcceptedRequest,
-        has_no_token: bool,
-    ) -> Option<Duration> {
+    fn time_left(&self, request: &AcceptedRequest, has_no_token: bool) -> Option<Duration> {
         let config = self.cx.board.config.read();
         let deadline = config
             .document
@@ -163,17 +175,22 @@
         }
     }
 
-    fn target(&self, model: &str, carried: &Carried) -> Option<Target> {
+    fn target(
+        &self,
+        request: &AcceptedRequest,
+        time_left: Duration,
+        carried: &Carried,
+    ) -> Option<Target> {
         let attached = carried.attachment.as_ref().and_then(|attachment| {
             let fleet = self.cx.board.fleet.read();
             let engine = fleet.get(&attachment.engine)?;
-            let home = crate::ops::home::home_of(engine, &self.cx.board.members.read())?;
+            let home = self.cx.board.homes.read().get(&engine.vm)?.clone();
             Some(Target {
                 home,
                 engine: engine.vm.clone(),
             })
         });
-        attached.or_else(|| self.choice.choose(&self.cx.board, model))
+        attached.or_else(|| self.choice.choose(&self.cx.board, request, time_left))
     }
 
     async fn follow(
--- a/src/ops/watch_fleet.rs
+++ b/src/ops/watch_fleet.rs
@@ -9,12 +9,12 @@
 use tokio::sync::watch;
 use tokio::time::{MissedTickBehavior, interval};
 
-use crate::core::fleet::{FleetView, ReclaimNotice, VmListing};
+use crate::core::cells::home_of;
+use crate::core::fleet::{Backend, BackendKind, FleetView, ReclaimNotice, VmListing};
 use crate::core::id::VmId;
 use crate::core::membership::BackendNotice;
 use crate::node::Blackboard;
 use crate::ops::gossip::Gossip;
-use crate::ops::home::home_of;
 use crate::sources::cloud::Cloud;
 use crate::sources::vm_list::VmList;
 
@@ -71,8 +71,10 @@
         let mut notice_tick = interval(NOTICE_INTERVAL);
         notice_tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut known = Known::default();
+        let mut members = self.board.members.watch();
         loop {
             tokio::select! {
+                _ = members.changed() => {}
                 _ = list_tick.tick() => self.read_list(&mut known).await,
                 _ = notice_tick.tick() => self.read_notices(&mut known, &own_notice).await,
             }
@@ -130,13 +132,14 @@
     /// Returns the back ends whose notices this node asks for: those that it is home of.
     fn own_backends(&self, fleet: &FleetView) -> Vec<VmId> {
         let members = self.board.members.read();
+        let homes = self.board.homes.read();
         let own = &self.board.identity.node;
-        fleet
-            .backends
-            .iter()
-            .filter(|backend| home_of(backend, &members).as_ref() == Some(own))
-            .map(|backend| backend.vm.clone())
-            .collect()
+        let is_own = |backend: &&Backend| match backend.kind {
+            BackendKind::Engine => homes.get(&backend.vm) == Some(own),
+            BackendKind::Service => home_of(backend, &members).as_ref() == Some(own),
+        };
+        let backends = fleet.backends.iter().filter(is_own);
+        backends.map(|backend| backend.vm.clone()).collect()
     }
 
     fn publish(&self, known: &Known) {
@@ -160,6 +163,7 @@
         self.board
             .fleet
             .update(|current| (*current != view).then_some(view));
+        self.board.refresh_routes();
     }
 }
 
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -12,7 +12,7 @@
 Tasks:
   demo      Starts everything on loopback, serves requests and checks the answers
   policy    Measures the decisions beside baselines on injected time
-  measure   Runs the real processes under load and reports the measures
+  policy    Compares the decisions with baselines on a small event loop
   slopes    Measures what control costs as nodes and engines grow";
 
 fn main() -> ExitCode {
