Prove calls at most once with real processes that are killed and frozen

Cases in one process let a frozen node's timers go on; SIGSTOP does not. Each case asks every key at two nodes at once, lets nodes die, freeze or the store lose answers and go down, asks again as callers do, and reads the services' own effect counters: never two, none where only not_run was told, one where an answer was given.

--- a/tests/promises/case.rs
+++ b/tests/promises/case.rs
@@ -79,12 +79,7 @@
         let sections = ini::parse(text)?;
         let load = section(&sections, "load")?;
         let expect = section(&sections, "expect")?;
-        let mut events = sections
-            .iter()
-            .filter(|section| &*section.kind == "event")
-            .map(Event::parse)
-            .collect::<Result<Vec<_>>>()?;
-        events.sort_by_key(|event| event.at);
+        let events = events(&sections)?;
         let list = |value: Option<&str>| -> Vec<String> {
             value
                 .unwrap_or_default()
@@ -110,6 +105,17 @@
     }
 }
 
+/// Reads the failures of a case, in the order of their times.
+pub(crate) fn events(sections: &[IniSection]) -> Result<Vec<Event>> {
+    let mut events = sections
+        .iter()
+        .filter(|section| &*section.kind == "event")
+        .map(Event::parse)
+        .collect::<Result<Vec<_>>>()?;
+    events.sort_by_key(|event| event.at);
+    Ok(events)
+}
+
 fn quiet_engine(expect: &IniSection) -> Result<Option<(usize, Duration)>> {
     let Some(engine) = value(expect, "quiet_engine") else {
         return Ok(None);
@@ -151,17 +157,17 @@
     }
 }
 
-fn section<'a>(sections: &'a [IniSection], kind: &str) -> Result<&'a IniSection> {
+pub(crate) fn section<'a>(sections: &'a [IniSection], kind: &str) -> Result<&'a IniSection> {
     sections
         .iter()
         .find(|section| &*section.kind == kind)
         .ok_or_else(|| eyre!("[{kind}] is missing"))
 }
 
-fn value<'a>(section: &'a IniSection, key: &str) -> Option<&'a str> {
+pub(crate) fn value<'a>(section: &'a IniSection, key: &str) -> Option<&'a str> {
     section.entry(key).map(|entry| &*entry.value)
 }
 
-fn millis(text: &str) -> Result<Duration> {
+pub(crate) fn millis(text: &str) -> Result<Duration> {
     Ok(Duration::from_millis(text.parse()?))
 }
--- a/tests/promises/inject.rs
+++ b/tests/promises/inject.rs
@@ -6,7 +6,7 @@
 use jayhall_harness::{Fleet, Process};
 use tokio::time::{Instant, sleep, sleep_until};
 
-use crate::case::{Action, Case, Event, Target};
+use crate::case::{Action, Event, Target};
 
 /// Customer whose requests make the load.
 pub(crate) const CUSTOMER: &str = "bekele";
@@ -20,9 +20,9 @@
 }
 
 /// Makes all events happen, and takes VMs back when their notice has run out.
-pub(crate) async fn inject(fleet: &mut Fleet, case: &Case, begun: Instant) -> Result<()> {
+pub(crate) async fn inject(fleet: &mut Fleet, events: &[Event], begun: Instant) -> Result<()> {
     let mut reclaims = Vec::new();
-    for event in &case.events {
+    for event in events {
         sleep_until(begun + event.at).await;
         apply(fleet, event, &mut reclaims).await?;
     }
--- a/tests/promises/main.rs
+++ b/tests/promises/main.rs
@@ -3,6 +3,7 @@
 //! Each file is a case: the load, the failures with their times, and what has to hold. Files below
 //! `promise_*` belong to the promise of that name.
 
+mod calls;
 mod case;
 mod expect;
 mod inject;
@@ -14,4 +15,9 @@
         root = "tests/promises",
         pattern = r".*\.ini$",
     },
+    {
+        test = calls::case_holds,
+        root = "tests/promises",
+        pattern = r".*\.calls$",
+    },
 }
--- a/tests/promises/run.rs
+++ b/tests/promises/run.rs
@@ -42,7 +42,8 @@
             sleep_until(begun + case.spacing * n).await;
             caller.ask(ask).await
         });
-    let (answers, injected) = tokio::join!(join_all(asked), inject(&mut fleet, case, begun));
+    let (answers, injected) =
+        tokio::join!(join_all(asked), inject(&mut fleet, &case.events, begun));
     injected?;
     let answers = answers.into_iter().collect::<Result<Vec<Answer>>>()?;
     let asked: Vec<_> = asks.into_iter().zip(answers).collect();
