--- a/src/core/membership/compose.rs
+++ b/src/core/membership/compose.rs
@@ -7,7 +7,7 @@
 use super::machine::Membership;
 use super::message::{MemberRecord, Message, StateChange};
 use super::reports::ReportKey;
-use super::tuning::{BUCKETS, MESSAGE_BYTES, PAGE_BYTES, RESERVED_BYTES};
+use super::tuning::{BUCKETS, MESSAGE_BYTES, PAGE_BYTES, REPORT_RESERVE_BYTES, RESERVED_BYTES};
 use super::updates::{Priority, UpdateKey};
 use super::{Member, MemberState};
 use crate::core::id::NodeId;
@@ -48,13 +48,21 @@
         corrections: &[NodeId],
     ) -> Message {
         let available = self.budget.available(now);
-        let is_short = available < RESERVED_BYTES;
-        let limit = available.clamp(RESERVED_BYTES, MESSAGE_BYTES);
+        let least = match available {
+            0..RESERVED_BYTES => Priority::Urgent,
+            RESERVED_BYTES..REPORT_RESERVE_BYTES => Priority::Member,
+            _ => Priority::Report,
+        };
+        // Few messages cross regions, and each of them has to tell a whole region.
+        let limit = match to.is_some_and(|node| self.is_far(node)) {
+            true => MESSAGE_BYTES,
+            false => available.clamp(RESERVED_BYTES, MESSAGE_BYTES),
+        };
         let mut draft = self.draft(to, limit);
         for node in corrections {
             self.add_member(&mut draft, node);
         }
-        self.add_updates(&mut draft, to, told, is_short);
+        self.add_updates(&mut draft, to, told, least);
         self.finish(draft)
     }
 
@@ -90,6 +98,11 @@
         self.finish(draft)
     }
 
+    fn is_far(&self, node: &NodeId) -> bool {
+        let member = self.table.get(node);
+        member.is_some_and(|member| member.region != self.own.region)
+    }
+
     fn draft(&self, to: Option<&NodeId>, limit: usize) -> Draft {
         let message = Message {
             from: self.own.node.clone(),
@@ -152,14 +165,14 @@
         draft: &mut Draft,
         to: Option<&NodeId>,
         told: &BTreeSet<UpdateKey>,
-        is_short: bool,
+        least: Priority,
     ) {
         let region = to
             .and_then(|node| self.table.get(node))
             .map(|m| m.region.clone());
         let is_near = region.as_ref() == Some(&self.own.region);
         for (key, priority) in self.updates.in_order() {
-            if is_short && priority != Priority::Urgent {
+            if priority > least {
                 break;
             }
             if told.contains(&key) {
