--- a/src/callers/problem.rs
+++ b/src/callers/problem.rs
@@ -10,6 +10,11 @@
 use crate::core::verdict::Verdict;
 use crate::ops::accept::{Refusal, RefusalKind};
 
+/// Kind of problem where this node takes nothing now but another one does.
+const NODE_UNAVAILABLE: &str = "urn:jayhall:node-unavailable";
+/// Header of such a problem, for callers that do not read its body.
+const TRY_ANOTHER_NODE: &str = "x-try-another-node";
+
 /// A refusal as callers see it.
 #[derive(Clone, Debug, Serialize)]
 pub struct Problem {
@@ -60,6 +65,15 @@
         self
     }
 
+    /// Returns the refusal of a node that takes nothing now.
+    pub fn node_unavailable(detail: impl Into<Box<str>>, retry_after: Duration) -> Self {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        Self {
+            kind: NODE_UNAVAILABLE,
+            ..Self::not_run(status, "Not available now", detail).retry_after(retry_after)
+        }
+    }
+
     /// Returns the answer to a call without a valid key.
     pub fn no_key() -> Self {
         Self::not_run(
@@ -88,6 +102,9 @@
             header::CONTENT_TYPE,
             header::HeaderValue::from_static("application/problem+json"),
         );
+        if self.kind == NODE_UNAVAILABLE {
+            headers.insert(TRY_ANOTHER_NODE, header::HeaderValue::from_static("yes"));
+        }
         if let Some(after) = self.retry_after_ms {
             headers.insert(header::RETRY_AFTER, after.div_ceil(1000).into());
         }
@@ -105,7 +122,10 @@
             RefusalKind::TooLate => (StatusCode::SERVICE_UNAVAILABLE, "Deadline cannot be met"),
             RefusalKind::Unavailable => (StatusCode::SERVICE_UNAVAILABLE, "Not available now"),
         };
-        let problem = Self::not_run(status, title, refusal.cause);
+        let mut problem = Self::not_run(status, title, refusal.cause);
+        if refusal.kind == RefusalKind::Unavailable {
+            problem.kind = NODE_UNAVAILABLE;
+        }
         match refusal.retry_after {
             Some(after) => problem.retry_after(after),
             None => problem,
--- a/src/callers/services.rs
+++ b/src/callers/services.rs
@@ -122,12 +122,10 @@
         if *self.0.cx.board.phase.read() == Phase::Serving {
             return Ok(());
         }
-        Err(Problem::not_run(
-            StatusCode::SERVICE_UNAVAILABLE,
-            "Not available now",
+        Err(Problem::node_unavailable(
             "this node takes no new calls; ask the directory for another",
-        )
-        .retry_after(LEAVING_RETRY))
+            LEAVING_RETRY,
+        ))
     }
 
     fn answer(&self, res: &mut Response, id: &str, reply: CallReply) -> Result<(), Problem> {
--- a/src/core/cells/mod.rs
+++ b/src/core/cells/mod.rs
@@ -8,7 +8,7 @@
 mod roles;
 
 pub use homes::Homes;
-pub use roles::{home_of, replica_candidates, replica_of, shard_owner};
+pub use roles::{home_of, replica_candidates, replica_of, shard_owner, successor_candidates};
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
--- a/src/core/cells/roles.rs
+++ b/src/core/cells/roles.rs
@@ -34,6 +34,19 @@
     nodes.into_iter().map(NodeId::from).collect()
 }
 
+/// Returns the nodes that may take over the serving of a request, best first: those that may keep its
+/// copy, then nodes of other regions, for the last node of a region.
+pub fn successor_candidates(request: &str, serving: &str, view: &MemberView) -> Vec<NodeId> {
+    let mut candidates = replica_candidates(request, serving, view);
+    let Some(own) = view.get(serving) else {
+        return candidates;
+    };
+    let elsewhere = view.working().filter(|member| member.region != own.region);
+    let elsewhere = super::ranked(request, elsewhere.map(name));
+    candidates.extend(elsewhere.into_iter().map(NodeId::from));
+    candidates
+}
+
 /// Returns the node that should keep the copy of a request: one in another zone of the serving node's
 /// region wherever there is one.
 pub fn replica_of(request: &str, serving: &str, view: &MemberView) -> Option<NodeId> {
--- a/src/node/daemon.rs
+++ b/src/node/daemon.rs
@@ -154,6 +154,7 @@
         );
         control.spawn(
             Reports {
+                board: Arc::clone(&board),
                 gossip: gossip.clone(),
                 home: Arc::clone(&node.home),
                 choice: Arc::clone(&node.choice),
--- a/src/ops/accept.rs
+++ b/src/ops/accept.rs
@@ -167,16 +167,24 @@
             self.gate.settle(&charge, 0);
             return Err(Refusal::unavailable("this node is full", FULL_RETRY));
         }
-        let replica = self.replicator.secure(&entry).await;
+        let planned = self.replicator.planned(&entry);
         let request = entry.request();
+        // The copy is to have this entry, so that it can be explained there.
         entry.note(Decision::Accepted {
             node: self.cx.board.identity.node.clone(),
             customer: request.customer,
             rank: request.rank,
             model: request.model,
             prompt_tokens: request.prompt_tokens,
-            replica,
+            replica: planned.clone(),
         });
+        let replica = self.replicator.secure(&entry).await;
+        if replica != planned {
+            entry.note(Decision::ReplicaChanged {
+                replica,
+                cause: "the node chosen first did not answer in time".into(),
+            });
+        }
         self.gate.settle_at_end(charge, Arc::clone(&entry));
         self.runner.spawn(Arc::clone(&entry));
         Ok(entry)
--- a/src/ops/choose_home.rs
+++ b/src/ops/choose_home.rs
@@ -10,13 +10,14 @@
 use tokio::time::Instant;
 
 use crate::core::admission::Wait;
-use crate::core::fleet::{Backend, Route};
+use crate::core::fleet::{Backend, FleetView, Route};
 use crate::core::id::{NodeId, RankLevel, VmId};
 use crate::core::membership::HomeLoad;
 use crate::core::request::AcceptedRequest;
 use crate::core::routing::{
-    Candidate, Choice, Dispatched, Distance, LinkBudget, LinkShares, LoadBook, LoadReport,
-    PrefixIndex, PromptBlocks, RouteRequest, choose,
+    Availability, Candidate, Choice, Dispatched, Distance, HealthBook, HealthChange, HealthRules,
+    LinkBudget, LinkShares, LoadBook, LoadReport, Observation, PrefixIndex, PromptBlocks,
+    RouteRequest, choose,
 };
 use crate::core::time::Moment;
 use crate::node::Blackboard;
@@ -56,6 +57,7 @@
 struct State {
     loads: Vec<(Box<str>, LoadBook)>,
     prefixes: PrefixIndex,
+    health: HealthBook,
     link: LinkBudget,
 }
 
@@ -66,6 +68,7 @@
             state: Mutex::new(State {
                 loads: Vec::new(),
                 prefixes: PrefixIndex::new(PrefixIndex::MAX_ENTRIES),
+                health: HealthBook::new(HealthRules::default()),
                 link: LinkBudget::new(LinkShares::default(), 1, Moment::ZERO),
             }),
         }
@@ -88,7 +91,8 @@
         let mut candidates = Vec::new();
         let routes = board.routes.read();
         let slots = slots_of(board, &request.model);
-        for Route { engine, home } in routes.serving(&request.model) {
+        let usable: Vec<&Route> = state.usable(routes.serving(&request.model), now);
+        for Route { engine, home } in usable {
             let estimate = state.load(&request.model).estimate(home, level, now);
             candidates.push(Candidate {
                 distance: distance(board, engine),
@@ -116,6 +120,7 @@
             engine: engine.clone(),
         };
         state.prefixes.routed(&target.engine, &prompt);
+        state.health.start_probe(&target.engine, now);
         Some(target)
     }
 
@@ -190,12 +195,51 @@
             .finished(&counted.home, &counted.sent);
     }
 
+    /// Sets which engines there are.
+    pub fn set_engines(&self, fleet: &FleetView) {
+        let engines = fleet.backends.iter().map(|backend| &backend.vm);
+        self.state.lock().health.set_engines(engines, self.now());
+    }
+
+    /// Learns how an attempt on an engine ended.
+    pub fn observe(&self, engine: &VmId, observation: Observation) {
+        let now = self.now();
+        let mut state = self.state.lock();
+        let change = state
+            .health
+            .observe(engine, observation, now, &mut rand::rng());
+        match change {
+            Some(HealthChange::Ejected { until }) => {
+                let for_ms = until.saturating_sub(now).as_millis();
+                tracing::warn!(%engine, for_ms, "engine gets no requests for a while");
+            }
+            Some(HealthChange::Readmitted) => tracing::info!(%engine, "engine gets requests again"),
+            Some(HealthChange::Spared) | None => {}
+        }
+    }
+
     fn now(&self) -> Moment {
         self.origin.elapsed()
     }
 }
 
 impl State {
+    /// Returns the engines that get requests; all of them where none does.
+    fn usable<'a>(&self, routes: &'a [Route], now: Moment) -> Vec<&'a Route> {
+        let is_usable = |route: &&Route| {
+            matches!(
+                self.health.availability(&route.engine.vm, now),
+                Availability::Usable | Availability::Probe
+            )
+        };
+        let usable: Vec<&Route> = routes.iter().filter(is_usable).collect();
+        if usable.is_empty() {
+            routes.iter().collect()
+        } else {
+            usable
+        }
+    }
+
     fn load(&mut self, model: &str) -> &mut LoadBook {
         let known = self.loads.iter().position(|(name, _)| &**name == model);
         let index = known.unwrap_or_else(|| {
--- a/src/ops/hand_over.rs
+++ b/src/ops/hand_over.rs
@@ -7,7 +7,7 @@
 use futures::stream;
 use tokio::time::timeout;
 
-use crate::core::cells::replica_candidates;
+use crate::core::cells::successor_candidates;
 use crate::core::explain::Decision;
 use crate::core::id::NodeId;
 use crate::node::{NodeContext, Phase};
@@ -72,7 +72,7 @@
     async fn pass_on(&self, entry: &Entry, cause: &str) {
         let own = &self.cx.board.identity.node;
         let view = self.cx.board.members.read();
-        let mut candidates = replica_candidates(entry.id(), own, &view);
+        let mut candidates = successor_candidates(entry.id(), own, &view);
         if let Some(replica) = entry.replica() {
             candidates.sort_by_key(|node| *node != replica);
         }
--- a/src/ops/home/drive.rs
+++ b/src/ops/home/drive.rs
@@ -8,6 +8,7 @@
 use super::run::{Ended, Run};
 use crate::core::dispatch::Attachment;
 use crate::core::fleet::Backend;
+use crate::core::id::RankLevel;
 use crate::core::verdict::Verdict;
 use crate::sources::engine::{EngineAttempt, EngineClient, EngineError, EngineEvent, EngineStream};
 use crate::util::time::unix_now;
@@ -20,8 +21,6 @@
 const MOVE_MARGIN: Duration = Duration::from_secs(3);
 /// Longest wait for an export of the engine's cache.
 const EXPORT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time for which an engine that was out of reach gets nothing new.
-const OUT_OF_REACH_PAUSE: Duration = Duration::from_secs(1);
 
 /// What became of an attempt on an engine.
 pub(super) enum Outcome {
@@ -45,6 +44,7 @@
     run: &Run,
     engine: &Backend,
     attach: bool,
+    priority: RankLevel,
 ) -> Outcome {
     if run.has_ended() {
         return Outcome::Ended;
@@ -58,18 +58,13 @@
                 .attach(engine.address, id, attachment, run.base)
                 .await
         }
-        None => start(engines, run, engine).await,
+        None => start(engines, run, engine, priority).await,
     };
     let stream = match opened {
         Ok(stream) => stream,
         Err(EngineError::Busy { retry_after, .. }) => {
             return Outcome::Requeue { pause: retry_after };
         }
-        Err(EngineError::NotReached { .. }) if !attach => {
-            return Outcome::Requeue {
-                pause: OUT_OF_REACH_PAUSE,
-            };
-        }
         Err(e) => {
             end_moved(run, &e.to_string(), e.verdict());
             return Outcome::Ended;
@@ -88,11 +83,12 @@
     engines: &EngineClient,
     run: &Run,
     engine: &Backend,
+    priority: RankLevel,
 ) -> crate::sources::engine::Result<EngineStream> {
     let attempt = EngineAttempt {
         request: &run.order.request,
         attempt: run.attempt,
-        priority: 0,
+        priority,
         prior_tokens: &run.order.prior_tokens,
         kv_blob: run.order.kv_blob.as_deref(),
     };
@@ -157,10 +153,15 @@
             Err(_) => return Read::Silent,
             Ok(None | Some(Err(_))) => return Read::Broken,
             Ok(Some(Ok(EngineEvent::Token { offset, text }))) => {
-                if run.take_token(offset, text) < offset {
+                if !run.take_token(offset, text) {
                     return Read::Broken;
                 }
             }
+            Ok(Some(Ok(EngineEvent::Finished(completion))))
+                if run.next_offset() < completion.completion_tokens =>
+            {
+                return Read::Broken;
+            }
             Ok(Some(Ok(EngineEvent::Finished(completion)))) => {
                 run.end(Ended::Finished(completion));
                 return Read::Finished;
--- a/src/ops/home/mod.rs
+++ b/src/ops/home/mod.rs
@@ -21,7 +21,7 @@
 use crate::core::dispatch::{DispatchEvent, DispatchOrder};
 use crate::core::document::Document;
 use crate::core::fleet::Backend;
-use crate::core::id::{ModelName, RequestId, VmId};
+use crate::core::id::{ModelName, RankLevel, RequestId, VmId};
 use crate::core::queue::WaitingTokens;
 use crate::core::verdict::Verdict;
 use crate::node::{NodeContext, Phase};
@@ -208,7 +208,8 @@
 
     async fn drive(self: Arc<Self>, run: Arc<Run>, engine: Backend, attach: bool) {
         let begun = Instant::now();
-        let outcome = drive::run_on_engine(&self.cx.engines, &run, &engine, attach).await;
+        let priority = self.level(&run.order.request.rank);
+        let outcome = drive::run_on_engine(&self.cx.engines, &run, &engine, attach, priority).await;
         let charge = Charge::of(&self.cx.board);
         let mut state = self.state.lock();
         let engine_use = state.engines.entry(engine.vm.clone()).or_default();
@@ -228,6 +229,11 @@
         self.pump(&mut state, &charge, model);
     }
 
+    fn level(&self, rank: &str) -> RankLevel {
+        let config = self.cx.board.config.read();
+        config.document.rank(rank).map_or(0, |rule| rule.level)
+    }
+
     /// Looks at deadlines, at leaving engines and at runs that have ended.
     async fn sweep(self: Arc<Self>) {
         let mut tick = tokio::time::interval(SWEEP_INTERVAL);
--- a/src/ops/home/run.rs
+++ b/src/ops/home/run.rs
@@ -3,6 +3,7 @@
 //! The tokens stay with the run until it is forgotten, so that a serving node whose connection was lost
 //! can subscribe again and miss nothing.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 
@@ -15,6 +16,9 @@
 use crate::core::request::Completion;
 use crate::core::verdict::Verdict;
 
+/// Tokens that may arrive ahead of a missing one.
+const MAX_EARLY_TOKENS: usize = 64;
+
 /// How an attempt ended.
 #[derive(Clone, Debug)]
 pub(super) enum Ended {
@@ -48,6 +52,8 @@
     pub(super) expected_wait_ms: u32,
     pub(super) running: Option<Running>,
     pub(super) tokens: Vec<Box<str>>,
+    /// Tokens that arrived ahead of an earlier one.
+    early: BTreeMap<TokenOffset, Box<str>>,
     pub(super) ended: Option<Ended>,
     is_moving: bool,
     unread_since: Option<Instant>,
@@ -121,24 +127,28 @@
         });
     }
 
-    /// Takes a token. Returns the offset that is expected next.
-    pub(super) fn take_token(&self, offset: TokenOffset, text: Box<str>) -> TokenOffset {
-        let mut next = 0;
+    /// Takes a token, also one ahead of its turn. Returns whether the stream can go on: too many tokens
+    /// ahead of a missing one mean that it was lost.
+    pub(super) fn take_token(&self, offset: TokenOffset, text: Box<str>) -> bool {
+        let mut can_go_on = true;
         self.state.send_if_modified(|state| {
-            let expected = self.base + u32::try_from(state.tokens.len()).unwrap_or(u32::MAX);
-            let is_next = offset == expected && state.ended.is_none();
-            if is_next {
+            let before = state.tokens.len();
+            let next = |state: &RunState| self.base + state.made();
+            if state.ended.is_none() && offset >= next(state) {
+                state.early.entry(offset).or_insert(text);
+            }
+            while let Some(text) = state.early.remove(&next(state)) {
                 state.tokens.push(text);
             }
-            next = expected + u32::from(is_next);
-            is_next
+            can_go_on = state.early.len() <= MAX_EARLY_TOKENS;
+            state.tokens.len() > before
         });
-        next
+        can_go_on
     }
 
     /// Returns the offset that is expected next.
     pub(super) fn next_offset(&self) -> TokenOffset {
-        self.base + u32::try_from(self.state.borrow().tokens.len()).unwrap_or(u32::MAX)
+        self.base + self.state.borrow().made()
     }
 
     /// Ends the run, unless it has ended.
@@ -204,6 +214,13 @@
     }
 }
 
+impl RunState {
+    /// Returns how many tokens the run has made.
+    fn made(&self) -> TokenOffset {
+        TokenOffset::try_from(self.tokens.len()).unwrap_or(TokenOffset::MAX)
+    }
+}
+
 impl Ended {
     /// Returns the event that tells a serving node of the end.
     pub(super) fn event(&self, run: &Run, state: &RunState) -> DispatchEvent {
--- a/src/ops/keep_copy.rs
+++ b/src/ops/keep_copy.rs
@@ -6,23 +6,23 @@
 
 use crate::core::id::NodeId;
 use crate::core::request::AcceptedRequest;
-use crate::ops::requests::{Entry, Requests, Role, Snapshot};
+use crate::ops::requests::{CopyError, Entry, Requests, Role, Snapshot};
 use crate::peers::convert_request::ReplicaUpdate;
 
-/// This node has no room for a copy.
+/// This node has no room for a copy, or lacks what went before.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct NoRoom;
+pub(crate) struct NotKept;
 
 /// Takes an update and returns the acknowledgement.
 ///
 /// # Errors
 ///
-/// Fails where there is no room; nothing is acknowledged then.
+/// Fails where the copy cannot be kept; nothing is acknowledged then.
 pub(crate) fn keep(
     requests: &Requests,
     own: &NodeId,
     update: ReplicaUpdate,
-) -> Result<wire::ReplicaAck, NoRoom> {
+) -> Result<wire::ReplicaAck, NotKept> {
     let sequence = update.sequence;
     let superseded = take(requests, own, update)?.into_iter().collect();
     Ok(wire::ReplicaAck {
@@ -35,7 +35,7 @@
     requests: &Requests,
     own: &NodeId,
     update: ReplicaUpdate,
-) -> Result<Option<wire::Superseded>, NoRoom> {
+) -> Result<Option<wire::Superseded>, NotKept> {
     let known = requests.get(&update.request);
     if update.is_dropped {
         if known.is_some_and(|entry| matches!(entry.role(), Role::Copy { .. })) {
@@ -46,22 +46,23 @@
     let entry = match (known, update.accepted) {
         (Some(entry), _) => entry,
         (None, Some(accepted)) => add(requests, accepted, &update.update.from)?,
-        (None, None) => return Err(NoRoom),
+        (None, None) => return Err(NotKept),
     };
-    Ok(entry
-        .apply_update(own, update.update)
-        .err()
-        .map(|superseded| wire::Superseded {
+    match entry.apply_update(own, update.update) {
+        Ok(()) => Ok(None),
+        Err(CopyError::Superseded { by }) => Ok(Some(wire::Superseded {
             request: update.request.into(),
-            by: superseded.by.into(),
-        }))
+            by: by.into(),
+        })),
+        Err(CopyError::Gap) => Err(NotKept),
+    }
 }
 
 fn add(
     requests: &Requests,
     accepted: AcceptedRequest,
     from: &NodeId,
-) -> Result<Arc<Entry>, NoRoom> {
+) -> Result<Arc<Entry>, NotKept> {
     let snapshot = Snapshot {
         request: accepted,
         term: 0,
@@ -74,6 +75,6 @@
     if requests.insert(Arc::clone(&entry)) {
         Ok(entry)
     } else {
-        Err(NoRoom)
+        Err(NotKept)
     }
 }
--- a/src/ops/replicate.rs
+++ b/src/ops/replicate.rs
@@ -66,6 +66,11 @@
         })
     }
 
+    /// Returns the node that is tried first as the replica of a request.
+    pub fn planned(&self, entry: &Entry) -> Option<NodeId> {
+        self.candidates(entry).into_iter().next()
+    }
+
     /// Finds a replica for a request and waits until it has the copy. Returns the replica, or `None`
     /// where no other node could take it in time; the request then has no copy for now.
     pub async fn secure(self: &Arc<Self>, entry: &Arc<Entry>) -> Option<NodeId> {
--- a/src/ops/report.rs
+++ b/src/ops/report.rs
@@ -7,6 +7,7 @@
 
 use crate::core::admission::UseReport;
 use crate::core::membership::{CustomerUse, HomeLoad};
+use crate::node::Blackboard;
 use crate::ops::admit::Gate;
 use crate::ops::choose_home::HomeChoice;
 use crate::ops::gossip::Gossip;
@@ -17,6 +18,8 @@
 
 /// What is reported, and who takes in what others report.
 pub struct Reports {
+    /// Back ends that there are.
+    pub board: Arc<Blackboard>,
     /// Carries the reports.
     pub gossip: Gossip,
     /// This node's queues.
@@ -61,6 +64,7 @@
     }
 
     fn take_in(&self) {
+        self.choice.set_engines(&self.board.fleet.read());
         let reports = self.gossip.reports();
         for load in &reports.loads {
             self.choice.report(load);
--- a/src/ops/requests/entry.rs
+++ b/src/ops/requests/entry.rs
@@ -73,11 +73,16 @@
     pub engine: Option<Attachment>,
 }
 
-/// The copy was promoted; the sender must not serve the request any more.
+/// Why an update of a copy is refused.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Superseded {
-    /// Node that serves the request now.
-    pub by: NodeId,
+pub enum CopyError {
+    /// The copy was promoted; the sender must not serve the request any more.
+    Superseded {
+        /// Node that serves the request now.
+        by: NodeId,
+    },
+    /// Tokens before those of the update are missing here.
+    Gap,
 }
 
 /// Everything that another node needs to go on with a request.
@@ -330,7 +335,7 @@
     /// Remembers that the replica has the tokens before `offset`.
     pub fn set_safe(&self, replica: &str, offset: TokenOffset) {
         let mut state = self.state.lock();
-        if state.replica.as_deref() != Some(replica) {
+        if state.replica.as_deref() != Some(replica) || state.role != Role::Serving {
             return;
         }
         state.is_copied = true;
@@ -372,8 +377,9 @@
     ///
     /// # Errors
     ///
-    /// Fails where a node serves the request in a later term than the sender's.
-    pub fn apply_update(&self, own: &NodeId, update: CopyUpdate) -> Result<(), Superseded> {
+    /// Fails where a node serves the request in a later term than the sender's, and where tokens before
+    /// those of the update are missing; nothing changes then.
+    pub fn apply_update(&self, own: &NodeId, update: CopyUpdate) -> Result<(), CopyError> {
         let mut state = self.state.lock();
         let server = match &state.role {
             Role::Copy { from } => from,
@@ -381,7 +387,10 @@
             Role::HandedOver { to } => to,
         };
         if (state.term, server) > (update.term, &update.from) {
-            return Err(Superseded { by: server.clone() });
+            return Err(CopyError::Superseded { by: server.clone() });
+        }
+        if update.offset > state.answer.len() {
+            return Err(CopyError::Gap);
         }
         let yields = state.role == Role::Serving;
         state.role = Role::Copy { from: update.from };
--- a/src/ops/requests/mod.rs
+++ b/src/ops/requests/mod.rs
@@ -12,7 +12,7 @@
 use crate::core::id::{NodeId, RequestId};
 
 pub(crate) use entry::HAND_OVER_TERMS;
-pub use entry::{CopyUpdate, Entry, Progress, Role, Snapshot, Superseded};
+pub use entry::{CopyError, CopyUpdate, Entry, Progress, Role, Snapshot};
 
 /// Time for which an ended answer can still be fetched.
 pub const RETENTION: Duration = Duration::from_secs(120);
--- a/src/ops/run_request.rs
+++ b/src/ops/run_request.rs
@@ -6,7 +6,7 @@
 use futures::StreamExt;
 use futures::stream::BoxStream;
 use rand::RngExt;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 use tokio_stream::wrappers::ReceiverStream;
 
 use crate::core::answer::{Applied, GivenUp};
@@ -15,6 +15,7 @@
 use crate::core::explain::Decision;
 use crate::core::id::{AttemptNumber, RankLevel};
 use crate::core::request::AcceptedRequest;
+use crate::core::routing::Observation;
 use crate::core::verdict::Verdict;
 use crate::node::NodeContext;
 use crate::ops::choose_home::{HomeChoice, Target};
@@ -150,11 +151,38 @@
         let counted = self
             .choice
             .begin(&target, &order.request.model, level, cost);
+        let begun = Instant::now();
+        let before = order.prior_tokens.len();
         let outcome = self.follow(entry, order, &target, carried).await;
         self.choice.end(&counted);
+        self.observe(&target, &outcome, entry, before, begun.elapsed());
         outcome
     }
 
+    /// Learns of the engine's health from how an attempt ended.
+    fn observe(
+        &self,
+        target: &Target,
+        outcome: &Outcome,
+        entry: &Entry,
+        tokens_before: usize,
+        took: Duration,
+    ) {
+        let observation = match outcome {
+            Outcome::Done if entry.is_open() => return,
+            Outcome::Done => {
+                let made = entry.snapshot().tokens.len().saturating_sub(tokens_before);
+                let made = u32::try_from(made).unwrap_or(u32::MAX).max(1);
+                Observation::Answered {
+                    token_interval: took / made,
+                }
+            }
+            Outcome::Again { .. } => Observation::Failed,
+            Outcome::GiveUp(_) => return,
+        };
+        self.choice.observe(&target.engine, observation);
+    }
+
     fn level(&self, rank: &str) -> RankLevel {
         let config = self.cx.board.config.read();
         config.document.rank(rank).map_or(0, |rule| rule.level)
--- a/src/sources/engine/mod.rs
+++ b/src/sources/engine/mod.rs
@@ -162,7 +162,11 @@
     ) -> Result<EngineStream> {
         let attempt = attachment.attempt;
         let url = format!("http://{address}/v1/streams/{request}?attempt={attempt}&from={from}");
-        self.open_stream(address, self.http.get(url)).await
+        let opened = self.open_stream(address, self.http.get(url));
+        match timeout(CALL_TIMEOUT, opened).await {
+            Ok(opened) => opened,
+            Err(elapsed) => Err(lost(address, &elapsed)),
+        }
     }
 
     /// Cancels a request. An engine that cannot be reached ends it by itself.
--- a/tests/promises/case.rs
+++ b/tests/promises/case.rs
@@ -14,6 +14,8 @@
     pub(crate) tokens: u32,
     /// Node that all requests enter at; any where `None`.
     pub(crate) entry: Option<usize>,
+    /// Whether all answers are streamed; every third one is not otherwise.
+    pub(crate) all_streams: bool,
     /// Time between two requests.
     pub(crate) spacing: Duration,
     /// Options of the engine stand-ins.
@@ -91,6 +93,7 @@
             requests: value(load, "requests").unwrap_or("8").parse()?,
             tokens: value(load, "tokens").unwrap_or("150").parse()?,
             entry: value(load, "entry").map(str::parse).transpose()?,
+            all_streams: value(load, "streams") == Some("all"),
             spacing: millis(value(load, "spacing_ms").unwrap_or("10"))?,
             engine_args: list(value(load, "engine_args")),
             events,
