--- a/src/sources/store/etcd/mod.rs
+++ b/src/sources/store/etcd/mod.rs
@@ -2,6 +2,7 @@
 
 mod watch;
 mod wire;
+mod wire_watch;
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -223,7 +224,7 @@
     fn watch(&self, req: WatchRequest) -> BoxFuture<'_, Result<WatchStream>> {
         Box::pin(async move {
             self.reads.take().await?;
-            let body = wire::Watch::from(&req);
+            let body = wire_watch::Watch::from(&req);
             let post = self.post("/v3/watch", &body);
             let response = tokio::time::timeout(self.cfg.call_timeout, post)
                 .await
--- a/src/sources/store/etcd/watch.rs
+++ b/src/sources/store/etcd/watch.rs
@@ -7,7 +7,8 @@
 use futures::stream::{self, BoxStream};
 use reqwest::Response;
 
-use super::wire::{Streamed, WatchReply};
+use super::wire::Streamed;
+use super::wire_watch::WatchReply;
 use crate::sources::store::WatchStream;
 use crate::sources::store::error::{Result, StoreError};
 use crate::sources::store::types::WatchEvent;
--- a/src/sources/store/etcd/wire.rs
+++ b/src/sources/store/etcd/wire.rs
@@ -23,12 +23,17 @@
     STANDARD.decode(text).map_err(|_| malformed(what))
 }
 
-fn write_number<S: Serializer>(number: &u64, to: S) -> std::result::Result<S::Ok, S::Error> {
+pub(super) fn write_number<S: Serializer>(
+    number: &u64,
+    to: S,
+) -> std::result::Result<S::Ok, S::Error> {
     to.collect_str(number)
 }
 
 /// Reads a number that is given as a string or as a number.
-fn read_number<'de, D: Deserializer<'de>>(from: D) -> std::result::Result<u64, D::Error> {
+pub(super) fn read_number<'de, D: Deserializer<'de>>(
+    from: D,
+) -> std::result::Result<u64, D::Error> {
     #[derive(Deserialize)]
     #[serde(untagged)]
     enum Either {
@@ -41,7 +46,7 @@
     }
 }
 
-fn is_zero(number: &u64) -> bool {
+pub(super) fn is_zero(number: &u64) -> bool {
     *number == 0
 }
 
@@ -314,74 +319,6 @@
     }
 }
 
-#[derive(Debug, Serialize)]
-struct WatchCreate {
-    #[serde(flatten)]
-    range: Range,
-    #[serde(serialize_with = "write_number", skip_serializing_if = "is_zero")]
-    start_revision: u64,
-}
-
-#[derive(Debug, Serialize)]
-pub(super) struct Watch {
-    create_request: WatchCreate,
-}
-
-impl From<&domain::WatchRequest> for Watch {
-    fn from(req: &domain::WatchRequest) -> Self {
-        Self {
-            create_request: WatchCreate {
-                range: (&req.range).into(),
-                start_revision: req.from.unwrap_or(0),
-            },
-        }
-    }
-}
-
-#[derive(Debug, Default, Deserialize)]
-pub(super) enum EventKind {
-    #[default]
-    #[serde(rename = "PUT")]
-    Put,
-    #[serde(rename = "DELETE")]
-    Delete,
-}
-
-#[derive(Debug, Default, Deserialize)]
-#[serde(default)]
-pub(super) struct Event {
-    #[serde(rename = "type")]
-    kind: EventKind,
-    kv: KeyValue,
-}
-
-impl TryFrom<Event> for domain::WatchEvent {
-    type Error = StoreError;
-
-    fn try_from(wire: Event) -> Result<Self> {
-        let entry = domain::KeyValue::try_from(wire.kv)?;
-        Ok(match wire.kind {
-            EventKind::Put => Self::Put(entry),
-            EventKind::Delete => Self::Deleted {
-                key: entry.key,
-                revision: entry.mod_revision,
-            },
-        })
-    }
-}
-
-#[derive(Debug, Default, Deserialize)]
-#[serde(default)]
-pub(super) struct WatchReply {
-    pub(super) header: Header,
-    pub(super) created: bool,
-    pub(super) canceled: bool,
-    pub(super) cancel_reason: Box<str>,
-    #[serde(deserialize_with = "read_number")]
-    pub(super) compact_revision: u64,
-    pub(super) events: Vec<Event>,
-}
-
 /// A message of a call that the API treats as a stream.
 #[derive(Debug, Deserialize)]
 pub(super) struct Streamed<T> {
--- a/tests/testsuite/ledger_search/mod.rs
+++ b/tests/testsuite/ledger_search/mod.rs
@@ -1,5 +1,6 @@
 //! Every order of events in small bounds: two owners of one shard, crashes, lost answers, late writes.
 
+mod store_model;
 mod world;
 
 use std::collections::HashSet;
--- a/tests/testsuite/ledger_search/world.rs
+++ b/tests/testsuite/ledger_search/world.rs
@@ -4,11 +4,13 @@
 use std::time::Duration;
 
 use jayhall::core::ledger::{
-    Arrival, BodyDigest, Commit, CommitResult, EntryKey, Epoch, Head, IdempotencyKey, Next,
-    Outcome, Page, Refusal, Settlement, Shard, Snapshot, Step,
+    Arrival, BodyDigest, CommitResult, EntryKey, IdempotencyKey, Next, Outcome, Refusal,
+    Settlement, Shard, Snapshot, Step,
 };
 use jayhall::core::verdict::Verdict;
 
+use super::store_model::{Call, CommitModel, StoreModel};
+
 const NOW: u64 = 1_700_000_000_000;
 const RETENTION: Duration = Duration::from_secs(24 * 60 * 60);
 
@@ -31,31 +33,6 @@
     ReplayOfNothing,
 }
 
-#[derive(Clone, Debug, Default, Hash)]
-struct StoreModel {
-    revision: u64,
-    head: Head,
-    pages: BTreeMap<Epoch, Page>,
-}
-
-/// A store call of one owner.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-enum Call {
-    None,
-    Load(Vec<Epoch>),
-    Loaded(u64, Head, Vec<(Epoch, Page)>),
-    LoadFailed,
-    Commit(Box<CommitModel>),
-    Committed(CommitResult),
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct CommitModel {
-    expected: u64,
-    head: Head,
-    pages: Vec<(Epoch, Page)>,
-}
-
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Attempt {
     key: EntryKey,
@@ -392,34 +369,3 @@
         }
     }
 }
-
-impl StoreModel {
-    fn read(&self, epochs: &[Epoch]) -> Call {
-        let pages = epochs
-            .iter()
-            .map(|epoch| (*epoch, self.pages.get(epoch).cloned().unwrap_or_default()))
-            .collect();
-        Call::Loaded(self.revision, self.head.clone(), pages)
-    }
-
-    fn write(&mut self, commit: &CommitModel, compares: bool) -> CommitResult {
-        if compares && commit.expected != self.revision {
-            return CommitResult::Conflict;
-        }
-        self.revision += 1;
-        self.head = commit.head.clone();
-        self.pages.extend(commit.pages.iter().cloned());
-        CommitResult::Applied(self.revision)
-    }
-}
-
-impl From<Commit> for CommitModel {
-    fn from(commit: Commit) -> Self {
-        assert!(commit.dropped.is_empty(), "no time passes");
-        Self {
-            expected: commit.expected,
-            head: commit.head,
-            pages: commit.pages,
-        }
-    }
-}
