--- a/src/ops/choose_home.rs
+++ b/src/ops/choose_home.rs
@@ -214,7 +214,7 @@
                 tracing::warn!(%engine, for_ms, "engine gets no requests for a while");
             }
             Some(HealthChange::Readmitted) => tracing::info!(%engine, "engine gets requests again"),
-            Some(HealthChange::Spared) | None => {}
+            Some(HealthChange::Kept) | None => {}
         }
     }
 
