--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -7,7 +7,8 @@
 use jayhall::core::admission::{CustomerLimits, LimitRule};
 use jayhall::core::queue::{FairQueue, Item, Next, QueueRules};
 use jayhall::core::routing::{
-    Candidate, Distance, LinkBudget, LinkShares, PrefixIndex, PromptBlocks, RouteRequest, choose,
+    Candidate, Distance, LinkBudget, LinkShares, NEAR_EQUAL_ENGINES, PrefixIndex, PromptBlocks,
+    RouteRequest, choose,
 };
 use jayhall::core::time::Moment;
 use rand::SeedableRng;
@@ -86,6 +87,7 @@
         deadline: Duration::from_secs(4),
         prefill_per_token: Duration::from_micros(500),
         bytes: 10_000,
+        near_equal: NEAR_EQUAL_ENGINES,
     };
     for engines in ENGINES {
         let mut index = PrefixIndex::new(PrefixIndex::MAX_ENTRIES);
--- a/crates/jayhall-scenarios/src/homes.rs
+++ b/crates/jayhall-scenarios/src/homes.rs
@@ -6,7 +6,7 @@
 use jayhall::core::id::NodeId;
 use jayhall::core::routing::{
     Candidate, Choice, Dispatched, Distance, LinkBudget, LinkShares, LoadBook, LoadEstimate,
-    LoadReport, RouteRequest, choose,
+    LoadReport, NEAR_EQUAL_HOMES, RouteRequest, choose,
 };
 use jayhall::core::time::Moment;
 use rand::rngs::ChaCha8Rng;
@@ -230,6 +230,7 @@
             deadline: DEADLINE,
             prefill_per_token: Duration::ZERO,
             bytes: 0,
+            near_equal: NEAR_EQUAL_HOMES,
         };
         match choose(
             &candidates,
--- a/crates/jayhall-scenarios/src/prefixes.rs
+++ b/crates/jayhall-scenarios/src/prefixes.rs
@@ -6,7 +6,7 @@
 use jayhall::core::id::VmId;
 use jayhall::core::routing::{
     BLOCK_TOKENS, BlockHash, CacheEvent, CacheEventKind, Candidate, Choice, Distance, LinkBudget,
-    LinkShares, PrefixIndex, PromptBlocks, RouteRequest, choose,
+    LinkShares, NEAR_EQUAL_ENGINES, PrefixIndex, PromptBlocks, RouteRequest, choose,
 };
 use jayhall::core::time::Moment;
 use rand::rngs::ChaCha8Rng;
@@ -285,6 +285,7 @@
             deadline: DEADLINE,
             prefill_per_token: PREFILL_PER_TOKEN,
             bytes: 0,
+            near_equal: NEAR_EQUAL_ENGINES,
         };
         match choose(&candidates, &request, &mut self.link, now, &mut self.rng) {
             Choice::Take(index) | Choice::Cross(index) => index,
--- a/src/core/routing/choose.rs
+++ b/src/core/routing/choose.rs
@@ -8,8 +8,6 @@
 use super::link::{LinkAnswer, LinkBudget, TrafficKind};
 use crate::core::time::Moment;
 
-/// Difference below which two candidates are as good as each other.
-const NEAR_EQUAL: Duration = Duration::from_millis(20);
 /// Part of the best candidate's wait, in percent, by which another's may be longer and near-equal:
 /// waits that come from late reports are no more exact than that.
 const NEAR_EQUAL_PERCENT: u32 = 20;
@@ -52,8 +50,16 @@
     pub prefill_per_token: Duration,
     /// Bytes of prompt and answer, for the link between regions.
     pub bytes: u64,
+    /// Difference below which two candidates are as good as each other, see [`NEAR_EQUAL_ENGINES`]
+    /// and [`NEAR_EQUAL_HOMES`].
+    pub near_equal: Duration,
 }
 
+/// Difference below which two engines, whose use is known, are as good as each other.
+pub const NEAR_EQUAL_ENGINES: Duration = Duration::from_millis(20);
+/// Difference below which two homes, whose load is reported late, are as good as each other.
+pub const NEAR_EQUAL_HOMES: Duration = Duration::from_millis(300);
+
 /// Where a request goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Choice {
@@ -142,7 +148,9 @@
     rng: &mut impl Rng,
 ) -> Option<usize> {
     let most_cached = most_cached(candidates);
-    let margin = NEAR_EQUAL.max(best.saturating_mul(NEAR_EQUAL_PERCENT) / 100);
+    let margin = request
+        .near_equal
+        .max(best.saturating_mul(NEAR_EQUAL_PERCENT) / 100);
     let limit = best.saturating_add(margin);
     let mut near: SmallVec<[usize; 16]> = candidates
         .iter()
--- a/src/core/routing/mod.rs
+++ b/src/core/routing/mod.rs
@@ -12,7 +12,9 @@
 mod prefix;
 
 pub use blocks::{BLOCK_TOKENS, BlockHash, PromptBlocks};
-pub use choose::{Candidate, Choice, Distance, RouteRequest, choose};
+pub use choose::{
+    Candidate, Choice, Distance, NEAR_EQUAL_ENGINES, NEAR_EQUAL_HOMES, RouteRequest, choose,
+};
 pub use health::{Availability, HealthBook, HealthChange, HealthRules, Observation};
 pub use link::{LinkAnswer, LinkBudget, LinkShares, TrafficKind};
 pub use load::{Dispatched, LoadBook, LoadEstimate, LoadReport};
--- a/tests/testsuite/policy_routing.rs
+++ b/tests/testsuite/policy_routing.rs
@@ -6,7 +6,8 @@
 use jayhall::core::request::ChatMessage;
 use jayhall::core::routing::{
     CacheEvent, CacheEventKind, Candidate, Choice, Dispatched, Distance, LinkAnswer, LinkBudget,
-    LinkShares, LoadBook, LoadReport, PrefixIndex, PromptBlocks, RouteRequest, TrafficKind, choose,
+    LinkShares, LoadBook, LoadReport, NEAR_EQUAL_ENGINES, PrefixIndex, PromptBlocks, RouteRequest,
+    TrafficKind, choose,
 };
 use jayhall::core::time::Moment;
 use jayhall_scenarios::homes::{self, HomePolicy, HomesRun};
@@ -33,6 +34,7 @@
         deadline: 4 * SECOND,
         prefill_per_token: Duration::from_micros(500),
         bytes: 10_000,
+        near_equal: NEAR_EQUAL_ENGINES,
     }
 }
 
@@ -180,6 +182,7 @@
         // At seven tenths of the capacity the target of urgent work, 4 s, is met by far.
         assert!(ours.wait_p99_ms < 2_000, "{ours:?}");
         for rival in [
+            HomePolicy::TwoChoices,
             HomePolicy::LeastCorrected,
             HomePolicy::LeastReported,
             HomePolicy::RoundRobin,
