--- a/src/ops/choose_home.rs
+++ b/src/ops/choose_home.rs
@@ -16,7 +16,7 @@
 use crate::core::request::AcceptedRequest;
 use crate::core::routing::{
     Candidate, Choice, Dispatched, Distance, LinkBudget, LinkShares, LoadBook, LoadReport,
-    PrefixIndex, PromptBlocks, RouteRequest, choose,
+    NEAR_EQUAL_ENGINES, PrefixIndex, PromptBlocks, RouteRequest, choose,
 };
 use crate::core::time::Moment;
 use crate::node::Blackboard;
@@ -104,6 +104,8 @@
             deadline,
             prefill_per_token: PREFILL_PER_TOKEN,
             bytes: tokens * TOKEN_BYTES,
+            // The wider span for homes would hide what cached prompts save.
+            near_equal: NEAR_EQUAL_ENGINES,
         };
         let choice = choose(&candidates, &route, &mut state.link, now, &mut rand::rng());
         let index = match choice {
