Measure the real processes under load, explain by the command line, start keepers on request

Cause: what callers get under load was not measured on the real processes; the demo explained through the callers' listener, not through the operators' command line; keepers of the fleet had no way to start. An engine to attach to was forgotten when the first home that was asked was itself leaving, seen in the demo: 63 tokens computed again after a hand-over.

Ruled out: keepers on by default (the stand-ins' VMs are not the cloud's, so that a keeper would retire engines that it has not started).

--- a/crates/jayhall-harness/src/fleet.rs
+++ b/crates/jayhall-harness/src/fleet.rs
@@ -12,7 +12,7 @@
 use tempfile::TempDir;
 
 use crate::caller::Caller;
-use crate::layout::{Backend, Layout, key_of, operator_hash};
+use crate::layout::{Backend, Layout, OPERATOR_KEY, key_of, operator_hash};
 use crate::process::{Process, bin_dir};
 
 /// Longest wait for all nodes to serve.
@@ -29,6 +29,8 @@
     pub store_args: Vec<String>,
     /// Filter of the nodes' logs; `info` where it is empty.
     pub log_filter: String,
+    /// Whether nodes start and stop VMs and give orders to engines.
+    pub keeps_fleet: bool,
 }
 
 /// A node of the fleet.
@@ -218,12 +220,17 @@
             "[node]\nvm = {vm}\nregion = {region}\nzone = {zone}\n\n\
              [listen]\ncallers = 127.0.0.1:0\noperators = 127.0.0.1:0\npeers = 127.0.0.1:0\n\n\
              [platform]\nstore = {}\ncloud = {}\nlist = {}\nweights = {}\n\n\
-             [operators]\nkey_hashes = {}\n\n[log]\nformat = text\nfilter = {filter}\n",
+             [operators]\nkey_hashes = {}\n\n[fleet]\nkeep = {}\n\n[log]\nformat = text\nfilter = {filter}\n",
             self.url(&self.store),
             self.url(&self.cloud),
             self.url(&self.list),
             self.url(&self.weights),
             operator_hash(),
+            if self.options.keeps_fleet {
+                "yes"
+            } else {
+                "no"
+            },
         )
     }
 
@@ -312,6 +319,48 @@
         Ok(self.http.get(url).send().await?.json().await?)
     }
 
+    /// Runs the operators' command line against a node and returns what it printed.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the command cannot be started or does not end with success.
+    pub async fn command(&self, node: &NodeHandle, args: &[&str]) -> Result<String> {
+        let key_file = self.dir.path().join("operator.key");
+        std::fs::write(&key_file, OPERATOR_KEY)?;
+        let output = tokio::process::Command::new(self.bin.join("jayhall"))
+            .args(args)
+            .arg("--node")
+            .arg(node.operators().to_string())
+            .arg("--key-file")
+            .arg(&key_file)
+            .output()
+            .await
+            .wrap_err("starting jayhall")?;
+        if !output.status.success() {
+            let errors = String::from_utf8_lossy(&output.stderr);
+            bail!(
+                "jayhall {} ended with {}: {errors}",
+                args.join(" "),
+                output.status
+            );
+        }
+        Ok(String::from_utf8_lossy(&output.stdout).into_owned())
+    }
+
+    /// Ends the processes on VMs at once, as the cloud does. A node that has left by then is unharmed.
+    pub fn take_back(&mut self, vms: &[String]) {
+        let nodes = self.nodes.iter_mut().filter(|node| vms.contains(&node.vm));
+        let nodes = nodes.map(|node| &mut node.process);
+        let backends = self.backends.iter_mut();
+        let backends = backends.filter(|(backend, _)| vms.contains(&backend.vm));
+        let backends = backends.map(|(_, process)| process);
+        for process in nodes.chain(backends) {
+            if process.ended().is_none() {
+                process.kill();
+            }
+        }
+    }
+
     /// Returns the back end on a VM.
     ///
     /// # Errors
--- a/src/node/daemon.rs
+++ b/src/node/daemon.rs
@@ -16,16 +16,19 @@
 
 use super::control::Control;
 use super::{Blackboard, Connections, Identity, Left, Node, Phase, http_client};
+use crate::core::fleet::orders::TenureRules;
 use crate::core::id::Address;
 use crate::core::membership::{DocumentRevision, DocumentRevisions};
 use crate::operators::OperatorContext;
 use crate::ops::gossip::{Documents, Gossip, GossipSetup};
+use crate::ops::keep_fleet::{KeepFleet, KeeperSetup};
 use crate::ops::publish::Publisher;
 use crate::ops::report::Reports;
 use crate::ops::spread::{ConfigInstaller, Spread, SpreadConfig};
 use crate::ops::watch_fleet::{FleetWatch, FleetWatcher};
 use crate::peers::{PeerService, PeerTls, Pings, Pool};
 use crate::sources::cloud::HttpCloud;
+use crate::sources::engine::EngineClient;
 use crate::sources::service::ServiceClient;
 use crate::sources::store::{EtcdConfig, EtcdStore, Store};
 use crate::sources::vm_list::HttpVmList;
@@ -38,6 +41,10 @@
 const RECLAIM_MARGIN: Duration = Duration::from_secs(1);
 /// Longest wait for callers' connections to end after all requests are handed over.
 const CLOSE_WITHIN: Duration = Duration::from_secs(3);
+/// Time between two rounds of a keeper of the fleet.
+const KEEPER_INTERVAL: Duration = Duration::from_secs(2);
+/// Engines that may load weights at once in one zone.
+const MAX_LOADS: usize = 2;
 /// Largest message between nodes, in bytes: a long conversation with its cache state.
 const MAX_PEER_MESSAGE: usize = 64 * 1024 * 1024;
 
@@ -49,6 +56,7 @@
     callers: ServerHandle,
     operators: ServerHandle,
     drain: Arc<Notify>,
+    keeper: Option<KeepFleet>,
     peers: Option<oneshot::Sender<()>>,
 }
 
@@ -138,13 +146,26 @@
             documents: Arc::new(SpreadDocuments(Arc::clone(&spread))),
             rng_seed: rand::random(),
         });
+        let cloud = Arc::new(HttpCloud::new(http.clone(), &settings.platform.cloud));
         let fleet = FleetWatch {
             board: Arc::clone(&board),
             gossip: gossip.clone(),
             list: Arc::new(HttpVmList::new(http.clone(), &settings.platform.list)),
-            cloud: Arc::new(HttpCloud::new(http.clone(), &settings.platform.cloud)),
+            cloud: Arc::clone(&cloud) as _,
         }
         .spawn();
+        let keeper = settings.fleet.keeps.then(|| {
+            KeepFleet::spawn(KeeperSetup {
+                board: Arc::clone(&board),
+                store: Arc::clone(&store),
+                cloud,
+                engines: Arc::new(EngineClient::new(http.clone())),
+                host: Arc::new(gossip.clone()),
+                rules: TenureRules::default(),
+                round_interval: KEEPER_INTERVAL,
+                max_loads: MAX_LOADS,
+            })
+        });
         tokio::spawn(begin_serving(Arc::clone(&board), Arc::clone(&spread)));
         drop(_on_control);
 
@@ -195,6 +216,7 @@
             callers,
             operators,
             drain,
+            keeper,
             peers: Some(peers),
         })
     }
@@ -223,6 +245,8 @@
 
     async fn leave(&mut self, cause: &str, within: Duration) -> Left {
         tracing::info!(cause, within_ms = within.as_millis(), "leaving");
+        // Another node keeps the fleet from now on.
+        self.keeper = None;
         self.gossip.leave().await;
         let left = self.node.leave(cause, within).await;
         self.callers.stop_graceful(Some(CLOSE_WITHIN));
--- a/src/ops/home/mod.rs
+++ b/src/ops/home/mod.rs
@@ -18,7 +18,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use crate::core::dispatch::{DispatchEvent, DispatchOrder};
+use crate::core::dispatch::{Attachment, DispatchEvent, DispatchOrder};
 use crate::core::document::Document;
 use crate::core::fleet::Backend;
 use crate::core::id::{ModelName, RankLevel, RequestId, VmId};
@@ -142,12 +142,13 @@
 
     fn take(self: &Arc<Self>, order: DispatchOrder) -> Result<Arc<Run>, DispatchEvent> {
         if *self.cx.board.phase.read() >= Phase::Leaving {
-            return Err(moved("the node that would keep its queue is leaving"));
+            let cause = "the node that would keep its queue is leaving";
+            return Err(moved(cause, order.attachment));
         }
         let known = self.state.lock().runs.get(&order.request.id).cloned();
         if let Some(run) = known {
             if run.attempt > order.attempt {
-                return Err(moved("a later attempt has begun"));
+                return Err(moved("a later attempt has begun", order.attachment));
             }
             if run.can_continue(&order) {
                 return Ok(run);
@@ -160,7 +161,7 @@
             .as_ref()
             .and_then(|attachment| self.cx.board.fleet.read().get(&attachment.engine).cloned());
         if attached.is_none() && !charge.has(&order.request.model) {
-            return Err(moved("this node has no engine for the model"));
+            return Err(moved("this node has no engine for the model", None));
         }
         let run = Arc::new(Run::new(order));
         let mut state = self.state.lock();
@@ -333,10 +334,11 @@
     }
 }
 
-fn moved(cause: &str) -> DispatchEvent {
+/// Returns the refusal of an order that another home can take; an engine to attach to stays one.
+fn moved(cause: &str, attachment: Option<Attachment>) -> DispatchEvent {
     DispatchEvent::Moved {
         cause: cause.into(),
-        attachment: None,
+        attachment,
         kv_blob: None,
         verdict: Verdict::NotRun,
     }
--- a/src/util/settings/mod.rs
+++ b/src/util/settings/mod.rs
@@ -16,7 +16,7 @@
 use crate::util::schema::SectionSpec;
 use crate::util::value::Hash;
 
-pub use schema::{LISTEN, LOG, NODE, OPERATORS, PLATFORM, SECTIONS, TLS};
+pub use schema::{FLEET, LISTEN, LOG, NODE, OPERATORS, PLATFORM, SECTIONS, TLS};
 
 /// Why settings cannot be used.
 #[derive(Debug, Error)]
@@ -55,6 +55,8 @@
     pub tls: Option<TlsSettings>,
     /// SHA-256 of the operators' keys. Without any, nobody can sign in.
     pub operator_keys: SmallVec<[Hash; 2]>,
+    /// Back ends.
+    pub fleet: FleetSettings,
     /// Logs.
     pub log: LogSettings,
 }
@@ -96,6 +98,13 @@
     pub weights: Box<str>,
 }
 
+/// Back ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FleetSettings {
+    /// Whether the node may start and stop VMs and give orders to engines.
+    pub keeps: bool,
+}
+
 /// Files in PEM form.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TlsSettings {
@@ -238,6 +247,9 @@
             })
         });
         let operator_keys = self.read_section(&OPERATORS, |fields| fields.hashes("key_hashes"));
+        let fleet = self.read_section(&FLEET, |fields| FleetSettings {
+            keeps: fields.yes_no("keep"),
+        });
         let log = self.read_section(&LOG, |fields| LogSettings {
             format: match &*fields.choice("format") {
                 "json" => LogFormat::Json,
@@ -251,6 +263,7 @@
             platform,
             tls,
             operator_keys,
+            fleet,
             log,
         })
     }
--- a/src/util/settings/schema.rs
+++ b/src/util/settings/schema.rs
@@ -80,5 +80,17 @@
     ],
 };
 
+/// Back ends.
+pub const FLEET: SectionSpec = SectionSpec {
+    kind: "fleet",
+    is_named: false,
+    keys: &[KeySpec::optional(
+        "keep",
+        Kind::YesNo,
+        "no",
+        "whether the node may start and stop VMs and give orders to engines",
+    )],
+};
+
 /// All sections of a node's settings.
-pub const SECTIONS: [&SectionSpec; 6] = [&NODE, &LISTEN, &PLATFORM, &TLS, &OPERATORS, &LOG];
+pub const SECTIONS: [&SectionSpec; 7] = [&NODE, &LISTEN, &PLATFORM, &TLS, &OPERATORS, &FLEET, &LOG];
--- a/tests/promises/inject.rs
+++ b/tests/promises/inject.rs
@@ -29,7 +29,7 @@
     reclaims.sort_by_key(|reclaim| reclaim.at);
     for reclaim in reclaims {
         sleep_until(reclaim.at).await;
-        take_back(fleet, &reclaim.vm);
+        fleet.take_back(&[reclaim.vm]);
     }
     Ok(())
 }
@@ -49,7 +49,7 @@
                 reclaims.push(Reclaim { at, vm });
             }
             Action::Fault(faults) => fleet.fault(fleet.backend(&vm)?, faults).await?,
-            Action::Kill => take_back(fleet, &vm),
+            Action::Kill => fleet.take_back(&[vm]),
             Action::Freeze => process(fleet, &vm)?.freeze()?,
             Action::Thaw => process(fleet, &vm)?.thaw()?,
             Action::Terminate => process(fleet, &vm)?.terminate()?,
@@ -78,19 +78,6 @@
     }
 }
 
-/// Ends the process on a VM at once, as the cloud does. A node that has left by then is unharmed.
-fn take_back(fleet: &mut Fleet, vm: &str) {
-    let nodes = fleet.nodes.iter_mut().filter(|node| node.vm == vm);
-    let nodes = nodes.map(|node| &mut node.process);
-    let backends = fleet.backends.iter_mut().filter(|(b, _)| b.vm == vm);
-    let backends = backends.map(|(_, process)| process);
-    for process in nodes.chain(backends) {
-        if process.ended().is_none() {
-            process.kill();
-        }
-    }
-}
-
 async fn vms(fleet: &Fleet, target: &Target) -> Result<Vec<String>> {
     Ok(match target {
         Target::Node(n) => vec![fleet.nodes[*n].vm.clone()],
--- a/xtask/src/demo/checks.rs
+++ b/xtask/src/demo/checks.rs
@@ -106,9 +106,16 @@
     Ok(())
 }
 
-async fn explain(caller: &Caller, id: &str) -> Result<()> {
-    for sentence in caller.explain(id).await? {
-        println!("        {sentence}");
+/// Prints what `jayhall explain` says of a request at the last node of the fleet.
+async fn explain(fleet: &Fleet, id: &str) -> Result<()> {
+    let node = fleet
+        .nodes
+        .last()
+        .ok_or_else(|| eyre!("there is no node"))?;
+    let text = fleet.command(node, &["explain", id]).await?;
+    ensure!(!text.trim().is_empty(), "jayhall explain {id} says nothing");
+    for line in text.lines() {
+        println!("        {line}");
     }
     Ok(())
 }
@@ -123,7 +130,7 @@
     );
     let answer = caller.ask(&ask).await?;
     ensure_whole(&answer, &ask)?;
-    explain(&caller, &answer.id).await
+    explain(fleet, &answer.id).await
 }
 
 async fn batch_of_all_ranks(fleet: &Fleet) -> Result<()> {
@@ -178,12 +185,44 @@
             answer.status
         );
         let problem = answer.problem.ok_or_else(|| eyre!("no problem document"))?;
-        ensure!(problem["verdict"] == "not_run", "{problem}");
-        println!(
-            "        {status}: {}",
-            problem["detail"].as_str().unwrap_or_default()
+        show_not_run(status, &problem)?;
+    }
+    bad_calls(&caller).await
+}
+
+/// Calls of plain services that are refused before anything runs.
+async fn bad_calls(caller: &Caller) -> Result<()> {
+    let body = json!({"slot": "none"});
+    let old_key = "not-a-uuid";
+    let cases = [
+        ("no-such-service", "", 404),
+        ("kiln", "", 400),
+        ("kiln", old_key, 400),
+    ];
+    for (service, key, status) in cases {
+        let answer = caller.call(service, key, &body).await?;
+        ensure!(
+            answer.status == status,
+            "{} instead of {status}",
+            answer.status
         );
+        show_not_run(status, &serde_json::from_str(&answer.body)?)?;
     }
+    let key = uuid::Uuid::now_v7().to_string();
+    let first = caller.call("kiln", &key, &json!({"slot": "first"})).await?;
+    ensure!(first.status == 200, "{} {}", first.status, first.body);
+    let other = caller.call("kiln", &key, &json!({"slot": "other"})).await?;
+    ensure!(other.status == 422, "{} {}", other.status, other.body);
+    println!("        422: {}", other.body);
+    Ok(())
+}
+
+fn show_not_run(status: u16, problem: &serde_json::Value) -> Result<()> {
+    ensure!(problem["verdict"] == "not_run", "{problem}");
+    println!(
+        "        {status}: {}",
+        problem["detail"].as_str().unwrap_or_default()
+    );
     Ok(())
 }
 
@@ -191,7 +230,7 @@
     let caller = fleet.caller("selam");
     let answer = caller.call("catalogue", "", &json!({"q": "hoops"})).await?;
     ensure!(answer.status == 200, "{} {}", answer.status, answer.body);
-    explain(&caller, &answer.id).await
+    explain(fleet, &answer.id).await
 }
 
 async fn booking_twice(fleet: &Fleet) -> Result<()> {
@@ -212,7 +251,7 @@
     }
     println!("        effects of the key counted by the back ends of kiln: {effects}");
     ensure!(effects == 1, "the booking took effect {effects} times");
-    explain(&caller, &second.id).await
+    explain(fleet, &second.id).await
 }
 
 /// Waits until an engine runs a request, and returns the engine's VM.
@@ -253,12 +292,11 @@
     notice?;
     let answer = answer?;
     ensure_whole(&answer, &ask)?;
-    explain(&caller, &answer.id).await
+    explain(fleet, &answer.id).await
 }
 
 async fn entry_reclaim(fleet: &mut Fleet) -> Result<()> {
     let node = fleet.nodes.remove(0);
-    let caller = fleet.caller("kiln-club");
     let at_node = fleet.caller("kiln-club").with_nodes(vec![node.callers()]);
     let ask = ask(
         "Read this contract and list its clauses. len=500",
@@ -276,5 +314,5 @@
     let answer = answer?;
     ensure_whole(&answer, &ask)?;
     ensure!(answer.resumes > 0, "the stream was never moved");
-    explain(&caller, &answer.id).await
+    explain(fleet, &answer.id).await
 }
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 mod demo;
+mod measure;
 mod policy;
 mod slopes;
 
@@ -11,6 +12,7 @@
 
 Tasks:
   demo      Starts everything on loopback, serves requests and checks the answers
+  measure   Runs the real processes under load and reports what callers got
   policy    Measures the decisions beside baselines on injected time
   policy    Compares the decisions with baselines on a small event loop
   slopes    Measures what control costs as nodes and engines grow";
@@ -20,6 +22,7 @@
     let rest = args.get(1..).unwrap_or_default();
     let outcome = match args.first().map(String::as_str) {
         Some("demo") => demo::run(rest),
+        Some("measure") => measure::run(rest),
         Some("slopes") => slopes::run(rest),
         Some("policy") => policy::run(rest),
         _ => {
--- /dev/null
+++ b/xtask/src/measure/overhead.rs
@@ -0,0 +1,88 @@
+//! What the way through the system adds to a direct connection to an engine.
+
+use std::time::Duration;
+
+use eyre::{Result, ensure};
+use jayhall_harness::{Ask, Caller, Fleet};
+use serde::Serialize;
+
+use super::outcome::Percentiles;
+
+/// Requests asked each way, one after another.
+const REQUESTS: usize = 60;
+/// Tokens of each answer.
+const ANSWER_TOKENS: u32 = 20;
+
+/// Times of the same requests through the system and straight to an engine, without other load.
+#[derive(Debug, Serialize)]
+pub(crate) struct Overhead {
+    direct_first_token_ms: Percentiles,
+    first_token_ms: Percentiles,
+    direct_token_interval_ms: Percentiles,
+    token_interval_ms: Percentiles,
+}
+
+/// Times of one way.
+struct Times {
+    first: Vec<Duration>,
+    intervals: Vec<Duration>,
+}
+
+/// Measures both ways in turn.
+pub(crate) async fn measure(fleet: &Fleet) -> Result<Overhead> {
+    let through = fleet.caller("bekele");
+    let engine = fleet
+        .backends
+        .iter()
+        .find(|(backend, _)| backend.kind == "engine")
+        .map(|(_, process)| process.address(""));
+    ensure!(engine.is_some(), "the fleet has no engine");
+    let direct = fleet
+        .caller("bekele")
+        .with_nodes(engine.into_iter().collect());
+    let straight = ask_in_turn(&direct, "straight").await?;
+    let system = ask_in_turn(&through, "through").await?;
+    Ok(Overhead {
+        direct_first_token_ms: Percentiles::of(straight.first),
+        first_token_ms: Percentiles::of(system.first),
+        direct_token_interval_ms: Percentiles::of(straight.intervals),
+        token_interval_ms: Percentiles::of(system.intervals),
+    })
+}
+
+async fn ask_in_turn(caller: &Caller, way: &str) -> Result<Times> {
+    let mut times = Times {
+        first: Vec::new(),
+        intervals: Vec::new(),
+    };
+    for n in 0..REQUESTS {
+        let ask = Ask {
+            model: "bucket-assistant".into(),
+            text: format!("Question {n} asked {way}. len={ANSWER_TOKENS}"),
+            rank: "urgent".into(),
+            max_tokens: ANSWER_TOKENS,
+            is_stream: true,
+        };
+        let answer = caller.ask(&ask).await?;
+        ensure!(answer.is_whole, "an answer asked {way} is not whole");
+        times.first.extend(answer.first_text);
+        times.intervals.extend(answer.intervals);
+    }
+    Ok(times)
+}
+
+impl Overhead {
+    pub(crate) fn print(&self) {
+        println!("\nwithout other load, p50 / p95 / p99 ms");
+        println!(
+            "  first token:    direct {}, through the system {}",
+            self.direct_first_token_ms.text(),
+            self.first_token_ms.text()
+        );
+        println!(
+            "  token interval: direct {}, through the system {}",
+            self.direct_token_interval_ms.text(),
+            self.token_interval_ms.text()
+        );
+    }
+}
