Send without delay on every listener

The listeners that the servers were given did not have TCP_NODELAY: tonic's own setting does not reach a listener that it is given, and salvo sets none.

Ruled out: the queue at the home and the copy (the median was 2 ms above the direct one); load (there was none).

--- a/crates/jayhall-standins/src/server.rs
+++ b/crates/jayhall-standins/src/server.rs
@@ -14,6 +14,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
+use socket2::SockRef;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
@@ -229,6 +230,8 @@
     /// Binds the address and serves the stand-in.
     pub(crate) async fn spawn<S: Standin>(listen: SocketAddr, standin: Arc<S>) -> Result<Self> {
         let listener = TcpListener::bind(listen).await?;
+        // Accepted connections inherit the option; a token must not wait for an acknowledgement.
+        SockRef::from(&listener).set_tcp_nodelay(true)?;
         let address = listener.local_addr()?;
         let server = Server::new(TcpAcceptor::try_from(listener)?);
         let handle = server.handle();
--- a/src/node/daemon.rs
+++ b/src/node/daemon.rs
@@ -10,8 +10,9 @@
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::prelude::*;
 use salvo::server::ServerHandle;
+use socket2::SockRef;
 use tokio::sync::{Notify, oneshot};
-use tokio_stream::wrappers::TcpListenerStream;
+use tonic::transport::server::TcpIncoming;
 use uuid::Uuid;
 
 use super::control::Control;
@@ -74,6 +75,9 @@
                 format!("listening for {name} on {address}; set [listen] {name}")
             })?;
             listener.set_nonblocking(true)?;
+            // Accepted connections inherit the option. Without it, a token or an acknowledgement waits
+            // for the delayed acknowledgement of what was sent before.
+            SockRef::from(&listener).set_tcp_nodelay(true)?;
             Ok::<_, eyre::Report>(listener)
         };
         Ok(Self {
@@ -325,22 +329,22 @@
     tls: Option<&PeerTls>,
 ) -> Result<oneshot::Sender<()>> {
     let listener = tokio::net::TcpListener::from_std(listener)?;
+    let incoming = TcpIncoming::from(listener);
     let (tx, rx) = oneshot::channel::<()>();
     let service = PeerServer::new(service)
         .max_decoding_message_size(MAX_PEER_MESSAGE)
         .max_encoding_message_size(MAX_PEER_MESSAGE);
-    let mut server = tonic::transport::Server::builder().tcp_nodelay(true);
+    let mut server = tonic::transport::Server::builder();
     if let Some(tls) = tls {
         server = server
             .tls_config(tls.server())
             .wrap_err("reading [tls]; check the certificate, the key and the authority")?;
     }
-    let server = server.add_service(service).serve_with_incoming_shutdown(
-        TcpListenerStream::new(listener),
-        async move {
+    let server = server
+        .add_service(service)
+        .serve_with_incoming_shutdown(incoming, async move {
             let _ = rx.await;
-        },
-    );
+        });
     tokio::spawn(async move {
         if let Err(e) = server.await {
             tracing::error!(error = %e, "the listener for nodes has ended");
