--- a/src/node/control.rs
+++ b/src/node/control.rs
@@ -19,19 +19,14 @@
 impl NodeControl for Control {
     fn queues(&self) -> Vec<QueueStatus> {
         let config = self.node.cx.board.config.read();
-        let loads = self.node.home.loads();
-        let rank_name = |level: usize| {
-            let ranks = &config.document.ranks;
-            let rank = ranks.iter().find(|rank| usize::from(rank.level) == level);
-            rank.map_or_else(|| format!("level {level}").into(), |rank| rank.name.clone())
-        };
         let mut queues = Vec::new();
-        for (model, load) in loads {
-            for (level, tokens) in load.waiting_tokens.iter().enumerate() {
+        for (model, load) in self.node.home.loads() {
+            for rule in &config.document.ranks {
+                let count = load.waiting_by_rank.iter().find(|c| c.rank == rule.name);
                 queues.push(QueueStatus {
                     model: model.clone(),
-                    rank: rank_name(level),
-                    waiting: u32::try_from(*tokens).unwrap_or(u32::MAX),
+                    rank: rule.name.clone(),
+                    waiting: count.map_or(0, |count| count.waiting),
                     running: load.running,
                 });
             }
--- a/src/operators/control.rs
+++ b/src/operators/control.rs
@@ -14,7 +14,7 @@
     pub rank: RankName,
     /// Requests that wait.
     pub waiting: u32,
-    /// Requests that run.
+    /// Requests that run, of all ranks together.
     pub running: u32,
 }
 
--- a/src/ops/hand_over.rs
+++ b/src/ops/hand_over.rs
@@ -14,7 +14,7 @@
 use crate::ops::replicate::Replicator;
 use crate::ops::requests::{Entry, HAND_OVER_TERMS, Requests, Role, Snapshot};
 use crate::ops::run_request::Runner;
-use crate::peers::convert_request::HandOver;
+use crate::peers::convert_copy::HandOver;
 
 /// Longest wait for a node to take one request.
 const TIMEOUT: Duration = Duration::from_millis(1500);
--- a/src/ops/home/mod.rs
+++ b/src/ops/home/mod.rs
@@ -28,6 +28,7 @@
 
 use charge::Charge;
 use queue::ModelQueue;
+pub use queue::RankWaiting;
 use run::{Ended, Run};
 
 /// Time for which a run goes on without a reader.
@@ -71,6 +72,8 @@
     pub running: u32,
     /// Requests that wait.
     pub waiting: u32,
+    /// Requests that wait, by rank.
+    pub waiting_by_rank: Vec<RankWaiting>,
     /// Tokens that wait, by rank level.
     pub waiting_tokens: WaitingTokens,
     /// Tokens a second of all slots together; 0 before the first observation.
@@ -296,6 +299,7 @@
             slots,
             running,
             waiting: queue.map_or(0, ModelQueue::len),
+            waiting_by_rank: queue.map(ModelQueue::waiting_by_rank).unwrap_or_default(),
             waiting_tokens: queue.map(ModelQueue::waiting_tokens).unwrap_or_default(),
             tokens_per_second: queue.map_or(0, |queue| queue.tokens_per_second(slots)),
         }
--- a/src/ops/home/queue.rs
+++ b/src/ops/home/queue.rs
@@ -10,7 +10,7 @@
 use crate::core::admission::DrainRate;
 use crate::core::document::Document;
 use crate::core::estimate::{Estimator, work_tokens};
-use crate::core::id::{RankLevel, RequestId, VmId};
+use crate::core::id::{RankLevel, RankName, RequestId, VmId};
 use crate::core::queue::{FairQueue, Item, Next, QueueRules, WaitingTokens};
 use crate::core::time::Moment;
 use crate::core::verdict::Verdict;
@@ -19,6 +19,9 @@
 /// Shortest time after which a caller whose request waited in vain should ask again.
 const EXPIRED_RETRY: Duration = Duration::from_secs(1);
 
+/// Time between two looks at what is in front of waiting requests.
+const POSITION_INTERVAL: Duration = Duration::from_millis(500);
+
 /// What the queue charged for a request that an engine runs.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Charged {
@@ -35,6 +38,17 @@
     charged: HashMap<RequestId, Charged>,
     estimator: Estimator,
     drain: DrainRate,
+    /// When waiting requests were last told what is in front of them.
+    told_at: Option<Instant>,
+}
+
+/// Requests of one rank that wait.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RankWaiting {
+    /// The rank.
+    pub rank: RankName,
+    /// How many wait.
+    pub waiting: u32,
 }
 
 impl ModelQueue {
@@ -46,6 +60,7 @@
             charged: HashMap::new(),
             estimator: Estimator::default(),
             drain: DrainRate::default(),
+            told_at: None,
         }
     }
 
@@ -130,8 +145,15 @@
         }
     }
 
-    /// Tells every waiting request what is in front of it, where `slots` are in use.
-    pub(super) fn tell_positions(&self, slots: u32) {
+    /// Tells every waiting request now and then what is in front of it, where `slots` are in use.
+    pub(super) fn tell_positions(&mut self, slots: u32) {
+        if self
+            .told_at
+            .is_some_and(|at| at.elapsed() < POSITION_INTERVAL)
+        {
+            return;
+        }
+        self.told_at = Some(Instant::now());
         let rate = self.drain.tokens_per_second(slots);
         for (id, run) in &self.runs {
             let Some(ahead) = self.fair.position(id) else {
@@ -157,6 +179,23 @@
         }
     }
 
+    /// Returns how many requests of each rank wait, by name of the rank.
+    pub(super) fn waiting_by_rank(&self) -> Vec<RankWaiting> {
+        let mut counts: Vec<RankWaiting> = Vec::new();
+        for run in self.runs.values() {
+            let rank = &run.order.request.rank;
+            match counts.iter_mut().find(|count| count.rank == *rank) {
+                Some(count) => count.waiting += 1,
+                None => counts.push(RankWaiting {
+                    rank: rank.clone(),
+                    waiting: 1,
+                }),
+            }
+        }
+        counts.sort_by(|a, b| a.rank.cmp(&b.rank));
+        counts
+    }
+
     pub(super) fn len(&self) -> u32 {
         u32::try_from(self.fair.len()).unwrap_or(u32::MAX)
     }
--- a/src/ops/keep_copy.rs
+++ b/src/ops/keep_copy.rs
@@ -7,7 +7,7 @@
 use crate::core::id::NodeId;
 use crate::core::request::AcceptedRequest;
 use crate::ops::requests::{CopyError, Entry, Requests, Role, Snapshot};
-use crate::peers::convert_request::ReplicaUpdate;
+use crate::peers::convert_copy::ReplicaUpdate;
 
 /// This node has no room for a copy, or lacks what went before.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/ops/replicate.rs
+++ b/src/ops/replicate.rs
@@ -20,7 +20,7 @@
 use crate::core::membership::Member;
 use crate::node::NodeContext;
 use crate::ops::requests::{CopyUpdate, Entry, Requests};
-use crate::peers::convert_request::ReplicaUpdate;
+use crate::peers::convert_copy::ReplicaUpdate;
 
 /// Longest wait for an acknowledgement before another replica is taken.
 const ACK_TIMEOUT: Duration = Duration::from_millis(400);
--- a/src/ops/requests/entry.rs
+++ b/src/ops/requests/entry.rs
@@ -9,6 +9,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use super::types::{CopyError, CopyUpdate, Progress, Role, Snapshot};
 use crate::core::answer::{Answer, AnswerState, Applied, GivenUp};
 use crate::core::dispatch::Attachment;
 use crate::core::explain::{Decision, Record, RecordEntry};
@@ -22,86 +23,6 @@
 /// meanwhile.
 pub(crate) const HAND_OVER_TERMS: Term = 2;
 
-/// What this node is to a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Role {
-    /// It runs the request and shows the answer.
-    Serving,
-    /// It keeps a copy for the node that serves.
-    Copy {
-        /// Node that serves the request.
-        from: NodeId,
-    },
-    /// It has handed the request over.
-    HandedOver {
-        /// Node that serves the request now.
-        to: NodeId,
-    },
-}
-
-/// What a reader of an answer finds.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Progress {
-    /// Tokens from the asked offset on.
-    Tokens(Vec<Box<str>>),
-    /// All tokens have been read.
-    Whole(Completion),
-    /// No more tokens will come.
-    GivenUp(GivenUp),
-    /// Another node serves the request.
-    Elsewhere(NodeId),
-    /// Nothing new yet.
-    Pending,
-}
-
-/// An update of a serving node to its replica.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct CopyUpdate {
-    /// Node that serves the request.
-    pub from: NodeId,
-    /// Term in which it serves.
-    pub term: Term,
-    /// The attempt that made the tokens.
-    pub attempt: AttemptNumber,
-    /// Offset of the first token.
-    pub offset: TokenOffset,
-    /// New tokens.
-    pub tokens: Vec<Box<str>>,
-    /// Set when the answer is whole.
-    pub completion: Option<Completion>,
-    /// Engine that makes the answer, to attach to.
-    pub engine: Option<Attachment>,
-}
-
-/// Why an update of a copy is refused.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum CopyError {
-    /// The copy was promoted; the sender must not serve the request any more.
-    Superseded {
-        /// Node that serves the request now.
-        by: NodeId,
-    },
-    /// Tokens before those of the update are missing here.
-    Gap,
-}
-
-/// Everything that another node needs to go on with a request.
-#[derive(Clone, Debug)]
-pub struct Snapshot {
-    /// The request, with its record.
-    pub request: AcceptedRequest,
-    /// Term of the node that serves it.
-    pub term: Term,
-    /// The attempt that made the latest tokens.
-    pub attempt: AttemptNumber,
-    /// All tokens so far.
-    pub tokens: Vec<Box<str>>,
-    /// Set when the answer is whole.
-    pub completion: Option<Completion>,
-    /// Engine that makes the answer, to attach to.
-    pub engine: Option<Attachment>,
-}
-
 /// One request as a serving node or a replica holds it.
 #[derive(Debug)]
 pub struct Entry {
@@ -216,6 +137,11 @@
             .push(RecordEntry { at, decision });
     }
 
+    /// Returns how many tokens there are, those that callers may not see yet among them.
+    pub fn token_count(&self) -> TokenOffset {
+        self.state.lock().answer.len()
+    }
+
     /// Returns everything that another node needs to go on with the request.
     pub fn snapshot(&self) -> Snapshot {
         let state = self.state.lock();
--- a/src/ops/requests/mod.rs
+++ b/src/ops/requests/mod.rs
@@ -1,6 +1,7 @@
 //! The requests that this node serves, and its copies of those that others serve.
 
 mod entry;
+mod types;
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -11,8 +12,9 @@
 
 use crate::core::id::{NodeId, RequestId};
 
+pub use entry::Entry;
 pub(crate) use entry::HAND_OVER_TERMS;
-pub use entry::{CopyError, CopyUpdate, Entry, Progress, Role, Snapshot};
+pub use types::{CopyError, CopyUpdate, Progress, Role, Snapshot};
 
 /// Time for which an ended answer can still be fetched.
 pub const RETENTION: Duration = Duration::from_secs(120);
--- a/src/ops/run_request.rs
+++ b/src/ops/run_request/mod.rs
@@ -1,5 +1,7 @@
 //! Runs the requests that this node serves, attempt after attempt, until each has its whole answer.
 
+mod count;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,7 +16,7 @@
 use crate::core::estimate::{DEFAULT_ANSWER_TOKENS, work_tokens};
 use crate::core::explain::Decision;
 use crate::core::id::{AttemptNumber, RankLevel, TokenOffset};
-use crate::core::request::{AcceptedRequest, Completion};
+use crate::core::request::AcceptedRequest;
 use crate::core::routing::Observation;
 use crate::core::verdict::Verdict;
 use crate::node::NodeContext;
@@ -100,8 +102,7 @@
                 Outcome::Again { cause } => {
                     entry.note(Decision::Moved {
                         cause,
-                        tokens_kept: u32::try_from(entry.snapshot().tokens.len())
-                            .unwrap_or(u32::MAX),
+                        tokens_kept: entry.token_count(),
                     });
                     metrics::counter!("jayhall_attempts_repeated_total").increment(1);
                     sleep(backoff(carried.failures)).await;
@@ -152,7 +153,7 @@
             .choice
             .begin(&target, &order.request.model, level, cost);
         let begun = Instant::now();
-        let before = order.prior_tokens.len();
+        let before = entry.token_count();
         let outcome = self.follow(entry, order, &target, carried).await;
         self.choice.end(&counted);
         self.observe(&target, &outcome, entry, before, begun.elapsed());
@@ -165,14 +166,13 @@
         target: &Target,
         outcome: &Outcome,
         entry: &Entry,
-        tokens_before: usize,
+        tokens_before: TokenOffset,
         took: Duration,
     ) {
         let observation = match outcome {
             Outcome::Done if entry.is_open() => return,
             Outcome::Done => {
-                let made = entry.snapshot().tokens.len().saturating_sub(tokens_before);
-                let made = u32::try_from(made).unwrap_or(u32::MAX).max(1);
+                let made = entry.token_count().saturating_sub(tokens_before).max(1);
                 Observation::Answered {
                     token_interval: took / made,
                 }
@@ -293,7 +293,7 @@
                 if !tokens.is_empty() {
                     carried.failures = 0;
                     if offset == 0 {
-                        count_first_token(entry);
+                        count::first_token(entry);
                     }
                     self.applied(entry, entry.apply_tokens(attempt, offset, tokens))
                 } else {
@@ -301,7 +301,7 @@
                 }
             }
             DispatchEvent::Finished { total, completion } => {
-                count_tokens(entry, &completion, total);
+                count::tokens(entry, &completion, total);
                 entry.note(Decision::Completed {
                     prompt_tokens: completion.prompt_tokens,
                     cached_tokens: completion.cached_tokens,
@@ -399,35 +399,6 @@
     }
 }
 
-/// Counts the time to the first token, for each customer and rank.
-fn count_first_token(entry: &Entry) {
-    let request = entry.request();
-    let waited = Duration::from_millis(unix_now().saturating_sub(request.accepted_at));
-    metrics::histogram!(
-        "jayhall_first_token_seconds",
-        "customer" => request.customer.to_string(),
-        "rank" => request.rank.to_string()
-    )
-    .record(waited);
-}
-
-/// Counts what a whole answer is charged for.
-fn count_tokens(entry: &Entry, completion: &Completion, total: TokenOffset) {
-    let request = entry.request();
-    let count = |kind: &'static str, tokens: u32| {
-        metrics::counter!(
-            "jayhall_tokens_total",
-            "customer" => request.customer.to_string(),
-            "rank" => request.rank.to_string(),
-            "kind" => kind
-        )
-        .increment(u64::from(tokens));
-    };
-    count("prompt", completion.prompt_tokens);
-    count("cached", completion.cached_tokens);
-    count("answer", total);
-}
-
 fn wire_order(order: &DispatchOrder) -> jayhall_wire::DispatchRequest {
     order.into()
 }
--- a/src/peers/convert_request.rs
+++ b/src/peers/convert_request.rs
@@ -9,7 +9,6 @@
 use crate::core::request::{AcceptedRequest, Completion};
 use crate::core::verdict::Verdict;
 use crate::ops::follow::AnswerEvent;
-use crate::ops::requests::{CopyUpdate, Snapshot};
 
 /// A message of another node that makes no sense.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
@@ -26,7 +25,7 @@
     move |_| MalformedMessage { field }
 }
 
-fn missing(field: &'static str) -> MalformedMessage {
+pub(super) fn missing(field: &'static str) -> MalformedMessage {
     MalformedMessage { field }
 }
 
@@ -113,7 +112,7 @@
     }
 }
 
-fn finished_to_wire(total: u32, completion: Completion) -> wire::Finished {
+pub(super) fn finished_to_wire(total: u32, completion: Completion) -> wire::Finished {
     wire::Finished {
         reason: completion.reason.into(),
         prompt_tokens: completion.prompt_tokens,
@@ -140,14 +139,14 @@
     }
 }
 
-fn attachment_from_wire(engine: String, attempt: u32) -> Option<Attachment> {
+pub(super) fn attachment_from_wire(engine: String, attempt: u32) -> Option<Attachment> {
     (!engine.is_empty()).then(|| Attachment {
         engine: engine.into(),
         attempt,
     })
 }
 
-fn attachment_to_wire(attachment: Option<Attachment>) -> (String, u32) {
+pub(super) fn attachment_to_wire(attachment: Option<Attachment>) -> (String, u32) {
     attachment.map_or_else(Default::default, |a| (a.engine.into(), a.attempt))
 }
 
@@ -292,112 +291,6 @@
     }
 }
 
-/// An update to a replica, with the whole request in the first one.
-#[derive(Clone, Debug)]
-pub struct ReplicaUpdate {
-    /// Grows with each update of a connection.
-    pub sequence: u64,
-    /// The request's id.
-    pub request: Box<str>,
-    /// Set in the first update of a request.
-    pub accepted: Option<AcceptedRequest>,
-    /// What is new.
-    pub update: CopyUpdate,
-    /// Set when the copy is of no use any more.
-    pub is_dropped: bool,
-}
-
-impl From<ReplicaUpdate> for wire::ReplicaUpdate {
-    fn from(update: ReplicaUpdate) -> Self {
-        let copy = update.update;
-        let (engine, engine_attempt) = attachment_to_wire(copy.engine);
-        Self {
-            sequence: update.sequence,
-            from: copy.from.into(),
-            request: update.request.into(),
-            accepted: update.accepted.as_ref().map(Into::into),
-            attempt: copy.attempt,
-            offset: copy.offset,
-            tokens: strings(&copy.tokens),
-            finished: copy.completion.map(Into::into),
-            dropped: update.is_dropped,
-            engine,
-            engine_attempt,
-            term: copy.term,
-        }
-    }
-}
-
-impl TryFrom<wire::ReplicaUpdate> for ReplicaUpdate {
-    type Error = MalformedMessage;
-
-    fn try_from(update: wire::ReplicaUpdate) -> Result<Self> {
-        Ok(Self {
-            sequence: update.sequence,
-            request: update.request.into(),
-            accepted: update.accepted.map(TryInto::try_into).transpose()?,
-            update: CopyUpdate {
-                from: update.from.into(),
-                term: update.term,
-                attempt: update.attempt,
-                offset: update.offset,
-                tokens: texts(update.tokens),
-                completion: update.finished.map(Into::into),
-                engine: attachment_from_wire(update.engine, update.engine_attempt),
-            },
-            is_dropped: update.dropped,
-        })
-    }
-}
-
-/// A request that its serving node passes on.
-#[derive(Clone, Debug)]
-pub struct HandOver {
-    /// Node that served the request.
-    pub from: Box<str>,
-    /// Everything needed to go on.
-    pub snapshot: Snapshot,
-    /// Why it is passed on.
-    pub cause: Box<str>,
-}
-
-impl From<HandOver> for wire::HandOverRequest {
-    fn from(hand_over: HandOver) -> Self {
-        let snapshot = hand_over.snapshot;
-        let (engine, engine_attempt) = attachment_to_wire(snapshot.engine);
-        Self {
-            from: hand_over.from.into(),
-            request: Some((&snapshot.request).into()),
-            attempt: snapshot.attempt,
-            tokens: strings(&snapshot.tokens),
-            finished: snapshot.completion.map(Into::into),
-            engine,
-            engine_attempt,
-            cause: hand_over.cause.into(),
-            term: snapshot.term,
-        }
-    }
-}
-
-impl TryFrom<wire::HandOverRequest> for HandOver {
-    type Error = MalformedMessage;
-
-    fn try_from(hand_over: wire::HandOverRequest) -> Result<Self> {
-        Ok(Self {
-            from: hand_over.from.into(),
-            snapshot: Snapshot {
-                request: hand_over.request.ok_or(missing("request"))?.try_into()?,
-                term: hand_over.term,
-                attempt: hand_over.attempt,
-                tokens: texts(hand_over.tokens),
-                completion: hand_over.finished.map(Into::into),
-                engine: attachment_from_wire(hand_over.engine, hand_over.engine_attempt),
-            },
-            cause: hand_over.cause.into(),
-        })
-    }
-}
-
 impl From<AnswerEvent> for wire::AnswerEvent {
     fn from(event: AnswerEvent) -> Self {
         use wire::answer_event::Event;
--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -1,5 +1,6 @@
 //! What nodes say to each other.
 
+pub mod convert_copy;
 mod convert_member;
 pub mod convert_request;
 mod convert_service;
--- a/src/peers/server.rs
+++ b/src/peers/server.rs
@@ -10,7 +10,8 @@
 use tokio_stream::wrappers::ReceiverStream;
 use tonic::{Request, Response, Status, Streaming};
 
-use super::convert_request::{HandOver, MalformedMessage, ReplicaUpdate, record_to_wire};
+use super::convert_copy::{HandOver, ReplicaUpdate};
+use super::convert_request::{MalformedMessage, record_to_wire};
 use crate::core::dispatch::DispatchOrder;
 use crate::core::service_call::ServiceCall;
 use crate::node::Node;
