Take only whole answers for whole

An engine ends the stream of an exported request with the reason "exported"; the client took any reason for the end of the answer, and that end sometimes arrived before the answer to the export, which moves the rest.

Ruled out: the copy and the hand-over (no node left in the case); missing tokens (the end counts only with all tokens before it, and the engine had made 112).

Now only "stop" and "length" end an answer. The new test fails before the change (run on the former version) and passes after it.

--- a/src/sources/engine/wire.rs
+++ b/src/sources/engine/wire.rs
@@ -7,6 +7,9 @@
 use super::{EngineAttempt, ExportedKv};
 use crate::core::request::{ChatMessage, Completion};
 
+/// Reasons with which an engine ends a whole answer.
+const WHOLE_REASONS: [&str; 2] = ["stop", "length"];
+
 #[derive(Debug, Serialize)]
 pub(super) struct CompletionRequest<'a> {
     model: &'a str,
@@ -66,9 +69,13 @@
 }
 
 impl Chunk {
-    /// Returns how the answer ended, if this chunk says so.
+    /// Returns how the answer ended, if this chunk says that it is whole. An engine also ends a stream
+    /// whose request was exported or cancelled; such an end says nothing of the answer.
     pub(super) fn completion(&self) -> Option<Completion> {
         let reason = self.choices.first()?.finish_reason.clone()?;
+        if !WHOLE_REASONS.contains(&&*reason) {
+            return None;
+        }
         let usage = self.usage.as_ref();
         Some(Completion {
             reason,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod configuration_page;
 mod console;
 mod document;
+mod engine_client;
 mod fleet_plan;
 mod ini;
 mod keep_fleet;
