--- /dev/null
+++ b/src/bin/jayhalld/gateway.rs
@@ -0,0 +1,72 @@
+//! `jayhalld --gateway`: a gateway on the users' platform.
+
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use eyre::{Result, WrapErr};
+use jayhall::node::{Gateway, Platform};
+use jayhall::platform::{CloudDuties, PlatformDialect, PlatformStore, PlatformStoreConfig};
+use jayhall::sources::store::CallRate;
+use jayhall::util::settings::GatewaySettings;
+use jayhall::util::{logs, metrics};
+use tokio::signal::unix::{SignalKind, signal};
+
+/// Calls of one node to the store: what it may need at once when it starts, and in the long run.
+const STORE_CALLS: CallRate = CallRate {
+    per_second: 12.0,
+    burst: 24,
+};
+
+/// Runs a gateway until it is told to stop.
+pub(crate) fn run(path: &str, check_only: bool) -> Result<ExitCode> {
+    let settings = GatewaySettings::open(path)?;
+    if check_only {
+        println!("{path}: no mistakes");
+        return Ok(ExitCode::SUCCESS);
+    }
+    let _flush = logs::init_stdout(&settings.log)?;
+    let metrics = metrics::install()?;
+    let control = super::control_runtime()?;
+    let traffic = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .wrap_err("starting the thread for traffic")?;
+    traffic.block_on(async {
+        let platform = Platform {
+            dialect: Arc::new(PlatformDialect),
+            store: Arc::new(PlatformStore::open(&PlatformStoreConfig {
+                base: settings.store.clone(),
+                calls: STORE_CALLS,
+            })?),
+            duties: Arc::new(CloudDuties::open(&settings.cloud)?),
+        };
+        let reload = tokio::spawn(watch_settings(path.to_owned(), settings.clone()));
+        let gateway = Gateway::spawn(settings, platform, &control, metrics).await?;
+        super::stop_signal().await;
+        reload.abort();
+        gateway.leave().await;
+        Ok(ExitCode::SUCCESS)
+    })
+}
+
+/// Tells in the log when the settings change. None of them can change in a running process; what
+/// operators change while nodes run is in the store.
+async fn watch_settings(path: String, mut known: GatewaySettings) {
+    let mut hangups = match signal(SignalKind::hangup()) {
+        Ok(hangups) => hangups,
+        Err(e) => {
+            tracing::warn!(error = %e, "changes of the settings are not noticed");
+            return;
+        }
+    };
+    while hangups.recv().await.is_some() {
+        match GatewaySettings::open(&path) {
+            Ok(settings) if settings == known => tracing::info!("reload: settings unchanged"),
+            Ok(settings) => {
+                tracing::info!("reload: settings changed; they are in force from the next start");
+                known = settings;
+            }
+            Err(e) => tracing::error!(error = %e, "reload: settings cannot be used"),
+        }
+    }
+}
--- a/src/bin/jayhalld/main.rs
+++ b/src/bin/jayhalld/main.rs
@@ -1,5 +1,7 @@
 //! The daemon on every entry VM.
 
+mod gateway;
+
 use std::process::ExitCode;
 
 use eyre::{Result, WrapErr};
@@ -10,7 +12,7 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::signal::unix::{SignalKind, signal};
 
-const BRIEF: &str = "Usage: jayhalld --settings FILE [--check]";
+const BRIEF: &str = "Usage: jayhalld --settings FILE [--gateway] [--check]";
 
 fn main() -> ExitCode {
     match run() {
@@ -25,6 +27,7 @@
 fn run() -> Result<ExitCode> {
     let mut opts = Options::new();
     opts.optopt("s", "settings", "settings of the node", "FILE");
+    opts.optflag("", "gateway", "serve as a gateway on the users' platform");
     opts.optflag("", "check", "check the settings and exit");
     opts.optflag("h", "help", "show this text");
     let matches = opts
@@ -38,6 +41,9 @@
         eprint!("{}", opts.usage(BRIEF));
         return Ok(ExitCode::from(2));
     };
+    if matches.opt_present("gateway") {
+        return gateway::run(&path, matches.opt_present("check"));
+    }
     let settings = Settings::open(&path)?;
     if matches.opt_present("check") {
         println!("{path}: no mistakes");
--- /dev/null
+++ b/src/core/gateway/backends.rs
@@ -0,0 +1,345 @@
+//! The back ends that a registry names, and what is known of each.
+//!
+//! The registry says which back ends there are; what a call saw of one is kept beside it until the
+//! back end starts anew.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::cache::PromptCache;
+use super::load::{CallLoad, Load};
+use super::members::NodeName;
+use super::routes::ServiceName;
+use crate::core::time::Moment;
+
+/// Name of a back end's process.
+pub type BackendId = Box<str>;
+
+/// Age after which what another node told of its calls counts no more.
+const LOAD_MAX_AGE: Duration = Duration::from_millis(2500);
+/// First time for which a back end is left out after a failure to reach it.
+const FIRST_BACKOFF: Duration = Duration::from_millis(400);
+/// Longest time for which a back end is left out.
+const LONGEST_BACKOFF: Duration = Duration::from_secs(4);
+/// Weight of a new observation in averages.
+const AVERAGE_WEIGHT: f64 = 0.15;
+/// Bounds of the measured pace, as a part of the expected time.
+const PACE_BOUNDS: (f64, f64) = (0.6, 6.0);
+
+/// A back end as the registry names it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Backend {
+    /// Its name.
+    pub id: BackendId,
+    /// The service that it belongs to.
+    pub service: ServiceName,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: Box<str>,
+    /// Calls that it works on at once.
+    pub slots: u32,
+    /// Whether it is leaving and takes no new calls.
+    pub is_leaving: bool,
+    /// Start of its process in milliseconds since 1970; tells two starts under one name apart.
+    pub started: u64,
+    /// Whether the cloud may take it back.
+    pub is_spot: bool,
+}
+
+/// Where a back end stands with the registry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// It is named.
+    Listed,
+    /// It is not named, but the registry was away; it counts as gone at this moment.
+    Unlisted(Moment),
+}
+
+/// What happened to a call at a back end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It answered.
+    Answered,
+    /// It answered with a failure of its own.
+    Failed,
+    /// It was not reached, broke off or fell silent.
+    Unreachable,
+    /// It said that it did not run the call.
+    Declined,
+}
+
+/// A back end with what is known of it.
+#[derive(Debug)]
+pub struct Entry {
+    /// What the registry says.
+    pub backend: Arc<Backend>,
+    /// Whether the registry still says so.
+    pub standing: Standing,
+    /// Calls of this node.
+    pub own: Load,
+    /// What its prompt cache is believed to hold.
+    pub cache: PromptCache,
+    /// Measured time as a part of the expected time.
+    pub pace: f64,
+    /// Part of the calls that failed of late.
+    pub failing: f64,
+    /// Average time that a call keeps a slot, in milliseconds.
+    pub hold_ms: f64,
+    peers: HashMap<NodeName, (Load, Moment)>,
+    failures: u32,
+    closed_until: Moment,
+}
+
+impl Entry {
+    fn new(backend: Arc<Backend>, hold_ms: f64) -> Self {
+        Self {
+            backend,
+            standing: Standing::Listed,
+            own: Load::default(),
+            cache: PromptCache::default(),
+            pace: 1.0,
+            failing: 0.0,
+            hold_ms,
+            peers: HashMap::new(),
+            failures: 0,
+            closed_until: Moment::ZERO,
+        }
+    }
+
+    /// Returns the calls of all nodes, as far as is known.
+    pub fn load(&self, now: Moment) -> Load {
+        self.peers
+            .values()
+            .filter(|(_, at)| now.saturating_sub(*at) <= LOAD_MAX_AGE)
+            .fold(self.own, |sum, (load, _)| sum.plus(load))
+    }
+
+    /// Returns whether calls may be sent there: it is not leaving, and it was reached of late. Of
+    /// back ends that were not reached, one call at a time finds out whether they are back.
+    pub fn is_open(&self, now: Moment) -> bool {
+        let probing = self.failures > 0 && self.own.calls > 0;
+        !self.backend.is_leaving && now >= self.closed_until && !probing
+    }
+
+    /// Returns whether it is suspected not to be there any more.
+    pub fn is_suspect(&self) -> bool {
+        self.failures > 0 || self.standing != Standing::Listed
+    }
+
+    fn note(&mut self, outcome: Outcome, now: Moment) {
+        let failed = match outcome {
+            Outcome::Answered => 0.0,
+            Outcome::Failed => 1.0,
+            Outcome::Declined => return,
+            Outcome::Unreachable => {
+                let backoff = FIRST_BACKOFF * 2_u32.pow(self.failures.min(4));
+                self.failures += 1;
+                self.closed_until = now + backoff.min(LONGEST_BACKOFF);
+                1.0
+            }
+        };
+        if outcome != Outcome::Unreachable {
+            self.failures = 0;
+        }
+        self.failing += (failed - self.failing) * AVERAGE_WEIGHT;
+    }
+}
+
+/// A call's place at a back end. It ends with [`Backends::end`].
+#[derive(Clone, Debug)]
+pub struct CallPlace {
+    /// The back end.
+    pub backend: Arc<Backend>,
+    /// What the call adds to its load.
+    pub load: CallLoad,
+    /// Whether the first event or the answer has come.
+    pub has_begun: bool,
+}
+
+/// All back ends.
+#[derive(Debug, Default)]
+pub struct Backends {
+    entries: HashMap<BackendId, Entry>,
+    services: HashMap<ServiceName, Vec<BackendId>>,
+    hold_ms: HashMap<ServiceName, f64>,
+}
+
+impl Backends {
+    /// Takes what the registry says of a back end. Returns whether anything changed.
+    pub fn put(&mut self, backend: Backend) -> bool {
+        if let Some(entry) = self.entries.get_mut(&backend.id) {
+            let is_same_process = entry.backend.started == backend.started
+                && entry.backend.address == backend.address
+                && entry.backend.service == backend.service;
+            if is_same_process {
+                let changed = *entry.backend != backend || entry.standing != Standing::Listed;
+                entry.backend = Arc::new(backend);
+                entry.standing = Standing::Listed;
+                return changed;
+            }
+            let id = backend.id.clone();
+            self.remove(&id);
+        }
+        let hold_ms = self.hold_ms.get(&backend.service).copied().unwrap_or(0.0);
+        let ids = self.services.entry(backend.service.clone()).or_default();
+        ids.push(backend.id.clone());
+        ids.sort_unstable();
+        let id = backend.id.clone();
+        self.entries.insert(id, Entry::new(Arc::new(backend), hold_ms));
+        true
+    }
+
+    /// Notes that the registry no longer names a back end, which counts as gone from `gone_at` on.
+    pub fn unlist(&mut self, id: &str, gone_at: Moment) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            if entry.standing == Standing::Listed {
+                entry.standing = Standing::Unlisted(gone_at);
+            }
+        }
+    }
+
+    /// Forgets back ends that count as gone. Returns their names.
+    pub fn expire(&mut self, now: Moment) -> Vec<BackendId> {
+        let gone: Vec<BackendId> = self
+            .entries
+            .values()
+            .filter(|entry| matches!(entry.standing, Standing::Unlisted(at) if at <= now))
+            .map(|entry| entry.backend.id.clone())
+            .collect();
+        for id in &gone {
+            self.remove(id);
+        }
+        gone
+    }
+
+    /// Returns the names of all back ends.
+    pub fn ids(&self) -> Vec<BackendId> {
+        self.entries.keys().cloned().collect()
+    }
+
+    /// Returns a back end by name.
+    pub fn get(&self, id: &str) -> Option<&Entry> {
+        self.entries.get(id)
+    }
+
+    /// Returns all back ends.
+    pub fn iter(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values()
+    }
+
+    /// Returns the back ends of a service, in the order of their names.
+    pub fn of_service(&self, service: &str) -> impl Iterator<Item = &Entry> {
+        self.services
+            .get(service)
+            .into_iter()
+            .flatten()
+            .filter_map(|id| self.entries.get(id))
+    }
+
+    /// Puts a call at a back end.
+    pub fn begin(
+        &mut self,
+        place: &CallPlace,
+        parts: &[super::cache::Part],
+        cache_tokens: u64,
+    ) {
+        let Some(entry) = self.same_process(&place.backend) else {
+            return;
+        };
+        let load = &mut entry.own;
+        load.calls += 1;
+        load.waiting[place.load.rank] += 1;
+        load.unread[place.load.rank] += place.load.unread;
+        load.kv_tokens += place.load.kv_tokens;
+        entry.cache.read(parts, cache_tokens);
+    }
+
+    /// Notes the first event or the answer of a call, which came after `took` where `expected` was
+    /// expected.
+    pub fn first_event(&mut self, place: &mut CallPlace, took: Duration, expected: Duration) {
+        if place.has_begun {
+            return;
+        }
+        place.has_begun = true;
+        let rank = place.load.rank;
+        let unread = place.load.unread;
+        if let Some(entry) = self.same_process(&place.backend) {
+            entry.own.waiting[rank] = entry.own.waiting[rank].saturating_sub(1);
+            entry.own.unread[rank] = entry.own.unread[rank].saturating_sub(unread);
+            let ratio = took.as_secs_f64() / expected.as_secs_f64().max(0.02);
+            let pace = entry.pace * (1.0 - AVERAGE_WEIGHT) + ratio * entry.pace * AVERAGE_WEIGHT;
+            entry.pace = pace.clamp(PACE_BOUNDS.0, PACE_BOUNDS.1);
+        }
+    }
+
+    /// Takes a call away from its back end, which it kept busy for `held`.
+    pub fn end(&mut self, place: &CallPlace, outcome: Outcome, held: Duration, now: Moment) {
+        let Some(entry) = self.same_process(&place.backend) else {
+            return;
+        };
+        let rank = place.load.rank;
+        let load = &mut entry.own;
+        load.calls = load.calls.saturating_sub(1);
+        load.kv_tokens = load.kv_tokens.saturating_sub(place.load.kv_tokens);
+        if !place.has_begun {
+            load.waiting[rank] = load.waiting[rank].saturating_sub(1);
+            load.unread[rank] = load.unread[rank].saturating_sub(place.load.unread);
+        }
+        entry.note(outcome, now);
+        if outcome == Outcome::Answered {
+            let held_ms = held.as_secs_f64() * 1e3;
+            entry.hold_ms += (held_ms - entry.hold_ms) * AVERAGE_WEIGHT;
+            let mean = self
+                .hold_ms
+                .entry(place.backend.service.clone())
+                .or_insert(held_ms);
+            *mean += (held_ms - *mean) * AVERAGE_WEIGHT * 0.2;
+        }
+    }
+
+    /// Takes what another node told of its calls, by short names of back ends. What it does not name
+    /// has none of its calls.
+    pub fn told(&mut self, node: &str, loads: &HashMap<u32, Load>, now: Moment) {
+        for entry in self.entries.values_mut() {
+            match loads.get(&short_name(&entry.backend.id)) {
+                Some(load) => {
+                    entry.peers.insert(node.into(), (*load, now));
+                }
+                None => {
+                    entry.peers.remove(node);
+                }
+            }
+        }
+    }
+
+    /// Returns this node's calls, by short names of back ends.
+    pub fn own_loads(&self) -> Vec<(u32, Load)> {
+        self.entries
+            .values()
+            .filter(|entry| !entry.own.is_idle())
+            .map(|entry| (short_name(&entry.backend.id), entry.own))
+            .collect()
+    }
+
+    fn same_process(&mut self, backend: &Backend) -> Option<&mut Entry> {
+        self.entries
+            .get_mut(&backend.id)
+            .filter(|entry| entry.backend.started == backend.started)
+    }
+
+    fn remove(&mut self, id: &str) {
+        if let Some(entry) = self.entries.remove(id) {
+            if let Some(ids) = self.services.get_mut(&entry.backend.service) {
+                ids.retain(|other| **other != *id);
+            }
+        }
+    }
+}
+
+/// Returns a short name of a back end for messages between nodes.
+pub fn short_name(id: &str) -> u32 {
+    xxhash_rust::xxh3::xxh3_64(id.as_bytes()) as u32
+}
--- /dev/null
+++ b/src/core/gateway/scaling.rs
@@ -0,0 +1,180 @@
+//! How many back ends of a service each availability zone gets.
+//!
+//! Load it answers: work that doubles within seconds, faster than a back end starts, on back ends of
+//! which the cloud takes back a whole zone's reclaimable ones at once and then offers none anywhere for
+//! a while. Reclaimable ones are cheap, so that every zone keeps enough of them for the loss of another
+//! zone. Others are ordered only for what reclaimable ones cannot cover, and given back once they can.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use super::routes::ScalingRules;
+use crate::core::time::Moment;
+
+/// Time over which the highest need counts.
+const NEED_WINDOW: Duration = Duration::from_secs(12);
+/// Part of its time for which a back end is to be busy at most.
+const TARGET_BUSY: f64 = 0.45;
+/// Time between two orders of the same number, in case the first was lost.
+const REPEAT_ORDER: Duration = Duration::from_secs(2);
+/// Time between two orders after the cloud had none.
+const REPEAT_REFUSED: Duration = Duration::from_millis(1200);
+/// Time that enough back ends have to be there before surplus ones are given back.
+const RELEASE_AFTER: Duration = Duration::from_secs(3);
+
+/// Back ends and work of one availability zone.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ZoneState {
+    /// Reclaimable back ends that take calls.
+    pub spot: u32,
+    /// Other back ends that take calls.
+    pub regular: u32,
+    /// Milliseconds of work that came in a second.
+    pub work_ms_per_s: f64,
+}
+
+/// An order to the cloud.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// Availability zone.
+    pub zone: Box<str>,
+    /// Whether it is for reclaimable back ends.
+    pub spot: bool,
+    /// Number that is wanted.
+    pub desired: u32,
+}
+
+#[derive(Debug, Default)]
+struct Sent {
+    desired: Option<u32>,
+    at: Moment,
+    refused: bool,
+}
+
+/// Orders for one service, as one holder of the duty gives them.
+#[derive(Debug, Default)]
+pub struct ServiceScaling {
+    needs: VecDeque<(Moment, f64)>,
+    sent: BTreeMap<(Box<str>, bool), Sent>,
+    enough_since: Option<Moment>,
+}
+
+impl ServiceScaling {
+    /// Returns the orders to send now.
+    pub fn plan(
+        &mut self,
+        rules: &ScalingRules,
+        zones: &BTreeMap<Box<str>, ZoneState>,
+        now: Moment,
+    ) -> Vec<Order> {
+        if zones.is_empty() {
+            return Vec::new();
+        }
+        let need = self.need(zones, now);
+        let has_spot = rules.spot_price.is_some();
+        let count = zones.len() as u32;
+        let base = if has_spot { rules.max.div_ceil(2) } else { rules.min.max(1) };
+        // One zone's loss leaves the others with enough.
+        let others = f64::from(count.saturating_sub(1).max(1));
+        let spot_each = base.max((need / others).ceil() as u32).clamp(rules.min, rules.max);
+        let spot_there: u32 = zones.values().map(|zone| zone.spot).sum();
+        let wanted_now = (need.ceil() as u32).max(count * rules.min.max(1));
+        let covered = has_spot && spot_there >= wanted_now.max(count * base / 2);
+        self.note_cover(covered, now);
+        let regular_each = self.regular_each(rules, zones, wanted_now, spot_there, has_spot, now);
+        let mut orders = Vec::new();
+        for (zone, state) in zones {
+            if has_spot {
+                let order = Order {
+                    zone: zone.clone(),
+                    spot: true,
+                    desired: spot_each,
+                };
+                self.order(&mut orders, order, state.spot, now);
+            }
+            if let Some(regular) = regular_each.get(zone) {
+                let order = Order {
+                    zone: zone.clone(),
+                    spot: false,
+                    desired: *regular,
+                };
+                self.order(&mut orders, order, state.regular, now);
+            }
+        }
+        orders
+    }
+
+    /// Notes the cloud's reply to an order: whether it was taken.
+    pub fn replied(&mut self, order: &Order, taken: bool, now: Moment) {
+        let sent = self
+            .sent
+            .entry((order.zone.clone(), order.spot))
+            .or_default();
+        sent.desired = Some(order.desired);
+        sent.at = now;
+        sent.refused = !taken;
+    }
+
+    /// Returns the back ends that all work needs, as the highest of the last seconds.
+    fn need(&mut self, zones: &BTreeMap<Box<str>, ZoneState>, now: Moment) -> f64 {
+        let work: f64 = zones.values().map(|zone| zone.work_ms_per_s).sum();
+        self.needs.push_back((now, work / 1000.0 / TARGET_BUSY));
+        while self
+            .needs
+            .front()
+            .is_some_and(|(at, _)| now.saturating_sub(*at) > NEED_WINDOW)
+        {
+            self.needs.pop_front();
+        }
+        self.needs.iter().map(|(_, need)| *need).fold(0.0, f64::max)
+    }
+
+    fn note_cover(&mut self, covered: bool, now: Moment) {
+        self.enough_since = match (covered, self.enough_since) {
+            (true, since) => since.or(Some(now)),
+            (false, _) => None,
+        };
+    }
+
+    /// Returns the back ends beside the reclaimable ones that each zone is to have. Zones that are not
+    /// named keep what they have.
+    fn regular_each(
+        &self,
+        rules: &ScalingRules,
+        zones: &BTreeMap<Box<str>, ZoneState>,
+        wanted: u32,
+        spot_there: u32,
+        has_spot: bool,
+        now: Moment,
+    ) -> BTreeMap<Box<str>, u32> {
+        let zone_count = zones.len() as u32;
+        let wait_over = self
+            .enough_since
+            .is_some_and(|since| now.saturating_sub(since) >= RELEASE_AFTER);
+        if has_spot && wait_over {
+            return zones.keys().map(|zone| (zone.clone(), 0)).collect();
+        }
+        let missing = wanted.saturating_sub(spot_there);
+        let each = missing.div_ceil(zone_count).min(rules.max);
+        zones
+            .iter()
+            .filter(|(_, state)| state.regular < each)
+            .map(|(zone, _)| (zone.clone(), each))
+            .collect()
+    }
+
+    /// Adds an order unless the same one is under way: one is sent again where the cloud had none, and
+    /// where fewer back ends are there than were ordered.
+    fn order(&self, orders: &mut Vec<Order>, order: Order, there: u32, now: Moment) {
+        let sent = self.sent.get(&(order.zone.clone(), order.spot));
+        let is_due = match sent {
+            None => true,
+            Some(sent) if sent.refused => now.saturating_sub(sent.at) >= REPEAT_REFUSED,
+            Some(sent) if sent.desired != Some(order.desired) => true,
+            Some(sent) => there != order.desired && now.saturating_sub(sent.at) >= REPEAT_ORDER,
+        };
+        if is_due {
+            orders.push(order);
+        }
+    }
+}
--- /dev/null
+++ b/src/core/gateway/usage.rs
@@ -0,0 +1,87 @@
+//! How many calls of each customer began to run in each window of true time.
+//!
+//! Every node counts its own calls and tells the others its totals, which only grow within one start
+//! of a process. A node that vanishes leaves its last totals with the others.
+
+use std::collections::{BTreeMap, HashMap};
+
+use super::routes::CustomerName;
+
+/// Number of a window since 1970.
+pub type Window = u64;
+/// Calls of each customer.
+pub type Counts = BTreeMap<CustomerName, u32>;
+/// Names one start of a node's process.
+pub type Incarnation = u64;
+
+/// Windows that are kept behind the newest one.
+pub const KEPT_WINDOWS: u64 = 6;
+
+/// Counts of all nodes.
+#[derive(Debug, Default)]
+pub struct UsageBook {
+    by_process: HashMap<Incarnation, BTreeMap<Window, Counts>>,
+}
+
+impl UsageBook {
+    /// Counts one call of a node's process.
+    pub fn count(&mut self, process: Incarnation, window: Window, customer: &str) {
+        let counts = self
+            .by_process
+            .entry(process)
+            .or_default()
+            .entry(window)
+            .or_default();
+        match counts.get_mut(customer) {
+            Some(count) => *count += 1,
+            None => {
+                counts.insert(customer.into(), 1);
+            }
+        }
+    }
+
+    /// Takes the totals that another process told. Totals never shrink, so that messages may come
+    /// late, twice or not at all.
+    pub fn merge(&mut self, process: Incarnation, window: Window, told: &Counts) {
+        let counts = self
+            .by_process
+            .entry(process)
+            .or_default()
+            .entry(window)
+            .or_default();
+        for (customer, told) in told {
+            let count = counts.entry(customer.clone()).or_default();
+            *count = (*count).max(*told);
+        }
+    }
+
+    /// Returns the sum over all processes in a window.
+    pub fn total(&self, window: Window) -> Counts {
+        let mut total = Counts::new();
+        for counts in self.by_process.values().filter_map(|w| w.get(&window)) {
+            for (customer, count) in counts {
+                *total.entry(customer.clone()).or_default() += count;
+            }
+        }
+        total
+    }
+
+    /// Returns what one process counted in the windows from `first` on.
+    pub fn of_process(&self, process: Incarnation, first: Window) -> Vec<(Window, &Counts)> {
+        self.by_process
+            .get(&process)
+            .into_iter()
+            .flat_map(|windows| windows.range(first..))
+            .map(|(window, counts)| (*window, counts))
+            .collect()
+    }
+
+    /// Forgets windows long before `now`.
+    pub fn forget_before(&mut self, now: Window) {
+        let first = now.saturating_sub(KEPT_WINDOWS);
+        for windows in self.by_process.values_mut() {
+            *windows = windows.split_off(&first);
+        }
+        self.by_process.retain(|_, windows| !windows.is_empty());
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -12,6 +12,7 @@
 pub mod estimate;
 pub mod explain;
 pub mod fleet;
+pub mod gateway;
 pub mod id;
 pub mod ledger;
 pub mod membership;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`ops`]: one module for each operation that combines decisions with the outside;
 //! - [`sources`]: adapters for back ends and for the platform;
 //! - [`node`]: how one process is assembled and stopped;
+//! - [`platform`]: adapter of the platform that the users run;
 //! - [`util`]: settings, logs, metrics and time.
 
 pub mod callers;
@@ -16,6 +17,7 @@
 pub mod node;
 pub mod operators;
 pub mod ops;
+pub mod platform;
 pub mod peers;
 pub mod sources;
 pub mod util;
--- /dev/null
+++ b/src/node/gateway.rs
@@ -0,0 +1,166 @@
+//! Starts a gateway from its settings, and stops it gracefully.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use eyre::{Result, WrapErr};
+use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::ops::gateway::attempt::GatewayContext;
+use crate::ops::gateway::board::{Board, Phase};
+use crate::ops::gateway::dialect::{Dialect, Duties};
+use crate::ops::gateway::duties::DutyKeeper;
+use crate::ops::gateway::listen::{self, Listening, Purpose};
+use crate::ops::gateway::mesh::Mesh;
+use crate::ops::gateway::pool::BackendPool;
+use crate::ops::gateway::register::Registration;
+use crate::ops::gateway::{follow_store, install, snapshot};
+use crate::sources::store::Store;
+use crate::util::settings::GatewaySettings;
+
+/// Time between two looks at what has run out.
+const UPKEEP_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between two collections of metrics.
+const METRICS_INTERVAL: Duration = Duration::from_secs(5);
+/// Time for which a node that leaves takes calls of callers that do not know yet.
+const FAREWELL: Duration = Duration::from_millis(2500);
+/// Part of the time to stop after which calls that still run are given up.
+const STOP_SHARE: f64 = 0.92;
+/// Time between two looks whether all calls have ended.
+const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
+
+/// What a gateway needs from the adapter of its platform.
+pub struct Platform {
+    /// Names on the wire.
+    pub dialect: Arc<dyn Dialect>,
+    /// The store.
+    pub store: Arc<dyn Store>,
+    /// Calls that one node at a time makes.
+    pub duties: Arc<dyn Duties>,
+}
+
+/// A running gateway.
+pub struct Gateway {
+    board: Arc<Board>,
+    registration: Arc<Registration>,
+    mesh: Arc<Mesh>,
+    listening: watch::Sender<Listening>,
+}
+
+impl Gateway {
+    /// Starts a gateway: controllers on `control`, calls on the current runtime. Returns once all
+    /// listeners are bound; calls are served as soon as there is a configuration.
+    ///
+    /// # Errors
+    ///
+    /// Fails where an address cannot be bound.
+    pub async fn spawn(
+        settings: GatewaySettings,
+        platform: Platform,
+        control: &tokio::runtime::Handle,
+        metrics: PrometheusHandle,
+    ) -> Result<Self> {
+        let board = Board::new(settings, platform.dialect);
+        let cx = Arc::new(GatewayContext {
+            board: Arc::clone(&board),
+            pool: BackendPool::default(),
+        });
+        let (listening, _) = watch::channel(Listening::Open);
+        let at = board.settings.listen;
+        let purposes = [
+            (at.callers, Purpose::Calls(Arc::clone(&cx))),
+            (at.readiness, Purpose::Readiness(Arc::clone(&board))),
+            (at.directory, Purpose::Directory(Arc::clone(&board))),
+            (at.control, Purpose::Control(Arc::clone(&board), metrics.clone())),
+        ];
+        for (address, purpose) in purposes {
+            let listener = listen::bind(address)
+                .await
+                .wrap_err_with(|| format!("listening on {address}; see [gateway]"))?;
+            tokio::spawn(listen::run(listener, purpose, listening.subscribe()));
+        }
+        board.members.lock().put(board.own_member());
+        let peers = reqwest::Client::builder()
+            .tcp_nodelay(true)
+            .build()
+            .wrap_err("setting up the client for other nodes")?;
+        let registration = Registration::new(Arc::clone(&board), Arc::clone(&platform.store));
+        let mesh = {
+            let _on_control = control.enter();
+            let mesh = Mesh::bind(Arc::clone(&board))
+                .await
+                .wrap_err_with(|| format!("listening on {}; see [gateway] peers", at.peers))?;
+            let keeper = DutyKeeper::new(
+                Arc::clone(&board),
+                Arc::clone(&platform.store),
+                Arc::clone(&registration),
+                platform.duties,
+            );
+            tokio::spawn(follow_store::run(Arc::clone(&board), platform.store));
+            tokio::spawn(Arc::clone(&registration).run());
+            tokio::spawn(Arc::clone(&mesh).send());
+            tokio::spawn(Arc::clone(&mesh).receive());
+            tokio::spawn(snapshot::run(Arc::clone(&board), Arc::clone(&mesh), peers));
+            tokio::spawn(keeper.run());
+            mesh
+        };
+        tokio::spawn(upkeep(cx, metrics));
+        tracing::info!(
+            node = &*board.settings.name,
+            zone = &*board.settings.zone,
+            incarnation = board.incarnation,
+            callers = %at.callers,
+            "started"
+        );
+        Ok(Self {
+            board,
+            registration,
+            mesh,
+            listening,
+        })
+    }
+
+    /// Finishes calls and leaves: callers are sent elsewhere, then kept connections close, then the
+    /// listeners.
+    pub async fn leave(self) {
+        let started = Instant::now();
+        let give_up = started + self.board.settings.bounds.stop.mul_f64(STOP_SHARE);
+        tracing::info!(active = self.active(), "leaving");
+        self.board.phase.send_replace(Phase::Leaving);
+        self.board.members.lock().put(self.board.own_member());
+        self.mesh.send_now().await;
+        self.listening.send_replace(Listening::Finishing);
+        tokio::time::sleep(FAREWELL).await;
+        self.listening.send_replace(Listening::Closed);
+        while self.active() > 0 && Instant::now() < give_up {
+            tokio::time::sleep(DRAIN_INTERVAL).await;
+        }
+        self.registration.leave().await;
+        tracing::info!(
+            active = self.active(),
+            took_ms = started.elapsed().as_millis() as u64,
+            "stopped"
+        );
+    }
+
+    fn active(&self) -> u64 {
+        self.board.active.load(Ordering::Relaxed)
+    }
+}
+
+/// Forgets what has run out, until the process ends.
+async fn upkeep(cx: Arc<GatewayContext>, metrics: PrometheusHandle) {
+    let mut collected = Instant::now();
+    loop {
+        tokio::time::sleep(UPKEEP_INTERVAL).await;
+        install::expire(&cx.board);
+        cx.pool.close_old();
+        if collected.elapsed() >= METRICS_INTERVAL {
+            collected = Instant::now();
+            metrics.run_upkeep();
+        }
+    }
+}
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -4,9 +4,11 @@
 mod context;
 mod control;
 mod daemon;
+mod gateway;
 mod process;
 
 pub use blackboard::{Blackboard, Identity, Installed, Phase, SectionOf};
 pub use context::NodeContext;
 pub use daemon::Daemon;
+pub use gateway::{Gateway, Platform};
 pub use process::{Connections, Left, Node, http_client};
--- /dev/null
+++ b/src/ops/gateway/board.rs
@@ -0,0 +1,235 @@
+//! What the gateway of one node knows. Controllers write it, calls read it.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use parking_lot::{Mutex, RwLock};
+use tokio::sync::watch;
+
+use super::dialect::Dialect;
+use super::view::View;
+use crate::core::gateway::backends::Backends;
+use crate::core::gateway::clock::ClockMedian;
+use crate::core::gateway::members::{Member, Members};
+use crate::core::gateway::placement::Regions;
+use crate::core::gateway::quota::QuotaShares;
+use crate::core::gateway::retry_budget::RetryBudget;
+use crate::core::gateway::routes::{RouteTable, ServiceName};
+use crate::core::gateway::usage::{Counts, UsageBook, Window};
+use crate::core::time::{Moment, UnixMillis};
+use crate::util::settings::GatewaySettings;
+use crate::util::time::{since_boot, unix_now};
+
+/// Where the process is in its life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// It has no configuration.
+    Starting,
+    /// It takes calls.
+    Serving,
+    /// It finishes calls and takes no new callers.
+    Leaving,
+}
+
+/// What the gateway of one node knows.
+pub struct Board {
+    /// Settings.
+    pub settings: GatewaySettings,
+    /// Names on the wire.
+    pub dialect: Arc<dyn Dialect>,
+    /// Names this start of the process.
+    pub incarnation: u64,
+    /// Configuration in force.
+    pub table: RwLock<Option<Arc<RouteTable>>>,
+    /// Back ends.
+    pub backends: Mutex<Backends>,
+    /// Nodes.
+    pub members: Mutex<Members>,
+    /// Limits of customers.
+    pub quotas: Mutex<QuotaShares>,
+    /// Allowances for second sends.
+    pub retries: Mutex<HashMap<ServiceName, RetryBudget>>,
+    /// Calls that began to run.
+    pub usage: Mutex<UsageBook>,
+    /// Work that came in, by service.
+    pub work: Mutex<WorkRates>,
+    /// Clocks of all nodes.
+    pub clock: Mutex<ClockMedian>,
+    /// What the store holds.
+    pub view: Mutex<View>,
+    /// Phase of the process.
+    pub phase: watch::Sender<Phase>,
+    /// Calls that are being served.
+    pub active: AtomicU64,
+    regions: RegionMap,
+    is_registered: AtomicBool,
+}
+
+/// Milliseconds of work a second that came in for each service, and what other nodes told of theirs.
+#[derive(Debug, Default)]
+pub struct WorkRates {
+    own: HashMap<ServiceName, (f64, Moment)>,
+    told: HashMap<Box<str>, (Box<str>, Vec<(ServiceName, f64)>, Moment)>,
+}
+
+/// Time over which work is averaged.
+const WORK_WINDOW: Moment = Moment::from_millis(2500);
+
+impl WorkRates {
+    /// Adds work.
+    pub fn add(&mut self, service: &str, ms: f64, now: Moment) {
+        let (rate, at) = self.own.entry(service.into()).or_default();
+        *rate = decayed(*rate, *at, now) + ms / WORK_WINDOW.as_secs_f64();
+        *at = now;
+    }
+
+    /// Returns this node's work.
+    pub fn own(&self, now: Moment) -> Vec<(ServiceName, f64)> {
+        self.own
+            .iter()
+            .map(|(service, (rate, at))| (service.clone(), decayed(*rate, *at, now)))
+            .filter(|(_, rate)| *rate >= 0.1)
+            .collect()
+    }
+
+    /// Takes what another node told of its work.
+    pub fn told(&mut self, node: &str, zone: &str, work: Vec<(ServiceName, f64)>, now: Moment) {
+        self.told.insert(node.into(), (zone.into(), work, now));
+    }
+
+    /// Returns the work of a service in each availability zone.
+    pub fn by_zone(&self, service: &str, own_zone: &str, now: Moment) -> HashMap<Box<str>, f64> {
+        let mut sums: HashMap<Box<str>, f64> = HashMap::new();
+        if let Some((rate, at)) = self.own.get(service) {
+            *sums.entry(own_zone.into()).or_default() += decayed(*rate, *at, now);
+        }
+        for (zone, work, at) in self.told.values() {
+            for (name, rate) in work {
+                if **name == *service {
+                    *sums.entry(zone.clone()).or_default() += decayed(*rate, *at, now);
+                }
+            }
+        }
+        sums
+    }
+}
+
+fn decayed(rate: f64, at: Moment, now: Moment) -> f64 {
+    rate * (-now.saturating_sub(at).as_secs_f64() / WORK_WINDOW.as_secs_f64()).exp()
+}
+
+struct RegionMap(HashMap<Box<str>, Box<str>>);
+
+impl Regions for RegionMap {
+    fn is_same_region(&self, a: &str, b: &str) -> bool {
+        a == b || self.0.get(a).is_some_and(|region| self.0.get(b) == Some(region))
+    }
+}
+
+impl Board {
+    /// Creates the board of a process that has just started.
+    pub fn new(settings: GatewaySettings, dialect: Arc<dyn Dialect>) -> Arc<Self> {
+        let regions = RegionMap(settings.regions.clone());
+        Arc::new(Self {
+            settings,
+            dialect,
+            incarnation: unix_now().max(1),
+            table: RwLock::new(None),
+            backends: Mutex::default(),
+            members: Mutex::default(),
+            quotas: Mutex::default(),
+            retries: Mutex::default(),
+            usage: Mutex::default(),
+            work: Mutex::default(),
+            clock: Mutex::default(),
+            view: Mutex::default(),
+            phase: watch::Sender::new(Phase::Starting),
+            active: AtomicU64::new(0),
+            regions,
+            is_registered: AtomicBool::new(false),
+        })
+    }
+
+    /// Returns the configuration in force.
+    pub fn table(&self) -> Option<Arc<RouteTable>> {
+        self.table.read().clone()
+    }
+
+    /// Returns the steady clock.
+    pub fn now(&self) -> Moment {
+        since_boot()
+    }
+
+    /// Returns the time of day, as most nodes see it.
+    pub fn wall(&self) -> UnixMillis {
+        let now = self.now();
+        let mut clock = self.clock.lock();
+        clock.note(self.incarnation, unix_now(), now);
+        clock.wall(now).unwrap_or_else(unix_now)
+    }
+
+    /// Tells which region an availability zone is in.
+    pub fn regions(&self) -> &dyn Regions {
+        &self.regions
+    }
+
+    /// Returns the phase.
+    pub fn phase(&self) -> Phase {
+        *self.phase.borrow()
+    }
+
+    /// Returns this node as it tells others.
+    pub fn own_member(&self) -> Member {
+        let settings = &self.settings;
+        Member {
+            name: settings.name.clone(),
+            region: settings.region.clone(),
+            zone: settings.zone.clone(),
+            callers: settings.listen.callers,
+            peers: settings.listen.peers,
+            control: settings.listen.control,
+            incarnation: self.incarnation,
+            is_ready: self.phase() == Phase::Serving,
+        }
+    }
+
+    /// Counts a call that began to run `ago`.
+    pub fn count_usage(&self, customer: &str, ago: Moment) {
+        let at = self.wall().saturating_sub(ago.as_millis() as u64);
+        let window = self.window_at(at);
+        self.usage.lock().count(self.incarnation, window, customer);
+    }
+
+    /// Returns the window of usage at a time.
+    pub fn window_at(&self, at: UnixMillis) -> Window {
+        at / self.settings.bounds.usage_window.as_millis().max(1) as u64
+    }
+
+    /// Returns this process's counts in the newest windows.
+    pub fn own_usage(&self) -> Vec<(Window, Counts)> {
+        let now = self.window_at(self.wall());
+        let mut usage = self.usage.lock();
+        usage.forget_before(now);
+        usage
+            .of_process(self.incarnation, now.saturating_sub(3))
+            .into_iter()
+            .map(|(window, counts)| (window, counts.clone()))
+            .collect()
+    }
+
+    /// Returns the number of nodes that take callers, as far as is known.
+    pub fn node_count(&self) -> usize {
+        self.members.lock().count()
+    }
+
+    /// Notes whether the node stands in the store.
+    pub fn set_registered(&self, registered: bool) {
+        self.is_registered.store(registered, Ordering::Relaxed);
+    }
+
+    /// Returns whether the node stands in the store.
+    pub fn is_registered(&self) -> bool {
+        self.is_registered.load(Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/src/ops/gateway/call.rs
@@ -0,0 +1,207 @@
+//! A call as the gateway takes it from a caller.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::HOST;
+use hyper::{HeaderMap, Method, Request, Uri};
+use tokio::time::Instant;
+
+use super::board::Board;
+use super::dialect::CallHead;
+use super::refusal::{Cause, Refusal};
+use crate::core::gateway::quota::QuotaDecision;
+use crate::core::gateway::routes::{Customer, Route, RouteTable, Service};
+
+/// Time for which a call waits whose caller names no deadline and whose route has no timeout.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time before the end of a call at which it is given up, so that the answer arrives in time.
+const ANSWER_MARGIN: Duration = Duration::from_millis(30);
+/// When to come back to a node that has no configuration.
+const STARTING_RETURN: Duration = Duration::from_millis(400);
+/// Ranks of routes that are told apart within one rank of customers.
+const ROUTE_RANKS: u8 = 3;
+
+/// A call that was read as a whole.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// What its head says.
+    pub head: CallHead,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// All headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// Service that is to serve it.
+    pub service: Arc<Service>,
+    /// Who pays.
+    pub customer: Option<Arc<Customer>>,
+    /// Version of the configuration by which it is served.
+    pub config_version: u64,
+    /// When its head was read.
+    pub received: Instant,
+    /// When it is given up.
+    pub deadline: Instant,
+    /// Units that it took from the customer's limit.
+    pub quota_units: f64,
+}
+
+impl Call {
+    /// Reads a call and decides whether it may be served at all.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the reason why it is not served; it has not run.
+    pub async fn read(board: &Board, req: Request<Incoming>) -> Result<Self, Refusal> {
+        let received = Instant::now();
+        let table = board.table().ok_or(Refusal::come_back(
+            Cause::NoConfiguration,
+            STARTING_RETURN,
+        ))?;
+        let head = board.dialect.call_head(req.headers());
+        let route = find_route(&table, &req)?;
+        let customer = find_customer(&table, &route, &head)?;
+        let service = find_service(&table, &route)?;
+        let timeout = if route.timeout.is_zero() {
+            DEFAULT_TIMEOUT
+        } else {
+            route.timeout
+        };
+        let deadline = received + head.deadline.unwrap_or(timeout).min(timeout) - ANSWER_MARGIN;
+        let max_body = table.limits.body_bytes;
+        let (parts, body) = req.into_parts();
+        let body = read_body(body, max_body, deadline).await?;
+        let mut call = Self {
+            head,
+            method: parts.method,
+            uri: parts.uri,
+            headers: parts.headers,
+            body,
+            route,
+            service,
+            customer,
+            config_version: table.version,
+            received,
+            deadline,
+            quota_units: 0.0,
+        };
+        call.take_quota(board)?;
+        Ok(call)
+    }
+
+    /// Returns the time that is left.
+    pub fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// Returns the name of the customer.
+    pub fn customer_name(&self) -> Option<&str> {
+        self.customer.as_ref().map(|customer| &*customer.name)
+    }
+
+    /// Returns the rank of the call: by its customer first, then by its route.
+    pub fn rank(&self) -> u8 {
+        let of_customer = self.customer.as_ref().and_then(|customer| customer.rank);
+        let of_route = self.route.rank.min(ROUTE_RANKS - 1);
+        of_customer
+            .unwrap_or(0)
+            .saturating_mul(ROUTE_RANKS)
+            .saturating_add(of_route)
+    }
+
+    /// Returns the units that the call counts against its customer's limit.
+    fn units(&self) -> f64 {
+        let quota = self.customer.as_ref().and_then(|customer| customer.quota);
+        match (quota, self.head.tokens) {
+            (Some(quota), Some((prompt, answer))) if quota.counts_tokens => {
+                f64::from(prompt) + f64::from(answer)
+            }
+            (Some(quota), None) if quota.counts_tokens => quota.plain_call,
+            _ => 1.0,
+        }
+    }
+
+    fn take_quota(&mut self, board: &Board) -> Result<(), Refusal> {
+        let Some(customer) = &self.customer else {
+            return Ok(());
+        };
+        let Some(quota) = &customer.quota else {
+            return Ok(());
+        };
+        let units = self.units();
+        let nodes = board.node_count();
+        let now = board.now();
+        let decision = board
+            .quotas
+            .lock()
+            .take(&customer.name, quota, units, nodes, now);
+        match decision {
+            QuotaDecision::Within => {
+                self.quota_units = units;
+                Ok(())
+            }
+            QuotaDecision::Over(after) => {
+                Err(Refusal::come_back(Cause::OverQuota, after.min(self.left() / 3)))
+            }
+        }
+    }
+}
+
+fn find_route(table: &RouteTable, req: &Request<Incoming>) -> Result<Arc<Route>, Refusal> {
+    let host = req
+        .headers()
+        .get(HOST)
+        .and_then(|value| value.to_str().ok())
+        .or_else(|| req.uri().host())
+        .unwrap_or_default();
+    let name = host.split(':').next().unwrap_or_default();
+    table
+        .find(&name.to_ascii_lowercase(), req.uri().path())
+        .cloned()
+        .ok_or(Refusal::not_run(Cause::NoRoute))
+}
+
+fn find_customer(
+    table: &RouteTable,
+    route: &Route,
+    head: &CallHead,
+) -> Result<Option<Arc<Customer>>, Refusal> {
+    let known = head.key.as_deref().and_then(|key| table.customer(key));
+    match known {
+        Some(customer) => Ok(Some(customer.clone())),
+        None if route.is_public || table.customers.is_empty() => Ok(None),
+        None => Err(Refusal::not_run(Cause::UnknownKey)),
+    }
+}
+
+fn find_service(table: &RouteTable, route: &Route) -> Result<Arc<Service>, Refusal> {
+    let name = route.choose_service(rand::random());
+    table
+        .services
+        .get(name)
+        .cloned()
+        .ok_or(Refusal::come_back(Cause::NoBackend, STARTING_RETURN))
+}
+
+async fn read_body(body: Incoming, max: usize, deadline: Instant) -> Result<Bytes, Refusal> {
+    let limited = Limited::new(body, max).collect();
+    match tokio::time::timeout_at(deadline, limited).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
+            Err(Refusal::not_run(Cause::BodyTooLarge))
+        }
+        Ok(Err(e)) => {
+            tracing::debug!(error = %e, "a call's body broke off");
+            Err(Refusal::not_run(Cause::BodyIncomplete))
+        }
+        Err(_) => Err(Refusal::not_run(Cause::BodyIncomplete)),
+    }
+}
--- /dev/null
+++ b/src/ops/gateway/duties.rs
@@ -0,0 +1,313 @@
+//! The duties that one node at a time has: reports of usage, and orders for back ends.
+//!
+//! The holder is the node whose key stands in the store under its lease. The revision of that key is
+//! the fencing token.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::board::{Board, Phase};
+use super::dialect::{Duties, DutyReply, Holder};
+use super::keys;
+use super::register::Registration;
+use crate::core::gateway::backends::Standing;
+use crate::core::gateway::routes::ServiceName;
+use crate::core::gateway::scaling::{Order, ServiceScaling, ZoneState};
+use crate::core::gateway::tenure::{MayAct, Tenure};
+use crate::core::gateway::usage::{Counts, Window};
+use crate::sources::store::{KeyRange, Op, RangeRequest, Result, Store, Transaction};
+
+/// Time between two rounds of a holder, and between two looks of the others.
+const ROUND: Duration = Duration::from_millis(400);
+/// Time beyond the lease that a new holder waits: calls of the former one may be on their way.
+const SETTLE_BEYOND_LEASE: Duration = Duration::from_millis(500);
+/// Time after a window's end until its counts have come from all nodes.
+const COUNTS_ARRIVE: Duration = Duration::from_millis(2600);
+/// Windows that a holder looks back to.
+const WINDOWS_BACK: u64 = 3;
+/// Windows for which decided counts are kept in the store.
+const WINDOWS_KEPT: u64 = 12;
+/// Longest random wait before a node tries to become the holder.
+const CANDIDATE_SPREAD: Duration = Duration::from_millis(250);
+
+/// The duties of one node.
+pub struct DutyKeeper {
+    board: Arc<Board>,
+    store: Arc<dyn Store>,
+    registration: Arc<Registration>,
+    duties: Arc<dyn Duties>,
+    tenure: Option<Tenure>,
+    scaling: HashMap<ServiceName, ServiceScaling>,
+    reported: BTreeMap<Window, Counts>,
+    settled_at: Option<Window>,
+}
+
+impl DutyKeeper {
+    /// Creates a keeper that holds nothing.
+    pub fn new(
+        board: Arc<Board>,
+        store: Arc<dyn Store>,
+        registration: Arc<Registration>,
+        duties: Arc<dyn Duties>,
+    ) -> Self {
+        Self {
+            board,
+            store,
+            registration,
+            duties,
+            tenure: None,
+            scaling: HashMap::new(),
+            reported: BTreeMap::new(),
+            settled_at: None,
+        }
+    }
+
+    /// Takes up duties when they are free and performs them, until the task is dropped.
+    pub async fn run(mut self) {
+        loop {
+            tokio::time::sleep(ROUND).await;
+            if self.board.phase() != Phase::Serving {
+                continue;
+            }
+            match self.tenure {
+                None => self.try_to_hold().await,
+                Some(tenure) => self.perform(tenure).await,
+            }
+        }
+    }
+
+    async fn try_to_hold(&mut self) {
+        let is_free = {
+            let view = self.board.view.lock();
+            view.contact.is_some() && view.get(keys::HOLDER).is_none()
+        };
+        if !is_free {
+            return;
+        }
+        tokio::time::sleep(CANDIDATE_SPREAD.mul_f64(rand::random())).await;
+        let Some(lease) = self.registration.lease() else {
+            return;
+        };
+        if self.board.view.lock().get(keys::HOLDER).is_some() {
+            return;
+        }
+        let mut claim = Transaction::swap(keys::HOLDER, 0, self.claim_value());
+        if let Some(Op::Put { lease: of, .. }) = claim.then.first_mut() {
+            *of = Some(lease.id);
+        }
+        match self.store.transact(claim).await {
+            Ok(reply) if reply.succeeded => self.begin(reply.revision),
+            Ok(reply) => {
+                // A claim whose answer was lost may have been taken.
+                let own = self.claim_value();
+                let holder = reply.found().and_then(|found| found.first());
+                if let Some(holder) = holder.filter(|holder| holder.value == own) {
+                    self.begin(holder.mod_revision);
+                }
+            }
+            Err(e) => tracing::info!(error = %e, "duties not taken up"),
+        }
+    }
+
+    fn claim_value(&self) -> bytes::Bytes {
+        format!("{}/{}", self.board.settings.name, self.board.incarnation).into()
+    }
+
+    fn begin(&mut self, fence: u64) {
+        tracing::info!(fence, "this node holds the duties");
+        self.scaling.clear();
+        self.settled_at = None;
+        self.tenure = Some(Tenure {
+            fence,
+            since: self.board.now(),
+            settle: self.board.settings.bounds.lease + SETTLE_BEYOND_LEASE,
+        });
+    }
+
+    async fn perform(&mut self, tenure: Tenure) {
+        if !self.is_holder(tenure) {
+            tracing::info!(fence = tenure.fence, "this node holds the duties no longer");
+            self.tenure = None;
+            return;
+        }
+        if !self.may_act(tenure) {
+            return;
+        }
+        if let Err(e) = self.report_usage(tenure).await {
+            tracing::warn!(error = %e, "usage not decided; it is tried again");
+        }
+        self.order(tenure).await;
+    }
+
+    /// Returns whether the store, as far as this node knows, still names it.
+    fn is_holder(&self, tenure: Tenure) -> bool {
+        let view = self.board.view.lock();
+        match view.get(keys::HOLDER) {
+            Some(holder) => holder.revision == tenure.fence,
+            // The change by which it became the holder may not have come by the watch yet.
+            None => view.revision < tenure.fence,
+        }
+    }
+
+    fn may_act(&self, tenure: Tenure) -> bool {
+        let Some(lease) = self.registration.lease() else {
+            return false;
+        };
+        tenure.may_act(self.board.now(), lease.renewed, lease.ttl) == MayAct::Yes
+    }
+
+    fn holder(&self, tenure: Tenure) -> Holder {
+        Holder {
+            node: self.board.settings.name.clone(),
+            fence: tenure.fence,
+        }
+    }
+
+    /// Reports windows whose counts are complete: each is decided once in the store, then told.
+    async fn report_usage(&mut self, tenure: Tenure) -> Result<()> {
+        let wall = self.board.wall();
+        let done = self
+            .board
+            .window_at(wall.saturating_sub(COUNTS_ARRIVE.as_millis() as u64));
+        if done == 0 || self.settled_at == Some(done) {
+            return Ok(());
+        }
+        for window in done.saturating_sub(WINDOWS_BACK)..done {
+            if self.reported.contains_key(&window) {
+                continue;
+            }
+            let Some(counts) = self.decide(window).await? else {
+                continue;
+            };
+            if !self.may_act(tenure) {
+                return Ok(());
+            }
+            let holder = self.holder(tenure);
+            let reply = self
+                .duties
+                .report_usage(holder, window, counts.clone())
+                .await;
+            tracing::info!(window, fence = tenure.fence, ?reply, calls = counts.values().sum::<u32>(), "usage reported");
+            if reply != DutyReply::Taken {
+                return Ok(());
+            }
+            self.reported.insert(window, counts);
+        }
+        self.settled_at = Some(done);
+        self.reported = self.reported.split_off(&done.saturating_sub(WINDOWS_KEPT));
+        Ok(())
+    }
+
+    /// Returns the counts of a window as the store has them; they are written there first if it has
+    /// none. Returns `None` for a window in which this node was not there and that nobody decided.
+    async fn decide(&self, window: Window) -> Result<Option<Counts>> {
+        let key = keys::usage(window);
+        if let Some(decided) = self.board.view.lock().get(&key) {
+            return Ok(decode_counts(&decided.value));
+        }
+        let counts = self.board.usage.lock().total(window);
+        let value = serde_json::to_vec(&counts).unwrap_or_default();
+        let mut decide = Transaction::swap(&key, 0, value.into());
+        let old = keys::usage(window.saturating_sub(WINDOWS_KEPT));
+        if self.board.view.lock().get(&old).is_some() {
+            decide.then.push(Op::Delete(KeyRange::One(old.into())));
+        }
+        let reply = self.store.transact(decide).await?;
+        if reply.succeeded {
+            return Ok(Some(counts));
+        }
+        let found = match reply.found().and_then(|found| found.first()) {
+            Some(found) => found.clone(),
+            None => match self.store.range(RangeRequest::one(&key)).await?.entries.pop() {
+                Some(found) => found,
+                None => return Ok(None),
+            },
+        };
+        Ok(decode_counts(&found.value))
+    }
+
+    /// Orders back ends where the number that is there is not the one that is needed.
+    async fn order(&mut self, tenure: Tenure) {
+        let Some(table) = self.board.table() else {
+            return;
+        };
+        for service in table.services.values() {
+            let Some(rules) = &service.scaling else {
+                continue;
+            };
+            let zones = self.zones(&service.name, rules.zone_prices.keys());
+            let now = self.board.now();
+            let scaling = self.scaling.entry(service.name.clone()).or_default();
+            for order in scaling.plan(rules, &zones, now) {
+                if !self.may_act(tenure) {
+                    return;
+                }
+                self.send_order(tenure, &service.name, order, &zones).await;
+            }
+        }
+    }
+
+    async fn send_order(
+        &mut self,
+        tenure: Tenure,
+        service: &str,
+        order: Order,
+        zones: &BTreeMap<Box<str>, ZoneState>,
+    ) {
+        let holder = self.holder(tenure);
+        let reply = self
+            .duties
+            .order(holder, service.into(), order.clone())
+            .await;
+        tracing::info!(
+            service,
+            zone = &*order.zone,
+            spot = order.spot,
+            desired = order.desired,
+            there = ?zones.get(&order.zone),
+            fence = tenure.fence,
+            ?reply,
+            "back ends ordered"
+        );
+        let now = self.board.now();
+        if let Some(scaling) = self.scaling.get_mut(service) {
+            scaling.replied(&order, reply == DutyReply::Taken, now);
+        }
+    }
+
+    fn zones<'a>(
+        &self,
+        service: &str,
+        priced: impl Iterator<Item = &'a Box<str>>,
+    ) -> BTreeMap<Box<str>, ZoneState> {
+        let mut zones: BTreeMap<Box<str>, ZoneState> = priced
+            .map(|zone| (zone.clone(), ZoneState::default()))
+            .collect();
+        let backends = self.board.backends.lock();
+        for entry in backends.of_service(service) {
+            let backend = &entry.backend;
+            let state = zones.entry(backend.zone.clone()).or_default();
+            if backend.is_leaving || entry.standing != Standing::Listed {
+                continue;
+            }
+            match backend.is_spot {
+                true => state.spot += 1,
+                false => state.regular += 1,
+            }
+        }
+        drop(backends);
+        let now = self.board.now();
+        let own_zone = &self.board.settings.zone;
+        for (zone, work) in self.board.work.lock().by_zone(service, own_zone, now) {
+            zones.entry(zone).or_default().work_ms_per_s += work;
+        }
+        zones
+    }
+}
+
+fn decode_counts(text: &[u8]) -> Option<Counts> {
+    serde_json::from_slice(text)
+        .inspect_err(|e| tracing::error!(error = %e, "decided usage cannot be read"))
+        .ok()
+}
--- /dev/null
+++ b/src/ops/gateway/forward.rs
@@ -0,0 +1,371 @@
+//! Serves a call: chooses back ends, sends it, and returns one whole answer or a true failure.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use smallvec::SmallVec;
+use tokio::time::Instant;
+
+use super::attempt::{self, Answer, AttemptError, GatewayContext, Running};
+use super::call::Call;
+use super::record::{self, Ended};
+use super::refusal::{self, Body, Cause, Refusal};
+use super::stream;
+use crate::core::gateway::backends::{BackendId, Outcome};
+use crate::core::gateway::placement::{self, Ask, Placement, RefusalCause};
+use crate::core::gateway::retry_budget::RetryBudget;
+use crate::core::gateway::routes::RouteKind;
+use crate::core::verdict::Verdict;
+
+/// Largest answer that is not a stream.
+const MAX_ANSWER: usize = 32 * 1024 * 1024;
+/// Back ends that could not be reached, after which no more are tried.
+const MAX_UNREACHED: usize = 3;
+/// Longest wait that is of use, as a part of the time within which an answer is of full use.
+const USEFUL_WAIT: f64 = 1.0;
+/// Longest wait that is of use for a call that was declined elsewhere.
+const USEFUL_WAIT_AGAIN: f64 = 2.0;
+/// Shortest silence of a back end after which an idempotent call is sent to another one.
+const LEAST_PATIENCE: Duration = Duration::from_millis(400);
+/// Silence after which a stream that may go on elsewhere does so.
+const STREAM_PATIENCE: Duration = Duration::from_millis(1800);
+/// Silence of which a back end is suspected, as a multiple of the expected time.
+const PATIENCE_FACTOR: f64 = 3.0;
+
+/// Counts calls that are being served.
+struct Active(Arc<GatewayContext>);
+
+impl Active {
+    fn begin(cx: &Arc<GatewayContext>) -> Self {
+        cx.board.active.fetch_add(1, Ordering::Relaxed);
+        Self(Arc::clone(cx))
+    }
+}
+
+impl Drop for Active {
+    fn drop(&mut self) {
+        self.0.board.active.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// What a call has been through.
+#[derive(Debug, Default)]
+pub struct Progress {
+    /// Back ends that it was offered to, reached or not.
+    pub tried: SmallVec<[BackendId; 4]>,
+    /// Back ends that received it.
+    pub sends: u32,
+    /// Back ends that were not reached.
+    pub unreached: usize,
+    /// Whether it may have run.
+    pub may_have_run: bool,
+}
+
+impl Progress {
+    /// Returns whether the call may have run.
+    pub fn verdict(&self) -> Verdict {
+        match self.may_have_run {
+            true => Verdict::MayHaveRun,
+            false => Verdict::NotRun,
+        }
+    }
+}
+
+/// Serves a call.
+pub async fn serve(cx: Arc<GatewayContext>, req: Request<Incoming>) -> Response<Body> {
+    let active = Active::begin(&cx);
+    let attempt = cx.board.dialect.call_head(req.headers()).attempt;
+    match Call::read(&cx.board, req).await {
+        Ok(call) => run(cx, call, active).await,
+        Err(refusal) => {
+            record::refused_early(&cx.board, &attempt, &refusal);
+            refusal.into_response(&*cx.board.dialect)
+        }
+    }
+}
+
+async fn run(cx: Arc<GatewayContext>, call: Call, active: Active) -> Response<Body> {
+    let mut progress = Progress::default();
+    let timeout = tokio::time::timeout_at(call.deadline, answer(&cx, &call, &mut progress)).await;
+    let result = timeout.unwrap_or_else(|_| {
+        Err(Refusal::with_verdict(Cause::TimedOut, Verdict::NotRun))
+    });
+    match result {
+        Ok(Whole::Unary(res)) => {
+            record::ended(&cx.board, &call, &progress, Ended::Answered(res.status()));
+            res
+        }
+        Ok(Whole::Stream(answer)) => stream::respond(cx, call, progress, answer, active),
+        Err(mut refusal) => {
+            refusal.verdict = refusal.verdict.and(progress.verdict());
+            if refusal.verdict == Verdict::NotRun {
+                give_back(&cx, &call);
+            }
+            refusal.retry_after = refusal.retry_after.map(|after| after.min(call.left() / 3));
+            record::ended(&cx.board, &call, &progress, Ended::Refused(refusal));
+            refusal.into_response(&*cx.board.dialect)
+        }
+    }
+}
+
+/// Returns to the customer's limit what a call took that has not run.
+fn give_back(cx: &GatewayContext, call: &Call) {
+    if let Some(customer) = call.customer_name() {
+        cx.board
+            .quotas
+            .lock()
+            .give_back(customer, call.quota_units);
+    }
+}
+
+/// An answer that is passed on.
+enum Whole {
+    Unary(Response<Body>),
+    Stream(Box<Answer>),
+}
+
+/// What to do after a send.
+enum Next {
+    PassOn(Whole),
+    TryAnother,
+    GiveUp(Refusal),
+}
+
+async fn answer(
+    cx: &Arc<GatewayContext>,
+    call: &Call,
+    progress: &mut Progress,
+) -> Result<Whole, Refusal> {
+    loop {
+        let next = match offer(cx, call, progress, call.head.last_event).await {
+            Ok(answer) => judge(cx, call, progress, answer).await,
+            Err(e) => after_failure(cx, call, progress, &e),
+        };
+        match next {
+            Next::PassOn(whole) => return Ok(whole),
+            Next::TryAnother => {}
+            Next::GiveUp(refusal) => return Err(refusal),
+        }
+    }
+}
+
+/// Chooses a back end, sends the call there and waits for the head of the answer.
+///
+/// # Errors
+///
+/// Fails where there is no back end, or it gives no usable answer.
+pub async fn offer(
+    cx: &Arc<GatewayContext>,
+    call: &Call,
+    progress: &mut Progress,
+    last_event: Option<u64>,
+) -> Result<Answer, AttemptError> {
+    let (running, patience) = begin(cx, call, progress)?;
+    progress.tried.push(running.backend().into());
+    // Until the outcome is known, as where the caller leaves or the time ends, it may have run.
+    let may_have_run = std::mem::replace(&mut progress.may_have_run, true);
+    progress.sends += 1;
+    note_send(cx, call, progress.sends);
+    let result = attempt::send(cx, call, running, last_event, patience).await;
+    if let Err(e) = &result {
+        if e.verdict() == Verdict::NotRun {
+            progress.sends -= 1;
+            progress.unreached += 1;
+            progress.may_have_run = may_have_run;
+        }
+        record::attempt_failed(&cx.board, call, progress, e);
+    } else if result.as_ref().is_ok_and(|answer| answer.head.not_run) {
+        progress.may_have_run = may_have_run;
+    }
+    result
+}
+
+/// Chooses a back end and takes a place there, in one step so that calls see each other's places.
+fn begin(
+    cx: &Arc<GatewayContext>,
+    call: &Call,
+    progress: &Progress,
+) -> Result<(Running, Duration), AttemptError> {
+    let board = &cx.board;
+    let factor = match progress.tried.is_empty() {
+        true => USEFUL_WAIT,
+        false => USEFUL_WAIT_AGAIN,
+    };
+    let (prompt_tokens, answer_tokens) = call.head.tokens.unwrap_or_default();
+    let answer_tokens = call.head.length_hint.unwrap_or(answer_tokens).min(answer_tokens);
+    let ask = Ask {
+        service: &call.service.name,
+        engine: call.service.engine,
+        parts: &call.head.parts,
+        prompt_tokens,
+        answer_tokens,
+        rank: call.rank(),
+        max_wait: call.route.target_latency.mul_f64(factor).min(call.left() / 2),
+        zone: &board.settings.zone,
+        tried: &progress.tried,
+    };
+    let placement = {
+        let backends = board.backends.lock();
+        placement::place(&backends, board.regions(), &ask, board.now(), &mut rand::random::<f64>)
+    };
+    match placement {
+        Placement::Send {
+            place, expected, ..
+        } => {
+            let running = Running::begin(cx, call, place, expected);
+            Ok((running, patience(call, progress, expected)))
+        }
+        Placement::Refuse {
+            cause, retry_after, ..
+        } => Err(AttemptError::NoPlace { cause, retry_after }),
+    }
+}
+
+/// Returns how long a back end may be silent before another one is tried.
+fn patience(call: &Call, progress: &Progress, expected: Duration) -> Duration {
+    let is_last = progress.sends + 1 >= call.route.max_backends;
+    let suspicious = expected.mul_f64(PATIENCE_FACTOR);
+    match call.route.kind {
+        _ if is_last => call.left(),
+        RouteKind::Idempotent => LEAST_PATIENCE.max(suspicious).min(call.left()),
+        RouteKind::Stream { resumable: true } => STREAM_PATIENCE.max(suspicious).min(call.left()),
+        RouteKind::Stream { .. } | RouteKind::AtMostOnce => call.left(),
+    }
+}
+
+/// Counts a send in the service's allowance for second sends.
+fn note_send(cx: &GatewayContext, call: &Call, sends: u32) {
+    if sends == 1 {
+        with_budget(cx, call, RetryBudget::note_call);
+    }
+}
+
+/// Returns whether the call may be sent to one more back end.
+pub fn may_send_again(cx: &GatewayContext, call: &Call, progress: &Progress) -> bool {
+    if progress.sends == 0 {
+        return progress.unreached < MAX_UNREACHED;
+    }
+    progress.sends < call.route.max_backends
+        && progress.unreached < MAX_UNREACHED
+        && with_budget(cx, call, RetryBudget::take)
+}
+
+fn with_budget<T>(cx: &GatewayContext, call: &Call, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
+    let board = &cx.board;
+    let bounds = &board.settings.bounds;
+    let nodes = board.node_count();
+    let mut retries = board.retries.lock();
+    let budget = retries
+        .entry(call.service.name.clone())
+        .or_insert_with(|| {
+            RetryBudget::new(bounds.retry_ratio, f64::from(bounds.retry_slack), nodes)
+        });
+    f(budget)
+}
+
+/// Decides what to do with an answer.
+async fn judge(
+    cx: &Arc<GatewayContext>,
+    call: &Call,
+    progress: &mut Progress,
+    answer: Answer,
+) -> Next {
+    if answer.head.not_run {
+        return after_decline(cx, call, progress, answer);
+    }
+    if call.route.kind.is_stream() && answer.status == StatusCode::OK {
+        return Next::PassOn(Whole::Stream(Box::new(answer)));
+    }
+    let failed = answer.status.is_server_error();
+    let again = failed
+        && call.route.kind == RouteKind::Idempotent
+        && may_send_again(cx, call, progress);
+    match read_whole(cx, answer).await {
+        Ok(_) if again => Next::TryAnother,
+        Ok(res) => Next::PassOn(Whole::Unary(res)),
+        Err(e) => {
+            record::attempt_failed(&cx.board, call, progress, &e);
+            after_failure(cx, call, progress, &e)
+        }
+    }
+}
+
+fn after_decline(
+    cx: &Arc<GatewayContext>,
+    call: &Call,
+    progress: &mut Progress,
+    mut answer: Answer,
+) -> Next {
+    answer.running.set_outcome(Outcome::Declined);
+    record::declined(&cx.board, call, answer.running.backend(), answer.status);
+    drop(answer);
+    if may_send_again(cx, call, progress) {
+        Next::TryAnother
+    } else {
+        let retry_after = call.route.target_latency / 2;
+        Next::GiveUp(Refusal::come_back(Cause::Declined, retry_after))
+    }
+}
+
+fn after_failure(
+    cx: &Arc<GatewayContext>,
+    call: &Call,
+    progress: &Progress,
+    e: &AttemptError,
+) -> Next {
+    if let AttemptError::NoPlace { cause, retry_after } = e {
+        let cause = match cause {
+            RefusalCause::NoBackend => Cause::NoBackend,
+            RefusalCause::Overloaded => Cause::Overloaded,
+        };
+        return Next::GiveUp(Refusal::come_back(cause, *retry_after));
+    }
+    let may_repeat = call.route.kind.may_repeat() || e.verdict() == Verdict::NotRun;
+    if may_repeat && may_send_again(cx, call, progress) {
+        return Next::TryAnother;
+    }
+    Next::GiveUp(match e.verdict() {
+        Verdict::NotRun => Refusal::come_back(Cause::NoBackend, call.route.target_latency / 2),
+        verdict => Refusal::with_verdict(Cause::AnswerLost, verdict),
+    })
+}
+
+/// Reads the whole body of an answer that is not a stream.
+async fn read_whole(cx: &GatewayContext, answer: Answer) -> Result<Response<Body>, AttemptError> {
+    let Answer {
+        status,
+        headers,
+        head,
+        body,
+        connection,
+        mut running,
+    } = answer;
+    let started = Instant::now();
+    let body: Bytes = match Limited::new(body, MAX_ANSWER).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(e) => {
+            tracing::debug!(backend = running.backend(), error = %e, "an answer broke off");
+            running.set_outcome(Outcome::Unreachable);
+            return Err(AttemptError::Unusable {
+                backend: running.backend().into(),
+                what: "it broke off",
+            });
+        }
+    };
+    let worked = running.age().saturating_sub(started.elapsed()) / 2;
+    running.begun(worked);
+    running.set_outcome(match status.is_server_error() {
+        true => Outcome::Failed,
+        false => Outcome::Answered,
+    });
+    cx.pool.keep(connection, head.idle_timeout);
+    let mut res = Response::new(refusal::whole(body));
+    *res.status_mut() = status;
+    *res.headers_mut() = cx.board.dialect.answer_for_caller(headers);
+    Ok(res)
+}
--- /dev/null
+++ b/src/ops/gateway/install.rs
@@ -0,0 +1,167 @@
+//! Takes what the store holds into what calls are served by: configuration, back ends and nodes.
+
+use std::time::Duration;
+
+use super::board::{Board, Phase};
+use super::keys;
+use super::node_wire;
+use crate::core::gateway::backends::Standing;
+use crate::core::time::Moment;
+use crate::sources::store::{KeyValue, Revision};
+
+/// Time after the store's return within which back ends that lapsed meanwhile name themselves again.
+const RETURN_GRACE: Duration = Duration::from_millis(2200);
+/// Time without the store after which entries may have lapsed because of it.
+const OUTAGE: Duration = Duration::from_millis(3500);
+/// Time for which a node that lapsed in the store is kept while it is heard of.
+const HEARD_AGE: Duration = Duration::from_millis(2500);
+
+/// Where a change was heard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// From the store.
+    Store,
+    /// From another node.
+    Peer,
+}
+
+/// Takes a value that was written.
+pub fn put(board: &Board, item: &KeyValue, source: Source) {
+    if !board.view.lock().put(item) {
+        return;
+    }
+    let key: &str = &item.key;
+    if key == board.dialect.config_key() {
+        install_table(board, item, source);
+    } else if let Some(id) = key.strip_prefix(board.dialect.backend_prefix()) {
+        install_backend(board, id, item);
+    } else if let Some(name) = key.strip_prefix(keys::NODES) {
+        match node_wire::decode(&item.value) {
+            Ok(member) => {
+                tracing::info!(node = name, revision = item.mod_revision, ready = member.is_ready, "node listed");
+                board.members.lock().put(member);
+            }
+            Err(e) => tracing::warn!(node = name, error = %e, "entry of a node cannot be read"),
+        }
+    }
+}
+
+/// Takes a deletion. `after_outage` says that the store was away, so that living back ends may have
+/// lapsed.
+pub fn delete(board: &Board, key: &str, revision: Revision, after_outage: bool) {
+    if board.view.lock().delete(key, revision) {
+        forget(board, key, after_outage);
+    }
+}
+
+/// Takes a whole list of what the store holds: what is not on it is gone.
+pub fn list(board: &Board, items: &[KeyValue], revision: Revision, source: Source) {
+    for item in items {
+        put(board, item, source);
+    }
+    let listed: std::collections::HashSet<&str> = items.iter().map(|item| &*item.key).collect();
+    let missing: Vec<_> = {
+        let view = board.view.lock();
+        let old = view.iter().filter(|(_, known)| known.revision <= revision);
+        old.map(|(key, _)| key.clone())
+            .filter(|key| !listed.contains(&**key))
+            .collect()
+    };
+    for key in missing {
+        // A list does not tell when an entry went; it may have lapsed while the store was away.
+        delete(board, &key, revision + 1, true);
+    }
+    let mut view = board.view.lock();
+    view.revision = view.revision.max(revision);
+}
+
+/// Returns whether the store was away for so long that entries may have lapsed.
+pub fn was_outage(contact: Option<Moment>, now: Moment) -> bool {
+    contact.is_some_and(|contact| now.saturating_sub(contact) > OUTAGE)
+}
+
+/// Forgets back ends and nodes whose time is over.
+pub fn expire(board: &Board) {
+    let now = board.now();
+    for id in board.backends.lock().expire(now) {
+        tracing::info!(backend = &*id, "back end gone");
+    }
+    let mut members = board.members.lock();
+    let gone: Vec<_> = {
+        let view = board.view.lock();
+        members
+            .iter()
+            .map(|member| member.name.clone())
+            .filter(|name| view.get(&keys::node(name)).is_none())
+            .filter(|name| !members.is_fresh(name, now, HEARD_AGE))
+            .collect()
+    };
+    for name in gone {
+        members.remove(&name);
+        board.quotas.lock().forget_node(&name);
+        tracing::info!(node = &*name, "node gone");
+    }
+}
+
+fn forget(board: &Board, key: &str, after_outage: bool) {
+    if let Some(id) = key.strip_prefix(board.dialect.backend_prefix()) {
+        let grace = if after_outage { RETURN_GRACE } else { Duration::ZERO };
+        let gone_at = board.now() + grace;
+        board.backends.lock().unlist(id, gone_at);
+        tracing::info!(backend = id, grace_ms = grace.as_millis() as u64, "back end no longer listed");
+    }
+}
+
+fn install_table(board: &Board, item: &KeyValue, source: Source) {
+    let table = match board.dialect.decode_table(&item.value) {
+        Ok(table) => table,
+        Err(e) => {
+            tracing::error!(revision = item.mod_revision, error = %format!("{e:#}"), "configuration cannot be read; the former one stays in force");
+            return;
+        }
+    };
+    let version = table.version;
+    let mut current = board.table.write();
+    let before = current.as_ref().map_or(0, |table| table.version);
+    if before >= version && current.is_some() {
+        tracing::warn!(version, before, "older configuration left out");
+        return;
+    }
+    *current = Some(std::sync::Arc::new(table));
+    drop(current);
+    tracing::info!(version, before, revision = item.mod_revision, ?source, "configuration in force");
+    board
+        .phase
+        .send_if_modified(|phase| std::mem::replace(phase, started(*phase)) == Phase::Starting);
+}
+
+fn started(phase: Phase) -> Phase {
+    match phase {
+        Phase::Starting => Phase::Serving,
+        other => other,
+    }
+}
+
+fn install_backend(board: &Board, id: &str, item: &KeyValue) {
+    match board.dialect.decode_backend(id, &item.value) {
+        Ok(backend) => {
+            let leaving = backend.is_leaving;
+            let (address, service) = (backend.address, backend.service.clone());
+            let changed = board.backends.lock().put(backend);
+            if changed {
+                tracing::info!(backend = id, service = &*service, %address, leaving, revision = item.mod_revision, "back end listed");
+            }
+        }
+        Err(e) => {
+            tracing::warn!(backend = id, revision = item.mod_revision, error = %format!("{e:#}"), "entry of a back end cannot be read");
+            let is_known = board
+                .backends
+                .lock()
+                .get(id)
+                .is_some_and(|entry| entry.standing == Standing::Listed);
+            if is_known {
+                tracing::info!(backend = id, "the readable entry before it stays in force");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/ops/gateway/node_wire.rs
@@ -0,0 +1,67 @@
+//! What nodes say of themselves in the store.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::core::gateway::members::Member;
+
+#[derive(Serialize, Deserialize)]
+struct NodeWire {
+    name: Box<str>,
+    region: Box<str>,
+    zone: Box<str>,
+    callers: SocketAddr,
+    peers: SocketAddr,
+    control: SocketAddr,
+    incarnation: u64,
+    ready: bool,
+}
+
+impl From<Member> for NodeWire {
+    fn from(member: Member) -> Self {
+        Self {
+            name: member.name,
+            region: member.region,
+            zone: member.zone,
+            callers: member.callers,
+            peers: member.peers,
+            control: member.control,
+            incarnation: member.incarnation,
+            ready: member.is_ready,
+        }
+    }
+}
+
+impl From<NodeWire> for Member {
+    fn from(wire: NodeWire) -> Self {
+        Self {
+            name: wire.name,
+            region: wire.region,
+            zone: wire.zone,
+            callers: wire.callers,
+            peers: wire.peers,
+            control: wire.control,
+            incarnation: wire.incarnation,
+            is_ready: wire.ready,
+        }
+    }
+}
+
+/// Encodes a node.
+///
+/// # Errors
+///
+/// Fails where JSON cannot be written.
+pub fn encode(member: Member) -> serde_json::Result<Vec<u8>> {
+    serde_json::to_vec(&NodeWire::from(member))
+}
+
+/// Decodes a node.
+///
+/// # Errors
+///
+/// Fails where the text has another form.
+pub fn decode(text: &[u8]) -> serde_json::Result<Member> {
+    serde_json::from_slice::<NodeWire>(text).map(Into::into)
+}
--- /dev/null
+++ b/src/ops/gateway/record.rs
@@ -0,0 +1,213 @@
+//! Lines of the log and counters for what became of calls.
+//!
+//! A line names the call's attempt, the inputs of the decision with their age or version, and the
+//! outcome. Failures come before successes: of each kind, a bounded number is written in a second, and
+//! what was left out is counted.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use hyper::StatusCode;
+
+use super::attempt::AttemptError;
+use super::board::Board;
+use super::call::Call;
+use super::forward::Progress;
+use super::refusal::Refusal;
+use crate::core::verdict::Verdict;
+
+/// Lines a second for calls that were served.
+const SERVED_PER_S: u64 = 20;
+/// Lines a second for calls that failed.
+const FAILED_PER_S: u64 = 100;
+
+/// How a call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// With a back end's answer.
+    Answered(StatusCode),
+    /// With an answer of the gateway's own.
+    Refused(Refusal),
+    /// With a broken stream.
+    BrokenOff(&'static str),
+    /// The caller left.
+    CallerLeft,
+}
+
+/// A bound on lines a second.
+struct LineBudget {
+    second: AtomicU64,
+    written: AtomicU64,
+    left_out: AtomicU64,
+}
+
+impl LineBudget {
+    const fn new() -> Self {
+        Self {
+            second: AtomicU64::new(0),
+            written: AtomicU64::new(0),
+            left_out: AtomicU64::new(0),
+        }
+    }
+
+    /// Returns the lines left out before this one, or `None` if this one is left out too.
+    fn take(&self, second: u64, most: u64) -> Option<u64> {
+        if self.second.swap(second, Ordering::Relaxed) != second {
+            self.written.store(0, Ordering::Relaxed);
+        }
+        if self.written.fetch_add(1, Ordering::Relaxed) >= most {
+            self.left_out.fetch_add(1, Ordering::Relaxed);
+            return None;
+        }
+        Some(self.left_out.swap(0, Ordering::Relaxed))
+    }
+}
+
+static SERVED: LineBudget = LineBudget::new();
+static FAILED: LineBudget = LineBudget::new();
+
+fn failure_line(board: &Board) -> Option<u64> {
+    FAILED.take(board.now().as_secs(), FAILED_PER_S)
+}
+
+/// Age of what the store last said, in milliseconds.
+fn store_age_ms(board: &Board) -> u64 {
+    let contact = board.view.lock().contact.unwrap_or_default();
+    board.now().saturating_sub(contact).as_millis() as u64
+}
+
+/// Records a call that was refused before it was read as a whole.
+pub fn refused_early(board: &Board, attempt: &str, refusal: &Refusal) {
+    metrics::counter!("jayhall_gateway_refusals", "cause" => refusal.cause.as_str()).increment(1);
+    if let Some(left_out) = failure_line(board) {
+        tracing::info!(
+            attempt,
+            cause = refusal.cause.as_str(),
+            status = refusal.status().as_u16(),
+            verdict = refusal.verdict.as_str(),
+            retry_after_ms = refusal.retry_after.map(millis),
+            config = board.table().map_or(0, |table| table.version),
+            store_age_ms = store_age_ms(board),
+            left_out,
+            "call refused"
+        );
+    }
+}
+
+/// Records a send without a usable answer.
+pub fn attempt_failed(board: &Board, call: &Call, progress: &Progress, e: &AttemptError) {
+    metrics::counter!("jayhall_gateway_failed_sends", "service" => call.service.name.to_string())
+        .increment(1);
+    if let Some(left_out) = failure_line(board) {
+        tracing::info!(
+            attempt = &*call.head.attempt,
+            backend = progress.tried.last().map(|id| &**id),
+            sends = progress.sends,
+            verdict = e.verdict().as_str(),
+            error = %e,
+            left_out,
+            "send failed"
+        );
+    }
+}
+
+/// Records a back end that said that it did not run a call.
+pub fn declined(board: &Board, call: &Call, backend: &str, status: StatusCode) {
+    metrics::counter!("jayhall_gateway_declined_sends", "service" => call.service.name.to_string())
+        .increment(1);
+    if let Some(left_out) = failure_line(board) {
+        tracing::info!(
+            attempt = &*call.head.attempt,
+            backend,
+            status = status.as_u16(),
+            left_out,
+            "back end declined"
+        );
+    }
+}
+
+/// Records a stream that broke off at a back end.
+pub fn broke_off(board: &Board, call: &Call, backend: &str, cause: &str, last_event: Option<u64>) {
+    if let Some(left_out) = failure_line(board) {
+        tracing::info!(
+            attempt = &*call.head.attempt,
+            backend,
+            cause,
+            last_event,
+            left_out,
+            "stream broke off at a back end"
+        );
+    }
+}
+
+/// Records the end of a call whose answer is not a stream.
+pub fn ended(board: &Board, call: &Call, progress: &Progress, ended: Ended) {
+    stream_ended(board, call, progress, ended, None, None);
+}
+
+/// Records the end of a call.
+pub fn stream_ended(
+    board: &Board,
+    call: &Call,
+    progress: &Progress,
+    ended: Ended,
+    first_at: Option<Duration>,
+    last_event: Option<u64>,
+) {
+    let (outcome, status, verdict) = match ended {
+        Ended::Answered(status) => ("answered", status.as_u16(), Verdict::Ran),
+        Ended::Refused(refusal) => (
+            refusal.cause.as_str(),
+            refusal.status().as_u16(),
+            refusal.verdict,
+        ),
+        Ended::BrokenOff(what) => (what, 200, Verdict::MayHaveRun),
+        Ended::CallerLeft => ("caller_left", 0, progress.verdict()),
+    };
+    let took = call.received.elapsed();
+    count(call, outcome, first_at.unwrap_or(took));
+    let is_served = matches!(ended, Ended::Answered(status) if !status.is_server_error());
+    let line = match is_served {
+        true => SERVED.take(board.now().as_secs(), SERVED_PER_S),
+        false => failure_line(board),
+    };
+    let Some(left_out) = line else { return };
+    let retry_after = match ended {
+        Ended::Refused(refusal) => refusal.retry_after,
+        _ => None,
+    };
+    tracing::info!(
+        attempt = &*call.head.attempt,
+        outcome,
+        status,
+        verdict = verdict.as_str(),
+        route = &*call.route.name,
+        service = &*call.service.name,
+        customer = call.customer_name(),
+        rank = call.rank(),
+        backends = ?progress.tried,
+        sends = progress.sends,
+        first_ms = first_at.map(millis),
+        took_ms = millis(took),
+        left_ms = millis(call.left()),
+        retry_after_ms = retry_after.map(millis),
+        last_event,
+        config = call.config_version,
+        store_age_ms = store_age_ms(board),
+        left_out,
+        "call ended"
+    );
+}
+
+fn count(call: &Call, outcome: &'static str, first: Duration) {
+    let customer = call.customer_name().unwrap_or("none").to_owned();
+    let kind = call.route.name.to_string();
+    metrics::counter!("jayhall_gateway_calls", "outcome" => outcome, "customer" => customer.clone())
+        .increment(1);
+    metrics::histogram!("jayhall_gateway_first_byte_seconds", "customer" => customer, "route" => kind)
+        .record(first.as_secs_f64());
+}
+
+fn millis(duration: Duration) -> u64 {
+    duration.as_millis() as u64
+}
--- /dev/null
+++ b/src/ops/gateway/refusal.rs
@@ -0,0 +1,180 @@
+//! Answers of the gateway's own: why a call has none of a back end's.
+
+use std::convert::Infallible;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::combinators::UnsyncBoxBody;
+use http_body_util::{BodyExt, Full};
+use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
+use hyper::{Response, StatusCode};
+use serde::Serialize;
+
+use super::dialect::Dialect;
+use crate::core::verdict::Verdict;
+
+/// Why a body ended before its end.
+pub type BodyError = Box<dyn std::error::Error + Send + Sync>;
+/// Body of an answer.
+pub type Body = UnsyncBoxBody<Bytes, BodyError>;
+
+/// Why a call gets an answer of the gateway's own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// The node has no configuration yet.
+    NoConfiguration,
+    /// No route has the host and path.
+    NoRoute,
+    /// The key is missing or unknown.
+    UnknownKey,
+    /// The call's body is larger than operators allow.
+    BodyTooLarge,
+    /// The call's body did not arrive.
+    BodyIncomplete,
+    /// The customer's limit is used up.
+    OverQuota,
+    /// No back end is there.
+    NoBackend,
+    /// The wait at every back end is longer than is of use.
+    Overloaded,
+    /// All back ends that it may be sent to declined.
+    Declined,
+    /// A back end was sent the call and gave no usable answer.
+    AnswerLost,
+    /// The time of the call is over.
+    TimedOut,
+}
+
+impl Cause {
+    /// Returns the status for a call of which this is known: whether it may have run.
+    pub fn status(self, verdict: Verdict) -> StatusCode {
+        match self {
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyIncomplete => StatusCode::BAD_REQUEST,
+            _ if verdict != Verdict::NotRun => match self {
+                Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+                _ => StatusCode::BAD_GATEWAY,
+            },
+            Self::OverQuota => StatusCode::TOO_MANY_REQUESTS,
+            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            _ => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+
+    /// Returns a name for logs and counters.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NoConfiguration => "no_configuration",
+            Self::NoRoute => "no_route",
+            Self::UnknownKey => "unknown_key",
+            Self::BodyTooLarge => "body_too_large",
+            Self::BodyIncomplete => "body_incomplete",
+            Self::OverQuota => "over_quota",
+            Self::NoBackend => "no_backend",
+            Self::Overloaded => "overloaded",
+            Self::Declined => "declined",
+            Self::AnswerLost => "answer_lost",
+            Self::TimedOut => "timed_out",
+        }
+    }
+
+    fn detail(self) -> &'static str {
+        match self {
+            Self::NoConfiguration => "this node has no configuration yet; ask again or ask another node",
+            Self::NoRoute => "no route has this host and path",
+            Self::UnknownKey => "the key is missing or not known",
+            Self::BodyTooLarge => "the body is larger than is allowed",
+            Self::BodyIncomplete => "the body did not arrive",
+            Self::OverQuota => "the limit of your account is used up; come back later",
+            Self::NoBackend => "no back end can be reached at the moment; come back later",
+            Self::Overloaded => "the wait would be longer than the answer is of use; come back later",
+            Self::Declined => "all back ends are full; come back later",
+            Self::AnswerLost => "the back end broke off; it may have done the work",
+            Self::TimedOut => "the time for this call is over",
+        }
+    }
+}
+
+/// A call's failure.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why.
+    pub cause: Cause,
+    /// Whether it may have run.
+    pub verdict: Verdict,
+    /// When the caller may come back.
+    pub retry_after: Option<Duration>,
+}
+
+impl Refusal {
+    /// Creates the failure of a call that has not run.
+    pub fn not_run(cause: Cause) -> Self {
+        Self {
+            cause,
+            verdict: Verdict::NotRun,
+            retry_after: None,
+        }
+    }
+
+    /// Creates the failure of a call that has not run and may come back.
+    pub fn come_back(cause: Cause, after: Duration) -> Self {
+        Self {
+            retry_after: Some(after),
+            ..Self::not_run(cause)
+        }
+    }
+
+    /// Creates the failure of a call of which it is known whether it may have run.
+    pub fn with_verdict(cause: Cause, verdict: Verdict) -> Self {
+        Self {
+            verdict,
+            ..Self::not_run(cause)
+        }
+    }
+
+    /// Returns its status.
+    pub fn status(&self) -> StatusCode {
+        self.cause.status(self.verdict)
+    }
+
+    /// Returns it as a problem document (RFC 9457).
+    pub fn into_response(self, dialect: &dyn Dialect) -> Response<Body> {
+        let status = self.status();
+        let problem = ProblemWire {
+            kind: "about:blank",
+            title: self.cause.as_str(),
+            status: status.as_u16(),
+            detail: self.cause.detail(),
+            verdict: self.verdict,
+        };
+        let text = serde_json::to_vec(&problem).unwrap_or_default();
+        let mut res = Response::new(whole(text.into()));
+        *res.status_mut() = status;
+        let headers = res.headers_mut();
+        let kind = HeaderValue::from_static("application/problem+json");
+        headers.insert(CONTENT_TYPE, kind);
+        if let Some(after) = self.retry_after {
+            headers.insert(RETRY_AFTER, dialect.retry_after(after));
+        }
+        res
+    }
+}
+
+#[derive(Serialize)]
+struct ProblemWire {
+    #[serde(rename = "type")]
+    kind: &'static str,
+    title: &'static str,
+    status: u16,
+    detail: &'static str,
+    verdict: Verdict,
+}
+
+/// Returns a body that is there as a whole.
+pub fn whole(text: Bytes) -> Body {
+    Full::new(text)
+        .map_err(|e: Infallible| match e {})
+        .boxed_unsync()
+}
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -7,6 +7,7 @@
 pub mod choose_home;
 pub mod directory;
 pub mod follow;
+pub mod gateway;
 pub mod gossip;
 pub mod hand_over;
 pub mod home;
--- /dev/null
+++ b/src/platform/headers.rs
@@ -0,0 +1,178 @@
+//! Headers of calls and answers.
+
+use std::time::Duration;
+
+use hyper::HeaderMap;
+use hyper::header::{
+    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, EXPECT, HeaderName, HeaderValue, TE, TRAILER,
+    TRANSFER_ENCODING, UPGRADE,
+};
+use smallvec::SmallVec;
+
+use crate::core::gateway::cache::Part;
+use crate::ops::gateway::dialect::{AnswerHead, CallHead, SendHead};
+
+const ATTEMPT: HeaderName = HeaderName::from_static("x-jayhall-attempt-id");
+const DEADLINE: HeaderName = HeaderName::from_static("x-jayhall-deadline-ms");
+/// Parts of the prompt as `HEX_ID:TOKENS`, with commas between them.
+const PARTS: HeaderName = HeaderName::from_static("x-jayhall-prompt-prefix");
+/// Tokens of the prompt and, behind a comma, of the answer at most.
+const TOKENS: HeaderName = HeaderName::from_static("x-jayhall-token-counts");
+const LENGTH_HINT: HeaderName = HeaderName::from_static("x-jayhall-length-hint");
+const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
+const SIGNATURE: HeaderName = HeaderName::from_static("x-jayhall-response-seal");
+const CUSTOMER: HeaderName = HeaderName::from_static("x-jayhall-tenant");
+const EXPECTED_BACKEND: HeaderName = HeaderName::from_static("x-jayhall-expect-instance");
+const NOT_RUN: HeaderName = HeaderName::from_static("x-jayhall-not-executed");
+const PRIORITY: HeaderName = HeaderName::from_static("x-jayhall-request-priority");
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
+/// Status of a back end other than the one that was named.
+const MISDIRECTED: u16 = 421;
+/// Least urgent priority.
+const LAST_PRIORITY: u8 = 9;
+
+/// Headers that concern one connection.
+static HOP_BY_HOP: [HeaderName; 8] = [
+    CONNECTION,
+    KEEP_ALIVE,
+    HeaderName::from_static("proxy-connection"),
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+    EXPECT,
+];
+
+/// Headers of a call that only the gateway may set.
+static GATEWAY_ONLY: [HeaderName; 11] = [
+    AUTHORIZATION,
+    CUSTOMER,
+    EXPECTED_BACKEND,
+    DEADLINE,
+    PRIORITY,
+    HeaderName::from_static("x-jayhall-expect-version"),
+    HeaderName::from_static("x-jayhall-pin-ms"),
+    HeaderName::from_static("x-jayhall-hold"),
+    HeaderName::from_static("x-jayhall-kv-backup"),
+    HeaderName::from_static("kv-from"),
+    HeaderName::from_static("kv-fetch"),
+];
+
+fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name).and_then(|value| value.to_str().ok())
+}
+
+fn number<T: std::str::FromStr>(headers: &HeaderMap, name: &HeaderName) -> Option<T> {
+    text(headers, name)?.trim().parse().ok()
+}
+
+/// Reads the head of a call.
+pub(super) fn call_head(headers: &HeaderMap) -> CallHead {
+    CallHead {
+        attempt: text(headers, &ATTEMPT).unwrap_or_default().into(),
+        deadline: number::<f64>(headers, &DEADLINE)
+            .and_then(|ms| Duration::try_from_secs_f64(ms / 1e3).ok()),
+        key: text(headers, &AUTHORIZATION)
+            .and_then(|value| value.split_once(' '))
+            .filter(|(scheme, _)| scheme.eq_ignore_ascii_case("bearer"))
+            .map(|(_, key)| key.trim().into()),
+        tokens: text(headers, &TOKENS).and_then(token_counts),
+        parts: text(headers, &PARTS).map(parts).unwrap_or_default(),
+        length_hint: number(headers, &LENGTH_HINT),
+        last_event: number(headers, &LAST_EVENT),
+    }
+}
+
+fn token_counts(text: &str) -> Option<(u32, u32)> {
+    let (prompt, answer) = text.split_once(',')?;
+    Some((prompt.trim().parse().ok()?, answer.trim().parse().ok()?))
+}
+
+fn parts(text: &str) -> SmallVec<[Part; 4]> {
+    text.split(',')
+        .map_while(|part| {
+            let (id, tokens) = part.trim().split_once(':')?;
+            Some(Part {
+                id: u64::from_str_radix(id, 16).ok()?,
+                tokens: tokens.parse().ok()?,
+            })
+        })
+        .collect()
+}
+
+/// Returns the head of a call as a back end gets it.
+pub(super) fn forward_head(headers: &HeaderMap, send: &SendHead<'_>) -> HeaderMap {
+    let mut head = without_hop_by_hop(headers);
+    for name in &GATEWAY_ONLY {
+        head.remove(name);
+    }
+    head.remove(CONTENT_LENGTH);
+    let deadline = send.deadline.as_millis().max(1);
+    head.insert(DEADLINE, number_value(deadline));
+    head.insert(PRIORITY, number_value(send.rank.min(LAST_PRIORITY)));
+    insert_text(&mut head, EXPECTED_BACKEND, send.backend);
+    if let Some(customer) = send.customer {
+        insert_text(&mut head, CUSTOMER, customer);
+    }
+    if let Some(event) = send.last_event {
+        head.insert(LAST_EVENT, number_value(event));
+    }
+    head
+}
+
+fn number_value(number: impl ToString) -> HeaderValue {
+    HeaderValue::from_str(&number.to_string()).unwrap_or(HeaderValue::from_static("0"))
+}
+
+fn insert_text(headers: &mut HeaderMap, name: HeaderName, text: &str) {
+    match HeaderValue::from_str(text) {
+        Ok(value) => {
+            headers.insert(name, value);
+        }
+        Err(e) => tracing::warn!(header = %name, error = %e, "a name does not fit into a header"),
+    }
+}
+
+/// Copies headers but those that concern one connection, also those that `Connection` names.
+fn without_hop_by_hop(headers: &HeaderMap) -> HeaderMap {
+    let mut head = headers.clone();
+    let named: SmallVec<[HeaderName; 2]> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in HOP_BY_HOP.iter().chain(&named) {
+        head.remove(name);
+    }
+    head
+}
+
+/// Reads the head of a back end's answer.
+pub(super) fn answer_head(status: u16, headers: &HeaderMap) -> AnswerHead {
+    AnswerHead {
+        attempt: text(headers, &ATTEMPT).map(Into::into),
+        not_run: headers.contains_key(&NOT_RUN) || status == MISDIRECTED,
+        is_signed: headers.contains_key(&SIGNATURE),
+        idle_timeout: text(headers, &KEEP_ALIVE).and_then(keep_alive_timeout),
+    }
+}
+
+fn keep_alive_timeout(text: &str) -> Option<Duration> {
+    text.split(',')
+        .filter_map(|part| part.trim().strip_prefix("timeout="))
+        .find_map(|seconds| seconds.trim().parse().ok())
+        .map(Duration::from_secs)
+}
+
+/// Returns the head of an answer as the caller gets it.
+pub(super) fn answer_for_caller(headers: HeaderMap) -> HeaderMap {
+    without_hop_by_hop(&headers)
+}
+
+/// Returns the value of `Retry-After`: seconds with a fraction.
+pub(super) fn retry_after(after: Duration) -> HeaderValue {
+    number_value(format_args!("{:.2}", after.as_secs_f64().max(0.01)))
+}
--- /dev/null
+++ b/src/platform/mod.rs
@@ -0,0 +1,73 @@
+//! Adapter of the users' platform: names on its wire, decoded once into the product's types.
+//!
+//! Nothing here decides anything, and nothing outside knows a name of that wire.
+
+mod config;
+mod directory;
+mod duties;
+mod headers;
+mod registry;
+mod store;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hyper::HeaderMap;
+use hyper::header::HeaderValue;
+
+use crate::core::gateway::backends::Backend;
+use crate::core::gateway::routes::RouteTable;
+use crate::ops::gateway::dialect::{AnswerHead, CallHead, Dialect, Result, SendHead};
+
+pub use duties::CloudDuties;
+pub use store::{PlatformStore, PlatformStoreConfig};
+
+/// The platform's names.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct PlatformDialect;
+
+impl Dialect for PlatformDialect {
+    fn call_head(&self, headers: &HeaderMap) -> CallHead {
+        headers::call_head(headers)
+    }
+
+    fn forward_head(&self, headers: &HeaderMap, send: &SendHead<'_>) -> HeaderMap {
+        headers::forward_head(headers, send)
+    }
+
+    fn answer_head(&self, status: u16, headers: &HeaderMap) -> AnswerHead {
+        headers::answer_head(status, headers)
+    }
+
+    fn answer_for_caller(&self, headers: HeaderMap) -> HeaderMap {
+        headers::answer_for_caller(headers)
+    }
+
+    fn retry_after(&self, after: Duration) -> HeaderValue {
+        headers::retry_after(after)
+    }
+
+    fn config_key(&self) -> &'static str {
+        config::KEY
+    }
+
+    fn backend_prefix(&self) -> &'static str {
+        registry::PREFIX
+    }
+
+    fn decode_table(&self, text: &[u8]) -> Result<RouteTable> {
+        config::decode(text)
+    }
+
+    fn decode_backend(&self, id: &str, text: &[u8]) -> Result<Backend> {
+        registry::decode(id, text)
+    }
+
+    fn directory_question(&self, query: &str) -> (Box<str>, Box<str>) {
+        directory::question(query)
+    }
+
+    fn directory_answer(&self, addresses: &[SocketAddr], ttl: Duration) -> Vec<u8> {
+        directory::answer(addresses, ttl)
+    }
+}
--- /dev/null
+++ b/src/platform/registry.rs
@@ -0,0 +1,49 @@
+//! What back ends say of themselves in the store.
+
+use eyre::{WrapErr, eyre};
+use serde::Deserialize;
+
+use crate::core::gateway::backends::Backend;
+use crate::ops::gateway::dialect::Result;
+
+/// Start of the keys; the rest of a key is the name of the back end's process.
+pub(super) const PREFIX: &str = "servers/";
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct EntryWire {
+    service: Box<str>,
+    address: Box<str>,
+    zone: Box<str>,
+    slots: u32,
+    state: Box<str>,
+    /// Start of the process in milliseconds since 1970.
+    #[serde(default)]
+    born: u64,
+    #[serde(default)]
+    spot: bool,
+}
+
+/// Decodes an entry. Anyone may have written it, so that a wrong one names no back end.
+pub(super) fn decode(id: &str, text: &[u8]) -> Result<Backend> {
+    let wire: EntryWire = serde_json::from_slice(text).wrap_err("reading an entry of a back end")?;
+    let is_leaving = match &*wire.state {
+        "ready" => false,
+        "draining" => true,
+        other => return Err(eyre!("state {other:?} is not known")),
+    };
+    let address = wire
+        .address
+        .parse()
+        .wrap_err_with(|| format!("address {:?} is not an IP number and a port", wire.address))?;
+    Ok(Backend {
+        id: id.into(),
+        service: wire.service,
+        address,
+        zone: wire.zone,
+        slots: wire.slots,
+        is_leaving,
+        started: wire.born,
+        is_spot: wire.spot,
+    })
+}
--- /dev/null
+++ b/src/util/settings/gateway.rs
@@ -0,0 +1,249 @@
+//! Settings of a node that serves as a gateway on the users' platform.
+
+use std::collections::HashMap;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use super::{LOG, LogFormat, LogSettings, NODE, Problem, Problems, Reader, Result, SettingsError};
+use crate::util::schema::{KeySpec, Kind, SectionSpec};
+
+/// Shortest and longest times that settings may name.
+const TIMES: Kind = Kind::Time {
+    min: Duration::from_millis(1),
+    max: Duration::from_secs(3600),
+};
+
+/// Addresses of the gateway and of what it depends on.
+pub const GATEWAY: SectionSpec = SectionSpec {
+    kind: "gateway",
+    is_named: false,
+    keys: &[
+        KeySpec::required("callers", Kind::Address, "address for callers"),
+        KeySpec::required("readiness", Kind::Address, "address for checks of readiness"),
+        KeySpec::required("directory", Kind::Address, "address for questions where to connect"),
+        KeySpec::required("control", Kind::Address, "address for other nodes that fetch state, and for metrics"),
+        KeySpec::required("peers", Kind::Address, "address for datagrams between nodes"),
+        KeySpec::optional("seeds", Kind::Text, "", "control addresses of other nodes, with commas between them"),
+        KeySpec::required("regions", Kind::Text, "availability zones with their regions, as ZONE:REGION with commas between them"),
+        KeySpec::required("store", Kind::Url, "the platform's store"),
+        KeySpec::required("cloud", Kind::Url, "the platform's interface for duties"),
+    ],
+};
+
+/// Promises that operators give and the gateway keeps.
+pub const BOUNDS: SectionSpec = SectionSpec {
+    kind: "bounds",
+    is_named: false,
+    keys: &[
+        KeySpec::optional("drain", TIMES, "2500ms", "time after which a leaving back end gets no call"),
+        KeySpec::optional("stop", TIMES, "8s", "time from SIGTERM to SIGKILL"),
+        KeySpec::optional("retry_ratio", Kind::Text, "0.2", "second sends for each call, over all nodes"),
+        KeySpec::optional("retry_slack", Kind::Number { min: 0, max: 1_000_000 }, "50", "second sends besides, over all nodes"),
+        KeySpec::optional("lease", TIMES, "3s", "shortest time between calls of one duty by A, B and A again"),
+        KeySpec::optional("usage_window", TIMES, "5s", "length of a window of usage"),
+        KeySpec::optional("usage_late", TIMES, "10s", "time after a window within which its usage is reported"),
+        KeySpec::optional("directory_ttl", TIMES, "5s", "longest time for which callers keep an answer"),
+    ],
+};
+
+/// Sections of a gateway's settings.
+pub const GATEWAY_SECTIONS: [&SectionSpec; 4] = [&NODE, &GATEWAY, &BOUNDS, &LOG];
+
+/// Settings of a gateway.
+#[derive(Clone, Debug, PartialEq)]
+pub struct GatewaySettings {
+    /// Name of the node.
+    pub name: Box<str>,
+    /// Its region.
+    pub region: Box<str>,
+    /// Its availability zone.
+    pub zone: Box<str>,
+    /// Addresses.
+    pub listen: GatewayListen,
+    /// Control addresses of other nodes.
+    pub seeds: Vec<SocketAddr>,
+    /// Region of each availability zone.
+    pub regions: HashMap<Box<str>, Box<str>>,
+    /// URL of the platform's store.
+    pub store: Box<str>,
+    /// URL of the platform's interface for duties.
+    pub cloud: Box<str>,
+    /// Promises.
+    pub bounds: GatewayBounds,
+    /// Logs.
+    pub log: LogSettings,
+}
+
+/// Where a gateway listens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct GatewayListen {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For checks of readiness.
+    pub readiness: SocketAddr,
+    /// For questions where to connect.
+    pub directory: SocketAddr,
+    /// For other nodes' requests and for metrics.
+    pub control: SocketAddr,
+    /// For other nodes' datagrams.
+    pub peers: SocketAddr,
+}
+
+/// Promises that operators give.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct GatewayBounds {
+    /// Time after which a leaving back end gets no call.
+    pub drain: Duration,
+    /// Time from SIGTERM to SIGKILL.
+    pub stop: Duration,
+    /// Second sends for each call, over all nodes.
+    pub retry_ratio: f64,
+    /// Second sends besides, over all nodes.
+    pub retry_slack: u32,
+    /// Shortest time between calls of one duty by A, B and A again.
+    pub lease: Duration,
+    /// Length of a window of usage.
+    pub usage_window: Duration,
+    /// Time after a window within which its usage is reported.
+    pub usage_late: Duration,
+    /// Longest time for which callers keep an answer of the directory.
+    pub directory_ttl: Duration,
+}
+
+impl GatewaySettings {
+    /// Opens the settings in a file.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the file cannot be read, and with every mistake of its text.
+    pub fn open(path: impl AsRef<Path>) -> Result<Self> {
+        let path = path.as_ref();
+        let text = fs::read_to_string(path).map_err(|source| SettingsError::Read {
+            path: path.into(),
+            source,
+        })?;
+        Self::parse(&text).map_err(|problems| super::wrong(path, problems))
+    }
+
+    /// Reads and checks the text of settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails with every mistake of the text.
+    pub fn parse(text: &str) -> std::result::Result<Self, Problems> {
+        let mut reader = Reader::new(text, &GATEWAY_SECTIONS);
+        let settings = read(&mut reader);
+        let mut problems: Vec<Problem> = reader.problems;
+        match settings {
+            Some(settings) if problems.is_empty() => Ok(settings),
+            _ => {
+                problems.sort_by_key(|problem| problem.line);
+                Err(Problems(problems))
+            }
+        }
+    }
+}
+
+fn read(reader: &mut Reader) -> Option<GatewaySettings> {
+    let node = reader.read_section(&NODE, |fields| {
+        (fields.name("vm"), fields.name("region"), fields.name("zone"))
+    });
+    let (name, region, zone) = node;
+    let listen = reader.read_section(&GATEWAY, |fields| {
+        Some(GatewayListen {
+            callers: fields.address("callers")?,
+            readiness: fields.address("readiness")?,
+            directory: fields.address("directory")?,
+            control: fields.address("control")?,
+            peers: fields.address("peers")?,
+        })
+    });
+    let texts = reader.read_section(&GATEWAY, |fields| {
+        (
+            fields.text("seeds"),
+            fields.text("regions"),
+            fields.url("store"),
+            fields.url("cloud"),
+        )
+    });
+    let (seeds, regions, store, cloud) = texts;
+    let ratio = reader.read_section(&BOUNDS, |fields| fields.text("retry_ratio"));
+    let bounds = reader.read_section(&BOUNDS, |fields| GatewayBounds {
+        drain: fields.duration("drain"),
+        stop: fields.duration("stop"),
+        retry_ratio: ratio.parse().unwrap_or(f64::NAN),
+        retry_slack: fields.number("retry_slack"),
+        lease: fields.duration("lease"),
+        usage_window: fields.duration("usage_window"),
+        usage_late: fields.duration("usage_late"),
+        directory_ttl: fields.duration("directory_ttl"),
+    });
+    if !(0.0..=1.0).contains(&bounds.retry_ratio) {
+        let what = format!("{ratio:?} is not a part of 1");
+        reader.report("bounds", "retry_ratio", what, "write a number from 0 to 1");
+    }
+    let seeds = read_seeds(reader, &seeds);
+    let regions = read_regions(reader, &regions);
+    let log = reader.read_log();
+    Some(GatewaySettings {
+        name,
+        region,
+        zone,
+        listen: listen?,
+        seeds,
+        regions,
+        store,
+        cloud,
+        bounds,
+        log,
+    })
+}
+
+fn list(text: &str) -> impl Iterator<Item = &str> {
+    text.split(',').map(str::trim).filter(|item| !item.is_empty())
+}
+
+fn read_seeds(reader: &mut Reader, text: &str) -> Vec<SocketAddr> {
+    let mut seeds = Vec::new();
+    for item in list(text) {
+        match item.parse() {
+            Ok(seed) => seeds.push(seed),
+            Err(_) => {
+                let what = format!("{item:?} is not an address");
+                reader.report("gateway", "seeds", what, "write IP:PORT with commas between");
+            }
+        }
+    }
+    seeds
+}
+
+fn read_regions(reader: &mut Reader, text: &str) -> HashMap<Box<str>, Box<str>> {
+    let mut regions = HashMap::new();
+    for item in list(text) {
+        match item.split_once(':') {
+            Some((zone, region)) => {
+                regions.insert(zone.trim().into(), region.trim().into());
+            }
+            None => {
+                let what = format!("{item:?} names no region");
+                reader.report("gateway", "regions", what, "write ZONE:REGION with commas between");
+            }
+        }
+    }
+    regions
+}
+
+impl Reader {
+    /// Reads the section of logs.
+    pub(super) fn read_log(&mut self) -> LogSettings {
+        self.read_section(&LOG, |fields| LogSettings {
+            format: match &*fields.choice("format") {
+                "json" => LogFormat::Json,
+                _ => LogFormat::Text,
+            },
+            filter: fields.text("filter"),
+        })
+    }
+}
--- a/src/util/settings/mod.rs
+++ b/src/util/settings/mod.rs
@@ -1,5 +1,6 @@
 //! Settings of one node: who it is, where it listens and where the platform is.
 
+mod gateway;
 mod schema;
 
 use std::fs;
@@ -16,6 +17,7 @@
 use crate::util::schema::SectionSpec;
 use crate::util::value::Hash;
 
+pub use gateway::{BOUNDS, GATEWAY, GATEWAY_SECTIONS, GatewayBounds, GatewayListen, GatewaySettings};
 pub use schema::{FLEET, LISTEN, LOG, NODE, OPERATORS, PLATFORM, SECTIONS, TLS};
 
 /// Why settings cannot be used.
@@ -162,7 +164,7 @@
     ///
     /// Fails with every mistake of the text.
     pub fn parse(text: &str) -> std::result::Result<Self, Problems> {
-        let mut reader = Reader::new(text);
+        let mut reader = Reader::new(text, &SECTIONS);
         let settings = reader.read();
         reader.check(&settings);
         let mut problems = reader.problems;
@@ -179,7 +181,7 @@
         let Some(tls) = &self.tls else {
             return Problems::default();
         };
-        let mut reader = Reader::new(text);
+        let mut reader = Reader::new(text, &SECTIONS);
         let files = [
             ("certificate", &tls.certificate),
             ("key", &tls.key),
@@ -196,14 +198,16 @@
 }
 
 struct Reader {
+    known: &'static [&'static SectionSpec],
     sections: Vec<IniSection>,
     problems: Vec<Problem>,
 }
 
 impl Reader {
-    fn new(text: &str) -> Self {
+    fn new(text: &str, known: &'static [&'static SectionSpec]) -> Self {
         let (sections, errors) = ini::parse_all(text);
         let mut reader = Self {
+            known,
             sections,
             problems: errors.iter().map(Problem::from).collect(),
         };
@@ -250,13 +254,7 @@
         let fleet = self.read_section(&FLEET, |fields| FleetSettings {
             keeps: fields.yes_no("keep"),
         });
-        let log = self.read_section(&LOG, |fields| LogSettings {
-            format: match &*fields.choice("format") {
-                "json" => LogFormat::Json,
-                _ => LogFormat::Text,
-            },
-            filter: fields.text("filter"),
-        });
+        let log = self.read_log();
         Some(Settings {
             node,
             listen: listen?,
@@ -287,12 +285,12 @@
                 self.problems.push(Problem::above_headings(entry));
                 continue;
             }
-            let is_known = SECTIONS.iter().any(|spec| spec.kind == &*section.kind);
+            let is_known = self.known.iter().any(|spec| spec.kind == &*section.kind);
             let first = self.sections[..index]
                 .iter()
                 .find(|earlier| earlier.kind == section.kind);
             let (what, remedy) = match (is_known, first) {
-                (false, _) => ("is not a known section".into(), known_headings()),
+                (false, _) => ("is not a known section".into(), known_headings(self.known)),
                 (true, Some(first)) => (
                     format!("is there already in line {}", first.line),
                     "merge the two".into(),
@@ -338,8 +336,8 @@
     }
 }
 
-fn known_headings() -> String {
-    let known: Vec<_> = SECTIONS
+fn known_headings(known: &[&SectionSpec]) -> String {
+    let known: Vec<_> = known
         .iter()
         .map(|spec| format!("[{}]", spec.kind))
         .collect();
--- a/src/util/time.rs
+++ b/src/util/time.rs
@@ -27,3 +27,10 @@
         .and_then(|time| time.format(format).ok())
         .unwrap_or_else(|| format!("{millis} ms after 1970"))
 }
+
+/// Reads the steady clock that goes on while the VM is suspended.
+pub fn since_boot() -> crate::core::time::Moment {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    let nanos = u32::try_from(time.tv_nsec).unwrap_or(0);
+    crate::core::time::Moment::new(u64::try_from(time.tv_sec).unwrap_or(0), nanos)
+}
