Follow other nodes in place of the store, and order engines only where reclaimable ones are scarce

Change: two nodes of a zone watch, the others fetch what changed from them; incarnations are random; engines that are not reclaimable are ordered only after the cloud had no reclaimable ones.

--- a/src/core/gateway/scaling.rs
+++ b/src/core/gateway/scaling.rs
@@ -13,14 +13,18 @@
 
 /// Time over which the highest need counts.
 const NEED_WINDOW: Duration = Duration::from_secs(12);
-/// Part of its time for which a back end is to be busy at most.
-const TARGET_BUSY: f64 = 0.45;
+/// Part of its time for which a reclaimable back end is to be busy at most.
+const SPOT_BUSY: f64 = 0.5;
+/// Part of its time for which any back end is to be busy while reclaimable ones cannot be had.
+const SCARCE_BUSY: f64 = 0.75;
+/// Time after the cloud had no reclaimable back ends for which they count as scarce.
+const SCARCE_FOR: Duration = Duration::from_secs(3);
 /// Time between two orders of the same number, in case the first was lost.
 const REPEAT_ORDER: Duration = Duration::from_secs(2);
 /// Time between two orders after the cloud had none.
 const REPEAT_REFUSED: Duration = Duration::from_millis(1200);
 /// Time that enough back ends have to be there before surplus ones are given back.
-const RELEASE_AFTER: Duration = Duration::from_secs(3);
+const RELEASE_AFTER: Duration = Duration::from_millis(800);
 
 /// Back ends and work of one availability zone.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -70,18 +74,29 @@
         if zones.is_empty() {
             return Vec::new();
         }
-        let need = self.need(zones, now);
+        let busy = zones.values().map(|zone| zone.work_ms_per_s).sum::<f64>() / 1000.0;
+        let peak = self.peak(busy, now);
         let has_spot = rules.spot_price.is_some();
         let count = zones.len() as u32;
-        let base = if has_spot { rules.max.div_ceil(2) } else { rules.min.max(1) };
+        let base = match has_spot {
+            true => rules.max.div_ceil(2),
+            false => rules.min.max(1),
+        };
         // One zone's loss leaves the others with enough.
         let others = f64::from(count.saturating_sub(1).max(1));
-        let spot_each = base.max((need / others).ceil() as u32).clamp(rules.min, rules.max);
+        let spot_each = base
+            .max((peak / SPOT_BUSY / others).ceil() as u32)
+            .clamp(rules.min, rules.max);
         let spot_there: u32 = zones.values().map(|zone| zone.spot).sum();
-        let wanted_now = (need.ceil() as u32).max(count * rules.min.max(1));
-        let covered = has_spot && spot_there >= wanted_now.max(count * base / 2);
+        let needed = ((busy / SCARCE_BUSY).ceil() as u32).max(count * rules.min.max(1));
+        let is_scarce = !has_spot || self.is_scarce(now);
+        let covered = has_spot && spot_there >= needed;
         self.note_cover(covered, now);
-        let regular_each = self.regular_each(rules, zones, wanted_now, spot_there, has_spot, now);
+        let regular_each = match (covered, is_scarce) {
+            (true, _) => self.release(zones, now),
+            (false, true) => add(rules, zones, needed - spot_there),
+            (false, false) => BTreeMap::new(),
+        };
         let mut orders = Vec::new();
         for (zone, state) in zones {
             if has_spot {
@@ -115,10 +130,9 @@
         sent.refused = !taken;
     }
 
-    /// Returns the back ends that all work needs, as the highest of the last seconds.
-    fn need(&mut self, zones: &BTreeMap<Box<str>, ZoneState>, now: Moment) -> f64 {
-        let work: f64 = zones.values().map(|zone| zone.work_ms_per_s).sum();
-        self.needs.push_back((now, work / 1000.0 / TARGET_BUSY));
+    /// Returns the most work of the last seconds, as back ends that are busy all the time.
+    fn peak(&mut self, busy: f64, now: Moment) -> f64 {
+        self.needs.push_back((now, busy));
         while self
             .needs
             .front()
@@ -126,7 +140,14 @@
         {
             self.needs.pop_front();
         }
-        self.needs.iter().map(|(_, need)| *need).fold(0.0, f64::max)
+        self.needs.iter().map(|(_, busy)| *busy).fold(0.0, f64::max)
+    }
+
+    /// Returns whether the cloud had no reclaimable back ends of late.
+    fn is_scarce(&self, now: Moment) -> bool {
+        self.sent.iter().any(|((_, spot), sent)| {
+            *spot && sent.refused && now.saturating_sub(sent.at) <= SCARCE_FOR
+        })
     }
 
     fn note_cover(&mut self, covered: bool, now: Moment) {
@@ -136,31 +157,19 @@
         };
     }
 
-    /// Returns the back ends beside the reclaimable ones that each zone is to have. Zones that are not
-    /// named keep what they have.
-    fn regular_each(
+    /// Gives back all but reclaimable back ends once those have been enough for a while.
+    fn release(
         &self,
-        rules: &ScalingRules,
         zones: &BTreeMap<Box<str>, ZoneState>,
-        wanted: u32,
-        spot_there: u32,
-        has_spot: bool,
         now: Moment,
     ) -> BTreeMap<Box<str>, u32> {
-        let zone_count = zones.len() as u32;
         let wait_over = self
             .enough_since
             .is_some_and(|since| now.saturating_sub(since) >= RELEASE_AFTER);
-        if has_spot && wait_over {
-            return zones.keys().map(|zone| (zone.clone(), 0)).collect();
+        match wait_over {
+            true => zones.keys().map(|zone| (zone.clone(), 0)).collect(),
+            false => BTreeMap::new(),
         }
-        let missing = wanted.saturating_sub(spot_there);
-        let each = missing.div_ceil(zone_count).min(rules.max);
-        zones
-            .iter()
-            .filter(|(_, state)| state.regular < each)
-            .map(|(zone, _)| (zone.clone(), each))
-            .collect()
     }
 
     /// Adds an order unless the same one is under way: one is sent again where the cloud had none, and
@@ -178,3 +187,26 @@
         }
     }
 }
+
+/// Returns the numbers of back ends that are not reclaimable, so that there are `missing` in all: in the
+/// cheapest availability zones first, half of them at most in one.
+fn add(
+    rules: &ScalingRules,
+    zones: &BTreeMap<Box<str>, ZoneState>,
+    missing: u32,
+) -> BTreeMap<Box<str>, u32> {
+    let price = |zone: &str| rules.zone_prices.get(zone).copied().unwrap_or(1.0);
+    let mut by_price: Vec<&Box<str>> = zones.keys().collect();
+    by_price.sort_by(|a, b| price(a).total_cmp(&price(b)));
+    let most = missing.div_ceil(2).min(rules.max);
+    let mut left = missing;
+    let mut wanted = BTreeMap::new();
+    for zone in by_price {
+        let here = left.min(most);
+        left -= here;
+        if here > zones[zone].regular {
+            wanted.insert(zone.clone(), here);
+        }
+    }
+    wanted
+}
--- a/src/node/gateway.rs
+++ b/src/node/gateway.rs
@@ -99,7 +99,7 @@
                 Arc::clone(&registration),
                 platform.duties,
             );
-            tokio::spawn(follow_store::run(Arc::clone(&board), platform.store));
+            tokio::spawn(follow_store::run(Arc::clone(&board), platform.store, peers.clone()));
             tokio::spawn(Arc::clone(&registration).run());
             tokio::spawn(Arc::clone(&mesh).send());
             tokio::spawn(Arc::clone(&mesh).receive());
--- a/src/ops/gateway/board.rs
+++ b/src/ops/gateway/board.rs
@@ -58,6 +58,8 @@
     pub clock: Mutex<ClockMedian>,
     /// What the store holds.
     pub view: Mutex<View>,
+    /// Revision of the store up to which the view is complete.
+    pub revision: watch::Sender<u64>,
     /// Phase of the process.
     pub phase: watch::Sender<Phase>,
     /// Calls that are being served.
@@ -134,7 +136,7 @@
         Arc::new(Self {
             settings,
             dialect,
-            incarnation: unix_now().max(1),
+            incarnation: rand::random::<u64>().max(1),
             table: RwLock::new(None),
             backends: Mutex::default(),
             members: Mutex::default(),
@@ -144,6 +146,7 @@
             work: Mutex::default(),
             clock: Mutex::default(),
             view: Mutex::default(),
+            revision: watch::Sender::new(0),
             phase: watch::Sender::new(Phase::Starting),
             active: AtomicU64::new(0),
             regions,
@@ -218,6 +221,16 @@
             .collect()
     }
 
+    /// Notes that the view is complete up to a revision.
+    pub fn set_revision(&self, revision: u64) {
+        {
+            let mut view = self.view.lock();
+            view.revision = view.revision.max(revision);
+        }
+        self.revision
+            .send_if_modified(|known| std::mem::replace(known, revision.max(*known)) < revision);
+    }
+
     /// Returns the number of nodes that take callers, as far as is known.
     pub fn node_count(&self) -> usize {
         self.members.lock().count()
--- a/src/ops/gateway/follow_store.rs
+++ b/src/ops/gateway/follow_store.rs
@@ -1,4 +1,7 @@
 //! Follows the platform's store by one watch over all its keys.
+//!
+//! A few nodes of each availability zone do so; the others follow one of these (see [`relay`]), so that
+//! the store's load grows with the zones and not with the nodes.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,6 +10,8 @@
 
 use super::board::Board;
 use super::install::{self, Source};
+use super::relay;
+use super::view::Deletion;
 use crate::sources::store::{
     KeyRange, RangeRequest, Result, Store, StoreError, WatchEvent, WatchRequest,
 };
@@ -19,10 +24,13 @@
 const DOUBT_AFTER_OUTAGE: Duration = Duration::from_millis(2500);
 
 /// Follows the store until the task is dropped.
-pub async fn run(board: Arc<Board>, store: Arc<dyn Store>) {
+pub async fn run(board: Arc<Board>, store: Arc<dyn Store>, client: reqwest::Client) {
     let mut pause = FIRST_PAUSE;
     let mut has_contact = false;
     loop {
+        if has_contact {
+            relay::follow_while_possible(&board, &client).await;
+        }
         match follow(&board, &store, &mut has_contact).await {
             Ok(()) => pause = FIRST_PAUSE,
             Err(e) => {
@@ -63,7 +71,11 @@
                     doubt_until = Some(now + DOUBT_AFTER_OUTAGE);
                 }
                 note_contact(board, has_contact);
+                let is_progress = matches!(event, WatchEvent::Started { .. });
                 take(board, event, doubt_until.is_some_and(|until| now < until));
+                if is_progress && relay::is_follower(board) {
+                    return Ok(());
+                }
             }
             Err(StoreError::Compacted { .. }) => {
                 tracing::info!(revision = from, "the store's history is gone; listing anew");
@@ -96,11 +108,13 @@
     match event {
         WatchEvent::Put(item) => install::put(board, &item, Source::Store),
         WatchEvent::Deleted { key, revision } => {
-            install::delete(board, &key, revision, after_outage);
-        }
-        WatchEvent::Started { revision } => {
-            let mut view = board.view.lock();
-            view.revision = view.revision.max(revision);
+            let deletion = Deletion {
+                key,
+                revision,
+                is_doubtful: after_outage,
+            };
+            install::delete(board, deletion);
         }
+        WatchEvent::Started { revision } => board.set_revision(revision),
     }
 }
--- a/src/ops/gateway/install.rs
+++ b/src/ops/gateway/install.rs
@@ -5,6 +5,7 @@
 use super::board::{Board, Phase};
 use super::keys;
 use super::node_wire;
+use super::view::Deletion;
 use crate::core::gateway::backends::Standing;
 use crate::core::time::Moment;
 use crate::sources::store::{KeyValue, Revision};
@@ -46,11 +47,11 @@
     }
 }
 
-/// Takes a deletion. `after_outage` says that the store was away, so that living back ends may have
-/// lapsed.
-pub fn delete(board: &Board, key: &str, revision: Revision, after_outage: bool) {
-    if board.view.lock().delete(key, revision) {
-        forget(board, key, after_outage);
+/// Takes a deletion.
+pub fn delete(board: &Board, deletion: Deletion) {
+    let (key, is_doubtful) = (deletion.key.clone(), deletion.is_doubtful);
+    if board.view.lock().delete(deletion) {
+        forget(board, &key, is_doubtful);
     }
 }
 
@@ -69,10 +70,15 @@
     };
     for key in missing {
         // A list does not tell when an entry went; it may have lapsed while the store was away.
-        delete(board, &key, revision + 1, true);
+        let deletion = Deletion {
+            key,
+            revision: revision + 1,
+            is_doubtful: true,
+        };
+        delete(board, deletion);
     }
-    let mut view = board.view.lock();
-    view.revision = view.revision.max(revision);
+    board.view.lock().forget_deletions(revision);
+    board.set_revision(revision);
 }
 
 /// Returns whether the store was away for so long that entries may have lapsed.
--- a/src/ops/gateway/listen.rs
+++ b/src/ops/gateway/listen.rs
@@ -149,7 +149,10 @@
         }),
         Purpose::Directory(board) => directory(&board, req.uri().query().unwrap_or_default()),
         Purpose::Control(board, metrics) => match req.uri().path() {
-            snapshot::PATH => with_body("application/octet-stream", snapshot::encode(&board)),
+            snapshot::PATH => {
+                let query = req.uri().query().unwrap_or_default();
+                with_body("application/octet-stream", snapshot::answer(&board, query).await)
+            }
             "/metrics" => with_body("text/plain; version=0.0.4", metrics.render()),
             _ => status(StatusCode::NOT_FOUND),
         },
--- a/src/ops/gateway/mod.rs
+++ b/src/ops/gateway/mod.rs
@@ -1,7 +1,7 @@
 //! The gateway: forwards calls by host and path to the back ends that the platform's registry names.
 //!
 //! - [`listen`], [`forward`], [`stream`], [`attempt`], [`pool`]: the way of a call;
-//! - [`follow_store`], [`register`], [`mesh`], [`snapshot`], [`install`]: what a node knows and tells;
+//! - [`follow_store`], [`register`], [`mesh`], [`snapshot`], [`relay`], [`install`]: what a node knows and tells;
 //! - [`duties`]: what one node at a time does for all;
 //! - [`board`]: what all of these read and write;
 //! - [`dialect`]: what the adapter of a platform provides.
@@ -22,6 +22,7 @@
 pub mod record;
 pub mod refusal;
 pub mod register;
+pub mod relay;
 pub mod snapshot;
 pub mod stream;
 pub mod view;
--- a/src/ops/gateway/view.rs
+++ b/src/ops/gateway/view.rs
@@ -1,6 +1,6 @@
 //! What the store holds, as this node last heard of it, from the store itself or from another node.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 
 use bytes::Bytes;
 
@@ -18,6 +18,20 @@
     pub value: Bytes,
 }
 
+/// A key that was deleted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Deletion {
+    /// The key.
+    pub key: Key,
+    /// Revision of the deletion.
+    pub revision: Revision,
+    /// Whether the key may have lapsed only because the store was away.
+    pub is_doubtful: bool,
+}
+
+/// Deletions that are remembered for nodes that ask what changed.
+const MAX_DELETIONS: usize = 2000;
+
 /// Keys of the store with their values.
 #[derive(Debug, Default)]
 pub struct View {
@@ -26,6 +40,17 @@
     /// When the store itself last answered.
     pub contact: Option<Moment>,
     items: HashMap<Key, Versioned>,
+    deletions: VecDeque<Deletion>,
+    forgotten: Revision,
+}
+
+/// What changed behind a revision.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Changes {
+    /// Values written since.
+    pub items: Vec<(Key, Versioned)>,
+    /// Keys deleted since; `None` if not all are remembered, so that `items` is everything.
+    pub deletions: Option<Vec<Deletion>>,
 }
 
 impl View {
@@ -45,17 +70,44 @@
     }
 
     /// Takes a deletion unless a newer value is known. Returns whether it was taken.
-    pub fn delete(&mut self, key: &str, revision: Revision) -> bool {
+    pub fn delete(&mut self, deletion: Deletion) -> bool {
         let is_newer = self
             .items
-            .get(key)
-            .is_some_and(|known| known.revision < revision);
+            .get(&deletion.key)
+            .is_some_and(|known| known.revision < deletion.revision);
         if is_newer {
-            self.items.remove(key);
+            self.items.remove(&deletion.key);
+            self.deletions.push_back(deletion);
+            if self.deletions.len() > MAX_DELETIONS {
+                let oldest = self.deletions.pop_front();
+                self.forgotten = oldest.map_or(0, |oldest| oldest.revision);
+            }
         }
         is_newer
     }
 
+    /// Notes that deletions up to a revision are not known one by one, as after a list.
+    pub fn forget_deletions(&mut self, revision: Revision) {
+        self.deletions.clear();
+        self.forgotten = self.forgotten.max(revision);
+    }
+
+    /// Returns what changed behind a revision.
+    pub fn since(&self, after: Revision) -> Changes {
+        let knows_all = after >= self.forgotten;
+        let items = self
+            .items
+            .iter()
+            .filter(|(_, item)| !knows_all || item.revision > after)
+            .map(|(key, item)| (key.clone(), item.clone()))
+            .collect();
+        let deletions = knows_all.then(|| {
+            let newer = self.deletions.iter().filter(|d| d.revision > after);
+            newer.cloned().collect()
+        });
+        Changes { items, deletions }
+    }
+
     /// Returns a value.
     pub fn get(&self, key: &str) -> Option<&Versioned> {
         self.items.get(key)
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -23,6 +23,8 @@
 /// Time for which the store holds a watch without events. It bounds how long a connection that fell
 /// silent goes unnoticed.
 const WATCH_WAIT: Duration = Duration::from_millis(2000);
+/// Time between two polls of a watch: changes that come together are fetched by one call.
+const POLL_GAP: Duration = Duration::from_millis(120);
 /// Time that a watch's answer may take beyond [`WATCH_WAIT`].
 const WATCH_SLACK: Duration = Duration::from_millis(700);
 /// Time to wait where the store's rate is used up.
@@ -363,10 +365,14 @@
     url: String,
     prefix: Box<str>,
     after: Revision,
+    has_events: bool,
 }
 
 impl Watch {
     async fn poll(&mut self) -> Result<Vec<WatchEvent>> {
+        if self.has_events {
+            tokio::time::sleep(POLL_GAP).await;
+        }
         let wait_ms = WATCH_WAIT.as_millis().to_string();
         let after = self.after.to_string();
         let req = self
@@ -376,6 +382,7 @@
             .timeout(WATCH_WAIT + WATCH_SLACK);
         let page: EventsWire = read(checked(send(req).await?)?).await?;
         self.after = self.after.max(page.as_of);
+        self.has_events = !page.events.is_empty();
         let mut events = Vec::with_capacity(page.events.len() + 1);
         for item in page.events {
             events.push(if item.deleted {
@@ -452,6 +459,7 @@
                 url: format!("{}/kv-watch", self.base),
                 prefix: req.range.start().into(),
                 after: req.from.map_or(0, |from| from.saturating_sub(1)),
+                has_events: false,
             };
             let polls = futures::stream::unfold(Some(watch), |watch| async move {
                 let mut watch = watch?;
