--- a/src/core/gateway/backends.rs
+++ b/src/core/gateway/backends.rs
@@ -188,7 +188,8 @@
         ids.push(backend.id.clone());
         ids.sort_unstable();
         let id = backend.id.clone();
-        self.entries.insert(id, Entry::new(Arc::new(backend), hold_ms));
+        self.entries
+            .insert(id, Entry::new(Arc::new(backend), hold_ms));
         true
     }
 
@@ -240,12 +241,7 @@
     }
 
     /// Puts a call at a back end.
-    pub fn begin(
-        &mut self,
-        place: &CallPlace,
-        parts: &[super::cache::Part],
-        cache_tokens: u64,
-    ) {
+    pub fn begin(&mut self, place: &CallPlace, parts: &[super::cache::Part], cache_tokens: u64) {
         let Some(entry) = self.same_process(&place.backend) else {
             return;
         };
--- a/src/core/gateway/placement.rs
+++ b/src/core/gateway/placement.rs
@@ -227,7 +227,10 @@
 /// Returns the tokens of all parts but the last, which belongs to the call alone.
 fn shared_tokens(parts: &[Part]) -> f64 {
     let shared = parts.len().saturating_sub(1);
-    parts[..shared].iter().map(|part| f64::from(part.tokens)).sum()
+    parts[..shared]
+        .iter()
+        .map(|part| f64::from(part.tokens))
+        .sum()
 }
 
 /// Returns how much of a call's memory is missing at an engine, as a part of what it needs.
--- a/src/core/gateway/quota.rs
+++ b/src/core/gateway/quota.rs
@@ -105,7 +105,9 @@
         self.heard = Some(now);
         self.forget_node(node);
         for (customer, per_second) in demand {
-            self.customer(customer).peers.insert(node.into(), *per_second);
+            self.customer(customer)
+                .peers
+                .insert(node.into(), *per_second);
         }
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,7 +17,7 @@
 pub mod node;
 pub mod operators;
 pub mod ops;
-pub mod platform;
 pub mod peers;
+pub mod platform;
 pub mod sources;
 pub mod util;
--- a/src/node/gateway.rs
+++ b/src/node/gateway.rs
@@ -74,7 +74,10 @@
             (at.callers, Purpose::Calls(Arc::clone(&cx))),
             (at.readiness, Purpose::Readiness(Arc::clone(&board))),
             (at.directory, Purpose::Directory(Arc::clone(&board))),
-            (at.control, Purpose::Control(Arc::clone(&board), metrics.clone())),
+            (
+                at.control,
+                Purpose::Control(Arc::clone(&board), metrics.clone()),
+            ),
         ];
         for (address, purpose) in purposes {
             let listener = listen::bind(address)
@@ -99,7 +102,11 @@
                 Arc::clone(&registration),
                 platform.duties,
             );
-            tokio::spawn(follow_store::run(Arc::clone(&board), platform.store, peers.clone()));
+            tokio::spawn(follow_store::run(
+                Arc::clone(&board),
+                platform.store,
+                peers.clone(),
+            ));
             tokio::spawn(Arc::clone(&registration).run());
             tokio::spawn(Arc::clone(&mesh).send());
             tokio::spawn(Arc::clone(&mesh).receive());
--- a/src/ops/gateway/board.rs
+++ b/src/ops/gateway/board.rs
@@ -125,7 +125,11 @@
 
 impl Regions for RegionMap {
     fn is_same_region(&self, a: &str, b: &str) -> bool {
-        a == b || self.0.get(a).is_some_and(|region| self.0.get(b) == Some(region))
+        a == b
+            || self
+                .0
+                .get(a)
+                .is_some_and(|region| self.0.get(b) == Some(region))
     }
 }
 
--- a/src/ops/gateway/call.rs
+++ b/src/ops/gateway/call.rs
@@ -62,10 +62,9 @@
     /// Fails with the reason why it is not served; it has not run.
     pub async fn read(board: &Board, req: Request<Incoming>) -> Result<Self, Refusal> {
         let received = Instant::now();
-        let table = board.table().ok_or(Refusal::come_back(
-            Cause::NoConfiguration,
-            STARTING_RETURN,
-        ))?;
+        let table = board
+            .table()
+            .ok_or(Refusal::come_back(Cause::NoConfiguration, STARTING_RETURN))?;
         let head = board.dialect.call_head(req.headers());
         let route = find_route(&table, &req)?;
         let customer = find_customer(&table, &route, &head)?;
@@ -148,9 +147,10 @@
                 self.quota_units = units;
                 Ok(())
             }
-            QuotaDecision::Over(after) => {
-                Err(Refusal::come_back(Cause::OverQuota, after.min(self.left() / 3)))
-            }
+            QuotaDecision::Over(after) => Err(Refusal::come_back(
+                Cause::OverQuota,
+                after.min(self.left() / 3),
+            )),
         }
     }
 }
--- a/src/ops/gateway/duties.rs
+++ b/src/ops/gateway/duties.rs
@@ -188,7 +188,13 @@
                 .duties
                 .report_usage(holder, window, counts.clone())
                 .await;
-            tracing::info!(window, fence = tenure.fence, ?reply, calls = counts.values().sum::<u32>(), "usage reported");
+            tracing::info!(
+                window,
+                fence = tenure.fence,
+                ?reply,
+                calls = counts.values().sum::<u32>(),
+                "usage reported"
+            );
             if reply != DutyReply::Taken {
                 return Ok(());
             }
@@ -219,7 +225,13 @@
         }
         let found = match reply.found().and_then(|found| found.first()) {
             Some(found) => found.clone(),
-            None => match self.store.range(RangeRequest::one(&key)).await?.entries.pop() {
+            None => match self
+                .store
+                .range(RangeRequest::one(&key))
+                .await?
+                .entries
+                .pop()
+            {
                 Some(found) => found,
                 None => return Ok(None),
             },
--- a/src/ops/gateway/follow_store.rs
+++ b/src/ops/gateway/follow_store.rs
@@ -100,7 +100,11 @@
     view.contact = Some(board.now());
     if !*has_contact {
         *has_contact = true;
-        tracing::info!(dependency = "store", revision = view.revision, "dependency reached");
+        tracing::info!(
+            dependency = "store",
+            revision = view.revision,
+            "dependency reached"
+        );
     }
 }
 
--- a/src/ops/gateway/forward.rs
+++ b/src/ops/gateway/forward.rs
@@ -92,9 +92,8 @@
 async fn run(cx: Arc<GatewayContext>, call: Call, active: Active) -> Response<Body> {
     let mut progress = Progress::default();
     let timeout = tokio::time::timeout_at(call.deadline, answer(&cx, &call, &mut progress)).await;
-    let result = timeout.unwrap_or_else(|_| {
-        Err(Refusal::with_verdict(Cause::TimedOut, Verdict::NotRun))
-    });
+    let result =
+        timeout.unwrap_or_else(|_| Err(Refusal::with_verdict(Cause::TimedOut, Verdict::NotRun)));
     match result {
         Ok(Whole::Unary(res)) => {
             record::ended(&cx.board, &call, &progress, Ended::Answered(res.status()));
@@ -116,10 +115,7 @@
 /// Returns to the customer's limit what a call took that has not run.
 fn give_back(cx: &GatewayContext, call: &Call) {
     if let Some(customer) = call.customer_name() {
-        cx.board
-            .quotas
-            .lock()
-            .give_back(customer, call.quota_units);
+        cx.board.quotas.lock().give_back(customer, call.quota_units);
     }
 }
 
@@ -197,7 +193,11 @@
         false => USEFUL_WAIT_AGAIN,
     };
     let (prompt_tokens, answer_tokens) = call.head.tokens.unwrap_or_default();
-    let answer_tokens = call.head.length_hint.unwrap_or(answer_tokens).min(answer_tokens);
+    let answer_tokens = call
+        .head
+        .length_hint
+        .unwrap_or(answer_tokens)
+        .min(answer_tokens);
     let ask = Ask {
         service: &call.service.name,
         engine: call.service.engine,
@@ -205,13 +205,23 @@
         prompt_tokens,
         answer_tokens,
         rank: call.rank(),
-        max_wait: call.route.target_latency.mul_f64(factor).min(call.left() / 2),
+        max_wait: call
+            .route
+            .target_latency
+            .mul_f64(factor)
+            .min(call.left() / 2),
         zone: &board.settings.zone,
         tried: &progress.tried,
     };
     let placement = {
         let backends = board.backends.lock();
-        placement::place(&backends, board.regions(), &ask, board.now(), &mut rand::random::<f64>)
+        placement::place(
+            &backends,
+            board.regions(),
+            &ask,
+            board.now(),
+            &mut rand::random::<f64>,
+        )
     };
     match placement {
         Placement::Send {
@@ -260,11 +270,9 @@
     let bounds = &board.settings.bounds;
     let nodes = board.node_count();
     let mut retries = board.retries.lock();
-    let budget = retries
-        .entry(call.service.name.clone())
-        .or_insert_with(|| {
-            RetryBudget::new(bounds.retry_ratio, f64::from(bounds.retry_slack), nodes)
-        });
+    let budget = retries.entry(call.service.name.clone()).or_insert_with(|| {
+        RetryBudget::new(bounds.retry_ratio, f64::from(bounds.retry_slack), nodes)
+    });
     f(budget)
 }
 
@@ -282,9 +290,8 @@
         return Next::PassOn(Whole::Stream(Box::new(answer)));
     }
     let failed = answer.status.is_server_error();
-    let again = failed
-        && call.route.kind == RouteKind::Idempotent
-        && may_send_again(cx, call, progress);
+    let again =
+        failed && call.route.kind == RouteKind::Idempotent && may_send_again(cx, call, progress);
     match read_whole(cx, answer).await {
         Ok(_) if again => Next::TryAnother,
         Ok(res) => Next::PassOn(Whole::Unary(res)),
@@ -329,6 +336,9 @@
     if may_repeat && may_send_again(cx, call, progress) {
         return Next::TryAnother;
     }
+    if call.left().is_zero() {
+        return Next::GiveUp(Refusal::with_verdict(Cause::TimedOut, e.verdict()));
+    }
     Next::GiveUp(match e.verdict() {
         Verdict::NotRun => Refusal::come_back(Cause::NoBackend, call.route.target_latency / 2),
         verdict => Refusal::with_verdict(Cause::AnswerLost, verdict),
--- a/src/ops/gateway/install.rs
+++ b/src/ops/gateway/install.rs
@@ -39,7 +39,12 @@
     } else if let Some(name) = key.strip_prefix(keys::NODES) {
         match node_wire::decode(&item.value) {
             Ok(member) => {
-                tracing::info!(node = name, revision = item.mod_revision, ready = member.is_ready, "node listed");
+                tracing::info!(
+                    node = name,
+                    revision = item.mod_revision,
+                    ready = member.is_ready,
+                    "node listed"
+                );
                 board.members.lock().put(member);
             }
             Err(e) => tracing::warn!(node = name, error = %e, "entry of a node cannot be read"),
@@ -111,10 +116,18 @@
 
 fn forget(board: &Board, key: &str, after_outage: bool) {
     if let Some(id) = key.strip_prefix(board.dialect.backend_prefix()) {
-        let grace = if after_outage { RETURN_GRACE } else { Duration::ZERO };
+        let grace = if after_outage {
+            RETURN_GRACE
+        } else {
+            Duration::ZERO
+        };
         let gone_at = board.now() + grace;
         board.backends.lock().unlist(id, gone_at);
-        tracing::info!(backend = id, grace_ms = grace.as_millis() as u64, "back end no longer listed");
+        tracing::info!(
+            backend = id,
+            grace_ms = grace.as_millis() as u64,
+            "back end no longer listed"
+        );
     }
 }
 
@@ -135,7 +148,13 @@
     }
     *current = Some(std::sync::Arc::new(table));
     drop(current);
-    tracing::info!(version, before, revision = item.mod_revision, ?source, "configuration in force");
+    tracing::info!(
+        version,
+        before,
+        revision = item.mod_revision,
+        ?source,
+        "configuration in force"
+    );
     board
         .phase
         .send_if_modified(|phase| std::mem::replace(phase, started(*phase)) == Phase::Starting);
--- a/src/ops/gateway/listen.rs
+++ b/src/ops/gateway/listen.rs
@@ -134,7 +134,9 @@
         Purpose::Calls(cx) => cx
             .board
             .table()
-            .map_or(DEFAULT_IDLE, |table| table.limits.idle_timeout * IDLE_FACTOR)
+            .map_or(DEFAULT_IDLE, |table| {
+                table.limits.idle_timeout * IDLE_FACTOR
+            })
             .max(DEFAULT_IDLE),
         _ => DEFAULT_IDLE,
     }
@@ -151,7 +153,10 @@
         Purpose::Control(board, metrics) => match req.uri().path() {
             snapshot::PATH => {
                 let query = req.uri().query().unwrap_or_default();
-                with_body("application/octet-stream", snapshot::answer(&board, query).await)
+                with_body(
+                    "application/octet-stream",
+                    snapshot::answer(&board, query).await,
+                )
             }
             "/metrics" => with_body("text/plain; version=0.0.4", metrics.render()),
             _ => status(StatusCode::NOT_FOUND),
@@ -174,7 +179,10 @@
         return status(StatusCode::SERVICE_UNAVAILABLE);
     }
     let ttl = DIRECTORY_TTL.min(board.settings.bounds.directory_ttl);
-    with_body("application/json", board.dialect.directory_answer(&addresses, ttl))
+    with_body(
+        "application/json",
+        board.dialect.directory_answer(&addresses, ttl),
+    )
 }
 
 fn status(status: StatusCode) -> Response<Body> {
--- a/src/ops/gateway/mesh.rs
+++ b/src/ops/gateway/mesh.rs
@@ -210,7 +210,10 @@
             .filter(|member| member.name != settings.name)
             .cloned()
             .collect();
-        let in_region = others.iter().filter(|m| m.region == settings.region).count();
+        let in_region = others
+            .iter()
+            .filter(|m| m.region == settings.region)
+            .count();
         let far = others.len() - in_region;
         let region_interval = REGION_INTERVAL.max(interval_for(in_region));
         let far_interval = FAR_INTERVAL.max(interval_for(far));
@@ -232,7 +235,11 @@
                 continue;
             }
             last.insert(member.peers, now);
-            let text = if is_near { &mut near_text } else { &mut far_text };
+            let text = if is_near {
+                &mut near_text
+            } else {
+                &mut far_text
+            };
             let text = text.get_or_insert_with(|| self.report(is_near).encode_to_vec());
             if let Err(e) = self.socket.send_to(text, member.peers).await {
                 tracing::debug!(node = &*member.name, error = %e, "message to a node not sent");
@@ -281,7 +288,13 @@
             usage: counts.collect(),
             work: rates(board.work.lock().own(now)),
             loads: match with_loads {
-                true => board.backends.lock().own_loads().iter().map(Into::into).collect(),
+                true => board
+                    .backends
+                    .lock()
+                    .own_loads()
+                    .iter()
+                    .map(Into::into)
+                    .collect(),
                 false => Vec::new(),
             },
             has_loads: with_loads,
@@ -298,7 +311,10 @@
             .members
             .lock()
             .heard(&report.node, report.incarnation, report.ready, now);
-        board.clock.lock().note(report.incarnation, report.wall_ms, now);
+        board
+            .clock
+            .lock()
+            .note(report.incarnation, report.wall_ms, now);
         let demand: Vec<_> = named(&report.demand);
         board.quotas.lock().heard(&report.node, &demand, now);
         board
--- a/src/ops/gateway/pool.rs
+++ b/src/ops/gateway/pool.rs
@@ -125,7 +125,9 @@
     pub fn close_old(&self) {
         let now = Instant::now();
         self.idle.lock().retain(|_, list| {
-            list.retain(|idle| now - idle.since < idle.limit && !idle.connection.sender.is_closed());
+            list.retain(|idle| {
+                now - idle.since < idle.limit && !idle.connection.sender.is_closed()
+            });
             !list.is_empty()
         });
     }
@@ -135,7 +137,11 @@
         let mut idle = self.idle.lock();
         let list = idle.get_mut(&address)?;
         while let Some(last) = list.pop() {
-            let limit = if once { last.limit.min(IDLE_FOR_ONCE) } else { last.limit };
+            let limit = if once {
+                last.limit.min(IDLE_FOR_ONCE)
+            } else {
+                last.limit
+            };
             if now - last.since < limit && last.connection.sender.is_ready() {
                 return Some(last.connection);
             }
@@ -151,10 +157,7 @@
     /// # Errors
     ///
     /// Fails with [`SendError::Lost`] where no answer comes.
-    pub async fn send(
-        &mut self,
-        req: Request<Full<Bytes>>,
-    ) -> Result<hyper::Response<Incoming>> {
+    pub async fn send(&mut self, req: Request<Full<Bytes>>) -> Result<hyper::Response<Incoming>> {
         let address = self.address;
         self.sender.try_send_request(req).await.map_err(|mut e| {
             let unsent = e.take_message().is_some();
--- a/src/ops/gateway/refusal.rs
+++ b/src/ops/gateway/refusal.rs
@@ -82,14 +82,18 @@
 
     fn detail(self) -> &'static str {
         match self {
-            Self::NoConfiguration => "this node has no configuration yet; ask again or ask another node",
+            Self::NoConfiguration => {
+                "this node has no configuration yet; ask again or ask another node"
+            }
             Self::NoRoute => "no route has this host and path",
             Self::UnknownKey => "the key is missing or not known",
             Self::BodyTooLarge => "the body is larger than is allowed",
             Self::BodyIncomplete => "the body did not arrive",
             Self::OverQuota => "the limit of your account is used up; come back later",
             Self::NoBackend => "no back end can be reached at the moment; come back later",
-            Self::Overloaded => "the wait would be longer than the answer is of use; come back later",
+            Self::Overloaded => {
+                "the wait would be longer than the answer is of use; come back later"
+            }
             Self::Declined => "all back ends are full; come back later",
             Self::AnswerLost => "the back end broke off; it may have done the work",
             Self::TimedOut => "the time for this call is over",
--- a/src/ops/gateway/register.rs
+++ b/src/ops/gateway/register.rs
@@ -129,9 +129,10 @@
     }
 
     async fn put_entry(&self, lease: LeaseId) -> Result<()> {
-        let value = node_wire::encode(self.board.own_member()).map_err(|e| StoreError::Refused {
-            cause: e.to_string().into(),
-        })?;
+        let value =
+            node_wire::encode(self.board.own_member()).map_err(|e| StoreError::Refused {
+                cause: e.to_string().into(),
+            })?;
         let put = Transaction {
             then: vec![Op::Put {
                 key: keys::node(&self.board.settings.name).into(),
--- a/src/ops/gateway/relay.rs
+++ b/src/ops/gateway/relay.rs
@@ -22,7 +22,9 @@
 
 /// Returns whether this node follows others while they are well.
 pub fn is_follower(board: &Board) -> bool {
-    !watchers(board).iter().any(|(name, _)| **name == *board.settings.name)
+    !watchers(board)
+        .iter()
+        .any(|(name, _)| **name == *board.settings.name)
 }
 
 /// Returns the nodes of the zone that follow the store, with their control addresses: the first ones by
--- a/src/ops/gateway/snapshot.rs
+++ b/src/ops/gateway/snapshot.rs
@@ -129,7 +129,9 @@
     let mut revision = board.revision.subscribe();
     let changed = revision.wait_for(|known| *known > after);
     // No change within the wait is an answer, too.
-    let _ = tokio::time::timeout(wait, changed).await.map(|seen| seen.is_ok());
+    let _ = tokio::time::timeout(wait, changed)
+        .await
+        .map(|seen| seen.is_ok());
     encode(board, after).encode_to_vec()
 }
 
@@ -178,7 +180,9 @@
         }
         match fetch(&board, &client, peer.control, Duration::ZERO).await {
             Ok(snapshot) => take(&board, snapshot, peer.control),
-            Err(e) => tracing::warn!(peer = %peer.control, error = %e, "state of a node not fetched"),
+            Err(e) => {
+                tracing::warn!(peer = %peer.control, error = %e, "state of a node not fetched")
+            }
         }
     }
 }
@@ -216,7 +220,9 @@
     let after = board.view.lock().revision;
     let wait_ms = wait.as_millis();
     let res = client
-        .get(format!("http://{control}{PATH}?after={after}&wait_ms={wait_ms}"))
+        .get(format!(
+            "http://{control}{PATH}?after={after}&wait_ms={wait_ms}"
+        ))
         .timeout(FETCH_TIMEOUT + wait)
         .send()
         .await?
--- a/src/ops/gateway/stream.rs
+++ b/src/ops/gateway/stream.rs
@@ -174,7 +174,13 @@
     async fn go_on(&mut self, cause: &str) -> bool {
         if let Some(mut source) = self.source.take() {
             source.running.set_outcome(Outcome::Unreachable);
-            record::broke_off(&self.cx.board, &self.call, source.running.backend(), cause, self.last_event);
+            record::broke_off(
+                &self.cx.board,
+                &self.call,
+                source.running.backend(),
+                cause,
+                self.last_event,
+            );
         }
         self.buf.clear();
         while self.may_go_on() && forward::may_send_again(&self.cx, &self.call, &self.progress) {
@@ -192,7 +198,12 @@
                     });
                     return true;
                 }
-                Ok(answer) => record::declined(&self.cx.board, &self.call, answer.running.backend(), answer.status),
+                Ok(answer) => record::declined(
+                    &self.cx.board,
+                    &self.call,
+                    answer.running.backend(),
+                    answer.status,
+                ),
                 Err(_) => {}
             }
         }
@@ -228,7 +239,14 @@
     }
 
     fn record(&self, ended: Ended) {
-        record::stream_ended(&self.cx.board, &self.call, &self.progress, ended, self.first_at, self.last_event);
+        record::stream_ended(
+            &self.cx.board,
+            &self.call,
+            &self.progress,
+            ended,
+            self.first_at,
+            self.last_event,
+        );
     }
 }
 
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use eyre::{WrapErr, eyre};
+use eyre::eyre;
 use serde::Deserialize;
 
 use crate::core::gateway::routes::{
@@ -142,7 +142,7 @@
 
 /// Decodes a configuration.
 pub(super) fn decode(text: &[u8]) -> Result<RouteTable> {
-    let wire: ConfigWire = serde_json::from_slice(text).wrap_err("reading a configuration")?;
+    let wire: ConfigWire = super::decode_object(text, "reading a configuration")?;
     RouteTable::try_from(wire)
 }
 
@@ -153,7 +153,10 @@
         let mut hosts: HashMap<Box<str>, Vec<Arc<Route>>> = HashMap::new();
         for route in wire.routes {
             let host = route.hostname.to_ascii_lowercase().into();
-            hosts.entry(host).or_default().push(Arc::new(route.try_into()?));
+            hosts
+                .entry(host)
+                .or_default()
+                .push(Arc::new(route.try_into()?));
         }
         for routes in hosts.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
@@ -191,7 +194,12 @@
             "streaming" => RouteKind::Stream {
                 resumable: wire.stream_resume,
             },
-            other => return Err(eyre!("route {}: routeType {other:?} is not known", wire.name)),
+            other => {
+                return Err(eyre!(
+                    "route {}: routeType {other:?} is not known",
+                    wire.name
+                ));
+            }
         };
         let split = wire.weighted_backends.into_iter().map(|part| Target {
             service: part.service,
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -12,8 +12,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use eyre::WrapErr;
 use hyper::HeaderMap;
 use hyper::header::HeaderValue;
+use serde::de::DeserializeOwned;
 
 use crate::core::gateway::backends::Backend;
 use crate::core::gateway::routes::RouteTable;
@@ -22,6 +24,13 @@
 pub use duties::CloudDuties;
 pub use store::{PlatformStore, PlatformStoreConfig};
 
+/// Decodes a JSON object. serde would take a list for a type with named fields, too.
+fn decode_object<T: DeserializeOwned>(text: &[u8], what: &'static str) -> Result<T> {
+    let object: serde_json::Map<String, serde_json::Value> =
+        serde_json::from_slice(text).wrap_err(what)?;
+    serde_json::from_value(object.into()).wrap_err(what)
+}
+
 /// The platform's names.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct PlatformDialect;
--- a/src/platform/registry.rs
+++ b/src/platform/registry.rs
@@ -26,7 +26,7 @@
 
 /// Decodes an entry. Anyone may have written it, so that a wrong one names no back end.
 pub(super) fn decode(id: &str, text: &[u8]) -> Result<Backend> {
-    let wire: EntryWire = serde_json::from_slice(text).wrap_err("reading an entry of a back end")?;
+    let wire: EntryWire = super::decode_object(text, "reading an entry of a back end")?;
     let is_leaving = match &*wire.state {
         "ready" => false,
         "draining" => true,
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -176,7 +176,11 @@
 
     fn try_from(req: &Transaction) -> Result<Self> {
         let mut wire = Self {
-            if_revision: req.compares.iter().map(TryInto::try_into).collect::<Result<_>>()?,
+            if_revision: req
+                .compares
+                .iter()
+                .map(TryInto::try_into)
+                .collect::<Result<_>>()?,
             ..Self::default()
         };
         for op in &req.then {
@@ -257,7 +261,10 @@
         }
         Ok(RangeReply {
             revision,
-            entries: items.into_iter().map(TryInto::try_into).collect::<Result<_>>()?,
+            entries: items
+                .into_iter()
+                .map(TryInto::try_into)
+                .collect::<Result<_>>()?,
         })
     }
 
@@ -378,7 +385,11 @@
         let req = self
             .client
             .get(&self.url)
-            .query(&[("pathPrefix", &*self.prefix), ("after", &after), ("waitMs", &wait_ms)])
+            .query(&[
+                ("pathPrefix", &*self.prefix),
+                ("after", &after),
+                ("waitMs", &wait_ms),
+            ])
             .timeout(WATCH_WAIT + WATCH_SLACK);
         let page: EventsWire = read(checked(send(req).await?)?).await?;
         self.after = self.after.max(page.as_of);
--- a/src/util/settings/gateway.rs
+++ b/src/util/settings/gateway.rs
@@ -21,12 +21,37 @@
     is_named: false,
     keys: &[
         KeySpec::required("callers", Kind::Address, "address for callers"),
-        KeySpec::required("readiness", Kind::Address, "address for checks of readiness"),
-        KeySpec::required("directory", Kind::Address, "address for questions where to connect"),
-        KeySpec::required("control", Kind::Address, "address for other nodes that fetch state, and for metrics"),
-        KeySpec::required("peers", Kind::Address, "address for datagrams between nodes"),
-        KeySpec::optional("seeds", Kind::Text, "", "control addresses of other nodes, with commas between them"),
-        KeySpec::required("regions", Kind::Text, "availability zones with their regions, as ZONE:REGION with commas between them"),
+        KeySpec::required(
+            "readiness",
+            Kind::Address,
+            "address for checks of readiness",
+        ),
+        KeySpec::required(
+            "directory",
+            Kind::Address,
+            "address for questions where to connect",
+        ),
+        KeySpec::required(
+            "control",
+            Kind::Address,
+            "address for other nodes that fetch state, and for metrics",
+        ),
+        KeySpec::required(
+            "peers",
+            Kind::Address,
+            "address for datagrams between nodes",
+        ),
+        KeySpec::optional(
+            "seeds",
+            Kind::Text,
+            "",
+            "control addresses of other nodes, with commas between them",
+        ),
+        KeySpec::required(
+            "regions",
+            Kind::Text,
+            "availability zones with their regions, as ZONE:REGION with commas between them",
+        ),
         KeySpec::required("store", Kind::Url, "the platform's store"),
         KeySpec::required("cloud", Kind::Url, "the platform's interface for duties"),
     ],
@@ -37,14 +62,47 @@
     kind: "bounds",
     is_named: false,
     keys: &[
-        KeySpec::optional("drain", TIMES, "2500ms", "time after which a leaving back end gets no call"),
+        KeySpec::optional(
+            "drain",
+            TIMES,
+            "2500ms",
+            "time after which a leaving back end gets no call",
+        ),
         KeySpec::optional("stop", TIMES, "8s", "time from SIGTERM to SIGKILL"),
-        KeySpec::optional("retry_ratio", Kind::Text, "0.2", "second sends for each call, over all nodes"),
-        KeySpec::optional("retry_slack", Kind::Number { min: 0, max: 1_000_000 }, "50", "second sends besides, over all nodes"),
-        KeySpec::optional("lease", TIMES, "3s", "shortest time between calls of one duty by A, B and A again"),
+        KeySpec::optional(
+            "retry_ratio",
+            Kind::Text,
+            "0.2",
+            "second sends for each call, over all nodes",
+        ),
+        KeySpec::optional(
+            "retry_slack",
+            Kind::Number {
+                min: 0,
+                max: 1_000_000,
+            },
+            "50",
+            "second sends besides, over all nodes",
+        ),
+        KeySpec::optional(
+            "lease",
+            TIMES,
+            "3s",
+            "shortest time between calls of one duty by A, B and A again",
+        ),
         KeySpec::optional("usage_window", TIMES, "5s", "length of a window of usage"),
-        KeySpec::optional("usage_late", TIMES, "10s", "time after a window within which its usage is reported"),
-        KeySpec::optional("directory_ttl", TIMES, "5s", "longest time for which callers keep an answer"),
+        KeySpec::optional(
+            "usage_late",
+            TIMES,
+            "10s",
+            "time after a window within which its usage is reported",
+        ),
+        KeySpec::optional(
+            "directory_ttl",
+            TIMES,
+            "5s",
+            "longest time for which callers keep an answer",
+        ),
     ],
 };
 
@@ -148,7 +206,11 @@
 
 fn read(reader: &mut Reader) -> Option<GatewaySettings> {
     let node = reader.read_section(&NODE, |fields| {
-        (fields.name("vm"), fields.name("region"), fields.name("zone"))
+        (
+            fields.name("vm"),
+            fields.name("region"),
+            fields.name("zone"),
+        )
     });
     let (name, region, zone) = node;
     let listen = reader.read_section(&GATEWAY, |fields| {
@@ -202,7 +264,9 @@
 }
 
 fn list(text: &str) -> impl Iterator<Item = &str> {
-    text.split(',').map(str::trim).filter(|item| !item.is_empty())
+    text.split(',')
+        .map(str::trim)
+        .filter(|item| !item.is_empty())
 }
 
 fn read_seeds(reader: &mut Reader, text: &str) -> Vec<SocketAddr> {
@@ -212,7 +276,12 @@
             Ok(seed) => seeds.push(seed),
             Err(_) => {
                 let what = format!("{item:?} is not an address");
-                reader.report("gateway", "seeds", what, "write IP:PORT with commas between");
+                reader.report(
+                    "gateway",
+                    "seeds",
+                    what,
+                    "write IP:PORT with commas between",
+                );
             }
         }
     }
@@ -228,7 +297,12 @@
             }
             None => {
                 let what = format!("{item:?} names no region");
-                reader.report("gateway", "regions", what, "write ZONE:REGION with commas between");
+                reader.report(
+                    "gateway",
+                    "regions",
+                    what,
+                    "write ZONE:REGION with commas between",
+                );
             }
         }
     }
--- a/src/util/settings/mod.rs
+++ b/src/util/settings/mod.rs
@@ -17,7 +17,9 @@
 use crate::util::schema::SectionSpec;
 use crate::util::value::Hash;
 
-pub use gateway::{BOUNDS, GATEWAY, GATEWAY_SECTIONS, GatewayBounds, GatewayListen, GatewaySettings};
+pub use gateway::{
+    BOUNDS, GATEWAY, GATEWAY_SECTIONS, GatewayBounds, GatewayListen, GatewaySettings,
+};
 pub use schema::{FLEET, LISTEN, LOG, NODE, OPERATORS, PLATFORM, SECTIONS, TLS};
 
 /// Why settings cannot be used.
--- /dev/null
+++ b/tests/testsuite/gateway/decisions.rs
@@ -0,0 +1,211 @@
+//! Routes, members, retries, usage, clocks and prompt caches.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use jayhall::core::gateway::cache::{Part, PromptCache};
+use jayhall::core::gateway::clock::ClockMedian;
+use jayhall::core::gateway::members::{Member, Members};
+use jayhall::core::gateway::retry_budget::RetryBudget;
+use jayhall::core::gateway::routes::{CallerLimits, Route, RouteKind, RouteTable, Target};
+use jayhall::core::gateway::usage::{Counts, UsageBook};
+
+fn route(path_prefix: &str, weights: &[(&str, u32)]) -> Arc<Route> {
+    let target = |(service, weight): &(&str, u32)| Target {
+        service: (*service).into(),
+        weight: *weight,
+    };
+    Arc::new(Route {
+        name: path_prefix.into(),
+        path_prefix: path_prefix.into(),
+        kind: RouteKind::Idempotent,
+        timeout: Duration::from_secs(1),
+        target_latency: Duration::from_millis(300),
+        rank: 0,
+        targets: weights.iter().map(target).collect(),
+        max_backends: 2,
+        is_public: false,
+    })
+}
+
+fn table(routes: Vec<Arc<Route>>) -> RouteTable {
+    RouteTable {
+        version: 1,
+        hosts: HashMap::from([("a.example".into(), routes)]),
+        services: HashMap::new(),
+        customers: Vec::new(),
+        keys: HashMap::new(),
+        limits: CallerLimits {
+            head_bytes: 1,
+            body_bytes: 1,
+            head_timeout: Duration::ZERO,
+            idle_timeout: Duration::ZERO,
+        },
+    }
+}
+
+#[test]
+fn the_longest_path_of_the_host_wins() {
+    let table = table(vec![route("/a/b/", &[("s", 1)]), route("/a/", &[("s", 1)])]);
+    let found = |host, path| table.find(host, path).map(|route| &*route.path_prefix);
+    assert_eq!(found("a.example", "/a/b/c"), Some("/a/b/"));
+    assert_eq!(found("a.example", "/a/x"), Some("/a/"));
+    assert_eq!(found("a.example", "/a"), None);
+    assert_eq!(found("b.example", "/a/b/c"), None);
+}
+
+#[test]
+fn calls_are_split_by_weight() {
+    let route = route("/a/", &[("new", 10), ("old", 90)]);
+    let draws = (0..1000_u32).map(|at| route.choose_service(at * (u32::MAX / 1000)));
+    let new = draws.filter(|service| &***service == "new").count();
+    // The draws are not quite even over all values.
+    assert!((99..=101).contains(&new), "{new}");
+}
+
+#[test]
+fn a_service_without_weight_gets_no_call() {
+    let route = route("/a/", &[("off", 0), ("on", 1)]);
+    for draw in [0, 1, u32::MAX / 2, u32::MAX] {
+        assert_eq!(&**route.choose_service(draw), "on");
+    }
+}
+
+fn member(name: &str, region: &str, zone: &str, port: u16) -> Member {
+    let address = |port| format!("10.0.0.1:{port}").parse().unwrap();
+    Member {
+        name: name.into(),
+        region: region.into(),
+        zone: zone.into(),
+        callers: address(port),
+        peers: address(port + 1),
+        control: address(port + 2),
+        incarnation: 7,
+        is_ready: true,
+    }
+}
+
+fn ports(members: &Members, zone: &str, now_s: u64) -> Vec<u16> {
+    let silence = Duration::from_secs(2);
+    let now = Duration::from_secs(now_s);
+    let found = members.directory("own", "r", zone, now, silence);
+    found.iter().map(std::net::SocketAddr::port).collect()
+}
+
+#[test]
+fn callers_are_told_their_zone_then_their_region_then_all() {
+    let mut members = Members::default();
+    members.put(member("a", "r", "z1", 100));
+    members.put(member("b", "r", "z1", 200));
+    members.put(member("c", "r", "z2", 300));
+    members.put(member("d", "q", "z3", 400));
+    assert_eq!(ports(&members, "z1", 0), [100, 200]);
+    // One node alone is not enough for a zone.
+    assert_eq!(ports(&members, "z2", 0), [100, 200, 300]);
+    members.remove("a");
+    members.remove("b");
+    assert_eq!(ports(&members, "z2", 0), [300, 400]);
+}
+
+#[test]
+fn nodes_that_leave_or_fell_silent_are_not_told() {
+    let mut members = Members::default();
+    for (name, port) in [("a", 100), ("b", 200), ("c", 300)] {
+        members.put(member(name, "r", "z", port));
+    }
+    members.heard("b", 7, false, Duration::from_secs(1));
+    assert_eq!(ports(&members, "z", 1), [100, 300]);
+    members.heard("c", 7, true, Duration::from_secs(1));
+    assert_eq!(ports(&members, "z", 5), [100]);
+    // A message of an earlier start of the process says nothing of this one.
+    members.heard("b", 6, true, Duration::from_secs(5));
+    assert_eq!(ports(&members, "z", 5), [100]);
+}
+
+#[test]
+fn second_sends_of_all_nodes_stay_within_the_shared_allowance() {
+    const NODES: usize = 6;
+    const CALLS: usize = 1000;
+    let mut nodes: Vec<_> = (0..NODES)
+        .map(|_| RetryBudget::new(0.2, 52.0, NODES))
+        .collect();
+    let mut sends = 0;
+    for call in 0..CALLS {
+        let node = &mut nodes[call % NODES];
+        node.note_call();
+        // Every call fails and asks for more than it may have.
+        sends += usize::from(node.take()) + usize::from(node.take());
+    }
+    assert!(sends as f64 <= 0.2 * CALLS as f64 + 52.0, "{sends}");
+    assert!(sends as f64 >= 0.1 * CALLS as f64, "{sends}");
+}
+
+#[test]
+fn counts_told_late_twice_or_in_disorder_change_nothing() {
+    let told = |count| Counts::from([("anna".into(), count)]);
+    let mut book = UsageBook::default();
+    book.count(1, 10, "anna");
+    book.merge(2, 10, &told(5));
+    book.merge(2, 10, &told(3));
+    book.merge(2, 10, &told(5));
+    assert_eq!(book.total(10), told(6));
+    assert_eq!(book.total(11), Counts::new());
+    // A process that starts again counts beside what it left with the others.
+    book.merge(3, 10, &told(2));
+    assert_eq!(book.total(10), told(8));
+    book.forget_before(20);
+    assert_eq!(book.total(10), Counts::new());
+}
+
+#[test]
+fn one_clock_that_jumps_does_not_change_the_time() {
+    let now = Duration::from_secs(50);
+    let mut clock = ClockMedian::default();
+    for (process, wall) in [(1, 1_000_000), (2, 1_000_004), (3, 999_998), (4, 1_006_000)] {
+        clock.note(process, wall, now);
+    }
+    let later = now + Duration::from_millis(100);
+    let wall = clock.wall(later).unwrap();
+    assert!((1_000_098..=1_000_104).contains(&wall), "{wall}");
+    // This node's own clock jumps; the others still tell the truth.
+    clock.note(1, 994_000, later);
+    let wall = clock.wall(later).unwrap();
+    assert!((1_000_098..=1_000_104).contains(&wall), "{wall}");
+}
+
+fn part(id: u64, tokens: u32) -> Part {
+    Part { id, tokens }
+}
+
+#[test]
+fn a_prompt_is_held_up_to_its_first_unknown_part() {
+    let mut cache = PromptCache::default();
+    cache.read(&[part(1, 100), part(2, 50)], 1000);
+    assert_eq!(
+        cache.held_tokens(&[part(1, 100), part(2, 50), part(3, 9)]),
+        150
+    );
+    assert_eq!(cache.held_tokens(&[part(3, 9), part(1, 100)]), 0);
+}
+
+#[test]
+fn the_parts_used_least_recently_are_forgotten() {
+    let mut cache = PromptCache::default();
+    cache.read(&[part(1, 400)], 1000);
+    cache.read(&[part(2, 400)], 1000);
+    cache.read(&[part(1, 400)], 1000);
+    cache.read(&[part(3, 400)], 1000);
+    assert_eq!(cache.held_tokens(&[part(1, 400)]), 400);
+    assert_eq!(cache.held_tokens(&[part(2, 400)]), 0);
+    cache.clear();
+    assert_eq!(cache.held_tokens(&[part(1, 400)]), 0);
+}
+
+#[test]
+fn repeats_of_a_route_follow_from_its_kind() {
+    assert!(RouteKind::Idempotent.may_repeat());
+    assert!(!RouteKind::AtMostOnce.may_repeat());
+    assert!(RouteKind::Stream { resumable: true }.may_repeat());
+    assert!(!RouteKind::Stream { resumable: false }.may_repeat());
+}
--- /dev/null
+++ b/tests/testsuite/gateway/quota.rs
@@ -0,0 +1,174 @@
+//! Limits of customers as sums over nodes.
+
+use std::time::Duration;
+
+use jayhall::core::gateway::quota::{QuotaDecision, QuotaShares};
+use jayhall::core::gateway::routes::Quota;
+
+const NODES: usize = 6;
+const QUOTA: Quota = Quota {
+    per_second: 400_000.0,
+    burst: 400_000.0,
+    counts_tokens: true,
+    plain_call: 200.0,
+};
+/// Tokens of one call.
+const CALL: f64 = 4_000.0;
+/// Length of the window in which the sum is bounded, in seconds.
+const WINDOW: u64 = 8;
+/// Part by which the sum may exceed the limit, and tokens besides: the promise of the deployments.
+const OVERRUN: f64 = 0.1;
+const SLACK: f64 = 190_000.0;
+
+struct Play {
+    nodes: Vec<QuotaShares>,
+    /// Nodes that hear from no other.
+    cut_off: Vec<usize>,
+    admitted: Vec<(Duration, f64)>,
+    asked: f64,
+}
+
+impl Play {
+    fn new() -> Self {
+        Self {
+            nodes: (0..NODES).map(|_| QuotaShares::default()).collect(),
+            cut_off: Vec::new(),
+            admitted: Vec::new(),
+            asked: 0.0,
+        }
+    }
+
+    /// Plays seconds in which `rate` tokens a second arrive, split over nodes by `weights`.
+    fn run(&mut self, from_s: u64, to_s: u64, rate: f64, weights: [f64; NODES], quota: &Quota) {
+        let total: f64 = weights.iter().sum();
+        let mut due = [0.0; NODES];
+        for ms in (from_s * 1000..to_s * 1000).step_by(10) {
+            let now = Duration::from_millis(ms);
+            if ms % 200 == 0 {
+                self.tell(now);
+            }
+            for (node, weight) in weights.iter().enumerate() {
+                due[node] += rate * weight / total / 100.0;
+                while due[node] >= CALL {
+                    due[node] -= CALL;
+                    self.asked += CALL;
+                    let decision = self.nodes[node].take("anna", quota, CALL, NODES, now);
+                    if decision == QuotaDecision::Within {
+                        self.admitted.push((now, CALL));
+                    }
+                }
+            }
+        }
+    }
+
+    fn tell(&mut self, now: Duration) {
+        for from in 0..NODES {
+            let demand = self.nodes[from].demand(now);
+            for to in 0..NODES {
+                let is_cut = self.cut_off.contains(&from) || self.cut_off.contains(&to);
+                if from != to && !is_cut {
+                    self.nodes[to].heard(&format!("n{from}"), &demand, now);
+                }
+            }
+        }
+    }
+
+    /// Returns the most tokens admitted in any window that begins with a call.
+    fn worst_window(&self, from_s: u64) -> f64 {
+        let window = Duration::from_secs(WINDOW);
+        let starts = self.admitted.iter().map(|(at, _)| *at);
+        starts
+            .filter(|start| *start >= Duration::from_secs(from_s))
+            .step_by(20)
+            .map(|start| {
+                let inside = |at: &Duration| *at >= start && *at < start + window;
+                let calls = self.admitted.iter().filter(|(at, _)| inside(at));
+                calls.map(|(_, tokens)| tokens).sum()
+            })
+            .fold(0.0, f64::max)
+    }
+
+    fn admitted_in(&self, from_s: u64, to_s: u64) -> f64 {
+        let inside = |at: &Duration| (from_s..to_s).contains(&at.as_secs());
+        let calls = self.admitted.iter().filter(|(at, _)| inside(at));
+        calls.map(|(_, tokens)| tokens).sum()
+    }
+}
+
+fn allowed(quota: &Quota) -> f64 {
+    (quota.per_second * WINDOW as f64 + quota.burst) * (1.0 + OVERRUN) + SLACK
+}
+
+#[test]
+fn a_customer_far_beyond_its_limit_gets_its_limit_and_no_more() {
+    let mut play = Play::new();
+    play.run(0, 30, 2_400_000.0, [1.0; NODES], &QUOTA);
+    assert!(play.worst_window(0) <= allowed(&QUOTA));
+    // What is within the limit is not refused either.
+    assert!(play.admitted_in(5, 25) >= 0.95 * 20.0 * QUOTA.per_second);
+}
+
+#[test]
+fn calls_that_come_to_few_nodes_get_the_whole_limit() {
+    let mut play = Play::new();
+    let weights = [10.0, 1.0, 0.0, 0.0, 0.0, 0.0];
+    play.run(0, 30, 1_200_000.0, weights, &QUOTA);
+    assert!(play.worst_window(0) <= allowed(&QUOTA));
+    assert!(play.admitted_in(5, 25) >= 0.9 * 20.0 * QUOTA.per_second);
+}
+
+#[test]
+fn calls_that_move_between_nodes_stay_within_the_limit() {
+    let mut play = Play::new();
+    for turn in 0..6 {
+        let mut weights = [0.2; NODES];
+        weights[turn] = 5.0;
+        let turn = turn as u64;
+        play.run(turn * 5, turn * 5 + 5, 1_600_000.0, weights, &QUOTA);
+    }
+    assert!(play.worst_window(0) <= allowed(&QUOTA));
+}
+
+#[test]
+fn a_customer_within_its_limit_is_not_refused() {
+    let mut play = Play::new();
+    play.run(0, 20, 320_000.0, [1.0; NODES], &QUOTA);
+    assert!(play.admitted_in(0, 20) >= 0.98 * play.asked);
+}
+
+#[test]
+fn nodes_that_are_cut_off_do_not_add_to_the_limit() {
+    let mut play = Play::new();
+    play.run(0, 10, 2_400_000.0, [1.0; NODES], &QUOTA);
+    play.cut_off = vec![0, 1];
+    play.run(10, 30, 2_400_000.0, [1.0; NODES], &QUOTA);
+    assert!(play.worst_window(0) <= allowed(&QUOTA));
+}
+
+#[test]
+fn a_lowered_limit_binds_within_one_window() {
+    let mut play = Play::new();
+    play.run(0, 12, 1_200_000.0, [1.0; NODES], &QUOTA);
+    let lower = Quota {
+        per_second: 60_000.0,
+        burst: 60_000.0,
+        ..QUOTA
+    };
+    play.run(12, 40, 1_200_000.0, [1.0; NODES], &lower);
+    assert!(play.worst_window(12) <= allowed(&lower));
+}
+
+#[test]
+fn a_refused_caller_is_told_a_time_in_bounds() {
+    let mut shares = QuotaShares::default();
+    let now = Duration::from_secs(1);
+    let take = |shares: &mut QuotaShares| shares.take("anna", &QUOTA, 500_000.0, 1, now);
+    assert_eq!(take(&mut shares), QuotaDecision::Within);
+    let QuotaDecision::Over(after) = take(&mut shares) else {
+        panic!("a customer in debt was served");
+    };
+    assert!(after >= Duration::from_millis(200) && after <= Duration::from_secs(4));
+    // What has not run is given back.
+    shares.give_back("anna", 500_000.0);
+    assert_eq!(take(&mut shares), QuotaDecision::Within);
+}
--- /dev/null
+++ b/tests/testsuite/gateway/scaling.rs
@@ -0,0 +1,164 @@
+//! Orders for back ends, against a cloud that takes all reclaimable ones of a zone and offers no more.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use jayhall::core::gateway::routes::ScalingRules;
+use jayhall::core::gateway::scaling::{Order, ServiceScaling, ZoneState};
+
+/// Time from an order until a back end serves.
+const BOOT: Duration = Duration::from_secs(4);
+/// Time between two rounds of the holder.
+const ROUND: u64 = 400;
+
+fn rules() -> ScalingRules {
+    ScalingRules {
+        min: 1,
+        max: 12,
+        boot: BOOT,
+        spot_price: Some(0.15),
+        zone_prices: HashMap::from([("a".into(), 1.0), ("b".into(), 0.8), ("c".into(), 1.25)]),
+    }
+}
+
+/// A cloud with back ends that start after [`BOOT`].
+struct Cloud {
+    there: BTreeMap<(Box<str>, bool), Vec<Duration>>,
+    has_spot: bool,
+    billed: f64,
+}
+
+impl Cloud {
+    fn new(regular_each: usize) -> Self {
+        let zones: [Box<str>; 3] = ["a".into(), "b".into(), "c".into()];
+        let there = zones
+            .into_iter()
+            .map(|zone| ((zone, false), vec![Duration::ZERO; regular_each]))
+            .collect();
+        Self {
+            there,
+            has_spot: true,
+            billed: 0.0,
+        }
+    }
+
+    fn order(&mut self, order: &Order, now: Duration) -> bool {
+        let there = self
+            .there
+            .entry((order.zone.clone(), order.spot))
+            .or_default();
+        let desired = order.desired as usize;
+        if desired > there.len() && order.spot && !self.has_spot {
+            return false;
+        }
+        there.resize(desired, now + BOOT);
+        true
+    }
+
+    fn reclaim(&mut self, zone: &str) {
+        self.there.insert((zone.into(), true), Vec::new());
+        self.has_spot = false;
+    }
+
+    fn zones(&self, work_ms_per_s: f64, now: Duration) -> BTreeMap<Box<str>, ZoneState> {
+        let mut zones: BTreeMap<Box<str>, ZoneState> = BTreeMap::new();
+        for ((zone, spot), starts) in &self.there {
+            let ready = starts.iter().filter(|at| **at <= now).count() as u32;
+            let state = zones.entry(zone.clone()).or_default();
+            match spot {
+                true => state.spot = ready,
+                false => state.regular = ready,
+            }
+            state.work_ms_per_s = work_ms_per_s / 3.0;
+        }
+        zones
+    }
+
+    fn ready(&self, now: Duration) -> usize {
+        let all = self.there.values().flatten();
+        all.filter(|at| **at <= now).count()
+    }
+
+    fn bill(&mut self, seconds: f64) {
+        for ((_, spot), starts) in &self.there {
+            let price = if *spot { 0.15 } else { 1.0 };
+            self.billed += price * starts.len() as f64 * seconds;
+        }
+    }
+}
+
+/// Plays until `to_s`; calls `event` before each round. Returns the fewest back ends seen ready.
+fn play(
+    cloud: &mut Cloud,
+    scaling: &mut ServiceScaling,
+    (from_s, to_s): (u64, u64),
+    work_ms_per_s: f64,
+) -> usize {
+    let mut fewest = usize::MAX;
+    for ms in (from_s * 1000..to_s * 1000).step_by(ROUND as usize) {
+        let now = Duration::from_millis(ms);
+        let zones = cloud.zones(work_ms_per_s, now);
+        for order in scaling.plan(&rules(), &zones, now) {
+            let taken = cloud.order(&order, now);
+            scaling.replied(&order, taken, now);
+        }
+        cloud.bill(ROUND as f64 / 1000.0);
+        fewest = fewest.min(cloud.ready(now));
+    }
+    fewest
+}
+
+#[test]
+fn reclaimable_back_ends_take_over_before_the_others_are_given_back() {
+    let mut cloud = Cloud::new(6);
+    let mut scaling = ServiceScaling::default();
+    let fewest = play(&mut cloud, &mut scaling, (0, 20), 4_000.0);
+    assert!(fewest >= 18, "{fewest}");
+    let kinds: Vec<_> = cloud.there.iter().map(|(k, v)| (k.1, v.len())).collect();
+    assert!(
+        kinds.iter().all(|(spot, count)| *spot == (*count > 0)),
+        "{kinds:?}"
+    );
+    // All at the full price would have cost 360.
+    assert!(cloud.billed < 180.0, "{}", cloud.billed);
+}
+
+#[test]
+fn a_lost_zone_leaves_enough_and_others_fill_in_while_reclaimable_ones_are_scarce() {
+    let mut cloud = Cloud::new(6);
+    let mut scaling = ServiceScaling::default();
+    play(&mut cloud, &mut scaling, (0, 20), 6_000.0);
+    cloud.reclaim("a");
+    let fewest = play(&mut cloud, &mut scaling, (20, 25), 6_000.0);
+    assert!(fewest >= 6, "{fewest}");
+    cloud.reclaim("b");
+    play(&mut cloud, &mut scaling, (25, 32), 6_000.0);
+    let now = Duration::from_secs(32);
+    assert!(cloud.ready(now) >= 8, "{}", cloud.ready(now));
+    cloud.has_spot = true;
+    play(&mut cloud, &mut scaling, (32, 50), 6_000.0);
+    let regular: usize = cloud
+        .there
+        .iter()
+        .filter(|((_, spot), _)| !spot)
+        .map(|(_, starts)| starts.len())
+        .sum();
+    assert_eq!(regular, 0, "{:?}", cloud.there);
+}
+
+#[test]
+fn more_work_orders_more_and_an_order_under_way_is_not_repeated() {
+    let mut cloud = Cloud::new(6);
+    let mut scaling = ServiceScaling::default();
+    play(&mut cloud, &mut scaling, (0, 20), 4_000.0);
+    let now = Duration::from_secs(20);
+    let zones = cloud.zones(12_000.0, now);
+    let orders = scaling.plan(&rules(), &zones, now);
+    assert_eq!(orders.len(), 3, "{orders:?}");
+    assert!(orders.iter().all(|order| order.spot && order.desired == 12));
+    for order in &orders {
+        scaling.replied(order, true, now);
+    }
+    let soon = now + Duration::from_millis(ROUND);
+    assert_eq!(scaling.plan(&rules(), &zones, soon), []);
+}
--- /dev/null
+++ b/tests/testsuite/gateway/serving.rs
@@ -0,0 +1,249 @@
+//! Calls whose answers are not streams, through a running gateway.
+
+use std::time::{Duration, Instant};
+
+use super::rig::{Behaviour, FakeBackend, config, header, one_node, text, total_runs};
+
+#[tokio::test]
+async fn a_call_reaches_a_back_end_and_its_answer_the_caller_unchanged() {
+    let (rig, node, backends) = one_node("plain", &[Behaviour::Answer(200, "done")]).await;
+    let res = rig
+        .call(&node, "/once/x?y=1", "a1")
+        .body("order")
+        .send()
+        .await
+        .unwrap();
+    assert_eq!(res.status(), 200);
+    assert_eq!(
+        header(&res, "x-jayhall-response-seal").as_deref(),
+        Some("seal-a1")
+    );
+    assert_eq!(res.text().await.unwrap(), "done");
+    let seen = backends[0].seen.lock()[0].clone();
+    assert_eq!((&*seen.path, &*seen.body), ("/once/x?y=1", &b"order"[..]));
+    let headers = text(&seen.headers);
+    assert_eq!(headers["x-jayhall-expect-instance"], "b0");
+    assert_eq!(headers["x-jayhall-tenant"], "anna");
+    assert!(!headers.contains_key("authorization"));
+    let left: u64 = headers["x-jayhall-deadline-ms"].parse().unwrap();
+    assert!((1000..=1400).contains(&left), "{left}");
+}
+
+#[tokio::test]
+async fn what_no_route_or_key_allows_never_reaches_a_back_end() {
+    let (rig, node, backends) = one_node("plain", &[Behaviour::Answer(200, "done")]).await;
+    let status = async |path: &str, key: &str, body: usize| {
+        let call = rig.call(&node, path, "a").header("authorization", key);
+        call.body("x".repeat(body))
+            .send()
+            .await
+            .unwrap()
+            .status()
+            .as_u16()
+    };
+    assert_eq!(status("/nowhere/", "Bearer k1", 1).await, 404);
+    // Two headers of one name: the first one is the good key of the rig.
+    let unknown = rig
+        .client
+        .post(node.url("/once/x"))
+        .header("host", "h.example");
+    let unknown = unknown
+        .header("authorization", "Bearer k9")
+        .send()
+        .await
+        .unwrap();
+    assert_eq!(unknown.status(), 401);
+    assert_eq!(status("/once/x", "Bearer k1", 1001).await, 413);
+    assert_eq!(total_runs(&backends), 0);
+}
+
+#[tokio::test]
+async fn a_call_that_may_have_run_is_never_sent_again_nor_said_not_to_have_run() {
+    for behaviour in [
+        Behaviour::Lose,
+        Behaviour::AnswerAnother,
+        Behaviour::Unsigned,
+    ] {
+        let both = [behaviour.clone(), behaviour.clone()];
+        let (rig, node, backends) = one_node("plain", &both).await;
+        let res = rig.call(&node, "/once/x", "a1").send().await.unwrap();
+        assert_eq!(res.status(), 502, "{behaviour:?}");
+        assert_eq!(header(&res, "retry-after"), None);
+        assert!(res.text().await.unwrap().contains("may_have_run"));
+        assert_eq!(total_runs(&backends), 1, "{behaviour:?}");
+    }
+}
+
+#[tokio::test]
+async fn an_idempotent_call_is_sent_to_another_back_end() {
+    for behaviour in [
+        Behaviour::Lose,
+        Behaviour::Answer(500, "broken"),
+        Behaviour::Unsigned,
+        Behaviour::Decline,
+    ] {
+        let (rig, node, backends) =
+            one_node("plain", &[behaviour.clone(), behaviour.clone()]).await;
+        backends[1].set(Behaviour::Answer(200, "done"));
+        // Which one is first is drawn; both orders end well.
+        for at in 0..4 {
+            let res = rig
+                .call(&node, "/get/x", &format!("a{at}"))
+                .send()
+                .await
+                .unwrap();
+            assert_eq!(
+                (res.status().as_u16(), res.text().await.unwrap().as_str()),
+                (200, "done"),
+                "{behaviour:?}"
+            );
+        }
+    }
+}
+
+#[tokio::test]
+async fn a_silent_back_end_does_not_keep_an_idempotent_call() {
+    let (rig, node, backends) = one_node("plain", &[Behaviour::Silent, Behaviour::Silent]).await;
+    backends[1].set(Behaviour::Answer(200, "done"));
+    let started = Instant::now();
+    let res = rig.call(&node, "/get/x", "a1").send().await.unwrap();
+    assert_eq!(res.status(), 200);
+    assert!(
+        started.elapsed() < Duration::from_millis(1300),
+        "{:?}",
+        started.elapsed()
+    );
+}
+
+#[tokio::test]
+async fn a_call_ends_at_its_deadline_with_a_true_answer() {
+    let (rig, node, backends) = one_node("plain", &[Behaviour::Silent]).await;
+    let started = Instant::now();
+    let res = rig.call(&node, "/once/x", "a1").send().await.unwrap();
+    assert_eq!(res.status(), 504);
+    assert!(
+        started.elapsed() < Duration::from_millis(1500),
+        "{:?}",
+        started.elapsed()
+    );
+    assert!(res.text().await.unwrap().contains("may_have_run"));
+    assert_eq!(total_runs(&backends), 1);
+}
+
+#[tokio::test]
+async fn work_ends_when_the_caller_leaves() {
+    let (rig, node, backends) = one_node("plain", &[Behaviour::Silent]).await;
+    let call = rig
+        .call(&node, "/once/x", "a1")
+        .timeout(Duration::from_millis(200));
+    assert!(call.send().await.is_err());
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert_eq!(*backends[0].abandoned.lock(), 1);
+}
+
+#[tokio::test]
+async fn back_ends_that_decline_give_a_refusal_with_a_time_to_return() {
+    let (rig, node, backends) = one_node("plain", &[Behaviour::Decline, Behaviour::Decline]).await;
+    let res = rig.call(&node, "/once/x", "a1").send().await.unwrap();
+    assert_eq!(res.status(), 503);
+    let after: f64 = header(&res, "retry-after").unwrap().parse().unwrap();
+    assert!(after > 0.0 && after <= 1.4 / 3.0, "{after}");
+    assert!(res.text().await.unwrap().contains("not_run"));
+    assert_eq!(total_runs(&backends), 0);
+}
+
+#[tokio::test]
+async fn a_node_without_configuration_says_so_and_is_not_ready() {
+    let rig = super::rig::Rig::new();
+    let node = rig.node("n1").await;
+    let res = rig.call(&node, "/once/x", "a1").send().await.unwrap();
+    assert_eq!(res.status(), 503);
+    assert!(header(&res, "retry-after").is_some());
+    let ready = format!("http://{}/readyz", node.settings.listen.readiness);
+    assert_eq!(rig.client.get(&ready).send().await.unwrap().status(), 503);
+    rig.put("op/config", config(1)).await;
+    rig.ready(&node).await;
+}
+
+#[tokio::test]
+async fn an_older_configuration_or_one_that_cannot_be_read_changes_nothing() {
+    let (rig, node, _backends) = one_node("plain", &[Behaviour::Answer(200, "done")]).await;
+    let status = async || {
+        let res = rig.call(&node, "/once/x", "a1").send().await.unwrap();
+        res.status().as_u16()
+    };
+    rig.put("op/config", config(5).replace("/once/", "/twice/"))
+        .await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert_eq!(status().await, 404);
+    for wrong in [config(3), "{".into()] {
+        rig.put("op/config", wrong).await;
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        assert_eq!(status().await, 404);
+    }
+}
+
+#[tokio::test]
+async fn a_leaving_back_end_gets_no_new_call() {
+    let (rig, node, backends) = one_node("plain", &[Behaviour::Answer(200, "old")]).await;
+    let other = FakeBackend::spawn(Behaviour::Answer(200, "new")).await;
+    rig.list("b9", "plain", &other, "ready").await;
+    rig.list("b0", "plain", &backends[0], "draining").await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    for at in 0..5 {
+        let res = rig
+            .call(&node, "/once/x", &format!("a{at}"))
+            .send()
+            .await
+            .unwrap();
+        assert_eq!(res.text().await.unwrap(), "new");
+    }
+    rig.remove("servers/b9").await;
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    let res = rig.call(&node, "/once/x", "a9").send().await.unwrap();
+    assert_eq!(res.status(), 503);
+    assert_eq!((backends[0].runs(), other.runs()), (0, 5));
+}
+
+#[tokio::test]
+async fn a_spoilt_entry_of_another_writer_takes_no_back_end_away() {
+    let (rig, node, backends) = one_node("plain", &[Behaviour::Answer(200, "done")]).await;
+    rig.put("servers/b0", "\u{1}spoilt").await;
+    rig.put("servers/other", r#"{"service":7}"#).await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let res = rig.call(&node, "/once/x", "a1").send().await.unwrap();
+    assert_eq!((res.status().as_u16(), backends[0].runs()), (200, 1));
+}
+
+#[tokio::test]
+async fn a_planned_stop_cuts_no_call_and_sends_callers_elsewhere() {
+    let (rig, mut node, _backends) = one_node("plain", &[Behaviour::Answer(200, "done")]).await;
+    let other = rig.node("n2").await;
+    rig.ready(&other).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let directory = format!(
+        "http://{}/resolve?name=h.example&region=r&zone=z1",
+        other.settings.listen.directory
+    );
+    let told = async || {
+        let res = rig.client.get(&directory).send().await.unwrap();
+        res.text().await.unwrap()
+    };
+    let leaving = node.settings.listen.callers.to_string();
+    assert!(told().await.contains(&leaving));
+    let gateway = node.gateway.take().unwrap();
+    let stop = tokio::spawn(gateway.leave());
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert!(!told().await.contains(&leaving), "{}", told().await);
+    // Callers that do not know yet are served, and told to go elsewhere.
+    let mut served = 0;
+    while !stop.is_finished() {
+        if let Ok(res) = rig.call(&node, "/once/x", "a1").send().await {
+            assert_eq!(res.status(), 200);
+            assert_eq!(header(&res, "connection").as_deref(), Some("close"));
+            served += 1;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert!(served > 10, "{served}");
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -10,6 +10,7 @@
 mod document;
 mod engine_client;
 mod fleet_plan;
+mod gateway;
 mod ini;
 mod keep_fleet;
 mod ledger_load;
