Bound customers' limits while nodes have not heard of each other

At the start of traffic every node compared its own present demand with what others had told up to 0.9 s before (nothing) and gave the whole limit. Change: the own demand is compared as it was at the age of the others' messages; nodes not heard of count as this one. Test: many_nodes_that_have_not_heard_of_each_other_do_not_each_give_the_whole_limit fails before, passes after.

--- a/src/core/gateway/backends.rs
+++ b/src/core/gateway/backends.rs
@@ -195,10 +195,9 @@
 
     /// Notes that the registry no longer names a back end, which counts as gone from `gone_at` on.
     pub fn unlist(&mut self, id: &str, gone_at: Moment) {
-        if let Some(entry) = self.entries.get_mut(id) {
-            if entry.standing == Standing::Listed {
-                entry.standing = Standing::Unlisted(gone_at);
-            }
+        let listed = self.entries.get_mut(id);
+        if let Some(entry) = listed.filter(|entry| entry.standing == Standing::Listed) {
+            entry.standing = Standing::Unlisted(gone_at);
         }
     }
 
@@ -327,10 +326,11 @@
     }
 
     fn remove(&mut self, id: &str) {
-        if let Some(entry) = self.entries.remove(id) {
-            if let Some(ids) = self.services.get_mut(&entry.backend.service) {
-                ids.retain(|other| **other != *id);
-            }
+        let Some(entry) = self.entries.remove(id) else {
+            return;
+        };
+        if let Some(ids) = self.services.get_mut(&entry.backend.service) {
+            ids.retain(|other| **other != *id);
         }
     }
 }
--- a/src/core/gateway/members.rs
+++ b/src/core/gateway/members.rs
@@ -79,11 +79,10 @@
 
     /// Notes a message of a node, and whether it then took new callers.
     pub fn heard(&mut self, name: &str, incarnation: u64, is_ready: bool, now: Moment) {
-        if let Some(known) = self.nodes.get_mut(name) {
-            if known.member.incarnation == incarnation {
-                known.heard = Some(now);
-                known.member.is_ready = is_ready;
-            }
+        let known = self.nodes.get_mut(name);
+        if let Some(known) = known.filter(|known| known.member.incarnation == incarnation) {
+            known.heard = Some(now);
+            known.member.is_ready = is_ready;
         }
     }
 
--- a/src/core/gateway/quota.rs
+++ b/src/core/gateway/quota.rs
@@ -2,9 +2,11 @@
 //!
 //! Every node tells the others how much each customer asks of it. A node lets through the part of the
 //! customer's rate that corresponds to its part of what is asked, so that the parts add up to the
-//! limit. A node that hears from nobody falls back to less than an equal part.
+//! limit. What others told is some hundred milliseconds old; a node compares it with its own demand of
+//! that age, so that demand which rises everywhere at once does not look like a part of this node's only.
+//! A node that hears from nobody falls back to less than an equal part.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 use super::members::NodeName;
@@ -41,9 +43,50 @@
     }
 }
 
+/// The other nodes, as one node sees them.
+#[derive(Clone, Copy, Debug)]
+struct Company {
+    nodes: usize,
+    unheard: usize,
+    is_alone: bool,
+    /// Age of the oldest of their messages.
+    lag: Duration,
+}
+
+/// Time between two samples of the own demand.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(100);
+/// Samples that are kept: as far back as what others told may be.
+const MAX_SAMPLES: usize = 30;
+
+/// The own demand of the last seconds.
+#[derive(Debug, Default)]
+struct Samples(VecDeque<(Moment, f64)>);
+
+impl Samples {
+    fn add(&mut self, demand: f64, now: Moment) {
+        let last = self.0.back().map(|(at, _)| *at);
+        if last.is_none_or(|at| now.saturating_sub(at) >= SAMPLE_INTERVAL) {
+            self.0.push_back((now, demand));
+            if self.0.len() > MAX_SAMPLES {
+                self.0.pop_front();
+            }
+        }
+    }
+
+    /// Returns the demand as it was at a moment.
+    fn at(&self, moment: Moment) -> f64 {
+        let earlier = self.0.iter().rev().find(|(at, _)| *at <= moment);
+        earlier.map_or(0.0, |(at, demand)| {
+            let age = moment.saturating_sub(*at).as_secs_f64();
+            demand * (-age / DEMAND_WINDOW.as_secs_f64()).exp()
+        })
+    }
+}
+
 #[derive(Debug, Default)]
 struct CustomerState {
     demand: Average,
+    samples: Samples,
     level: f64,
     filled: Moment,
     quota: Option<Quota>,
@@ -54,7 +97,7 @@
 #[derive(Debug, Default)]
 pub struct QuotaShares {
     customers: HashMap<CustomerName, CustomerState>,
-    heard: Option<Moment>,
+    heard: HashMap<NodeName, Moment>,
 }
 
 /// Whether a call is within its customer's limit.
@@ -77,10 +120,17 @@
         nodes: usize,
         now: Moment,
     ) -> QuotaDecision {
-        let alone = self.is_alone(nodes, now);
+        let company = Company {
+            nodes,
+            unheard: nodes.saturating_sub(1 + self.heard.len()),
+            is_alone: self.is_alone(nodes, now),
+            lag: self.lag(now),
+        };
         let state = self.customer(customer);
+        let before = state.demand.decayed(now);
+        state.samples.add(before, now);
         state.demand.add(units, now);
-        let share = state.share(nodes, alone, now);
+        let share = state.share(company, now);
         let rate = quota.per_second * share;
         state.refill(quota, share, now);
         if state.level > 0.0 {
@@ -102,8 +152,8 @@
 
     /// Takes what another node said of the units a second that customers ask of it.
     pub fn heard(&mut self, node: &str, demand: &[(CustomerName, f64)], now: Moment) {
-        self.heard = Some(now);
         self.forget_node(node);
+        self.heard.insert(node.into(), now);
         for (customer, per_second) in demand {
             self.customer(customer)
                 .peers
@@ -113,6 +163,7 @@
 
     /// Forgets a node that is gone.
     pub fn forget_node(&mut self, node: &str) {
+        self.heard.remove(node);
         for state in self.customers.values_mut() {
             state.peers.remove(node);
         }
@@ -129,9 +180,18 @@
 
     fn is_alone(&self, nodes: usize, now: Moment) -> bool {
         nodes > 1
-            && self
+            && !self
                 .heard
-                .is_none_or(|heard| now.saturating_sub(heard) > ALONE_AFTER)
+                .values()
+                .any(|heard| now.saturating_sub(*heard) <= ALONE_AFTER)
+    }
+
+    /// Returns the age of the oldest message of a node that is still heard of.
+    fn lag(&self, now: Moment) -> Duration {
+        let ages = self.heard.values().map(|heard| now.saturating_sub(*heard));
+        ages.filter(|age| *age <= ALONE_AFTER)
+            .max()
+            .unwrap_or_default()
     }
 
     fn customer(&mut self, customer: &str) -> &mut CustomerState {
@@ -147,16 +207,17 @@
 
 impl CustomerState {
     /// Returns this node's part of the limit.
-    fn share(&self, nodes: usize, alone: bool, now: Moment) -> f64 {
-        let equal = 1.0 / nodes.max(1) as f64;
-        let own = self.demand.decayed(now);
-        let others: f64 = self.peers.values().sum();
+    fn share(&self, company: Company, now: Moment) -> f64 {
+        let equal = 1.0 / company.nodes.max(1) as f64;
+        let own = self.samples.at(now.saturating_sub(company.lag));
+        // A node that was not heard of yet is taken to be asked as much as this one.
+        let others = self.peers.values().sum::<f64>() + own * company.unheard as f64;
         let part = if own + others > 0.0 {
             (own / (own + others)).max(equal * LEAST_OF_EQUAL)
         } else {
             equal
         };
-        if alone {
+        if company.is_alone {
             part.min(equal) * ALONE_PART
         } else {
             part
--- a/src/ops/gateway/board.rs
+++ b/src/ops/gateway/board.rs
@@ -11,7 +11,7 @@
 use super::view::View;
 use crate::core::gateway::backends::Backends;
 use crate::core::gateway::clock::ClockMedian;
-use crate::core::gateway::members::{Member, Members};
+use crate::core::gateway::members::{Member, Members, NodeName};
 use crate::core::gateway::placement::Regions;
 use crate::core::gateway::quota::QuotaShares;
 use crate::core::gateway::retry_budget::RetryBudget;
@@ -72,7 +72,15 @@
 #[derive(Debug, Default)]
 pub struct WorkRates {
     own: HashMap<ServiceName, (f64, Moment)>,
-    told: HashMap<Box<str>, (Box<str>, Vec<(ServiceName, f64)>, Moment)>,
+    told: HashMap<NodeName, ToldWork>,
+}
+
+/// What another node told of its work.
+#[derive(Debug)]
+struct ToldWork {
+    zone: Box<str>,
+    work: Vec<(ServiceName, f64)>,
+    at: Moment,
 }
 
 /// Time over which work is averaged.
@@ -97,7 +105,12 @@
 
     /// Takes what another node told of its work.
     pub fn told(&mut self, node: &str, zone: &str, work: Vec<(ServiceName, f64)>, now: Moment) {
-        self.told.insert(node.into(), (zone.into(), work, now));
+        let told = ToldWork {
+            zone: zone.into(),
+            work,
+            at: now,
+        };
+        self.told.insert(node.into(), told);
     }
 
     /// Returns the work of a service in each availability zone.
@@ -106,11 +119,10 @@
         if let Some((rate, at)) = self.own.get(service) {
             *sums.entry(own_zone.into()).or_default() += decayed(*rate, *at, now);
         }
-        for (zone, work, at) in self.told.values() {
-            for (name, rate) in work {
-                if **name == *service {
-                    *sums.entry(zone.clone()).or_default() += decayed(*rate, *at, now);
-                }
+        for told in self.told.values() {
+            let of_service = told.work.iter().filter(|(name, _)| **name == *service);
+            for (_, rate) in of_service {
+                *sums.entry(told.zone.clone()).or_default() += decayed(*rate, told.at, now);
             }
         }
         sums
--- a/src/ops/gateway/register.rs
+++ b/src/ops/gateway/register.rs
@@ -83,11 +83,11 @@
 
     /// Ends the lease, so that the entry goes at once.
     pub async fn leave(&self) {
-        let lease = self.lease.lock().take();
-        if let Some(lease) = lease {
-            if let Err(e) = self.store.revoke(lease.id).await {
-                tracing::warn!(error = %e, "the node's entry stays in the store until its lease ends");
-            }
+        let Some(lease) = self.lease.lock().take() else {
+            return;
+        };
+        if let Err(e) = self.store.revoke(lease.id).await {
+            tracing::warn!(error = %e, "the node's entry stays in the store until its lease ends");
         }
     }
 
@@ -121,10 +121,11 @@
     }
 
     async fn write(&self) {
-        if let Some(lease) = self.lease() {
-            if let Err(e) = self.put_entry(lease.id).await {
-                self.failed(&e);
-            }
+        let Some(lease) = self.lease() else {
+            return;
+        };
+        if let Err(e) = self.put_entry(lease.id).await {
+            self.failed(&e);
         }
     }
 
--- a/src/ops/gateway/snapshot.rs
+++ b/src/ops/gateway/snapshot.rs
@@ -181,7 +181,7 @@
         match fetch(&board, &client, peer.control, Duration::ZERO).await {
             Ok(snapshot) => take(&board, snapshot, peer.control),
             Err(e) => {
-                tracing::warn!(peer = %peer.control, error = %e, "state of a node not fetched")
+                tracing::warn!(peer = %peer.control, error = %e, "state of a node not fetched");
             }
         }
     }
--- a/src/ops/gateway/stream.rs
+++ b/src/ops/gateway/stream.rs
@@ -229,10 +229,9 @@
 
     fn give_up(&mut self, what: &'static str, cause: Box<str>) -> BodyError {
         self.is_over = true;
-        if let Some(mut source) = self.source.take() {
-            if what == "broken_off" {
-                source.running.set_outcome(Outcome::Unreachable);
-            }
+        let source = self.source.take();
+        if let Some(mut source) = source.filter(|_| what == "broken_off") {
+            source.running.set_outcome(Outcome::Unreachable);
         }
         self.record(Ended::BrokenOff(what));
         cause.to_string().into()
--- a/tests/testsuite/gateway/quota.rs
+++ b/tests/testsuite/gateway/quota.rs
@@ -22,6 +22,8 @@
 
 struct Play {
     nodes: Vec<QuotaShares>,
+    /// Time between two messages of a node to another, in milliseconds.
+    tell_ms: u64,
     /// Nodes that hear from no other.
     cut_off: Vec<usize>,
     admitted: Vec<(Duration, f64)>,
@@ -30,8 +32,13 @@
 
 impl Play {
     fn new() -> Self {
+        Self::of(NODES, 200)
+    }
+
+    fn of(nodes: usize, tell_ms: u64) -> Self {
         Self {
-            nodes: (0..NODES).map(|_| QuotaShares::default()).collect(),
+            nodes: (0..nodes).map(|_| QuotaShares::default()).collect(),
+            tell_ms,
             cut_off: Vec::new(),
             admitted: Vec::new(),
             asked: 0.0,
@@ -39,12 +46,13 @@
     }
 
     /// Plays seconds in which `rate` tokens a second arrive, split over nodes by `weights`.
-    fn run(&mut self, from_s: u64, to_s: u64, rate: f64, weights: [f64; NODES], quota: &Quota) {
+    fn run(&mut self, from_s: u64, to_s: u64, rate: f64, weights: &[f64], quota: &Quota) {
         let total: f64 = weights.iter().sum();
-        let mut due = [0.0; NODES];
+        let count = self.nodes.len();
+        let mut due = vec![0.0; count];
         for ms in (from_s * 1000..to_s * 1000).step_by(10) {
             let now = Duration::from_millis(ms);
-            if ms % 200 == 0 {
+            if ms % self.tell_ms == 0 {
                 self.tell(now);
             }
             for (node, weight) in weights.iter().enumerate() {
@@ -52,7 +60,7 @@
                 while due[node] >= CALL {
                     due[node] -= CALL;
                     self.asked += CALL;
-                    let decision = self.nodes[node].take("anna", quota, CALL, NODES, now);
+                    let decision = self.nodes[node].take("anna", quota, CALL, count, now);
                     if decision == QuotaDecision::Within {
                         self.admitted.push((now, CALL));
                     }
@@ -62,9 +70,10 @@
     }
 
     fn tell(&mut self, now: Duration) {
-        for from in 0..NODES {
+        let count = self.nodes.len();
+        for from in 0..count {
             let demand = self.nodes[from].demand(now);
-            for to in 0..NODES {
+            for to in 0..count {
                 let is_cut = self.cut_off.contains(&from) || self.cut_off.contains(&to);
                 if from != to && !is_cut {
                     self.nodes[to].heard(&format!("n{from}"), &demand, now);
@@ -102,17 +111,30 @@
 #[test]
 fn a_customer_far_beyond_its_limit_gets_its_limit_and_no_more() {
     let mut play = Play::new();
-    play.run(0, 30, 2_400_000.0, [1.0; NODES], &QUOTA);
+    play.run(0, 30, 2_400_000.0, &[1.0; NODES], &QUOTA);
     assert!(play.worst_window(0) <= allowed(&QUOTA));
     // What is within the limit is not refused either.
     assert!(play.admitted_in(5, 25) >= 0.95 * 20.0 * QUOTA.per_second);
 }
 
+#[test]
+fn many_nodes_that_have_not_heard_of_each_other_do_not_each_give_the_whole_limit() {
+    let quota = Quota {
+        per_second: 2_000_000.0,
+        burst: 2_000_000.0,
+        ..QUOTA
+    };
+    let mut play = Play::of(74, 900);
+    play.run(0, 12, 12_000_000.0, &[1.0; 74], &quota);
+    assert!(play.worst_window(0) <= allowed(&quota));
+    assert!(play.admitted_in(3, 12) >= 0.9 * 9.0 * quota.per_second);
+}
+
 #[test]
 fn calls_that_come_to_few_nodes_get_the_whole_limit() {
     let mut play = Play::new();
     let weights = [10.0, 1.0, 0.0, 0.0, 0.0, 0.0];
-    play.run(0, 30, 1_200_000.0, weights, &QUOTA);
+    play.run(0, 30, 1_200_000.0, &weights, &QUOTA);
     assert!(play.worst_window(0) <= allowed(&QUOTA));
     assert!(play.admitted_in(5, 25) >= 0.9 * 20.0 * QUOTA.per_second);
 }
@@ -124,7 +146,7 @@
         let mut weights = [0.2; NODES];
         weights[turn] = 5.0;
         let turn = turn as u64;
-        play.run(turn * 5, turn * 5 + 5, 1_600_000.0, weights, &QUOTA);
+        play.run(turn * 5, turn * 5 + 5, 1_600_000.0, &weights, &QUOTA);
     }
     assert!(play.worst_window(0) <= allowed(&QUOTA));
 }
@@ -132,29 +154,29 @@
 #[test]
 fn a_customer_within_its_limit_is_not_refused() {
     let mut play = Play::new();
-    play.run(0, 20, 320_000.0, [1.0; NODES], &QUOTA);
+    play.run(0, 20, 320_000.0, &[1.0; NODES], &QUOTA);
     assert!(play.admitted_in(0, 20) >= 0.98 * play.asked);
 }
 
 #[test]
 fn nodes_that_are_cut_off_do_not_add_to_the_limit() {
     let mut play = Play::new();
-    play.run(0, 10, 2_400_000.0, [1.0; NODES], &QUOTA);
+    play.run(0, 10, 2_400_000.0, &[1.0; NODES], &QUOTA);
     play.cut_off = vec![0, 1];
-    play.run(10, 30, 2_400_000.0, [1.0; NODES], &QUOTA);
+    play.run(10, 30, 2_400_000.0, &[1.0; NODES], &QUOTA);
     assert!(play.worst_window(0) <= allowed(&QUOTA));
 }
 
 #[test]
 fn a_lowered_limit_binds_within_one_window() {
     let mut play = Play::new();
-    play.run(0, 12, 1_200_000.0, [1.0; NODES], &QUOTA);
+    play.run(0, 12, 1_200_000.0, &[1.0; NODES], &QUOTA);
     let lower = Quota {
         per_second: 60_000.0,
         burst: 60_000.0,
         ..QUOTA
     };
-    play.run(12, 40, 1_200_000.0, [1.0; NODES], &lower);
+    play.run(12, 40, 1_200_000.0, &[1.0; NODES], &lower);
     assert!(play.worst_window(12) <= allowed(&lower));
 }
 
