Send shared prompts to engines that all nodes prefer, and save up second sends over a window

Change: the anchor is the longest shared part, with a second choice; loads are told twice as often and usage once a second; second sends are saved up over the window; a window is decided later where a node is silent.

--- a/src/core/gateway/load.rs
+++ b/src/core/gateway/load.rs
@@ -40,6 +40,11 @@
         self.unread[..=rank].iter().sum()
     }
 
+    /// Returns the tokens of less urgent calls than a new call of a rank.
+    pub fn unread_after(&self, rank: usize) -> u32 {
+        self.unread[rank + 1..].iter().sum()
+    }
+
     /// Returns the calls that wait before a new call of a rank.
     pub fn waiting_before(&self, rank: usize) -> u32 {
         self.waiting[..=rank].iter().sum()
--- a/src/core/gateway/placement.rs
+++ b/src/core/gateway/placement.rs
@@ -3,11 +3,12 @@
 //! Load it answers: calls whose prompts share long parts, on engines that read prompts one after the
 //! other, seen by several nodes whose knowledge of each other's calls is some hundred milliseconds
 //! old. A call goes where its first event is expected soonest: the reading before it, its own reading
-//! less what the engine's cache holds, and what the way there costs. Engines serve urgent calls first,
-//! so that only the reading of as urgent and more urgent calls counts as being before it.
+//! less what the engine's cache holds, and what the way there costs. Engines admit urgent calls first, but
+//! what they have admitted they read in turn: prompts of less urgent calls count in part.
 //!
 //! A call is refused at once where the wait before it, at the best back end, is longer than waiting
-//! is of use. Its own length does not count in that, so that long prompts are served like short ones.
+//! is of use. Its own length does not count in that, so that long prompts are served like short ones; nor
+//! do less urgent calls, so that urgent ones are not refused for them.
 
 use std::time::Duration;
 
@@ -28,15 +29,18 @@
 const DEFAULT_HOLD_MS: f64 = 80.0;
 /// What a back end in another availability zone of the region has to be faster by. Traffic between
 /// zones is paid by volume.
-const OTHER_ZONE_MS: f64 = 25.0;
+const OTHER_ZONE_MS: f64 = 8.0;
 /// What a back end in another region has to be faster by: a round trip, and traffic that costs twice.
 const OTHER_REGION_MS: f64 = 180.0;
 /// What a back end is taken to be slower by for each part of its calls that fail.
 const FAILING_MS: f64 = 600.0;
 /// What a suspect back end has to be faster by.
 const SUSPECT_MS: f64 = 400.0;
-/// Part of an unknown prompt that the engine which all nodes prefer for it is taken to hold.
-const PREFERRED_HELD: f64 = 0.6;
+/// Parts of a shared prompt that the engines which all nodes prefer for it, first and second, are taken
+/// to hold.
+const PREFERRED_HELD: [f64; 2] = [0.95, 0.6];
+/// Part of the prompts of less urgent calls that engines have begun to read, so that they come before.
+const ADMITTED_PART: f64 = 0.7;
 /// Part of an engine's memory up to which its calls are believed to fit.
 const KV_USABLE: f64 = 0.9;
 /// Part of the expected time by which equal choices are spread at random.
@@ -131,8 +135,7 @@
     let best = candidates
         .iter()
         .map(|entry| {
-            let is_preferred = preferred.is_some_and(|p| std::ptr::eq(p, *entry));
-            let mut estimate = estimate(entry, regions, ask, is_preferred, now);
+            let mut estimate = estimate(entry, regions, ask, preferred.held(entry), now);
             estimate.score *= 1.0 + SPREAD * draw();
             estimate
         })
@@ -167,26 +170,47 @@
     }
 }
 
-/// Returns the engine of the node's region which all its nodes prefer for a prompt: the one with the
-/// highest hash of its name and the prompt's first part.
-fn preferred<'a>(
-    candidates: &[&'a Entry],
-    regions: &dyn Regions,
-    ask: &Ask<'_>,
-) -> Option<&'a Entry> {
-    let first = ask.parts.iter().max_by_key(|part| part.tokens)?;
-    candidates
-        .iter()
-        .copied()
-        .filter(|entry| regions.is_same_region(ask.zone, &entry.backend.zone))
-        .max_by_key(|entry| xxh3_64_with_seed(entry.backend.id.as_bytes(), first.id))
+/// Engines that all nodes of a region prefer for a prompt.
+#[derive(Default)]
+struct Preferred<'a>([Option<&'a Entry>; 2]);
+
+impl Preferred<'_> {
+    /// Returns the part of the prompt's shared tokens that an engine is taken to hold.
+    fn held(&self, entry: &Entry) -> f64 {
+        let is_it = |preferred: &Option<&Entry>| preferred.is_some_and(|p| std::ptr::eq(p, entry));
+        let place = self.0.iter().position(is_it);
+        place.map_or(0.0, |place| PREFERRED_HELD[place])
+    }
+}
+
+/// Returns the engines of the node's region with the highest hashes of their names and the prompt's
+/// longest shared part. They depend on nothing that nodes know differently, so that a part is read by few
+/// engines however many nodes there are.
+fn preferred<'a>(candidates: &[&'a Entry], regions: &dyn Regions, ask: &Ask<'_>) -> Preferred<'a> {
+    let shared = ask.parts.len().saturating_sub(1);
+    let Some(anchor) = ask.parts[..shared].iter().max_by_key(|part| part.tokens) else {
+        return Preferred::default();
+    };
+    let mut best = [(0, None); 2];
+    for entry in candidates {
+        if !regions.is_same_region(ask.zone, &entry.backend.zone) {
+            continue;
+        }
+        let hash = xxh3_64_with_seed(entry.backend.id.as_bytes(), anchor.id);
+        if hash >= best[0].0 {
+            best = [(hash, Some(*entry)), best[0]];
+        } else if hash >= best[1].0 {
+            best[1] = (hash, Some(*entry));
+        }
+    }
+    Preferred(best.map(|(_, entry)| entry))
 }
 
 fn estimate<'a>(
     entry: &'a Entry,
     regions: &dyn Regions,
     ask: &Ask<'_>,
-    is_preferred: bool,
+    preferred_held: f64,
     now: Moment,
 ) -> Estimate<'a> {
     let load = entry.load(now);
@@ -201,20 +225,18 @@
     let mut wait_ms = over_slots * hold_ms / slots;
     let mut own_ms = hold_ms;
     let mut unread = 0;
+    let mut behind_ms = 0.0;
     if let Some(engine) = ask.engine {
         let held = f64::from(entry.cache.held_tokens(ask.parts));
-        let shared = shared_tokens(ask.parts);
-        let held = if is_preferred {
-            held.max(shared * PREFERRED_HELD)
-        } else {
-            held
-        };
+        let held = held.max(shared_tokens(ask.parts) * preferred_held);
         unread = (f64::from(ask.prompt_tokens) - held).max(0.0) as u32;
-        wait_ms += f64::from(load.unread_before(rank)) / READ_TOKENS_PER_MS * entry.pace;
+        let read_ms = |tokens: u32| f64::from(tokens) / READ_TOKENS_PER_MS * entry.pace;
+        wait_ms += read_ms(load.unread_before(rank));
+        behind_ms = read_ms(load.unread_after(rank)) * ADMITTED_PART;
         wait_ms += hold_ms * kv_shortage(&engine, load.kv_tokens, ask);
         own_ms = (f64::from(unread) / READ_TOKENS_PER_MS + FIRST_EVENT_MS) * entry.pace;
     }
-    let expected_ms = wait_ms + own_ms;
+    let expected_ms = wait_ms + behind_ms + own_ms;
     Estimate {
         entry,
         score: expected_ms + way_ms(entry, regions, ask.zone) + distrust_ms(entry),
--- a/src/ops/gateway/duties.rs
+++ b/src/ops/gateway/duties.rs
@@ -24,6 +24,11 @@
 const SETTLE_BEYOND_LEASE: Duration = Duration::from_millis(500);
 /// Time after a window's end until its counts have come from all nodes.
 const COUNTS_ARRIVE: Duration = Duration::from_millis(2600);
+/// Part of the time for a report after which a window is decided though some nodes have not been heard of
+/// since its end.
+const AWAITED_SHARE: f64 = 0.65;
+/// Age of a node's last message up to which its counts have arrived.
+const COUNTS_FRESH: Duration = Duration::from_millis(2000);
 /// Windows that a holder looks back to.
 const WINDOWS_BACK: u64 = 3;
 /// Windows for which decided counts are kept in the store.
@@ -167,9 +172,13 @@
     /// Reports windows whose counts are complete: each is decided once in the store, then told.
     async fn report_usage(&mut self, tenure: Tenure) -> Result<()> {
         let wall = self.board.wall();
+        let patience = match self.hears_all() {
+            true => COUNTS_ARRIVE,
+            false => self.board.settings.bounds.usage_late.mul_f64(AWAITED_SHARE),
+        };
         let done = self
             .board
-            .window_at(wall.saturating_sub(COUNTS_ARRIVE.as_millis() as u64));
+            .window_at(wall.saturating_sub(patience.as_millis() as u64));
         if done == 0 || self.settled_at == Some(done) {
             return Ok(());
         }
@@ -205,6 +214,17 @@
         Ok(())
     }
 
+    /// Returns whether all other nodes have told their counts of late.
+    fn hears_all(&self) -> bool {
+        let now = self.board.now();
+        let own = &self.board.settings.name;
+        let members = self.board.members.lock();
+        members
+            .iter()
+            .filter(|member| member.name != *own)
+            .all(|member| members.is_fresh(&member.name, now, COUNTS_FRESH))
+    }
+
     /// Returns the counts of a window as the store has them; they are written there first if it has
     /// none. Returns `None` for a window in which this node was not there and that nobody decided.
     async fn decide(&self, window: Window) -> Result<Option<Counts>> {
--- a/src/ops/gateway/forward.rs
+++ b/src/ops/gateway/forward.rs
@@ -20,6 +20,7 @@
 use crate::core::gateway::placement::{self, Ask, Placement, RefusalCause};
 use crate::core::gateway::retry_budget::RetryBudget;
 use crate::core::gateway::routes::RouteKind;
+use crate::core::time::Moment;
 use crate::core::verdict::Verdict;
 
 /// Largest answer that is not a stream.
@@ -265,15 +266,21 @@
         && with_budget(cx, call, RetryBudget::take)
 }
 
-fn with_budget<T>(cx: &GatewayContext, call: &Call, f: impl FnOnce(&mut RetryBudget) -> T) -> T {
+fn with_budget<T>(
+    cx: &GatewayContext,
+    call: &Call,
+    f: impl FnOnce(&mut RetryBudget, Moment) -> T,
+) -> T {
     let board = &cx.board;
+    let now = board.now();
     let bounds = &board.settings.bounds;
     let nodes = board.node_count();
     let mut retries = board.retries.lock();
     let budget = retries.entry(call.service.name.clone()).or_insert_with(|| {
-        RetryBudget::new(bounds.retry_ratio, f64::from(bounds.retry_slack), nodes)
+        let slack = f64::from(bounds.retry_slack);
+        RetryBudget::new(bounds.retry_ratio, slack, bounds.retry_window, nodes, now)
     });
-    f(budget)
+    f(budget, now)
 }
 
 /// Decides what to do with an answer.
--- a/src/ops/gateway/install.rs
+++ b/src/ops/gateway/install.rs
@@ -12,6 +12,8 @@
 
 /// Time after the store's return within which back ends that lapsed meanwhile name themselves again.
 const RETURN_GRACE: Duration = Duration::from_millis(2200);
+/// Part of the time for draining for which a back end is kept that may have lapsed.
+const DRAIN_SHARE: f64 = 0.85;
 /// Time without the store after which entries may have lapsed because of it.
 const OUTAGE: Duration = Duration::from_millis(3500);
 /// Time for which a node that lapsed in the store is kept while it is heard of.
@@ -116,10 +118,9 @@
 
 fn forget(board: &Board, key: &str, after_outage: bool) {
     if let Some(id) = key.strip_prefix(board.dialect.backend_prefix()) {
-        let grace = if after_outage {
-            RETURN_GRACE
-        } else {
-            Duration::ZERO
+        let grace = match after_outage {
+            true => RETURN_GRACE.min(board.settings.bounds.drain.mul_f64(DRAIN_SHARE)),
+            false => Duration::ZERO,
         };
         let gone_at = board.now() + grace;
         board.backends.lock().unlist(id, gone_at);
--- a/src/ops/gateway/mesh.rs
+++ b/src/ops/gateway/mesh.rs
@@ -26,7 +26,9 @@
 /// Shortest time between two messages to a node of another region.
 const FAR_INTERVAL: Duration = Duration::from_millis(700);
 /// Messages that a node sends in a second to the nodes of its region, and to those of all others.
-const MESSAGES_PER_S: f64 = 40.0;
+const MESSAGES_PER_S: f64 = 80.0;
+/// Time between two messages that tell counts of usage.
+const USAGE_INTERVAL: Duration = Duration::from_millis(900);
 /// Largest datagram that is read.
 const MAX_DATAGRAM: usize = 60 * 1024;
 
@@ -169,6 +171,13 @@
     pub revision: u64,
 }
 
+/// When messages were last sent to a node.
+#[derive(Clone, Copy, Debug, Default)]
+struct LastSent {
+    at: Moment,
+    usage_at: Moment,
+}
+
 /// Datagrams between nodes.
 pub struct Mesh {
     board: Arc<Board>,
@@ -198,7 +207,7 @@
 
     /// Sends reports until the task is dropped.
     pub async fn send(self: Arc<Self>) {
-        let mut last: HashMap<SocketAddr, Moment> = HashMap::new();
+        let mut last = HashMap::new();
         loop {
             self.send_due(&mut last).await;
             tokio::time::sleep(ZONE_INTERVAL).await;
@@ -210,7 +219,7 @@
         self.send_due(&mut HashMap::new()).await;
     }
 
-    async fn send_due(&self, last: &mut HashMap<SocketAddr, Moment>) {
+    async fn send_due(&self, last: &mut HashMap<SocketAddr, LastSent>) {
         let now = self.board.now();
         let settings = &self.board.settings;
         let others: Vec<Member> = self
@@ -228,8 +237,8 @@
         let far = others.len() - in_region;
         let region_interval = REGION_INTERVAL.max(interval_for(in_region));
         let far_interval = FAR_INTERVAL.max(interval_for(far));
-        let mut near_text = None;
-        let mut far_text = None;
+        // Messages are the same for all nodes near or far, with or without usage.
+        let mut texts: HashMap<(bool, bool), Vec<u8>> = HashMap::new();
         for member in &others {
             let is_near = member.region == settings.region;
             let interval = if member.zone == settings.zone {
@@ -239,19 +248,18 @@
             } else {
                 far_interval
             };
-            let due = last
-                .get(&member.peers)
-                .is_none_or(|at| now.saturating_sub(*at) + ZONE_INTERVAL / 4 >= interval);
-            if !due {
+            let sent = last.entry(member.peers).or_default();
+            if now.saturating_sub(sent.at) + ZONE_INTERVAL / 4 < interval {
                 continue;
             }
-            last.insert(member.peers, now);
-            let text = if is_near {
-                &mut near_text
-            } else {
-                &mut far_text
-            };
-            let text = text.get_or_insert_with(|| self.report(is_near).encode_to_vec());
+            let with_usage = now.saturating_sub(sent.usage_at) >= USAGE_INTERVAL;
+            sent.at = now;
+            if with_usage {
+                sent.usage_at = now;
+            }
+            let text = texts
+                .entry((is_near, with_usage))
+                .or_insert_with(|| self.report(is_near, with_usage).encode_to_vec());
             if let Err(e) = self.socket.send_to(text, member.peers).await {
                 tracing::debug!(node = &*member.name, error = %e, "message to a node not sent");
             }
@@ -276,10 +284,13 @@
         }
     }
 
-    fn report(&self, with_loads: bool) -> ReportWire {
+    fn report(&self, with_loads: bool, with_usage: bool) -> ReportWire {
         let board = &self.board;
         let now = board.now();
-        let usage = board.own_usage();
+        let usage = match with_usage {
+            true => board.own_usage(),
+            false => Vec::new(),
+        };
         let counts = usage.iter().flat_map(|(window, counts)| {
             counts.iter().map(|(customer, calls)| CountWire {
                 window: *window,
--- a/src/ops/gateway/record.rs
+++ b/src/ops/gateway/record.rs
@@ -185,6 +185,8 @@
         service = &*call.service.name,
         customer = call.customer_name(),
         rank = call.rank(),
+        tokens = ?call.head.tokens,
+        parts = ?call.head.parts.iter().map(|part| part.tokens).collect::<smallvec::SmallVec<[u32; 4]>>(),
         backends = ?progress.tried,
         sends = progress.sends,
         first_ms = first_at.map(millis),
--- a/src/util/settings/gateway.rs
+++ b/src/util/settings/gateway.rs
@@ -84,6 +84,12 @@
             "50",
             "second sends besides, over all nodes",
         ),
+        KeySpec::optional(
+            "retry_window",
+            TIMES,
+            "10s",
+            "span in which second sends are counted",
+        ),
         KeySpec::optional(
             "lease",
             TIMES,
@@ -160,6 +166,8 @@
     pub retry_ratio: f64,
     /// Second sends besides, over all nodes.
     pub retry_slack: u32,
+    /// Span in which second sends are counted.
+    pub retry_window: Duration,
     /// Shortest time between calls of one duty by A, B and A again.
     pub lease: Duration,
     /// Length of a window of usage.
@@ -237,6 +245,7 @@
         stop: fields.duration("stop"),
         retry_ratio: ratio.parse().unwrap_or(f64::NAN),
         retry_slack: fields.number("retry_slack"),
+        retry_window: fields.duration("retry_window"),
         lease: fields.duration("lease"),
         usage_window: fields.duration("usage_window"),
         usage_late: fields.duration("usage_late"),
