Take over the duties at once from a former process of the same node

Change: a node that starts again replaces the key of its own former process and waits 1.8 s. Test: a_node_that_starts_again_takes_over_from_its_former_process.

--- a/src/ops/gateway/duties.rs
+++ b/src/ops/gateway/duties.rs
@@ -22,6 +22,9 @@
 const ROUND: Duration = Duration::from_millis(400);
 /// Time beyond the lease that a new holder waits: calls of the former one may be on their way.
 const SETTLE_BEYOND_LEASE: Duration = Duration::from_millis(500);
+/// Time that a holder waits which takes over from a former process of the same node. It is longer than a
+/// call to the cloud may take.
+const SETTLE_AFTER_RESTART: Duration = Duration::from_millis(1800);
 /// Time after a window's end until its counts have come from all nodes.
 const COUNTS_ARRIVE: Duration = Duration::from_millis(2600);
 /// Part of the time for a report after which a window is decided though some nodes have not been heard of
@@ -36,6 +39,15 @@
 /// Longest random wait before a node tries to become the holder.
 const CANDIDATE_SPREAD: Duration = Duration::from_millis(250);
 
+/// A way to become the holder.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Claim {
+    /// Revision of the key that is replaced; 0 for none.
+    expected: u64,
+    /// Time to wait before the first call.
+    settle: Duration,
+}
+
 /// The duties of one node.
 pub struct DutyKeeper {
     board: Arc<Board>,
@@ -83,50 +95,70 @@
     }
 
     async fn try_to_hold(&mut self) {
-        let is_free = {
-            let view = self.board.view.lock();
-            view.contact.is_some() && view.get(keys::HOLDER).is_none()
-        };
-        if !is_free {
+        let Some(claim) = self.open_claim() else {
             return;
-        }
+        };
         tokio::time::sleep(CANDIDATE_SPREAD.mul_f64(rand::random())).await;
         let Some(lease) = self.registration.lease() else {
             return;
         };
-        if self.board.view.lock().get(keys::HOLDER).is_some() {
+        if self.open_claim() != Some(claim) {
             return;
         }
-        let mut claim = Transaction::swap(keys::HOLDER, 0, self.claim_value());
-        if let Some(Op::Put { lease: of, .. }) = claim.then.first_mut() {
+        let mut req = Transaction::swap(keys::HOLDER, claim.expected, self.claim_value());
+        if let Some(Op::Put { lease: of, .. }) = req.then.first_mut() {
             *of = Some(lease.id);
         }
-        match self.store.transact(claim).await {
-            Ok(reply) if reply.succeeded => self.begin(reply.revision),
+        match self.store.transact(req).await {
+            Ok(reply) if reply.succeeded => self.begin(reply.revision, claim.settle),
             Ok(reply) => {
                 // A claim whose answer was lost may have been taken.
                 let own = self.claim_value();
                 let holder = reply.found().and_then(|found| found.first());
                 if let Some(holder) = holder.filter(|holder| holder.value == own) {
-                    self.begin(holder.mod_revision);
+                    self.begin(holder.mod_revision, claim.settle);
                 }
             }
             Err(e) => tracing::info!(error = %e, "duties not taken up"),
         }
     }
 
+    /// Returns how the duties can be taken up now: they are free, or a former process of this node holds
+    /// them. The latter is gone, since nodes run one process, and only its last call may be on its way.
+    fn open_claim(&self) -> Option<Claim> {
+        let view = self.board.view.lock();
+        view.contact?;
+        let Some(holder) = view.get(keys::HOLDER) else {
+            return Some(Claim {
+                expected: 0,
+                settle: self.board.settings.bounds.lease + SETTLE_BEYOND_LEASE,
+            });
+        };
+        let node = holder.value.rsplitn(2, |byte| *byte == b'/').last();
+        let is_former =
+            node == Some(self.board.settings.name.as_bytes()) && holder.value != self.claim_value();
+        is_former.then_some(Claim {
+            expected: holder.revision,
+            settle: SETTLE_AFTER_RESTART,
+        })
+    }
+
     fn claim_value(&self) -> bytes::Bytes {
         format!("{}/{}", self.board.settings.name, self.board.incarnation).into()
     }
 
-    fn begin(&mut self, fence: u64) {
-        tracing::info!(fence, "this node holds the duties");
+    fn begin(&mut self, fence: u64, settle: Duration) {
+        tracing::info!(
+            fence,
+            settle_ms = settle.as_millis() as u64,
+            "this node holds the duties"
+        );
         self.scaling.clear();
         self.settled_at = None;
         self.tenure = Some(Tenure {
             fence,
             since: self.board.now(),
-            settle: self.board.settings.bounds.lease + SETTLE_BEYOND_LEASE,
+            settle,
         });
     }
 
--- a/tests/testsuite/gateway/duties.rs
+++ b/tests/testsuite/gateway/duties.rs
@@ -4,8 +4,9 @@
 use std::time::Duration;
 
 use jayhall::core::gateway::tenure::{MayAct, Tenure};
+use jayhall::sources::store::{RangeRequest, Store};
 
-use super::rig::{Behaviour, one_node};
+use super::rig::{Behaviour, Rig, config, one_node};
 
 const TTL: Duration = Duration::from_secs(4);
 
@@ -68,3 +69,28 @@
     }
     assert_eq!(windows.values().sum::<u32>(), sent, "{windows:?}");
 }
+
+#[tokio::test]
+async fn a_node_that_starts_again_takes_over_from_its_former_process() {
+    let former = Rig::new();
+    former.put("op/config", config(1)).await;
+    former.put("jayhall/holder", "n1/12345").await;
+    let holder = async |rig: &Rig| {
+        let req = RangeRequest::one("jayhall/holder");
+        let found = rig.store.range(req).await.unwrap().entries;
+        String::from_utf8(found[0].value.to_vec()).unwrap()
+    };
+    let again = former.node("n1").await;
+    former.ready(&again).await;
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    let value = holder(&former).await;
+    assert!(value.starts_with("n1/") && value != "n1/12345", "{value}");
+    // The key of another node stays until its lease ends.
+    let other = Rig::new();
+    other.put("op/config", config(1)).await;
+    other.put("jayhall/holder", "n2/12345").await;
+    let node = other.node("n1").await;
+    other.ready(&node).await;
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    assert_eq!(holder(&other).await, "n2/12345");
+}
