Name failures to encode in place of sending nothing, and keep one figure of an engine's reading

Cause (reading the diff): counts that cannot be written would have been stored as nothing; the reading rate stood twice. Change: such a failure is an error; one constant.

--- a/src/core/gateway/placement.rs
+++ b/src/core/gateway/placement.rs
@@ -22,7 +22,7 @@
 use crate::core::time::Moment;
 
 /// Prompt tokens that an engine reads in a millisecond, before its pace is measured.
-const READ_TOKENS_PER_MS: f64 = 50.0;
+pub const READ_TOKENS_PER_MS: f64 = 50.0;
 /// Time from the end of reading to the first event.
 const FIRST_EVENT_MS: f64 = 55.0;
 /// Time that a call holds a slot where nothing is measured yet.
--- a/src/ops/gateway/attempt.rs
+++ b/src/ops/gateway/attempt.rs
@@ -14,13 +14,11 @@
 use super::dialect::{AnswerHead, SendHead};
 use super::pool::{BackendPool, Connection, SendError};
 use crate::core::gateway::backends::{CallPlace, Outcome};
-use crate::core::gateway::placement::RefusalCause;
+use crate::core::gateway::placement::{READ_TOKENS_PER_MS, RefusalCause};
 use crate::core::verdict::Verdict;
 
 /// Milliseconds of an engine's time for each token of an answer, among others in its batch.
 const WORK_MS_PER_ANSWER_TOKEN: f64 = 0.4;
-/// Prompt tokens that an engine reads in a millisecond.
-const READ_TOKENS_PER_MS: f64 = 50.0;
 
 /// What an attempt needs beside the call.
 pub struct GatewayContext {
--- a/src/ops/gateway/duties.rs
+++ b/src/ops/gateway/duties.rs
@@ -16,7 +16,7 @@
 use crate::core::gateway::scaling::{Order, ServiceScaling, ZoneState};
 use crate::core::gateway::tenure::{MayAct, Tenure};
 use crate::core::gateway::usage::{Counts, Window};
-use crate::sources::store::{KeyRange, Op, RangeRequest, Result, Store, Transaction};
+use crate::sources::store::{KeyRange, Op, RangeRequest, Result, Store, StoreError, Transaction};
 
 /// Time between two rounds of a holder, and between two looks of the others.
 const ROUND: Duration = Duration::from_millis(400);
@@ -265,7 +265,9 @@
             return Ok(decode_counts(&decided.value));
         }
         let counts = self.board.usage.lock().total(window);
-        let value = serde_json::to_vec(&counts).unwrap_or_default();
+        let value = serde_json::to_vec(&counts).map_err(|e| StoreError::Refused {
+            cause: format!("counts cannot be written as JSON: {e}").into(),
+        })?;
         let mut decide = Transaction::swap(&key, 0, value.into());
         let old = keys::usage(window.saturating_sub(WINDOWS_KEPT));
         if self.board.view.lock().get(&old).is_some() {
--- a/src/ops/gateway/refusal.rs
+++ b/src/ops/gateway/refusal.rs
@@ -153,7 +153,7 @@
             detail: self.cause.detail(),
             verdict: self.verdict,
         };
-        let text = serde_json::to_vec(&problem).unwrap_or_default();
+        let text = serde_json::to_vec(&problem).expect("a problem can be written as JSON");
         let mut res = Response::new(whole(text.into()));
         *res.status_mut() = status;
         let headers = res.headers_mut();
--- a/src/platform/directory.rs
+++ b/src/platform/directory.rs
@@ -31,5 +31,5 @@
         addresses,
         ttl_s: ttl.as_secs_f64(),
     };
-    serde_json::to_vec(&wire).unwrap_or_default()
+    serde_json::to_vec(&wire).expect("addresses and a number can be written as JSON")
 }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -108,23 +108,19 @@
         head.remove(name);
     }
     head.remove(CONTENT_LENGTH);
-    let deadline = send.deadline.as_millis().max(1);
-    head.insert(DEADLINE, number_value(deadline));
-    head.insert(PRIORITY, number_value(send.rank.min(LAST_PRIORITY)));
+    let deadline_ms = u64::try_from(send.deadline.as_millis()).unwrap_or(u64::MAX);
+    head.insert(DEADLINE, deadline_ms.max(1).into());
+    head.insert(PRIORITY, u16::from(send.rank.min(LAST_PRIORITY)).into());
     insert_text(&mut head, EXPECTED_BACKEND, send.backend);
     if let Some(customer) = send.customer {
         insert_text(&mut head, CUSTOMER, customer);
     }
     if let Some(event) = send.last_event {
-        head.insert(LAST_EVENT, number_value(event));
+        head.insert(LAST_EVENT, event.into());
     }
     head
 }
 
-fn number_value(number: impl ToString) -> HeaderValue {
-    HeaderValue::from_str(&number.to_string()).unwrap_or(HeaderValue::from_static("0"))
-}
-
 fn insert_text(headers: &mut HeaderMap, name: HeaderName, text: &str) {
     match HeaderValue::from_str(text) {
         Ok(value) => {
@@ -174,5 +170,6 @@
 
 /// Returns the value of `Retry-After`: seconds with a fraction.
 pub(super) fn retry_after(after: Duration) -> HeaderValue {
-    number_value(format_args!("{:.2}", after.as_secs_f64().max(0.01)))
+    let seconds = format!("{:.2}", after.as_secs_f64().max(0.01));
+    HeaderValue::from_str(&seconds).expect("digits and a point fit into a header")
 }
