--- a/src/core/gateway/usage.rs
+++ b/src/core/gateway/usage.rs
@@ -26,12 +26,7 @@
 impl UsageBook {
     /// Counts one call of a node's process.
     pub fn count(&mut self, process: Incarnation, window: Window, customer: &str) {
-        let counts = self
-            .by_process
-            .entry(process)
-            .or_default()
-            .entry(window)
-            .or_default();
+        let counts = self.counts(process, window);
         match counts.get_mut(customer) {
             Some(count) => *count += 1,
             None => {
@@ -43,18 +38,18 @@
     /// Takes the totals that another process told. Totals never shrink, so that messages may come
     /// late, twice or not at all.
     pub fn merge(&mut self, process: Incarnation, window: Window, told: &Counts) {
-        let counts = self
-            .by_process
-            .entry(process)
-            .or_default()
-            .entry(window)
-            .or_default();
+        let counts = self.counts(process, window);
         for (customer, told) in told {
             let count = counts.entry(customer.clone()).or_default();
             *count = (*count).max(*told);
         }
     }
 
+    fn counts(&mut self, process: Incarnation, window: Window) -> &mut Counts {
+        let windows = self.by_process.entry(process).or_default();
+        windows.entry(window).or_default()
+    }
+
     /// Returns the sum over all processes in a window.
     pub fn total(&self, window: Window) -> Counts {
         let mut total = Counts::new();
--- a/src/util/settings/gateway.rs
+++ b/src/util/settings/gateway.rs
@@ -1,12 +1,11 @@
 //! Settings of a node that serves as a gateway on the users' platform.
 
 use std::collections::HashMap;
-use std::fs;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 
-use super::{LOG, LogFormat, LogSettings, NODE, Problem, Problems, Reader, Result, SettingsError};
+use super::{LOG, LogFormat, LogSettings, NODE, Problems, Reader, Result};
 use crate::util::schema::{KeySpec, Kind, SectionSpec};
 
 /// Shortest and longest times that settings may name.
@@ -186,10 +185,7 @@
     /// Fails where the file cannot be read, and with every mistake of its text.
     pub fn open(path: impl AsRef<Path>) -> Result<Self> {
         let path = path.as_ref();
-        let text = fs::read_to_string(path).map_err(|source| SettingsError::Read {
-            path: path.into(),
-            source,
-        })?;
+        let text = super::read_file(path)?;
         Self::parse(&text).map_err(|problems| super::wrong(path, problems))
     }
 
@@ -201,14 +197,7 @@
     pub fn parse(text: &str) -> std::result::Result<Self, Problems> {
         let mut reader = Reader::new(text, &GATEWAY_SECTIONS);
         let settings = read(&mut reader);
-        let mut problems: Vec<Problem> = reader.problems;
-        match settings {
-            Some(settings) if problems.is_empty() => Ok(settings),
-            _ => {
-                problems.sort_by_key(|problem| problem.line);
-                Err(Problems(problems))
-            }
-        }
+        reader.finish(settings)
     }
 }
 
--- a/src/util/settings/mod.rs
+++ b/src/util/settings/mod.rs
@@ -147,10 +147,7 @@
     /// it names does not exist.
     pub fn open(path: impl AsRef<Path>) -> Result<Self> {
         let path = path.as_ref();
-        let text = fs::read_to_string(path).map_err(|source| SettingsError::Read {
-            path: path.into(),
-            source,
-        })?;
+        let text = read_file(path)?;
         let settings = Self::parse(&text).map_err(|problems| wrong(path, problems))?;
         let missing = settings.missing_files(&text);
         if missing.0.is_empty() {
@@ -169,14 +166,7 @@
         let mut reader = Reader::new(text, &SECTIONS);
         let settings = reader.read();
         reader.check(&settings);
-        let mut problems = reader.problems;
-        match settings {
-            Some(settings) if problems.is_empty() => Ok(settings),
-            _ => {
-                problems.sort_by_key(|problem| problem.line);
-                Err(Problems(problems))
-            }
-        }
+        reader.finish(settings)
     }
 
     fn missing_files(&self, text: &str) -> Problems {
@@ -309,6 +299,18 @@
         }
     }
 
+    /// Returns the settings, or every mistake in the order of the lines.
+    fn finish<T>(self, settings: Option<T>) -> std::result::Result<T, Problems> {
+        let mut problems = self.problems;
+        match settings {
+            Some(settings) if problems.is_empty() => Ok(settings),
+            _ => {
+                problems.sort_by_key(|problem| problem.line);
+                Err(Problems(problems))
+            }
+        }
+    }
+
     fn section(&self, kind: &str) -> Option<&IniSection> {
         self.sections.iter().find(|section| &*section.kind == kind)
     }
@@ -338,6 +340,13 @@
     }
 }
 
+fn read_file(path: &Path) -> Result<String> {
+    fs::read_to_string(path).map_err(|source| SettingsError::Read {
+        path: path.into(),
+        source,
+    })
+}
+
 fn known_headings(known: &[&SectionSpec]) -> String {
     let known: Vec<_> = known
         .iter()
