Name timeouts and neighbours of the gateway by the usual terms

Cause (reading the diff as a newcomer): patience, farewell, company and distrust stood for attempt timeout, accepting while leaving, peers and penalty. Names only; no behaviour changes.

--- a/src/core/gateway/placement.rs
+++ b/src/core/gateway/placement.rs
@@ -239,7 +239,7 @@
     let expected_ms = wait_ms + behind_ms + own_ms;
     Estimate {
         entry,
-        score: expected_ms + way_ms(entry, regions, ask.zone) + distrust_ms(entry),
+        score: expected_ms + distance_ms(entry, regions, ask.zone) + penalty_ms(entry),
         wait_ms,
         expected_ms,
         unread,
@@ -262,7 +262,7 @@
     ((needed - room) / needed).clamp(0.0, 2.0)
 }
 
-fn way_ms(entry: &Entry, regions: &dyn Regions, zone: &str) -> f64 {
+fn distance_ms(entry: &Entry, regions: &dyn Regions, zone: &str) -> f64 {
     if *entry.backend.zone == *zone {
         0.0
     } else if regions.is_same_region(zone, &entry.backend.zone) {
@@ -272,7 +272,7 @@
     }
 }
 
-fn distrust_ms(entry: &Entry) -> f64 {
+fn penalty_ms(entry: &Entry) -> f64 {
     let suspect = if entry.is_suspect() { SUSPECT_MS } else { 0.0 };
     suspect + entry.failing * FAILING_MS
 }
--- a/src/core/gateway/quota.rs
+++ b/src/core/gateway/quota.rs
@@ -92,7 +92,7 @@
 
 /// The other nodes, as one node sees them.
 #[derive(Clone, Copy, Debug)]
-struct Company {
+struct Peers {
     /// Part of the rate that each node has if all have the same.
     equal: f64,
     /// Nodes that were heard of before and fell silent.
@@ -128,11 +128,11 @@
         nodes: usize,
         now: Moment,
     ) -> QuotaDecision {
-        let company = self.company(nodes, now);
+        let peers = self.peers(nodes, now);
         let bucket = self.bucket(customer);
-        let rate = company.rate(quota);
-        bucket.refill(quota, rate, company, now);
-        bucket.refill_part(quota, units, company, now);
+        let rate = peers.rate(quota);
+        bucket.refill(quota, rate, peers, now);
+        bucket.refill_part(quota, units, peers, now);
         bucket.filled = now;
         let level = bucket.level - bucket.unheard(now);
         if level > 0.0 && bucket.part_level > 0.0 {
@@ -203,10 +203,10 @@
         }
     }
 
-    fn company(&self, nodes: usize, now: Moment) -> Company {
+    fn peers(&self, nodes: usize, now: Moment) -> Peers {
         let is_silent = |heard: &&Heard| now.saturating_sub(heard.at) > CUT_OFF_AFTER;
         let cut_off = self.heard.values().filter(is_silent).count();
-        Company {
+        Peers {
             equal: 1.0 / nodes.max(1) as f64,
             cut_off,
             is_alone: nodes > 1 && cut_off == self.heard.len(),
@@ -223,7 +223,7 @@
     }
 }
 
-impl Company {
+impl Peers {
     /// Returns the units a second that this node may count on.
     fn rate(&self, quota: &Quota) -> f64 {
         let cut_off_part = self.equal * CUT_OFF_PART;
@@ -244,8 +244,8 @@
 }
 
 impl Bucket {
-    fn refill(&mut self, quota: &Quota, rate: f64, company: Company, now: Moment) {
-        let full = company.burst(quota);
+    fn refill(&mut self, quota: &Quota, rate: f64, peers: Peers, now: Moment) {
+        let full = peers.burst(quota);
         if self.quota.is_none() {
             // What others let through before the first call here is not counted.
             self.level = full;
@@ -260,7 +260,7 @@
 
     /// Refills this node's own part: what it lets through of all that nodes let through, at least an
     /// equal one.
-    fn refill_part(&mut self, quota: &Quota, units: f64, company: Company, now: Moment) {
+    fn refill_part(&mut self, quota: &Quota, units: f64, peers: Peers, now: Moment) {
         let elapsed = now.saturating_sub(self.filled).as_secs_f64();
         self.call += (units - self.call) * if self.call > 0.0 { 0.1 } else { 1.0 };
         let own = self.own_recent.units(now);
@@ -273,8 +273,8 @@
         // At first, that others have told nothing may only mean that it is on its way.
         let has_heard = now.saturating_sub(self.first_call) > CUT_OFF_AFTER;
         let part = match has_heard && all > 0.0 {
-            true => (own / all).max(company.equal),
-            false => company.equal,
+            true => (own / all).max(peers.equal),
+            false => peers.equal,
         };
         let (high, low) = PART_ROOM;
         let is_low = self.level < quota.burst * LOW_LEVEL;
--- a/src/node/gateway.rs
+++ b/src/node/gateway.rs
@@ -26,7 +26,7 @@
 /// Time between two collections of metrics.
 const METRICS_INTERVAL: Duration = Duration::from_secs(5);
 /// Time for which a node that leaves takes calls of callers that do not know yet.
-const FAREWELL: Duration = Duration::from_millis(2500);
+const ACCEPT_WHILE_LEAVING: Duration = Duration::from_millis(2500);
 /// Part of the time to stop after which calls that still run are given up.
 const STOP_SHARE: f64 = 0.92;
 /// Time between two looks whether all calls have ended.
@@ -140,7 +140,7 @@
         self.board.members.lock().put(self.board.own_member());
         self.mesh.send_now().await;
         self.listening.send_replace(Listening::Finishing);
-        tokio::time::sleep(FAREWELL).await;
+        tokio::time::sleep(ACCEPT_WHILE_LEAVING).await;
         self.listening.send_replace(Listening::Closed);
         while self.active() > 0 && Instant::now() < give_up {
             tokio::time::sleep(DRAIN_INTERVAL).await;
--- a/src/ops/gateway/attempt.rs
+++ b/src/ops/gateway/attempt.rs
@@ -174,7 +174,7 @@
     pub running: Running,
 }
 
-/// Sends a call to the back end of its place and waits for the head of the answer, for `patience` at
+/// Sends a call to the back end of its place and waits for the head of the answer, for `timeout` at
 /// most.
 ///
 /// # Errors
@@ -185,11 +185,11 @@
     call: &Call,
     mut running: Running,
     last_event: Option<u64>,
-    patience: Duration,
+    timeout: Duration,
 ) -> Result<Answer, AttemptError> {
     let once = !call.route.kind.may_repeat();
     let address = running.place.backend.address;
-    let result = exchange(cx, call, &running, last_event, once, address, patience).await;
+    let result = exchange(cx, call, &running, last_event, once, address, timeout).await;
     let (connection, res) = match result {
         Ok(answered) => answered,
         Err(e) => {
@@ -235,15 +235,15 @@
     last_event: Option<u64>,
     once: bool,
     address: std::net::SocketAddr,
-    patience: Duration,
+    timeout: Duration,
 ) -> Result<(Connection, hyper::Response<Incoming>), AttemptError> {
     let mut connection = cx.pool.open(address, once).await?;
     let req = request(cx, call, running, last_event);
     let silent = |_| AttemptError::Silent {
         backend: running.backend().into(),
-        after: patience,
+        after: timeout,
     };
-    let res = tokio::time::timeout(patience, connection.send(req))
+    let res = tokio::time::timeout(timeout, connection.send(req))
         .await
         .map_err(silent)??;
     Ok((connection, res))
--- a/src/ops/gateway/duties.rs
+++ b/src/ops/gateway/duties.rs
@@ -204,13 +204,13 @@
     /// Reports windows whose counts are complete: each is decided once in the store, then told.
     async fn report_usage(&mut self, tenure: Tenure) -> Result<()> {
         let wall = self.board.wall();
-        let patience = match self.hears_all() {
+        let delay = match self.hears_all() {
             true => COUNTS_ARRIVE,
             false => self.board.settings.bounds.usage_late.mul_f64(AWAITED_SHARE),
         };
         let done = self
             .board
-            .window_at(wall.saturating_sub(patience.as_millis() as u64));
+            .window_at(wall.saturating_sub(delay.as_millis() as u64));
         if done == 0 || self.settled_at == Some(done) {
             return Ok(());
         }
--- a/src/ops/gateway/forward.rs
+++ b/src/ops/gateway/forward.rs
@@ -32,11 +32,11 @@
 /// Longest wait that is of use for a call that was declined elsewhere.
 const USEFUL_WAIT_AGAIN: f64 = 2.0;
 /// Shortest silence of a back end after which an idempotent call is sent to another one.
-const LEAST_PATIENCE: Duration = Duration::from_millis(400);
+const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Silence after which a stream that may go on elsewhere does so.
-const STREAM_PATIENCE: Duration = Duration::from_millis(1800);
+const MIN_STREAM_TIMEOUT: Duration = Duration::from_millis(1800);
 /// Silence of which a back end is suspected, as a multiple of the expected time.
-const PATIENCE_FACTOR: f64 = 3.0;
+const TIMEOUT_FACTOR: f64 = 3.0;
 
 /// Counts calls that are being served.
 struct Active(Arc<GatewayContext>);
@@ -162,13 +162,13 @@
     progress: &mut Progress,
     last_event: Option<u64>,
 ) -> Result<Answer, AttemptError> {
-    let (running, patience) = begin(cx, call, progress)?;
+    let (running, timeout) = begin(cx, call, progress)?;
     progress.tried.push(running.backend().into());
     // Until the outcome is known, as where the caller leaves or the time ends, it may have run.
     let may_have_run = std::mem::replace(&mut progress.may_have_run, true);
     progress.sends += 1;
     note_send(cx, call, progress.sends);
-    let result = attempt::send(cx, call, running, last_event, patience).await;
+    let result = attempt::send(cx, call, running, last_event, timeout).await;
     if let Err(e) = &result {
         if e.verdict() == Verdict::NotRun {
             progress.sends -= 1;
@@ -229,7 +229,7 @@
             place, expected, ..
         } => {
             let running = Running::begin(cx, call, place, expected);
-            Ok((running, patience(call, progress, expected)))
+            Ok((running, attempt_timeout(call, progress, expected)))
         }
         Placement::Refuse {
             cause, retry_after, ..
@@ -238,13 +238,15 @@
 }
 
 /// Returns how long a back end may be silent before another one is tried.
-fn patience(call: &Call, progress: &Progress, expected: Duration) -> Duration {
+fn attempt_timeout(call: &Call, progress: &Progress, expected: Duration) -> Duration {
     let is_last = progress.sends + 1 >= call.route.max_backends;
-    let suspicious = expected.mul_f64(PATIENCE_FACTOR);
+    let suspicious = expected.mul_f64(TIMEOUT_FACTOR);
     match call.route.kind {
         _ if is_last => call.left(),
-        RouteKind::Idempotent => LEAST_PATIENCE.max(suspicious).min(call.left()),
-        RouteKind::Stream { resumable: true } => STREAM_PATIENCE.max(suspicious).min(call.left()),
+        RouteKind::Idempotent => MIN_ATTEMPT_TIMEOUT.max(suspicious).min(call.left()),
+        RouteKind::Stream { resumable: true } => {
+            MIN_STREAM_TIMEOUT.max(suspicious).min(call.left())
+        }
         RouteKind::Stream { .. } | RouteKind::AtMostOnce => call.left(),
     }
 }
--- a/src/ops/gateway/stream.rs
+++ b/src/ops/gateway/stream.rs
@@ -24,7 +24,7 @@
 use crate::core::gateway::routes::RouteKind;
 
 /// Silence between two events after which a stream that may go on elsewhere does so.
-const EVENT_PATIENCE: Duration = Duration::from_millis(1600);
+const EVENT_TIMEOUT: Duration = Duration::from_millis(1600);
 /// Largest event that is put together.
 const MAX_EVENT: usize = 4 * 1024 * 1024;
 
@@ -127,7 +127,7 @@
         };
         let now = Instant::now();
         let until = match can_go_on {
-            true => deadline.min(now + EVENT_PATIENCE),
+            true => deadline.min(now + EVENT_TIMEOUT),
             false => deadline,
         };
         match tokio::time::timeout_at(until, source.body.frame()).await {
