--- a/src/core/gateway/backends.rs
+++ b/src/core/gateway/backends.rs
@@ -215,11 +215,6 @@
         gone
     }
 
-    /// Returns the names of all back ends.
-    pub fn ids(&self) -> Vec<BackendId> {
-        self.entries.keys().cloned().collect()
-    }
-
     /// Returns a back end by name.
     pub fn get(&self, id: &str) -> Option<&Entry> {
         self.entries.get(id)
--- a/src/core/gateway/load.rs
+++ b/src/core/gateway/load.rs
@@ -1,7 +1,5 @@
 //! Work that nodes have given to one back end and that is not done yet.
 
-use smallvec::SmallVec;
-
 /// Ranks that are told apart; less urgent ones count as the last of these.
 pub const RANKS: usize = 9;
 
@@ -45,11 +43,6 @@
         self.unread[rank + 1..].iter().sum()
     }
 
-    /// Returns the calls that wait before a new call of a rank.
-    pub fn waiting_before(&self, rank: usize) -> u32 {
-        self.waiting[..=rank].iter().sum()
-    }
-
     /// Returns whether there is no work.
     pub fn is_idle(&self) -> bool {
         self.calls == 0
@@ -66,6 +59,3 @@
     /// Tokens that it holds in the engine's memory.
     pub kv_tokens: u32,
 }
-
-/// Loads of several back ends, as one node tells them to others.
-pub type LoadList = SmallVec<[(u32, Load); 8]>;
--- a/src/core/gateway/members.rs
+++ b/src/core/gateway/members.rs
@@ -72,11 +72,6 @@
         self.nodes.remove(name);
     }
 
-    /// Keeps only nodes for which `keep` holds.
-    pub fn retain(&mut self, keep: impl Fn(&str) -> bool) {
-        self.nodes.retain(|name, _| keep(name));
-    }
-
     /// Notes a message of a node, and whether it then took new callers.
     pub fn heard(&mut self, name: &str, incarnation: u64, is_ready: bool, now: Moment) {
         let known = self.nodes.get_mut(name);
--- a/src/ops/gateway/call.rs
+++ b/src/ops/gateway/call.rs
@@ -55,17 +55,20 @@
 }
 
 impl Call {
-    /// Reads a call and decides whether it may be served at all.
+    /// Reads a call whose head says `head`, and decides whether it may be served at all.
     ///
     /// # Errors
     ///
     /// Fails with the reason why it is not served; it has not run.
-    pub async fn read(board: &Board, req: Request<Incoming>) -> Result<Self, Refusal> {
+    pub async fn read(
+        board: &Board,
+        head: CallHead,
+        req: Request<Incoming>,
+    ) -> Result<Self, Refusal> {
         let received = Instant::now();
         let table = board
             .table()
             .ok_or(Refusal::come_back(Cause::NoConfiguration, STARTING_RETURN))?;
-        let head = board.dialect.call_head(req.headers());
         let route = find_route(&table, &req)?;
         let customer = find_customer(&table, &route, &head)?;
         let service = find_service(&table, &route)?;
--- a/src/ops/gateway/forward.rs
+++ b/src/ops/gateway/forward.rs
@@ -80,8 +80,9 @@
 /// Serves a call.
 pub async fn serve(cx: Arc<GatewayContext>, req: Request<Incoming>) -> Response<Body> {
     let active = Active::begin(&cx);
-    let attempt = cx.board.dialect.call_head(req.headers()).attempt;
-    match Call::read(&cx.board, req).await {
+    let head = cx.board.dialect.call_head(req.headers());
+    let attempt = head.attempt.clone();
+    match Call::read(&cx.board, head, req).await {
         Ok(call) => run(cx, call, active).await,
         Err(refusal) => {
             record::refused_early(&cx.board, &attempt, &refusal);
--- a/src/ops/gateway/register.rs
+++ b/src/ops/gateway/register.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use parking_lot::Mutex;
-use tokio::sync::Notify;
 
 use super::board::Board;
 use super::{keys, node_wire};
@@ -34,7 +33,6 @@
     board: Arc<Board>,
     store: Arc<dyn Store>,
     lease: Mutex<Option<Lease>>,
-    changed: Notify,
 }
 
 impl Registration {
@@ -44,7 +42,6 @@
             board,
             store,
             lease: Mutex::default(),
-            changed: Notify::new(),
         })
     }
 
@@ -53,11 +50,6 @@
         *self.lease.lock()
     }
 
-    /// Writes the entry anew, since the node's phase has changed.
-    pub fn announce(&self) {
-        self.changed.notify_one();
-    }
-
     /// Keeps the entry until the task is dropped.
     pub async fn run(self: Arc<Self>) {
         let mut phase = self.board.phase.subscribe();
@@ -75,7 +67,6 @@
             };
             tokio::select! {
                 () = tokio::time::sleep(pause) => {}
-                () = self.changed.notified() => self.write().await,
                 _ = phase.changed() => self.write().await,
             }
         }
--- a/src/ops/gateway/view.rs
+++ b/src/ops/gateway/view.rs
@@ -113,15 +113,6 @@
         self.items.get(key)
     }
 
-    /// Returns the keys that start with `prefix`.
-    pub fn keys(&self, prefix: &str) -> Vec<Key> {
-        self.items
-            .keys()
-            .filter(|key| key.starts_with(prefix))
-            .cloned()
-            .collect()
-    }
-
     /// Returns all keys with their values.
     pub fn iter(&self) -> impl Iterator<Item = (&Key, &Versioned)> {
         self.items.iter()
