Tell nodes only what changed, and have them ask a node each chooses

Ruled out: the store (others listed it in 0.2 s), processor time, datagrams. Change: a node that lists anew tells values that changed and hashes of the keys that did not; large values are compressed; a node waits 0.25 to 0.75 s for its own feed and asks a random node that knows more, then another one.

--- a/src/core/gateway/members.rs
+++ b/src/core/gateway/members.rs
@@ -45,6 +45,8 @@
 struct Known {
     member: Member,
     heard: Option<Moment>,
+    /// Revision of the store up to which it said that it knows all changes.
+    revision: u64,
 }
 
 impl Members {
@@ -54,6 +56,7 @@
             Some(known) => {
                 if known.member.incarnation != member.incarnation {
                     known.heard = None;
+                    known.revision = 0;
                 }
                 known.member = member;
             }
@@ -61,6 +64,7 @@
                 let known = Known {
                     member,
                     heard: None,
+                    revision: 0,
                 };
                 self.nodes.insert(known.member.name.clone(), known);
             }
@@ -72,15 +76,41 @@
         self.nodes.remove(name);
     }
 
-    /// Notes a message of a node, and whether it then took new callers.
-    pub fn heard(&mut self, name: &str, incarnation: u64, is_ready: bool, now: Moment) {
+    /// Notes a message of a node: whether it took new callers, and the revision of the store up to which
+    /// it knew all changes.
+    pub fn heard(
+        &mut self,
+        name: &str,
+        incarnation: u64,
+        is_ready: bool,
+        revision: u64,
+        now: Moment,
+    ) {
         let known = self.nodes.get_mut(name);
         if let Some(known) = known.filter(|known| known.member.incarnation == incarnation) {
             known.heard = Some(now);
+            known.revision = revision;
             known.member.is_ready = is_ready;
         }
     }
 
+    /// Returns where the nodes are reached that know more of the store than `revision` and were heard of
+    /// not longer than `age` ago.
+    pub fn ahead_of(
+        &self,
+        revision: u64,
+        now: Moment,
+        age: Moment,
+    ) -> impl Iterator<Item = SocketAddr> {
+        let ahead = self.nodes.values().filter(move |known| {
+            let is_fresh = known
+                .heard
+                .is_some_and(|heard| now.saturating_sub(heard) <= age);
+            is_fresh && known.revision > revision
+        });
+        ahead.map(|known| known.member.control)
+    }
+
     /// Returns all nodes.
     pub fn iter(&self) -> impl Iterator<Item = &Member> {
         self.nodes.values().map(|known| &known.member)
--- a/src/ops/gateway/follow_store.rs
+++ b/src/ops/gateway/follow_store.rs
@@ -91,7 +91,7 @@
 
 async fn list(board: &Board, store: &Arc<dyn Store>) -> Result<()> {
     let listed = store.range(RangeRequest::prefix("")).await?;
-    install::list(board, &listed.entries, listed.revision, Source::Store);
+    install::list(board, &listed.entries, &[], listed.revision, Source::Store);
     Ok(())
 }
 
--- a/src/ops/gateway/install.rs
+++ b/src/ops/gateway/install.rs
@@ -1,11 +1,12 @@
 //! Takes what the store holds into what calls are served by: configuration, back ends and nodes.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use super::board::{Board, Phase};
 use super::keys;
 use super::node_wire;
-use super::view::Deletion;
+use super::view::{self, Deletion, KeyHash};
 use crate::core::gateway::backends::Standing;
 use crate::core::time::Moment;
 use crate::sources::store::{KeyValue, Revision};
@@ -62,17 +63,25 @@
     }
 }
 
-/// Takes a whole list of what the store holds: what is not on it is gone.
-pub fn list(board: &Board, items: &[KeyValue], revision: Revision, source: Source) {
+/// Takes a whole list of what the store holds: what is neither on it nor has one of the hashes in `kept`
+/// is gone.
+pub fn list(
+    board: &Board,
+    items: &[KeyValue],
+    kept: &[KeyHash],
+    revision: Revision,
+    source: Source,
+) {
     for item in items {
         put(board, item, source);
     }
-    let listed: std::collections::HashSet<&str> = items.iter().map(|item| &*item.key).collect();
+    let listed = items.iter().map(|item| view::hash(&item.key));
+    let listed: HashSet<KeyHash> = listed.chain(kept.iter().copied()).collect();
     let missing: Vec<_> = {
         let view = board.view.lock();
         let old = view.iter().filter(|(_, known)| known.revision <= revision);
         old.map(|(key, _)| key.clone())
-            .filter(|key| !listed.contains(&**key))
+            .filter(|key| !listed.contains(&view::hash(key)))
             .collect()
     };
     for key in missing {
--- a/src/ops/gateway/mesh.rs
+++ b/src/ops/gateway/mesh.rs
@@ -162,15 +162,6 @@
     }
 }
 
-/// Another node's state that is newer than this node's.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct NewerPeer {
-    /// Where its state can be fetched.
-    pub control: SocketAddr,
-    /// Revision that it knows.
-    pub revision: u64,
-}
-
 /// When messages were last sent to a node.
 #[derive(Clone, Copy, Debug, Default)]
 struct LastSent {
@@ -182,7 +173,7 @@
 pub struct Mesh {
     board: Arc<Board>,
     socket: UdpSocket,
-    newer: tokio::sync::watch::Sender<Option<NewerPeer>>,
+    newest: tokio::sync::watch::Sender<u64>,
 }
 
 impl Mesh {
@@ -196,13 +187,13 @@
         Ok(Arc::new(Self {
             board,
             socket,
-            newer: tokio::sync::watch::Sender::new(None),
+            newest: tokio::sync::watch::Sender::new(0),
         }))
     }
 
-    /// Returns the newest peer heard of that knows more of the store than this node.
-    pub fn newer(&self) -> tokio::sync::watch::Receiver<Option<NewerPeer>> {
-        self.newer.subscribe()
+    /// Returns the newest revision of the store that another node has told of.
+    pub fn newest(&self) -> tokio::sync::watch::Receiver<u64> {
+        self.newest.subscribe()
     }
 
     /// Sends reports until the task is dropped.
@@ -329,10 +320,13 @@
         if *report.node == *board.settings.name {
             return;
         }
-        board
-            .members
-            .lock()
-            .heard(&report.node, report.incarnation, report.ready, now);
+        board.members.lock().heard(
+            &report.node,
+            report.incarnation,
+            report.ready,
+            report.revision,
+            now,
+        );
         board
             .clock
             .lock()
@@ -359,7 +353,7 @@
                 .collect();
             board.backends.lock().told(&report.node, &loads, now);
         }
-        self.note_revision(report);
+        self.note_revision(report.revision);
     }
 
     fn take_usage(&self, report: &ReportWire) {
@@ -370,20 +364,11 @@
         }
     }
 
-    fn note_revision(&self, report: &ReportWire) {
-        if report.revision <= self.board.view.lock().revision {
-            return;
-        }
-        let control = {
-            let members = self.board.members.lock();
-            let member = members.iter().find(|member| *member.name == *report.node);
-            member.map(|member| member.control)
-        };
-        if let Some(control) = control {
-            self.newer.send_replace(Some(NewerPeer {
-                control,
-                revision: report.revision,
-            }));
+    /// Notes a revision that this node does not know, also where it was told before: what was fetched
+    /// for it may have failed.
+    fn note_revision(&self, revision: u64) {
+        if revision > self.board.view.lock().revision {
+            self.newest.send_replace(revision);
         }
     }
 }
--- a/src/ops/gateway/snapshot.rs
+++ b/src/ops/gateway/snapshot.rs
@@ -8,13 +8,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use eyre::WrapErr;
 use prost::Message;
+use rand::seq::IteratorRandom;
 use reqwest::Client;
 
 use super::board::Board;
 use super::install::{self, Source};
 use super::mesh::Mesh;
-use super::view::{Deletion, Versioned};
+use super::view::{Deletion, Gone, KeyHash, Versioned};
+use crate::core::time::Moment;
 use crate::sources::store::{Key, KeyValue};
 
 /// Path at which a node tells what it knows.
@@ -23,8 +26,14 @@
 const ASK_SEEDS_AFTER: Duration = Duration::from_millis(700);
 /// Longest wait for an answer that is given at once.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
-/// Time for which the store's own word is awaited after another node has told of a change.
-const STORE_FIRST: Duration = Duration::from_millis(250);
+/// Mean time for which the store's own word is awaited after another node has told of a change.
+const STORE_FIRST: Duration = Duration::from_millis(500);
+/// Nodes that are asked for one change.
+const MAX_ASKED: usize = 3;
+/// Silence of a node after which it is not asked.
+const SILENCE: Moment = Moment::from_millis(2500);
+/// Bytes from which on a value is compressed for other nodes.
+const PACKED_FROM: usize = 4096;
 
 /// What a node knows, or what changed.
 #[derive(Clone, PartialEq, Message)]
@@ -38,12 +47,16 @@
     /// Keys that were deleted.
     #[prost(message, repeated, tag = "3")]
     pub deletions: Vec<DeletionWire>,
-    /// Whether `items` is everything, so that all other keys are gone.
+    /// Whether all keys are gone but those of `items` and `kept`.
     #[prost(bool, tag = "4")]
     pub is_whole: bool,
     /// Age of the store's last word to the node, in milliseconds.
     #[prost(uint64, tag = "5")]
     pub contact_age_ms: u64,
+    /// Hashes of the keys that have not changed, where `is_whole` is set: a node that lists anew need not
+    /// tell all values again.
+    #[prost(fixed64, repeated, tag = "6")]
+    pub kept: Vec<KeyHash>,
 }
 
 /// A key with its value.
@@ -52,7 +65,7 @@
     /// The key.
     #[prost(string, tag = "1")]
     pub key: String,
-    /// The value.
+    /// The value, compressed (LZ4 block behind its length) where `is_packed` is set.
     #[prost(bytes = "bytes", tag = "2")]
     pub value: Bytes,
     /// Revision of the last change.
@@ -61,6 +74,9 @@
     /// Revision at which the key was made.
     #[prost(uint64, tag = "4")]
     pub created: u64,
+    /// Whether the value is compressed.
+    #[prost(bool, tag = "5")]
+    pub is_packed: bool,
 }
 
 /// A key that was deleted.
@@ -77,26 +93,39 @@
     pub is_doubtful: bool,
 }
 
-impl From<ItemWire> for KeyValue {
-    fn from(wire: ItemWire) -> Self {
-        Self {
+impl TryFrom<ItemWire> for KeyValue {
+    type Error = eyre::Report;
+
+    fn try_from(wire: ItemWire) -> eyre::Result<Self> {
+        let value = match wire.is_packed {
+            true => lz4_flex::decompress_size_prepended(&wire.value)
+                .wrap_err_with(|| format!("unpacking the value of {}", wire.key))?
+                .into(),
+            false => wire.value,
+        };
+        Ok(Self {
             key: wire.key.into(),
-            value: wire.value,
+            value,
             create_revision: wire.created,
             mod_revision: wire.revision,
             version: 0,
             lease: None,
-        }
+        })
     }
 }
 
 impl From<(Key, Versioned)> for ItemWire {
     fn from((key, item): (Key, Versioned)) -> Self {
+        let is_packed = item.value.len() >= PACKED_FROM;
         Self {
             key: key.into(),
-            value: item.value,
+            value: match is_packed {
+                true => lz4_flex::compress_prepend_size(&item.value).into(),
+                false => item.value,
+            },
             revision: item.revision,
             created: item.created,
+            is_packed,
         }
     }
 }
@@ -149,39 +178,51 @@
     let view = board.view.lock();
     let changes = view.since(after);
     let contact = view.contact.unwrap_or_default();
+    let is_whole = matches!(changes.gone, Gone::AllBut(_));
+    let (deletions, kept) = match changes.gone {
+        Gone::Deleted(deletions) => (deletions, Vec::new()),
+        Gone::AllBut(kept) => (Vec::new(), kept),
+    };
     SnapshotWire {
         revision: view.revision,
         items: changes.items.into_iter().map(Into::into).collect(),
-        is_whole: changes.deletions.is_none(),
-        deletions: changes
-            .deletions
-            .into_iter()
-            .flatten()
-            .map(Into::into)
-            .collect(),
+        is_whole,
+        deletions: deletions.into_iter().map(Into::into).collect(),
         contact_age_ms: now.saturating_sub(contact).as_millis() as u64,
+        kept,
     }
 }
 
 /// Fetches what others know while the store does not serve this node, until the task is dropped.
 pub async fn run(board: Arc<Board>, mesh: Arc<Mesh>, client: Client) {
     ask_seeds(&board, &client).await;
-    let mut newer = mesh.newer();
+    let mut newest = mesh.newest();
     loop {
-        if newer.changed().await.is_err() {
+        if newest.changed().await.is_err() {
             return;
         }
-        let Some(peer) = *newer.borrow_and_update() else {
-            continue;
+        newest.mark_unchanged();
+        // Nodes hear of a change at about the same time; they do not all ask at once.
+        tokio::time::sleep(STORE_FIRST.mul_f64(0.5 + rand::random::<f64>())).await;
+        catch_up(&board, &client).await;
+    }
+}
+
+/// Asks nodes that know more than this one, one after the other and chosen at random, until one answers.
+async fn catch_up(board: &Board, client: &Client) {
+    for _ in 0..MAX_ASKED {
+        let known = board.view.lock().revision;
+        let peer = {
+            let members = board.members.lock();
+            members
+                .ahead_of(known, board.now(), SILENCE)
+                .choose(&mut rand::rng())
         };
-        tokio::time::sleep(STORE_FIRST).await;
-        if board.view.lock().revision >= peer.revision {
-            continue;
-        }
-        match fetch(&board, &client, peer.control, Duration::ZERO).await {
-            Ok(snapshot) => take(&board, snapshot, peer.control),
+        let Some(peer) = peer else { return };
+        match fetch(board, client, peer, Duration::ZERO).await {
+            Ok(snapshot) => return take(board, snapshot, peer),
             Err(e) => {
-                tracing::warn!(peer = %peer.control, error = %e, "state of a node not fetched");
+                tracing::warn!(%peer, error = %format!("{e:#}"), "state of a node not fetched");
             }
         }
     }
@@ -237,9 +278,16 @@
     }
     let revision = snapshot.revision;
     let count = snapshot.items.len() + snapshot.deletions.len();
-    let items: Vec<KeyValue> = snapshot.items.into_iter().map(Into::into).collect();
+    let items = snapshot.items.into_iter().map(TryInto::try_into);
+    let items = match items.collect::<eyre::Result<Vec<KeyValue>>>() {
+        Ok(items) => items,
+        Err(e) => {
+            tracing::warn!(%peer, error = %format!("{e:#}"), "state of a node cannot be read");
+            return;
+        }
+    };
     if snapshot.is_whole {
-        install::list(board, &items, revision, Source::Peer);
+        install::list(board, &items, &snapshot.kept, revision, Source::Peer);
     } else {
         for item in &items {
             install::put(board, item, Source::Peer);
--- a/src/ops/gateway/view.rs
+++ b/src/ops/gateway/view.rs
@@ -3,6 +3,7 @@
 use std::collections::{HashMap, VecDeque};
 
 use bytes::Bytes;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::core::time::Moment;
 use crate::sources::store::{Key, KeyValue, Revision};
@@ -49,8 +50,32 @@
 pub struct Changes {
     /// Values written since.
     pub items: Vec<(Key, Versioned)>,
-    /// Keys deleted since; `None` if not all are remembered, so that `items` is everything.
-    pub deletions: Option<Vec<Deletion>>,
+    /// What went since.
+    pub gone: Gone,
+}
+
+/// Which keys went behind a revision.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Gone {
+    /// These.
+    Deleted(Vec<Deletion>),
+    /// All keys but those with new values and those with these hashes: deletions are not remembered one
+    /// by one, as after a list.
+    AllBut(Vec<KeyHash>),
+}
+
+impl Default for Gone {
+    fn default() -> Self {
+        Self::Deleted(Vec::new())
+    }
+}
+
+/// Stands for a key where the key itself would be long.
+pub type KeyHash = u64;
+
+/// Returns the hash of a key, the same on all nodes.
+pub fn hash(key: &str) -> KeyHash {
+    xxh3_64(key.as_bytes())
 }
 
 impl View {
@@ -94,18 +119,23 @@
 
     /// Returns what changed behind a revision.
     pub fn since(&self, after: Revision) -> Changes {
-        let knows_all = after >= self.forgotten;
         let items = self
             .items
             .iter()
-            .filter(|(_, item)| !knows_all || item.revision > after)
+            .filter(|(_, item)| item.revision > after)
             .map(|(key, item)| (key.clone(), item.clone()))
             .collect();
-        let deletions = knows_all.then(|| {
-            let newer = self.deletions.iter().filter(|d| d.revision > after);
-            newer.cloned().collect()
-        });
-        Changes { items, deletions }
+        let gone = match after >= self.forgotten {
+            true => {
+                let newer = self.deletions.iter().filter(|d| d.revision > after);
+                Gone::Deleted(newer.cloned().collect())
+            }
+            false => {
+                let unchanged = self.items.iter().filter(|(_, item)| item.revision <= after);
+                Gone::AllBut(unchanged.map(|(key, _)| hash(key)).collect())
+            }
+        };
+        Changes { items, gone }
     }
 
     /// Returns a value.
--- a/tests/testsuite/gateway/decisions.rs
+++ b/tests/testsuite/gateway/decisions.rs
@@ -114,12 +114,12 @@
     for (name, port) in [("a", 100), ("b", 200), ("c", 300)] {
         members.put(member(name, "r", "z", port));
     }
-    members.heard("b", 7, false, Duration::from_secs(1));
+    members.heard("b", 7, false, 0, Duration::from_secs(1));
     assert_eq!(ports(&members, "z", 1), [100, 300]);
-    members.heard("c", 7, true, Duration::from_secs(1));
+    members.heard("c", 7, true, 0, Duration::from_secs(1));
     assert_eq!(ports(&members, "z", 5), [100]);
     // A message of an earlier start of the process says nothing of this one.
-    members.heard("b", 6, true, Duration::from_secs(5));
+    members.heard("b", 6, true, 0, Duration::from_secs(5));
     assert_eq!(ports(&members, "z", 5), [100]);
 }
 
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -9,4 +9,5 @@
 mod rig;
 mod scaling;
 mod serving;
+mod snapshots;
 mod streams;
