Keep back ends that start, hold more reclaimable ones, and act at once on a first start

The order for reclaimable engines went from 24 to 48 a zone only after a burst had come, 4 s too late. The holder waited 3.5 s for a former one also when the whole system had just started. Tests: gateway::scaling, the first of two new ones failed before.

--- a/src/core/gateway/scaling.rs
+++ b/src/core/gateway/scaling.rs
@@ -11,10 +11,13 @@
 use super::routes::ScalingRules;
 use crate::core::time::Moment;
 
-/// Time over which the highest need counts.
-const NEED_WINDOW: Duration = Duration::from_secs(12);
+/// Time over which the highest need counts. It is long against a back end's start: one that is given
+/// back and ordered again has lost what it held.
+const NEED_WINDOW: Duration = Duration::from_secs(30);
+/// Part of the most that operators allow which each zone keeps as reclaimable back ends.
+const SPOT_BASE: f64 = 0.75;
 /// Part of its time for which a reclaimable back end is to be busy at most.
-const SPOT_BUSY: f64 = 0.5;
+const SPOT_BUSY: f64 = 0.4;
 /// Part of its time for which any back end is to be busy while reclaimable ones cannot be had.
 const SCARCE_BUSY: f64 = 0.75;
 /// Time after the cloud had no reclaimable back ends for which they count as scarce.
@@ -23,8 +26,11 @@
 const REPEAT_ORDER: Duration = Duration::from_secs(2);
 /// Time between two orders after the cloud had none.
 const REPEAT_REFUSED: Duration = Duration::from_millis(1200);
-/// Time that enough back ends have to be there before surplus ones are given back.
+/// Time that enough reclaimable back ends have to be there before the others are given back.
 const RELEASE_AFTER: Duration = Duration::from_millis(800);
+/// The same where others were ordered for lack of reclaimable ones. It is long, since the need goes up and
+/// down from round to round and a back end that starts is lost when its order is lowered.
+const RELEASE_ORDERED_AFTER: Duration = Duration::from_secs(4);
 
 /// Back ends and work of one availability zone.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -61,6 +67,8 @@
     needs: VecDeque<(Moment, f64)>,
     sent: BTreeMap<(Box<str>, bool), Sent>,
     enough_since: Option<Moment>,
+    /// Numbers of other back ends that were ordered for lack of reclaimable ones.
+    added: BTreeMap<Box<str>, u32>,
 }
 
 impl ServiceScaling {
@@ -78,10 +86,7 @@
         let peak = self.peak(busy, now);
         let has_spot = rules.spot_price.is_some();
         let count = zones.len() as u32;
-        let base = match has_spot {
-            true => rules.max.div_ceil(2),
-            false => rules.min.max(1),
-        };
+        let base = (f64::from(rules.max) * SPOT_BASE).ceil() as u32;
         // One zone's loss leaves the others with enough.
         let others = f64::from(count.saturating_sub(1).max(1));
         let spot_each = base
@@ -89,13 +94,16 @@
             .clamp(rules.min, rules.max);
         let spot_there: u32 = zones.values().map(|zone| zone.spot).sum();
         let needed = ((busy / SCARCE_BUSY).ceil() as u32).max(count * rules.min.max(1));
-        let is_scarce = !has_spot || self.is_scarce(now);
         let covered = has_spot && spot_there >= needed;
         self.note_cover(covered, now);
-        let regular_each = match (covered, is_scarce) {
-            (true, _) => self.release(zones, now),
-            (false, true) => add(rules, zones, needed - spot_there),
-            (false, false) => BTreeMap::new(),
+        let regular_each = if !has_spot {
+            all_regular(rules, zones, peak)
+        } else if covered {
+            self.release(zones, now)
+        } else if self.is_scarce(now) {
+            self.add(rules, zones, needed - spot_there)
+        } else {
+            BTreeMap::new()
         };
         let mut orders = Vec::new();
         for (zone, state) in zones {
@@ -159,17 +167,40 @@
 
     /// Gives back all but reclaimable back ends once those have been enough for a while.
     fn release(
-        &self,
+        &mut self,
         zones: &BTreeMap<Box<str>, ZoneState>,
         now: Moment,
     ) -> BTreeMap<Box<str>, u32> {
-        let wait_over = self
+        let wait = match self.added.is_empty() {
+            true => RELEASE_AFTER,
+            false => RELEASE_ORDERED_AFTER,
+        };
+        let is_over = self
             .enough_since
-            .is_some_and(|since| now.saturating_sub(since) >= RELEASE_AFTER);
-        match wait_over {
-            true => zones.keys().map(|zone| (zone.clone(), 0)).collect(),
-            false => BTreeMap::new(),
+            .is_some_and(|since| now.saturating_sub(since) >= wait);
+        if !is_over {
+            return BTreeMap::new();
         }
+        self.added.clear();
+        zones.keys().map(|zone| (zone.clone(), 0)).collect()
+    }
+
+    /// Returns the numbers of other back ends so that `missing` are added; none is lower than before, as
+    /// those that start would be lost.
+    fn add(
+        &mut self,
+        rules: &ScalingRules,
+        zones: &BTreeMap<Box<str>, ZoneState>,
+        missing: u32,
+    ) -> BTreeMap<Box<str>, u32> {
+        for (zone, wanted) in spread(rules, zones, missing) {
+            let added = self.added.entry(zone).or_default();
+            *added = (*added).max(wanted);
+        }
+        let more = self.added.iter();
+        let more =
+            more.filter(|(zone, wanted)| **wanted > zones.get(*zone).map_or(0, |z| z.regular));
+        more.map(|(zone, wanted)| (zone.clone(), *wanted)).collect()
     }
 
     /// Adds an order unless the same one is under way: one is sent again where the cloud had none, and
@@ -188,9 +219,22 @@
     }
 }
 
+/// Returns the numbers of back ends where none are reclaimable: enough for the most work of late without
+/// any one zone, and no fewer than operators want.
+fn all_regular(
+    rules: &ScalingRules,
+    zones: &BTreeMap<Box<str>, ZoneState>,
+    peak: f64,
+) -> BTreeMap<Box<str>, u32> {
+    let others = zones.len().saturating_sub(1).max(1) as f64;
+    let each = (peak / SCARCE_BUSY / others).ceil() as u32;
+    let each = each.clamp(rules.min.max(1), rules.max.max(1));
+    zones.keys().map(|zone| (zone.clone(), each)).collect()
+}
+
 /// Returns the numbers of back ends that are not reclaimable, so that there are `missing` in all: in the
 /// cheapest availability zones first, half of them at most in one.
-fn add(
+fn spread(
     rules: &ScalingRules,
     zones: &BTreeMap<Box<str>, ZoneState>,
     missing: u32,
@@ -204,7 +248,7 @@
     for zone in by_price {
         let here = left.min(most);
         left -= here;
-        if here > zones[zone].regular {
+        if here > 0 {
             wanted.insert(zone.clone(), here);
         }
     }
--- a/src/ops/gateway/duties.rs
+++ b/src/ops/gateway/duties.rs
@@ -16,6 +16,7 @@
 use crate::core::gateway::scaling::{Order, ServiceScaling, ZoneState};
 use crate::core::gateway::tenure::{MayAct, Tenure};
 use crate::core::gateway::usage::{Counts, Window};
+use crate::core::time::Moment;
 use crate::sources::store::{KeyRange, Op, RangeRequest, Result, Store, StoreError, Transaction};
 
 /// Time between two rounds of a holder, and between two looks of the others.
@@ -25,6 +26,9 @@
 /// Time that a holder waits which takes over from a former process of the same node. It is longer than a
 /// call to the cloud may take.
 const SETTLE_AFTER_RESTART: Duration = Duration::from_millis(1800);
+/// Time from the first start of the whole system in which no former holder can be: no lease taken since
+/// then can have run out.
+const FIRST_START: Duration = Duration::from_secs(3);
 /// Time after a window's end until its counts have come from all nodes.
 const COUNTS_ARRIVE: Duration = Duration::from_millis(2600);
 /// Part of the time for a report after which a window is decided though some nodes have not been heard of
@@ -58,6 +62,7 @@
     scaling: HashMap<ServiceName, ServiceScaling>,
     reported: BTreeMap<Window, Counts>,
     settled_at: Option<Window>,
+    started: Moment,
 }
 
 impl DutyKeeper {
@@ -69,6 +74,7 @@
         duties: Arc<dyn Duties>,
     ) -> Self {
         Self {
+            started: board.now(),
             board,
             store,
             registration,
@@ -131,7 +137,10 @@
         let Some(holder) = view.get(keys::HOLDER) else {
             return Some(Claim {
                 expected: 0,
-                settle: self.board.settings.bounds.lease + SETTLE_BEYOND_LEASE,
+                settle: match self.is_first_start() {
+                    true => Duration::ZERO,
+                    false => self.board.settings.bounds.lease + SETTLE_BEYOND_LEASE,
+                },
             });
         };
         let node = holder.value.rsplitn(2, |byte| *byte == b'/').last();
@@ -143,6 +152,12 @@
         })
     }
 
+    /// Returns whether the whole system has just started for the first time.
+    fn is_first_start(&self) -> bool {
+        let age = self.board.now().saturating_sub(self.started);
+        self.board.settings.is_first_start && age < FIRST_START
+    }
+
     fn claim_value(&self) -> bytes::Bytes {
         format!("{}/{}", self.board.settings.name, self.board.incarnation).into()
     }
--- a/src/util/settings/gateway.rs
+++ b/src/util/settings/gateway.rs
@@ -51,6 +51,12 @@
             Kind::Text,
             "availability zones with their regions, as ZONE:REGION with commas between them",
         ),
+        KeySpec::optional(
+            "first_start",
+            Kind::YesNo,
+            "no",
+            "whether the whole system starts for the first time, so that no other node holds a duty",
+        ),
         KeySpec::required("store", Kind::Url, "the platform's store"),
         KeySpec::required("cloud", Kind::Url, "the platform's interface for duties"),
     ],
@@ -133,6 +139,8 @@
     pub store: Box<str>,
     /// URL of the platform's interface for duties.
     pub cloud: Box<str>,
+    /// Whether the whole system starts for the first time.
+    pub is_first_start: bool,
     /// Promises.
     pub bounds: GatewayBounds,
     /// Logs.
@@ -225,9 +233,10 @@
             fields.text("regions"),
             fields.url("store"),
             fields.url("cloud"),
+            fields.yes_no("first_start"),
         )
     });
-    let (seeds, regions, store, cloud) = texts;
+    let (seeds, regions, store, cloud, is_first_start) = texts;
     let ratio = reader.read_section(&BOUNDS, |fields| fields.text("retry_ratio"));
     let bounds = reader.read_section(&BOUNDS, |fields| GatewayBounds {
         drain: fields.duration("drain"),
@@ -256,6 +265,7 @@
         regions,
         store,
         cloud,
+        is_first_start,
         bounds,
         log,
     })
--- a/tests/testsuite/gateway/scaling.rs
+++ b/tests/testsuite/gateway/scaling.rs
@@ -162,3 +162,58 @@
     let soon = now + Duration::from_millis(ROUND);
     assert_eq!(scaling.plan(&rules(), &zones, soon), []);
 }
+
+#[test]
+fn back_ends_that_start_are_kept_while_the_need_goes_up_and_down() {
+    let mut cloud = Cloud::new(6);
+    let mut scaling = ServiceScaling::default();
+    play(&mut cloud, &mut scaling, (0, 20), 6_000.0);
+    for zone in ["a", "b"] {
+        cloud.reclaim(zone);
+    }
+    // Eight to thirteen back ends are needed from round to round, and nine are there.
+    let mut wanted: HashMap<Box<str>, u32> = HashMap::new();
+    for round in 0..15 {
+        let now = Duration::from_secs(20) + Duration::from_millis(ROUND * round);
+        let work = if round % 2 == 0 { 9_500.0 } else { 6_000.0 };
+        let zones = cloud.zones(work, now);
+        for order in scaling.plan(&rules(), &zones, now) {
+            let taken = cloud.order(&order, now);
+            scaling.replied(&order, taken, now);
+            if !order.spot {
+                let before = wanted.insert(order.zone.clone(), order.desired);
+                assert!(before.unwrap_or(0) <= order.desired, "{order:?}");
+            }
+        }
+    }
+    assert!(
+        cloud.ready(Duration::from_secs(26)) >= 13,
+        "{:?}",
+        cloud.there
+    );
+}
+
+#[test]
+fn a_service_without_reclaimable_back_ends_grows_and_shrinks_with_its_work() {
+    let rules = ScalingRules {
+        spot_price: None,
+        ..rules()
+    };
+    let mut scaling = ServiceScaling::default();
+    let mut cloud = Cloud::new(2);
+    let mut counts = Vec::new();
+    for (from, work) in [(0, 2_000.0), (20, 9_000.0), (40, 1_000.0)] {
+        for ms in (from * 1000..(from + 60) * 1000).step_by(ROUND as usize) {
+            let now = Duration::from_millis(ms);
+            if ms >= (from + 20) * 1000 && from < 40 {
+                break;
+            }
+            for order in scaling.plan(&rules, &cloud.zones(work, now), now) {
+                let taken = cloud.order(&order, now);
+                scaling.replied(&order, taken, now);
+            }
+        }
+        counts.push(cloud.there.values().map(Vec::len).sum::<usize>());
+    }
+    assert_eq!(counts, [6, 18, 3]);
+}
