Take a claim to the duties up again that was given up by mistake

Then the store named this very process, which no rule let it or any other node take up. Change: a view that lags behind the claim is no sign of its loss, and a node that the store names without holding the duties claims them again, with a new fencing token and under its present lease. Test: gateway::duties::a_holder_that_gave_up_its_claim_takes_it_up_again failed before.

--- a/src/core/gateway/scaling/fill.rs
+++ b/src/core/gateway/scaling/fill.rs
@@ -122,7 +122,7 @@
             let given_back = left.min(state.regular);
             left -= given_back;
             if given_back > 0 {
-                numbers.insert(zone.clone(), state.regular - given_back);
+                numbers.insert(zone.into(), state.regular - given_back);
             }
         }
         if !numbers.is_empty() {
@@ -134,12 +134,9 @@
 }
 
 /// Returns the availability zones, the cheapest first.
-fn by_price<'a>(
-    rules: &ScalingRules,
-    zones: &'a BTreeMap<Box<str>, ZoneState>,
-) -> Vec<&'a Box<str>> {
+fn by_price<'a>(rules: &ScalingRules, zones: &'a BTreeMap<Box<str>, ZoneState>) -> Vec<&'a str> {
     let price = |zone: &str| rules.zone_prices.get(zone).copied().unwrap_or(1.0);
-    let mut by_price: Vec<_> = zones.keys().collect();
+    let mut by_price: Vec<&str> = zones.keys().map(|zone| &**zone).collect();
     by_price.sort_by(|a, b| price(a).total_cmp(&price(b)));
     by_price
 }
@@ -151,7 +148,7 @@
     let mut wanted = Numbers::new();
     for most in [missing.div_ceil(2), rules.max] {
         for zone in by_price(rules, zones) {
-            let here = wanted.entry(zone.clone()).or_default();
+            let here = wanted.entry(zone.into()).or_default();
             let room = rules.max.saturating_sub(zones[zone].spot).min(most);
             let more = left.min(room.saturating_sub(*here));
             *here += more;
--- a/src/ops/gateway/duties.rs
+++ b/src/ops/gateway/duties.rs
@@ -129,8 +129,9 @@
         }
     }
 
-    /// Returns how the duties can be taken up now: they are free, or a former process of this node holds
-    /// them. The latter is gone, since nodes run one process, and only its last call may be on its way.
+    /// Returns how the duties can be taken up now: they are free, or the store names this node though this
+    /// process does not perform them. That was a former process, which is gone since nodes run one, or a
+    /// claim of this one that it gave up; only a last call may be on its way.
     fn open_claim(&self) -> Option<Claim> {
         let view = self.board.view.lock();
         view.contact?;
@@ -144,9 +145,8 @@
             });
         };
         let node = holder.value.rsplitn(2, |byte| *byte == b'/').last();
-        let is_former =
-            node == Some(self.board.settings.name.as_bytes()) && holder.value != self.claim_value();
-        is_former.then_some(Claim {
+        let is_own = node == Some(self.board.settings.name.as_bytes());
+        is_own.then_some(Claim {
             expected: holder.revision,
             settle: SETTLE_AFTER_RESTART,
         })
@@ -195,10 +195,10 @@
     /// Returns whether the store, as far as this node knows, still names it.
     fn is_holder(&self, tenure: Tenure) -> bool {
         let view = self.board.view.lock();
-        match view.get(keys::HOLDER) {
-            Some(holder) => holder.revision == tenure.fence,
+        match view.get(keys::HOLDER).map(|holder| holder.revision) {
+            Some(named) if named >= tenure.fence => named == tenure.fence,
             // The change by which it became the holder may not have come by the watch yet.
-            None => view.revision < tenure.fence,
+            _ => view.revision < tenure.fence,
         }
     }
 
--- a/tests/testsuite/gateway/duties.rs
+++ b/tests/testsuite/gateway/duties.rs
@@ -94,3 +94,28 @@
     tokio::time::sleep(Duration::from_millis(1500)).await;
     assert_eq!(holder(&other).await, "n2/12345");
 }
+
+#[tokio::test]
+async fn a_holder_that_gave_up_its_claim_takes_it_up_again() {
+    let (rig, _node, _backends) = one_node("plain", &[Behaviour::Answer(200, "done")]).await;
+    let held = async || {
+        for _ in 0..100 {
+            let req = RangeRequest::one("jayhall/holder");
+            let found = rig.store.range(req).await.unwrap().entries;
+            if let Some(holder) = found.first() {
+                return holder.clone();
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        panic!("nobody holds the duties");
+    };
+    // The store names the process with another revision than the one by which it became the holder.
+    let first = held().await;
+    rig.put("jayhall/holder", first.value.clone()).await;
+    let second = held().await.mod_revision;
+    tokio::time::sleep(Duration::from_millis(6000)).await;
+    let usage = rig.duties.usage.lock().clone();
+    let fences: Vec<u64> = usage.iter().map(|(holder, ..)| holder.fence).collect();
+    assert!(fences.iter().any(|fence| *fence > second), "{fences:?}");
+    assert!(fences.is_sorted(), "{fences:?}");
+}
