Prefer one engine over all regions for a shared part of prompts

Each part had two preferred engines in each of two regions, so that it was used at each of them once in 34 s on average, while an engine's cache turns over in 28 s; a second engine was taken as soon as the first had 90 ms more to read. Change: one preferred engine over all regions; another region costs 100 ms in the choice in place of 180.

--- a/src/core/gateway/placement.rs
+++ b/src/core/gateway/placement.rs
@@ -31,14 +31,13 @@
 /// zones is paid by volume.
 const OTHER_ZONE_MS: f64 = 8.0;
 /// What a back end in another region has to be faster by: a round trip, and traffic that costs twice.
-const OTHER_REGION_MS: f64 = 180.0;
+const OTHER_REGION_MS: f64 = 100.0;
 /// What a back end is taken to be slower by for each part of its calls that fail.
 const FAILING_MS: f64 = 600.0;
 /// What a suspect back end has to be faster by.
 const SUSPECT_MS: f64 = 400.0;
-/// Parts of a shared prompt that the engines which all nodes prefer for it, first and second, are taken
-/// to hold.
-const PREFERRED_HELD: [f64; 2] = [0.95, 0.6];
+/// Part of a shared prompt that the engine which all nodes prefer for it is taken to hold.
+const PREFERRED_HELD: f64 = 0.95;
 /// Part of the prompts of less urgent calls that engines have begun to read, so that they come before.
 const ADMITTED_PART: f64 = 0.7;
 /// Part of an engine's memory up to which its calls are believed to fit.
@@ -131,11 +130,13 @@
         .of_service(ask.service)
         .filter(|entry| entry.is_open(now) && !ask.tried.contains(&entry.backend.id))
         .collect();
-    let preferred = preferred(&candidates, regions, ask);
+    let preferred = preferred(&candidates, ask);
     let best = candidates
         .iter()
         .map(|entry| {
-            let mut estimate = estimate(entry, regions, ask, preferred.held(entry), now);
+            let is_preferred = preferred.is_some_and(|preferred| std::ptr::eq(preferred, *entry));
+            let held = if is_preferred { PREFERRED_HELD } else { 0.0 };
+            let mut estimate = estimate(entry, regions, ask, held, now);
             estimate.score *= 1.0 + SPREAD * draw();
             estimate
         })
@@ -170,40 +171,15 @@
     }
 }
 
-/// Engines that all nodes of a region prefer for a prompt.
-#[derive(Default)]
-struct Preferred<'a>([Option<&'a Entry>; 2]);
-
-impl Preferred<'_> {
-    /// Returns the part of the prompt's shared tokens that an engine is taken to hold.
-    fn held(&self, entry: &Entry) -> f64 {
-        let is_it = |preferred: &Option<&Entry>| preferred.is_some_and(|p| std::ptr::eq(p, entry));
-        let place = self.0.iter().position(is_it);
-        place.map_or(0.0, |place| PREFERRED_HELD[place])
-    }
-}
-
-/// Returns the engines of the node's region with the highest hashes of their names and the prompt's
-/// longest shared part. They depend on nothing that nodes know differently, so that a part is read by few
-/// engines however many nodes there are.
-fn preferred<'a>(candidates: &[&'a Entry], regions: &dyn Regions, ask: &Ask<'_>) -> Preferred<'a> {
+/// Returns the engine that all nodes prefer for a prompt: the one with the highest hash of its name and the
+/// prompt's longest shared part. It depends on nothing that nodes know differently, so that a part is read
+/// by one engine however many nodes there are. It may be in another region: callers of all regions use a
+/// part more often than those of one, and engines forget what is not used for long.
+fn preferred<'a>(candidates: &[&'a Entry], ask: &Ask<'_>) -> Option<&'a Entry> {
     let shared = ask.parts.len().saturating_sub(1);
-    let Some(anchor) = ask.parts[..shared].iter().max_by_key(|part| part.tokens) else {
-        return Preferred::default();
-    };
-    let mut best = [(0, None); 2];
-    for entry in candidates {
-        if !regions.is_same_region(ask.zone, &entry.backend.zone) {
-            continue;
-        }
-        let hash = xxh3_64_with_seed(entry.backend.id.as_bytes(), anchor.id);
-        if hash >= best[0].0 {
-            best = [(hash, Some(*entry)), best[0]];
-        } else if hash >= best[1].0 {
-            best[1] = (hash, Some(*entry));
-        }
-    }
-    Preferred(best.map(|(_, entry)| entry))
+    let anchor = ask.parts[..shared].iter().max_by_key(|part| part.tokens)?;
+    let hash = |entry: &&&Entry| xxh3_64_with_seed(entry.backend.id.as_bytes(), anchor.id);
+    candidates.iter().max_by_key(hash).copied()
 }
 
 fn estimate<'a>(
