--- a/crates/jayhall-soak/src/world.rs
+++ b/crates/jayhall-soak/src/world.rs
@@ -186,8 +186,8 @@
                 self.store.store().transact(delete).await?;
             }
             Listed::Draining => {
-                self.put(&backend.key(), backend.entry("draining", 2))
-                    .await?
+                let entry = backend.entry("draining", 2);
+                self.put(&backend.key(), entry).await?;
             }
             Listed::Ready => return Ok(()),
         }
