Use what the product has: rendezvous weights, one decay, one reading of queries

The placement wrote the rendezvous weight of core::cells anew; limits and work rates each had a sum that decays; two parsers of queries stood twice and a third time in a stand-in; a stream built its source twice; every call summed what all nodes told of every engine, and each message and count sorted all clocks. Change: cells::weight_of, gateway::decay, util::query and From<Answer> serve them; work rates move from the blackboard to core; what nodes told of an engine is kept as a sum, from which silent nodes are taken before a call is placed, as before by their last message; the median is selected, not sorted; fields and a function that nothing reads are gone (an engine's slots in the configuration, Backends::iter). Ruled out: sharing one decay with the retry budget, whose other half refills.

--- a/crates/jayhall-harness/src/platform_store.rs
+++ b/crates/jayhall-harness/src/platform_store.rs
@@ -1,6 +1,5 @@
 //! A stand-in of the users' platform's store: its protocol over a store in memory.
 
-use std::collections::HashMap;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,6 +18,7 @@
     Compare, Condition, KeyRange, KeyValue, MemoryStore, Op, RangeRequest, Store, Transaction,
     WatchEvent, WatchRequest,
 };
+use jayhall::util::query;
 use parking_lot::Mutex;
 use serde_json::{Value, json};
 use tokio::net::TcpListener;
@@ -162,8 +162,12 @@
 
     async fn call(&self, req: Request<Incoming>) -> Reply {
         let path = req.uri().path().to_owned();
-        let query = read_query(req.uri().query().unwrap_or_default());
-        let query = |name: &str| query.get(name).cloned().unwrap_or_default();
+        let text = req.uri().query().unwrap_or_default().to_owned();
+        let query = |name| {
+            query::value(&text, name)
+                .unwrap_or_default()
+                .replace("%2F", "/")
+        };
         let body = req.into_body().collect().await?.to_bytes();
         let body = match body.is_empty() {
             true => Value::Null,
@@ -298,14 +302,6 @@
     row[name].as_str().ok_or_else(|| eyre!("no {name}"))
 }
 
-fn read_query(query: &str) -> HashMap<String, String> {
-    query
-        .split('&')
-        .filter_map(|pair| pair.split_once('='))
-        .map(|(name, value)| (name.into(), value.replace("%2F", "/")))
-        .collect()
-}
-
 fn last_number(path: &str) -> Result<u64> {
     let last = path.rsplit('/').next().unwrap_or_default();
     last.parse()
--- a/src/core/cells/mod.rs
+++ b/src/core/cells/mod.rs
@@ -14,7 +14,12 @@
 
 /// Returns the weight of `member` for `job`. The member with the largest weight does the job.
 pub fn weight(job: &str, member: &str) -> u64 {
-    xxh3_64_with_seed(member.as_bytes(), xxh3_64_with_seed(job.as_bytes(), 0))
+    weight_of(xxh3_64_with_seed(job.as_bytes(), 0), member)
+}
+
+/// Returns the weight of `member` for a job that a number stands for.
+pub fn weight_of(job: u64, member: &str) -> u64 {
+    xxh3_64_with_seed(member.as_bytes(), job)
 }
 
 /// Returns the member that does `job`, or `None` where there are no members.
--- a/src/core/gateway/backends.rs
+++ b/src/core/gateway/backends.rs
@@ -88,7 +88,9 @@
     pub failing: f64,
     /// Average time that a call keeps a slot, in milliseconds.
     pub hold_ms: f64,
-    peers: HashMap<NodeName, (Load, Moment)>,
+    peers: HashMap<NodeName, Load>,
+    /// Sum of `peers`: every call that looks for a back end reads it of each.
+    peers_sum: Load,
     failures: u32,
     closed_until: Moment,
 }
@@ -104,17 +106,29 @@
             failing: 0.0,
             hold_ms,
             peers: HashMap::new(),
+            peers_sum: Load::default(),
             failures: 0,
             closed_until: Moment::ZERO,
         }
     }
 
     /// Returns the calls of all nodes, as far as is known.
-    pub fn load(&self, now: Moment) -> Load {
-        self.peers
-            .values()
-            .filter(|(_, at)| now.saturating_sub(*at) <= LOAD_MAX_AGE)
-            .fold(self.own, |sum, (load, _)| sum.plus(load))
+    pub fn load(&self) -> Load {
+        self.own.plus(&self.peers_sum)
+    }
+
+    /// Takes the calls of another node here, or that it has none.
+    fn set_peer(&mut self, node: &str, load: Option<&Load>) {
+        let before = match load {
+            Some(load) => {
+                self.peers_sum = self.peers_sum.plus(load);
+                self.peers.insert(node.into(), *load)
+            }
+            None => self.peers.remove(node),
+        };
+        if let Some(before) = before {
+            self.peers_sum = self.peers_sum.minus(&before);
+        }
     }
 
     /// Returns whether calls may be sent there: it is not leaving, and it was reached of late. Of
@@ -165,6 +179,8 @@
     entries: HashMap<BackendId, Entry>,
     services: HashMap<ServiceName, Vec<BackendId>>,
     hold_ms: HashMap<ServiceName, f64>,
+    /// When each node last told of its calls.
+    told: HashMap<NodeName, Moment>,
 }
 
 impl Backends {
@@ -220,11 +236,6 @@
         self.entries.get(id)
     }
 
-    /// Returns all back ends.
-    pub fn iter(&self) -> impl Iterator<Item = &Entry> {
-        self.entries.values()
-    }
-
     /// Returns the back ends of a service, in the order of their names.
     pub fn of_service(&self, service: &str) -> impl Iterator<Item = &Entry> {
         self.services
@@ -293,14 +304,18 @@
     /// Takes what another node told of its calls, by short names of back ends. What it does not name
     /// has none of its calls.
     pub fn told(&mut self, node: &str, loads: &HashMap<u32, Load>, now: Moment) {
+        self.told.insert(node.into(), now);
         for entry in self.entries.values_mut() {
-            match loads.get(&short_name(&entry.backend.id)) {
-                Some(load) => {
-                    entry.peers.insert(node.into(), (*load, now));
-                }
-                None => {
-                    entry.peers.remove(node);
-                }
+            entry.set_peer(node, loads.get(&short_name(&entry.backend.id)));
+        }
+    }
+
+    /// Forgets the calls of nodes that have not told of any for long.
+    pub fn forget_silent(&mut self, now: Moment) {
+        let is_silent = |at: &mut Moment| now.saturating_sub(*at) > LOAD_MAX_AGE;
+        for (node, _) in self.told.extract_if(|_, at| is_silent(at)) {
+            for entry in self.entries.values_mut() {
+                entry.set_peer(&node, None);
             }
         }
     }
--- a/src/core/gateway/cache.rs
+++ b/src/core/gateway/cache.rs
@@ -42,6 +42,11 @@
             .sum()
     }
 
+    /// Forgets everything, as an engine does that starts again.
+    pub fn clear(&mut self) {
+        *self = Self::default();
+    }
+
     /// Notes that the engine reads a prompt, and forgets what it then has no room for.
     pub fn read(&mut self, parts: &[Part], capacity: u64) {
         for part in parts {
@@ -65,9 +70,4 @@
             }
         }
     }
-
-    /// Forgets everything, as an engine does that starts again.
-    pub fn clear(&mut self) {
-        *self = Self::default();
-    }
 }
--- a/src/core/gateway/clock.rs
+++ b/src/core/gateway/clock.rs
@@ -36,8 +36,11 @@
         self.told
             .retain(|_, told| now.saturating_sub(told.at) <= MAX_AGE);
         let mut offsets: Vec<i64> = self.told.values().map(|told| told.offset_ms).collect();
-        offsets.sort_unstable();
-        let median = *offsets.get(offsets.len() / 2)?;
-        u64::try_from(median + now.as_millis() as i64).ok()
+        if offsets.is_empty() {
+            return None;
+        }
+        let middle = offsets.len() / 2;
+        let (_, median, _) = offsets.select_nth_unstable(middle);
+        u64::try_from(*median + now.as_millis() as i64).ok()
     }
 }
--- a/src/core/gateway/load.rs
+++ b/src/core/gateway/load.rs
@@ -33,6 +33,17 @@
         self
     }
 
+    /// Returns what is left of a sum without one of its parts.
+    pub fn minus(mut self, part: &Self) -> Self {
+        self.calls -= part.calls;
+        self.kv_tokens -= part.kv_tokens;
+        for rank in 0..RANKS {
+            self.waiting[rank] -= part.waiting[rank];
+            self.unread[rank] -= part.unread[rank];
+        }
+        self
+    }
+
     /// Returns the tokens that the engine reads before those of a new call of a rank.
     pub fn unread_before(&self, rank: usize) -> u32 {
         self.unread[..=rank].iter().sum()
--- a/src/core/gateway/mod.rs
+++ b/src/core/gateway/mod.rs
@@ -6,6 +6,7 @@
 pub mod backends;
 pub mod cache;
 pub mod clock;
+pub mod decay;
 pub mod load;
 pub mod members;
 pub mod placement;
@@ -15,3 +16,4 @@
 pub mod scaling;
 pub mod tenure;
 pub mod usage;
+pub mod work;
--- a/src/core/gateway/placement.rs
+++ b/src/core/gateway/placement.rs
@@ -13,12 +13,12 @@
 use std::time::Duration;
 
 use smallvec::SmallVec;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::backends::{BackendId, Backends, CallPlace, Entry};
 use super::cache::Part;
 use super::load::{CallLoad, rank_index};
 use super::routes::EngineSize;
+use crate::core::cells;
 use crate::core::time::Moment;
 
 /// Prompt tokens that an engine reads in a millisecond, before its pace is measured.
@@ -136,7 +136,7 @@
         .map(|entry| {
             let is_preferred = preferred.is_some_and(|preferred| std::ptr::eq(preferred, *entry));
             let held = if is_preferred { PREFERRED_HELD } else { 0.0 };
-            let mut estimate = estimate(entry, regions, ask, held, now);
+            let mut estimate = estimate(entry, regions, ask, held);
             estimate.score *= 1.0 + SPREAD * draw();
             estimate
         })
@@ -171,15 +171,15 @@
     }
 }
 
-/// Returns the engine that all nodes prefer for a prompt: the one with the highest hash of its name and the
+/// Returns the engine that all nodes prefer for a prompt: the one with the largest rendezvous weight for the
 /// prompt's longest shared part. It depends on nothing that nodes know differently, so that a part is read
 /// by one engine however many nodes there are. It may be in another region: callers of all regions use a
 /// part more often than those of one, and engines forget what is not used for long.
 fn preferred<'a>(candidates: &[&'a Entry], ask: &Ask<'_>) -> Option<&'a Entry> {
     let shared = ask.parts.len().saturating_sub(1);
     let anchor = ask.parts[..shared].iter().max_by_key(|part| part.tokens)?;
-    let hash = |entry: &&&Entry| xxh3_64_with_seed(entry.backend.id.as_bytes(), anchor.id);
-    candidates.iter().max_by_key(hash).copied()
+    let weight = |entry: &&&Entry| cells::weight_of(anchor.id, &entry.backend.id);
+    candidates.iter().max_by_key(weight).copied()
 }
 
 fn estimate<'a>(
@@ -187,9 +187,8 @@
     regions: &dyn Regions,
     ask: &Ask<'_>,
     preferred_held: f64,
-    now: Moment,
 ) -> Estimate<'a> {
-    let load = entry.load(now);
+    let load = entry.load();
     let rank = rank_index(ask.rank);
     let hold_ms = if entry.hold_ms > 0.0 {
         entry.hold_ms
--- a/src/core/gateway/quota.rs
+++ b/src/core/gateway/quota.rs
@@ -13,6 +13,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use super::decay::Decaying;
 use super::members::NodeName;
 use super::routes::{CustomerName, Quota};
 use crate::core::time::Moment;
@@ -43,34 +44,17 @@
 struct Told {
     total: f64,
     per_second: f64,
-    recent: Recent,
+    /// Units of the last seconds.
+    recent: Decaying,
     at: Moment,
 }
 
-/// Units of the last seconds; older ones count less.
-#[derive(Clone, Copy, Debug, Default)]
-struct Recent {
-    units: f64,
-    at: Moment,
-}
-
-impl Recent {
-    fn units(&self, now: Moment) -> f64 {
-        let age = now.saturating_sub(self.at).as_secs_f64();
-        self.units * (-age / PART_WINDOW.as_secs_f64()).exp()
-    }
-
-    fn add(&mut self, units: f64, now: Moment) {
-        self.units = (self.units(now) + units).max(0.0);
-        self.at = now;
-    }
-}
-
 /// One customer's bucket, as this node sees it.
 #[derive(Debug, Default)]
 struct Bucket {
     own_total: f64,
-    own_recent: Recent,
+    /// Units of the last seconds.
+    own_recent: Decaying,
     /// Level of this node's own part.
     part_level: f64,
     /// Average units of a call.
@@ -140,7 +124,7 @@
             bucket.level -= units;
             bucket.part_level -= units;
             bucket.own_total += units;
-            bucket.own_recent.add(units, now);
+            bucket.own_recent.add(units, PART_WINDOW, now);
             return QuotaDecision::Within;
         }
         let level = level.min(bucket.part_level);
@@ -263,11 +247,11 @@
     fn refill_part(&mut self, quota: &Quota, units: f64, peers: Peers, now: Moment) {
         let elapsed = now.saturating_sub(self.filled).as_secs_f64();
         self.call += (units - self.call) * if self.call > 0.0 { 0.1 } else { 1.0 };
-        let own = self.own_recent.units(now);
+        let own = self.own_recent.value(PART_WINDOW, now);
         let others: f64 = self
             .others
             .values()
-            .map(|told| told.recent.units(now))
+            .map(|told| told.recent.value(PART_WINDOW, now))
             .sum();
         let all = own + others;
         // At first, that others have told nothing may only mean that it is on its way.
@@ -294,7 +278,7 @@
         let elapsed = now.saturating_sub(told.at).as_secs_f64().max(0.05);
         let per_second = (units / elapsed).max(0.0);
         told.per_second += (per_second - told.per_second) * RATE_WEIGHT;
-        told.recent.add(units, now);
+        told.recent.add(units, PART_WINDOW, now);
         told.total = total;
         told.at = now;
         self.level -= units;
--- a/src/core/gateway/routes.rs
+++ b/src/core/gateway/routes.rs
@@ -145,8 +145,6 @@
 /// What one model engine can hold.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct EngineSize {
-    /// Requests in one batch.
-    pub slots: u32,
     /// Tokens in its memory.
     pub kv_tokens: u32,
 }
--- a/src/ops/gateway/attempt.rs
+++ b/src/ops/gateway/attempt.rs
@@ -187,9 +187,7 @@
     last_event: Option<u64>,
     timeout: Duration,
 ) -> Result<Answer, AttemptError> {
-    let once = !call.route.kind.may_repeat();
-    let address = running.place.backend.address;
-    let result = exchange(cx, call, &running, last_event, once, address, timeout).await;
+    let result = exchange(cx, call, &running, last_event, timeout).await;
     let (connection, res) = match result {
         Ok(answered) => answered,
         Err(e) => {
@@ -233,10 +231,10 @@
     call: &Call,
     running: &Running,
     last_event: Option<u64>,
-    once: bool,
-    address: std::net::SocketAddr,
     timeout: Duration,
 ) -> Result<(Connection, hyper::Response<Incoming>), AttemptError> {
+    let once = !call.route.kind.may_repeat();
+    let address = running.place.backend.address;
     let mut connection = cx.pool.open(address, once).await?;
     let req = request(cx, call, running, last_event);
     let silent = |_| AttemptError::Silent {
--- a/src/ops/gateway/board.rs
+++ b/src/ops/gateway/board.rs
@@ -11,12 +11,13 @@
 use super::view::View;
 use crate::core::gateway::backends::Backends;
 use crate::core::gateway::clock::ClockMedian;
-use crate::core::gateway::members::{Member, Members, NodeName};
+use crate::core::gateway::members::{Member, Members};
 use crate::core::gateway::placement::Regions;
 use crate::core::gateway::quota::QuotaShares;
 use crate::core::gateway::retry_budget::RetryBudget;
 use crate::core::gateway::routes::{RouteTable, ServiceName};
 use crate::core::gateway::usage::{Counts, UsageBook, Window};
+use crate::core::gateway::work::WorkRates;
 use crate::core::time::{Moment, UnixMillis};
 use crate::util::settings::GatewaySettings;
 use crate::util::time::{since_boot, unix_now};
@@ -68,71 +69,6 @@
     is_registered: AtomicBool,
 }
 
-/// Milliseconds of work a second that came in for each service, and what other nodes told of theirs.
-#[derive(Debug, Default)]
-pub struct WorkRates {
-    own: HashMap<ServiceName, (f64, Moment)>,
-    told: HashMap<NodeName, ToldWork>,
-}
-
-/// What another node told of its work.
-#[derive(Debug)]
-struct ToldWork {
-    zone: Box<str>,
-    work: Vec<(ServiceName, f64)>,
-    at: Moment,
-}
-
-/// Time over which work is averaged.
-const WORK_WINDOW: Moment = Moment::from_millis(2500);
-
-impl WorkRates {
-    /// Adds work.
-    pub fn add(&mut self, service: &str, ms: f64, now: Moment) {
-        let (rate, at) = self.own.entry(service.into()).or_default();
-        *rate = decayed(*rate, *at, now) + ms / WORK_WINDOW.as_secs_f64();
-        *at = now;
-    }
-
-    /// Returns this node's work.
-    pub fn own(&self, now: Moment) -> Vec<(ServiceName, f64)> {
-        self.own
-            .iter()
-            .map(|(service, (rate, at))| (service.clone(), decayed(*rate, *at, now)))
-            .filter(|(_, rate)| *rate >= 0.1)
-            .collect()
-    }
-
-    /// Takes what another node told of its work.
-    pub fn told(&mut self, node: &str, zone: &str, work: Vec<(ServiceName, f64)>, now: Moment) {
-        let told = ToldWork {
-            zone: zone.into(),
-            work,
-            at: now,
-        };
-        self.told.insert(node.into(), told);
-    }
-
-    /// Returns the work of a service in each availability zone.
-    pub fn by_zone(&self, service: &str, own_zone: &str, now: Moment) -> HashMap<Box<str>, f64> {
-        let mut sums: HashMap<Box<str>, f64> = HashMap::new();
-        if let Some((rate, at)) = self.own.get(service) {
-            *sums.entry(own_zone.into()).or_default() += decayed(*rate, *at, now);
-        }
-        for told in self.told.values() {
-            let of_service = told.work.iter().filter(|(name, _)| **name == *service);
-            for (_, rate) in of_service {
-                *sums.entry(told.zone.clone()).or_default() += decayed(*rate, told.at, now);
-            }
-        }
-        sums
-    }
-}
-
-fn decayed(rate: f64, at: Moment, now: Moment) -> f64 {
-    rate * (-now.saturating_sub(at).as_secs_f64() / WORK_WINDOW.as_secs_f64()).exp()
-}
-
 struct RegionMap(HashMap<Box<str>, Box<str>>);
 
 impl Regions for RegionMap {
--- a/src/ops/gateway/forward.rs
+++ b/src/ops/gateway/forward.rs
@@ -216,12 +216,14 @@
         tried: &progress.tried,
     };
     let placement = {
-        let backends = board.backends.lock();
+        let mut backends = board.backends.lock();
+        let now = board.now();
+        backends.forget_silent(now);
         placement::place(
             &backends,
             board.regions(),
             &ask,
-            board.now(),
+            now,
             &mut rand::random::<f64>,
         )
     };
--- a/src/ops/gateway/snapshot.rs
+++ b/src/ops/gateway/snapshot.rs
@@ -19,6 +19,7 @@
 use super::view::{Deletion, Gone, KeyHash, Versioned};
 use crate::core::time::Moment;
 use crate::sources::store::{Key, KeyValue};
+use crate::util::query;
 
 /// Path at which a node tells what it knows.
 pub const PATH: &str = "/snapshot";
@@ -165,11 +166,8 @@
 }
 
 fn number(query: &str, name: &str) -> u64 {
-    query
-        .split('&')
-        .filter_map(|pair| pair.split_once('='))
-        .find(|(key, _)| *key == name)
-        .and_then(|(_, value)| value.parse().ok())
+    query::value(query, name)
+        .and_then(|value| value.parse().ok())
         .unwrap_or(0)
 }
 
--- a/src/ops/gateway/stream.rs
+++ b/src/ops/gateway/stream.rs
@@ -36,6 +36,17 @@
     idle_timeout: Option<Duration>,
 }
 
+impl From<Answer> for Source {
+    fn from(answer: Answer) -> Self {
+        Self {
+            body: answer.body,
+            connection: answer.connection,
+            running: answer.running,
+            idle_timeout: answer.head.idle_timeout,
+        }
+    }
+}
+
 /// A stream on its way to a caller. Dropping it ends the work at the back end.
 struct Relay<A> {
     cx: Arc<GatewayContext>,
@@ -63,22 +74,18 @@
     cx: Arc<GatewayContext>,
     call: Call,
     progress: Progress,
-    answer: Box<Answer>,
+    mut answer: Box<Answer>,
     active: A,
 ) -> Response<Body> {
-    let mut headers = cx.board.dialect.answer_for_caller(answer.headers);
+    let headers = std::mem::take(&mut answer.headers);
+    let mut headers = cx.board.dialect.answer_for_caller(headers);
     headers.remove(CONTENT_LENGTH);
     let relay = Relay {
         last_event: call.head.last_event,
         cx,
         call,
         progress,
-        source: Some(Source {
-            body: answer.body,
-            connection: answer.connection,
-            running: answer.running,
-            idle_timeout: answer.head.idle_timeout,
-        }),
+        source: Some((*answer).into()),
         buf: BytesMut::new(),
         first_at: None,
         is_over: false,
@@ -190,12 +197,7 @@
             };
             match offered {
                 Ok(answer) if answer.status == StatusCode::OK && !answer.head.not_run => {
-                    self.source = Some(Source {
-                        body: answer.body,
-                        connection: answer.connection,
-                        running: answer.running,
-                        idle_timeout: answer.head.idle_timeout,
-                    });
+                    self.source = Some(answer.into());
                     return true;
                 }
                 Ok(answer) => record::declined(
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -76,8 +76,6 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct EngineWire {
-    #[serde(default)]
-    slots: u32,
     #[serde(default)]
     kv_capacity: u32,
 }
@@ -230,7 +228,6 @@
             name: wire.name,
             max_connections: wire.max_connections,
             engine: wire.engine.map(|engine| EngineSize {
-                slots: engine.slots,
                 kv_tokens: engine.kv_capacity,
             }),
             scaling: wire.scaling.map(|scaling| ScalingRules {
--- a/src/platform/directory.rs
+++ b/src/platform/directory.rs
@@ -5,6 +5,8 @@
 
 use serde::Serialize;
 
+use crate::util::query;
+
 #[derive(Serialize)]
 #[serde(rename_all = "camelCase")]
 struct AnswerWire<'a> {
@@ -14,14 +16,7 @@
 
 /// Reads region and availability zone of the caller from a query.
 pub(super) fn question(query: &str) -> (Box<str>, Box<str>) {
-    let value = |name: &str| -> Box<str> {
-        query
-            .split('&')
-            .filter_map(|pair| pair.split_once('='))
-            .find(|(key, _)| *key == name)
-            .map(|(_, value)| value.into())
-            .unwrap_or_default()
-    };
+    let value = |name| query::value(query, name).unwrap_or_default().into();
     (value("region"), value("zone"))
 }
 
--- a/src/util/mod.rs
+++ b/src/util/mod.rs
@@ -1,10 +1,11 @@
-//! Settings, logs, metrics and time.
+//! Settings, logs, metrics, queries and time.
 
 pub mod fields;
 pub mod ini;
 pub mod logs;
 pub mod metrics;
 pub mod problem;
+pub mod query;
 pub mod schema;
 pub mod settings;
 pub mod time;
--- a/tests/testsuite/gateway/played_load.rs
+++ b/tests/testsuite/gateway/played_load.rs
@@ -15,10 +15,7 @@
 const READ_PER_MS: f64 = 51.0;
 /// Longest time for which an engine of the play reads one prompt before it looks for a more urgent one.
 const CHUNK_MS: f64 = 40.0;
-const ENGINE: EngineSize = EngineSize {
-    slots: 64,
-    kv_tokens: 600_000,
-};
+const ENGINE: EngineSize = EngineSize { kv_tokens: 600_000 };
 
 struct OneRegion;
 
