Do not use up second sends on a stream that has no place to go on

A stream that breaks off goes on at another engine in a loop; where no engine has a place (all tried, or the wait at each is too long), the loop took second sends out of the node's allowance, without a pause, until none was left, and other calls of the service then failed though they could have been sent again. Ruled out: the same for other calls; they give up at once. Change: no place ends the loop; the caller gets the broken stream at once. Tests: gateway::streams, a second stream goes on after one that could not, failed before; gateway::played_load, the load of an engine as a sum.

--- a/src/ops/gateway/stream.rs
+++ b/src/ops/gateway/stream.rs
@@ -14,7 +14,7 @@
 use hyper::{Response, StatusCode};
 use tokio::time::Instant;
 
-use super::attempt::{Answer, GatewayContext, Running};
+use super::attempt::{Answer, AttemptError, GatewayContext, Running};
 use super::call::Call;
 use super::forward::{self, Progress};
 use super::pool::Connection;
@@ -206,6 +206,9 @@
                     answer.running.backend(),
                     answer.status,
                 ),
+                // The failure is recorded with the attempt. Without a place, another try would find none
+                // either and use up what other calls may send again.
+                Err(AttemptError::NoPlace { .. }) => return false,
                 Err(_) => {}
             }
         }
--- a/tests/testsuite/gateway/played_load.rs
+++ b/tests/testsuite/gateway/played_load.rs
@@ -1,11 +1,12 @@
 //! Placement and refusal under a load that is played on engines which read prompts in chunks, those of
 //! the most urgent call first.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use jayhall::core::gateway::backends::{Backend, Backends, CallPlace, Outcome};
+use jayhall::core::gateway::backends::{Backend, Backends, CallPlace, Outcome, short_name};
 use jayhall::core::gateway::cache::Part;
+use jayhall::core::gateway::load::Load;
 use jayhall::core::gateway::placement::{self, Ask, Placement, RefusalCause, Regions};
 use jayhall::core::gateway::routes::EngineSize;
 use rand::rngs::ChaCha8Rng;
@@ -422,3 +423,34 @@
     let found = shared_tokens_found();
     assert!(found > 0.7, "{found}");
 }
+
+#[test]
+fn a_back_ends_load_is_the_sum_of_what_nodes_told_last_but_for_silent_ones() {
+    let mut backends = engines(1);
+    let load = |calls, unread| {
+        let mut load = Load {
+            calls,
+            kv_tokens: 10 * calls,
+            ..Load::default()
+        };
+        load.unread[2] = unread;
+        HashMap::from([(short_name("e00"), load)])
+    };
+    let at = Duration::from_millis;
+    let known = |backends: &Backends| {
+        let load = backends.get("e00").unwrap().load();
+        (load.calls, load.kv_tokens, load.unread_before(2))
+    };
+    backends.told("a", &load(2, 500), at(0));
+    backends.told("b", &load(3, 700), at(1000));
+    assert_eq!(known(&backends), (5, 50, 1200));
+    // A later message replaces the one before; one that does not name the engine says that it has no calls.
+    backends.told("b", &load(1, 100), at(1200));
+    assert_eq!(known(&backends), (3, 30, 600));
+    backends.forget_silent(at(2500));
+    assert_eq!(known(&backends), (3, 30, 600));
+    backends.forget_silent(at(2501));
+    assert_eq!(known(&backends), (1, 10, 100));
+    backends.told("b", &HashMap::new(), at(2600));
+    assert_eq!(known(&backends), (0, 0, 0));
+}
--- a/tests/testsuite/gateway/streams.rs
+++ b/tests/testsuite/gateway/streams.rs
@@ -4,7 +4,7 @@
 
 use futures::StreamExt;
 
-use super::rig::{Behaviour, one_node, total_runs};
+use super::rig::{Behaviour, FakeBackend, one_node, total_runs};
 
 const WHOLE: Behaviour = Behaviour::Events { to: 6, ends: true };
 const BROKEN: Behaviour = Behaviour::Events { to: 3, ends: false };
@@ -124,3 +124,24 @@
         started.elapsed()
     );
 }
+
+#[tokio::test]
+async fn a_stream_that_nobody_can_go_on_with_leaves_others_their_second_sends() {
+    let (rig, node, backends) = one_node("llm", &[BROKEN]).await;
+    let res = rig.call(&node, "/resume/x", "a1").send().await.unwrap();
+    assert_eq!(read(res).await, (events(1, 3), false));
+    backends[0].set(WHOLE);
+    let mut others = Vec::new();
+    for id in ["c1", "c2"] {
+        let backend = FakeBackend::spawn(BROKEN).await;
+        rig.list(id, "llm", &backend, "ready").await;
+        others.push(backend);
+    }
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let res = rig.call(&node, "/resume/x", "a2").send().await.unwrap();
+    for backend in others.iter().filter(|backend| backend.runs() == 0) {
+        backend.set(WHOLE);
+    }
+    assert_eq!(read(res).await, (events(1, 6), true));
+    assert_eq!(total_runs(&others) + total_runs(&backends), 3);
+}
