One copy of the platform's header names, of a gateway's settings and of the soak's parts

Cause: reading the change again. Change: the adapter's header names are public and used by the stand-ins' side; a link gets its stray bytes from its user; GatewaySettingsText renders settings for tests and soak; checks are split by what they are about, the command by its steps. Ruled out: sharing the back ends of rig and soak: one acts as told for each call, the other notes runs under faults, and only the reading of a header is the same.

--- a/crates/jayhall-harness/src/lib.rs
+++ b/crates/jayhall-harness/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod caller;
 mod fleet;
+mod gateway_settings;
 mod gossip_node;
 mod layout;
 mod link;
@@ -14,6 +15,7 @@
 
 pub use caller::{Answer, Ask, Caller, ServiceAnswer};
 pub use fleet::{Fleet, FleetOptions, NodeHandle};
+pub use gateway_settings::GatewaySettingsText;
 pub use gossip_node::GossipNode;
 pub use layout::{Backend, Layout, Zone, association, small};
 pub use link::{Link, LinkState};
--- a/crates/jayhall-harness/src/link.rs
+++ b/crates/jayhall-harness/src/link.rs
@@ -15,9 +15,6 @@
 const CHUNK: usize = 16 * 1024;
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// An answer to no request, as a broken back end sends it.
-const STRAY_ANSWER: &[u8] =
-    b"HTTP/1.1 200 OK\r\nX-Jayhall-Attempt-Id: stray\r\nContent-Length: 5\r\n\r\nstray";
 
 /// What a link does with bytes and connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,8 +31,8 @@
     Silent,
     /// Resets all connections, and new ones at once.
     Reset,
-    /// Sends bytes behind each answer that belong to no request.
-    Stray,
+    /// Sends these bytes behind each answer; they belong to no request.
+    Stray(&'static str),
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,7 +47,7 @@
             Self::Silent => true,
             Self::CutForward => direction == Direction::Forward,
             Self::CutBack => direction == Direction::Back,
-            Self::Open | Self::Delayed(_) | Self::Reset | Self::Stray => false,
+            Self::Open | Self::Delayed(_) | Self::Reset | Self::Stray(_) => false,
         }
     }
 }
@@ -180,8 +177,10 @@
             return to.shutdown().await;
         }
         to.write_all(&buf[..len]).await?;
-        if state == LinkState::Stray && direction == Direction::Back {
-            to.write_all(STRAY_ANSWER).await?;
+        if let LinkState::Stray(bytes) = state
+            && direction == Direction::Back
+        {
+            to.write_all(bytes.as_bytes()).await?;
         }
     }
 }
--- a/crates/jayhall-harness/src/process.rs
+++ b/crates/jayhall-harness/src/process.rs
@@ -49,13 +49,7 @@
     /// Fails where the program cannot be started or ends before it listens.
     pub fn spawn(name: &str, program: &Path, args: &[String], log: &Path) -> Result<Self> {
         let log_file = File::create(log).wrap_err_with(|| format!("creating {}", log.display()))?;
-        let mut child = Command::new(program)
-            .args(args)
-            .stdin(Stdio::null())
-            .stdout(Stdio::piped())
-            .stderr(log_file)
-            .spawn()
-            .wrap_err_with(|| format!("starting {}; build it first", program.display()))?;
+        let mut child = start(program, args, Stdio::piped(), log_file)?;
         let stdout = child
             .stdout
             .take()
@@ -94,13 +88,7 @@
             .append(true)
             .open(log)
             .wrap_err_with(|| format!("opening {}", log.display()))?;
-        let child = Command::new(program)
-            .args(args)
-            .stdin(Stdio::null())
-            .stdout(log_file.try_clone()?)
-            .stderr(log_file)
-            .spawn()
-            .wrap_err_with(|| format!("starting {}; build it first", program.display()))?;
+        let child = start(program, args, log_file.try_clone()?.into(), log_file)?;
         Ok(Self {
             name: name.into(),
             child,
@@ -185,6 +173,16 @@
     }
 }
 
+fn start(program: &Path, args: &[String], stdout: Stdio, stderr: File) -> Result<Child> {
+    Command::new(program)
+        .args(args)
+        .stdin(Stdio::null())
+        .stdout(stdout)
+        .stderr(stderr)
+        .spawn()
+        .wrap_err_with(|| format!("starting {}; build it first", program.display()))
+}
+
 fn parse_listening(line: &str) -> Option<HashMap<Box<str>, SocketAddr>> {
     let rest = line.strip_prefix("listening ")?;
     if let Some(address) = rest.strip_prefix("on ") {
--- a/crates/jayhall-soak/src/backend.rs
+++ b/crates/jayhall-soak/src/backend.rs
@@ -13,9 +13,11 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
+use hyper::header::HeaderName;
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Request, Response};
 use hyper_util::rt::TokioIo;
+use jayhall::platform::headers;
 use jayhall_harness::{Link, LinkState};
 use parking_lot::Mutex;
 use tokio::net::{TcpListener, TcpStream};
@@ -205,7 +207,7 @@
     }
 }
 
-fn header<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+fn header(headers: &HeaderMap, name: HeaderName) -> Option<&str> {
     headers.get(name).and_then(|value| value.to_str().ok())
 }
 
@@ -217,11 +219,11 @@
             .await
             .map_err(std::io::Error::other)?
             .to_bytes();
-        let attempt = header(&head.headers, "x-jayhall-attempt-id").unwrap_or_default();
+        let attempt = header(&head.headers, headers::ATTEMPT).unwrap_or_default();
         if attempt.is_empty() {
             return Ok(not_run(400));
         }
-        let expected = header(&head.headers, "x-jayhall-expect-instance");
+        let expected = header(&head.headers, headers::EXPECTED_BACKEND);
         if expected.is_some_and(|id| id != &*self.id) {
             return Ok(not_run(421));
         }
@@ -233,7 +235,7 @@
             return Ok(not_run(503));
         };
         let is_stream = head.uri.path().contains("stream");
-        let after = header(&head.headers, "last-event-id").and_then(|id| id.parse().ok());
+        let after = header(&head.headers, headers::LAST_EVENT).and_then(|id| id.parse().ok());
         self.answer(running, is_stream, after.unwrap_or(0)).await
     }
 
@@ -244,13 +246,13 @@
             self.busy.fetch_sub(1, Ordering::Relaxed);
             return None;
         }
-        let deadline = header(headers, "x-jayhall-deadline-ms").and_then(|ms| ms.parse().ok());
+        let deadline = header(headers, headers::DEADLINE).and_then(|ms| ms.parse().ok());
         let run = Run {
             backend: self.number,
             service: self.service,
             at: self.history.now(),
             ended: None,
-            customer: header(headers, "x-jayhall-tenant").map(Into::into),
+            customer: header(headers, headers::CUSTOMER).map(Into::into),
             has_key: headers.contains_key("authorization"),
             deadline: deadline.map(|ms: f64| Duration::from_secs_f64(ms.max(0.0) / 1e3)),
         };
@@ -274,8 +276,8 @@
         let attempt = running.attempt.clone();
         tokio::time::sleep(WORK).await;
         let res = Response::builder()
-            .header("x-jayhall-attempt-id", &*attempt)
-            .header("x-jayhall-response-seal", signature(&attempt));
+            .header(headers::ATTEMPT, &*attempt)
+            .header(headers::SIGNATURE, signature(&attempt));
         if mode == Mode::LosesAnswers {
             return Err(std::io::ErrorKind::ConnectionReset.into());
         }
@@ -311,7 +313,7 @@
     let mut res = Response::new(whole(String::new()));
     *res.status_mut() = status.try_into().unwrap_or_default();
     let one = hyper::header::HeaderValue::from_static("1");
-    res.headers_mut().insert("x-jayhall-not-executed", one);
+    res.headers_mut().insert(headers::NOT_RUN, one);
     res
 }
 
--- a/crates/jayhall-soak/src/callers.rs
+++ b/crates/jayhall-soak/src/callers.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use futures::StreamExt;
+use jayhall::platform::headers;
 use rand::rngs::ChaCha8Rng;
 use rand::{RngExt, SeedableRng};
 use serde_json::Value;
@@ -102,18 +103,15 @@
             .post(format!("http://{address}{}{id}", route.prefix))
             .header("host", HOST)
             .header("authorization", format!("Bearer {}", customer.key))
-            .header("x-jayhall-attempt-id", &*id)
-            .header("x-jayhall-deadline-ms", deadline.as_millis().to_string())
+            .header(headers::ATTEMPT, &*id)
+            .header(headers::DEADLINE, deadline.as_millis().to_string())
             .body(expected_body(&id));
         if route.kind.is_stream() {
             let prompt = UNITS - 20;
             req = req
-                .header("x-jayhall-model", "m")
-                .header("x-jayhall-token-counts", format!("{prompt},20"))
-                .header(
-                    "x-jayhall-prompt-prefix",
-                    format!("5c1e07a2:{},{id}:80", prompt - 80),
-                );
+                .header(headers::MODEL, "m")
+                .header(headers::TOKENS, format!("{prompt},20"))
+                .header(headers::PARTS, format!("5c1e07a2:{},{id}:80", prompt - 80));
         }
         let leaves = self.rng.random_bool(LEAVES);
         let patience = match leaves {
@@ -146,9 +144,9 @@
         return Outcome::NoAnswer;
     };
     let status = res.status();
-    let sealed = res.headers().get("x-jayhall-response-seal");
+    let sealed = res.headers().get(headers::SIGNATURE);
     let is_signed = sealed.is_some_and(|seal| *seal == *signature(id));
-    let other = sealed.is_some() && !is_signed;
+    let is_foreign = sealed.is_some() && !is_signed;
     let Ok(body) = read(res).await else {
         return Outcome::BrokenOff;
     };
@@ -158,7 +156,7 @@
             .collect(),
         false => expected_body(id),
     };
-    let fault = if other {
+    let fault = if is_foreign {
         Some("it is signed for another call".into())
     } else if status.is_success() && !is_signed {
         Some("it is not signed".into())
--- /dev/null
+++ b/crates/jayhall-soak/src/checks/state.rs
@@ -0,0 +1,116 @@
+//! What nodes know and keep to: back ends, configuration, limits, their own processes.
+
+use std::time::Duration;
+
+use super::{Checks, Violation, broken};
+use crate::config::{CONFIG_APPLIES, CUSTOMERS, DRAIN, STOP};
+use crate::history::{Kind, Moment};
+
+/// Span in which a customer's units are counted.
+const QUOTA_WINDOW: Duration = Duration::from_secs(8);
+/// What a customer may have beyond its limit: a part of it, and of its rate in a window besides.
+const QUOTA_OVERRUN: (f64, f64) = (0.1, 0.2);
+
+impl Checks<'_> {
+    pub(super) fn leaving_backends(&self) -> Vec<Violation> {
+        let mut found = Vec::new();
+        for a in &self.events.attempts {
+            for run in self.runs(a) {
+                let Some(left) = self.events.left.get(&run.backend) else {
+                    continue;
+                };
+                let is_calm =
+                    self.is_node_calm(a.node, *left, run.at) && self.is_store_calm(*left, run.at);
+                if run.at > *left + DRAIN && is_calm {
+                    let what =
+                        format!("{} through n{}; it left at {left:?}: {run:?}", a.id, a.node);
+                    found.push(broken("no call to a back end that left", what));
+                }
+            }
+        }
+        found
+    }
+
+    pub(super) fn configuration(&self) -> Vec<Violation> {
+        let mut found = Vec::new();
+        for a in self
+            .events
+            .attempts
+            .iter()
+            .filter(|a| a.kind == Kind::Idempotent)
+        {
+            for run in self.runs(a) {
+                let since = a.sent.saturating_sub(CONFIG_APPLIES);
+                let is_calm =
+                    self.is_node_calm(a.node, since, run.at) && self.is_store_calm(since, run.at);
+                if is_calm
+                    && !self
+                        .allowed(since, run.at)
+                        .any(|service| service == run.service)
+                {
+                    let what = format!("{} through n{}, sent {:?}: {run:?}", a.id, a.node, a.sent);
+                    found.push(broken("configuration in force in time", what));
+                }
+            }
+        }
+        found
+    }
+
+    /// Returns the services of the moving route that were in force at some time of a span.
+    fn allowed(&self, from: Moment, to: Moment) -> impl Iterator<Item = &'static str> {
+        let versions = &self.events.versions;
+        let first = versions.iter().rposition(|v| v.at <= from).unwrap_or(0);
+        let in_span = versions[first..].iter().take_while(move |v| v.at <= to);
+        in_span.map(|v| v.moving_route)
+    }
+
+    pub(super) fn quotas(&self) -> Vec<Violation> {
+        let mut found = Vec::new();
+        for customer in CUSTOMERS.iter().filter(|c| c.limit.0 > 0.0) {
+            let attempts = self.events.attempts.iter();
+            let mut spent: Vec<(Moment, u32)> = attempts
+                .filter(|a| a.customer == customer.name)
+                .filter_map(|a| Some((self.runs(a).first()?.at, a.units)))
+                .collect();
+            spent.sort_unstable();
+            let (rate, burst) = customer.limit;
+            let in_window = rate * QUOTA_WINDOW.as_secs_f64();
+            let (overrun, slack) = QUOTA_OVERRUN;
+            let allowed = (in_window + burst) * (1.0 + overrun) + in_window * slack;
+            let sum_from = |first: usize| -> u32 {
+                let end = spent[first].0 + QUOTA_WINDOW;
+                let in_it = spent[first..].iter().take_while(|(at, _)| *at <= end);
+                in_it.map(|(_, units)| units).sum()
+            };
+            let worst = (0..spent.len()).max_by_key(|first| sum_from(*first));
+            let Some(worst) = worst.filter(|worst| f64::from(sum_from(*worst)) > allowed) else {
+                continue;
+            };
+            let (units, from) = (sum_from(worst), spent[worst].0);
+            let what = format!(
+                "{} had {units} of {allowed:.0} from {from:?}",
+                customer.name
+            );
+            found.push(broken("limits of customers", what));
+        }
+        found
+    }
+
+    pub(super) fn processes(&self) -> Vec<Violation> {
+        let exits = self.events.own_exits.iter();
+        let exits = exits.map(|(node, at)| {
+            broken(
+                "processes do not end by themselves",
+                format!("n{node} at {at:?}"),
+            )
+        });
+        let stops = self.events.stops.iter();
+        let bad = stops.filter(|stop| {
+            let in_time = stop.took.is_some_and(|took| took <= STOP);
+            let is_calm = self.is_node_calm(stop.node, stop.at, stop.at + STOP);
+            is_calm && !(in_time && stop.is_success)
+        });
+        let bad = bad.map(|stop| broken("a stop ends in time", format!("{stop:?}")));
+        exits.chain(bad).collect()
+    }
+}
--- a/crates/jayhall-soak/src/cloud.rs
+++ b/crates/jayhall-soak/src/cloud.rs
@@ -8,9 +8,11 @@
 use eyre::{Result, eyre};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use hyper::header::HeaderName;
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use jayhall::platform::headers;
 use serde_json::Value;
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
@@ -65,12 +67,12 @@
 }
 
 async fn read(req: Request<Incoming>, history: &History) -> Result<DutyCall> {
-    let header = |name: &str| -> Result<String> {
-        let value = req.headers().get(name).ok_or_else(|| eyre!("no {name}"))?;
+    let header = |name: HeaderName| -> Result<String> {
+        let value = req.headers().get(&name).ok_or_else(|| eyre!("no {name}"))?;
         Ok(value.to_str()?.to_owned())
     };
-    let holder = header("x-jayhall-duty-holder")?.into();
-    let fence = header("x-jayhall-fence-token")?.parse()?;
+    let holder = header(headers::DUTY_HOLDER)?.into();
+    let fence = header(headers::FENCE)?.parse()?;
     let path = req.uri().path().to_owned();
     let body = req.into_body().collect().await?.to_bytes();
     let body: Value = serde_json::from_slice(&body)?;
--- a/crates/jayhall-soak/src/config.rs
+++ b/crates/jayhall-soak/src/config.rs
@@ -94,6 +94,20 @@
     },
 ];
 
+/// Returns the bounds that the gateways' settings name.
+pub(crate) fn bounds() -> String {
+    format!(
+        "drain = {}ms\nstop = {}s\nretry_ratio = {RETRY_RATIO}\nretry_slack = {RETRY_SLACK}\n\
+         retry_window = {}s\nlease = {}s\nusage_window = {}s\nusage_late = {}s\n",
+        DRAIN.as_millis(),
+        STOP.as_secs(),
+        RETRY_WINDOW.as_secs(),
+        LEASE.as_secs(),
+        USAGE_WINDOW.as_secs(),
+        USAGE_LATE.as_secs(),
+    )
+}
+
 /// Returns the timeout of the route of a kind.
 pub(crate) fn timeout(kind: Kind) -> Duration {
     let route = ROUTES.iter().find(|route| route.kind == kind);
--- a/crates/jayhall-soak/src/faults.rs
+++ b/crates/jayhall-soak/src/faults.rs
@@ -1,11 +1,12 @@
 //! A series of faults drawn from a seed, and what each of them does.
 
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, LazyLock};
 use std::time::Duration;
 
 use eyre::{Result, eyre};
-use jayhall_harness::{LinkState, StoreFault};
+use jayhall::platform::headers;
+use jayhall_harness::{Link, LinkState, StoreFault};
 use nix::sys::signal::Signal;
 use rand::rngs::ChaCha8Rng;
 use rand::{RngExt, SeedableRng};
@@ -24,6 +25,14 @@
 /// Time for which a link that is told to reset does so.
 const RESET_TIME: Duration = Duration::from_millis(60);
 
+/// An answer to no request, as a broken back end sends it.
+static STRAY_ANSWER: LazyLock<String> = LazyLock::new(|| {
+    format!(
+        "HTTP/1.1 200 OK\r\n{}: stray\r\nContent-Length: 5\r\n\r\nstray",
+        headers::ATTEMPT
+    )
+});
+
 /// One fault.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Fault {
@@ -152,7 +161,7 @@
 
 fn backend_link_state(rng: &mut ChaCha8Rng) -> LinkState {
     match rng.random_range(0..6) {
-        0 => LinkState::Stray,
+        0 => LinkState::Stray(&STRAY_ANSWER),
         _ => link_state(rng),
     }
 }
@@ -377,7 +386,7 @@
 
 async fn disturb_link(
     world: &World,
-    link: &jayhall_harness::Link,
+    link: &Link,
     target: Target,
     state: LinkState,
     time: Duration,
--- a/crates/jayhall-soak/src/history.rs
+++ b/crates/jayhall-soak/src/history.rs
@@ -77,6 +77,13 @@
     Silence,
 }
 
+impl Outcome {
+    /// Returns whether it is an answer with a success.
+    pub fn is_success(&self) -> bool {
+        matches!(self, Self::Answered { status, .. } if *status < 300)
+    }
+}
+
 /// One attempt of a caller.
 #[derive(Clone, Debug)]
 pub struct Attempt {
--- a/crates/jayhall-soak/src/lib.rs
+++ b/crates/jayhall-soak/src/lib.rs
@@ -22,7 +22,6 @@
 use eyre::{Result, WrapErr, eyre};
 
 use checks::{Span, Violation};
-use history::Outcome;
 use world::World;
 
 /// Calm time before the first fault.
@@ -92,10 +91,13 @@
         wall_start: world.history.wall_start,
     };
     let events = world.history.lock();
-    let is_served = |a: &&history::Attempt| matches!(&a.outcome, Outcome::Answered { status, .. } if *status < 300);
     Ok(Report {
         calls: events.attempts.len(),
-        served: events.attempts.iter().filter(is_served).count(),
+        served: events
+            .attempts
+            .iter()
+            .filter(|a| a.outcome.is_success())
+            .count(),
         faults: faults
             .iter()
             .map(|(at, fault)| format!("{:.2} s: {fault:?}", at.as_secs_f64()))
--- a/crates/jayhall-soak/src/world.rs
+++ b/crates/jayhall-soak/src/world.rs
@@ -9,7 +9,7 @@
 use eyre::{Result, WrapErr, bail};
 use jayhall::sources::store::{KeyRange, Op, Store, Transaction};
 use jayhall::util::time::unix_now;
-use jayhall_harness::{Link, PlatformStoreStandin, Process, bin_dir};
+use jayhall_harness::{GatewaySettingsText, Link, PlatformStoreStandin, Process, bin_dir};
 use parking_lot::Mutex;
 
 use crate::backend::Backend;
@@ -232,27 +232,17 @@
         let to_cloud = Link::spawn(ip, cloud.address).await?;
         let zone = ZONES[number % ZONES.len()];
         let region = if zone == "z3" { "r2" } else { "r1" };
-        let text = format!(
-            "[node]\nvm = n{number}\nregion = {region}\nzone = {zone}\n\n\
-             [gateway]\ncallers = {callers}\nreadiness = {readiness}\ndirectory = {directory}\n\
-             control = {}\npeers = {}\nregions = z1:r1,z2:r1,z3:r2\n\
-             store = http://{}\ncloud = http://{}\n\n\
-             [bounds]\ndrain = {}ms\nstop = {}s\nretry_ratio = {}\nretry_slack = {}\n\
-             retry_window = {}s\nlease = {}s\nusage_window = {}s\nusage_late = {}s\n\n\
-             [log]\nformat = json\nfilter = info\n",
-            at(7104),
-            at(7105),
-            to_store.address(),
-            to_cloud.address(),
-            config::DRAIN.as_millis(),
-            config::STOP.as_secs(),
-            config::RETRY_RATIO,
-            config::RETRY_SLACK,
-            config::RETRY_WINDOW.as_secs(),
-            config::LEASE.as_secs(),
-            config::USAGE_WINDOW.as_secs(),
-            config::USAGE_LATE.as_secs(),
-        );
+        let text = GatewaySettingsText {
+            name: &format!("n{number}"),
+            region,
+            zone,
+            listen: [callers, readiness, directory, at(7104), at(7105)],
+            regions: "z1:r1,z2:r1,z3:r2",
+            store: to_store.address(),
+            cloud: to_cloud.address(),
+            bounds: &config::bounds(),
+        };
+        let text = text.render();
         let settings = dir.join(format!("n{number}.ini"));
         std::fs::write(&settings, text).wrap_err("writing the settings of a node")?;
         Ok(Self {
--- a/src/platform/duties.rs
+++ b/src/platform/duties.rs
@@ -7,6 +7,7 @@
 use reqwest::{Client, StatusCode};
 use serde::Serialize;
 
+use super::headers::{DUTY_HOLDER, FENCE};
 use crate::core::gateway::scaling::Order;
 use crate::core::gateway::usage::{Counts, Window};
 use crate::ops::gateway::dialect::{Duties, DutyReply, Holder, Result};
@@ -58,8 +59,8 @@
         let sent = self
             .client
             .post(format!("{}{path}", self.base))
-            .header("X-Jayhall-Duty-Holder", &*holder.node)
-            .header("X-Jayhall-Fence-Token", holder.fence)
+            .header(DUTY_HOLDER, &*holder.node)
+            .header(FENCE, holder.fence)
             .json(body)
             .send()
             .await;
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -1,4 +1,4 @@
-//! Headers of calls and answers.
+//! Headers of calls and answers. Stand-ins and the soak use these names too.
 
 use std::time::Duration;
 
@@ -12,19 +12,34 @@
 use crate::core::gateway::cache::Part;
 use crate::ops::gateway::dialect::{AnswerHead, CallHead, SendHead};
 
-const ATTEMPT: HeaderName = HeaderName::from_static("x-jayhall-attempt-id");
-const DEADLINE: HeaderName = HeaderName::from_static("x-jayhall-deadline-ms");
+/// Names an attempt of a caller.
+pub const ATTEMPT: HeaderName = HeaderName::from_static("x-jayhall-attempt-id");
+/// Milliseconds that are left.
+pub const DEADLINE: HeaderName = HeaderName::from_static("x-jayhall-deadline-ms");
 /// Parts of the prompt as `HEX_ID:TOKENS`, with commas between them.
-const PARTS: HeaderName = HeaderName::from_static("x-jayhall-prompt-prefix");
+pub const PARTS: HeaderName = HeaderName::from_static("x-jayhall-prompt-prefix");
 /// Tokens of the prompt and, behind a comma, of the answer at most.
-const TOKENS: HeaderName = HeaderName::from_static("x-jayhall-token-counts");
-const LENGTH_HINT: HeaderName = HeaderName::from_static("x-jayhall-length-hint");
-const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
-const SIGNATURE: HeaderName = HeaderName::from_static("x-jayhall-response-seal");
-const CUSTOMER: HeaderName = HeaderName::from_static("x-jayhall-tenant");
-const EXPECTED_BACKEND: HeaderName = HeaderName::from_static("x-jayhall-expect-instance");
-const NOT_RUN: HeaderName = HeaderName::from_static("x-jayhall-not-executed");
-const PRIORITY: HeaderName = HeaderName::from_static("x-jayhall-request-priority");
+pub const TOKENS: HeaderName = HeaderName::from_static("x-jayhall-token-counts");
+/// The caller's estimate of the tokens of the answer.
+pub const LENGTH_HINT: HeaderName = HeaderName::from_static("x-jayhall-length-hint");
+/// Event behind which a stream goes on.
+pub const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
+/// A back end's signature of its answer.
+pub const SIGNATURE: HeaderName = HeaderName::from_static("x-jayhall-response-seal");
+/// The customer that pays.
+pub const CUSTOMER: HeaderName = HeaderName::from_static("x-jayhall-tenant");
+/// The back end that is to serve a call.
+pub const EXPECTED_BACKEND: HeaderName = HeaderName::from_static("x-jayhall-expect-instance");
+/// Says that a back end did not run a call.
+pub const NOT_RUN: HeaderName = HeaderName::from_static("x-jayhall-not-executed");
+/// Rank of a call at a back end.
+pub const PRIORITY: HeaderName = HeaderName::from_static("x-jayhall-request-priority");
+/// The model that is to answer.
+pub const MODEL: HeaderName = HeaderName::from_static("x-jayhall-model");
+/// The node that makes the call of a duty.
+pub const DUTY_HOLDER: HeaderName = HeaderName::from_static("x-jayhall-duty-holder");
+/// Fencing token of a duty's holder.
+pub const FENCE: HeaderName = HeaderName::from_static("x-jayhall-fence-token");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Status of a back end other than the one that was named.
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -5,7 +5,7 @@
 mod config;
 mod directory;
 mod duties;
-mod headers;
+pub mod headers;
 mod registry;
 mod store;
 
--- a/tests/testsuite/gateway/rig.rs
+++ b/tests/testsuite/gateway/rig.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::convert::Infallible;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -23,6 +23,7 @@
 use jayhall::platform::PlatformDialect;
 use jayhall::sources::store::{KeyRange, MemoryStore, Op, Store, Transaction};
 use jayhall::util::settings::GatewaySettings;
+use jayhall_harness::GatewaySettingsText;
 use metrics_exporter_prometheus::PrometheusBuilder;
 use parking_lot::Mutex;
 
@@ -262,6 +263,21 @@
     listener.local_addr().unwrap()
 }
 
+/// Settings of a gateway whose store and cloud are not reached by address.
+pub(super) fn settings_text() -> GatewaySettingsText<'static> {
+    let nowhere = SocketAddr::new(Ipv4Addr::LOCALHOST.into(), 1);
+    GatewaySettingsText {
+        name: "n1",
+        region: "r",
+        zone: "z1",
+        listen: [nowhere; 5],
+        regions: "z1:r",
+        store: nowhere,
+        cloud: nowhere,
+        bounds: "",
+    }
+}
+
 /// Routes of the rig: `/get/` is idempotent, `/once/` runs at most once, `/stream/` and `/resume/` are
 /// streams.
 pub(super) fn config(version: u64) -> String {
@@ -320,14 +336,13 @@
     }
 
     pub(super) async fn node(&self, name: &str) -> Node {
-        let text = format!(
-            "[node]\nvm = {name}\nregion = r\nzone = z1\n[gateway]\ncallers = {}\nreadiness = {}\ndirectory = {}\ncontrol = {}\npeers = {}\nregions = z1:r\nstore = http://127.0.0.1:1\ncloud = http://127.0.0.1:1\n[bounds]\nstop = 4s\nlease = 300ms\nusage_window = 1s\n",
-            free_address(),
-            free_address(),
-            free_address(),
-            free_address(),
-            free_address(),
-        );
+        let text = GatewaySettingsText {
+            name,
+            listen: std::array::from_fn(|_| free_address()),
+            bounds: "stop = 4s\nlease = 300ms\nusage_window = 1s\n",
+            ..settings_text()
+        };
+        let text = text.render();
         let settings = GatewaySettings::parse(&text).unwrap();
         let platform = Platform {
             dialect: Arc::new(PlatformDialect),
--- a/tests/testsuite/gateway/snapshots.rs
+++ b/tests/testsuite/gateway/snapshots.rs
@@ -10,19 +10,21 @@
 use jayhall::platform::PlatformDialect;
 use jayhall::sources::store::KeyValue;
 use jayhall::util::settings::GatewaySettings;
+use jayhall_harness::GatewaySettingsText;
 use prost::Message;
 
-use super::rig::config;
+use super::rig::{config, settings_text};
 
 /// Back ends in the store, as many as a grown deployment has.
 const BACKENDS: u64 = 250;
 
 fn board(name: &str) -> Arc<Board> {
-    let text = format!(
-        "[node]\nvm = {name}\nregion = r\nzone = z1\n[gateway]\ncallers = 127.0.0.1:1\nreadiness = 127.0.0.1:2\ndirectory = 127.0.0.1:3\ncontrol = 127.0.0.1:4\npeers = 127.0.0.1:5\nregions = z1:r\nstore = http://127.0.0.1:1\ncloud = http://127.0.0.1:1\n"
-    );
+    let text = GatewaySettingsText {
+        name,
+        ..settings_text()
+    };
     Board::new(
-        GatewaySettings::parse(&text).unwrap(),
+        GatewaySettings::parse(&text.render()).unwrap(),
         Arc::new(PlatformDialect),
     )
 }
--- a/xtask/src/soak.rs
+++ b/xtask/src/soak.rs
@@ -1,7 +1,7 @@
 //! `cargo xtask soak`: gateways under random faults, many seeds beside each other.
 
 use std::collections::VecDeque;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,12 +17,45 @@
 /// Seeds that failed once, with a line on each cause.
 const KEPT: &str = include_str!("soak_seeds.txt");
 
+/// What to play.
+struct Args {
+    seeds: VecDeque<u64>,
+    /// What all runs have in common.
+    plan: Plan,
+    /// Runs beside each other.
+    jobs: u8,
+    /// Folder for settings and logs.
+    logs: PathBuf,
+}
+
 /// Runs the soak.
 ///
 /// # Errors
 ///
 /// Fails where a run could not be played or a promise was broken.
 pub(crate) fn run(args: &[String]) -> Result<()> {
+    let Some(args) = read_args(args)? else {
+        return Ok(());
+    };
+    if args.seeds.is_empty() {
+        println!("no seeds to play");
+        return Ok(());
+    }
+    crate::demo::build()?;
+    let runtime = tokio::runtime::Runtime::new()?;
+    let logs = args.logs.clone();
+    let failed = runtime.block_on(play(args))?;
+    if failed > 0 {
+        bail!(
+            "{failed} runs broke a promise; their logs are in {}",
+            logs.display()
+        );
+    }
+    std::fs::remove_dir_all(&logs).wrap_err("removing the logs of runs without a fault")
+}
+
+/// Returns what the command line asks for, or `None` where it only asks for help.
+fn read_args(args: &[String]) -> Result<Option<Args>> {
     let mut opts = Options::new();
     opts.optopt("", "seeds", "number of seeds (default 4)", "N");
     opts.optopt("", "seed", "first seed; the others follow it", "N");
@@ -45,43 +78,34 @@
     let matches = opts.parse(args)?;
     if matches.opt_present("help") {
         print!("{}", opts.usage(BRIEF));
-        return Ok(());
+        return Ok(None);
     }
     let first: u64 = matches.opt_get_default("seed", rand::random::<u64>() >> 20)?;
     let count: u64 = matches.opt_get_default("seeds", 4)?;
-    let seeds: VecDeque<u64> = match matches.opt_present("kept") {
-        true => kept()?,
-        false => (first..first + count).collect(),
-    };
-    if seeds.is_empty() {
-        println!("no seeds to play");
-        return Ok(());
-    }
-    let time = Duration::from_secs(matches.opt_get_default("time", 15)?);
     let nodes: usize = matches.opt_get_default("nodes", 3)?;
     let jobs: u8 = matches.opt_get_default("jobs", 4)?;
     if !(1..=7).contains(&nodes) || !(1..=30).contains(&jobs) {
         bail!("--nodes is 1 to 7, --jobs 1 to 30");
     }
-    let logs = match matches.opt_str("logs") {
-        Some(dir) => PathBuf::from(dir),
-        None => std::env::temp_dir().join(format!("jayhall-soak-{}", std::process::id())),
-    };
-    crate::demo::build()?;
-    let runtime = tokio::runtime::Runtime::new()?;
-    let plan = Plan {
-        seed: 0,
-        nodes,
-        time,
-    };
-    let failed = runtime.block_on(play(seeds, plan, jobs, &logs))?;
-    if failed > 0 {
-        bail!(
-            "{failed} runs broke a promise; their logs are in {}",
-            logs.display()
-        );
-    }
-    std::fs::remove_dir_all(&logs).wrap_err("removing the logs of runs without a fault")
+    Ok(Some(Args {
+        seeds: match matches.opt_present("kept") {
+            true => kept()?,
+            false => (first..first + count).collect(),
+        },
+        plan: Plan {
+            seed: first,
+            nodes,
+            time: Duration::from_secs(matches.opt_get_default("time", 15)?),
+        },
+        jobs,
+        logs: matches
+            .opt_str("logs")
+            .map_or_else(default_logs, PathBuf::from),
+    }))
+}
+
+fn default_logs() -> PathBuf {
+    std::env::temp_dir().join(format!("jayhall-soak-{}", std::process::id()))
 }
 
 fn kept() -> Result<VecDeque<u64>> {
@@ -96,13 +120,19 @@
         .collect()
 }
 
-/// Plays all seeds, `jobs` beside each other, and returns how many broke a promise.
-async fn play(seeds: VecDeque<u64>, plan: Plan, jobs: u8, logs: &Path) -> Result<usize> {
+/// Plays all seeds, some beside each other, and returns how many broke a promise.
+async fn play(args: Args) -> Result<usize> {
+    let Args {
+        seeds,
+        plan,
+        jobs,
+        logs,
+    } = args;
     let seeds = Arc::new(Mutex::new(seeds));
     let mut workers = Vec::new();
     for slot in 0..jobs {
         let seeds = Arc::clone(&seeds);
-        let logs = logs.to_owned();
+        let logs = logs.clone();
         workers.push(tokio::spawn(async move {
             let mut failed = 0;
             loop {
