Read every figure of a deployment, whole or not, large, zero or missing

Change: numbers and times of [bounds] may have a fraction and be 0; a figure that the deployment does not name leaves its key out of the template, and so does the cloud. The VM's cores and link are read, for who speaks for a zone. Shown: gateway::template renders deploy/gateway.ini with drawn figures and reads them back; it failed on fractions and on zero before.

--- a/src/bin/jayhalld/gateway.rs
+++ b/src/bin/jayhalld/gateway.rs
@@ -5,6 +5,7 @@
 
 use eyre::{Result, WrapErr};
 use jayhall::node::{Gateway, Platform};
+use jayhall::ops::gateway::dialect::Duties;
 use jayhall::platform::{CloudDuties, PlatformDialect, PlatformStore, PlatformStoreConfig};
 use jayhall::sources::store::CallRate;
 use jayhall::util::settings::GatewaySettings;
@@ -38,7 +39,7 @@
                 base: settings.store.clone(),
                 calls: STORE_CALLS,
             })?),
-            duties: Arc::new(CloudDuties::open(&settings.cloud)?),
+            duties: open_duties(&settings.cloud)?,
         };
         let reload = tokio::spawn(watch_settings(path.to_owned(), settings.clone()));
         let gateway = Gateway::spawn(settings, platform, &control, metrics).await?;
@@ -49,6 +50,13 @@
     })
 }
 
+fn open_duties(cloud: &str) -> Result<Option<Arc<dyn Duties>>> {
+    Ok(match cloud {
+        "" => None,
+        cloud => Some(Arc::new(CloudDuties::open(cloud)?)),
+    })
+}
+
 /// Tells in the log when the settings change. None of them can change in a running process; what
 /// operators change while nodes run is in the store.
 async fn watch_settings(path: String, mut known: GatewaySettings) {
--- a/src/core/gateway/retry_budget.rs
+++ b/src/core/gateway/retry_budget.rs
@@ -11,6 +11,9 @@
 /// Part of the allowance that nodes use. The rest is kept for nodes that do not know of each other.
 const USED_SHARE: f64 = 0.85;
 
+/// Shortest window that is told apart from none.
+const MIN_WINDOW: Duration = Duration::from_millis(1);
+
 /// Allowance of one node for one service.
 ///
 /// In any span of the length of the window, a node makes at most the second sends that it had saved up
@@ -33,7 +36,7 @@
         Self {
             per_call: ratio * USED_SHARE / 2.0,
             slack,
-            window,
+            window: window.max(MIN_WINDOW),
             slack_left: slack,
             saved: 0.0,
             at: now,
--- a/src/operators/console/form.rs
+++ b/src/operators/console/form.rs
@@ -163,6 +163,7 @@
             format_duration(min),
             format_duration(max)
         ),
+        Kind::Decimal => "a number, with a fraction if need be".into(),
         Kind::Names => "names with commas between them".into(),
         Kind::Hashes => "sha256: and 64 digits, with commas between them".into(),
         Kind::Name => "a name".into(),
--- a/src/util/fields.rs
+++ b/src/util/fields.rs
@@ -55,6 +55,18 @@
         })
     }
 
+    /// Returns a number that may have a fraction.
+    pub fn decimal(&mut self, key: &str) -> f64 {
+        self.value(key, |text, _| {
+            value::parse_decimal(text).ok_or_else(|| {
+                (
+                    format!("{text:?} is not a number of 0 or more"),
+                    "write digits, with a point before a fraction, such as 33 or 0.2".into(),
+                )
+            })
+        })
+    }
+
     /// Returns a length of time in the range of its specification.
     pub fn duration(&mut self, key: &str) -> Duration {
         self.value(key, |text, kind| {
--- a/src/util/schema.rs
+++ b/src/util/schema.rs
@@ -21,6 +21,8 @@
         /// Largest value.
         max: u64,
     },
+    /// A number of 0 or more, which may have a fraction.
+    Decimal,
     /// A length of time, such as `330ms`, `5s` or `24h`.
     Time {
         /// Shortest value.
--- a/src/util/settings/gateway.rs
+++ b/src/util/settings/gateway.rs
@@ -10,8 +10,8 @@
 
 /// Shortest and longest times that settings may name.
 const TIMES: Kind = Kind::Time {
-    min: Duration::from_millis(1),
-    max: Duration::from_secs(3600),
+    min: Duration::ZERO,
+    max: Duration::from_secs(10_000 * 24 * 3600),
 };
 
 /// Addresses of the gateway and of what it depends on.
@@ -58,7 +58,24 @@
             "whether the whole system starts for the first time, so that no other node holds a duty",
         ),
         KeySpec::required("store", Kind::Url, "the platform's store"),
-        KeySpec::required("cloud", Kind::Url, "the platform's interface for duties"),
+        KeySpec::optional(
+            "cloud",
+            Kind::Url,
+            "",
+            "the platform's interface for duties; without one nodes have none",
+        ),
+        KeySpec::optional(
+            "cores",
+            Kind::Decimal,
+            "1",
+            "processor of the VM, in cores or parts of one",
+        ),
+        KeySpec::optional(
+            "link",
+            Kind::Decimal,
+            "1000",
+            "the VM's link to the network, in Mbit/s",
+        ),
     ],
 };
 
@@ -76,16 +93,13 @@
         KeySpec::optional("stop", TIMES, "8s", "time from SIGTERM to SIGKILL"),
         KeySpec::optional(
             "retry_ratio",
-            Kind::Text,
+            Kind::Decimal,
             "0.2",
             "second sends for each call, over all nodes",
         ),
         KeySpec::optional(
             "retry_slack",
-            Kind::Number {
-                min: 0,
-                max: 1_000_000,
-            },
+            Kind::Decimal,
             "50",
             "second sends besides, over all nodes",
         ),
@@ -137,8 +151,12 @@
     pub regions: HashMap<Box<str>, Box<str>>,
     /// URL of the platform's store.
     pub store: Box<str>,
-    /// URL of the platform's interface for duties.
+    /// URL of the platform's interface for duties; empty where there is none.
     pub cloud: Box<str>,
+    /// Processor of the VM in cores.
+    pub cores: f64,
+    /// The VM's link to the network in Mbit/s.
+    pub link_mbps: f64,
     /// Whether the whole system starts for the first time.
     pub is_first_start: bool,
     /// Promises.
@@ -172,7 +190,7 @@
     /// Second sends for each call, over all nodes.
     pub retry_ratio: f64,
     /// Second sends besides, over all nodes.
-    pub retry_slack: u32,
+    pub retry_slack: f64,
     /// Span in which second sends are counted.
     pub retry_window: Duration,
     /// Shortest time between calls of one duty by A, B and A again.
@@ -237,22 +255,20 @@
         )
     });
     let (seeds, regions, store, cloud, is_first_start) = texts;
-    let ratio = reader.read_section(&BOUNDS, |fields| fields.text("retry_ratio"));
+    let (cores, link_mbps) = reader.read_section(&GATEWAY, |fields| {
+        (fields.decimal("cores"), fields.decimal("link"))
+    });
     let bounds = reader.read_section(&BOUNDS, |fields| GatewayBounds {
         drain: fields.duration("drain"),
         stop: fields.duration("stop"),
-        retry_ratio: ratio.parse().unwrap_or(f64::NAN),
-        retry_slack: fields.number("retry_slack"),
+        retry_ratio: fields.decimal("retry_ratio"),
+        retry_slack: fields.decimal("retry_slack"),
         retry_window: fields.duration("retry_window"),
         lease: fields.duration("lease"),
         usage_window: fields.duration("usage_window"),
         usage_late: fields.duration("usage_late"),
         directory_ttl: fields.duration("directory_ttl"),
     });
-    if !(0.0..=1.0).contains(&bounds.retry_ratio) {
-        let what = format!("{ratio:?} is not a part of 1");
-        reader.report("bounds", "retry_ratio", what, "write a number from 0 to 1");
-    }
     let seeds = read_seeds(reader, &seeds);
     let regions = read_regions(reader, &regions);
     let log = reader.read_log();
@@ -265,6 +281,8 @@
         regions,
         store,
         cloud,
+        cores,
+        link_mbps,
         is_first_start,
         bounds,
         log,
--- a/src/util/value.rs
+++ b/src/util/value.rs
@@ -20,13 +20,22 @@
     ("ms", 1),
 ];
 
-/// Reads a length of time such as `330ms`, `5s` or `24h`.
+/// Reads a length of time such as `330ms`, `1.5s` or `24h`, to the nearest millisecond.
 pub fn parse_duration(text: &str) -> Option<Duration> {
-    let digits = text.find(|c: char| !c.is_ascii_digit())?;
-    let number: u64 = text[..digits].parse().ok()?;
-    let unit = text[digits..].trim();
+    let digits = text.find(|c: char| !c.is_ascii_digit() && c != '.')?;
+    let (number, unit) = (&text[..digits], text[digits..].trim());
     let (_, millis) = UNITS.iter().find(|(name, _)| *name == unit)?;
-    number.checked_mul(*millis).map(Duration::from_millis)
+    if let Ok(whole) = number.parse::<u64>() {
+        return whole.checked_mul(*millis).map(Duration::from_millis);
+    }
+    let millis = parse_decimal(number)? * *millis as f64;
+    (millis < u64::MAX as f64).then(|| Duration::from_millis(millis.round() as u64))
+}
+
+/// Reads a number of 0 or more, which may have a fraction.
+pub fn parse_decimal(text: &str) -> Option<f64> {
+    let number: f64 = text.parse().ok()?;
+    (number.is_finite() && number >= 0.0).then_some(number)
 }
 
 /// Writes a length of time in the longest unit that is exact. Parts of a millisecond are lost.
--- a/tests/testsuite/configuration_page.rs
+++ b/tests/testsuite/configuration_page.rs
@@ -15,6 +15,7 @@
         Kind::Name => "name",
         Kind::Names => "names with commas",
         Kind::Number { .. } => "whole number",
+        Kind::Decimal => "number",
         Kind::Time { .. } => "time",
         Kind::YesNo => "yes or no",
         Kind::Choice(_) => "word",
