--- a/src/core/gateway/backends.rs
+++ b/src/core/gateway/backends.rs
@@ -10,7 +10,7 @@
 
 use super::cache::PromptCache;
 use super::load::{CallLoad, Load};
-use super::members::NodeName;
+use super::origin::Origin;
 use super::routes::ServiceName;
 use crate::core::time::Moment;
 
@@ -88,11 +88,15 @@
     pub failing: f64,
     /// Average time that a call keeps a slot, in milliseconds.
     pub hold_ms: f64,
-    peers: HashMap<NodeName, Load>,
+    peers: HashMap<Origin, Load>,
     /// Sum of `peers`: every call that looks for a back end reads it of each.
     peers_sum: Load,
     failures: u32,
     closed_until: Moment,
+    /// Until when it asked to be left alone.
+    away_until: Moment,
+    /// When an answer of it, to this node or another, said that it is leaving.
+    leaving_since: Option<Moment>,
 }
 
 impl Entry {
@@ -109,6 +113,8 @@
             peers_sum: Load::default(),
             failures: 0,
             closed_until: Moment::ZERO,
+            away_until: Moment::ZERO,
+            leaving_since: None,
         }
     }
 
@@ -117,25 +123,47 @@
         self.own.plus(&self.peers_sum)
     }
 
+    /// Returns the calls of this node and of those that told of themselves.
+    fn load_of_nodes(&self) -> Load {
+        let nodes = self.peers.iter().filter(|(from, _)| from.is_node());
+        nodes.fold(self.own, |sum, (_, load)| sum.plus(load))
+    }
+
     /// Takes the calls of another node here, or that it has none.
-    fn set_peer(&mut self, node: &str, load: Option<&Load>) {
+    fn set_peer(&mut self, from: &Origin, load: Option<&Load>) {
         let before = match load {
             Some(load) => {
                 self.peers_sum = self.peers_sum.plus(load);
-                self.peers.insert(node.into(), *load)
+                self.peers.insert(from.clone(), *load)
             }
-            None => self.peers.remove(node),
+            None => self.peers.remove(from),
         };
         if let Some(before) = before {
             self.peers_sum = self.peers_sum.minus(&before);
         }
     }
 
-    /// Returns whether calls may be sent there: it is not leaving, and it was reached of late. Of
+    /// Returns whether calls may be sent there: it accepts them, and it was reached of late. Of
     /// back ends that were not reached, one call at a time finds out whether they are back.
     pub fn is_open(&self, now: Moment) -> bool {
         let probing = self.failures > 0 && self.own.calls > 0;
-        !self.backend.is_leaving && now >= self.closed_until && !probing
+        self.accepts(now) && now >= self.closed_until && !probing
+    }
+
+    /// Returns whether it takes calls of this node: it is not leaving, and did not ask to be left alone.
+    pub fn accepts(&self, now: Moment) -> bool {
+        !self.is_leaving() && now >= self.away_until
+    }
+
+    /// Returns whether it is leaving, as the registry or one of its answers said.
+    pub fn is_leaving(&self) -> bool {
+        self.backend.is_leaving || self.leaving_since.is_some()
+    }
+
+    /// Returns the time until which it asked to be left alone, where that is all that keeps calls away.
+    pub fn away_for(&self, now: Moment) -> Option<Duration> {
+        let left = self.away_until.saturating_sub(now);
+        (!self.is_leaving() && !left.is_zero()).then_some(left)
     }
 
     /// Returns whether it is suspected not to be there any more.
@@ -180,7 +208,7 @@
     services: HashMap<ServiceName, Vec<BackendId>>,
     hold_ms: HashMap<ServiceName, f64>,
     /// When each node last told of its calls.
-    told: HashMap<NodeName, Moment>,
+    told: HashMap<Origin, Moment>,
 }
 
 impl Backends {
@@ -301,23 +329,72 @@
         }
     }
 
-    /// Takes what another node told of its calls, by short names of back ends. What it does not name
-    /// has none of its calls.
-    pub fn told(&mut self, node: &str, loads: &HashMap<u32, Load>, now: Moment) {
-        self.told.insert(node.into(), now);
+    /// Takes what another node told of its calls, or of those of its availability zone, by short names of
+    /// back ends. What it does not name has none of these calls.
+    pub fn told(&mut self, from: &Origin, loads: &HashMap<u32, Load>, now: Moment) {
+        self.told.insert(from.clone(), now);
         for entry in self.entries.values_mut() {
-            entry.set_peer(node, loads.get(&short_name(&entry.backend.id)));
+            entry.set_peer(from, loads.get(&short_name(&entry.backend.id)));
         }
     }
 
     /// Forgets the calls of nodes that have not told of any for long.
     pub fn forget_silent(&mut self, now: Moment) {
         let is_silent = |at: &mut Moment| now.saturating_sub(*at) > LOAD_MAX_AGE;
-        for (node, _) in self.told.extract_if(|_, at| is_silent(at)) {
+        for (from, _) in self.told.extract_if(|_, at| is_silent(at)) {
             for entry in self.entries.values_mut() {
-                entry.set_peer(&node, None);
+                entry.set_peer(&from, None);
+            }
+        }
+    }
+
+    /// Notes that an answer of a back end said that it is leaving. Returns whether that is news.
+    pub fn note_leaving(&mut self, backend: &Backend, now: Moment) -> bool {
+        let Some(entry) = self.same_process(backend) else {
+            return false;
+        };
+        let is_news = !entry.is_leaving();
+        entry.leaving_since.get_or_insert(now);
+        is_news
+    }
+
+    /// Notes that a back end wants no calls of this node for a while.
+    pub fn note_away(&mut self, backend: &Backend, stay_away: Duration, now: Moment) {
+        if let Some(entry) = self.same_process(backend) {
+            entry.away_until = entry.away_until.max(now + stay_away);
+        }
+    }
+
+    /// Returns whether the process that a call was placed at takes calls of this node.
+    pub fn accepts(&self, backend: &Backend, now: Moment) -> bool {
+        let entry = self.entries.get(&backend.id);
+        entry.is_some_and(|entry| entry.backend.started == backend.started && entry.accepts(now))
+    }
+
+    /// Returns the processes of back ends that said within `age` that they are leaving, by short names.
+    pub fn leaving(&self, now: Moment, age: Duration) -> Vec<u32> {
+        let is_recent = |at: Moment| now.saturating_sub(at) <= age;
+        let entries = self.entries.values();
+        entries
+            .filter(|entry| entry.leaving_since.is_some_and(is_recent))
+            .map(|entry| process_name(&entry.backend))
+            .collect()
+    }
+
+    /// Takes what another node told: processes of back ends, by short names, that said that they are
+    /// leaving. Returns those of which that is news.
+    pub fn told_leaving(&mut self, processes: &[u32], now: Moment) -> Vec<BackendId> {
+        if processes.is_empty() {
+            return Vec::new();
+        }
+        let mut news = Vec::new();
+        for entry in self.entries.values_mut() {
+            if !entry.is_leaving() && processes.contains(&process_name(&entry.backend)) {
+                entry.leaving_since = Some(now);
+                news.push(entry.backend.id.clone());
             }
         }
+        news
     }
 
     /// Returns this node's calls, by short names of back ends.
@@ -329,6 +406,15 @@
             .collect()
     }
 
+    /// Returns the calls of this node and of those that told of themselves, by short names of back ends.
+    pub fn loads_of_nodes(&self) -> Vec<(u32, Load)> {
+        let loads = self.entries.values();
+        loads
+            .map(|entry| (short_name(&entry.backend.id), entry.load_of_nodes()))
+            .filter(|(_, load)| !load.is_idle())
+            .collect()
+    }
+
     fn same_process(&mut self, backend: &Backend) -> Option<&mut Entry> {
         self.entries
             .get_mut(&backend.id)
@@ -345,6 +431,11 @@
     }
 }
 
+/// Returns a short name of one start of a back end's process for messages between nodes.
+pub fn process_name(backend: &Backend) -> u32 {
+    xxhash_rust::xxh3::xxh3_64_with_seed(backend.id.as_bytes(), backend.started) as u32
+}
+
 /// Returns a short name of a back end for messages between nodes.
 pub fn short_name(id: &str) -> u32 {
     xxhash_rust::xxh3::xxh3_64(id.as_bytes()) as u32
--- a/src/core/gateway/placement.rs
+++ b/src/core/gateway/placement.rs
@@ -144,7 +144,7 @@
     let Some(best) = best else {
         return Placement::Refuse {
             cause: RefusalCause::NoBackend,
-            retry_after: NO_BACKEND_RETURN.mul_f64(0.75 + draw() / 2.0),
+            retry_after: none_open_return(backends, ask.service, now, draw()),
             wait: Duration::ZERO,
         };
     };
@@ -252,6 +252,16 @@
     suspect + entry.failing * FAILING_MS
 }
 
+/// Returns when a caller may come back that finds no back end open: once the first of those that asked to
+/// be left alone takes calls again, if there are any.
+fn none_open_return(backends: &Backends, service: &str, now: Moment, draw: f64) -> Duration {
+    let away = backends.of_service(service);
+    match away.filter_map(|entry| entry.away_for(now)).min() {
+        Some(first) => first + NO_BACKEND_RETURN.mul_f64(draw / 2.0),
+        None => NO_BACKEND_RETURN.mul_f64(0.75 + draw / 2.0),
+    }
+}
+
 /// Returns when a refused caller may come back: once the wait is short enough, spread at random so
 /// that callers do not return together.
 fn return_after(wait: Duration, max_wait: Duration, draw: f64) -> Duration {
--- a/src/core/gateway/quota.rs
+++ b/src/core/gateway/quota.rs
@@ -10,11 +10,11 @@
 //! to its own part of the rate with some room for calls that come together. A node that hears from nobody
 //! keeps to less than an equal part, which the others leave to it.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
 use super::decay::Decaying;
-use super::members::NodeName;
+use super::origin::{Origin, ZoneName};
 use super::routes::{CustomerName, Quota};
 use crate::core::time::Moment;
 
@@ -64,14 +64,35 @@
     level: f64,
     filled: Moment,
     quota: Option<Quota>,
-    others: HashMap<NodeName, Told>,
+    others: HashMap<Origin, Told>,
+    /// Units of nodes that were forgotten, and may return.
+    departed: HashMap<Origin, f64>,
+    /// Units of processes that have ended.
+    ended: f64,
 }
 
-/// A node that was heard of.
+/// A node that was heard of, or an availability zone.
 #[derive(Clone, Copy, Debug)]
 struct Heard {
     incarnation: u64,
     at: Moment,
+    /// Nodes for which it speaks.
+    nodes: usize,
+    /// Whether it was forgotten since.
+    is_gone: bool,
+}
+
+/// Sums over an availability zone, as one of its nodes told them.
+#[derive(Clone, Debug)]
+pub struct ZoneTotals {
+    /// The zone.
+    pub zone: ZoneName,
+    /// Start of the process that told them.
+    pub told_by: u64,
+    /// Nodes of the zone.
+    pub nodes: usize,
+    /// Units that they have let through for each customer.
+    pub totals: Vec<(CustomerName, f64)>,
 }
 
 /// The other nodes, as one node sees them.
@@ -89,16 +110,31 @@
 #[derive(Debug, Default)]
 pub struct QuotaShares {
     customers: HashMap<CustomerName, Bucket>,
-    heard: HashMap<NodeName, Heard>,
+    heard: HashMap<Origin, Heard>,
 }
 
 /// Whether a call is within its customer's limit.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum QuotaDecision {
     /// It is.
     Within,
-    /// It is not; the caller may come back after this time.
-    Over(Duration),
+    /// It is not.
+    Over(Shortage),
+}
+
+/// Why a call is not within its customer's limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Shortage {
+    /// When the caller may come back.
+    pub retry_after: Duration,
+    /// Level of the common bucket, in units.
+    pub level: f64,
+    /// Level of this node's own part, in units.
+    pub part_level: f64,
+    /// Units a second on which this node counts.
+    pub rate: f64,
+    /// Nodes among which the limit is shared.
+    pub nodes: usize,
 }
 
 impl QuotaShares {
@@ -127,10 +163,16 @@
             bucket.own_recent.add(units, PART_WINDOW, now);
             return QuotaDecision::Within;
         }
-        let level = level.min(bucket.part_level);
+        let lower = level.min(bucket.part_level);
         let (least, most) = RETURN_BOUNDS;
-        let wait = Duration::try_from_secs_f64((units * 0.1 - level) / rate.max(1e-9));
-        QuotaDecision::Over(wait.unwrap_or(most).clamp(least, most))
+        let wait = Duration::try_from_secs_f64((units * 0.1 - lower) / rate.max(1e-9));
+        QuotaDecision::Over(Shortage {
+            retry_after: wait.unwrap_or(most).clamp(least, most),
+            level,
+            part_level: bucket.part_level,
+            rate,
+            nodes,
+        })
     }
 
     /// Returns units to a customer whose call was not run.
@@ -151,25 +193,72 @@
         totals: &[(CustomerName, f64)],
         now: Moment,
     ) {
-        let before = self.heard.insert(
-            node.into(),
-            Heard {
-                incarnation,
-                at: now,
-            },
-        );
+        let from = Origin::from(node);
+        let heard = Heard {
+            incarnation,
+            at: now,
+            nodes: 1,
+            is_gone: false,
+        };
+        let before = self.heard.insert(from.clone(), heard);
         if before.is_some_and(|before| before.incarnation != incarnation) {
-            self.forget_totals(node);
+            for bucket in self.customers.values_mut() {
+                bucket.forget(&from);
+                bucket.ended += bucket.departed.remove(&from).unwrap_or(0.0);
+            }
         }
         for (customer, total) in totals {
-            self.bucket(customer).hear(node, *total, now);
+            self.bucket(customer).hear(&from, *total, now);
+        }
+    }
+
+    /// Takes the sums over an availability zone. They go on growing while the same process tells them.
+    pub fn heard_zone(&mut self, told: &ZoneTotals, now: Moment) {
+        let from = Origin::Zone(told.zone.clone());
+        let heard = Heard {
+            incarnation: told.told_by,
+            at: now,
+            nodes: told.nodes,
+            is_gone: false,
+        };
+        let before = self.heard.insert(from.clone(), heard);
+        let goes_on = before.is_some_and(|before| before.incarnation == told.told_by);
+        for (customer, total) in &told.totals {
+            let bucket = self.bucket(customer);
+            match goes_on {
+                true => bucket.hear(&from, *total, now),
+                false => bucket.start_from(&from, *total, now),
+            }
         }
     }
 
     /// Forgets a node that is gone.
-    pub fn forget_node(&mut self, node: &str) {
-        self.heard.remove(node);
-        self.forget_totals(node);
+    pub fn forget(&mut self, from: &Origin) {
+        if let Some(heard) = self.heard.get_mut(from) {
+            heard.is_gone = true;
+        }
+        for bucket in self.customers.values_mut() {
+            bucket.forget(from);
+        }
+    }
+
+    /// Forgets availability zones that have no nodes.
+    pub fn keep_zones(&mut self, zones: &BTreeSet<ZoneName>) {
+        let is_gone = |from: &&Origin| matches!(from, Origin::Zone(zone) if !zones.contains(zone));
+        let gone: Vec<Origin> = self.heard.keys().filter(is_gone).cloned().collect();
+        for from in gone {
+            self.forget(&from);
+        }
+    }
+
+    /// Returns the units that this node and those that told of themselves have let through for each
+    /// customer. They never shrink.
+    pub fn totals_of_nodes(&self) -> Vec<(CustomerName, f64)> {
+        let totals = self.customers.iter();
+        totals
+            .map(|(customer, bucket)| (customer.clone(), bucket.total_of_nodes()))
+            .filter(|(_, total)| *total > 0.0)
+            .collect()
     }
 
     /// Returns the units that this node has let through for each customer.
@@ -181,19 +270,14 @@
             .collect()
     }
 
-    fn forget_totals(&mut self, node: &str) {
-        for bucket in self.customers.values_mut() {
-            bucket.others.remove(node);
-        }
-    }
-
     fn peers(&self, nodes: usize, now: Moment) -> Peers {
         let is_silent = |heard: &&Heard| now.saturating_sub(heard.at) > CUT_OFF_AFTER;
-        let cut_off = self.heard.values().filter(is_silent).count();
+        let mut known = self.heard.values().filter(|heard| !heard.is_gone);
+        let silent = known.clone().filter(is_silent);
         Peers {
             equal: 1.0 / nodes.max(1) as f64,
-            cut_off,
-            is_alone: nodes > 1 && cut_off == self.heard.len(),
+            cut_off: silent.map(|heard| heard.nodes).sum(),
+            is_alone: nodes > 1 && known.all(|heard| is_silent(&heard)),
         }
     }
 
@@ -266,14 +350,59 @@
         // While the level is low, nodes that have waited must not all catch up at once.
         let full = match is_low {
             true => self.call,
-            false => quota.burst * part + self.call * CALLS_TOGETHER,
+            false => quota.burst * part + self.room_for_calls(quota, peers),
         };
         self.part_level = (self.part_level + rate * elapsed).min(full);
     }
 
-    /// Takes a node's total.
-    fn hear(&mut self, node: &str, total: f64, now: Moment) {
-        let told = self.others.entry(node.into()).or_default();
+    /// Returns the room for calls that come together at this node. The rooms of all nodes add up to little
+    /// more than the burst, however many nodes there are; one call always has room.
+    fn room_for_calls(&self, quota: &Quota, peers: Peers) -> f64 {
+        let room = self.call * CALLS_TOGETHER;
+        room.min(quota.burst * peers.equal).max(self.call)
+    }
+
+    /// Returns the units of this node and of those that told of themselves.
+    fn total_of_nodes(&self) -> f64 {
+        let nodes = self.others.iter().filter(|(from, _)| from.is_node());
+        let nodes: f64 = nodes.map(|(_, told)| told.total).sum();
+        self.own_total + nodes + self.departed.values().sum::<f64>() + self.ended
+    }
+
+    /// Forgets what others told, but not what they have let through.
+    fn forget(&mut self, from: &Origin) {
+        if let Some(told) = self.others.remove(from).filter(|_| from.is_node()) {
+            self.departed.insert(from.clone(), told.total);
+        }
+    }
+
+    /// Takes the total from which sums start that another process tells now. It mostly goes on from what the
+    /// process before it told. Where it does not, as it has heard of less or more, what was let through since
+    /// is estimated.
+    fn start_from(&mut self, from: &Origin, total: f64, now: Moment) {
+        let told = self.others.entry(from.clone()).or_default();
+        let gap = now.saturating_sub(told.at).min(MAX_ESTIMATE);
+        let expected = told.per_second * gap.as_secs_f64();
+        let more = total - told.total;
+        let units = match (0.0..=expected * 2.0).contains(&more) {
+            true => more,
+            false => expected,
+        };
+        told.recent.add(units, PART_WINDOW, now);
+        told.total = total;
+        told.at = now;
+        self.level -= units;
+    }
+
+    /// Takes the total of a node or of an availability zone.
+    fn hear(&mut self, from: &Origin, total: f64, now: Moment) {
+        let told = match self.others.get_mut(from) {
+            Some(told) => told,
+            None => self.others.entry(from.clone()).or_insert(Told {
+                total: self.departed.remove(from).unwrap_or(0.0),
+                ..Told::default()
+            }),
+        };
         let units = total - told.total;
         let elapsed = now.saturating_sub(told.at).as_secs_f64().max(0.05);
         let per_second = (units / elapsed).max(0.0);
--- a/src/core/gateway/work.rs
+++ b/src/core/gateway/work.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::decay::Decaying;
-use super::members::NodeName;
+use super::origin::Origin;
 use super::routes::ServiceName;
 use crate::core::time::Moment;
 
@@ -17,7 +17,7 @@
 #[derive(Debug, Default)]
 pub struct WorkRates {
     own: HashMap<ServiceName, Decaying>,
-    told: HashMap<NodeName, ToldWork>,
+    told: HashMap<Origin, ToldWork>,
 }
 
 /// What another node told of its work.
@@ -43,8 +43,8 @@
             .collect()
     }
 
-    /// Takes what another node told of its work.
-    pub fn told(&mut self, node: &str, zone: &str, work: Vec<(ServiceName, f64)>, now: Moment) {
+    /// Takes what another node told of its work, or of that of its availability zone.
+    pub fn told(&mut self, from: &Origin, zone: &str, work: Vec<(ServiceName, f64)>, now: Moment) {
         let work = work.into_iter();
         let told = ToldWork {
             zone: zone.into(),
@@ -52,7 +52,17 @@
                 .map(|(service, rate)| (service, Decaying::new(rate, now)))
                 .collect(),
         };
-        self.told.insert(node.into(), told);
+        self.told.insert(from.clone(), told);
+    }
+
+    /// Returns the sum of this node's work and of what other nodes told of themselves.
+    pub fn of_nodes(&self, now: Moment) -> HashMap<ServiceName, f64> {
+        let mut sums: HashMap<ServiceName, f64> = self.own(now).into_iter().collect();
+        let nodes = self.told.iter().filter(|(from, _)| from.is_node());
+        for (service, rate) in nodes.flat_map(|(_, told)| &told.work) {
+            *sums.entry(service.clone()).or_default() += rate.value(WORK_WINDOW, now);
+        }
+        sums
     }
 
     /// Returns the work of a service in each availability zone.
--- a/src/node/gateway.rs
+++ b/src/node/gateway.rs
@@ -38,8 +38,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// The store.
     pub store: Arc<dyn Store>,
-    /// Calls that one node at a time makes.
-    pub duties: Arc<dyn Duties>,
+    /// Calls that one node at a time makes; `None` where the platform takes none.
+    pub duties: Option<Arc<dyn Duties>>,
 }
 
 /// A running gateway.
@@ -85,7 +85,8 @@
                 .wrap_err_with(|| format!("listening on {address}; see [gateway]"))?;
             tokio::spawn(listen::run(listener, purpose, listening.subscribe()));
         }
-        board.members.lock().put(board.own_member());
+        let own = board.own_member();
+        board.members.lock().put(own, board.now());
         let peers = reqwest::Client::builder()
             .tcp_nodelay(true)
             .build()
@@ -96,12 +97,11 @@
             let mesh = Mesh::bind(Arc::clone(&board))
                 .await
                 .wrap_err_with(|| format!("listening on {}; see [gateway] peers", at.peers))?;
-            let keeper = DutyKeeper::new(
-                Arc::clone(&board),
-                Arc::clone(&platform.store),
-                Arc::clone(&registration),
-                platform.duties,
-            );
+            if let Some(duties) = platform.duties {
+                let keeper =
+                    DutyKeeper::new(Arc::clone(&board), Arc::clone(&platform.store), duties);
+                tokio::spawn(keeper.run());
+            }
             tokio::spawn(follow_store::run(
                 Arc::clone(&board),
                 platform.store,
@@ -111,7 +111,6 @@
             tokio::spawn(Arc::clone(&mesh).send());
             tokio::spawn(Arc::clone(&mesh).receive());
             tokio::spawn(snapshot::run(Arc::clone(&board), Arc::clone(&mesh), peers));
-            tokio::spawn(keeper.run());
             mesh
         };
         tokio::spawn(upkeep(cx, metrics));
@@ -137,7 +136,8 @@
         let give_up = started + self.board.settings.bounds.stop.mul_f64(STOP_SHARE);
         tracing::info!(active = self.active(), "leaving");
         self.board.phase.send_replace(Phase::Leaving);
-        self.board.members.lock().put(self.board.own_member());
+        let own = self.board.own_member();
+        self.board.members.lock().put(own, self.board.now());
         self.mesh.send_now().await;
         self.listening.send_replace(Listening::Finishing);
         tokio::time::sleep(ACCEPT_WHILE_LEAVING).await;
--- a/src/ops/gateway/attempt.rs
+++ b/src/ops/gateway/attempt.rs
@@ -50,6 +50,12 @@
         /// How long.
         after: Duration,
     },
+    /// The back end stopped taking calls while a connection was made.
+    #[error("{backend} takes no calls any more")]
+    Closed {
+        /// The back end.
+        backend: Box<str>,
+    },
     /// No back end may be tried.
     #[error("no back end: {cause:?}")]
     NoPlace {
@@ -66,7 +72,7 @@
         match self {
             Self::Send(e) => e.verdict(),
             Self::Unusable { .. } | Self::Silent { .. } => Verdict::MayHaveRun,
-            Self::NoPlace { .. } => Verdict::NotRun,
+            Self::Closed { .. } | Self::NoPlace { .. } => Verdict::NotRun,
         }
     }
 }
@@ -191,7 +197,10 @@
     let (connection, res) = match result {
         Ok(answered) => answered,
         Err(e) => {
-            running.set_outcome(Outcome::Unreachable);
+            running.set_outcome(match e {
+                AttemptError::Closed { .. } => Outcome::Declined,
+                _ => Outcome::Unreachable,
+            });
             return Err(e);
         }
     };
@@ -200,6 +209,7 @@
         .board
         .dialect
         .answer_head(parts.status.as_u16(), &parts.headers);
+    note_wishes(cx, &running, &head);
     let is_own = head
         .attempt
         .as_ref()
@@ -226,6 +236,29 @@
     })
 }
 
+/// Notes what an answer says beside the call: that the back end is leaving, or wants to be left alone.
+fn note_wishes(cx: &GatewayContext, running: &Running, head: &AnswerHead) {
+    let backend = &running.place.backend;
+    let board = &cx.board;
+    let now = board.now();
+    if head.is_leaving && board.backends.lock().note_leaving(backend, now) {
+        tracing::info!(
+            backend = &*backend.id,
+            source = "answer",
+            "back end leaving"
+        );
+    }
+    if let Some(stay_away) = head.stay_away {
+        board.backends.lock().note_away(backend, stay_away, now);
+        let ms = stay_away.as_millis() as u64;
+        tracing::info!(
+            backend = &*backend.id,
+            ms,
+            "back end wants no calls for a while"
+        );
+    }
+}
+
 async fn exchange(
     cx: &Arc<GatewayContext>,
     call: &Call,
@@ -236,6 +269,13 @@
     let once = !call.route.kind.may_repeat();
     let address = running.place.backend.address;
     let mut connection = cx.pool.open(address, once).await?;
+    let (backend, now) = (&running.place.backend, cx.board.now());
+    if !cx.board.backends.lock().accepts(backend, now) {
+        cx.pool.keep(connection, None);
+        return Err(AttemptError::Closed {
+            backend: running.backend().into(),
+        });
+    }
     let req = request(cx, call, running, last_event);
     let silent = |_| AttemptError::Silent {
         backend: running.backend().into(),
--- a/src/ops/gateway/board.rs
+++ b/src/ops/gateway/board.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::AtomicU64;
 
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::watch;
@@ -11,7 +11,7 @@
 use super::view::View;
 use crate::core::gateway::backends::Backends;
 use crate::core::gateway::clock::ClockMedian;
-use crate::core::gateway::members::{Member, Members};
+use crate::core::gateway::members::{Capacity, Member, Members};
 use crate::core::gateway::placement::Regions;
 use crate::core::gateway::quota::QuotaShares;
 use crate::core::gateway::retry_budget::RetryBudget;
@@ -66,7 +66,6 @@
     /// Calls that are being served.
     pub active: AtomicU64,
     regions: RegionMap,
-    is_registered: AtomicBool,
 }
 
 struct RegionMap(HashMap<Box<str>, Box<str>>);
@@ -102,7 +101,6 @@
             phase: watch::Sender::new(Phase::Starting),
             active: AtomicU64::new(0),
             regions,
-            is_registered: AtomicBool::new(false),
         })
     }
 
@@ -146,6 +144,10 @@
             control: settings.listen.control,
             incarnation: self.incarnation,
             is_ready: self.phase() == Phase::Serving,
+            capacity: Capacity {
+                cpu_millis: (settings.cores * 1e3) as u32,
+                link_mbps: settings.link_mbps as u32,
+            },
         }
     }
 
@@ -187,14 +189,4 @@
     pub fn node_count(&self) -> usize {
         self.members.lock().count()
     }
-
-    /// Notes whether the node stands in the store.
-    pub fn set_registered(&self, registered: bool) {
-        self.is_registered.store(registered, Ordering::Relaxed);
-    }
-
-    /// Returns whether the node stands in the store.
-    pub fn is_registered(&self) -> bool {
-        self.is_registered.load(Ordering::Relaxed)
-    }
 }
--- a/src/ops/gateway/call.rs
+++ b/src/ops/gateway/call.rs
@@ -12,6 +12,7 @@
 
 use super::board::Board;
 use super::dialect::CallHead;
+use super::record;
 use super::refusal::{Cause, Refusal};
 use crate::core::gateway::quota::QuotaDecision;
 use crate::core::gateway::routes::{Customer, Route, RouteTable, Service};
@@ -150,10 +151,11 @@
                 self.quota_units = units;
                 Ok(())
             }
-            QuotaDecision::Over(after) => Err(Refusal::come_back(
-                Cause::OverQuota,
-                after.min(self.left() / 3),
-            )),
+            QuotaDecision::Over(shortage) => {
+                record::over_quota(board, self, units, &shortage);
+                let after = shortage.retry_after.min(self.left() / 3);
+                Err(Refusal::come_back(Cause::OverQuota, after))
+            }
         }
     }
 }
--- a/src/ops/gateway/dialect.rs
+++ b/src/ops/gateway/dialect.rs
@@ -66,6 +66,10 @@
     pub is_signed: bool,
     /// Time after which the back end closes the connection when it is idle.
     pub idle_timeout: Option<Duration>,
+    /// Whether the back end says that it is leaving.
+    pub is_leaving: bool,
+    /// Time for which a back end that turns a call away wants no other call from this node.
+    pub stay_away: Option<Duration>,
 }
 
 /// Names on the wire of a platform.
--- a/src/ops/gateway/duties.rs
+++ b/src/ops/gateway/duties.rs
@@ -10,7 +10,8 @@
 use super::board::{Board, Phase};
 use super::dialect::{Duties, DutyReply, Holder};
 use super::keys;
-use super::register::Registration;
+use super::lease::LeaseKeeper;
+use super::relay;
 use crate::core::gateway::backends::Standing;
 use crate::core::gateway::routes::ServiceName;
 use crate::core::gateway::scaling::{Order, ServiceScaling, ZoneState};
@@ -40,6 +41,10 @@
 const WINDOWS_BACK: u64 = 3;
 /// Windows for which decided counts are kept in the store.
 const WINDOWS_KEPT: u64 = 12;
+/// Time without a renewal after which the store removes the holder's key.
+const LEASE_TTL: Duration = Duration::from_millis(4400);
+/// Time for which the duties are left to the nodes that watch the store, so that not all nodes claim them.
+const FOLLOWERS_WAIT: Duration = Duration::from_secs(2);
 /// Longest random wait before a node tries to become the holder.
 const CANDIDATE_SPREAD: Duration = Duration::from_millis(250);
 
@@ -56,9 +61,12 @@
 pub struct DutyKeeper {
     board: Arc<Board>,
     store: Arc<dyn Store>,
-    registration: Arc<Registration>,
     duties: Arc<dyn Duties>,
     tenure: Option<Tenure>,
+    /// Lease of the holder's key, while this node holds the duties.
+    lease: Option<LeaseKeeper>,
+    /// Since when the duties could be taken up.
+    free_since: Option<Moment>,
     scaling: HashMap<ServiceName, ServiceScaling>,
     reported: BTreeMap<Window, Counts>,
     settled_at: Option<Window>,
@@ -67,19 +75,15 @@
 
 impl DutyKeeper {
     /// Creates a keeper that holds nothing.
-    pub fn new(
-        board: Arc<Board>,
-        store: Arc<dyn Store>,
-        registration: Arc<Registration>,
-        duties: Arc<dyn Duties>,
-    ) -> Self {
+    pub fn new(board: Arc<Board>, store: Arc<dyn Store>, duties: Arc<dyn Duties>) -> Self {
         Self {
             started: board.now(),
             board,
             store,
-            registration,
             duties,
             tenure: None,
+            lease: None,
+            free_since: None,
             scaling: HashMap::new(),
             reported: BTreeMap::new(),
             settled_at: None,
@@ -91,6 +95,7 @@
         loop {
             tokio::time::sleep(ROUND).await;
             if self.board.phase() != Phase::Serving {
+                self.give_up("this node leaves").await;
                 continue;
             }
             match self.tenure {
@@ -102,30 +107,58 @@
 
     async fn try_to_hold(&mut self) {
         let Some(claim) = self.open_claim() else {
+            self.free_since = None;
             return;
         };
-        tokio::time::sleep(CANDIDATE_SPREAD.mul_f64(rand::random())).await;
-        let Some(lease) = self.registration.lease() else {
+        let free_since = *self.free_since.get_or_insert(self.board.now());
+        let free_for = self.board.now().saturating_sub(free_since);
+        if relay::is_follower(&self.board) && free_for < FOLLOWERS_WAIT {
             return;
-        };
+        }
+        tokio::time::sleep(CANDIDATE_SPREAD.mul_f64(rand::random())).await;
         if self.open_claim() != Some(claim) {
             return;
         }
+        if let Err(e) = self.claim(claim).await {
+            tracing::info!(error = %e, "duties not taken up");
+        }
+    }
+
+    /// Writes this node's name as the holder's, under a lease of its own.
+    async fn claim(&mut self, claim: Claim) -> Result<()> {
+        let board = Arc::clone(&self.board);
+        let keeper = LeaseKeeper::open(board, Arc::clone(&self.store), LEASE_TTL).await?;
+        let Some(lease) = keeper.get() else {
+            return Ok(());
+        };
         let mut req = Transaction::swap(keys::HOLDER, claim.expected, self.claim_value());
         if let Some(Op::Put { lease: of, .. }) = req.then.first_mut() {
             *of = Some(lease.id);
         }
-        match self.store.transact(req).await {
-            Ok(reply) if reply.succeeded => self.begin(reply.revision, claim.settle),
-            Ok(reply) => {
-                // A claim whose answer was lost may have been taken.
-                let own = self.claim_value();
-                let holder = reply.found().and_then(|found| found.first());
-                if let Some(holder) = holder.filter(|holder| holder.value == own) {
-                    self.begin(holder.mod_revision, claim.settle);
-                }
-            }
-            Err(e) => tracing::info!(error = %e, "duties not taken up"),
+        // A claim whose answer is lost may be taken. The store then names this node, which claims again.
+        let reply = self.store.transact(req).await?;
+        if reply.succeeded {
+            self.begin(reply.revision, claim.settle);
+            self.lease = Some(keeper);
+            return Ok(());
+        }
+        keeper.close().await
+    }
+
+    /// Gives up the duties, so that another node can take them up at once.
+    async fn give_up(&mut self, cause: &'static str) {
+        let Some(tenure) = self.tenure.take() else {
+            return;
+        };
+        tracing::info!(
+            fence = tenure.fence,
+            cause,
+            "this node holds the duties no longer"
+        );
+        if let Some(lease) = self.lease.take()
+            && let Err(e) = lease.close().await
+        {
+            tracing::warn!(error = %e, "the holder's key stays in the store until its lease ends");
         }
     }
 
@@ -179,8 +212,7 @@
 
     async fn perform(&mut self, tenure: Tenure) {
         if !self.is_holder(tenure) {
-            tracing::info!(fence = tenure.fence, "this node holds the duties no longer");
-            self.tenure = None;
+            self.give_up("the store names another").await;
             return;
         }
         if !self.may_act(tenure) {
@@ -203,7 +235,7 @@
     }
 
     fn may_act(&self, tenure: Tenure) -> bool {
-        let Some(lease) = self.registration.lease() else {
+        let Some(lease) = self.lease.as_ref().and_then(LeaseKeeper::get) else {
             return false;
         };
         tenure.may_act(self.board.now(), lease.renewed, lease.ttl) == MayAct::Yes
@@ -369,7 +401,7 @@
         for entry in backends.of_service(service) {
             let backend = &entry.backend;
             let state = zones.entry(backend.zone.clone()).or_default();
-            if backend.is_leaving || entry.standing != Standing::Listed {
+            if entry.is_leaving() || entry.standing != Standing::Listed {
                 continue;
             }
             match backend.is_spot {
--- a/src/ops/gateway/forward.rs
+++ b/src/ops/gateway/forward.rs
@@ -282,8 +282,13 @@
     let nodes = board.node_count();
     let mut retries = board.retries.lock();
     let budget = retries.entry(call.service.name.clone()).or_insert_with(|| {
-        let slack = f64::from(bounds.retry_slack);
-        RetryBudget::new(bounds.retry_ratio, slack, bounds.retry_window, nodes, now)
+        RetryBudget::new(
+            bounds.retry_ratio,
+            bounds.retry_slack,
+            bounds.retry_window,
+            nodes,
+            now,
+        )
     });
     f(budget, now)
 }
--- a/src/ops/gateway/install.rs
+++ b/src/ops/gateway/install.rs
@@ -8,6 +8,7 @@
 use super::node_wire;
 use super::view::{self, Deletion, KeyHash};
 use crate::core::gateway::backends::Standing;
+use crate::core::gateway::origin::Origin;
 use crate::core::time::Moment;
 use crate::sources::store::{KeyValue, Revision};
 
@@ -48,7 +49,7 @@
                     ready = member.is_ready,
                     "node listed"
                 );
-                board.members.lock().put(member);
+                board.members.lock().put(member, board.now());
             }
             Err(e) => tracing::warn!(node = name, error = %e, "entry of a node cannot be read"),
         }
@@ -120,9 +121,12 @@
     };
     for name in gone {
         members.remove(&name);
-        board.quotas.lock().forget_node(&name);
+        board.quotas.lock().forget(&Origin::Node(name.clone()));
         tracing::info!(node = &*name, "node gone");
     }
+    let zones = members.zones();
+    drop(members);
+    board.quotas.lock().keep_zones(&zones);
 }
 
 fn forget(board: &Board, key: &str, after_outage: bool) {
--- a/src/ops/gateway/mesh.rs
+++ b/src/ops/gateway/mesh.rs
@@ -1,172 +1,80 @@
 //! What nodes tell each other several times a second, by datagrams that may be lost.
 //!
 //! A node tells its loads, what it let through for customers, its counts of usage and which changes of the store
-//! it knows. Everything told is a present value, so that a later message replaces a lost one. Nodes of
-//! the own availability zone hear more often than those of the region, and those of other regions hear
-//! no loads: what a node sends and hears a second stays flat as regions grow.
+//! it knows. Everything told is a present value, so that a later message replaces a lost one.
+//!
+//! In a small fleet every node tells all others. In a larger one it tells those of its availability zone; one
+//! node of each zone, that which can carry most, tells the zone's sums to its like in the other zones and
+//! passes on theirs to the nodes of its own. What a node sends and hears a second then hardly grows with the
+//! fleet, and a sum of another zone is older by two such messages.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use parking_lot::Mutex;
 use prost::Message;
 use tokio::net::UdpSocket;
 
 use super::board::{Board, Phase};
-use crate::core::gateway::load::{Load, RANKS};
+use super::mesh_wire::{DatagramWire, LoadSumWire, ReportWire, ZoneSumWire};
 use crate::core::gateway::members::Member;
+use crate::core::gateway::origin::{Origin, ZoneName};
+use crate::core::gateway::zone_sums::ZoneTellers;
 use crate::core::time::Moment;
 use crate::util::time::unix_now;
 
 /// Shortest time between two messages to a node of the own availability zone.
 const ZONE_INTERVAL: Duration = Duration::from_millis(200);
-/// Shortest time between two messages to a node of the own region.
+/// Shortest time between two messages to a node of another zone of the own region.
 const REGION_INTERVAL: Duration = Duration::from_millis(250);
 /// Shortest time between two messages to a node of another region.
 const FAR_INTERVAL: Duration = Duration::from_millis(700);
-/// Messages that a node sends in a second to the nodes of its region, and to those of all others.
+/// Messages that a node sends in a second to the nodes near it, and to those of other regions.
 const MESSAGES_PER_S: f64 = 80.0;
+/// Nodes up to which every one tells all others.
+const SMALL_FLEET: usize = 24;
+/// Time between two sums of the own zone to another zone of the region.
+const SUM_INTERVAL: Duration = Duration::from_millis(400);
+/// Time between two sums of the own zone to a zone of another region.
+const FAR_SUM_INTERVAL: Duration = Duration::from_millis(800);
+/// Nodes of another zone that are told sums: one takes the other's place where it falls silent.
+const TOLD_PER_ZONE: usize = 2;
+/// Silence of a node after which another one tells the zone's sums, and after which it is not said to live.
+const SILENCE: Duration = Duration::from_millis(1500);
+/// Age of another zone's sums from which on they are not passed on.
+const STALE_SUM: Duration = Duration::from_secs(2);
+/// Part of a VM's link that passing on sums may take.
+const LINK_SHARE: f64 = 0.15;
 /// Time between two messages that tell counts of usage.
 const USAGE_INTERVAL: Duration = Duration::from_millis(900);
-/// Largest datagram that is read.
+/// Windows of usage that are told beside the present one.
+const WINDOWS_TOLD: u64 = 3;
+/// Time for which it is told that a back end said that it is leaving.
+const LEAVING_TOLD: Duration = Duration::from_secs(8);
+/// Largest datagram.
 const MAX_DATAGRAM: usize = 60 * 1024;
 
-/// What a node tells.
-#[derive(Clone, PartialEq, Message)]
-pub struct ReportWire {
-    /// Name of the node.
-    #[prost(string, tag = "1")]
-    pub node: String,
-    /// Start of its process.
-    #[prost(uint64, tag = "2")]
-    pub incarnation: u64,
-    /// Its time of day.
-    #[prost(uint64, tag = "3")]
-    pub wall_ms: u64,
-    /// Whether it takes new callers.
-    #[prost(bool, tag = "4")]
-    pub ready: bool,
-    /// Revision of the store up to which it knows all changes.
-    #[prost(uint64, tag = "5")]
-    pub revision: u64,
-    /// Version of its configuration.
-    #[prost(uint64, tag = "6")]
-    pub config_version: u64,
-    /// Its availability zone.
-    #[prost(string, tag = "7")]
-    pub zone: String,
-    /// Units that it has let through for each customer.
-    #[prost(message, repeated, tag = "8")]
-    pub totals: Vec<TotalWire>,
-    /// Its counts of calls.
-    #[prost(message, repeated, tag = "9")]
-    pub usage: Vec<CountWire>,
-    /// Work in milliseconds a second for each service.
-    #[prost(message, repeated, tag = "10")]
-    pub work: Vec<RateWire>,
-    /// Its calls at back ends, where the receiver is in its region.
-    #[prost(message, repeated, tag = "11")]
-    pub loads: Vec<LoadWire>,
-    /// Whether `loads` is complete.
-    #[prost(bool, tag = "12")]
-    pub has_loads: bool,
-}
-
-/// What a node has let through for a customer since its start.
-#[derive(Clone, PartialEq, Message)]
-pub struct TotalWire {
-    /// Customer.
-    #[prost(string, tag = "1")]
-    pub customer: String,
-    /// Units.
-    #[prost(double, tag = "2")]
-    pub units: f64,
-}
-
-/// Work of a service.
-#[derive(Clone, PartialEq, Message)]
-pub struct RateWire {
-    /// Name.
-    #[prost(string, tag = "1")]
-    pub name: String,
-    /// Units a second.
-    #[prost(float, tag = "2")]
-    pub per_second: f32,
-}
-
-/// Calls of a customer in a window.
-#[derive(Clone, PartialEq, Message)]
-pub struct CountWire {
-    /// Number of the window.
-    #[prost(uint64, tag = "1")]
-    pub window: u64,
-    /// Customer.
-    #[prost(string, tag = "2")]
-    pub customer: String,
-    /// Calls.
-    #[prost(uint32, tag = "3")]
-    pub calls: u32,
-}
-
-/// Calls at a back end.
-#[derive(Clone, PartialEq, Message)]
-pub struct LoadWire {
-    /// Short name of the back end.
-    #[prost(fixed32, tag = "1")]
-    pub backend: u32,
-    /// Calls.
-    #[prost(uint32, tag = "2")]
-    pub calls: u32,
-    /// Tokens that they hold.
-    #[prost(uint32, tag = "3")]
-    pub kv_tokens: u32,
-    /// Calls without a first event, by rank.
-    #[prost(uint32, repeated, tag = "4")]
-    pub waiting: Vec<u32>,
-    /// Tokens yet to be read, by rank.
-    #[prost(uint32, repeated, tag = "5")]
-    pub unread: Vec<u32>,
-}
-
-impl From<&(u32, Load)> for LoadWire {
-    fn from((backend, load): &(u32, Load)) -> Self {
-        let ranks = |values: &[u32; RANKS]| {
-            let used = values.iter().rposition(|v| *v > 0).map_or(0, |at| at + 1);
-            values[..used].to_vec()
-        };
-        Self {
-            backend: *backend,
-            calls: load.calls,
-            kv_tokens: load.kv_tokens,
-            waiting: ranks(&load.waiting),
-            unread: ranks(&load.unread),
-        }
-    }
-}
-
-impl From<&LoadWire> for Load {
-    fn from(wire: &LoadWire) -> Self {
-        let mut load = Self {
-            calls: wire.calls,
-            kv_tokens: wire.kv_tokens,
-            ..Self::default()
-        };
-        for (rank, value) in wire.waiting.iter().take(RANKS).enumerate() {
-            load.waiting[rank] = *value;
-        }
-        for (rank, value) in wire.unread.iter().take(RANKS).enumerate() {
-            load.unread[rank] = *value;
-        }
-        load
-    }
-}
-
 /// When messages were last sent to a node.
 #[derive(Clone, Copy, Debug, Default)]
 struct LastSent {
     at: Moment,
     usage_at: Moment,
+    sums_at: Moment,
+}
+
+/// Sums of another zone, to be passed on.
+struct HeardSum {
+    sum: ZoneSumWire,
+    at: Moment,
+}
+
+/// Sums of other zones.
+#[derive(Default)]
+struct HeardSums {
+    tellers: ZoneTellers,
+    newest: HashMap<ZoneName, HeardSum>,
 }
 
 /// Datagrams between nodes.
@@ -174,6 +82,17 @@
     board: Arc<Board>,
     socket: UdpSocket,
     newest: tokio::sync::watch::Sender<u64>,
+    sums: Mutex<HeardSums>,
+}
+
+/// Nodes that messages are due to.
+struct Audience {
+    /// Nodes that hear of this one, and the time between two messages.
+    near: Vec<(Member, Duration)>,
+    /// Nodes of other zones that hear the sums of this one, where this node tells them.
+    zones: Vec<Member>,
+    /// Whether this node tells the sums of its zone, and its zone those of others.
+    tells_sums: bool,
 }
 
 impl Mesh {
@@ -188,6 +107,7 @@
             board,
             socket,
             newest: tokio::sync::watch::Sender::new(0),
+            sums: Mutex::default(),
         }))
     }
 
@@ -196,75 +116,202 @@
         self.newest.subscribe()
     }
 
-    /// Sends reports until the task is dropped.
+    /// Sends messages until the task is dropped.
     pub async fn send(self: Arc<Self>) {
         let mut last = HashMap::new();
+        let mut told_sums = false;
         loop {
-            self.send_due(&mut last).await;
+            let tells_sums = self.send_due(&mut last).await;
+            if tells_sums != told_sums {
+                told_sums = tells_sums;
+                tracing::info!(tells_sums, "whether this node tells the sums of its zone");
+            }
             tokio::time::sleep(ZONE_INTERVAL).await;
         }
     }
 
-    /// Tells all nodes the present state at once, such as that this node leaves.
+    /// Tells all nodes near the present state at once, such as that this node leaves.
     pub async fn send_now(&self) {
         self.send_due(&mut HashMap::new()).await;
     }
 
-    async fn send_due(&self, last: &mut HashMap<SocketAddr, LastSent>) {
+    /// Sends what is due. Returns whether this node tells the sums of its zone.
+    async fn send_due(&self, last: &mut HashMap<SocketAddr, LastSent>) -> bool {
         let now = self.board.now();
+        let audience = self.audience(now);
+        self.send_reports(&audience, last, now).await;
+        if audience.tells_sums {
+            self.send_sums(&audience, last, now).await;
+            self.pass_on_sums(&audience, last, now).await;
+        }
+        let is_known = |address: &SocketAddr| {
+            let near = audience.near.iter().map(|(member, _)| member);
+            near.chain(&audience.zones).any(|m| m.peers == *address)
+        };
+        last.retain(|address, _| is_known(address));
+        audience.tells_sums
+    }
+
+    fn audience(&self, now: Moment) -> Audience {
         let settings = &self.board.settings;
-        let others: Vec<Member> = self
-            .board
-            .members
-            .lock()
-            .iter()
-            .filter(|member| member.name != settings.name)
-            .cloned()
-            .collect();
-        let in_region = others
-            .iter()
-            .filter(|m| m.region == settings.region)
-            .count();
-        let far = others.len() - in_region;
-        let region_interval = REGION_INTERVAL.max(interval_for(in_region));
-        let far_interval = FAR_INTERVAL.max(interval_for(far));
-        // Messages are the same for all nodes near or far, with or without usage.
-        let mut texts: HashMap<(bool, bool), Vec<u8>> = HashMap::new();
-        for member in &others {
-            let is_near = member.region == settings.region;
+        let own = &settings.name;
+        let members = self.board.members.lock();
+        let is_small = members.count() <= SMALL_FLEET;
+        let others = members.iter().filter(|member| member.name != *own);
+        let heard_by = others.filter(|member| is_small || member.zone == settings.zone);
+        let near: Vec<Member> = heard_by.cloned().collect();
+        let in_region = near.iter().filter(|m| m.region == settings.region).count();
+        let region = interval_for(in_region);
+        let far = interval_for(near.len() - in_region);
+        let near = near.into_iter().map(|member| {
             let interval = if member.zone == settings.zone {
-                ZONE_INTERVAL.max(region_interval / 2)
-            } else if is_near {
-                region_interval
+                ZONE_INTERVAL.max(if is_small { region / 2 } else { region })
+            } else if member.region == settings.region {
+                REGION_INTERVAL.max(region)
             } else {
-                far_interval
+                FAR_INTERVAL.max(far)
             };
+            (member, interval)
+        });
+        let near = near.collect();
+        let first = members.ablest(&settings.zone, own, 1, now, SILENCE);
+        let tells_sums = !is_small && first.first().is_some_and(|first| first.name == *own);
+        let mut zones = Vec::new();
+        if tells_sums {
+            for zone in members
+                .zones()
+                .iter()
+                .filter(|zone| **zone != settings.zone)
+            {
+                let told = members.ablest(zone, own, TOLD_PER_ZONE, now, SILENCE);
+                zones.extend(told.into_iter().cloned());
+            }
+        }
+        Audience {
+            near,
+            zones,
+            tells_sums,
+        }
+    }
+
+    /// Tells the nodes near of this one.
+    async fn send_reports(
+        &self,
+        audience: &Audience,
+        last: &mut HashMap<SocketAddr, LastSent>,
+        now: Moment,
+    ) {
+        // Messages are the same for all nodes near or far, with or without usage.
+        let mut texts: HashMap<(bool, bool), Vec<u8>> = HashMap::new();
+        for (member, interval) in &audience.near {
             let sent = last.entry(member.peers).or_default();
-            if now.saturating_sub(sent.at) + ZONE_INTERVAL / 4 < interval {
+            if !is_due(sent.at, *interval, now) {
                 continue;
             }
-            let with_usage = now.saturating_sub(sent.usage_at) >= USAGE_INTERVAL;
+            let with_loads = member.region == self.board.settings.region;
+            let with_usage = is_due(sent.usage_at, USAGE_INTERVAL, now);
             sent.at = now;
             if with_usage {
                 sent.usage_at = now;
             }
-            let text = texts
-                .entry((is_near, with_usage))
-                .or_insert_with(|| self.report(is_near, with_usage).encode_to_vec());
-            if let Err(e) = self.socket.send_to(text, member.peers).await {
-                tracing::debug!(node = &*member.name, error = %e, "message to a node not sent");
+            let text = texts.entry((with_loads, with_usage)).or_insert_with(|| {
+                let datagram = DatagramWire {
+                    report: Some(self.report(with_loads, with_usage)),
+                    sums: Vec::new(),
+                };
+                datagram.encode_to_vec()
+            });
+            self.send_to(member, text).await;
+        }
+    }
+
+    /// Tells other zones the sums of the own one.
+    async fn send_sums(
+        &self,
+        audience: &Audience,
+        last: &mut HashMap<SocketAddr, LastSent>,
+        now: Moment,
+    ) {
+        let mut texts: HashMap<bool, Vec<u8>> = HashMap::new();
+        for member in &audience.zones {
+            let is_near = member.region == self.board.settings.region;
+            let interval = match is_near {
+                true => SUM_INTERVAL,
+                false => FAR_SUM_INTERVAL,
+            };
+            let sent = last.entry(member.peers).or_default();
+            if !is_due(sent.sums_at, interval, now) {
+                continue;
             }
+            sent.sums_at = now;
+            let text = texts.entry(is_near).or_insert_with(|| {
+                let datagram = DatagramWire {
+                    report: None,
+                    sums: vec![self.own_sum(is_near, now)],
+                };
+                datagram.encode_to_vec()
+            });
+            self.send_to(member, text).await;
         }
-        last.retain(|address, _| others.iter().any(|member| member.peers == *address));
     }
 
-    /// Reads reports until the task is dropped.
+    /// Tells the nodes of the own zone the sums of other zones.
+    async fn pass_on_sums(
+        &self,
+        audience: &Audience,
+        last: &mut HashMap<SocketAddr, LastSent>,
+        now: Moment,
+    ) {
+        let datagrams = self.sums_to_pass_on(now);
+        let bytes: usize = datagrams.iter().map(Vec::len).sum();
+        let per_s = self.board.settings.link_mbps * 1e6 / 8.0 * LINK_SHARE;
+        let needed = (bytes * audience.near.len()) as f64 / per_s.max(1.0);
+        let interval = SUM_INTERVAL.max(Duration::from_secs_f64(needed.min(60.0)));
+        for (member, _) in &audience.near {
+            let sent = last.entry(member.peers).or_default();
+            if !is_due(sent.sums_at, interval, now) {
+                continue;
+            }
+            sent.sums_at = now;
+            for text in &datagrams {
+                self.send_to(member, text).await;
+            }
+        }
+    }
+
+    /// Returns datagrams with the newest sums of other zones.
+    fn sums_to_pass_on(&self, now: Moment) -> Vec<Vec<u8>> {
+        let sums = self.sums.lock();
+        let fresh = sums.newest.values();
+        let fresh = fresh.filter(|heard| now.saturating_sub(heard.at) <= STALE_SUM);
+        let mut datagrams: Vec<DatagramWire> = Vec::new();
+        for heard in fresh {
+            match datagrams.last_mut() {
+                Some(last) if last.encoded_len() + heard.sum.encoded_len() < MAX_DATAGRAM => {
+                    last.sums.push(heard.sum.clone());
+                }
+                _ => datagrams.push(DatagramWire {
+                    report: None,
+                    sums: vec![heard.sum.clone()],
+                }),
+            }
+        }
+        datagrams.iter().map(Message::encode_to_vec).collect()
+    }
+
+    async fn send_to(&self, member: &Member, text: &[u8]) {
+        if let Err(e) = self.socket.send_to(text, member.peers).await {
+            tracing::debug!(node = &*member.name, error = %e, "message to a node not sent");
+        }
+    }
+
+    /// Reads messages until the task is dropped.
     pub async fn receive(self: Arc<Self>) {
         let mut buf = vec![0; MAX_DATAGRAM];
         loop {
             match self.socket.recv_from(&mut buf).await {
-                Ok((len, from)) => match ReportWire::decode(&buf[..len]) {
-                    Ok(report) => self.take(&report),
+                Ok((len, from)) => match DatagramWire::decode(&buf[..len]) {
+                    Ok(datagram) => self.take(datagram),
                     Err(e) => tracing::warn!(%from, error = %e, "message of a node cannot be read"),
                 },
                 Err(e) => {
@@ -278,17 +325,20 @@
     fn report(&self, with_loads: bool, with_usage: bool) -> ReportWire {
         let board = &self.board;
         let now = board.now();
-        let usage = match with_usage {
-            true => board.own_usage(),
-            false => Vec::new(),
-        };
-        let counts = usage.iter().flat_map(|(window, counts)| {
-            counts.iter().map(|(customer, calls)| CountWire {
-                window: *window,
-                customer: customer.to_string(),
-                calls: *calls,
-            })
-        });
+        let mut load = LoadSumWire::default();
+        load.set_totals(board.quotas.lock().totals());
+        load.set_work(board.work.lock().own(now));
+        if with_usage {
+            for (window, counts) in board.own_usage() {
+                load.add_usage(window, &counts);
+            }
+        }
+        let backends = board.backends.lock();
+        if with_loads {
+            load.set_loads(&backends.own_loads());
+        }
+        load.leaving = backends.leaving(now, LEAVING_TOLD);
+        drop(backends);
         ReportWire {
             node: board.settings.name.to_string(),
             incarnation: board.incarnation,
@@ -297,24 +347,59 @@
             revision: board.view.lock().revision,
             config_version: board.table().map_or(0, |table| table.version),
             zone: board.settings.zone.to_string(),
-            totals: totals(board.quotas.lock().totals()),
-            usage: counts.collect(),
-            work: rates(board.work.lock().own(now)),
-            loads: match with_loads {
-                true => board
-                    .backends
-                    .lock()
-                    .own_loads()
-                    .iter()
-                    .map(Into::into)
-                    .collect(),
-                false => Vec::new(),
-            },
-            has_loads: with_loads,
+            load: Some(load),
+        }
+    }
+
+    /// Returns the sums over the own zone.
+    fn own_sum(&self, with_loads: bool, now: Moment) -> ZoneSumWire {
+        let board = &self.board;
+        let settings = &board.settings;
+        let mut load = LoadSumWire::default();
+        load.set_totals(board.quotas.lock().totals_of_nodes());
+        load.set_work(board.work.lock().of_nodes(now));
+        let first = board.window_at(board.wall()).saturating_sub(WINDOWS_TOLD);
+        for (window, counts) in board.usage.lock().of_processes(first) {
+            load.add_usage(window, &counts);
+        }
+        let backends = board.backends.lock();
+        if with_loads {
+            load.set_loads(&backends.loads_of_nodes());
+        }
+        load.leaving = backends.leaving(now, LEAVING_TOLD);
+        drop(backends);
+        let members = board.members.lock();
+        let heard = members.heard_in_zone(&settings.zone, now, SILENCE);
+        let (ready, not_ready): (Vec<&Member>, Vec<&Member>) =
+            heard.partition(|member| member.is_ready);
+        let starts = |members: Vec<&Member>| members.iter().map(|m| m.incarnation).collect();
+        let mut ready: Vec<u64> = starts(ready);
+        if board.phase() == Phase::Serving {
+            ready.push(board.incarnation);
+        }
+        ZoneSumWire {
+            zone: settings.zone.to_string(),
+            node: settings.name.to_string(),
+            incarnation: board.incarnation,
+            number: now.as_millis() as u64,
+            wall_ms: unix_now(),
+            revision: board.view.lock().revision,
+            ready,
+            not_ready: starts(not_ready),
+            load: Some(load),
+        }
+    }
+
+    fn take(&self, datagram: DatagramWire) {
+        if let Some(report) = &datagram.report {
+            self.take_report(report);
+        }
+        for sum in datagram.sums {
+            self.take_sum(sum);
         }
     }
 
-    fn take(&self, report: &ReportWire) {
+    fn take_report(&self, report: &ReportWire) {
         let board = &self.board;
         let now = board.now();
         if *report.node == *board.settings.name {
@@ -331,36 +416,68 @@
             .clock
             .lock()
             .note(report.incarnation, report.wall_ms, now);
-        let totals: Vec<_> = report
-            .totals
-            .iter()
-            .map(|total| (total.customer.as_str().into(), total.units))
-            .collect();
-        board
-            .quotas
-            .lock()
-            .heard(&report.node, report.incarnation, &totals, now);
-        board
-            .work
-            .lock()
-            .told(&report.node, &report.zone, named(&report.work), now);
-        self.take_usage(report);
-        if report.has_loads {
-            let loads = report
-                .loads
-                .iter()
-                .map(|load| (load.backend, load.into()))
-                .collect();
-            board.backends.lock().told(&report.node, &loads, now);
+        if let Some(load) = &report.load {
+            let totals = load.totals();
+            board
+                .quotas
+                .lock()
+                .heard(&report.node, report.incarnation, &totals, now);
+            for (window, counts) in load.usage() {
+                board
+                    .usage
+                    .lock()
+                    .merge(report.incarnation, window, &counts);
+            }
+            self.take_load(&report.node[..].into(), &report.zone, load, now);
         }
         self.note_revision(report.revision);
     }
 
-    fn take_usage(&self, report: &ReportWire) {
-        let mut usage = self.board.usage.lock();
-        for count in &report.usage {
-            let told = [(count.customer.as_str().into(), count.calls)].into();
-            usage.merge(report.incarnation, count.window, &told);
+    fn take_sum(&self, sum: ZoneSumWire) {
+        let board = &self.board;
+        let now = board.now();
+        if *sum.zone == *board.settings.zone {
+            return;
+        }
+        let mut sums = self.sums.lock();
+        if !sums
+            .tellers
+            .takes(&sum.zone, sum.incarnation, sum.number, now)
+        {
+            return;
+        }
+        {
+            let mut members = board.members.lock();
+            for (starts, is_ready) in [(&sum.ready, true), (&sum.not_ready, false)] {
+                for incarnation in starts {
+                    members.heard_by_other(*incarnation, is_ready, now);
+                }
+            }
+            members.heard(&sum.node, sum.incarnation, true, sum.revision, now);
+        }
+        board.clock.lock().note(sum.incarnation, sum.wall_ms, now);
+        board.quotas.lock().heard_zone(&sum.totals(), now);
+        if let Some(load) = &sum.load {
+            for (window, counts) in load.usage() {
+                board.usage.lock().merge_zone(&sum.zone, window, &counts);
+            }
+            let from = Origin::Zone(sum.zone.as_str().into());
+            self.take_load(&from, &sum.zone, load, now);
+        }
+        self.note_revision(sum.revision);
+        let zone = sum.zone.as_str().into();
+        sums.newest.insert(zone, HeardSum { sum, at: now });
+    }
+
+    fn take_load(&self, from: &Origin, zone: &str, load: &LoadSumWire, now: Moment) {
+        let board = &self.board;
+        board.work.lock().told(from, zone, load.work(), now);
+        let mut backends = board.backends.lock();
+        if let Some(loads) = load.loads() {
+            backends.told(from, &loads, now);
+        }
+        for backend in backends.told_leaving(&load.leaving, now) {
+            tracing::info!(backend = &*backend, source = "node", "back end leaving");
         }
     }
 
@@ -378,29 +495,7 @@
     Duration::from_secs_f64(nodes as f64 / MESSAGES_PER_S)
 }
 
-fn totals(totals: Vec<(Box<str>, f64)>) -> Vec<TotalWire> {
-    totals
-        .into_iter()
-        .map(|(customer, units)| TotalWire {
-            customer: customer.into(),
-            units,
-        })
-        .collect()
-}
-
-fn rates(rates: Vec<(Box<str>, f64)>) -> Vec<RateWire> {
-    rates
-        .into_iter()
-        .map(|(name, per_second)| RateWire {
-            name: name.into(),
-            per_second: per_second as f32,
-        })
-        .collect()
-}
-
-fn named(rates: &[RateWire]) -> Vec<(Box<str>, f64)> {
-    rates
-        .iter()
-        .map(|rate| (rate.name.as_str().into(), f64::from(rate.per_second)))
-        .collect()
+/// Returns whether something is due that was last done at a moment. Rounds are a little irregular.
+fn is_due(last: Moment, interval: Duration, now: Moment) -> bool {
+    now.saturating_sub(last) + ZONE_INTERVAL / 4 >= interval
 }
--- a/src/ops/gateway/node_wire.rs
+++ b/src/ops/gateway/node_wire.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::core::gateway::members::Member;
+use crate::core::gateway::members::{Capacity, Member};
 
 #[derive(Serialize, Deserialize)]
 struct NodeWire {
@@ -16,6 +16,11 @@
     control: SocketAddr,
     incarnation: u64,
     ready: bool,
+    /// Thousandths of a core.
+    #[serde(default)]
+    cpu_millis: u32,
+    #[serde(default)]
+    link_mbps: u32,
 }
 
 impl From<Member> for NodeWire {
@@ -29,6 +34,8 @@
             control: member.control,
             incarnation: member.incarnation,
             ready: member.is_ready,
+            cpu_millis: member.capacity.cpu_millis,
+            link_mbps: member.capacity.link_mbps,
         }
     }
 }
@@ -44,6 +51,10 @@
             control: wire.control,
             incarnation: wire.incarnation,
             is_ready: wire.ready,
+            capacity: Capacity {
+                cpu_millis: wire.cpu_millis,
+                link_mbps: wire.link_mbps,
+            },
         }
     }
 }
--- a/src/ops/gateway/record.rs
+++ b/src/ops/gateway/record.rs
@@ -14,6 +14,7 @@
 use super::call::Call;
 use super::forward::Progress;
 use super::refusal::Refusal;
+use crate::core::gateway::quota::Shortage;
 use crate::core::verdict::Verdict;
 
 /// Lines a second for calls that were served.
@@ -94,6 +95,24 @@
     }
 }
 
+/// Records what a call lacked that is beyond its customer's limit.
+pub fn over_quota(board: &Board, call: &Call, units: f64, shortage: &Shortage) {
+    if let Some(left_out) = failure_line(board) {
+        tracing::info!(
+            attempt = &*call.head.attempt,
+            customer = call.customer_name(),
+            units,
+            level = shortage.level.round(),
+            part_level = shortage.part_level.round(),
+            rate = shortage.rate.round(),
+            nodes = shortage.nodes,
+            retry_after_ms = millis(shortage.retry_after),
+            left_out,
+            "over quota"
+        );
+    }
+}
+
 /// Records a send without a usable answer.
 pub fn attempt_failed(board: &Board, call: &Call, progress: &Progress, e: &AttemptError) {
     metrics::counter!("jayhall_gateway_failed_sends", "service" => call.service.name.to_string())
--- a/src/ops/gateway/register.rs
+++ b/src/ops/gateway/register.rs
@@ -1,38 +1,35 @@
 //! Keeps the node's entry in the store, under a lease that ends with the process.
+//!
+//! Whether a node lives is known from its messages. The lease only has to remove the entries of nodes that
+//! ended without a word, so that it may be long and is seldom renewed.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use parking_lot::Mutex;
+use tokio::sync::Mutex;
 
-use super::board::Board;
+use super::board::{Board, Phase};
+use super::lease::LeaseKeeper;
 use super::{keys, node_wire};
 use crate::core::time::Moment;
 use crate::sources::store::{LeaseId, Op, Result, Store, StoreError, Transaction};
 
 /// Time without a renewal after which the store removes the entry.
-const LEASE_TTL: Duration = Duration::from_secs(4);
-/// Time between two renewals.
-const RENEW_INTERVAL: Duration = Duration::from_millis(1100);
-/// Pause after a failure.
-const RETRY_PAUSE: Duration = Duration::from_millis(350);
+const LEASE_TTL: Duration = Duration::from_secs(30);
+/// Time between two looks at the entry, as this node knows the store.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Time after a write until this node has heard of it from the store.
+const WRITE_IS_HEARD: Moment = Moment::from_secs(3);
+/// First pause after a failure.
+const FIRST_PAUSE: Duration = Duration::from_millis(350);
+/// Longest pause after failures.
+const LONGEST_PAUSE: Duration = Duration::from_secs(3);
 
-/// A lease in the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Lease {
-    /// Its name.
-    pub id: LeaseId,
-    /// Time for which a renewal lasts.
-    pub ttl: Duration,
-    /// When the last confirmed renewal was sent, by the clock that goes on while the VM is suspended.
-    pub renewed: Moment,
-}
-
-/// The node's entry in the store. It is renewed by [`Registration::run`].
+/// The node's entry in the store. It is kept by [`Registration::run`].
 pub struct Registration {
     board: Arc<Board>,
     store: Arc<dyn Store>,
-    lease: Mutex<Option<Lease>>,
+    lease: Mutex<Option<LeaseKeeper>>,
 }
 
 impl Registration {
@@ -45,81 +42,73 @@
         })
     }
 
-    /// Returns the lease, which may have ended.
-    pub fn lease(&self) -> Option<Lease> {
-        *self.lease.lock()
-    }
-
     /// Keeps the entry until the task is dropped.
     pub async fn run(self: Arc<Self>) {
         let mut phase = self.board.phase.subscribe();
+        let mut pause = FIRST_PAUSE;
+        let mut written = None;
         loop {
-            let step = match self.lease() {
-                None => self.enter().await,
-                Some(lease) => self.renew(lease).await,
-            };
-            let pause = match step {
-                Ok(()) => RENEW_INTERVAL,
+            let wait = match self.keep(&mut written).await {
+                Ok(()) => {
+                    pause = FIRST_PAUSE;
+                    CHECK_INTERVAL
+                }
                 Err(e) => {
-                    self.failed(&e);
-                    RETRY_PAUSE.mul_f64(0.5 + rand::random::<f64>())
+                    tracing::warn!(error = %e, "the node's entry in the store could not be written");
+                    let wait = pause.mul_f64(0.5 + rand::random::<f64>());
+                    pause = (pause * 2).min(LONGEST_PAUSE);
+                    wait
                 }
             };
             tokio::select! {
-                () = tokio::time::sleep(pause) => {}
-                _ = phase.changed() => self.write().await,
+                () = tokio::time::sleep(wait) => {}
+                _ = phase.changed() => written = None,
             }
         }
     }
 
     /// Ends the lease, so that the entry goes at once.
     pub async fn leave(&self) {
-        let Some(lease) = self.lease.lock().take() else {
+        let Some(lease) = self.lease.lock().await.take() else {
             return;
         };
-        if let Err(e) = self.store.revoke(lease.id).await {
+        if let Err(e) = lease.close().await {
             tracing::warn!(error = %e, "the node's entry stays in the store until its lease ends");
         }
     }
 
-    async fn enter(&self) -> Result<()> {
-        let sent = self.board.now();
-        let grant = self.store.grant_lease(LEASE_TTL).await?;
-        *self.lease.lock() = Some(Lease {
-            id: grant.id,
-            ttl: grant.ttl,
-            renewed: sent,
-        });
-        self.put_entry(grant.id).await?;
-        tracing::info!(lease = grant.id, "the node stands in the store");
-        self.board.set_registered(true);
-        Ok(())
-    }
-
-    async fn renew(&self, lease: Lease) -> Result<()> {
-        let sent = self.board.now();
-        self.store.keep_alive(lease.id).await?;
-        if let Some(current) = self.lease.lock().as_mut().filter(|l| l.id == lease.id) {
-            current.renewed = sent;
+    /// Writes the entry where it has changed or is missing.
+    async fn keep(&self, written: &mut Option<Moment>) -> Result<()> {
+        if self.board.phase() == Phase::Starting {
+            return Ok(());
         }
+        let mut lease = self.lease.lock().await;
+        let known = lease.as_ref().and_then(LeaseKeeper::get);
+        let id = match known {
+            Some(known) => known.id,
+            None => {
+                *written = None;
+                let opened =
+                    LeaseKeeper::open(Arc::clone(&self.board), Arc::clone(&self.store), LEASE_TTL)
+                        .await?;
+                let id = opened.get().map_or(0, |granted| granted.id);
+                *lease = Some(opened);
+                id
+            }
+        };
+        let now = self.board.now();
         let key = keys::node(&self.board.settings.name);
         let is_there = self.board.view.lock().get(&key).is_some();
-        if !is_there || !self.board.is_registered() {
-            self.put_entry(lease.id).await?;
-            self.board.set_registered(true);
+        let is_awaited = written.is_some_and(|at| now.saturating_sub(at) < WRITE_IS_HEARD);
+        if written.is_some() && (is_there || is_awaited) {
+            return Ok(());
         }
+        self.put_entry(id).await?;
+        *written = Some(now);
+        tracing::info!(lease = id, "the node stands in the store");
         Ok(())
     }
 
-    async fn write(&self) {
-        let Some(lease) = self.lease() else {
-            return;
-        };
-        if let Err(e) = self.put_entry(lease.id).await {
-            self.failed(&e);
-        }
-    }
-
     async fn put_entry(&self, lease: LeaseId) -> Result<()> {
         let value =
             node_wire::encode(self.board.own_member()).map_err(|e| StoreError::Refused {
@@ -135,14 +124,4 @@
         };
         self.store.transact(put).await.map(drop)
     }
-
-    fn failed(&self, e: &StoreError) {
-        if *e == StoreError::LeaseNotFound {
-            *self.lease.lock() = None;
-        }
-        if self.board.is_registered() {
-            tracing::warn!(error = %e, "the node's entry in the store could not be renewed");
-        }
-        self.board.set_registered(false);
-    }
 }
--- a/src/ops/gateway/relay.rs
+++ b/src/ops/gateway/relay.rs
@@ -4,21 +4,23 @@
 use std::time::Duration;
 
 use reqwest::Client;
+use smallvec::SmallVec;
 
 use super::board::Board;
 use super::snapshot;
+use crate::core::gateway::members::NodeName;
 use crate::core::time::Moment;
 
-/// Nodes of an availability zone that follow the store themselves.
-const WATCHERS_PER_ZONE: usize = 2;
+/// Failures one after the other from which on the store is asked.
+const MAX_FAILURES: usize = 2;
 /// Time for which a node holds an answer without changes.
-const WAIT: Duration = Duration::from_millis(1500);
+const WAIT: Duration = Duration::from_millis(1000);
 /// Time between two fetches: changes that come together are told together.
 const GAP: Duration = Duration::from_millis(100);
 /// Age of the store's last word to the other node from which on it is not followed.
 const MAX_CONTACT_AGE: Duration = Duration::from_millis(3600);
 /// Silence of a node after which it counts as one that does not follow the store.
-const SILENCE: Moment = Moment::from_millis(2500);
+const SILENCE: Moment = Moment::from_millis(2000);
 
 /// Returns whether this node follows others while they are well.
 pub fn is_follower(board: &Board) -> bool {
@@ -27,31 +29,28 @@
         .any(|(name, _)| **name == *board.settings.name)
 }
 
-/// Returns the nodes of the zone that follow the store, with their control addresses: the first ones by
-/// name that are ready and heard of.
-fn watchers(board: &Board) -> Vec<(Box<str>, SocketAddr)> {
+/// Returns the nodes of the zone that follow the store, with their control addresses: of those that can carry
+/// most, not the first one, which passes on what other zones know. Where one of the two is lost, the zone
+/// hears of changes by the other.
+fn watchers(board: &Board) -> SmallVec<[(NodeName, SocketAddr); 2]> {
     let settings = &board.settings;
     let now = board.now();
     let members = board.members.lock();
-    let mut in_zone: Vec<_> = members
-        .iter()
-        .filter(|member| member.zone == settings.zone)
-        .filter(|member| {
-            member.name == settings.name
-                || (member.is_ready && members.is_fresh(&member.name, now, SILENCE))
-        })
+    // Without another zone, nobody but a second watcher tells that the first one is lost.
+    let has_other_zones = members.zones().len() > 1;
+    let ablest = members.ablest(&settings.zone, &settings.name, 2, now, SILENCE);
+    let skipped = usize::from(has_other_zones && ablest.len() > 1);
+    let watchers = ablest.into_iter().skip(skipped);
+    watchers
         .map(|member| (member.name.clone(), member.control))
-        .collect();
-    in_zone.sort_unstable();
-    in_zone.truncate(WATCHERS_PER_ZONE);
-    in_zone
+        .collect()
 }
 
 /// Follows another node for as long as that is this node's part and goes well. Afterwards the store is
 /// to be asked.
 pub async fn follow_while_possible(board: &Board, client: &Client) {
     let mut failures = 0;
-    while failures < WATCHERS_PER_ZONE {
+    while failures < MAX_FAILURES {
         let watchers = watchers(board);
         let own = &board.settings.name;
         if watchers.is_empty() || watchers.iter().any(|(name, _)| name == own) {
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -4,13 +4,14 @@
 
 use hyper::HeaderMap;
 use hyper::header::{
-    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, EXPECT, HeaderName, HeaderValue, TE, TRAILER,
-    TRANSFER_ENCODING, UPGRADE,
+    AUTHORIZATION, CONNECTION, CONTENT_LENGTH, EXPECT, HeaderName, HeaderValue, RETRY_AFTER, TE,
+    TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 use smallvec::SmallVec;
 
 use crate::core::gateway::cache::Part;
 use crate::ops::gateway::dialect::{AnswerHead, CallHead, SendHead};
+use crate::util::value::parse_decimal;
 
 /// Names an attempt of a caller.
 pub const ATTEMPT: HeaderName = HeaderName::from_static("x-jayhall-attempt-id");
@@ -40,8 +41,14 @@
 pub const DUTY_HOLDER: HeaderName = HeaderName::from_static("x-jayhall-duty-holder");
 /// Fencing token of a duty's holder.
 pub const FENCE: HeaderName = HeaderName::from_static("x-jayhall-fence-token");
+/// Says in any answer that the back end is leaving.
+pub const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
+/// Status of a back end that turns a call away.
+const UNAVAILABLE: u16 = 503;
+/// Longest time for which a back end can ask to be left alone.
+const LONGEST_STAY_AWAY: Duration = Duration::from_secs(3600);
 /// Status of a back end other than the one that was named.
 const MISDIRECTED: u16 = 421;
 /// Least urgent priority.
@@ -168,6 +175,28 @@
         not_run: headers.contains_key(&NOT_RUN) || status == MISDIRECTED,
         is_signed: headers.contains_key(&SIGNATURE),
         idle_timeout: text(headers, &KEEP_ALIVE).and_then(keep_alive_timeout),
+        is_leaving: text(headers, &LEAVING).is_some_and(|value| value.trim() == "1"),
+        stay_away: match status {
+            UNAVAILABLE => text(headers, &RETRY_AFTER).and_then(seconds),
+            _ => None,
+        },
+    }
+}
+
+/// Reads a number of seconds, which may have a fraction. Dates are not used on this platform.
+fn seconds(text: &str) -> Option<Duration> {
+    match parse_decimal(text.trim()) {
+        Some(seconds) => {
+            let longest = LONGEST_STAY_AWAY.as_secs_f64();
+            Some(Duration::from_secs_f64(seconds.min(longest)))
+        }
+        None => {
+            tracing::warn!(
+                value = text,
+                "Retry-After of a back end is not a number of seconds; it is ignored"
+            );
+            None
+        }
     }
 }
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -24,7 +24,7 @@
 /// silent goes unnoticed.
 const WATCH_WAIT: Duration = Duration::from_millis(2000);
 /// Time between two polls of a watch: changes that come together are fetched by one call.
-const POLL_GAP: Duration = Duration::from_millis(220);
+const POLL_GAP: Duration = Duration::from_millis(300);
 /// Time that a watch's answer may take beyond [`WATCH_WAIT`].
 const WATCH_SLACK: Duration = Duration::from_millis(700);
 /// Time to wait where the store's rate is used up.
--- a/tests/testsuite/gateway/decisions.rs
+++ b/tests/testsuite/gateway/decisions.rs
@@ -6,7 +6,7 @@
 
 use jayhall::core::gateway::cache::{Part, PromptCache};
 use jayhall::core::gateway::clock::ClockMedian;
-use jayhall::core::gateway::members::{Member, Members};
+use jayhall::core::gateway::members::{Capacity, Member, Members};
 use jayhall::core::gateway::retry_budget::RetryBudget;
 use jayhall::core::gateway::routes::{CallerLimits, Route, RouteKind, RouteTable, Target};
 use jayhall::core::gateway::usage::{Counts, UsageBook};
@@ -83,6 +83,7 @@
         control: address(port + 2),
         incarnation: 7,
         is_ready: true,
+        capacity: Capacity::default(),
     }
 }
 
@@ -96,10 +97,10 @@
 #[test]
 fn callers_are_told_their_zone_then_their_region_then_all() {
     let mut members = Members::default();
-    members.put(member("a", "r", "z1", 100));
-    members.put(member("b", "r", "z1", 200));
-    members.put(member("c", "r", "z2", 300));
-    members.put(member("d", "q", "z3", 400));
+    members.put(member("a", "r", "z1", 100), Duration::ZERO);
+    members.put(member("b", "r", "z1", 200), Duration::ZERO);
+    members.put(member("c", "r", "z2", 300), Duration::ZERO);
+    members.put(member("d", "q", "z3", 400), Duration::ZERO);
     assert_eq!(ports(&members, "z1", 0), [100, 200]);
     // One node alone is not enough for a zone.
     assert_eq!(ports(&members, "z2", 0), [100, 200, 300]);
@@ -112,15 +113,21 @@
 fn nodes_that_leave_or_fell_silent_are_not_told() {
     let mut members = Members::default();
     for (name, port) in [("a", 100), ("b", 200), ("c", 300)] {
-        members.put(member(name, "r", "z", port));
+        members.put(member(name, "r", "z", port), Duration::ZERO);
     }
     members.heard("b", 7, false, 0, Duration::from_secs(1));
     assert_eq!(ports(&members, "z", 1), [100, 300]);
     members.heard("c", 7, true, 0, Duration::from_secs(1));
+    members.heard("a", 7, true, 0, Duration::from_secs(4));
     assert_eq!(ports(&members, "z", 5), [100]);
     // A message of an earlier start of the process says nothing of this one.
     members.heard("b", 6, true, 0, Duration::from_secs(5));
     assert_eq!(ports(&members, "z", 5), [100]);
+    // A node that was never heard of counts as silent from its listing on.
+    members.put(member("d", "r", "z", 400), Duration::from_secs(5));
+    assert_eq!(ports(&members, "z", 5), [100, 400]);
+    members.heard("a", 7, true, 0, Duration::from_secs(8));
+    assert_eq!(ports(&members, "z", 8), [100]);
 }
 
 /// Plays calls that all fail on `nodes` nodes. Returns the most second sends in any window.
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -11,3 +11,5 @@
 mod serving;
 mod snapshots;
 mod streams;
+mod template;
+mod zone_sums;
--- a/tests/testsuite/gateway/platform_wire.rs
+++ b/tests/testsuite/gateway/platform_wire.rs
@@ -203,3 +203,26 @@
     let answer = PlatformDialect.directory_answer(&addresses, Duration::from_secs(2));
     assert_eq!(answer, br#"{"addresses":["10.0.0.1:80"],"ttlS":2.0}"#);
 }
+
+#[test]
+fn an_answer_says_that_its_back_end_leaves_or_wants_to_be_left_alone() {
+    let head = |status, pairs: &[_]| PlatformDialect.answer_head(status, &headers(pairs));
+    assert!(head(200, &[("server-leaving", "1")]).is_leaving);
+    assert!(!head(200, &[]).is_leaving);
+    let away = |status, value| head(status, &[("retry-after", value)]).stay_away;
+    assert_eq!(away(503, "2"), Some(Duration::from_secs(2)));
+    assert_eq!(away(503, " 0.25 "), Some(Duration::from_millis(250)));
+    // Only a back end that turns a call away asks for that.
+    assert_eq!(away(429, "2"), None);
+    for nonsense in [
+        "",
+        "-1",
+        "NaN",
+        "inf",
+        "soon",
+        "Wed, 21 Oct 2026 07:28:00 GMT",
+    ] {
+        assert_eq!(away(503, nonsense), None, "{nonsense:?}");
+    }
+    assert!(away(503, "1e300").unwrap() <= Duration::from_secs(3600));
+}
--- a/tests/testsuite/gateway/played_load.rs
+++ b/tests/testsuite/gateway/played_load.rs
@@ -441,16 +441,16 @@
         let load = backends.get("e00").unwrap().load();
         (load.calls, load.kv_tokens, load.unread_before(2))
     };
-    backends.told("a", &load(2, 500), at(0));
-    backends.told("b", &load(3, 700), at(1000));
+    backends.told(&"a".into(), &load(2, 500), at(0));
+    backends.told(&"b".into(), &load(3, 700), at(1000));
     assert_eq!(known(&backends), (5, 50, 1200));
     // A later message replaces the one before; one that does not name the engine says that it has no calls.
-    backends.told("b", &load(1, 100), at(1200));
+    backends.told(&"b".into(), &load(1, 100), at(1200));
     assert_eq!(known(&backends), (3, 30, 600));
     backends.forget_silent(at(2500));
     assert_eq!(known(&backends), (3, 30, 600));
     backends.forget_silent(at(2501));
     assert_eq!(known(&backends), (1, 10, 100));
-    backends.told("b", &HashMap::new(), at(2600));
+    backends.told(&"b".into(), &HashMap::new(), at(2600));
     assert_eq!(known(&backends), (0, 0, 0));
 }
--- a/tests/testsuite/gateway/quota.rs
+++ b/tests/testsuite/gateway/quota.rs
@@ -211,9 +211,10 @@
     let now = Duration::from_secs(1);
     let take = |shares: &mut QuotaShares| shares.take("anna", &QUOTA, 500_000.0, 1, now);
     assert_eq!(take(&mut shares), QuotaDecision::Within);
-    let QuotaDecision::Over(after) = take(&mut shares) else {
+    let QuotaDecision::Over(shortage) = take(&mut shares) else {
         panic!("a customer in debt was served");
     };
+    let after = shortage.retry_after;
     assert!(after >= Duration::from_millis(200) && after <= Duration::from_secs(4));
     // What has not run is given back.
     shares.give_back("anna", 500_000.0);
--- a/tests/testsuite/gateway/rig.rs
+++ b/tests/testsuite/gateway/rig.rs
@@ -4,6 +4,7 @@
 use std::convert::Infallible;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -32,8 +33,12 @@
 pub(super) enum Behaviour {
     /// Answers with a status and a body.
     Answer(u16, &'static str),
+    /// Answers and says that it is leaving.
+    Leave,
     /// Says that it did not run the call.
     Decline,
+    /// Says that it did not run the call, and when to come back, in seconds.
+    TurnAway(f64),
     /// Runs the call and closes the connection without an answer.
     Lose,
     /// Runs the call and says nothing.
@@ -66,6 +71,8 @@
     pub(super) behaviour: Arc<Mutex<Behaviour>>,
     /// Calls whose caller has left before the end.
     pub(super) abandoned: Arc<Mutex<u32>>,
+    /// Calls that were told when to come back.
+    pub(super) turned_away: Arc<Mutex<u32>>,
 }
 
 struct CountAbandoned(Option<Arc<Mutex<u32>>>);
@@ -117,11 +124,13 @@
             seen: Arc::default(),
             behaviour: Arc::new(Mutex::new(behaviour)),
             abandoned: Arc::default(),
+            turned_away: Arc::default(),
         };
         let parts = (
             backend.seen.clone(),
             backend.behaviour.clone(),
             backend.abandoned.clone(),
+            backend.turned_away.clone(),
         );
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -149,11 +158,12 @@
     Arc<Mutex<Vec<Seen>>>,
     Arc<Mutex<Behaviour>>,
     Arc<Mutex<u32>>,
+    Arc<Mutex<u32>>,
 );
 
 async fn answer(
     req: Request<Incoming>,
-    (seen, behaviour, abandoned): Parts,
+    (seen, behaviour, abandoned, turned_away): Parts,
 ) -> Result<Response<Body>, std::io::Error> {
     let (head, body) = req.into_parts();
     let body = body
@@ -168,7 +178,7 @@
     let attempt = header("x-jayhall-attempt-id");
     let after = header("last-event-id").parse().unwrap_or(0);
     let behaviour = behaviour.lock().clone();
-    if !matches!(behaviour, Behaviour::Decline) {
+    if !matches!(behaviour, Behaviour::Decline | Behaviour::TurnAway(_)) {
         seen.lock().push(Seen {
             path: head.uri.to_string(),
             headers: head.headers.clone(),
@@ -186,6 +196,9 @@
             Behaviour::Unsigned => {
                 headers.remove("x-jayhall-response-seal");
             }
+            Behaviour::Leave => {
+                headers.insert("server-leaving", "1".parse().unwrap());
+            }
             Behaviour::Events { .. } => {
                 headers.insert("content-type", "text/event-stream".parse().unwrap());
             }
@@ -195,6 +208,15 @@
     let (status, body) = match behaviour {
         Behaviour::Answer(status, body) => (status, whole(body)),
         Behaviour::AnswerAnother | Behaviour::Unsigned => (200, whole("wrong")),
+        Behaviour::Leave => (200, whole("last")),
+        Behaviour::TurnAway(seconds) => {
+            *turned_away.lock() += 1;
+            let res = Response::builder()
+                .status(503)
+                .header("retry-after", seconds.to_string())
+                .header("x-jayhall-not-executed", "1");
+            return Ok(res.body(whole("")).unwrap());
+        }
         Behaviour::Decline => {
             let res = Response::builder()
                 .status(503)
@@ -258,9 +280,16 @@
     }
 }
 
-fn free_address() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+/// Returns addresses that nothing else in the tests listens at: each node has a loopback address of its own.
+fn free_addresses() -> [SocketAddr; 5] {
+    static NODES: AtomicU32 = AtomicU32::new(0);
+    let [_, _, high, low] = NODES.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    let process = std::process::id() % 250 + 1;
+    let ip = Ipv4Addr::new(127, process as u8, high, low);
+    std::array::from_fn(|_| {
+        let listener = std::net::TcpListener::bind((ip, 0)).unwrap();
+        listener.local_addr().unwrap()
+    })
 }
 
 /// Settings of a gateway whose store and cloud are not reached by address.
@@ -336,9 +365,15 @@
     }
 
     pub(super) async fn node(&self, name: &str) -> Node {
+        self.node_in(name, "z1").await
+    }
+
+    pub(super) async fn node_in(&self, name: &str, zone: &str) -> Node {
         let text = GatewaySettingsText {
             name,
-            listen: std::array::from_fn(|_| free_address()),
+            zone,
+            regions: "z1:r, z2:r, z3:q",
+            listen: free_addresses(),
             bounds: "stop = 4s\nlease = 300ms\nusage_window = 1s\n",
             ..settings_text()
         };
@@ -347,7 +382,7 @@
         let platform = Platform {
             dialect: Arc::new(PlatformDialect),
             store: Arc::clone(&self.store) as _,
-            duties: Arc::clone(&self.duties) as _,
+            duties: Some(Arc::clone(&self.duties) as _),
         };
         let metrics = PrometheusBuilder::new().build_recorder().handle();
         let control = tokio::runtime::Handle::current();
--- a/tests/testsuite/gateway/serving.rs
+++ b/tests/testsuite/gateway/serving.rs
@@ -247,3 +247,69 @@
     }
     assert!(served > 10, "{served}");
 }
+
+#[tokio::test]
+async fn a_back_end_that_says_in_an_answer_that_it_leaves_gets_no_new_call() {
+    let (rig, node, backends) = one_node("plain", &[Behaviour::Leave]).await;
+    let other = rig.node("n2").await;
+    rig.ready(&other).await;
+    // The nodes hear each other, so that one learns what the other was told.
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let res = rig.call(&node, "/once/x", "a1").send().await.unwrap();
+    assert_eq!(header(&res, "server-leaving").as_deref(), Some("1"));
+    assert_eq!(res.text().await.unwrap(), "last");
+    // The registry says that it is ready, again and again.
+    rig.list("b0", "plain", &backends[0], "ready").await;
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    for node in [&node, &other] {
+        let res = rig.call(node, "/once/x", "a2").send().await.unwrap();
+        assert_eq!(res.status(), 503, "{}", node.settings.name);
+    }
+    assert_eq!(backends[0].runs(), 1);
+    // Another start of its process, under the same name, takes calls.
+    let entry = format!(
+        r#"{{"service":"plain","address":"{}","zone":"z1","slots":8,"state":"ready","born":2}}"#,
+        backends[0].address
+    );
+    rig.put("servers/b0", entry).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let res = rig.call(&node, "/once/x", "a3").send().await.unwrap();
+    assert_eq!(res.status(), 200);
+}
+
+#[tokio::test]
+async fn a_back_end_that_says_when_to_come_back_is_left_alone_until_then() {
+    let (rig, node, backends) = one_node("plain", &[Behaviour::TurnAway(1.2)]).await;
+    let started = Instant::now();
+    let mut told = Vec::new();
+    while started.elapsed() < Duration::from_millis(1100) {
+        let res = rig.call(&node, "/once/x", "a1").send().await.unwrap();
+        assert_eq!(res.status(), 503);
+        told.push(header(&res, "retry-after").unwrap().parse::<f64>().unwrap());
+        assert!(res.text().await.unwrap().contains("not_run"));
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert_eq!(*backends[0].turned_away.lock(), 1);
+    // Nobody else is there: callers hear when it takes calls again, within a third of their own time.
+    assert!(
+        told.iter()
+            .all(|after| *after > 0.05 && *after <= 1.4 / 3.0),
+        "{told:?}"
+    );
+    backends[0].set(Behaviour::Answer(200, "done"));
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let res = rig.call(&node, "/once/x", "a2").send().await.unwrap();
+    assert_eq!(res.status(), 200);
+}
+
+#[tokio::test]
+async fn calls_go_elsewhere_while_a_back_end_wants_to_be_left_alone() {
+    let both = [Behaviour::TurnAway(5.0), Behaviour::Answer(200, "done")];
+    let (rig, node, backends) = one_node("plain", &both).await;
+    for at in 0..20 {
+        let attempt = format!("a{at}");
+        let res = rig.call(&node, "/once/x", &attempt).send().await.unwrap();
+        assert_eq!(res.status(), 200);
+    }
+    assert!(*backends[0].turned_away.lock() <= 1);
+}
--- a/tests/testsuite/gateway/snapshots.rs
+++ b/tests/testsuite/gateway/snapshots.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use jayhall::core::gateway::members::{Member, Members};
+use jayhall::core::gateway::members::{Capacity, Member, Members};
 use jayhall::ops::gateway::board::Board;
 use jayhall::ops::gateway::install::{self, Source};
 use jayhall::ops::gateway::snapshot::{self, SnapshotWire};
@@ -140,7 +140,7 @@
     let at = |port: u16| format!("127.0.0.1:{port}").parse().unwrap();
     let mut members = Members::default();
     for (name, port) in [("a", 1), ("b", 2), ("c", 3), ("d", 4)] {
-        members.put(Member {
+        let member = Member {
             name: name.into(),
             region: "r".into(),
             zone: "z1".into(),
@@ -149,7 +149,9 @@
             control: at(port),
             incarnation: 7,
             is_ready: true,
-        });
+            capacity: Capacity::default(),
+        };
+        members.put(member, Duration::ZERO);
     }
     let now = Duration::from_secs(10);
     members.heard("a", 7, true, 90, now);
