Count engines' time by their batch, and ask the store at once where a followed node is silent

A follower asks the store after one failure within 1.5 s; nodes ask each other sooner. Loads that nodes tell touch only the back ends they name; one watcher's followers fetch less often in large zones.

--- a/src/core/gateway/backends.rs
+++ b/src/core/gateway/backends.rs
@@ -201,14 +201,24 @@
     pub has_begun: bool,
 }
 
+/// Calls that a node or an availability zone told of.
+#[derive(Debug, Default)]
+struct ToldLoads {
+    at: Moment,
+    /// Short names of the back ends that have such calls.
+    backends: Vec<u32>,
+}
+
 /// All back ends.
 #[derive(Debug, Default)]
 pub struct Backends {
     entries: HashMap<BackendId, Entry>,
     services: HashMap<ServiceName, Vec<BackendId>>,
     hold_ms: HashMap<ServiceName, f64>,
-    /// When each node last told of its calls.
-    told: HashMap<Origin, Moment>,
+    /// Back ends by their short names.
+    by_short_name: HashMap<u32, BackendId>,
+    /// When others last told of their calls, and at which back ends these are.
+    told: HashMap<Origin, ToldLoads>,
 }
 
 impl Backends {
@@ -232,6 +242,7 @@
         ids.push(backend.id.clone());
         ids.sort_unstable();
         let id = backend.id.clone();
+        self.by_short_name.insert(short_name(&id), id.clone());
         self.entries
             .insert(id, Entry::new(Arc::new(backend), hold_ms));
         true
@@ -332,18 +343,37 @@
     /// Takes what another node told of its calls, or of those of its availability zone, by short names of
     /// back ends. What it does not name has none of these calls.
     pub fn told(&mut self, from: &Origin, loads: &HashMap<u32, Load>, now: Moment) {
-        self.told.insert(from.clone(), now);
-        for entry in self.entries.values_mut() {
-            entry.set_peer(from, loads.get(&short_name(&entry.backend.id)));
+        let told = ToldLoads {
+            at: now,
+            backends: loads.keys().copied().collect(),
+        };
+        let before = self.told.insert(from.clone(), told).unwrap_or_default();
+        for name in before
+            .backends
+            .iter()
+            .filter(|name| !loads.contains_key(name))
+        {
+            self.set_peer(*name, from, None);
+        }
+        for (name, load) in loads {
+            self.set_peer(*name, from, Some(load));
+        }
+    }
+
+    fn set_peer(&mut self, name: u32, from: &Origin, load: Option<&Load>) {
+        let id = self.by_short_name.get(&name);
+        if let Some(entry) = id.and_then(|id| self.entries.get_mut(id)) {
+            entry.set_peer(from, load);
         }
     }
 
     /// Forgets the calls of nodes that have not told of any for long.
     pub fn forget_silent(&mut self, now: Moment) {
-        let is_silent = |at: &mut Moment| now.saturating_sub(*at) > LOAD_MAX_AGE;
-        for (from, _) in self.told.extract_if(|_, at| is_silent(at)) {
-            for entry in self.entries.values_mut() {
-                entry.set_peer(&from, None);
+        let is_silent = |told: &ToldLoads| now.saturating_sub(told.at) > LOAD_MAX_AGE;
+        let silent: Vec<_> = self.told.extract_if(|_, told| is_silent(told)).collect();
+        for (from, told) in silent {
+            for name in told.backends {
+                self.set_peer(name, &from, None);
             }
         }
     }
@@ -425,6 +455,7 @@
         let Some(entry) = self.entries.remove(id) else {
             return;
         };
+        self.by_short_name.remove(&short_name(id));
         if let Some(ids) = self.services.get_mut(&entry.backend.service) {
             ids.retain(|other| **other != *id);
         }
--- a/src/core/gateway/scaling/mod.rs
+++ b/src/core/gateway/scaling/mod.rs
@@ -18,7 +18,7 @@
 /// back and ordered again has lost what it held.
 const NEED_WINDOW: Duration = Duration::from_secs(30);
 /// Part of the most that operators allow which each zone keeps as reclaimable back ends.
-const SPOT_BASE: f64 = 0.75;
+const SPOT_BASE: f64 = 0.6;
 /// Part of its time for which a reclaimable back end is to be busy at most.
 const SPOT_BUSY: f64 = 0.4;
 /// Part of its time for which any back end is to be busy while reclaimable ones cannot be had.
--- a/src/core/gateway/work.rs
+++ b/src/core/gateway/work.rs
@@ -5,6 +5,7 @@
 
 use super::decay::Decaying;
 use super::origin::Origin;
+use super::placement::READ_TOKENS_PER_MS;
 use super::routes::ServiceName;
 use crate::core::time::Moment;
 
@@ -13,6 +14,18 @@
 /// Work that is too little to be told, in milliseconds a second.
 const LEAST_TOLD: f64 = 0.1;
 
+/// Time in which an engine makes one token of each answer in a full batch, with prompts read in between.
+const STEP_MS: f64 = 10.0;
+/// Part of its pace at which an engine reads prompts beside the answers that it makes.
+const READING_PART: f64 = 0.6;
+
+/// Returns the milliseconds of an engine's time that a call takes: reading what its cache lacks of the prompt,
+/// and making the answer among others in a full batch of `slots`.
+pub fn engine_ms(unread: u32, answer_tokens: u32, slots: u32) -> f64 {
+    let answering = f64::from(answer_tokens) * STEP_MS / f64::from(slots.max(1));
+    f64::from(unread) / (READ_TOKENS_PER_MS * READING_PART) + answering
+}
+
 /// Milliseconds of work a second that came in for each service, and what other nodes told of theirs.
 #[derive(Debug, Default)]
 pub struct WorkRates {
--- a/src/ops/gateway/attempt.rs
+++ b/src/ops/gateway/attempt.rs
@@ -14,12 +14,10 @@
 use super::dialect::{AnswerHead, SendHead};
 use super::pool::{BackendPool, Connection, SendError};
 use crate::core::gateway::backends::{CallPlace, Outcome};
-use crate::core::gateway::placement::{READ_TOKENS_PER_MS, RefusalCause};
+use crate::core::gateway::placement::RefusalCause;
+use crate::core::gateway::work::engine_ms;
 use crate::core::verdict::Verdict;
 
-/// Milliseconds of an engine's time for each token of an answer, among others in its batch.
-const WORK_MS_PER_ANSWER_TOKEN: f64 = 0.4;
-
 /// What an attempt needs beside the call.
 pub struct GatewayContext {
     /// What the node knows.
@@ -103,8 +101,7 @@
             .begin(&place, &call.head.parts, u64::from(kv_tokens));
         let work_ms = if call.service.engine.is_some() {
             let answer = call.head.tokens.map_or(0, |(_, answer)| answer);
-            f64::from(place.load.unread) / READ_TOKENS_PER_MS
-                + f64::from(answer) * WORK_MS_PER_ANSWER_TOKEN
+            engine_ms(place.load.unread, answer, place.backend.slots)
         } else {
             0.0
         };
--- a/src/ops/gateway/install.rs
+++ b/src/ops/gateway/install.rs
@@ -114,19 +114,23 @@
         let view = board.view.lock();
         members
             .iter()
-            .map(|member| member.name.clone())
-            .filter(|name| view.get(&keys::node(name)).is_none())
+            .map(|member| &member.name)
             .filter(|name| !members.is_fresh(name, now, HEARD_AGE))
+            .filter(|name| view.get(&keys::node(name)).is_none())
+            .cloned()
             .collect()
     };
+    let gone_any = !gone.is_empty();
     for name in gone {
         members.remove(&name);
         board.quotas.lock().forget(&Origin::Node(name.clone()));
         tracing::info!(node = &*name, "node gone");
     }
-    let zones = members.zones();
-    drop(members);
-    board.quotas.lock().keep_zones(&zones);
+    if gone_any {
+        let zones = members.zones();
+        drop(members);
+        board.quotas.lock().keep_zones(&zones);
+    }
 }
 
 fn forget(board: &Board, key: &str, after_outage: bool) {
--- a/src/ops/gateway/relay.rs
+++ b/src/ops/gateway/relay.rs
@@ -11,12 +11,12 @@
 use crate::core::gateway::members::NodeName;
 use crate::core::time::Moment;
 
-/// Failures one after the other from which on the store is asked.
-const MAX_FAILURES: usize = 2;
 /// Time for which a node holds an answer without changes.
 const WAIT: Duration = Duration::from_millis(1000);
-/// Time between two fetches: changes that come together are told together.
+/// Shortest time between two fetches: changes that come together are told together.
 const GAP: Duration = Duration::from_millis(100);
+/// The same for each node of the zone: one watcher answers them all.
+const GAP_PER_NODE: Duration = Duration::from_millis(6);
 /// Age of the store's last word to the other node from which on it is not followed.
 const MAX_CONTACT_AGE: Duration = Duration::from_millis(3600);
 /// Silence of a node after which it counts as one that does not follow the store.
@@ -46,11 +46,17 @@
         .collect()
 }
 
+/// Returns the time between two fetches.
+fn gap(board: &Board) -> Duration {
+    let members = board.members.lock();
+    let in_zone = members.iter().filter(|m| m.zone == board.settings.zone);
+    GAP.max(GAP_PER_NODE * in_zone.count() as u32)
+}
+
 /// Follows another node for as long as that is this node's part and goes well. Afterwards the store is
-/// to be asked.
+/// to be asked: a second try with a node that does not answer would take longer than changes may.
 pub async fn follow_while_possible(board: &Board, client: &Client) {
-    let mut failures = 0;
-    while failures < MAX_FAILURES {
+    loop {
         let watchers = watchers(board);
         let own = &board.settings.name;
         if watchers.is_empty() || watchers.iter().any(|(name, _)| name == own) {
@@ -60,19 +66,18 @@
         let control = watchers[at].1;
         match snapshot::fetch(board, client, control, WAIT).await {
             Ok(told) if told.contact_age_ms <= MAX_CONTACT_AGE.as_millis() as u64 => {
-                failures = 0;
                 let age = Duration::from_millis(told.contact_age_ms);
                 snapshot::take(board, told, control);
                 board.view.lock().contact = Some(board.now().saturating_sub(age));
-                tokio::time::sleep(GAP).await;
+                tokio::time::sleep(gap(board)).await;
             }
             Ok(told) => {
-                failures += 1;
                 tracing::info!(peer = %control, contact_age_ms = told.contact_age_ms, "the node followed does not reach the store");
+                return;
             }
             Err(e) => {
-                failures += 1;
                 tracing::info!(peer = %control, error = %e, "the node followed does not answer");
+                return;
             }
         }
     }
--- a/src/ops/gateway/snapshot.rs
+++ b/src/ops/gateway/snapshot.rs
@@ -26,9 +26,9 @@
 /// Time after the start at which a node without a configuration asks the nodes that its settings name.
 const ASK_SEEDS_AFTER: Duration = Duration::from_millis(700);
 /// Longest wait for an answer that is given at once.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
+const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
 /// Mean time for which the store's own word is awaited after another node has told of a change.
-const STORE_FIRST: Duration = Duration::from_millis(500);
+const STORE_FIRST: Duration = Duration::from_millis(300);
 /// Nodes that are asked for one change.
 const MAX_ASKED: usize = 3;
 /// Silence of a node after which it is not asked.
--- a/tests/testsuite/gateway/scaling.rs
+++ b/tests/testsuite/gateway/scaling.rs
@@ -5,6 +5,7 @@
 
 use jayhall::core::gateway::routes::ScalingRules;
 use jayhall::core::gateway::scaling::{Order, ServiceScaling, ZoneState};
+use jayhall::core::gateway::work::engine_ms;
 
 /// Time from an order until a back end serves.
 const BOOT: Duration = Duration::from_secs(4);
@@ -266,3 +267,16 @@
     assert!((14..=24).contains(&counts[1]), "{counts:?}");
     assert_eq!((counts[0], counts[2]), (6, 3));
 }
+
+#[test]
+fn engines_with_large_batches_need_less_time_for_an_answer() {
+    // Reading takes the same on all engines.
+    assert_eq!(engine_ms(5_000, 0, 12), engine_ms(5_000, 0, 64));
+    assert!(engine_ms(5_000, 0, 64) > 0.0);
+    // A batch of five times as many answers makes them in a fifth of an engine's time for each.
+    let ratio = engine_ms(0, 400, 12) / engine_ms(0, 400, 60);
+    assert!((ratio - 5.0).abs() < 1e-9, "{ratio}");
+    // A full batch of answers with 100 tokens each takes an engine as long as their steps.
+    let batch: f64 = (0..64).map(|_| engine_ms(0, 100, 64)).sum();
+    assert!((300.0..=1000.0).contains(&batch), "{batch}");
+}
