End stalled streams that send a byte now and then, keep slow ones, bound endless answers

Cause: any bytes of a back end restarted the time after which a stream goes on elsewhere, so that a stalled one that sent a byte now and then never ended before its deadline; and the fixed 1.6 s cut sound streams whose route allows pauses of a second from engines that are twice as slow. Change: the time runs from the last whole event, and is at least twice the pause that the operators want (gapAimMs, decoded in the adapter). An answer that is not a stream is bounded to 8 MB in place of 32 MB, as a VM here has 160 MB. Shown: gateway::streams, both new cases failed before; gateway::serving plays heads, bodies and chunks without end: 502 or 504 within the call's time, may_have_run, connection closed (the bound on bytes was not run against the former 32 MB).

--- a/src/core/gateway/routes.rs
+++ b/src/core/gateway/routes.rs
@@ -64,6 +64,8 @@
     pub timeout: Duration,
     /// Time within which an answer, or its first event, is of full use.
     pub target_latency: Duration,
+    /// Longest pause between two events of a stream that is in time; zero where operators name none.
+    pub target_pause: Duration,
     /// Rank of the work; 0 is the most urgent.
     pub rank: u8,
     /// Services that take the calls; never empty.
--- a/src/ops/gateway/forward.rs
+++ b/src/ops/gateway/forward.rs
@@ -24,7 +24,7 @@
 use crate::core::verdict::Verdict;
 
 /// Largest answer that is not a stream.
-const MAX_ANSWER: usize = 32 * 1024 * 1024;
+const MAX_ANSWER: usize = 8 * 1024 * 1024;
 /// Back ends that could not be reached, after which no more are tried.
 const MAX_UNREACHED: usize = 3;
 /// Longest wait that is of use, as a part of the time within which an answer is of full use.
--- a/src/ops/gateway/stream.rs
+++ b/src/ops/gateway/stream.rs
@@ -23,8 +23,10 @@
 use crate::core::gateway::backends::Outcome;
 use crate::core::gateway::routes::RouteKind;
 
-/// Silence between two events after which a stream that may go on elsewhere does so.
+/// Shortest time without a whole event after which a stream that may go on elsewhere does so.
 const EVENT_TIMEOUT: Duration = Duration::from_millis(1600);
+/// The same as a multiple of the longest pause that operators want: a slow engine is still a sound one.
+const PAUSE_FACTOR: u32 = 2;
 /// Largest event that is put together.
 const MAX_EVENT: usize = 4 * 1024 * 1024;
 
@@ -34,6 +36,8 @@
     connection: Connection,
     running: Running,
     idle_timeout: Option<Duration>,
+    /// When its last whole event came, or its head.
+    heard: Instant,
 }
 
 impl From<Answer> for Source {
@@ -43,6 +47,7 @@
             connection: answer.connection,
             running: answer.running,
             idle_timeout: answer.head.idle_timeout,
+            heard: Instant::now(),
         }
     }
 }
@@ -132,9 +137,10 @@
         let Some(source) = &mut self.source else {
             return Step::Broken("no back end".into());
         };
-        let now = Instant::now();
+        // Bytes that complete no event do not count: a stalled back end may send some now and then.
+        let silence = EVENT_TIMEOUT.max(self.call.route.target_pause * PAUSE_FACTOR);
         let until = match can_go_on {
-            true => deadline.min(now + EVENT_TIMEOUT),
+            true => deadline.min(source.heard + silence),
             false => deadline,
         };
         match tokio::time::timeout_at(until, source.body.frame()).await {
@@ -165,6 +171,7 @@
         }
         if let Some(source) = &mut self.source {
             source.running.begun(Duration::ZERO);
+            source.heard = Instant::now();
         }
         if self.first_at.is_none() {
             self.first_at = Some(self.call.received.elapsed());
@@ -222,6 +229,7 @@
             connection,
             mut running,
             idle_timeout,
+            ..
         }) = self.source.take()
         {
             running.set_outcome(Outcome::Answered);
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -44,6 +44,9 @@
     timeout_ms: f64,
     #[serde(default)]
     target_latency_ms: f64,
+    /// Longest pause between events.
+    #[serde(default)]
+    gap_aim_ms: f64,
     #[serde(default)]
     priority: u8,
     service: Option<Box<str>>,
@@ -214,6 +217,7 @@
             kind,
             timeout: millis(wire.timeout_ms),
             target_latency: millis(wire.target_latency_ms),
+            target_pause: millis(wire.gap_aim_ms),
             rank: wire.priority,
             targets,
             max_backends: wire.max_attempts.max(1),
--- a/tests/testsuite/gateway/decisions.rs
+++ b/tests/testsuite/gateway/decisions.rs
@@ -22,6 +22,7 @@
         kind: RouteKind::Idempotent,
         timeout: Duration::from_secs(1),
         target_latency: Duration::from_millis(300),
+        target_pause: Duration::ZERO,
         rank: 0,
         targets: weights.iter().map(target).collect(),
         max_backends: 2,
--- a/tests/testsuite/gateway/rig.rs
+++ b/tests/testsuite/gateway/rig.rs
@@ -35,6 +35,15 @@
     Answer(u16, &'static str),
     /// Answers and says that it is leaving.
     Leave,
+    /// Sends events `1..=2`, then bytes of a third one now and then, without end.
+    Trickle,
+    /// Sends events `1..=to`, each so many milliseconds after the one before.
+    Slow {
+        /// Number of the last event.
+        to: u64,
+        /// Time between two events.
+        pause_ms: u64,
+    },
     /// Says that it did not run the call.
     Decline,
     /// Says that it did not run the call, and when to come back, in seconds.
@@ -116,6 +125,24 @@
     BodyExt::boxed_unsync(StreamBody::new(frames.boxed()))
 }
 
+/// Events `1..=to` with a pause before each. Then, with `trickles`, a byte each 300 ms; else the end.
+fn paced(to: u64, pause_ms: u64, trickles: bool) -> Body {
+    let frames = stream::unfold(1_u64, move |id| async move {
+        let is_event = id <= to;
+        if !is_event && !trickles {
+            return None;
+        }
+        let pause = if is_event { pause_ms } else { 300 };
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+        let text = match is_event {
+            true => format!("id: {id}\ndata: piece {id}\n\n"),
+            false => "x".into(),
+        };
+        Some((Ok(Frame::data(Bytes::from(text))), id + 1))
+    });
+    BodyExt::boxed_unsync(StreamBody::new(frames.boxed()))
+}
+
 impl FakeBackend {
     pub(super) async fn spawn(behaviour: Behaviour) -> Self {
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -199,7 +226,7 @@
             Behaviour::Leave => {
                 headers.insert("server-leaving", "1".parse().unwrap());
             }
-            Behaviour::Events { .. } => {
+            Behaviour::Events { .. } | Behaviour::Trickle | Behaviour::Slow { .. } => {
                 headers.insert("content-type", "text/event-stream".parse().unwrap());
             }
             _ => {}
@@ -230,6 +257,8 @@
             unreachable!()
         }
         Behaviour::Events { to, ends } => (200, events(after, to, ends, abandoned)),
+        Behaviour::Trickle => (200, paced(2, 20, true)),
+        Behaviour::Slow { to, pause_ms } => (200, paced(to, pause_ms, false)),
     };
     Ok(res
         .status(StatusCode::from_u16(status).unwrap())
@@ -307,8 +336,8 @@
     }
 }
 
-/// Routes of the rig: `/get/` is idempotent, `/once/` runs at most once, `/stream/` and `/resume/` are
-/// streams.
+/// Routes of the rig: `/get/` is idempotent, `/once/` runs at most once, `/stream/`, `/resume/` and `/long/`
+/// are streams.
 pub(super) fn config(version: u64) -> String {
     let route = |prefix: &str, kind: &str, service: &str, resume: bool| {
         format!(
@@ -320,6 +349,9 @@
         route("once", "unsafe", "plain", false),
         route("stream", "streaming", "llm", false),
         route("resume", "streaming", "llm", true),
+        route("long", "streaming", "llm", true)
+            .replace("1500", "8000")
+            .replace("\"service\"", "\"gapAimMs\":1000,\"service\""),
     ];
     format!(
         r#"{{"version":{version},"routes":[{}],"services":[{{"name":"plain"}},{{"name":"llm","engine":{{"slots":8,"kvCapacity":100000}}}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"anna","apiKeys":["k1"]}}]}}"#,
--- a/tests/testsuite/gateway/serving.rs
+++ b/tests/testsuite/gateway/serving.rs
@@ -1,7 +1,11 @@
 //! Calls whose answers are not streams, through a running gateway.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use parking_lot::Mutex;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
 use super::rig::{Behaviour, FakeBackend, config, header, one_node, text, total_runs};
 
 #[tokio::test]
@@ -313,3 +317,63 @@
     }
     assert!(*backends[0].turned_away.lock() <= 1);
 }
+
+/// Answers every connection with a start and then bytes without end, until the other side closes. Returns
+/// its address and how many bytes it could send on closed connections.
+async fn endless(start: &'static str) -> (std::net::SocketAddr, Arc<Mutex<Vec<usize>>>) {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let closed: Arc<Mutex<Vec<usize>>> = Arc::default();
+    let noted = Arc::clone(&closed);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let noted = Arc::clone(&noted);
+            tokio::spawn(async move {
+                let mut buf = [0; 4096];
+                let read = stream.read(&mut buf).await.unwrap_or(0);
+                let request = String::from_utf8_lossy(&buf[..read]).into_owned();
+                let attempt = request
+                    .lines()
+                    .find_map(|line| line.strip_prefix("x-jayhall-attempt-id: "))
+                    .unwrap_or_default();
+                let start = start.replace("ATTEMPT", attempt);
+                let mut sent = 0;
+                let mut next = start.into_bytes();
+                while stream.write_all(&next).await.is_ok() {
+                    sent += next.len();
+                    next = vec![b'x'; 16 * 1024];
+                }
+                noted.lock().push(sent);
+            });
+        }
+    });
+    (address, closed)
+}
+
+#[tokio::test]
+async fn bytes_without_end_take_bounded_memory_and_are_no_answer() {
+    const BODY: &str =
+        "HTTP/1.1 200 OK\r\nx-jayhall-attempt-id: ATTEMPT\r\nx-jayhall-response-seal: s\r\n\r\n";
+    const CHUNK: &str = "HTTP/1.1 200 OK\r\nx-jayhall-attempt-id: ATTEMPT\r\nx-jayhall-response-seal: s\r\n\
+        transfer-encoding: chunked\r\n\r\nfffffffff\r\n";
+    let starts = ["HTTP/1.1 200 OK\r\nx-a: ", "", BODY, CHUNK];
+    for start in starts {
+        let (rig, node, _backends) = one_node("plain", &[]).await;
+        let (address, closed) = endless(start).await;
+        let entry = format!(
+            r#"{{"service":"plain","address":"{address}","zone":"z1","slots":8,"state":"ready","born":1}}"#
+        );
+        rig.put("servers/b0", entry).await;
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let started = Instant::now();
+        let res = rig.call(&node, "/once/x", "a1").send().await.unwrap();
+        assert!([502, 504].contains(&res.status().as_u16()), "{start:?}");
+        assert!(res.text().await.unwrap().contains("may_have_run"));
+        assert!(started.elapsed() < Duration::from_millis(1500), "{start:?}");
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let sent = closed.lock().clone();
+        // What the sockets buffer comes on top of what the node read.
+        assert_eq!(sent.len(), 1, "{start:?}: the connection is still open");
+        assert!(sent[0] < 24 * 1024 * 1024, "{start:?}: {} bytes", sent[0]);
+    }
+}
--- a/tests/testsuite/gateway/streams.rs
+++ b/tests/testsuite/gateway/streams.rs
@@ -1,10 +1,11 @@
 //! Streams of events through a running gateway.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures::StreamExt;
+use hyper::HeaderMap;
 
-use super::rig::{Behaviour, FakeBackend, one_node, total_runs};
+use super::rig::{Behaviour, FakeBackend, Node, Rig, one_node, total_runs};
 
 const WHOLE: Behaviour = Behaviour::Events { to: 6, ends: true };
 const BROKEN: Behaviour = Behaviour::Events { to: 3, ends: false };
@@ -145,3 +146,44 @@
     assert_eq!(read(res).await, (events(1, 6), true));
     assert_eq!(total_runs(&others) + total_runs(&backends), 3);
 }
+
+/// A call whose caller waits for eight seconds.
+fn long_call(rig: &Rig, node: &Node) -> reqwest::RequestBuilder {
+    let deadline = (
+        "x-jayhall-deadline-ms".parse().unwrap(),
+        "8000".parse().unwrap(),
+    );
+    let headers = HeaderMap::from_iter([deadline]);
+    rig.call(node, "/long/x", "a1").headers(headers)
+}
+
+#[tokio::test]
+async fn a_stalled_stream_that_sends_a_byte_now_and_then_goes_on_elsewhere() {
+    let stalled = [Behaviour::Trickle, Behaviour::Trickle];
+    let (rig, node, backends) = one_node("llm", &stalled).await;
+    let res = long_call(&rig, &node).send();
+    let started = Instant::now();
+    let res = res.await.unwrap();
+    for backend in backends.iter().filter(|backend| backend.runs() == 0) {
+        backend.set(WHOLE);
+    }
+    assert_eq!(read(res).await, (events(1, 6), true));
+    assert!(
+        started.elapsed() < Duration::from_millis(4000),
+        "{:?}",
+        started.elapsed()
+    );
+    assert_eq!(total_runs(&backends), 2);
+}
+
+#[tokio::test]
+async fn a_slow_stream_that_goes_on_is_not_cut() {
+    let slow = Behaviour::Slow {
+        to: 3,
+        pause_ms: 1800,
+    };
+    let (rig, node, backends) = one_node("llm", &[slow.clone(), slow]).await;
+    let res = long_call(&rig, &node).send().await;
+    assert_eq!(read(res.unwrap()).await, (events(1, 3), true));
+    assert_eq!(total_runs(&backends), 1);
+}
