Follow a watcher only while the store's word to it is fresh

Change: watches are answered each second, followers look each 0.6 s and leave a watcher whose last word is older than 1.6 s.

--- a/src/ops/gateway/relay.rs
+++ b/src/ops/gateway/relay.rs
@@ -12,13 +12,14 @@
 use crate::core::time::Moment;
 
 /// Time for which a node holds an answer without changes.
-const WAIT: Duration = Duration::from_millis(1000);
+const WAIT: Duration = Duration::from_millis(600);
 /// Shortest time between two fetches: changes that come together are told together.
 const GAP: Duration = Duration::from_millis(100);
 /// The same for each node of the zone: one watcher answers them all.
 const GAP_PER_NODE: Duration = Duration::from_millis(6);
-/// Age of the store's last word to the other node from which on it is not followed.
-const MAX_CONTACT_AGE: Duration = Duration::from_millis(3600);
+/// Age of the store's last word to the other node from which on it is not followed. The store may turn away all
+/// nodes that watch it, and changes must be in force on the others all the same.
+const MAX_CONTACT_AGE: Duration = Duration::from_millis(1600);
 /// Silence of a node after which it counts as one that does not follow the store.
 const SILENCE: Moment = Moment::from_millis(2000);
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -22,7 +22,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time for which the store holds a watch without events. It bounds how long a connection that fell
 /// silent goes unnoticed.
-const WATCH_WAIT: Duration = Duration::from_millis(2000);
+const WATCH_WAIT: Duration = Duration::from_millis(1000);
 /// Time between two polls of a watch: changes that come together are fetched by one call.
 const POLL_GAP: Duration = Duration::from_millis(300);
 /// Time that a watch's answer may take beyond [`WATCH_WAIT`].
