--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod rig;
 mod scaling;
 mod serving;
+mod silent_store;
 mod snapshots;
 mod streams;
 mod template;
--- a/tests/testsuite/gateway/rig.rs
+++ b/tests/testsuite/gateway/rig.rs
@@ -401,6 +401,12 @@
     }
 
     pub(super) async fn node_in(&self, name: &str, zone: &str) -> Node {
+        let store = Arc::clone(&self.store);
+        self.node_over(name, zone, store).await
+    }
+
+    /// Starts a node that reaches the rig's store through another one.
+    pub(super) async fn node_over(&self, name: &str, zone: &str, store: Arc<dyn Store>) -> Node {
         let text = GatewaySettingsText {
             name,
             zone,
@@ -413,7 +419,7 @@
         let settings = GatewaySettings::parse(&text).unwrap();
         let platform = Platform {
             dialect: Arc::new(PlatformDialect),
-            store: Arc::clone(&self.store) as _,
+            store,
             duties: Some(Arc::clone(&self.duties) as _),
         };
         let metrics = PrometheusBuilder::new().build_recorder().handle();
