--- a/src/core/gateway/backends.rs
+++ b/src/core/gateway/backends.rs
@@ -95,6 +95,8 @@
     backoff_until: Moment,
     /// End of the pause that it asked for.
     paused_until: Moment,
+    /// When this node last assigned a call to it.
+    last_call: Option<Moment>,
     /// When this node learned, from an answer of the back end or from another node, that it is leaving.
     leaving_since: Option<Moment>,
 }
@@ -114,6 +116,7 @@
             failures: 0,
             backoff_until: Moment::ZERO,
             paused_until: Moment::ZERO,
+            last_call: None,
             leaving_since: None,
         }
     }
@@ -166,6 +169,11 @@
         (!self.is_leaving() && !left.is_zero()).then_some(left)
     }
 
+    /// Returns the time since this node last assigned a call to it, or `None` if it never did.
+    pub fn since_last_call(&self, now: Moment) -> Option<Duration> {
+        self.last_call.map(|at| now.saturating_sub(at))
+    }
+
     /// Returns whether it may be gone: its last call failed to reach it, or it is no longer listed.
     pub fn is_suspect(&self) -> bool {
         self.failures > 0 || self.listing != Listing::Listed
@@ -201,6 +209,15 @@
     pub has_begun: bool,
 }
 
+/// A back end that [`Backends::expire`] has removed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Gone {
+    /// The back end.
+    pub id: BackendId,
+    /// Time since this node last assigned a call to it.
+    pub since_last_call: Option<Duration>,
+}
+
 /// The last load report of a node or an availability zone.
 #[derive(Debug, Default)]
 struct LoadReport {
@@ -260,16 +277,19 @@
         }
     }
 
-    /// Removes unlisted back ends whose time has come. Returns their names.
-    pub fn expire(&mut self, now: Moment) -> Vec<BackendId> {
-        let gone: Vec<BackendId> = self
+    /// Removes unlisted back ends whose time has come, and returns them.
+    pub fn expire(&mut self, now: Moment) -> Vec<Gone> {
+        let gone: Vec<Gone> = self
             .entries
             .values()
             .filter(|entry| matches!(entry.listing, Listing::Unlisted(at) if at <= now))
-            .map(|entry| entry.backend.id.clone())
+            .map(|entry| Gone {
+                id: entry.backend.id.clone(),
+                since_last_call: entry.since_last_call(now),
+            })
             .collect();
-        for id in &gone {
-            self.remove(id);
+        for gone in &gone {
+            self.remove(&gone.id);
         }
         gone
     }
@@ -289,10 +309,17 @@
     }
 
     /// Adds a call to the load and the prompt cache of its back end.
-    pub fn begin(&mut self, place: &CallPlace, parts: &[super::cache::Part], cache_tokens: u64) {
+    pub fn begin(
+        &mut self,
+        place: &CallPlace,
+        parts: &[super::cache::Part],
+        cache_tokens: u64,
+        now: Moment,
+    ) {
         let Some(entry) = self.same_process(&place.backend) else {
             return;
         };
+        entry.last_call = Some(now);
         let load = &mut entry.own;
         load.calls += 1;
         load.waiting[place.load.rank] += 1;
--- a/src/ops/gateway/attempt.rs
+++ b/src/ops/gateway/attempt.rs
@@ -96,10 +96,11 @@
     ) -> Self {
         let state = &cx.state;
         let kv_tokens = call.service.engine.map_or(0, |engine| engine.kv_tokens);
+        let now = state.now();
         state
             .backends
             .lock()
-            .begin(&place, &call.head.parts, u64::from(kv_tokens));
+            .begin(&place, &call.head.parts, u64::from(kv_tokens), now);
         let work_ms = if call.service.engine.is_some() {
             let answer_tokens = call
                 .head
@@ -109,7 +110,6 @@
         } else {
             0.0
         };
-        let now = state.now();
         state.work.lock().add(&call.service.name, work_ms, now);
         Self {
             cx: Arc::clone(cx),
--- a/src/ops/gateway/follow_store.rs
+++ b/src/ops/gateway/follow_store.rs
@@ -126,7 +126,7 @@
                 revision,
                 is_doubtful: after_outage,
             };
-            install::delete(state, deletion);
+            install::delete(state, deletion, Source::Store);
         }
         WatchEvent::Started { revision } => state.set_revision(revision),
     }
--- a/src/ops/gateway/install.rs
+++ b/src/ops/gateway/install.rs
@@ -42,7 +42,7 @@
     if key == state.dialect.config_key() {
         install_table(state, item, source);
     } else if let Some(id) = key.strip_prefix(state.dialect.backend_prefix()) {
-        install_backend(state, id, item);
+        install_backend(state, id, item, source);
     } else if let Some(name) = key.strip_prefix(keys::NODES) {
         match node_wire::decode(&item.value) {
             Ok(member) => {
@@ -60,10 +60,9 @@
 }
 
 /// Applies a deletion.
-pub fn delete(state: &GatewayState, deletion: Deletion) {
-    let (key, is_doubtful) = (deletion.key.clone(), deletion.is_doubtful);
-    if state.view.lock().delete(deletion) {
-        handle_deletion(state, &key, is_doubtful);
+pub fn delete(state: &GatewayState, deletion: Deletion, source: Source) {
+    if state.view.lock().delete(deletion.clone()) {
+        handle_deletion(state, &deletion, source);
     }
 }
 
@@ -96,7 +95,7 @@
             revision: revision + 1,
             is_doubtful: true,
         };
-        delete(state, deletion);
+        delete(state, deletion, source);
     }
     state.view.lock().compact_deletions(revision);
     state.set_revision(revision);
@@ -111,8 +110,12 @@
 /// sent a message lately.
 pub fn expire(state: &GatewayState) {
     let now = state.now();
-    for id in state.backends.lock().expire(now) {
-        tracing::info!(backend = &*id, "back end gone");
+    for gone in state.backends.lock().expire(now) {
+        tracing::info!(
+            backend = &*gone.id,
+            last_call_ms = gone.since_last_call.map(millis),
+            "back end gone"
+        );
     }
     let mut members = state.members.lock();
     let removed: Vec<_> = {
@@ -138,19 +141,24 @@
     }
 }
 
-fn handle_deletion(state: &GatewayState, key: &str, after_outage: bool) {
-    if let Some(id) = key.strip_prefix(state.dialect.backend_prefix()) {
-        let grace = match after_outage {
+fn handle_deletion(state: &GatewayState, deletion: &Deletion, source: Source) {
+    if let Some(id) = deletion.key.strip_prefix(state.dialect.backend_prefix()) {
+        let grace = match deletion.is_doubtful {
             true => {
                 REREGISTRATION_GRACE.min(state.settings.bounds.drain.mul_f64(MAX_GRACE_DRAIN_SHARE))
             }
             false => Duration::ZERO,
         };
-        let gone_at = state.now() + grace;
-        state.backends.lock().unlist(id, gone_at);
+        let now = state.now();
+        state.backends.lock().unlist(id, now + grace);
         tracing::info!(
             backend = id,
-            grace_ms = grace.as_millis() as u64,
+            revision = deletion.revision,
+            ?source,
+            view_age_ms = millis(state.view_age()),
+            is_doubtful = deletion.is_doubtful,
+            grace_ms = millis(grace),
+            last_call_ms = last_call_ms(state, id, now),
             "back end no longer listed"
         );
     }
@@ -192,14 +200,24 @@
     }
 }
 
-fn install_backend(state: &GatewayState, id: &str, item: &KeyValue) {
+fn install_backend(state: &GatewayState, id: &str, item: &KeyValue, source: Source) {
     match state.dialect.decode_backend(id, &item.value) {
         Ok(backend) => {
             let leaving = backend.is_leaving;
             let (address, service) = (backend.address, backend.service.clone());
             let changed = state.backends.lock().put(backend);
             if changed {
-                tracing::info!(backend = id, service = &*service, %address, leaving, revision = item.mod_revision, "back end listed");
+                tracing::info!(
+                    backend = id,
+                    service = &*service,
+                    %address,
+                    leaving,
+                    revision = item.mod_revision,
+                    ?source,
+                    view_age_ms = millis(state.view_age()),
+                    last_call_ms = last_call_ms(state, id, state.now()),
+                    "back end listed"
+                );
             }
         }
         Err(e) => {
@@ -218,3 +236,13 @@
         }
     }
 }
+
+/// Returns the time since this node last assigned a call to a back end, in milliseconds.
+fn last_call_ms(state: &GatewayState, id: &str, now: Moment) -> Option<u64> {
+    let backends = state.backends.lock();
+    backends.get(id)?.since_last_call(now).map(millis)
+}
+
+fn millis(duration: Duration) -> u64 {
+    duration.as_millis() as u64
+}
--- a/src/ops/gateway/record.rs
+++ b/src/ops/gateway/record.rs
@@ -72,12 +72,6 @@
     FAILED_LINES.admit(state.now().as_secs(), MAX_FAILED_LINES_PER_S)
 }
 
-/// Time since the last contact with the store, in milliseconds.
-fn store_age_ms(state: &GatewayState) -> u64 {
-    let last_contact = state.view.lock().last_contact.unwrap_or_default();
-    state.now().saturating_sub(last_contact).as_millis() as u64
-}
-
 /// Records a call that was refused while its head or body was read.
 pub fn refused_while_reading(state: &GatewayState, attempt: &str, refusal: &Refusal) {
     metrics::counter!("jayhall_gateway_refusals", "cause" => refusal.cause.as_str()).increment(1);
@@ -89,7 +83,7 @@
             verdict = refusal.verdict.as_str(),
             retry_after_ms = refusal.retry_after.map(millis),
             config = state.table().map_or(0, |table| table.version),
-            store_age_ms = store_age_ms(state),
+            store_age_ms = millis(state.view_age()),
             left_out,
             "call refused"
         );
@@ -221,7 +215,7 @@
         retry_after_ms = retry_after.map(millis),
         last_event,
         config = call.config_version,
-        store_age_ms = store_age_ms(state),
+        store_age_ms = millis(state.view_age()),
         left_out,
         "call ended"
     );
--- a/src/ops/gateway/snapshot.rs
+++ b/src/ops/gateway/snapshot.rs
@@ -294,7 +294,7 @@
             install::put(state, item, Source::Peer);
         }
         for deletion in snapshot.deletions {
-            install::delete(state, deletion.into());
+            install::delete(state, deletion.into(), Source::Peer);
         }
         state.set_revision(revision);
     }
--- a/src/ops/gateway/state.rs
+++ b/src/ops/gateway/state.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
+use std::time::Duration;
 
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::watch;
@@ -185,6 +186,12 @@
             .send_if_modified(|known| std::mem::replace(known, revision.max(*known)) < revision);
     }
 
+    /// Returns the time since the view was last known to be complete.
+    pub fn view_age(&self) -> Duration {
+        let last_contact = self.view.lock().last_contact.unwrap_or_default();
+        self.now().saturating_sub(last_contact)
+    }
+
     /// Returns the number of known nodes.
     pub fn node_count(&self) -> usize {
         self.members.lock().count()
--- a/tests/testsuite/gateway/placement.rs
+++ b/tests/testsuite/gateway/placement.rs
@@ -152,7 +152,7 @@
                         .cache
                         .cached_tokens(parts);
                     let unread = parts.iter().map(|part| part.tokens).sum::<u32>() - cached;
-                    backends.begin(&place, parts, u64::from(ENGINE.kv_tokens));
+                    backends.begin(&place, parts, u64::from(ENGINE.kv_tokens), now);
                     let engine = engines.entry(place.backend.id.clone()).or_default();
                     engine.waiting.push(PendingPrompt {
                         rank: *rank,
@@ -328,7 +328,7 @@
     let Placement::Send { place: first, .. } = place(&backends, 0) else {
         panic!("refused by an idle engine");
     };
-    backends.begin(&first, &parts, 1000);
+    backends.begin(&first, &parts, 1000, Duration::ZERO);
     backends.end(&first, Outcome::Unreachable, Duration::ZERO, Duration::ZERO);
     let is_refused = |placement| {
         matches!(
@@ -421,7 +421,7 @@
             found += shared.tokens;
         }
         cache.use_part(parts[1], call, capacity);
-        node_views[node].begin(&place, &parts, 1000);
+        node_views[node].begin(&place, &parts, 1000, now);
         node_views[node].end(&place, Outcome::Answered, Duration::ZERO, Duration::ZERO);
     }
     f64::from(found) / f64::from(requested)
