Reproduce DRAIN: four tests of departed back ends that fail

Callers' calls reach back ends that have left up to 3.27 s before, on nodes that reach the store (2.5 s allowed). The tests play a compaction that hides a departure, an outage of one watcher alone, a listing without a back end, and a listing older than the view.

--- /dev/null
+++ b/tests/testsuite/gateway/departed_backends.rs
@@ -0,0 +1,336 @@
+//! Back ends that have left the registry: how long nodes go on sending calls to them.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use futures::StreamExt;
+use futures::future::BoxFuture;
+use futures::stream;
+use jayhall::core::gateway::backends::Backend;
+use jayhall::ops::gateway::install::{self, Source};
+use jayhall::ops::gateway::snapshot::{self, SnapshotWire};
+use jayhall::ops::gateway::state::GatewayState;
+use jayhall::platform::PlatformDialect;
+use jayhall::sources::store::{
+    KeyValue, LeaseGrant, LeaseId, MemoryStore, RangeReply, RangeRequest, Result, Revision, Store,
+    StoreError, Transaction, TransactionReply, WatchEvent, WatchRequest, WatchStream,
+};
+use jayhall::util::settings::GatewaySettings;
+use jayhall_harness::GatewaySettingsText;
+use prost::Message;
+use tokio::sync::watch;
+
+use super::fixture::{Behaviour, FakeBackend, Fixture, Node, config, default_settings};
+
+/// Time after a back end's departure within which it still receives calls; the default of the settings.
+const DRAIN: Duration = Duration::from_millis(2500);
+/// Time from the start of the nodes until their roles as watcher and follower have settled.
+const SETTLING_TIME: Duration = Duration::from_secs(4);
+/// Delay of changes in a watch, like the pause with which the platform's client collects changes.
+const WATCH_DELAY: Duration = Duration::from_millis(300);
+/// Interval between progress events of a watch without changes.
+const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What watches of a [`WatchedStore`] deliver.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Watches {
+    /// All changes.
+    Complete,
+    /// Nothing; other calls are answered.
+    Silent,
+    /// Nothing, and other calls are not answered either.
+    Unresponsive,
+    /// The store has compacted its history: revisions before this one are gone.
+    Compacted(Revision),
+}
+
+/// Wrapper of the fixture's store for one node, with faults. Like the platform's store, it confirms a revision
+/// only after the changes up to it.
+struct WatchedStore {
+    inner: Arc<MemoryStore>,
+    watches: watch::Receiver<Watches>,
+}
+
+impl WatchedStore {
+    async fn call<T>(&self, call: BoxFuture<'_, Result<T>>) -> Result<T> {
+        let mut watches = self.watches.clone();
+        let answers = watches.wait_for(|watches| *watches != Watches::Unresponsive);
+        answers.await.map(drop).expect("the test goes on");
+        call.await
+    }
+}
+
+impl Store for WatchedStore {
+    fn range(&self, req: RangeRequest) -> BoxFuture<'_, Result<RangeReply>> {
+        Box::pin(self.call(self.inner.range(req)))
+    }
+
+    fn transact(&self, req: Transaction) -> BoxFuture<'_, Result<TransactionReply>> {
+        Box::pin(self.call(self.inner.transact(req)))
+    }
+
+    fn grant_lease(&self, ttl: Duration) -> BoxFuture<'_, Result<LeaseGrant>> {
+        Box::pin(self.call(self.inner.grant_lease(ttl)))
+    }
+
+    fn keep_alive(&self, lease: LeaseId) -> BoxFuture<'_, Result<LeaseGrant>> {
+        Box::pin(self.call(self.inner.keep_alive(lease)))
+    }
+
+    fn revoke(&self, lease: LeaseId) -> BoxFuture<'_, Result<()>> {
+        Box::pin(self.call(self.inner.revoke(lease)))
+    }
+
+    fn watch(&self, req: WatchRequest) -> BoxFuture<'_, Result<WatchStream>> {
+        Box::pin(async move {
+            let from = req.from.unwrap_or_default();
+            let changes = self.call(self.inner.watch(req)).await?;
+            let events = stream::select(confirmed(changes), progress());
+            let watches = self.watches.clone();
+            let events = events.then(move |event| {
+                let mut watches = watches.clone();
+                async move {
+                    let answers =
+                        |state: &Watches| !matches!(state, Watches::Silent | Watches::Unresponsive);
+                    if !matches!(event, Ok(WatchEvent::Started { .. })) {
+                        tokio::time::sleep(WATCH_DELAY).await;
+                    }
+                    let state = *watches.wait_for(answers).await.expect("the test goes on");
+                    match state {
+                        Watches::Compacted(first) if from < first => {
+                            Err(StoreError::Compacted { revision: first })
+                        }
+                        _ => event,
+                    }
+                }
+            });
+            Ok(events.boxed())
+        })
+    }
+}
+
+/// Adds a progress event after each change.
+fn confirmed(changes: WatchStream) -> WatchStream {
+    let with_progress = |event: Result<WatchEvent>| {
+        let revision = match &event {
+            Ok(WatchEvent::Put(item)) => Some(item.mod_revision),
+            Ok(WatchEvent::Deleted { revision, .. }) => Some(*revision),
+            // The in-memory store sends its own progress event before the changes.
+            Ok(WatchEvent::Started { .. }) => return stream::iter(Vec::new()),
+            Err(_) => None,
+        };
+        let progress = revision.map(|revision| Ok(WatchEvent::Started { revision }));
+        stream::iter(
+            [Some(event), progress]
+                .into_iter()
+                .flatten()
+                .collect::<Vec<_>>(),
+        )
+    };
+    changes.flat_map(with_progress).boxed()
+}
+
+/// Returns progress events without a revision, one in each [`PROGRESS_INTERVAL`].
+fn progress() -> WatchStream {
+    let first = tokio::time::Instant::now() + PROGRESS_INTERVAL;
+    let interval = tokio::time::interval_at(first, PROGRESS_INTERVAL);
+    let events = stream::unfold(interval, |mut interval| async move {
+        interval.tick().await;
+        Some((Ok(WatchEvent::Started { revision: 0 }), interval))
+    });
+    events.boxed()
+}
+
+/// Two nodes of one zone and one of another with a single back end. `follower` gets its changes from `watcher`.
+struct Fleet {
+    fixture: Fixture,
+    backend: FakeBackend,
+    follower: Node,
+    watcher: Node,
+    other_zone: Node,
+    /// Faults of the store as the watcher sees it.
+    to_watcher: watch::Sender<Watches>,
+    /// Faults of the store as the other nodes see it.
+    to_others: watch::Sender<Watches>,
+}
+
+impl Fleet {
+    async fn start() -> Self {
+        let fixture = Fixture::new();
+        fixture.put("op/config", config(1)).await;
+        let backend = FakeBackend::spawn(Behaviour::Answer(200, "done")).await;
+        fixture.list_backend("b0", "plain", &backend, "ready").await;
+        let (to_watcher, _) = watch::channel(Watches::Complete);
+        let (to_others, _) = watch::channel(Watches::Complete);
+        let store = |faults: &watch::Sender<Watches>| {
+            Arc::new(WatchedStore {
+                inner: Arc::clone(&fixture.store),
+                watches: faults.subscribe(),
+            })
+        };
+        // Of a zone's nodes, the one with the second name watches the store if there are other zones.
+        let follower = fixture.node_with_store("n1", "z1", store(&to_others)).await;
+        let watcher = fixture
+            .node_with_store("n2", "z1", store(&to_watcher))
+            .await;
+        let other_zone = fixture.node_with_store("n3", "z2", store(&to_others)).await;
+        for node in [&follower, &watcher, &other_zone] {
+            fixture.ready(node).await;
+        }
+        tokio::time::sleep(SETTLING_TIME).await;
+        Self {
+            fixture,
+            backend,
+            follower,
+            watcher,
+            other_zone,
+            to_watcher,
+            to_others,
+        }
+    }
+
+    /// Removes the back end from the registry. Calls are sent to all nodes for the time `observed`; returns for
+    /// each node how long after the removal the back end still ran one of them.
+    async fn calls_after_departure(&self, observed: Duration) -> Vec<(&'static str, Duration)> {
+        self.fixture.remove("servers/b0").await;
+        let departed = Instant::now();
+        let mut last_runs = vec![
+            ("follower", Duration::ZERO),
+            ("watcher", Duration::ZERO),
+            ("other zone", Duration::ZERO),
+        ];
+        let mut number = 0;
+        while departed.elapsed() < observed {
+            let nodes = [&self.follower, &self.watcher, &self.other_zone];
+            for (node, (_, last_run)) in nodes.into_iter().zip(&mut last_runs) {
+                let runs = self.backend.runs();
+                number += 1;
+                let call = self.fixture.call(node, "/get/x", &format!("a{number}"));
+                call.send().await.unwrap();
+                if self.backend.runs() > runs {
+                    *last_run = departed.elapsed();
+                }
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        last_runs
+    }
+}
+
+fn assert_within_drain(last_runs: &[(&'static str, Duration)]) {
+    for (node, after) in last_runs {
+        assert!(
+            *after <= DRAIN,
+            "{node} sent a call {after:?} after the departure; all: {last_runs:?}"
+        );
+    }
+}
+
+#[tokio::test]
+async fn a_departure_hidden_by_a_compaction_ends_calls_within_the_drain_time() {
+    let fleet = Fleet::start().await;
+    for store in [&fleet.to_watcher, &fleet.to_others] {
+        store.send_replace(Watches::Silent);
+    }
+    let (to_watcher, to_others) = (fleet.to_watcher.clone(), fleet.to_others.clone());
+    tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        for store in [to_watcher, to_others] {
+            store.send_replace(Watches::Compacted(Revision::MAX));
+            // The store answers watches again that begin after its listing.
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            store.send_replace(Watches::Complete);
+        }
+    });
+    assert_within_drain(&fleet.calls_after_departure(DRAIN * 2).await);
+}
+
+#[tokio::test]
+async fn an_outage_of_one_watcher_alone_does_not_delay_departures_on_its_followers() {
+    let fleet = Fleet::start().await;
+    fleet.to_watcher.send_replace(Watches::Unresponsive);
+    tokio::time::sleep(Duration::from_millis(4500)).await;
+    fleet.to_watcher.send_replace(Watches::Complete);
+    // The follower follows the watcher again.
+    tokio::time::sleep(Duration::from_millis(1200)).await;
+    assert_within_drain(&fleet.calls_after_departure(DRAIN * 2).await);
+}
+
+fn state(name: &str) -> Arc<GatewayState> {
+    let text = GatewaySettingsText {
+        name,
+        ..default_settings()
+    };
+    GatewayState::new(
+        GatewaySettings::parse(&text.render()).unwrap(),
+        Arc::new(PlatformDialect),
+    )
+}
+
+fn entry(id: &str, revision: Revision) -> KeyValue {
+    KeyValue {
+        key: format!("servers/{id}").into(),
+        value: r#"{"service":"plain","address":"10.0.0.1:1000","zone":"z1","slots":8,"state":"ready","born":1}"#
+            .into(),
+        create_revision: revision,
+        mod_revision: revision,
+        version: 0,
+        lease: None,
+    }
+}
+
+fn backend(id: &str) -> Backend {
+    Backend {
+        id: id.into(),
+        service: "plain".into(),
+        address: "10.0.0.1:1000".parse().unwrap(),
+        zone: "z1".into(),
+        slots: 8,
+        is_leaving: false,
+        started: 1,
+        is_spot: false,
+    }
+}
+
+fn accepts(state: &GatewayState, id: &str) -> bool {
+    let now = state.now();
+    state.backends.lock().accepts(&backend(id), now)
+}
+
+async fn copy(from: &GatewayState, to: &GatewayState, after: Revision) {
+    let bytes = snapshot::respond(from, &format!("after={after}&wait_ms=0")).await;
+    let snapshot = SnapshotWire::decode(&*bytes).unwrap();
+    snapshot::apply(to, snapshot, "127.0.0.1:4".parse().unwrap());
+}
+
+#[tokio::test]
+async fn a_back_end_missing_from_a_listing_without_an_outage_gets_no_calls() {
+    let node = state("n1");
+    install::apply_listing(
+        &node,
+        &[entry("b0", 1), entry("b1", 2)],
+        &[],
+        2,
+        Source::Store,
+    );
+    node.view.lock().last_contact = Some(node.now());
+    assert!(accepts(&node, "b0"));
+    install::apply_listing(&node, &[entry("b1", 2)], &[], 9, Source::Store);
+    assert!(!accepts(&node, "b0"));
+    assert!(accepts(&node, "b1"));
+}
+
+#[tokio::test]
+async fn a_listing_older_than_the_view_does_not_restore_a_departed_back_end() {
+    let (node, peer) = (state("n1"), state("n2"));
+    let listed = [entry("b0", 1), entry("b1", 2)];
+    install::apply_listing(&peer, &listed, &[], 2, Source::Store);
+    install::apply_listing(&node, &listed, &[], 2, Source::Store);
+    install::apply_listing(&peer, &[entry("b1", 2)], &[], 9, Source::Store);
+    copy(&peer, &node, 2).await;
+    // The node's own listing was under way meanwhile; its first page is of revision 5.
+    install::apply_listing(&node, &listed, &[], 5, Source::Store);
+    assert!(node.view.lock().get("servers/b0").is_none());
+    assert!(!accepts(&node, "b0"));
+    assert!(accepts(&node, "b1"));
+}
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway: its decisions, the platform adapter, and calls through running gateways.
 
 mod decisions;
+mod departed_backends;
 mod duties;
 mod fixture;
 mod placement;
