Put a departure in doubt only after an outage of the store for all nodes

Cause: a deleted registry entry may be a lease that expired in an outage of the store, so a node keeps the back end for a grace period. Three things made that too long. Every key that a listing lacks counted as such a lease, also after a compaction without any outage. An outage was read from the node's own contact to the store, so that a node that alone had been cut off took real departures for expired leases, and passed its doubt on to followers that had never been cut off. And the period of up to 0.85 of the drain time began when the node learned of the deletion, after all the time that the news had taken.

Class: a decision about a shared system (the store was down) was made from one node's own connection, passed on as a fact, and its time limit counted from arrival, on top of the delays before it.

Change: `StoreContact` detects an outage only if no node had an answer of the store for 3.5 s. Messages between nodes carry the age of the sender's, and zone sums that of the zone's, last direct answer. The grace period ends a fixed time after the outage, as the platform says (entries are back within about two seconds of the store's return); deletions no longer carry a doubt. A back end whose time is over gets no call at once, not after the next maintenance round.

--- a/src/core/gateway/backends.rs
+++ b/src/core/gateway/backends.rs
@@ -53,8 +53,8 @@
 pub enum Listing {
     /// The registry lists the back end.
     Listed,
-    /// The registry no longer lists the back end, perhaps because of an outage. The back end is removed at
-    /// this moment.
+    /// The registry no longer lists the back end. It receives no calls from this moment on, which lies in
+    /// the future if it may register again after an outage of the registry.
     Unlisted(Moment),
 }
 
@@ -153,9 +153,14 @@
         self.accepts(now) && now >= self.backoff_until && !is_probing
     }
 
-    /// Returns whether it accepts calls of this node: it is neither leaving nor paused.
+    /// Returns whether it accepts calls of this node: it is neither gone nor leaving nor paused.
     pub fn accepts(&self, now: Moment) -> bool {
-        !self.is_leaving() && now >= self.paused_until
+        !self.is_gone(now) && !self.is_leaving() && now >= self.paused_until
+    }
+
+    /// Returns whether it has left the registry for good.
+    pub fn is_gone(&self, now: Moment) -> bool {
+        matches!(self.listing, Listing::Unlisted(at) if at <= now)
     }
 
     /// Returns whether it is leaving, according to the registry or to one of its answers.
@@ -269,7 +274,7 @@
         true
     }
 
-    /// Records that the registry no longer lists a back end, which [`Self::expire`] removes from `gone_at` on.
+    /// Records that the registry no longer lists a back end, which receives no calls from `gone_at` on.
     pub fn unlist(&mut self, id: &str, gone_at: Moment) {
         let listed = self.entries.get_mut(id);
         if let Some(entry) = listed.filter(|entry| entry.listing == Listing::Listed) {
@@ -277,12 +282,12 @@
         }
     }
 
-    /// Removes unlisted back ends whose time has come, and returns them.
+    /// Removes back ends that are gone, and returns them.
     pub fn expire(&mut self, now: Moment) -> Vec<Gone> {
         let gone: Vec<Gone> = self
             .entries
             .values()
-            .filter(|entry| matches!(entry.listing, Listing::Unlisted(at) if at <= now))
+            .filter(|entry| entry.is_gone(now))
             .map(|entry| Gone {
                 id: entry.backend.id.clone(),
                 since_last_call: entry.since_last_call(now),
--- a/src/core/gateway/mod.rs
+++ b/src/core/gateway/mod.rs
@@ -15,6 +15,7 @@
 pub mod retry_budget;
 pub mod routes;
 pub mod scaling;
+pub mod store_contact;
 pub mod tenure;
 pub mod usage;
 pub mod work;
--- /dev/null
+++ b/src/core/gateway/store_contact.rs
@@ -0,0 +1,95 @@
+//! Contact with the platform's store, and how its outages are detected.
+//!
+//! The registry entry of a back end may be deleted for two reasons: the back end has left, or its lease
+//! expired because it could not reach the store during an outage. Only an outage of the store itself makes
+//! the second reason possible. A node that alone could not reach the store must not take departures for
+//! expired leases, so an outage is detected from the contact of all nodes.
+
+use std::time::Duration;
+
+use crate::core::time::Moment;
+
+/// Time without an answer of the store to any node that counts as an outage. Leases of back ends last a little
+/// longer.
+const MIN_OUTAGE: Duration = Duration::from_millis(3500);
+/// Time after an outage in which back ends whose lease expired meanwhile register again.
+const REREGISTRATION_GRACE: Duration = Duration::from_millis(2200);
+
+/// When the store was last in contact with this node and with others.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StoreContact {
+    /// Last answer of the store to this node.
+    answered_at: Option<Moment>,
+    /// Time up to which this node's view of the store is known to be complete.
+    confirmed_at: Option<Moment>,
+    /// Last answer of the store to this node or another one of its availability zone.
+    zone_answered_at: Option<Moment>,
+    /// Last answer of the store to any node.
+    any_answered_at: Option<Moment>,
+    /// End of the last outage.
+    outage_ended_at: Option<Moment>,
+}
+
+impl StoreContact {
+    /// Records an answer of the store to this node that completes its view.
+    pub fn record_answer(&mut self, now: Moment) {
+        self.answered_at = self.answered_at.max(Some(now));
+        self.zone_answered_at = self.zone_answered_at.max(Some(now));
+        self.record_copy(now);
+    }
+
+    /// Records that this node has copied the view of another node, which was complete at the time `at`.
+    pub fn record_copy(&mut self, at: Moment) {
+        self.confirmed_at = self.confirmed_at.max(Some(at));
+        self.record_any_answer(at);
+    }
+
+    /// Records an answer of the store to another node of the same availability zone.
+    pub fn record_zone_answer(&mut self, at: Moment) {
+        self.zone_answered_at = self.zone_answered_at.max(Some(at));
+        self.record_any_answer(at);
+    }
+
+    /// Records an answer of the store to any other node.
+    pub fn record_any_answer(&mut self, at: Moment) {
+        let is_after_outage = self
+            .any_answered_at
+            .is_some_and(|last| at.saturating_sub(last) > MIN_OUTAGE);
+        if is_after_outage {
+            self.outage_ended_at = Some(at);
+        }
+        self.any_answered_at = self.any_answered_at.max(Some(at));
+    }
+
+    /// Returns whether the store has answered this node since its start.
+    pub fn was_answered(&self) -> bool {
+        self.answered_at.is_some()
+    }
+
+    /// Returns whether this node's view was complete at some time.
+    pub fn was_confirmed(&self) -> bool {
+        self.confirmed_at.is_some()
+    }
+
+    /// Returns the time for which this node's view has not been confirmed.
+    pub fn view_age(&self, now: Moment) -> Duration {
+        now.saturating_sub(self.confirmed_at.unwrap_or_default())
+    }
+
+    /// Returns the time since the store last answered this node, for other nodes.
+    pub fn answer_age(&self, now: Moment) -> Option<Duration> {
+        self.answered_at.map(|at| now.saturating_sub(at))
+    }
+
+    /// Returns the time since the store last answered a node of the own availability zone, for other zones.
+    pub fn zone_answer_age(&self, now: Moment) -> Option<Duration> {
+        self.zone_answered_at.map(|at| now.saturating_sub(at))
+    }
+
+    /// Returns until when back ends whose entry is deleted now may still register again, because their
+    /// lease may have expired in an outage, or `None` if there was no outage lately.
+    pub fn reregistration_deadline(&self, now: Moment) -> Option<Moment> {
+        let deadline = self.outage_ended_at? + REREGISTRATION_GRACE;
+        (now < deadline).then_some(deadline)
+    }
+}
--- a/src/ops/gateway/duties.rs
+++ b/src/ops/gateway/duties.rs
@@ -173,8 +173,10 @@
     /// process of the node, which has ended as a node runs only one, or the claim is an earlier one of
     /// this process that it gave up; only a last call may still be in flight.
     fn possible_claim(&self) -> Option<Claim> {
+        if !self.state.contact.lock().was_confirmed() {
+            return None;
+        }
         let view = self.state.view.lock();
-        view.last_contact?;
         let Some(holder) = view.get(keys::HOLDER) else {
             return Some(Claim {
                 expected: 0,
--- a/src/ops/gateway/follow_store.rs
+++ b/src/ops/gateway/follow_store.rs
@@ -20,10 +20,6 @@
 const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
 /// Upper bound of the backoff.
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
-/// Time after an outage of the store in which deletions may be leases that expired only because of the
-/// outage.
-const DOUBT_PERIOD_AFTER_OUTAGE: Duration = Duration::from_millis(2500);
-
 /// Keeps the view up to date until the task is dropped.
 pub async fn run(state: Arc<GatewayState>, store: Arc<dyn Store>, client: reqwest::Client) {
     let mut backoff = INITIAL_BACKOFF;
@@ -56,7 +52,7 @@
     store: &Arc<dyn Store>,
     has_contact: &mut bool,
 ) -> Result<()> {
-    if state.view.lock().revision == 0 || state.view.lock().last_contact.is_none() {
+    if !state.contact.lock().was_answered() {
         list_store(state, store).await?;
         note_contact(state, has_contact);
     }
@@ -67,18 +63,12 @@
             from: Some(from),
         })
         .await?;
-    let mut doubt_until = None;
     while let Some(event) = events.next().await {
         match event {
             Ok(event) => {
-                let now = state.now();
-                let last_contact = state.view.lock().last_contact;
-                if install::was_outage(last_contact, now) {
-                    doubt_until = Some(now + DOUBT_PERIOD_AFTER_OUTAGE);
-                }
-                note_contact(state, has_contact);
                 let is_progress = matches!(event, WatchEvent::Started { .. });
-                apply_event(state, event, doubt_until.is_some_and(|until| now < until));
+                note_contact(state, has_contact);
+                apply_event(state, event);
                 if is_progress && relay::is_follower(state) {
                     return Ok(());
                 }
@@ -105,28 +95,22 @@
 }
 
 fn note_contact(state: &GatewayState, has_contact: &mut bool) {
-    let mut view = state.view.lock();
-    view.last_contact = Some(state.now());
+    state.contact.lock().record_answer(state.now());
     if !*has_contact {
         *has_contact = true;
         tracing::info!(
             dependency = "store",
-            revision = view.revision,
+            revision = state.view.lock().revision,
             "dependency reached"
         );
     }
 }
 
-fn apply_event(state: &GatewayState, event: WatchEvent, after_outage: bool) {
+fn apply_event(state: &GatewayState, event: WatchEvent) {
     match event {
         WatchEvent::Put(item) => install::put(state, &item, Source::Store),
         WatchEvent::Deleted { key, revision } => {
-            let deletion = Deletion {
-                key,
-                revision,
-                is_doubtful: after_outage,
-            };
-            install::delete(state, deletion, Source::Store);
+            install::delete(state, Deletion { key, revision }, Source::Store);
         }
         WatchEvent::Started { revision } => state.set_revision(revision),
     }
--- a/src/ops/gateway/install.rs
+++ b/src/ops/gateway/install.rs
@@ -13,14 +13,6 @@
 use crate::core::time::Moment;
 use crate::sources::store::{KeyValue, Revision};
 
-/// Time after an outage of the store in which back ends whose lease expired meanwhile register again.
-const REREGISTRATION_GRACE: Duration = Duration::from_millis(2200);
-/// Upper bound of the grace period for back ends that register again, as a fraction of the drain time of a
-/// back end.
-const MAX_GRACE_DRAIN_SHARE: f64 = 0.85;
-/// Time without contact to the store that counts as an outage, in which leases may have expired because
-/// their owners could not renew them.
-const MIN_OUTAGE: Duration = Duration::from_millis(3500);
 /// Time since the last message of a node for which it is kept after its entry in the store has expired.
 const NODE_TIMEOUT: Duration = Duration::from_millis(2500);
 
@@ -88,12 +80,9 @@
             .collect()
     };
     for key in missing {
-        // A listing does not show when a key was deleted; its lease may have expired during an outage
-        // of the store.
         let deletion = Deletion {
             key,
             revision: revision + 1,
-            is_doubtful: true,
         };
         delete(state, deletion, source);
     }
@@ -101,11 +90,6 @@
     state.set_revision(revision);
 }
 
-/// Returns whether contact to the store was interrupted for so long that leases may have expired.
-pub fn was_outage(last_contact: Option<Moment>, now: Moment) -> bool {
-    last_contact.is_some_and(|last_contact| now.saturating_sub(last_contact) > MIN_OUTAGE)
-}
-
 /// Removes back ends whose grace period is over, and nodes that have neither an entry in the store nor
 /// sent a message lately.
 pub fn expire(state: &GatewayState) {
@@ -143,21 +127,16 @@
 
 fn handle_deletion(state: &GatewayState, deletion: &Deletion, source: Source) {
     if let Some(id) = deletion.key.strip_prefix(state.dialect.backend_prefix()) {
-        let grace = match deletion.is_doubtful {
-            true => {
-                REREGISTRATION_GRACE.min(state.settings.bounds.drain.mul_f64(MAX_GRACE_DRAIN_SHARE))
-            }
-            false => Duration::ZERO,
-        };
         let now = state.now();
-        state.backends.lock().unlist(id, now + grace);
+        let contact = *state.contact.lock();
+        let gone_at = contact.reregistration_deadline(now).unwrap_or(now);
+        state.backends.lock().unlist(id, gone_at);
         tracing::info!(
             backend = id,
             revision = deletion.revision,
             ?source,
-            view_age_ms = millis(state.view_age()),
-            is_doubtful = deletion.is_doubtful,
-            grace_ms = millis(grace),
+            view_age_ms = millis(contact.view_age(now)),
+            grace_ms = millis(gone_at - now),
             last_call_ms = last_call_ms(state, id, now),
             "back end no longer listed"
         );
--- a/src/ops/gateway/mesh.rs
+++ b/src/ops/gateway/mesh.rs
@@ -75,6 +75,17 @@
     at: Moment,
 }
 
+impl ReceivedSum {
+    /// Returns the sum with its ages as of now.
+    fn to_forward(&self, now: Moment) -> ZoneSumWire {
+        let held_ms = millis(now.saturating_sub(self.at));
+        ZoneSumWire {
+            store_age_ms: self.sum.store_age_ms.map(|age_ms| age_ms + held_ms),
+            ..self.sum.clone()
+        }
+    }
+}
+
 /// Sums received from other zones.
 #[derive(Default)]
 struct ReceivedSums {
@@ -304,15 +315,14 @@
         let fresh = fresh.filter(|received| now.saturating_sub(received.at) <= MAX_SUM_AGE);
         let mut datagrams: Vec<DatagramWire> = Vec::new();
         for received in fresh {
+            let sum = received.to_forward(now);
             match datagrams.last_mut() {
-                Some(last)
-                    if last.encoded_len() + received.sum.encoded_len() < MAX_DATAGRAM_BYTES =>
-                {
-                    last.sums.push(received.sum.clone());
+                Some(last) if last.encoded_len() + sum.encoded_len() < MAX_DATAGRAM_BYTES => {
+                    last.sums.push(sum);
                 }
                 _ => datagrams.push(DatagramWire {
                     report: None,
-                    sums: vec![received.sum.clone()],
+                    sums: vec![sum],
                 }),
             }
         }
@@ -368,6 +378,7 @@
             config_version: state.table().map_or(0, |table| table.version),
             zone: state.settings.zone.to_string(),
             load: Some(load),
+            store_age_ms: state.contact.lock().answer_age(now).map(millis),
         }
     }
 
@@ -409,6 +420,7 @@
             ready,
             not_ready: incarnations(not_ready),
             load: Some(load),
+            store_age_ms: state.contact.lock().zone_answer_age(now).map(millis),
         }
     }
 
@@ -438,6 +450,14 @@
             .clock
             .lock()
             .record(report.incarnation, report.wall_ms, now);
+        if let Some(age_ms) = report.store_age_ms {
+            let answered_at = now.saturating_sub(Duration::from_millis(age_ms));
+            let mut contact = state.contact.lock();
+            match *report.zone == *state.settings.zone {
+                true => contact.record_zone_answer(answered_at),
+                false => contact.record_any_answer(answered_at),
+            }
+        }
         if let Some(load) = &report.load {
             let totals = load.totals();
             state
@@ -478,6 +498,10 @@
             members.apply_report(&sum.node, sum.incarnation, true, sum.revision, now);
         }
         state.clock.lock().record(sum.incarnation, sum.wall_ms, now);
+        if let Some(age_ms) = sum.store_age_ms {
+            let answered_at = now.saturating_sub(Duration::from_millis(age_ms));
+            state.contact.lock().record_any_answer(answered_at);
+        }
         state.quotas.lock().apply_zone_report(&sum.totals(), now);
         if let Some(load) = &sum.load {
             for (window, counts) in load.usage() {
@@ -523,3 +547,7 @@
 fn is_due(last: Moment, interval: Duration, now: Moment) -> bool {
     now.saturating_sub(last) + MIN_ZONE_INTERVAL / 4 >= interval
 }
+
+fn millis(duration: Duration) -> u64 {
+    duration.as_millis() as u64
+}
--- a/src/ops/gateway/mesh_wire.rs
+++ b/src/ops/gateway/mesh_wire.rs
@@ -47,6 +47,9 @@
     /// Its own load.
     #[prost(message, optional, tag = "8")]
     pub load: Option<LoadSumWire>,
+    /// Time since the store last answered the node, in milliseconds.
+    #[prost(uint64, optional, tag = "9")]
+    pub store_age_ms: Option<u64>,
 }
 
 /// Sums over the nodes of an availability zone, made by the zone's aggregator.
@@ -79,6 +82,9 @@
     /// The sums.
     #[prost(message, optional, tag = "9")]
     pub load: Option<LoadSumWire>,
+    /// Time since the store last answered a node of the zone, in milliseconds.
+    #[prost(uint64, optional, tag = "10")]
+    pub store_age_ms: Option<u64>,
 }
 
 /// Admitted load, usage and work of one node, or the sums over all nodes of an availability zone.
--- a/src/ops/gateway/relay.rs
+++ b/src/ops/gateway/relay.rs
@@ -70,9 +70,7 @@
         let control = watchers[at].1;
         match snapshot::fetch(state, client, control, LONG_POLL_TIMEOUT).await {
             Ok(reply) if reply.contact_age_ms <= MAX_CONTACT_AGE.as_millis() as u64 => {
-                let age = Duration::from_millis(reply.contact_age_ms);
                 snapshot::apply(state, reply, control);
-                state.view.lock().last_contact = Some(state.now().saturating_sub(age));
                 tokio::time::sleep(fetch_interval(state)).await;
             }
             Ok(reply) => {
--- a/src/ops/gateway/snapshot.rs
+++ b/src/ops/gateway/snapshot.rs
@@ -52,7 +52,7 @@
     /// Whether all keys except those of `items` and `kept` are deleted.
     #[prost(bool, tag = "4")]
     pub is_whole: bool,
-    /// Time since the node's last contact with the store, in milliseconds.
+    /// Time for which the node's view has not been confirmed to be complete, in milliseconds.
     #[prost(uint64, tag = "5")]
     pub contact_age_ms: u64,
     /// Hashes of the unchanged keys if `is_whole` is set, so that a node that has listed the store need
@@ -90,9 +90,6 @@
     /// Revision of the deletion.
     #[prost(uint64, tag = "2")]
     pub revision: u64,
-    /// Whether the key's lease may have expired only because of an outage of the store.
-    #[prost(bool, tag = "3")]
-    pub is_doubtful: bool,
 }
 
 impl TryFrom<ItemWire> for KeyValue {
@@ -137,7 +134,6 @@
         Self {
             key: deletion.key.into(),
             revision: deletion.revision,
-            is_doubtful: deletion.is_doubtful,
         }
     }
 }
@@ -147,7 +143,6 @@
         Self {
             key: wire.key.into(),
             revision: wire.revision,
-            is_doubtful: wire.is_doubtful,
         }
     }
 }
@@ -176,7 +171,6 @@
     let now = state.now();
     let view = state.view.lock();
     let changes = view.changes_since(after);
-    let last_contact = view.last_contact.unwrap_or_default();
     let is_whole = matches!(changes.removals, Removals::AllExcept(_));
     let (deletions, kept) = match changes.removals {
         Removals::Deleted(deletions) => (deletions, Vec::new()),
@@ -187,7 +181,7 @@
         items: changes.items.into_iter().map(Into::into).collect(),
         is_whole,
         deletions: deletions.into_iter().map(Into::into).collect(),
-        contact_age_ms: now.saturating_sub(last_contact).as_millis() as u64,
+        contact_age_ms: state.contact.lock().view_age(now).as_millis() as u64,
         kept,
     }
 }
@@ -272,9 +266,15 @@
     Ok(SnapshotWire::decode(res.bytes().await?)?)
 }
 
-/// Applies a snapshot from another node if it is newer than this node's view.
+/// Applies a snapshot from another node if it is newer than this node's view. In any case the view then
+/// contains all that the other node's view did.
 pub fn apply(state: &GatewayState, snapshot: SnapshotWire, peer: SocketAddr) {
+    let contact_age = Duration::from_millis(snapshot.contact_age_ms);
+    let confirmed_at = state.now().saturating_sub(contact_age);
+    // Before the changes, as these may be due to an outage that ends with this contact.
+    state.contact.lock().record_any_answer(confirmed_at);
     if snapshot.revision <= state.view.lock().revision {
+        state.contact.lock().record_copy(confirmed_at);
         return;
     }
     let revision = snapshot.revision;
@@ -298,5 +298,6 @@
         }
         state.set_revision(revision);
     }
+    state.contact.lock().record_copy(confirmed_at);
     tracing::debug!(%peer, revision, changes = count, "snapshot of a node applied");
 }
--- a/src/ops/gateway/state.rs
+++ b/src/ops/gateway/state.rs
@@ -17,6 +17,7 @@
 use crate::core::gateway::quota::QuotaShares;
 use crate::core::gateway::retry_budget::RetryBudget;
 use crate::core::gateway::routes::{RouteTable, ServiceName};
+use crate::core::gateway::store_contact::StoreContact;
 use crate::core::gateway::usage::{Counts, UsageCounts, Window};
 use crate::core::gateway::work::WorkRates;
 use crate::core::time::{Moment, UnixMillis};
@@ -60,6 +61,8 @@
     pub clock: Mutex<ClockMedian>,
     /// Replica of the store.
     pub view: Mutex<View>,
+    /// Contact with the store.
+    pub contact: Mutex<StoreContact>,
     /// Revision of the store up to which the view is complete.
     pub revision: watch::Sender<u64>,
     /// Phase of the process.
@@ -98,6 +101,7 @@
             work: Mutex::default(),
             clock: Mutex::default(),
             view: Mutex::default(),
+            contact: Mutex::default(),
             revision: watch::Sender::new(0),
             phase: watch::Sender::new(Phase::Starting),
             active: AtomicU64::new(0),
@@ -186,10 +190,9 @@
             .send_if_modified(|known| std::mem::replace(known, revision.max(*known)) < revision);
     }
 
-    /// Returns the time since the view was last known to be complete.
+    /// Returns the time for which the view has not been confirmed to be complete.
     pub fn view_age(&self) -> Duration {
-        let last_contact = self.view.lock().last_contact.unwrap_or_default();
-        self.now().saturating_sub(last_contact)
+        self.contact.lock().view_age(self.now())
     }
 
     /// Returns the number of known nodes.
--- a/src/ops/gateway/view.rs
+++ b/src/ops/gateway/view.rs
@@ -5,7 +5,6 @@
 use bytes::Bytes;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::core::time::Moment;
 use crate::sources::store::{Key, KeyValue, Revision};
 
 /// A value with the revision of its last change.
@@ -26,9 +25,6 @@
     pub key: Key,
     /// Revision of the deletion.
     pub revision: Revision,
-    /// Whether the key's lease may have expired only because its owner could not reach the store during
-    /// an outage.
-    pub is_doubtful: bool,
 }
 
 /// Limit on the deletions that are kept for nodes that ask for changes.
@@ -39,8 +35,6 @@
 pub struct View {
     /// Revision up to which the view contains all changes.
     pub revision: Revision,
-    /// Time of the last contact with the store itself.
-    pub last_contact: Option<Moment>,
     items: HashMap<Key, Versioned>,
     deletions: VecDeque<Deletion>,
     /// Revision up to which `deletions` is incomplete.
--- a/tests/testsuite/gateway/departed_backends.rs
+++ b/tests/testsuite/gateway/departed_backends.rs
@@ -7,6 +7,7 @@
 use futures::future::BoxFuture;
 use futures::stream;
 use jayhall::core::gateway::backends::Backend;
+use jayhall::core::gateway::store_contact::StoreContact;
 use jayhall::ops::gateway::install::{self, Source};
 use jayhall::ops::gateway::snapshot::{self, SnapshotWire};
 use jayhall::ops::gateway::state::GatewayState;
@@ -313,7 +314,7 @@
         2,
         Source::Store,
     );
-    node.view.lock().last_contact = Some(node.now());
+    node.contact.lock().record_answer(node.now());
     assert!(accepts(&node, "b0"));
     install::apply_listing(&node, &[entry("b1", 2)], &[], 9, Source::Store);
     assert!(!accepts(&node, "b0"));
@@ -334,3 +335,36 @@
     assert!(!accepts(&node, "b0"));
     assert!(accepts(&node, "b1"));
 }
+
+#[tokio::test]
+async fn a_back_end_whose_lease_expired_in_an_outage_gets_calls_while_it_may_register_again() {
+    let node = state("n1");
+    install::apply_listing(&node, &[entry("b0", 1)], &[], 1, Source::Store);
+    let now = node.now();
+    let before_outage = now.saturating_sub(Duration::from_secs(6));
+    node.contact.lock().record_answer(before_outage);
+    node.contact.lock().record_answer(now);
+    install::apply_listing(&node, &[], &[], 9, Source::Store);
+    assert!(accepts(&node, "b0"));
+    let deadline = node.contact.lock().reregistration_deadline(now).unwrap();
+    let backends = node.backends.lock();
+    assert!(!backends.accepts(&backend("b0"), deadline));
+}
+
+#[test]
+fn only_an_outage_for_all_nodes_puts_a_departure_in_doubt() {
+    let at = Duration::from_millis;
+    let mut contact = StoreContact::default();
+    contact.record_answer(at(1_000));
+    // Only this node is cut off from the store: another one had an answer meanwhile.
+    contact.record_any_answer(at(3_000));
+    contact.record_answer(at(6_000));
+    assert_eq!(contact.reregistration_deadline(at(6_000)), None);
+    // Nobody had an answer for four seconds.
+    contact.record_zone_answer(at(10_000));
+    let deadline = contact.reregistration_deadline(at(10_000)).unwrap();
+    // The grace period does not begin again when this node learns of a deletion.
+    contact.record_answer(at(11_000));
+    assert_eq!(contact.reregistration_deadline(at(11_000)), Some(deadline));
+    assert_eq!(contact.reregistration_deadline(deadline), None);
+}
