--- a/src/ops/gateway/install.rs
+++ b/src/ops/gateway/install.rs
@@ -11,7 +11,7 @@
 use crate::core::gateway::backends::Listing;
 use crate::core::gateway::origin::Origin;
 use crate::core::time::Moment;
-use crate::sources::store::{KeyValue, Revision};
+use crate::sources::store::{Key, KeyValue, Revision};
 
 /// Time since the last message of a node for which it is kept after its entry in the store has expired.
 const NODE_TIMEOUT: Duration = Duration::from_millis(2500);
@@ -59,7 +59,7 @@
 }
 
 /// Applies a listing of the store at a revision: keys that are neither in `items` nor have a hash in
-/// `kept` are deleted.
+/// `kept` are deleted. A listing that is older than the view is left out, as it lacks later deletions.
 pub fn apply_listing(
     state: &GatewayState,
     items: &[KeyValue],
@@ -67,29 +67,38 @@
     revision: Revision,
     source: Source,
 ) {
+    let known = state.view.lock().revision;
+    if revision < known {
+        tracing::info!(revision, known, ?source, "older listing left out");
+        return;
+    }
     for item in items {
         put(state, item, source);
     }
-    let listed = items.iter().map(|item| view::hash_key(&item.key));
-    let listed: HashSet<KeyHash> = listed.chain(kept.iter().copied()).collect();
-    let missing: Vec<_> = {
-        let view = state.view.lock();
-        let old = view.iter().filter(|(_, known)| known.revision <= revision);
-        old.map(|(key, _)| key.clone())
-            .filter(|key| !listed.contains(&view::hash_key(key)))
-            .collect()
-    };
-    for key in missing {
-        let deletion = Deletion {
-            key,
-            revision: revision + 1,
-        };
-        delete(state, deletion, source);
+    for key in missing_keys(state, items, kept, revision) {
+        delete(state, Deletion { key, revision }, source);
     }
     state.view.lock().compact_deletions(revision);
     state.set_revision(revision);
 }
 
+/// Returns the keys of the view that a listing at a revision lacks.
+fn missing_keys(
+    state: &GatewayState,
+    items: &[KeyValue],
+    kept: &[KeyHash],
+    revision: Revision,
+) -> Vec<Key> {
+    let listed = items.iter().map(|item| view::hash_key(&item.key));
+    let listed: HashSet<KeyHash> = listed.chain(kept.iter().copied()).collect();
+    let view = state.view.lock();
+    let older = view.iter().filter(|(_, known)| known.revision < revision);
+    older
+        .map(|(key, _)| key.clone())
+        .filter(|key| !listed.contains(&view::hash_key(key)))
+        .collect()
+}
+
 /// Removes back ends whose grace period is over, and nodes that have neither an entry in the store nor
 /// sent a message lately.
 pub fn expire(state: &GatewayState) {
--- a/src/ops/gateway/view.rs
+++ b/src/ops/gateway/view.rs
@@ -27,7 +27,7 @@
     pub revision: Revision,
 }
 
-/// Limit on the deletions that are kept for nodes that ask for changes.
+/// Limit on the deletions that are kept, for nodes that ask for changes and as tombstones.
 const MAX_DELETIONS: usize = 2000;
 
 /// The replicated keys and values.
@@ -36,7 +36,10 @@
     /// Revision up to which the view contains all changes.
     pub revision: Revision,
     items: HashMap<Key, Versioned>,
+    /// The last deletions, in the order in which they were applied.
     deletions: VecDeque<Deletion>,
+    /// Revisions of `deletions` by key: an older value that arrives late does not restore the key.
+    tombstones: HashMap<Key, Revision>,
     /// Revision up to which `deletions` is incomplete.
     compacted: Revision,
 }
@@ -75,10 +78,9 @@
 }
 
 impl View {
-    /// Stores a value unless a newer one is present. Returns whether it was stored.
+    /// Stores a value unless a newer value or deletion of the key is known. Returns whether it was stored.
     pub fn put(&mut self, item: &KeyValue) -> bool {
-        let known = self.items.get(&item.key);
-        if known.is_some_and(|known| known.revision >= item.mod_revision) {
+        if self.last_change(&item.key) >= Some(item.mod_revision) {
             return false;
         }
         let value = Versioned {
@@ -90,27 +92,40 @@
         true
     }
 
-    /// Applies a deletion unless a newer value is present. Returns whether the key was removed.
+    /// Applies a deletion unless a newer value or deletion of the key is known. Returns whether the key was
+    /// removed.
     pub fn delete(&mut self, deletion: Deletion) -> bool {
-        let is_newer = self
-            .items
-            .get(&deletion.key)
-            .is_some_and(|known| known.revision < deletion.revision);
-        if is_newer {
-            self.items.remove(&deletion.key);
-            self.deletions.push_back(deletion);
-            if self.deletions.len() > MAX_DELETIONS {
-                let oldest = self.deletions.pop_front();
-                self.compacted = oldest.map_or(0, |oldest| oldest.revision);
-            }
+        if self.last_change(&deletion.key) >= Some(deletion.revision) {
+            return false;
+        }
+        let was_present = self.items.remove(&deletion.key).is_some();
+        self.tombstones
+            .insert(deletion.key.clone(), deletion.revision);
+        self.deletions.push_back(deletion);
+        if self.deletions.len() > MAX_DELETIONS {
+            self.forget_oldest_deletion();
+        }
+        was_present
+    }
+
+    /// Returns the revision of the last known change of a key.
+    fn last_change(&self, key: &str) -> Option<Revision> {
+        let value = self.items.get(key).map(|item| item.revision);
+        value.max(self.tombstones.get(key).copied())
+    }
+
+    fn forget_oldest_deletion(&mut self) {
+        let Some(oldest) = self.deletions.pop_front() else {
+            return;
+        };
+        if self.tombstones.get(&oldest.key) == Some(&oldest.revision) {
+            self.tombstones.remove(&oldest.key);
         }
-        is_newer
+        self.compacted = self.compacted.max(oldest.revision);
     }
 
-    /// Compacts the log of deletions up to a revision: they are no longer known individually, as after
-    /// a listing.
+    /// Records that deletions up to a revision are not known individually, as after a listing.
     pub fn compact_deletions(&mut self, revision: Revision) {
-        self.deletions.clear();
         self.compacted = self.compacted.max(revision);
     }
 
