Bound the time for which a follower's view may stay unconfirmed

What callers would see: calls at a back end that has left, or handled by an old configuration, on nodes that follow a node which no longer reaches the store or no longer answers.

Cause: each wait on the way from the store to a follower had a limit of its own (contact age 1.6 s, then the fetch interval of 0.1 to 0.3 s, then a fetch of up to 1.1 s, then the store itself), and nothing compared their sum of 2.8 to 3.0 s with the drain time, 2.5 s on small fleets. The contact age did not include the transfer of the response either, which a full link makes long.

Change: one limit, 0.6 of the drain time, from the moment at which the view was last confirmed. Each fetch gets what is left of it, and then the follower asks the store. The time of the transfer counts: the other node says how long it waited before it responded.

Test: a_follower_gives_up_a_silent_watcher_before_its_view_is_too_old, for drain times of 1 to 20 s.

--- a/src/ops/gateway/relay.rs
+++ b/src/ops/gateway/relay.rs
@@ -18,9 +18,12 @@
 const MIN_FETCH_INTERVAL: Duration = Duration::from_millis(100);
 /// Shortest interval between two fetches for each node of the zone, as one watching node serves all others.
 const FETCH_INTERVAL_PER_NODE: Duration = Duration::from_millis(6);
-/// Age of the other node's last contact with the store above which it is not followed. The store may
-/// refuse all watching nodes, and its changes must reach the others nevertheless.
-const MAX_CONTACT_AGE: Duration = Duration::from_millis(1600);
+/// Part of the drain time of a back end for which the view may stay unconfirmed before a follower asks the
+/// store itself. The store may refuse all watching nodes, and its changes must reach the others
+/// nevertheless. The rest of the drain time is for the answer of the store.
+const MAX_VIEW_AGE_DRAIN_SHARE: f64 = 0.6;
+/// Time that is left for the response of the other node after its wait for changes.
+const RESPONSE_TIME: Duration = Duration::from_millis(300);
 /// Time without a message of a node after which it is not expected to watch the store.
 const NODE_TIMEOUT: Moment = Moment::from_millis(2000);
 
@@ -56,10 +59,36 @@
     MIN_FETCH_INTERVAL.max(FETCH_INTERVAL_PER_NODE * in_zone.count() as u32)
 }
 
-/// Follows another node as long as this node has the role of a follower and each fetch succeeds. After
-/// a failure the caller asks the store: trying a second node that does not respond would take longer
-/// than changes may take to arrive.
+/// Returns for how long the view may stay unconfirmed while this node follows another one. Departures and
+/// configurations must reach each node in time, whichever link on the way to the store fails, so all waits
+/// of a follower together are bounded, and not each one by itself.
+pub fn max_view_age(drain: Duration) -> Duration {
+    drain.mul_f64(MAX_VIEW_AGE_DRAIN_SHARE)
+}
+
+/// How long a fetch from the node that is followed may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FetchTime {
+    /// Time for which the other node may wait for changes.
+    pub wait: Duration,
+    /// Timeout of the fetch.
+    pub timeout: Duration,
+}
+
+impl FetchTime {
+    /// Divides the time `left` until the view is too old. Returns `None` if none is left.
+    pub fn within(left: Duration) -> Option<Self> {
+        let wait = LONG_POLL_TIMEOUT.min(left.saturating_sub(RESPONSE_TIME));
+        let timeout = left.min(wait + snapshot::FETCH_TIMEOUT);
+        (!left.is_zero()).then_some(Self { wait, timeout })
+    }
+}
+
+/// Follows another node as long as this node has the role of a follower, each fetch succeeds and the view
+/// is confirmed often enough. After a failure the caller asks the store: trying a second node that does not
+/// respond would take longer than changes may take to arrive.
 pub async fn follow_while_possible(state: &GatewayState, client: &Client) {
+    let max_view_age = max_view_age(state.settings.bounds.drain);
     loop {
         let watchers = watchers(state);
         let own = &state.settings.name;
@@ -68,19 +97,19 @@
         }
         let at = rand::random_range(0..watchers.len());
         let control = watchers[at].1;
-        match snapshot::fetch(state, client, control, LONG_POLL_TIMEOUT).await {
-            Ok(reply) if reply.contact_age_ms <= MAX_CONTACT_AGE.as_millis() as u64 => {
-                snapshot::apply(state, reply, control);
-                tokio::time::sleep(fetch_interval(state)).await;
-            }
-            Ok(reply) => {
-                tracing::info!(peer = %control, contact_age_ms = reply.contact_age_ms, "the node followed does not reach the store");
-                return;
-            }
+        let view_age = state.view_age();
+        let Some(time) = FetchTime::within(max_view_age.saturating_sub(view_age)) else {
+            tracing::info!(peer = %control, view_age_ms = view_age.as_millis() as u64, "the node followed does not reach the store");
+            return;
+        };
+        match snapshot::fetch(state, client, control, time).await {
+            Ok(reply) => snapshot::apply(state, reply, control),
             Err(e) => {
                 tracing::info!(peer = %control, error = %e, "the node followed does not answer");
                 return;
             }
         }
+        let left = max_view_age.saturating_sub(state.view_age());
+        tokio::time::sleep(fetch_interval(state).min(left / 2)).await;
     }
 }
--- a/src/ops/gateway/snapshot.rs
+++ b/src/ops/gateway/snapshot.rs
@@ -15,6 +15,7 @@
 
 use super::install::{self, Source};
 use super::mesh::Mesh;
+use super::relay::FetchTime;
 use super::state::GatewayState;
 use super::view::{Deletion, KeyHash, Removals, Versioned};
 use crate::core::time::Moment;
@@ -26,10 +27,15 @@
 /// Delay after the start before a node without a configuration asks the nodes that its settings name.
 const SEED_FETCH_DELAY: Duration = Duration::from_millis(700);
 /// Timeout of a fetch, in addition to the time for which the other node may wait for changes.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
+pub(super) const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
 /// Mean delay between another node's message about a newer revision and a fetch from a node, in which
 /// the change normally arrives from the store.
 const STORE_WATCH_DELAY: Duration = Duration::from_millis(300);
+/// Times of a fetch of changes that are known to exist.
+const AT_ONCE: FetchTime = FetchTime {
+    wait: Duration::ZERO,
+    timeout: FETCH_TIMEOUT,
+};
 /// Limit on the nodes that are asked for one change.
 const MAX_PEERS_ASKED: usize = 3;
 /// Time without a message of a node after which it is not asked.
@@ -59,6 +65,9 @@
     /// not send all values again.
     #[prost(fixed64, repeated, tag = "6")]
     pub kept: Vec<KeyHash>,
+    /// Time for which the node waited for changes before it responded, in milliseconds.
+    #[prost(uint64, tag = "7")]
+    pub waited_ms: u64,
 }
 
 /// A key with its value.
@@ -152,13 +161,19 @@
 pub async fn respond(state: &GatewayState, query: &str) -> Vec<u8> {
     let after = query_number(query, "after");
     let wait = Duration::from_millis(query_number(query, "wait_ms"));
+    let started = state.now();
     let mut revision = state.revision.subscribe();
     let changed = revision.wait_for(|known| *known > after);
     // If nothing changes within the wait, the response contains no changes.
     let _ = tokio::time::timeout(wait, changed)
         .await
         .map(|seen| seen.is_ok());
-    encode(state, after).encode_to_vec()
+    let waited = state.now().saturating_sub(started);
+    let snapshot = SnapshotWire {
+        waited_ms: waited.as_millis() as u64,
+        ..encode(state, after)
+    };
+    snapshot.encode_to_vec()
 }
 
 fn query_number(query: &str, name: &str) -> u64 {
@@ -183,6 +198,7 @@
         deletions: deletions.into_iter().map(Into::into).collect(),
         contact_age_ms: state.contact.lock().view_age(now).as_millis() as u64,
         kept,
+        waited_ms: 0,
     }
 }
 
@@ -214,7 +230,7 @@
                 .choose(&mut rand::rng())
         };
         let Some(peer) = peer else { return };
-        match fetch(state, client, peer, Duration::ZERO).await {
+        match fetch(state, client, peer, AT_ONCE).await {
             Ok(snapshot) => return apply(state, snapshot, peer),
             Err(e) => {
                 tracing::warn!(%peer, error = %format!("{e:#}"), "failed to fetch a snapshot");
@@ -234,7 +250,7 @@
             if *seed == state.settings.listen.control {
                 continue;
             }
-            match fetch(state, client, *seed, Duration::ZERO).await {
+            match fetch(state, client, *seed, AT_ONCE).await {
                 Ok(snapshot) => apply(state, snapshot, *seed),
                 Err(e) => tracing::debug!(peer = %seed, error = %e, "failed to fetch a snapshot"),
             }
@@ -242,7 +258,8 @@
     }
 }
 
-/// Fetches from a node the changes that are missing in this node's view.
+/// Fetches from a node the changes that are missing in this node's view. The contact age of the result
+/// includes the time of the transfer.
 ///
 /// # Errors
 ///
@@ -251,19 +268,24 @@
     state: &GatewayState,
     client: &Client,
     control: SocketAddr,
-    wait: Duration,
+    time: FetchTime,
 ) -> eyre::Result<SnapshotWire> {
     let after = state.view.lock().revision;
-    let wait_ms = wait.as_millis();
+    let wait_ms = time.wait.as_millis();
+    let started = state.now();
     let res = client
         .get(format!(
             "http://{control}{PATH}?after={after}&wait_ms={wait_ms}"
         ))
-        .timeout(FETCH_TIMEOUT + wait)
+        .timeout(time.timeout)
         .send()
         .await?
         .error_for_status()?;
-    Ok(SnapshotWire::decode(res.bytes().await?)?)
+    let mut snapshot = SnapshotWire::decode(res.bytes().await?)?;
+    let took = state.now().saturating_sub(started).as_millis() as u64;
+    let transfer = took.saturating_sub(snapshot.waited_ms);
+    snapshot.contact_age_ms = snapshot.contact_age_ms.saturating_add(transfer);
+    Ok(snapshot)
 }
 
 /// Applies a snapshot from another node if it is newer than this node's view. In any case the view then
--- a/tests/testsuite/gateway/departed_backends.rs
+++ b/tests/testsuite/gateway/departed_backends.rs
@@ -9,6 +9,7 @@
 use jayhall::core::gateway::backends::Backend;
 use jayhall::core::gateway::store_contact::StoreContact;
 use jayhall::ops::gateway::install::{self, Source};
+use jayhall::ops::gateway::relay::{self, FetchTime};
 use jayhall::ops::gateway::snapshot::{self, SnapshotWire};
 use jayhall::ops::gateway::state::GatewayState;
 use jayhall::platform::PlatformDialect;
@@ -368,3 +369,20 @@
     assert_eq!(contact.reregistration_deadline(at(11_000)), Some(deadline));
     assert_eq!(contact.reregistration_deadline(deadline), None);
 }
+
+#[test]
+fn a_follower_gives_up_a_silent_watcher_before_its_view_is_too_old() {
+    for drain_ms in [1_000, 2_500, 4_000, 20_000] {
+        let drain = Duration::from_millis(drain_ms);
+        let limit = relay::max_view_age(drain);
+        for age_ms in 0..drain_ms {
+            let age = Duration::from_millis(age_ms);
+            match FetchTime::within(limit.saturating_sub(age)) {
+                Some(time) => assert!(age + time.timeout <= limit && time.wait <= time.timeout),
+                None => assert!(age >= limit),
+            }
+        }
+        // The rest is for the store's answer.
+        assert!(limit + drain / 3 <= drain);
+    }
+}
