Choose different ports for a node of the gateway fixture

Cause: the fixture looked for five free ports one after the other and gave each back before it looked for the next, so that two of a node's addresses could be the same; the node then failed to bind the second one with 'Address already in use'.

Change: all five listeners are held until the last port is chosen.

--- a/tests/testsuite/gateway/fixture.rs
+++ b/tests/testsuite/gateway/fixture.rs
@@ -1,6 +1,6 @@
 //! Test fixture: running gateways with an in-memory store and back ends with configurable faults.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::convert::Infallible;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
@@ -319,10 +319,17 @@
     let [_, _, high, low] = NODES.fetch_add(1, Ordering::Relaxed).to_be_bytes();
     let process = std::process::id() % 250 + 1;
     let ip = Ipv4Addr::new(127, process as u8, high, low);
-    std::array::from_fn(|_| {
-        let listener = std::net::TcpListener::bind((ip, 0)).unwrap();
-        listener.local_addr().unwrap()
-    })
+    // All are held until the last one is chosen, as a port that is free again may be chosen twice.
+    let listeners: [_; 5] = std::array::from_fn(|_| std::net::TcpListener::bind((ip, 0)).unwrap());
+    listeners.map(|listener| listener.local_addr().unwrap())
+}
+
+#[test]
+fn the_addresses_of_a_node_are_all_different() {
+    for _ in 0..10_000 {
+        let addresses = free_addresses();
+        assert_eq!(HashSet::from(addresses).len(), addresses.len());
+    }
 }
 
 /// Settings of a gateway that gets its store and cloud from the fixture instead of by address.
