Give the test of the weight store's rate limit time for its second fetch

Cause: the two fetches have to overlap, and the first one occupied the store for 100 ms only. A trial whose second fetch begins 120 ms later fails with 'called Option::unwrap() on a None value'.

Change: the first fetch occupies the store for two seconds; what is asserted is as strict as before.

--- a/tests/testsuite/sources_platform.rs
+++ b/tests/testsuite/sources_platform.rs
@@ -198,18 +198,20 @@
 
 #[tokio::test]
 async fn a_weight_store_at_its_rate_limit_has_run_nothing() {
+    // A download occupies the store for two seconds, so that the other fetch begins within it on a busy VM too.
     let settings = WeightsSettings {
-        bytes: 100,
+        bytes: 2000,
         bytes_per_second: 1000,
         max_wait: Duration::ZERO,
         ..WeightsSettings::default()
     };
     let weights = weights::spawn(settings).await.unwrap();
     let url = format!("http://{}", weights.address);
-    let client = HttpWeightStore::with_deadline(reqwest::Client::new(), &url, DEADLINE);
+    let deadline = Duration::from_secs(10);
+    let client = HttpWeightStore::with_deadline(reqwest::Client::new(), &url, deadline);
     let (a, b) = tokio::join!(client.fetch("m", "1"), client.fetch("m", "1"));
     let results = [a, b];
-    assert!(results.contains(&Ok(100)));
+    assert!(results.contains(&Ok(2000)));
     let limited = results
         .iter()
         .find_map(|result| result.as_ref().err())
