Detect no outage from answers older than the node's start

A node that has just started may hear first of an answer that the store gave a follower 20 s ago and then of one that it gave a watcher just now, and took the time between for an outage, which puts departures in doubt for 2.2 s. A node whose view was never confirmed reported an age since the boot of its VM.

Change: `StoreContact` counts from the start of the node, and an age that is not known is absent from messages and log lines. A follower near its limit pauses for what is left and does not fetch in ever shorter intervals.

Test: a_node_that_has_just_started_takes_old_answers_for_no_outage fails without `observed_since`.

--- a/src/core/gateway/store_contact.rs
+++ b/src/core/gateway/store_contact.rs
@@ -16,8 +16,10 @@
 const REREGISTRATION_GRACE: Duration = Duration::from_millis(2200);
 
 /// When the store was last in contact with this node and with others.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StoreContact {
+    /// When this node began to observe the store.
+    observed_since: Moment,
     /// Last answer of the store to this node.
     answered_at: Option<Moment>,
     /// Time up to which this node's view of the store is known to be complete.
@@ -31,6 +33,18 @@
 }
 
 impl StoreContact {
+    /// Creates the state of a node that begins to observe the store now.
+    pub fn new(now: Moment) -> Self {
+        Self {
+            observed_since: now,
+            answered_at: None,
+            confirmed_at: None,
+            zone_answered_at: None,
+            any_answered_at: None,
+            outage_ended_at: None,
+        }
+    }
+
     /// Records an answer of the store to this node that completes its view.
     pub fn record_answer(&mut self, now: Moment) {
         self.answered_at = self.answered_at.max(Some(now));
@@ -52,10 +66,8 @@
 
     /// Records an answer of the store to any other node.
     pub fn record_any_answer(&mut self, at: Moment) {
-        let is_after_outage = self
-            .any_answered_at
-            .is_some_and(|last| at.saturating_sub(last) > MIN_OUTAGE);
-        if is_after_outage {
+        let last = self.any_answered_at.max(Some(self.observed_since));
+        if last.is_some_and(|last| at.saturating_sub(last) > MIN_OUTAGE) {
             self.outage_ended_at = Some(at);
         }
         self.any_answered_at = self.any_answered_at.max(Some(at));
@@ -66,14 +78,9 @@
         self.answered_at.is_some()
     }
 
-    /// Returns whether this node's view was complete at some time.
-    pub fn was_confirmed(&self) -> bool {
-        self.confirmed_at.is_some()
-    }
-
-    /// Returns the time for which this node's view has not been confirmed.
-    pub fn view_age(&self, now: Moment) -> Duration {
-        now.saturating_sub(self.confirmed_at.unwrap_or_default())
+    /// Returns the time for which this node's view has not been confirmed, or `None` if it never was.
+    pub fn view_age(&self, now: Moment) -> Option<Duration> {
+        self.confirmed_at.map(|at| now.saturating_sub(at))
     }
 
     /// Returns the time since the store last answered this node, for other nodes.
--- a/src/ops/gateway/duties.rs
+++ b/src/ops/gateway/duties.rs
@@ -173,9 +173,7 @@
     /// process of the node, which has ended as a node runs only one, or the claim is an earlier one of
     /// this process that it gave up; only a last call may still be in flight.
     fn possible_claim(&self) -> Option<Claim> {
-        if !self.state.contact.lock().was_confirmed() {
-            return None;
-        }
+        self.state.view_age()?;
         let view = self.state.view.lock();
         let Some(holder) = view.get(keys::HOLDER) else {
             return Some(Claim {
--- a/src/ops/gateway/follow_store.rs
+++ b/src/ops/gateway/follow_store.rs
@@ -20,6 +20,7 @@
 const INITIAL_BACKOFF: Duration = Duration::from_millis(100);
 /// Upper bound of the backoff.
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
+
 /// Keeps the view up to date until the task is dropped.
 pub async fn run(state: Arc<GatewayState>, store: Arc<dyn Store>, client: reqwest::Client) {
     let mut backoff = INITIAL_BACKOFF;
--- a/src/ops/gateway/install.rs
+++ b/src/ops/gateway/install.rs
@@ -144,7 +144,7 @@
             backend = id,
             revision = deletion.revision,
             ?source,
-            view_age_ms = millis(contact.view_age(now)),
+            view_age_ms = contact.view_age(now).map(millis),
             grace_ms = millis(gone_at - now),
             last_call_ms = last_call_ms(state, id, now),
             "back end no longer listed"
@@ -202,7 +202,7 @@
                     leaving,
                     revision = item.mod_revision,
                     ?source,
-                    view_age_ms = millis(state.view_age()),
+                    view_age_ms = state.view_age().map(millis),
                     last_call_ms = last_call_ms(state, id, state.now()),
                     "back end listed"
                 );
--- a/src/ops/gateway/record.rs
+++ b/src/ops/gateway/record.rs
@@ -83,7 +83,7 @@
             verdict = refusal.verdict.as_str(),
             retry_after_ms = refusal.retry_after.map(millis),
             config = state.table().map_or(0, |table| table.version),
-            store_age_ms = millis(state.view_age()),
+            store_age_ms = state.view_age().map(millis),
             left_out,
             "call refused"
         );
@@ -215,7 +215,7 @@
         retry_after_ms = retry_after.map(millis),
         last_event,
         config = call.config_version,
-        store_age_ms = millis(state.view_age()),
+        store_age_ms = state.view_age().map(millis),
         left_out,
         "call ended"
     );
--- a/src/ops/gateway/relay.rs
+++ b/src/ops/gateway/relay.rs
@@ -97,9 +97,9 @@
         }
         let at = rand::random_range(0..watchers.len());
         let control = watchers[at].1;
-        let view_age = state.view_age();
-        let Some(time) = FetchTime::within(max_view_age.saturating_sub(view_age)) else {
-            tracing::info!(peer = %control, view_age_ms = view_age.as_millis() as u64, "the node followed does not reach the store");
+        let Some(time) = FetchTime::within(time_left(state, max_view_age)) else {
+            let view_age_ms = state.view_age().map(|age| age.as_millis() as u64);
+            tracing::info!(peer = %control, view_age_ms, "the node followed does not reach the store");
             return;
         };
         match snapshot::fetch(state, client, control, time).await {
@@ -109,7 +109,13 @@
                 return;
             }
         }
-        let left = max_view_age.saturating_sub(state.view_age());
-        tokio::time::sleep(fetch_interval(state).min(left / 2)).await;
+        let pause = fetch_interval(state).min(time_left(state, max_view_age));
+        tokio::time::sleep(pause).await;
     }
 }
+
+/// Returns the time until the view is too old to follow another node.
+fn time_left(state: &GatewayState, max_view_age: Duration) -> Duration {
+    let left = state.view_age().map(|age| max_view_age.saturating_sub(age));
+    left.unwrap_or_default()
+}
--- a/src/ops/gateway/snapshot.rs
+++ b/src/ops/gateway/snapshot.rs
@@ -58,9 +58,10 @@
     /// Whether all keys except those of `items` and `kept` are deleted.
     #[prost(bool, tag = "4")]
     pub is_whole: bool,
-    /// Time for which the node's view has not been confirmed to be complete, in milliseconds.
-    #[prost(uint64, tag = "5")]
-    pub contact_age_ms: u64,
+    /// Time for which the node's view has not been confirmed to be complete, in milliseconds; absent if it
+    /// never was.
+    #[prost(uint64, optional, tag = "5")]
+    pub contact_age_ms: Option<u64>,
     /// Hashes of the unchanged keys if `is_whole` is set, so that a node that has listed the store need
     /// not send all values again.
     #[prost(fixed64, repeated, tag = "6")]
@@ -185,6 +186,7 @@
 fn encode(state: &GatewayState, after: u64) -> SnapshotWire {
     let now = state.now();
     let view = state.view.lock();
+    let view_age = state.contact.lock().view_age(now);
     let changes = view.changes_since(after);
     let is_whole = matches!(changes.removals, Removals::AllExcept(_));
     let (deletions, kept) = match changes.removals {
@@ -196,7 +198,7 @@
         items: changes.items.into_iter().map(Into::into).collect(),
         is_whole,
         deletions: deletions.into_iter().map(Into::into).collect(),
-        contact_age_ms: state.contact.lock().view_age(now).as_millis() as u64,
+        contact_age_ms: view_age.map(|age| age.as_millis() as u64),
         kept,
         waited_ms: 0,
     }
@@ -284,21 +286,30 @@
     let mut snapshot = SnapshotWire::decode(res.bytes().await?)?;
     let took = state.now().saturating_sub(started).as_millis() as u64;
     let transfer = took.saturating_sub(snapshot.waited_ms);
-    snapshot.contact_age_ms = snapshot.contact_age_ms.saturating_add(transfer);
+    let with_transfer = |age_ms: u64| age_ms.saturating_add(transfer);
+    snapshot.contact_age_ms = snapshot.contact_age_ms.map(with_transfer);
     Ok(snapshot)
 }
 
 /// Applies a snapshot from another node if it is newer than this node's view. In any case the view then
 /// contains all that the other node's view did.
 pub fn apply(state: &GatewayState, snapshot: SnapshotWire, peer: SocketAddr) {
-    let contact_age = Duration::from_millis(snapshot.contact_age_ms);
-    let confirmed_at = state.now().saturating_sub(contact_age);
-    // Before the changes, as these may be due to an outage that ends with this contact.
-    state.contact.lock().record_any_answer(confirmed_at);
-    if snapshot.revision <= state.view.lock().revision {
-        state.contact.lock().record_copy(confirmed_at);
+    let age = snapshot.contact_age_ms.map(Duration::from_millis);
+    let confirmed_at = age.map(|age| state.now().saturating_sub(age));
+    if let Some(at) = confirmed_at {
+        // Before the changes, as these may be due to an outage that ends with this contact.
+        state.contact.lock().record_any_answer(at);
+    }
+    if snapshot.revision > state.view.lock().revision && !apply_changes(state, snapshot, peer) {
         return;
     }
+    if let Some(at) = confirmed_at {
+        state.contact.lock().record_copy(at);
+    }
+}
+
+/// Applies the changes of a snapshot. Returns whether they could be decoded.
+fn apply_changes(state: &GatewayState, snapshot: SnapshotWire, peer: SocketAddr) -> bool {
     let revision = snapshot.revision;
     let count = snapshot.items.len() + snapshot.deletions.len();
     let items = snapshot.items.into_iter().map(TryInto::try_into);
@@ -306,7 +317,7 @@
         Ok(items) => items,
         Err(e) => {
             tracing::warn!(%peer, error = %format!("{e:#}"), "cannot decode a snapshot");
-            return;
+            return false;
         }
     };
     if snapshot.is_whole {
@@ -320,6 +331,6 @@
         }
         state.set_revision(revision);
     }
-    state.contact.lock().record_copy(confirmed_at);
     tracing::debug!(%peer, revision, changes = count, "snapshot of a node applied");
+    true
 }
--- a/src/ops/gateway/state.rs
+++ b/src/ops/gateway/state.rs
@@ -101,7 +101,7 @@
             work: Mutex::default(),
             clock: Mutex::default(),
             view: Mutex::default(),
-            contact: Mutex::default(),
+            contact: Mutex::new(StoreContact::new(since_boot())),
             revision: watch::Sender::new(0),
             phase: watch::Sender::new(Phase::Starting),
             active: AtomicU64::new(0),
@@ -190,8 +190,8 @@
             .send_if_modified(|known| std::mem::replace(known, revision.max(*known)) < revision);
     }
 
-    /// Returns the time for which the view has not been confirmed to be complete.
-    pub fn view_age(&self) -> Duration {
+    /// Returns the time for which the view has not been confirmed to be complete, or `None` if it never was.
+    pub fn view_age(&self) -> Option<Duration> {
         self.contact.lock().view_age(self.now())
     }
 
--- a/tests/testsuite/gateway/departed_backends.rs
+++ b/tests/testsuite/gateway/departed_backends.rs
@@ -343,6 +343,7 @@
     install::apply_listing(&node, &[entry("b0", 1)], &[], 1, Source::Store);
     let now = node.now();
     let before_outage = now.saturating_sub(Duration::from_secs(6));
+    *node.contact.lock() = StoreContact::new(before_outage);
     node.contact.lock().record_answer(before_outage);
     node.contact.lock().record_answer(now);
     install::apply_listing(&node, &[], &[], 9, Source::Store);
@@ -355,7 +356,7 @@
 #[test]
 fn only_an_outage_for_all_nodes_puts_a_departure_in_doubt() {
     let at = Duration::from_millis;
-    let mut contact = StoreContact::default();
+    let mut contact = StoreContact::new(at(0));
     contact.record_answer(at(1_000));
     // Only this node is cut off from the store: another one had an answer meanwhile.
     contact.record_any_answer(at(3_000));
@@ -370,6 +371,18 @@
     assert_eq!(contact.reregistration_deadline(deadline), None);
 }
 
+#[test]
+fn a_node_that_has_just_started_takes_old_answers_for_no_outage() {
+    let at = Duration::from_millis;
+    let mut contact = StoreContact::new(at(50_000));
+    // A follower had its own last answer of the store long ago, a watcher just now.
+    contact.record_any_answer(at(20_000));
+    contact.record_any_answer(at(50_500));
+    assert_eq!(contact.reregistration_deadline(at(50_500)), None);
+    contact.record_any_answer(at(54_200));
+    assert!(contact.reregistration_deadline(at(54_200)).is_some());
+}
+
 #[test]
 fn a_follower_gives_up_a_silent_watcher_before_its_view_is_too_old() {
     for drain_ms in [1_000, 2_500, 4_000, 20_000] {
