--- a/src/ops/gateway/install.rs
+++ b/src/ops/gateway/install.rs
@@ -11,16 +11,8 @@
 use crate::core::gateway::backends::Listing;
 use crate::core::gateway::origin::Origin;
 use crate::core::time::Moment;
-use crate::sources::store::{KeyValue, Revision};
+use crate::sources::store::{Key, KeyValue, Revision};
 
-/// Time after an outage of the store in which back ends whose lease expired meanwhile register again.
-const REREGISTRATION_GRACE: Duration = Duration::from_millis(2200);
-/// Upper bound of the grace period for back ends that register again, as a fraction of the drain time of a
-/// back end.
-const MAX_GRACE_DRAIN_SHARE: f64 = 0.85;
-/// Time without contact to the store that counts as an outage, in which leases may have expired because
-/// their owners could not renew them.
-const MIN_OUTAGE: Duration = Duration::from_millis(3500);
 /// Time since the last message of a node for which it is kept after its entry in the store has expired.
 const NODE_TIMEOUT: Duration = Duration::from_millis(2500);
 
@@ -42,7 +34,7 @@
     if key == state.dialect.config_key() {
         install_table(state, item, source);
     } else if let Some(id) = key.strip_prefix(state.dialect.backend_prefix()) {
-        install_backend(state, id, item);
+        install_backend(state, id, item, source);
     } else if let Some(name) = key.strip_prefix(keys::NODES) {
         match node_wire::decode(&item.value) {
             Ok(member) => {
@@ -60,15 +52,14 @@
 }
 
 /// Applies a deletion.
-pub fn delete(state: &GatewayState, deletion: Deletion) {
-    let (key, is_doubtful) = (deletion.key.clone(), deletion.is_doubtful);
-    if state.view.lock().delete(deletion) {
-        handle_deletion(state, &key, is_doubtful);
+pub fn delete(state: &GatewayState, deletion: Deletion, source: Source) {
+    if state.view.lock().delete(deletion.clone()) {
+        handle_deletion(state, &deletion, source);
     }
 }
 
 /// Applies a listing of the store at a revision: keys that are neither in `items` nor have a hash in
-/// `kept` are deleted.
+/// `kept` are deleted. A listing that is older than the view is left out, as it lacks later deletions.
 pub fn apply_listing(
     state: &GatewayState,
     items: &[KeyValue],
@@ -76,43 +67,48 @@
     revision: Revision,
     source: Source,
 ) {
+    let known = state.view.lock().revision;
+    if revision < known {
+        tracing::info!(revision, known, ?source, "older listing left out");
+        return;
+    }
     for item in items {
         put(state, item, source);
     }
-    let listed = items.iter().map(|item| view::hash_key(&item.key));
-    let listed: HashSet<KeyHash> = listed.chain(kept.iter().copied()).collect();
-    let missing: Vec<_> = {
-        let view = state.view.lock();
-        let old = view.iter().filter(|(_, known)| known.revision <= revision);
-        old.map(|(key, _)| key.clone())
-            .filter(|key| !listed.contains(&view::hash_key(key)))
-            .collect()
-    };
-    for key in missing {
-        // A listing does not show when a key was deleted; its lease may have expired during an outage
-        // of the store.
-        let deletion = Deletion {
-            key,
-            revision: revision + 1,
-            is_doubtful: true,
-        };
-        delete(state, deletion);
+    for key in missing_keys(state, items, kept, revision) {
+        delete(state, Deletion { key, revision }, source);
     }
     state.view.lock().compact_deletions(revision);
     state.set_revision(revision);
 }
 
-/// Returns whether contact to the store was interrupted for so long that leases may have expired.
-pub fn was_outage(last_contact: Option<Moment>, now: Moment) -> bool {
-    last_contact.is_some_and(|last_contact| now.saturating_sub(last_contact) > MIN_OUTAGE)
+/// Returns the keys of the view that a listing at a revision lacks.
+fn missing_keys(
+    state: &GatewayState,
+    items: &[KeyValue],
+    kept: &[KeyHash],
+    revision: Revision,
+) -> Vec<Key> {
+    let listed = items.iter().map(|item| view::hash_key(&item.key));
+    let listed: HashSet<KeyHash> = listed.chain(kept.iter().copied()).collect();
+    let view = state.view.lock();
+    let older = view.iter().filter(|(_, known)| known.revision < revision);
+    older
+        .map(|(key, _)| key.clone())
+        .filter(|key| !listed.contains(&view::hash_key(key)))
+        .collect()
 }
 
 /// Removes back ends whose grace period is over, and nodes that have neither an entry in the store nor
 /// sent a message lately.
 pub fn expire(state: &GatewayState) {
     let now = state.now();
-    for id in state.backends.lock().expire(now) {
-        tracing::info!(backend = &*id, "back end gone");
+    for gone in state.backends.lock().expire(now) {
+        tracing::info!(
+            backend = &*gone.id,
+            last_call_ms = gone.since_last_call.map(millis),
+            "back end gone"
+        );
     }
     let mut members = state.members.lock();
     let removed: Vec<_> = {
@@ -138,19 +134,19 @@
     }
 }
 
-fn handle_deletion(state: &GatewayState, key: &str, after_outage: bool) {
-    if let Some(id) = key.strip_prefix(state.dialect.backend_prefix()) {
-        let grace = match after_outage {
-            true => {
-                REREGISTRATION_GRACE.min(state.settings.bounds.drain.mul_f64(MAX_GRACE_DRAIN_SHARE))
-            }
-            false => Duration::ZERO,
-        };
-        let gone_at = state.now() + grace;
+fn handle_deletion(state: &GatewayState, deletion: &Deletion, source: Source) {
+    if let Some(id) = deletion.key.strip_prefix(state.dialect.backend_prefix()) {
+        let now = state.now();
+        let contact = *state.contact.lock();
+        let gone_at = contact.reregistration_deadline(now).unwrap_or(now);
         state.backends.lock().unlist(id, gone_at);
         tracing::info!(
             backend = id,
-            grace_ms = grace.as_millis() as u64,
+            revision = deletion.revision,
+            ?source,
+            view_age_ms = contact.view_age(now).map(millis),
+            grace_ms = millis(gone_at - now),
+            last_call_ms = last_call_ms(state, id, now),
             "back end no longer listed"
         );
     }
@@ -192,14 +188,24 @@
     }
 }
 
-fn install_backend(state: &GatewayState, id: &str, item: &KeyValue) {
+fn install_backend(state: &GatewayState, id: &str, item: &KeyValue, source: Source) {
     match state.dialect.decode_backend(id, &item.value) {
         Ok(backend) => {
             let leaving = backend.is_leaving;
             let (address, service) = (backend.address, backend.service.clone());
             let changed = state.backends.lock().put(backend);
             if changed {
-                tracing::info!(backend = id, service = &*service, %address, leaving, revision = item.mod_revision, "back end listed");
+                tracing::info!(
+                    backend = id,
+                    service = &*service,
+                    %address,
+                    leaving,
+                    revision = item.mod_revision,
+                    ?source,
+                    view_age_ms = state.view_age().map(millis),
+                    last_call_ms = last_call_ms(state, id, state.now()),
+                    "back end listed"
+                );
             }
         }
         Err(e) => {
@@ -218,3 +224,13 @@
         }
     }
 }
+
+/// Returns the time since this node last assigned a call to a back end, in milliseconds.
+fn last_call_ms(state: &GatewayState, id: &str, now: Moment) -> Option<u64> {
+    let backends = state.backends.lock();
+    backends.get(id)?.since_last_call(now).map(millis)
+}
+
+fn millis(duration: Duration) -> u64 {
+    duration.as_millis() as u64
+}
--- a/src/ops/gateway/snapshot.rs
+++ b/src/ops/gateway/snapshot.rs
@@ -15,6 +15,7 @@
 
 use super::install::{self, Source};
 use super::mesh::Mesh;
+use super::relay::FetchTime;
 use super::state::GatewayState;
 use super::view::{Deletion, KeyHash, Removals, Versioned};
 use crate::core::time::Moment;
@@ -26,10 +27,15 @@
 /// Delay after the start before a node without a configuration asks the nodes that its settings name.
 const SEED_FETCH_DELAY: Duration = Duration::from_millis(700);
 /// Timeout of a fetch, in addition to the time for which the other node may wait for changes.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
+pub(super) const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
 /// Mean delay between another node's message about a newer revision and a fetch from a node, in which
 /// the change normally arrives from the store.
 const STORE_WATCH_DELAY: Duration = Duration::from_millis(300);
+/// Times of a fetch of changes that are known to exist.
+const AT_ONCE: FetchTime = FetchTime {
+    wait: Duration::ZERO,
+    timeout: FETCH_TIMEOUT,
+};
 /// Limit on the nodes that are asked for one change.
 const MAX_PEERS_ASKED: usize = 3;
 /// Time without a message of a node after which it is not asked.
@@ -52,13 +58,17 @@
     /// Whether all keys except those of `items` and `kept` are deleted.
     #[prost(bool, tag = "4")]
     pub is_whole: bool,
-    /// Time since the node's last contact with the store, in milliseconds.
-    #[prost(uint64, tag = "5")]
-    pub contact_age_ms: u64,
+    /// Time for which the node's view has not been confirmed to be complete, in milliseconds; absent if it
+    /// never was.
+    #[prost(uint64, optional, tag = "5")]
+    pub contact_age_ms: Option<u64>,
     /// Hashes of the unchanged keys if `is_whole` is set, so that a node that has listed the store need
     /// not send all values again.
     #[prost(fixed64, repeated, tag = "6")]
     pub kept: Vec<KeyHash>,
+    /// Time for which the node waited for changes before it responded, in milliseconds.
+    #[prost(uint64, tag = "7")]
+    pub waited_ms: u64,
 }
 
 /// A key with its value.
@@ -90,9 +100,6 @@
     /// Revision of the deletion.
     #[prost(uint64, tag = "2")]
     pub revision: u64,
-    /// Whether the key's lease may have expired only because of an outage of the store.
-    #[prost(bool, tag = "3")]
-    pub is_doubtful: bool,
 }
 
 impl TryFrom<ItemWire> for KeyValue {
@@ -137,7 +144,6 @@
         Self {
             key: deletion.key.into(),
             revision: deletion.revision,
-            is_doubtful: deletion.is_doubtful,
         }
     }
 }
@@ -147,7 +153,6 @@
         Self {
             key: wire.key.into(),
             revision: wire.revision,
-            is_doubtful: wire.is_doubtful,
         }
     }
 }
@@ -157,13 +162,19 @@
 pub async fn respond(state: &GatewayState, query: &str) -> Vec<u8> {
     let after = query_number(query, "after");
     let wait = Duration::from_millis(query_number(query, "wait_ms"));
+    let started = state.now();
     let mut revision = state.revision.subscribe();
     let changed = revision.wait_for(|known| *known > after);
     // If nothing changes within the wait, the response contains no changes.
     let _ = tokio::time::timeout(wait, changed)
         .await
         .map(|seen| seen.is_ok());
-    encode(state, after).encode_to_vec()
+    let waited = state.now().saturating_sub(started);
+    let snapshot = SnapshotWire {
+        waited_ms: waited.as_millis() as u64,
+        ..encode(state, after)
+    };
+    snapshot.encode_to_vec()
 }
 
 fn query_number(query: &str, name: &str) -> u64 {
@@ -175,8 +186,8 @@
 fn encode(state: &GatewayState, after: u64) -> SnapshotWire {
     let now = state.now();
     let view = state.view.lock();
+    let view_age = state.contact.lock().view_age(now);
     let changes = view.changes_since(after);
-    let last_contact = view.last_contact.unwrap_or_default();
     let is_whole = matches!(changes.removals, Removals::AllExcept(_));
     let (deletions, kept) = match changes.removals {
         Removals::Deleted(deletions) => (deletions, Vec::new()),
@@ -187,8 +198,9 @@
         items: changes.items.into_iter().map(Into::into).collect(),
         is_whole,
         deletions: deletions.into_iter().map(Into::into).collect(),
-        contact_age_ms: now.saturating_sub(last_contact).as_millis() as u64,
+        contact_age_ms: view_age.map(|age| age.as_millis() as u64),
         kept,
+        waited_ms: 0,
     }
 }
 
@@ -220,7 +232,7 @@
                 .choose(&mut rand::rng())
         };
         let Some(peer) = peer else { return };
-        match fetch(state, client, peer, Duration::ZERO).await {
+        match fetch(state, client, peer, AT_ONCE).await {
             Ok(snapshot) => return apply(state, snapshot, peer),
             Err(e) => {
                 tracing::warn!(%peer, error = %format!("{e:#}"), "failed to fetch a snapshot");
@@ -240,7 +252,7 @@
             if *seed == state.settings.listen.control {
                 continue;
             }
-            match fetch(state, client, *seed, Duration::ZERO).await {
+            match fetch(state, client, *seed, AT_ONCE).await {
                 Ok(snapshot) => apply(state, snapshot, *seed),
                 Err(e) => tracing::debug!(peer = %seed, error = %e, "failed to fetch a snapshot"),
             }
@@ -248,7 +260,8 @@
     }
 }
 
-/// Fetches from a node the changes that are missing in this node's view.
+/// Fetches from a node the changes that are missing in this node's view. The contact age of the result
+/// includes the time of the transfer.
 ///
 /// # Errors
 ///
@@ -257,26 +270,46 @@
     state: &GatewayState,
     client: &Client,
     control: SocketAddr,
-    wait: Duration,
+    time: FetchTime,
 ) -> eyre::Result<SnapshotWire> {
     let after = state.view.lock().revision;
-    let wait_ms = wait.as_millis();
+    let wait_ms = time.wait.as_millis();
+    let started = state.now();
     let res = client
         .get(format!(
             "http://{control}{PATH}?after={after}&wait_ms={wait_ms}"
         ))
-        .timeout(FETCH_TIMEOUT + wait)
+        .timeout(time.timeout)
         .send()
         .await?
         .error_for_status()?;
-    Ok(SnapshotWire::decode(res.bytes().await?)?)
+    let mut snapshot = SnapshotWire::decode(res.bytes().await?)?;
+    let took = state.now().saturating_sub(started).as_millis() as u64;
+    let transfer = took.saturating_sub(snapshot.waited_ms);
+    let with_transfer = |age_ms: u64| age_ms.saturating_add(transfer);
+    snapshot.contact_age_ms = snapshot.contact_age_ms.map(with_transfer);
+    Ok(snapshot)
 }
 
-/// Applies a snapshot from another node if it is newer than this node's view.
+/// Applies a snapshot from another node if it is newer than this node's view. In any case the view then
+/// contains all that the other node's view did.
 pub fn apply(state: &GatewayState, snapshot: SnapshotWire, peer: SocketAddr) {
-    if snapshot.revision <= state.view.lock().revision {
+    let age = snapshot.contact_age_ms.map(Duration::from_millis);
+    let confirmed_at = age.map(|age| state.now().saturating_sub(age));
+    if let Some(at) = confirmed_at {
+        // Before the changes, as these may be due to an outage that ends with this contact.
+        state.contact.lock().record_any_answer(at);
+    }
+    if snapshot.revision > state.view.lock().revision && !apply_changes(state, snapshot, peer) {
         return;
     }
+    if let Some(at) = confirmed_at {
+        state.contact.lock().record_copy(at);
+    }
+}
+
+/// Applies the changes of a snapshot. Returns whether they could be decoded.
+fn apply_changes(state: &GatewayState, snapshot: SnapshotWire, peer: SocketAddr) -> bool {
     let revision = snapshot.revision;
     let count = snapshot.items.len() + snapshot.deletions.len();
     let items = snapshot.items.into_iter().map(TryInto::try_into);
@@ -284,7 +317,7 @@
         Ok(items) => items,
         Err(e) => {
             tracing::warn!(%peer, error = %format!("{e:#}"), "cannot decode a snapshot");
-            return;
+            return false;
         }
     };
     if snapshot.is_whole {
@@ -294,9 +327,10 @@
             install::put(state, item, Source::Peer);
         }
         for deletion in snapshot.deletions {
-            install::delete(state, deletion.into());
+            install::delete(state, deletion.into(), Source::Peer);
         }
         state.set_revision(revision);
     }
     tracing::debug!(%peer, revision, changes = count, "snapshot of a node applied");
+    true
 }
--- a/src/ops/gateway/state.rs
+++ b/src/ops/gateway/state.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
+use std::time::Duration;
 
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::watch;
@@ -16,6 +17,7 @@
 use crate::core::gateway::quota::QuotaShares;
 use crate::core::gateway::retry_budget::RetryBudget;
 use crate::core::gateway::routes::{RouteTable, ServiceName};
+use crate::core::gateway::store_contact::StoreContact;
 use crate::core::gateway::usage::{Counts, UsageCounts, Window};
 use crate::core::gateway::work::WorkRates;
 use crate::core::time::{Moment, UnixMillis};
@@ -59,6 +61,8 @@
     pub clock: Mutex<ClockMedian>,
     /// Replica of the store.
     pub view: Mutex<View>,
+    /// Contact with the store.
+    pub contact: Mutex<StoreContact>,
     /// Revision of the store up to which the view is complete.
     pub revision: watch::Sender<u64>,
     /// Phase of the process.
@@ -97,6 +101,7 @@
             work: Mutex::default(),
             clock: Mutex::default(),
             view: Mutex::default(),
+            contact: Mutex::new(StoreContact::new(since_boot())),
             revision: watch::Sender::new(0),
             phase: watch::Sender::new(Phase::Starting),
             active: AtomicU64::new(0),
@@ -185,6 +190,11 @@
             .send_if_modified(|known| std::mem::replace(known, revision.max(*known)) < revision);
     }
 
+    /// Returns the time for which the view has not been confirmed to be complete, or `None` if it never was.
+    pub fn view_age(&self) -> Option<Duration> {
+        self.contact.lock().view_age(self.now())
+    }
+
     /// Returns the number of known nodes.
     pub fn node_count(&self) -> usize {
         self.members.lock().count()
