Use one store with faults in the tests of departures and of unresponsive stores

Cause: two wrappers of the in-memory store stood beside each other, and that of the departures confirmed a revision after each change though a later one existed; the platform's client confirms what one poll has delivered.

Change: one wrapper in watched_store.rs delivers all changes there are, confirms them and pauses, like the platform's client. A compaction is given by its revision and not by a span of 20 ms that a busy VM may miss.

--- a/tests/testsuite/gateway/departed_backends.rs
+++ b/tests/testsuite/gateway/departed_backends.rs
@@ -3,9 +3,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use futures::StreamExt;
-use futures::future::BoxFuture;
-use futures::stream;
 use jayhall::core::gateway::backends::Backend;
 use jayhall::core::gateway::store_contact::StoreContact;
 use jayhall::ops::gateway::install::{self, Source};
@@ -13,136 +10,19 @@
 use jayhall::ops::gateway::snapshot::{self, SnapshotWire};
 use jayhall::ops::gateway::state::GatewayState;
 use jayhall::platform::PlatformDialect;
-use jayhall::sources::store::{
-    KeyValue, LeaseGrant, LeaseId, MemoryStore, RangeReply, RangeRequest, Result, Revision, Store,
-    StoreError, Transaction, TransactionReply, WatchEvent, WatchRequest, WatchStream,
-};
+use jayhall::sources::store::{KeyValue, RangeRequest, Revision, Store};
 use jayhall::util::settings::GatewaySettings;
 use jayhall_harness::GatewaySettingsText;
 use prost::Message;
 use tokio::sync::watch;
 
 use super::fixture::{Behaviour, FakeBackend, Fixture, Node, config, default_settings};
+use super::watched_store::{WatchedStore, Watches};
 
 /// Time after a back end's departure within which it still receives calls; the default of the settings.
 const DRAIN: Duration = Duration::from_millis(2500);
 /// Time from the start of the nodes until their roles as watcher and follower have settled.
 const SETTLING_TIME: Duration = Duration::from_secs(4);
-/// Delay of changes in a watch, like the pause with which the platform's client collects changes.
-const WATCH_DELAY: Duration = Duration::from_millis(300);
-/// Interval between progress events of a watch without changes.
-const PROGRESS_INTERVAL: Duration = Duration::from_secs(1);
-
-/// What watches of a [`WatchedStore`] deliver.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Watches {
-    /// All changes.
-    Complete,
-    /// Nothing; other calls are answered.
-    Silent,
-    /// Nothing, and other calls are not answered either.
-    Unresponsive,
-    /// The store has compacted its history: revisions before this one are gone.
-    Compacted(Revision),
-}
-
-/// Wrapper of the fixture's store for one node, with faults. Like the platform's store, it confirms a revision
-/// only after the changes up to it.
-struct WatchedStore {
-    inner: Arc<MemoryStore>,
-    watches: watch::Receiver<Watches>,
-}
-
-impl WatchedStore {
-    async fn call<T>(&self, call: BoxFuture<'_, Result<T>>) -> Result<T> {
-        let mut watches = self.watches.clone();
-        let answers = watches.wait_for(|watches| *watches != Watches::Unresponsive);
-        answers.await.map(drop).expect("the test goes on");
-        call.await
-    }
-}
-
-impl Store for WatchedStore {
-    fn range(&self, req: RangeRequest) -> BoxFuture<'_, Result<RangeReply>> {
-        Box::pin(self.call(self.inner.range(req)))
-    }
-
-    fn transact(&self, req: Transaction) -> BoxFuture<'_, Result<TransactionReply>> {
-        Box::pin(self.call(self.inner.transact(req)))
-    }
-
-    fn grant_lease(&self, ttl: Duration) -> BoxFuture<'_, Result<LeaseGrant>> {
-        Box::pin(self.call(self.inner.grant_lease(ttl)))
-    }
-
-    fn keep_alive(&self, lease: LeaseId) -> BoxFuture<'_, Result<LeaseGrant>> {
-        Box::pin(self.call(self.inner.keep_alive(lease)))
-    }
-
-    fn revoke(&self, lease: LeaseId) -> BoxFuture<'_, Result<()>> {
-        Box::pin(self.call(self.inner.revoke(lease)))
-    }
-
-    fn watch(&self, req: WatchRequest) -> BoxFuture<'_, Result<WatchStream>> {
-        Box::pin(async move {
-            let from = req.from.unwrap_or_default();
-            let changes = self.call(self.inner.watch(req)).await?;
-            let events = stream::select(confirmed(changes), progress());
-            let watches = self.watches.clone();
-            let events = events.then(move |event| {
-                let mut watches = watches.clone();
-                async move {
-                    let answers =
-                        |state: &Watches| !matches!(state, Watches::Silent | Watches::Unresponsive);
-                    if !matches!(event, Ok(WatchEvent::Started { .. })) {
-                        tokio::time::sleep(WATCH_DELAY).await;
-                    }
-                    let state = *watches.wait_for(answers).await.expect("the test goes on");
-                    match state {
-                        Watches::Compacted(first) if from < first => {
-                            Err(StoreError::Compacted { revision: first })
-                        }
-                        _ => event,
-                    }
-                }
-            });
-            Ok(events.boxed())
-        })
-    }
-}
-
-/// Adds a progress event after each change.
-fn confirmed(changes: WatchStream) -> WatchStream {
-    let with_progress = |event: Result<WatchEvent>| {
-        let revision = match &event {
-            Ok(WatchEvent::Put(item)) => Some(item.mod_revision),
-            Ok(WatchEvent::Deleted { revision, .. }) => Some(*revision),
-            // The in-memory store sends its own progress event before the changes.
-            Ok(WatchEvent::Started { .. }) => return stream::iter(Vec::new()),
-            Err(_) => None,
-        };
-        let progress = revision.map(|revision| Ok(WatchEvent::Started { revision }));
-        stream::iter(
-            [Some(event), progress]
-                .into_iter()
-                .flatten()
-                .collect::<Vec<_>>(),
-        )
-    };
-    changes.flat_map(with_progress).boxed()
-}
-
-/// Returns progress events without a revision, one in each [`PROGRESS_INTERVAL`].
-fn progress() -> WatchStream {
-    let first = tokio::time::Instant::now() + PROGRESS_INTERVAL;
-    let interval = tokio::time::interval_at(first, PROGRESS_INTERVAL);
-    let events = stream::unfold(interval, |mut interval| async move {
-        interval.tick().await;
-        Some((Ok(WatchEvent::Started { revision: 0 }), interval))
-    });
-    events.boxed()
-}
-
 /// Two nodes of one zone and one of another with a single back end. `follower` gets its changes from `watcher`.
 struct Fleet {
     fixture: Fixture,
@@ -164,12 +44,7 @@
         fixture.list_backend("b0", "plain", &backend, "ready").await;
         let (to_watcher, _) = watch::channel(Watches::Complete);
         let (to_others, _) = watch::channel(Watches::Complete);
-        let store = |faults: &watch::Sender<Watches>| {
-            Arc::new(WatchedStore {
-                inner: Arc::clone(&fixture.store),
-                watches: faults.subscribe(),
-            })
-        };
+        let store = |faults: &watch::Sender<Watches>| WatchedStore::open(&fixture, faults);
         // Of a zone's nodes, the one with the second name watches the store if there are other zones.
         let follower = fixture.node_with_store("n1", "z1", store(&to_others)).await;
         let watcher = fixture
@@ -194,6 +69,9 @@
     /// Removes the back end from the registry. Calls are sent to all nodes for the time `observed`; returns for
     /// each node how long after the removal the back end still ran one of them.
     async fn calls_after_departure(&self, observed: Duration) -> Vec<(&'static str, Duration)> {
+        // The departure falls into the pause of the watches after another change.
+        self.fixture.put("other", "change").await;
+        tokio::time::sleep(Duration::from_millis(20)).await;
         self.fixture.remove("servers/b0").await;
         let departed = Instant::now();
         let mut last_runs = vec![
@@ -235,13 +113,12 @@
         store.send_replace(Watches::Silent);
     }
     let (to_watcher, to_others) = (fleet.to_watcher.clone(), fleet.to_others.clone());
+    let store = Arc::clone(&fleet.fixture.store);
     tokio::spawn(async move {
         tokio::time::sleep(Duration::from_secs(1)).await;
-        for store in [to_watcher, to_others] {
-            store.send_replace(Watches::Compacted(Revision::MAX));
-            // The store answers watches again that begin after its listing.
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            store.send_replace(Watches::Complete);
+        let latest = store.range(RangeRequest::one("none")).await.unwrap();
+        for faults in [to_watcher, to_others] {
+            faults.send_replace(Watches::Compacted(latest.revision + 1));
         }
     });
     assert_within_drain(&fleet.calls_after_departure(DRAIN * 2).await);
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -14,4 +14,5 @@
 mod snapshots;
 mod streams;
 mod unresponsive_store;
+mod watched_store;
 mod zone_sums;
