--- a/tests/testsuite/gateway/departed_backends.rs
+++ b/tests/testsuite/gateway/departed_backends.rs
@@ -9,20 +9,18 @@
 use jayhall::ops::gateway::relay::{self, FetchTime};
 use jayhall::ops::gateway::snapshot::{self, SnapshotWire};
 use jayhall::ops::gateway::state::GatewayState;
-use jayhall::platform::PlatformDialect;
 use jayhall::sources::store::{KeyValue, RangeRequest, Revision, Store};
-use jayhall::util::settings::GatewaySettings;
-use jayhall_harness::GatewaySettingsText;
 use prost::Message;
 use tokio::sync::watch;
 
-use super::fixture::{Behaviour, FakeBackend, Fixture, Node, config, default_settings};
+use super::fixture::{Behaviour, FakeBackend, Fixture, Node, config, gateway_state};
 use super::watched_store::{WatchedStore, Watches};
 
 /// Time after a back end's departure within which it still receives calls; the default of the settings.
 const DRAIN: Duration = Duration::from_millis(2500);
 /// Time from the start of the nodes until their roles as watcher and follower have settled.
 const SETTLING_TIME: Duration = Duration::from_secs(4);
+
 /// Two nodes of one zone and one of another with a single back end. `follower` gets its changes from `watcher`.
 struct Fleet {
     fixture: Fixture,
@@ -135,17 +133,6 @@
     assert_within_drain(&fleet.calls_after_departure(DRAIN * 2).await);
 }
 
-fn state(name: &str) -> Arc<GatewayState> {
-    let text = GatewaySettingsText {
-        name,
-        ..default_settings()
-    };
-    GatewayState::new(
-        GatewaySettings::parse(&text.render()).unwrap(),
-        Arc::new(PlatformDialect),
-    )
-}
-
 fn entry(id: &str, revision: Revision) -> KeyValue {
     KeyValue {
         key: format!("servers/{id}").into(),
@@ -184,7 +171,7 @@
 
 #[tokio::test]
 async fn a_back_end_missing_from_a_listing_without_an_outage_gets_no_calls() {
-    let node = state("n1");
+    let node = gateway_state("n1");
     install::apply_listing(
         &node,
         &[entry("b0", 1), entry("b1", 2)],
@@ -201,7 +188,7 @@
 
 #[tokio::test]
 async fn a_listing_older_than_the_view_does_not_restore_a_departed_back_end() {
-    let (node, peer) = (state("n1"), state("n2"));
+    let (node, peer) = (gateway_state("n1"), gateway_state("n2"));
     let listed = [entry("b0", 1), entry("b1", 2)];
     install::apply_listing(&peer, &listed, &[], 2, Source::Store);
     install::apply_listing(&node, &listed, &[], 2, Source::Store);
@@ -216,7 +203,7 @@
 
 #[tokio::test]
 async fn a_back_end_whose_lease_expired_in_an_outage_gets_calls_while_it_may_register_again() {
-    let node = state("n1");
+    let node = gateway_state("n1");
     install::apply_listing(&node, &[entry("b0", 1)], &[], 1, Source::Store);
     let now = node.now();
     let before_outage = now.saturating_sub(Duration::from_secs(6));
--- a/tests/testsuite/gateway/fixture.rs
+++ b/tests/testsuite/gateway/fixture.rs
@@ -21,6 +21,7 @@
 use jayhall::core::gateway::usage::{Counts, Window};
 use jayhall::node::{Gateway, Platform};
 use jayhall::ops::gateway::dialect::{Duties, DutyReply, Holder};
+use jayhall::ops::gateway::state::GatewayState;
 use jayhall::platform::PlatformDialect;
 use jayhall::sources::store::{KeyRange, MemoryStore, Op, Store, Transaction};
 use jayhall::util::settings::GatewaySettings;
@@ -347,6 +348,18 @@
     }
 }
 
+/// Returns the state of a node that has just started, without its tasks.
+pub(super) fn gateway_state(name: &str) -> Arc<GatewayState> {
+    let text = GatewaySettingsText {
+        name,
+        ..default_settings()
+    };
+    GatewayState::new(
+        GatewaySettings::parse(&text.render()).unwrap(),
+        Arc::new(PlatformDialect),
+    )
+}
+
 /// Configuration of the fixture: calls of `/get/` are idempotent, calls of `/once/` run at most once, and
 /// `/stream/`, `/resumable/` and `/long/` answer with streams.
 pub(super) fn config(version: u64) -> String {
--- a/tests/testsuite/gateway/snapshots.rs
+++ b/tests/testsuite/gateway/snapshots.rs
@@ -1,34 +1,19 @@
 //! Snapshots of the store's content that nodes send to each other, and the choice of the node to ask.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use jayhall::core::gateway::members::{Capacity, Member, Members};
 use jayhall::ops::gateway::install::{self, Source};
 use jayhall::ops::gateway::snapshot::{self, SnapshotWire};
 use jayhall::ops::gateway::state::GatewayState;
-use jayhall::platform::PlatformDialect;
 use jayhall::sources::store::KeyValue;
-use jayhall::util::settings::GatewaySettings;
-use jayhall_harness::GatewaySettingsText;
 use prost::Message;
 
-use super::fixture::{config, default_settings};
+use super::fixture::{config, gateway_state};
 
 /// Number of back ends in the store, as in a large deployment.
 const BACKENDS: u64 = 250;
 
-fn state(name: &str) -> Arc<GatewayState> {
-    let text = GatewaySettingsText {
-        name,
-        ..default_settings()
-    };
-    GatewayState::new(
-        GatewaySettings::parse(&text.render()).unwrap(),
-        Arc::new(PlatformDialect),
-    )
-}
-
 fn item(key: &str, value: String, revision: u64) -> KeyValue {
     KeyValue {
         key: key.into(),
@@ -75,7 +60,7 @@
 
 #[tokio::test]
 async fn a_node_that_just_listed_the_store_sends_only_changes() {
-    let (fresh, other) = (state("fresh"), state("other"));
+    let (fresh, other) = (gateway_state("fresh"), gateway_state("other"));
     let revision = BACKENDS + 1;
     install::apply_listing(&other, &initial_items(), &[], revision, Source::Store);
     // Two back ends are removed and one is leaving before the fresh node lists the store.
@@ -99,7 +84,7 @@
 
 #[tokio::test]
 async fn a_large_configuration_is_sent_compressed_and_applied_unchanged() {
-    let (first, second) = (state("first"), state("second"));
+    let (first, second) = (gateway_state("first"), gateway_state("second"));
     let routes: Vec<String> = (0..1400)
         .map(|index| {
             format!(
@@ -124,7 +109,7 @@
 
 #[tokio::test]
 async fn a_node_that_was_away_learns_of_removals_from_a_node_that_listed_again() {
-    let (watcher, away) = (state("watcher"), state("away"));
+    let (watcher, away) = (gateway_state("watcher"), gateway_state("away"));
     for node in [&watcher, &away] {
         install::apply_listing(node, &initial_items(), &[], BACKENDS + 1, Source::Store);
     }
