Require calls to the back end before its departure in the tests of DRAIN

The plays measure the last call after a departure and passed as well if no call ever reached the back end.

--- a/tests/testsuite/gateway/departed_backends.rs
+++ b/tests/testsuite/gateway/departed_backends.rs
@@ -67,6 +67,12 @@
     /// Removes the back end from the registry. Calls are sent to all nodes for the time `observed`; returns for
     /// each node how long after the removal the back end still ran one of them.
     async fn calls_after_departure(&self, observed: Duration) -> Vec<(&'static str, Duration)> {
+        for node in [&self.follower, &self.watcher, &self.other_zone] {
+            let runs = self.backend.runs();
+            let call = self.fixture.call(node, "/get/x", "before");
+            assert_eq!(call.send().await.unwrap().status(), 200);
+            assert_eq!(self.backend.runs(), runs + 1);
+        }
         // The departure falls into the pause of the watches after another change.
         self.fixture.put("other", "change").await;
         tokio::time::sleep(Duration::from_millis(20)).await;
