Keep one moment for the last known answer of the store

The start of the node only bounded the last answer of the store to any node from below, so it is the first value of that field. Behaviour is unchanged; a_node_that_has_just_started_takes_old_answers_for_no_outage and the other seven tests of departed_backends pass.

--- a/src/core/gateway/store_contact.rs
+++ b/src/core/gateway/store_contact.rs
@@ -18,16 +18,14 @@
 /// When the store was last in contact with this node and with others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StoreContact {
-    /// When this node began to observe the store.
-    observed_since: Moment,
     /// Last answer of the store to this node.
     answered_at: Option<Moment>,
     /// Time up to which this node's view of the store is known to be complete.
     confirmed_at: Option<Moment>,
     /// Last answer of the store to this node or another one of its availability zone.
     zone_answered_at: Option<Moment>,
-    /// Last answer of the store to any node.
-    any_answered_at: Option<Moment>,
+    /// Last answer of the store to any node, or the start of this node if that is later.
+    any_answered_at: Moment,
     /// End of the last outage.
     outage_ended_at: Option<Moment>,
 }
@@ -36,11 +34,10 @@
     /// Creates the state of a node that begins to observe the store now.
     pub fn new(now: Moment) -> Self {
         Self {
-            observed_since: now,
             answered_at: None,
             confirmed_at: None,
             zone_answered_at: None,
-            any_answered_at: None,
+            any_answered_at: now,
             outage_ended_at: None,
         }
     }
@@ -66,11 +63,10 @@
 
     /// Records an answer of the store to any other node.
     pub fn record_any_answer(&mut self, at: Moment) {
-        let last = self.any_answered_at.max(Some(self.observed_since));
-        if last.is_some_and(|last| at.saturating_sub(last) > MIN_OUTAGE) {
+        if at.saturating_sub(self.any_answered_at) > MIN_OUTAGE {
             self.outage_ended_at = Some(at);
         }
-        self.any_answered_at = self.any_answered_at.max(Some(at));
+        self.any_answered_at = self.any_answered_at.max(at);
     }
 
     /// Returns whether the store has answered this node since its start.
