--- a/src/ops/gateway/install.rs
+++ b/src/ops/gateway/install.rs
@@ -12,6 +12,7 @@
 use crate::core::gateway::origin::Origin;
 use crate::core::time::Moment;
 use crate::sources::store::{Key, KeyValue, Revision};
+use crate::util::time::as_millis_u64;
 
 /// Time since the last message of a node for which it is kept after its entry in the store has expired.
 const NODE_TIMEOUT: Duration = Duration::from_millis(2500);
@@ -106,7 +107,7 @@
     for gone in state.backends.lock().expire(now) {
         tracing::info!(
             backend = &*gone.id,
-            last_call_ms = gone.since_last_call.map(millis),
+            last_call_ms = gone.since_last_call.map(as_millis_u64),
             "back end gone"
         );
     }
@@ -144,8 +145,8 @@
             backend = id,
             revision = deletion.revision,
             ?source,
-            view_age_ms = contact.view_age(now).map(millis),
-            grace_ms = millis(gone_at - now),
+            view_age_ms = contact.view_age(now).map(as_millis_u64),
+            grace_ms = as_millis_u64(gone_at - now),
             last_call_ms = last_call_ms(state, id, now),
             "back end no longer listed"
         );
@@ -202,7 +203,7 @@
                     leaving,
                     revision = item.mod_revision,
                     ?source,
-                    view_age_ms = state.view_age().map(millis),
+                    view_age_ms = state.view_age().map(as_millis_u64),
                     last_call_ms = last_call_ms(state, id, state.now()),
                     "back end listed"
                 );
@@ -228,9 +229,5 @@
 /// Returns the time since this node last assigned a call to a back end, in milliseconds.
 fn last_call_ms(state: &GatewayState, id: &str, now: Moment) -> Option<u64> {
     let backends = state.backends.lock();
-    backends.get(id)?.since_last_call(now).map(millis)
-}
-
-fn millis(duration: Duration) -> u64 {
-    duration.as_millis() as u64
+    backends.get(id)?.since_last_call(now).map(as_millis_u64)
 }
--- a/src/ops/gateway/mesh.rs
+++ b/src/ops/gateway/mesh.rs
@@ -25,7 +25,7 @@
 use crate::core::gateway::origin::{Origin, ZoneName};
 use crate::core::gateway::zone_sums::ZoneSenders;
 use crate::core::time::Moment;
-use crate::util::time::unix_now;
+use crate::util::time::{as_millis_u64, unix_now};
 
 /// Shortest interval between messages to a node of the own availability zone; also the period of the
 /// send loop.
@@ -78,9 +78,12 @@
 impl ReceivedSum {
     /// Returns the sum with its ages as of now.
     fn to_forward(&self, now: Moment) -> ZoneSumWire {
-        let held_ms = millis(now.saturating_sub(self.at));
+        let held_ms = as_millis_u64(now.saturating_sub(self.at));
         ZoneSumWire {
-            store_age_ms: self.sum.store_age_ms.map(|age_ms| age_ms + held_ms),
+            store_age_ms: self
+                .sum
+                .store_age_ms
+                .map(|age_ms| age_ms.saturating_add(held_ms)),
             ..self.sum.clone()
         }
     }
@@ -378,7 +381,7 @@
             config_version: state.table().map_or(0, |table| table.version),
             zone: state.settings.zone.to_string(),
             load: Some(load),
-            store_age_ms: state.contact.lock().answer_age(now).map(millis),
+            store_age_ms: state.contact.lock().answer_age(now).map(as_millis_u64),
         }
     }
 
@@ -414,13 +417,13 @@
             zone: settings.zone.to_string(),
             node: settings.name.to_string(),
             incarnation: state.incarnation,
-            number: now.as_millis() as u64,
+            number: as_millis_u64(now),
             wall_ms: unix_now(),
             revision: state.view.lock().revision,
             ready,
             not_ready: incarnations(not_ready),
             load: Some(load),
-            store_age_ms: state.contact.lock().zone_answer_age(now).map(millis),
+            store_age_ms: state.contact.lock().zone_answer_age(now).map(as_millis_u64),
         }
     }
 
@@ -547,7 +550,3 @@
 fn is_due(last: Moment, interval: Duration, now: Moment) -> bool {
     now.saturating_sub(last) + MIN_ZONE_INTERVAL / 4 >= interval
 }
-
-fn millis(duration: Duration) -> u64 {
-    duration.as_millis() as u64
-}
--- a/src/ops/gateway/record.rs
+++ b/src/ops/gateway/record.rs
@@ -16,6 +16,7 @@
 use super::state::GatewayState;
 use crate::core::gateway::quota::Shortage;
 use crate::core::verdict::Verdict;
+use crate::util::time::as_millis_u64;
 
 /// Limit on log lines per second for calls that were served.
 const MAX_SERVED_LINES_PER_S: u64 = 20;
@@ -81,9 +82,9 @@
             cause = refusal.cause.as_str(),
             status = refusal.status().as_u16(),
             verdict = refusal.verdict.as_str(),
-            retry_after_ms = refusal.retry_after.map(millis),
+            retry_after_ms = refusal.retry_after.map(as_millis_u64),
             config = state.table().map_or(0, |table| table.version),
-            store_age_ms = state.view_age().map(millis),
+            store_age_ms = state.view_age().map(as_millis_u64),
             left_out,
             "call refused"
         );
@@ -101,7 +102,7 @@
             part_level = shortage.part_level.round(),
             rate = shortage.rate.round(),
             nodes = shortage.nodes,
-            retry_after_ms = millis(shortage.retry_after),
+            retry_after_ms = as_millis_u64(shortage.retry_after),
             left_out,
             "over quota"
         );
@@ -209,13 +210,13 @@
         parts = ?call.head.parts.iter().map(|part| part.tokens).collect::<smallvec::SmallVec<[u32; 4]>>(),
         backends = ?progress.tried,
         sends = progress.sends,
-        first_ms = first_event_after.map(millis),
-        took_ms = millis(took),
-        left_ms = millis(call.remaining()),
-        retry_after_ms = retry_after.map(millis),
+        first_ms = first_event_after.map(as_millis_u64),
+        took_ms = as_millis_u64(took),
+        left_ms = as_millis_u64(call.remaining()),
+        retry_after_ms = retry_after.map(as_millis_u64),
         last_event,
         config = call.config_version,
-        store_age_ms = state.view_age().map(millis),
+        store_age_ms = state.view_age().map(as_millis_u64),
         left_out,
         "call ended"
     );
@@ -229,7 +230,3 @@
     metrics::histogram!("jayhall_gateway_first_byte_seconds", "customer" => customer, "route" => kind)
         .record(first.as_secs_f64());
 }
-
-fn millis(duration: Duration) -> u64 {
-    duration.as_millis() as u64
-}
--- a/src/ops/gateway/relay.rs
+++ b/src/ops/gateway/relay.rs
@@ -11,6 +11,7 @@
 use super::state::GatewayState;
 use crate::core::gateway::members::NodeName;
 use crate::core::time::Moment;
+use crate::util::time::as_millis_u64;
 
 /// Long-poll timeout: time after which the other node responds without changes.
 const LONG_POLL_TIMEOUT: Duration = Duration::from_millis(600);
@@ -98,7 +99,7 @@
         let at = rand::random_range(0..watchers.len());
         let control = watchers[at].1;
         let Some(time) = FetchTime::within(time_left(state, max_view_age)) else {
-            let view_age_ms = state.view_age().map(|age| age.as_millis() as u64);
+            let view_age_ms = state.view_age().map(as_millis_u64);
             tracing::info!(peer = %control, view_age_ms, "the node followed does not reach the store");
             return;
         };
--- a/src/ops/gateway/snapshot.rs
+++ b/src/ops/gateway/snapshot.rs
@@ -21,6 +21,7 @@
 use crate::core::time::Moment;
 use crate::sources::store::{Key, KeyValue};
 use crate::util::query;
+use crate::util::time::as_millis_u64;
 
 /// Path of the snapshot on the control listener.
 pub const PATH: &str = "/snapshot";
@@ -171,7 +172,7 @@
         .map(|seen| seen.is_ok());
     let waited = state.now().saturating_sub(started);
     let snapshot = SnapshotWire {
-        waited_ms: waited.as_millis() as u64,
+        waited_ms: as_millis_u64(waited),
         ..encode(state, after)
     };
     snapshot.encode_to_vec()
@@ -198,7 +199,7 @@
         items: changes.items.into_iter().map(Into::into).collect(),
         is_whole,
         deletions: deletions.into_iter().map(Into::into).collect(),
-        contact_age_ms: view_age.map(|age| age.as_millis() as u64),
+        contact_age_ms: view_age.map(as_millis_u64),
         kept,
         waited_ms: 0,
     }
@@ -284,7 +285,7 @@
         .await?
         .error_for_status()?;
     let mut snapshot = SnapshotWire::decode(res.bytes().await?)?;
-    let took = state.now().saturating_sub(started).as_millis() as u64;
+    let took = as_millis_u64(state.now().saturating_sub(started));
     let transfer = took.saturating_sub(snapshot.waited_ms);
     let with_transfer = |age_ms: u64| age_ms.saturating_add(transfer);
     snapshot.contact_age_ms = snapshot.contact_age_ms.map(with_transfer);
--- a/src/util/time.rs
+++ b/src/util/time.rs
@@ -17,6 +17,11 @@
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
 
+/// Converts a duration to whole milliseconds, saturating at `u64::MAX`.
+pub fn as_millis_u64(duration: std::time::Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Formats a time for display, such as `2026-01-31 12:00:00 UTC`.
 pub fn format_utc(millis: UnixMillis) -> String {
     let format =
