--- a/src/ops/gateway/attempt.rs
+++ b/src/ops/gateway/attempt.rs
@@ -81,6 +81,7 @@
     cx: Arc<GatewayContext>,
     place: CallPlace,
     sent: Instant,
+    first_event_at: Option<Instant>,
     expected: Duration,
     outcome: Outcome,
     customer: Option<Box<str>>,
@@ -115,6 +116,7 @@
             cx: Arc::clone(cx),
             place,
             sent: Instant::now(),
+            first_event_at: None,
             expected,
             outcome: Outcome::Declined,
             customer: call.customer_name().map(Into::into),
@@ -131,12 +133,18 @@
         self.sent.elapsed()
     }
 
+    /// Returns the time since the first event or the complete answer, or `None` if there was none.
+    pub fn answering_for(&self) -> Option<Duration> {
+        self.first_event_at.map(|at| at.elapsed())
+    }
+
     /// Records that the back end started to process the call, `ago` before now. Only the first call has
     /// an effect.
     pub fn mark_started(&mut self, ago: Duration) {
         if self.place.has_begun {
             return;
         }
+        self.first_event_at = Some(Instant::now());
         let first_event_after = self.age();
         let state = &self.cx.state;
         state
--- a/src/ops/gateway/record.rs
+++ b/src/ops/gateway/record.rs
@@ -8,8 +8,9 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
+use smallvec::SmallVec;
 
-use super::attempt::AttemptError;
+use super::attempt::{AttemptError, RunningAttempt};
 use super::call::Call;
 use super::forward::Progress;
 use super::refusal::Refusal;
@@ -109,6 +110,13 @@
     }
 }
 
+/// Returns the ids of the parts of a call's prompt, in hexadecimal and separated by commas.
+fn part_ids(call: &Call) -> String {
+    let ids = call.head.parts.iter();
+    let ids: SmallVec<[String; 4]> = ids.map(|part| format!("{:x}", part.id)).collect();
+    ids.join(",")
+}
+
 /// Records an attempt without a usable response.
 pub fn attempt_failed(state: &GatewayState, call: &Call, progress: &Progress, e: &AttemptError) {
     metrics::counter!("jayhall_gateway_failed_sends", "service" => call.service.name.to_string())
@@ -119,6 +127,7 @@
             backend = progress.tried.last().map(|id| &**id),
             sends = progress.sends,
             verdict = e.verdict().as_str(),
+            part_ids = part_ids(call),
             error = %e,
             left_out,
             "send failed"
@@ -141,19 +150,21 @@
     }
 }
 
-/// Records a stream that broke off at a back end.
+/// Records a stream that broke off at a back end, and for how long the back end had sent events.
 pub fn broke_off(
     state: &GatewayState,
     call: &Call,
-    backend: &str,
+    running: &RunningAttempt,
     cause: &str,
     last_event: Option<u64>,
 ) {
     if let Some(left_out) = admit_failure_line(state) {
         tracing::info!(
             attempt = &*call.head.attempt,
-            backend,
+            backend = running.backend(),
             cause,
+            part_ids = part_ids(call),
+            answering_ms = running.answering_for().map(as_millis_u64),
             last_event,
             left_out,
             "stream broke off at a back end"
@@ -207,7 +218,8 @@
         customer = call.customer_name(),
         rank = call.rank(),
         tokens = ?call.head.tokens,
-        parts = ?call.head.parts.iter().map(|part| part.tokens).collect::<smallvec::SmallVec<[u32; 4]>>(),
+        part_ids = part_ids(call),
+        parts = ?call.head.parts.iter().map(|part| part.tokens).collect::<SmallVec<[u32; 4]>>(),
         backends = ?progress.tried,
         sends = progress.sends,
         first_ms = first_event_after.map(as_millis_u64),
--- a/src/ops/gateway/stream.rs
+++ b/src/ops/gateway/stream.rs
@@ -198,7 +198,7 @@
             record::broke_off(
                 &self.cx.state,
                 &self.call,
-                source.running.backend(),
+                &source.running,
                 cause,
                 self.last_event,
             );
