--- a/tests/testsuite/gateway/fixture.rs
+++ b/tests/testsuite/gateway/fixture.rs
@@ -57,6 +57,8 @@
     AnswerOther,
     /// Answers without its signature.
     Unsigned,
+    /// Breaks off before the first event of a call whose prompt has this part; else sends six events.
+    BreakOn(&'static str),
     /// Sends the events after the caller's last event up to `to`; then ends, or resets the connection within
     /// the next event.
     Events {
@@ -75,7 +77,8 @@
     pub(super) body: Bytes,
 }
 
-/// A back end with configurable behaviour, which records the calls that it runs.
+/// A back end with configurable behaviour, which records the calls that it runs. Copies share their state.
+#[derive(Clone)]
 pub(super) struct FakeBackend {
     pub(super) address: SocketAddr,
     pub(super) seen: Arc<Mutex<Vec<ReceivedCall>>>,
@@ -229,7 +232,10 @@
             Behaviour::AnswerLeaving => {
                 headers.insert("server-leaving", "1".parse().unwrap());
             }
-            Behaviour::Events { .. } | Behaviour::Trickle | Behaviour::Slow { .. } => {
+            Behaviour::BreakOn(_)
+            | Behaviour::Events { .. }
+            | Behaviour::Trickle
+            | Behaviour::Slow { .. } => {
                 headers.insert("content-type", "text/event-stream".parse().unwrap());
             }
             _ => {}
@@ -262,6 +268,11 @@
         Behaviour::Events { to, ends_normally } => {
             (200, event_body(after, to, ends_normally, abandoned))
         }
+        Behaviour::BreakOn(part) => {
+            let breaks = header("x-jayhall-prompt-prefix").contains(part);
+            let last = if breaks { 0 } else { 6 };
+            (200, event_body(after, last, !breaks, abandoned))
+        }
         Behaviour::Trickle => (200, paced_body(2, 20, true)),
         Behaviour::Slow { to, pause_ms } => (200, paced_body(to, pause_ms, false)),
     };
