--- a/src/core/gateway/backends.rs
+++ b/src/core/gateway/backends.rs
@@ -15,6 +15,8 @@
 
 /// Name of a back end.
 pub type BackendId = Box<str>;
+/// Short name of a back end's process in messages between nodes; see [`process_name`].
+pub type ProcessName = u32;
 
 /// Age after which the loads reported by another node are dropped.
 const MAX_LOAD_AGE: Duration = Duration::from_millis(2500);
@@ -65,8 +67,10 @@
     Answered,
     /// It answered with an error of its own.
     Failed,
-    /// It could not be reached, closed the connection or stopped responding.
+    /// It could not be reached or stopped responding.
     Unreachable,
+    /// It closed the connection within the call.
+    BrokeOff,
     /// It declined the call without running it.
     Declined,
 }
@@ -189,14 +193,14 @@
             Outcome::Answered => 0.0,
             Outcome::Failed => 1.0,
             Outcome::Declined => return,
-            Outcome::Unreachable => {
+            Outcome::Unreachable | Outcome::BrokeOff => {
                 let backoff = INITIAL_BACKOFF * 2_u32.pow(self.failures.min(4));
                 self.failures += 1;
                 self.backoff_until = now + backoff.min(MAX_BACKOFF);
                 1.0
             }
         };
-        if outcome != Outcome::Unreachable {
+        if !matches!(outcome, Outcome::Unreachable | Outcome::BrokeOff) {
             self.failures = 0;
         }
         self.failure_rate += (failed - self.failure_rate) * AVERAGE_WEIGHT;
@@ -507,7 +511,7 @@
 }
 
 /// Returns a hash of a back end's name and start time that identifies its process in messages between nodes.
-pub fn process_name(backend: &Backend) -> u32 {
+pub fn process_name(backend: &Backend) -> ProcessName {
     xxhash_rust::xxh3::xxh3_64_with_seed(backend.id.as_bytes(), backend.started) as u32
 }
 
--- /dev/null
+++ b/src/core/gateway/crashes.rs
@@ -0,0 +1,330 @@
+//! Crashes of back ends with the prompts that they had begun to process, to find the prompts that cause them.
+//!
+//! A crash breaks off all calls at the back end, and most of these are sound. What tells them apart is
+//! success: the parts of each answered prompt are cleared of the crashes before the answer. Parts that were
+//! under way at crashes of several back ends, one after the other, and that no node saw answered meanwhile,
+//! are taken for the cause. If the prompts of these crashes have several such parts in common, only prompts
+//! with all of them are: which one is the cause is not known.
+//!
+//! Nodes exchange what they observe. Only parts of prompts that were under way at a crash are kept.
+
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use super::backends::ProcessName;
+use super::cache::{Part, PartId};
+use crate::core::time::Moment;
+
+/// Number of processes of back ends that must have crashed under a prompt part.
+const MIN_PROCESSES: usize = 3;
+/// Time between the first of these crashes and the sending of the call of a later one. Crashes of several back
+/// ends at about the same moment have a common cause of another kind.
+const MIN_REPEAT_DELAY: Duration = Duration::from_millis(700);
+/// Time after the last of these crashes within which answered prompts of all nodes are known.
+const SETTLING_TIME: Duration = Duration::from_secs(1);
+/// Time for which crashes are kept.
+const RETENTION: Duration = Duration::from_secs(120);
+/// Limit on the crashes that are kept; the oldest ones are dropped.
+const MAX_CRASHES: usize = 512;
+/// Time for which an answered part is reported to other nodes. Reports may be lost, and are repeated.
+const CLEARANCE_REPORT_PERIOD: Duration = Duration::from_secs(6);
+
+/// Sorted ids of the parts that a prompt may share with others: all but the last one.
+pub type SharedParts = SmallVec<[PartId; 4]>;
+
+/// Returns the parts that a prompt may share with others.
+pub fn shared_parts(parts: &[Part]) -> SharedParts {
+    let shared = &parts[..parts.len().saturating_sub(1)];
+    let mut ids: SharedParts = shared.iter().map(|part| part.id).collect();
+    ids.sort_unstable();
+    ids.dedup();
+    ids
+}
+
+/// Returns whether sorted `parts` contain all of sorted `subset`.
+pub fn contains_all(parts: &[PartId], subset: &[PartId]) -> bool {
+    subset.iter().all(|part| parts.binary_search(part).is_ok())
+}
+
+/// Which nodes observed something, from few to many.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Observer {
+    /// This node.
+    Node,
+    /// Another node of its availability zone.
+    Zone,
+    /// A node of another zone.
+    Fleet,
+}
+
+/// A prompt that was under way without an answer when its back end crashed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Crash {
+    /// Parts of the prompt that others may share.
+    pub parts: SharedParts,
+    /// Process of the back end.
+    pub process: ProcessName,
+    /// When the call was sent.
+    pub sent: Moment,
+    /// When the back end broke it off.
+    pub ended: Moment,
+}
+
+/// A part of a prompt that was answered, which clears it of the crashes before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Clearance {
+    /// The part.
+    pub part: PartId,
+    /// When the answer was seen.
+    pub at: Moment,
+}
+
+/// Parts that are taken for the cause of crashes, and why.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CrashCause {
+    /// Prompts with all of these parts crash back ends.
+    pub parts: SharedParts,
+    /// Number of processes that crashed.
+    pub processes: usize,
+    /// First of the crashes.
+    pub first: Moment,
+    /// Last of the crashes.
+    pub last: Moment,
+}
+
+#[derive(Debug)]
+struct KnownCrash {
+    crash: Crash,
+    observer: Observer,
+}
+
+/// When a part was last answered, by observer.
+#[derive(Clone, Copy, Debug, Default)]
+struct LastAnswer {
+    by_node: Option<Moment>,
+    by_zone: Option<Moment>,
+    by_fleet: Option<Moment>,
+}
+
+impl LastAnswer {
+    fn get(&self) -> Option<Moment> {
+        self.by_node.max(self.by_zone).max(self.by_fleet)
+    }
+
+    fn record(&mut self, at: Moment, observer: Observer) {
+        let last = match observer {
+            Observer::Node => &mut self.by_node,
+            Observer::Zone => &mut self.by_zone,
+            Observer::Fleet => &mut self.by_fleet,
+        };
+        *last = (*last).max(Some(at));
+    }
+
+    fn up_to(&self, observer: Observer) -> Option<Moment> {
+        match observer {
+            Observer::Node => self.by_node,
+            Observer::Zone => self.by_node.max(self.by_zone),
+            Observer::Fleet => self.get(),
+        }
+    }
+}
+
+/// Crashes that the nodes observed lately, and the answers that clear parts of them.
+#[derive(Debug, Default)]
+pub struct CrashLog {
+    crashes: Vec<KnownCrash>,
+    known: HashSet<(ProcessName, SharedParts)>,
+    answers: HashMap<PartId, LastAnswer>,
+    /// Processes whose crash has a known cause, with the time of the crash.
+    explained: HashMap<ProcessName, Moment>,
+    /// When this node last saw any prompt answered.
+    last_answer: Option<Moment>,
+}
+
+impl CrashLog {
+    /// Records a prompt that was under way when its back end crashed. Returns whether this is new.
+    pub fn record_crash(&mut self, crash: Crash, observer: Observer) -> bool {
+        if crash.parts.is_empty() || self.explained.contains_key(&crash.process) {
+            return false;
+        }
+        if !self.known.insert((crash.process, crash.parts.clone())) {
+            return false;
+        }
+        if self.crashes.len() >= MAX_CRASHES {
+            let oldest = self.crashes.remove(0).crash;
+            self.known.remove(&(oldest.process, oldest.parts));
+        }
+        for part in &crash.parts {
+            self.answers.entry(*part).or_default();
+        }
+        self.crashes.push(KnownCrash { crash, observer });
+        true
+    }
+
+    /// Records that this node saw a prompt with these parts answered.
+    pub fn record_answer(&mut self, parts: &[PartId], now: Moment) {
+        self.last_answer = Some(now);
+        if self.crashes.is_empty() {
+            return;
+        }
+        for part in parts {
+            let is_suspect = self.crashes.iter().any(|known| {
+                known.crash.parts.contains(part) && !self.is_cleared(*part, known.crash.ended)
+            });
+            if is_suspect {
+                self.apply_clearance(
+                    Clearance {
+                        part: *part,
+                        at: now,
+                    },
+                    Observer::Node,
+                );
+            }
+        }
+    }
+
+    /// Applies an answer that a node saw.
+    pub fn apply_clearance(&mut self, clearance: Clearance, observer: Observer) {
+        let last = self.answers.entry(clearance.part).or_default();
+        last.record(clearance.at, observer);
+    }
+
+    /// Returns the newest crashes, up to `limit`, of which at least one part is not cleared and which
+    /// `observer` or a smaller group of nodes has observed.
+    pub fn crashes_to_report(&self, observer: Observer, limit: usize) -> Vec<&Crash> {
+        let known = self.crashes.iter().rev();
+        known
+            .filter(|known| known.observer <= observer)
+            .map(|known| &known.crash)
+            .filter(|crash| !self.suspects(crash).is_empty())
+            .take(limit)
+            .collect()
+    }
+
+    /// Returns the latest clearances, up to `limit`, which `observer` or a smaller group of nodes has seen.
+    pub fn clearances_to_report(
+        &self,
+        observer: Observer,
+        limit: usize,
+        now: Moment,
+    ) -> Vec<Clearance> {
+        let answers = self.answers.iter();
+        answers
+            .filter_map(|(part, last)| {
+                let at = last.up_to(observer)?;
+                Some(Clearance { part: *part, at })
+            })
+            .filter(|clearance| now.saturating_sub(clearance.at) <= CLEARANCE_REPORT_PERIOD)
+            .take(limit)
+            .collect()
+    }
+
+    /// Returns the parts that are taken for the cause of crashes. The crashes that they explain are not
+    /// considered again.
+    pub fn take_causes(&mut self, now: Moment) -> Vec<CrashCause> {
+        self.expire(now);
+        let mut causes = Vec::new();
+        while let Some(cause) = self.find_cause(now) {
+            self.explain(&cause.parts);
+            causes.push(cause);
+        }
+        causes
+    }
+
+    /// Removes the crashes of processes that crashed under prompts with all of these parts.
+    pub fn explain(&mut self, parts: &[PartId]) {
+        for KnownCrash { crash, .. } in &self.crashes {
+            if contains_all(&crash.parts, parts) {
+                self.explained.insert(crash.process, crash.ended);
+            }
+        }
+        let (explained, known) = (&self.explained, &mut self.known);
+        self.crashes.retain(|KnownCrash { crash, .. }| {
+            let is_open = !explained.contains_key(&crash.process);
+            if !is_open {
+                known.remove(&(crash.process, crash.parts.clone()));
+            }
+            is_open
+        });
+    }
+
+    /// Returns the cause with the most parts in common, as it excludes the fewest prompts; of these, the one
+    /// with the most crashes.
+    fn find_cause(&self, now: Moment) -> Option<CrashCause> {
+        let open = self.crashes.iter().map(|known| &known.crash);
+        let open: Vec<(&Crash, SharedParts)> = open
+            .map(|crash| (crash, self.suspects(crash)))
+            .filter(|(_, suspects)| !suspects.is_empty())
+            .collect();
+        let parts: HashSet<PartId> = open.iter().flat_map(|(_, parts)| parts).copied().collect();
+        let causes = parts.into_iter().filter_map(|part| {
+            let crashes = open.iter().filter(|(_, suspects)| suspects.contains(&part));
+            self.cause_of(crashes, now)
+        });
+        causes.max_by_key(|cause| (cause.parts.len(), cause.processes))
+    }
+
+    /// Returns the parts that crashes have in common, if the crashes show that these are the cause.
+    fn cause_of<'a>(
+        &self,
+        crashes: impl Iterator<Item = &'a (&'a Crash, SharedParts)>,
+        now: Moment,
+    ) -> Option<CrashCause> {
+        let mut crashes: Vec<_> = crashes.collect();
+        crashes.sort_unstable_by_key(|(crash, _)| crash.ended);
+        let (first, mut parts) = crashes
+            .first()
+            .map(|(crash, parts)| (*crash, parts.clone()))?;
+        let mut processes = HashSet::new();
+        let mut shown_at = None;
+        for (crash, suspects) in &crashes {
+            parts.retain(|part| suspects.contains(part));
+            if processes.insert(crash.process) && processes.len() == MIN_PROCESSES {
+                shown_at = Some(crash.ended);
+            }
+        }
+        let has_settled = now.saturating_sub(shown_at?) >= SETTLING_TIME;
+        let is_repeated = crashes
+            .iter()
+            .any(|(crash, _)| crash.sent >= first.ended + MIN_REPEAT_DELAY);
+        let others_are_answered = self.last_answer >= Some(first.ended);
+        (has_settled && is_repeated && others_are_answered).then(|| CrashCause {
+            parts,
+            processes: processes.len(),
+            first: first.ended,
+            last: crashes.last().map_or(first.ended, |(crash, _)| crash.ended),
+        })
+    }
+
+    /// Returns the parts of a crash that have not been answered since.
+    fn suspects(&self, crash: &Crash) -> SharedParts {
+        let parts = crash.parts.iter().copied();
+        parts
+            .filter(|part| !self.is_cleared(*part, crash.ended))
+            .collect()
+    }
+
+    fn is_cleared(&self, part: PartId, crashed: Moment) -> bool {
+        let last = self.answers.get(&part).and_then(LastAnswer::get);
+        last >= Some(crashed)
+    }
+
+    fn expire(&mut self, now: Moment) {
+        let is_recent = |at: Moment| now.saturating_sub(at) <= RETENTION;
+        let known = &mut self.known;
+        self.crashes.retain(|KnownCrash { crash, .. }| {
+            let is_kept = is_recent(crash.ended);
+            if !is_kept {
+                known.remove(&(crash.process, crash.parts.clone()));
+            }
+            is_kept
+        });
+        self.explained.retain(|_, ended| is_recent(*ended));
+        let crashes = &self.crashes;
+        let mut parts: HashSet<PartId> = HashSet::new();
+        parts.extend(crashes.iter().flat_map(|known| &known.crash.parts));
+        self.answers.retain(|part, _| parts.contains(part));
+    }
+}
--- a/src/core/gateway/mod.rs
+++ b/src/core/gateway/mod.rs
@@ -6,11 +6,13 @@
 pub mod backends;
 pub mod cache;
 pub mod clock;
+pub mod crashes;
 pub mod decay;
 pub mod load;
 pub mod members;
 pub mod origin;
 pub mod placement;
+pub mod quarantine;
 pub mod quota;
 pub mod retry_budget;
 pub mod routes;
--- /dev/null
+++ b/src/core/gateway/quarantine.rs
@@ -0,0 +1,285 @@
+//! Quarantine of prompts that crash back ends.
+//!
+//! A prompt with all parts of an entry is sent to no back end. Entries are kept in the platform's store, so that
+//! all nodes know them, those that start later too. After some time, one node may send one such prompt as a
+//! probe; the time until the next probe then doubles. An answered prompt releases the entry.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use smallvec::SmallVec;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::cache::PartId;
+use super::crashes::{CrashLog, SharedParts, contains_all};
+use crate::core::time::UnixMillis;
+use crate::sources::store::Revision;
+use crate::util::time::as_millis_u64;
+
+/// Identifies an entry: a hash of its parts.
+pub type EntryId = u64;
+
+/// Time from the discovery of a cause until the first probe.
+const FIRST_PROBE_AFTER: Duration = Duration::from_secs(30);
+/// Upper bound of the time between two probes.
+const MAX_PROBE_INTERVAL: Duration = Duration::from_secs(3600);
+/// Limit on the entries; further ones are left out.
+const MAX_ENTRIES: usize = 1024;
+
+/// What nodes agree on about an entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Terms {
+    /// Prompts with all of these parts are not sent.
+    pub parts: SharedParts,
+    /// Wall-clock time from which a node may claim a probe.
+    pub probe_at: UnixMillis,
+    /// Time between the claim of the last probe, or the discovery, and `probe_at`.
+    pub interval: Duration,
+}
+
+impl Terms {
+    /// Creates the terms of parts that were found to crash back ends.
+    pub fn new(parts: SharedParts, wall: UnixMillis) -> Self {
+        Self {
+            parts,
+            probe_at: wall + as_millis_u64(FIRST_PROBE_AFTER),
+            interval: FIRST_PROBE_AFTER,
+        }
+    }
+
+    /// Returns the terms after the claim of a probe.
+    pub fn after_claim(&self, wall: UnixMillis) -> Self {
+        let interval = (self.interval * 2).min(MAX_PROBE_INTERVAL);
+        Self {
+            parts: self.parts.clone(),
+            probe_at: wall + as_millis_u64(interval),
+            interval,
+        }
+    }
+
+    /// Returns the identifier of the entry.
+    pub fn id(&self) -> EntryId {
+        let bytes: Vec<u8> = self
+            .parts
+            .iter()
+            .flat_map(|part| part.to_le_bytes())
+            .collect();
+        xxh3_64(&bytes)
+    }
+}
+
+/// How far this node has come with a probe.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Probe {
+    /// No call waits for a probe.
+    None,
+    /// A call could have been the probe; this node should claim it.
+    Wanted,
+    /// This node has claimed the probe; its next call is the probe.
+    Granted,
+}
+
+#[derive(Debug)]
+struct Entry {
+    terms: Terms,
+    /// Revision in the store; `None` while it is not known to be there.
+    revision: Option<Revision>,
+    probe: Probe,
+    /// Whether a prompt with all parts was answered.
+    is_answered: bool,
+}
+
+/// What to do with a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Check {
+    /// It may be sent.
+    Pass,
+    /// It may be sent once, as the probe of an entry.
+    Probe,
+    /// It must not be sent.
+    Block,
+}
+
+/// What is to be written to the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoreTask {
+    /// Create an entry.
+    Create(Terms),
+    /// Claim a probe: replace the entry of a revision.
+    ClaimProbe(Terms, Revision),
+    /// Delete the entry of a revision.
+    Release(EntryId, Revision),
+}
+
+/// Prompts that are not sent to back ends, and the crashes from which they are found.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    /// Crashes of back ends.
+    pub crashes: CrashLog,
+    entries: HashMap<EntryId, Entry>,
+    /// Entries by the first of their parts.
+    by_part: HashMap<PartId, SmallVec<[EntryId; 2]>>,
+}
+
+impl Quarantine {
+    /// Decides whether a call with these shared parts may be sent. A probe is granted to one call only.
+    pub fn check(&mut self, parts: &[PartId], wall: UnixMillis) -> Check {
+        let mut check = Check::Pass;
+        for id in self.matching(parts) {
+            let Some(entry) = self.entries.get_mut(&id) else {
+                continue;
+            };
+            match entry.probe {
+                Probe::Granted if check != Check::Block => {
+                    entry.probe = Probe::None;
+                    check = Check::Probe;
+                }
+                Probe::None if wall >= entry.terms.probe_at => {
+                    entry.probe = Probe::Wanted;
+                    check = Check::Block;
+                }
+                _ => check = Check::Block,
+            }
+        }
+        check
+    }
+
+    /// Takes back the probe that was granted to a call with these shared parts, which was not sent.
+    pub fn return_probe(&mut self, parts: &[PartId]) {
+        for id in self.matching(parts) {
+            if let Some(entry) = self.entries.get_mut(&id) {
+                entry.probe = Probe::Granted;
+            }
+        }
+    }
+
+    /// Returns whether an entry blocks calls with these shared parts.
+    pub fn blocks(&self, parts: &[PartId]) -> bool {
+        !self.matching(parts).is_empty()
+    }
+
+    /// Adds an entry that this node found. Returns whether it is new.
+    pub fn add(&mut self, terms: Terms) -> bool {
+        let id = terms.id();
+        if self.entries.contains_key(&id) || self.entries.len() >= MAX_ENTRIES {
+            return false;
+        }
+        self.insert(id, terms, None);
+        true
+    }
+
+    /// Applies an entry of the store.
+    pub fn apply(&mut self, terms: Terms, revision: Revision) {
+        self.crashes.explain(&terms.parts);
+        self.insert(terms.id(), terms, Some(revision));
+    }
+
+    /// Applies the deletion of an entry of the store.
+    pub fn remove(&mut self, id: EntryId) {
+        let Some(entry) = self.entries.remove(&id) else {
+            return;
+        };
+        if let Some(ids) = entry
+            .terms
+            .parts
+            .first()
+            .and_then(|part| self.by_part.get_mut(part))
+        {
+            ids.retain(|other| *other != id);
+        }
+    }
+
+    /// Records that a prompt with these shared parts was answered.
+    pub fn record_answer(&mut self, parts: &[PartId]) {
+        for id in self.matching(parts) {
+            if let Some(entry) = self.entries.get_mut(&id) {
+                entry.is_answered = true;
+            }
+        }
+    }
+
+    /// Returns what is to be written to the store. Entries of this node that were released before they were
+    /// written are removed.
+    pub fn store_tasks(&mut self, wall: UnixMillis) -> Vec<StoreTask> {
+        let is_done = |entry: &Entry| entry.is_answered && entry.revision.is_none();
+        let done: Vec<EntryId> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| is_done(entry))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in done {
+            self.remove(id);
+        }
+        let entries = self.entries.iter();
+        entries
+            .filter_map(|(id, entry)| entry.store_task(*id, wall))
+            .collect()
+    }
+
+    /// Records that this node claimed a probe at a revision of the entry.
+    pub fn grant_probe(&mut self, terms: Terms, revision: Revision) {
+        let id = terms.id();
+        self.insert(id, terms, Some(revision));
+        if let Some(entry) = self.entries.get_mut(&id) {
+            entry.probe = Probe::Granted;
+        }
+    }
+
+    fn matching(&self, parts: &[PartId]) -> SmallVec<[EntryId; 2]> {
+        let mut ids = SmallVec::new();
+        if self.entries.is_empty() {
+            return ids;
+        }
+        for id in parts
+            .iter()
+            .filter_map(|part| self.by_part.get(part))
+            .flatten()
+        {
+            let entry = self.entries.get(id);
+            if entry.is_some_and(|entry| contains_all(parts, &entry.terms.parts)) {
+                ids.push(*id);
+            }
+        }
+        ids
+    }
+
+    fn insert(&mut self, id: EntryId, terms: Terms, revision: Option<Revision>) {
+        let Some(first) = terms.parts.first().copied() else {
+            return;
+        };
+        match self.entries.get_mut(&id) {
+            Some(entry) => {
+                if revision > entry.revision {
+                    entry.terms = terms;
+                    entry.revision = revision;
+                    entry.probe = Probe::None;
+                }
+            }
+            None => {
+                let entry = Entry {
+                    terms,
+                    revision,
+                    probe: Probe::None,
+                    is_answered: false,
+                };
+                self.entries.insert(id, entry);
+                self.by_part.entry(first).or_default().push(id);
+            }
+        }
+    }
+}
+
+impl Entry {
+    fn store_task(&self, id: EntryId, wall: UnixMillis) -> Option<StoreTask> {
+        match self.revision {
+            None => Some(StoreTask::Create(self.terms.clone())),
+            Some(revision) if self.is_answered => Some(StoreTask::Release(id, revision)),
+            Some(revision) if self.probe == Probe::Wanted => Some(StoreTask::ClaimProbe(
+                self.terms.after_claim(wall),
+                revision,
+            )),
+            Some(_) => None,
+        }
+    }
+}
--- a/src/node/gateway.rs
+++ b/src/node/gateway.rs
@@ -17,7 +17,7 @@
 use crate::ops::gateway::pool::BackendPool;
 use crate::ops::gateway::register::Registration;
 use crate::ops::gateway::state::{GatewayState, Phase};
-use crate::ops::gateway::{follow_store, install, snapshot};
+use crate::ops::gateway::{follow_store, install, quarantine, snapshot};
 use crate::sources::store::Store;
 use crate::util::settings::GatewaySettings;
 
@@ -103,6 +103,10 @@
                     DutyRunner::new(Arc::clone(&state), Arc::clone(&platform.store), duties);
                 tokio::spawn(keeper.run());
             }
+            tokio::spawn(quarantine::run(
+                Arc::clone(&state),
+                Arc::clone(&platform.store),
+            ));
             tokio::spawn(follow_store::run(
                 Arc::clone(&state),
                 platform.store,
--- a/src/ops/gateway/attempt.rs
+++ b/src/ops/gateway/attempt.rs
@@ -13,11 +13,16 @@
 use super::dialect::{ForwardMetadata, ResponseHead};
 use super::pool::{BackendPool, Connection, SendError};
 use super::state::GatewayState;
-use crate::core::gateway::backends::{CallPlace, Outcome};
+use crate::core::gateway::backends::{CallPlace, Outcome, process_name};
+use crate::core::gateway::crashes::{Crash, Observer, SharedParts, shared_parts};
 use crate::core::gateway::placement::RefusalCause;
 use crate::core::gateway::work::engine_ms;
+use crate::core::time::Moment;
 use crate::core::verdict::Verdict;
 
+/// Time after the first event within which a back end may still crash because of the prompt.
+const CRASH_PERIOD: Duration = Duration::from_millis(400);
+
 /// Shared state that every attempt needs.
 pub struct GatewayContext {
     /// State of the node.
@@ -54,6 +59,9 @@
         /// The back end.
         backend: Box<str>,
     },
+    /// The prompt has crashed back ends and is not sent.
+    #[error("the prompt is quarantined")]
+    Quarantined,
     /// No back end can be tried.
     #[error("no back end can be tried: {cause:?}")]
     NoCandidate {
@@ -70,7 +78,9 @@
         match self {
             Self::Send(e) => e.verdict(),
             Self::Unusable { .. } | Self::ResponseTimeout { .. } => Verdict::MayHaveRun,
-            Self::NotAccepting { .. } | Self::NoCandidate { .. } => Verdict::NotRun,
+            Self::NotAccepting { .. } | Self::Quarantined | Self::NoCandidate { .. } => {
+                Verdict::NotRun
+            }
         }
     }
 }
@@ -82,6 +92,12 @@
     place: CallPlace,
     sent: Instant,
     first_event_at: Option<Instant>,
+    /// Parts of the prompt that others may share.
+    shared_parts: SharedParts,
+    /// Whether this call is the probe of a quarantine entry.
+    is_probe: bool,
+    /// Whether the answer has cleared the parts of the prompt.
+    is_cleared: bool,
     expected: Duration,
     outcome: Outcome,
     customer: Option<Box<str>>,
@@ -94,6 +110,7 @@
         call: &Call,
         place: CallPlace,
         expected: Duration,
+        is_probe: bool,
     ) -> Self {
         let state = &cx.state;
         let kv_tokens = call.service.engine.map_or(0, |engine| engine.kv_tokens);
@@ -117,6 +134,9 @@
             place,
             sent: Instant::now(),
             first_event_at: None,
+            shared_parts: shared_parts(&call.head.parts),
+            is_probe,
+            is_cleared: false,
             expected,
             outcome: Outcome::Declined,
             customer: call.customer_name().map(Into::into),
@@ -156,6 +176,38 @@
         }
     }
 
+    /// Clears the parts of the prompt if the back end has outlived the start of its answer.
+    pub fn note_progress(&mut self) {
+        if self.answering_for() >= Some(CRASH_PERIOD) {
+            self.clear_prompt();
+        }
+    }
+
+    /// Records that the prompt was answered, which shows that its parts do not crash back ends.
+    pub fn clear_prompt(&mut self) {
+        if self.is_cleared || self.shared_parts.is_empty() {
+            return;
+        }
+        self.is_cleared = true;
+        let mut quarantine = self.cx.state.quarantine.lock();
+        quarantine
+            .crashes
+            .record_answer(&self.shared_parts, self.cx.state.now());
+        quarantine.record_answer(&self.shared_parts);
+    }
+
+    /// Records that the back end crashed before it had answered the prompt.
+    fn record_crash(&self, now: Moment) {
+        let crash = Crash {
+            parts: self.shared_parts.clone(),
+            process: process_name(&self.place.backend),
+            sent: now.saturating_sub(self.sent.elapsed()),
+            ended: now,
+        };
+        let mut quarantine = self.cx.state.quarantine.lock();
+        quarantine.crashes.record_crash(crash, Observer::Node);
+    }
+
     /// Sets the outcome that is reported when this value is dropped.
     pub fn set_outcome(&mut self, outcome: Outcome) {
         self.outcome = outcome;
@@ -167,6 +219,9 @@
         let state = &self.cx.state;
         let now = state.now();
         let duration = self.sent.elapsed();
+        if self.outcome == Outcome::BrokeOff && !self.is_cleared {
+            self.record_crash(now);
+        }
         state
             .backends
             .lock()
@@ -207,7 +262,8 @@
         Ok(answered) => answered,
         Err(e) => {
             running.set_outcome(match e {
-                AttemptError::NotAccepting { .. } => Outcome::Declined,
+                AttemptError::NotAccepting { .. } | AttemptError::Quarantined => Outcome::Declined,
+                AttemptError::Send(SendError::Lost { .. }) => Outcome::BrokeOff,
                 _ => Outcome::Unreachable,
             });
             return Err(e);
@@ -292,6 +348,10 @@
             backend: running.backend().into(),
         });
     }
+    if !running.is_probe && cx.state.quarantine.lock().blocks(&running.shared_parts) {
+        cx.pool.release(connection, None);
+        return Err(AttemptError::Quarantined);
+    }
     let req = build_request(cx, call, running, last_event);
     let timed_out = |_| AttemptError::ResponseTimeout {
         backend: running.backend().into(),
--- a/src/ops/gateway/forward.rs
+++ b/src/ops/gateway/forward.rs
@@ -18,7 +18,9 @@
 use super::refusal::{self, Body, Cause, Refusal};
 use super::stream;
 use crate::core::gateway::backends::{BackendId, Outcome};
+use crate::core::gateway::crashes::shared_parts;
 use crate::core::gateway::placement::{self, Placement, PlacementRequest, RefusalCause};
+use crate::core::gateway::quarantine::Check;
 use crate::core::gateway::retry_budget::RetryBudget;
 use crate::core::gateway::routes::RouteKind;
 use crate::core::time::Moment;
@@ -68,6 +70,8 @@
     pub unreached: usize,
     /// Whether the call may have run.
     pub may_have_run: bool,
+    /// Whether the next send is the probe of a quarantine entry.
+    pub is_probe: bool,
 }
 
 impl Progress {
@@ -171,7 +175,13 @@
     progress: &mut Progress,
     last_event: Option<u64>,
 ) -> Result<BackendResponse, AttemptError> {
-    let (running, timeout) = start_attempt(cx, call, progress)?;
+    check_quarantine(cx, call, progress)?;
+    let started = start_attempt(cx, call, progress);
+    if std::mem::take(&mut progress.is_probe) && started.is_err() {
+        let parts = shared_parts(&call.head.parts);
+        cx.state.quarantine.lock().return_probe(&parts);
+    }
+    let (running, timeout) = started?;
     progress.tried.push(running.backend().into());
     // The call may have run until the outcome is known. The future is dropped before that if the caller
     // disconnects or the deadline passes.
@@ -192,6 +202,27 @@
     result
 }
 
+/// Checks that a call may be sent to a back end although others with its prompt have crashed some.
+fn check_quarantine(
+    cx: &GatewayContext,
+    call: &Call,
+    progress: &mut Progress,
+) -> Result<(), AttemptError> {
+    let parts = shared_parts(&call.head.parts);
+    if !cx.state.quarantine.lock().blocks(&parts) {
+        return Ok(());
+    }
+    let wall = cx.state.wall();
+    match cx.state.quarantine.lock().check(&parts, wall) {
+        Check::Pass => Ok(()),
+        Check::Probe if progress.sends == 0 => {
+            progress.is_probe = true;
+            Ok(())
+        }
+        Check::Probe | Check::Block => Err(AttemptError::Quarantined),
+    }
+}
+
 /// Chooses a back end and occupies a slot there in one step, so that concurrent calls see each other's
 /// slots.
 fn start_attempt(
@@ -241,7 +272,7 @@
         Placement::Send {
             place, expected, ..
         } => {
-            let running = RunningAttempt::begin(cx, call, place, expected);
+            let running = RunningAttempt::begin(cx, call, place, expected, progress.is_probe);
             Ok((running, attempt_timeout(call, progress, expected)))
         }
         Placement::Refuse {
@@ -359,6 +390,9 @@
         };
         return NextStep::GiveUp(Refusal::retry_later(cause, *retry_after));
     }
+    if matches!(e, AttemptError::Quarantined) {
+        return NextStep::GiveUp(Refusal::not_run(Cause::Quarantined));
+    }
     let may_repeat = call.route.kind.may_repeat() || e.verdict() == Verdict::NotRun;
     if may_repeat && may_retry(cx, call, progress) {
         return NextStep::TryAnother;
@@ -390,7 +424,7 @@
         Ok(body) => body.to_bytes(),
         Err(e) => {
             tracing::debug!(backend = running.backend(), error = %e, "failed to read the body of a response");
-            running.set_outcome(Outcome::Unreachable);
+            running.set_outcome(Outcome::BrokeOff);
             return Err(AttemptError::Unusable {
                 backend: running.backend().into(),
                 problem: "it broke off",
@@ -399,6 +433,9 @@
     };
     let since_start = running.age().saturating_sub(started.elapsed()) / 2;
     running.mark_started(since_start);
+    if status.is_success() {
+        running.clear_prompt();
+    }
     running.set_outcome(match status.is_server_error() {
         true => Outcome::Failed,
         false => Outcome::Answered,
--- a/src/ops/gateway/install.rs
+++ b/src/ops/gateway/install.rs
@@ -6,6 +6,7 @@
 
 use super::keys;
 use super::node_wire;
+use super::quarantine;
 use super::state::{GatewayState, Phase};
 use super::view::{self, Deletion, KeyHash};
 use crate::core::gateway::backends::Listing;
@@ -36,6 +37,8 @@
         install_table(state, item, source);
     } else if let Some(id) = key.strip_prefix(state.dialect.backend_prefix()) {
         install_backend(state, id, item, source);
+    } else if key.starts_with(keys::QUARANTINE) {
+        quarantine::put_entry(state, item);
     } else if let Some(name) = key.strip_prefix(keys::NODES) {
         match node_wire::decode(&item.value) {
             Ok(member) => {
@@ -136,6 +139,10 @@
 }
 
 fn handle_deletion(state: &GatewayState, deletion: &Deletion, source: Source) {
+    if let Some(id) = deletion.key.strip_prefix(keys::QUARANTINE) {
+        quarantine::remove_entry(state, id);
+        return;
+    }
     if let Some(id) = deletion.key.strip_prefix(state.dialect.backend_prefix()) {
         let now = state.now();
         let contact = *state.contact.lock();
--- a/src/ops/gateway/keys.rs
+++ b/src/ops/gateway/keys.rs
@@ -7,6 +7,14 @@
 /// Prefix of the keys of decided usage windows, followed by the window's number.
 pub const USAGE: &str = "jayhall/usage/";
 
+/// Prefix of the keys of quarantined prompts, followed by the entry's id.
+pub const QUARANTINE: &str = "jayhall/quarantine/";
+
+/// Returns the key of a quarantine entry.
+pub fn quarantine(id: u64) -> String {
+    format!("{QUARANTINE}{id:016x}")
+}
+
 /// Returns the key of a node.
 pub fn node(name: &str) -> String {
     format!("{NODES}{name}")
--- a/src/ops/gateway/mesh.rs
+++ b/src/ops/gateway/mesh.rs
@@ -21,6 +21,7 @@
 
 use super::mesh_wire::{DatagramWire, LoadSumWire, ReportWire, ZoneSumWire};
 use super::state::{GatewayState, Phase};
+use crate::core::gateway::crashes::Observer;
 use crate::core::gateway::members::Member;
 use crate::core::gateway::origin::{Origin, ZoneName};
 use crate::core::gateway::zone_sums::ZoneSenders;
@@ -79,13 +80,14 @@
     /// Returns the sum with its ages as of now.
     fn to_forward(&self, now: Moment) -> ZoneSumWire {
         let held_ms = as_millis_u64(now.saturating_sub(self.at));
-        ZoneSumWire {
-            store_age_ms: self
-                .sum
-                .store_age_ms
-                .map(|age_ms| age_ms.saturating_add(held_ms)),
-            ..self.sum.clone()
+        let mut sum = self.sum.clone();
+        sum.store_age_ms = sum
+            .store_age_ms
+            .map(|age_ms| age_ms.saturating_add(held_ms));
+        if let Some(load) = &mut sum.load {
+            load.add_age(held_ms);
         }
+        sum
     }
 }
 
@@ -372,6 +374,7 @@
         }
         load.leaving = backends.leaving(now, LEAVING_NOTICE_PERIOD);
         drop(backends);
+        load.set_crashes(&state.quarantine.lock().crashes, Observer::Node, now);
         ReportWire {
             node: state.settings.name.to_string(),
             incarnation: state.incarnation,
@@ -404,6 +407,7 @@
         }
         load.leaving = backends.leaving(now, LEAVING_NOTICE_PERIOD);
         drop(backends);
+        load.set_crashes(&state.quarantine.lock().crashes, Observer::Zone, now);
         let members = state.members.lock();
         let heard = members.fresh_in_zone(&settings.zone, now, NODE_TIMEOUT);
         let (ready, not_ready): (Vec<&Member>, Vec<&Member>) =
@@ -521,6 +525,11 @@
     fn merge_load(&self, from: &Origin, zone: &str, load: &LoadSumWire, now: Moment) {
         let state = &self.state;
         state.work.lock().apply_report(from, zone, load.work(), now);
+        let observer = match *zone == *state.settings.zone {
+            true => Observer::Zone,
+            false => Observer::Fleet,
+        };
+        load.add_crashes_to(&mut state.quarantine.lock().crashes, observer, now);
         let mut backends = state.backends.lock();
         if let Some(loads) = load.loads() {
             backends.apply_report(from, &loads, now);
--- a/src/ops/gateway/mesh_wire.rs
+++ b/src/ops/gateway/mesh_wire.rs
@@ -1,13 +1,24 @@
 //! Encoding of the messages between nodes.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use prost::Message;
 
+use crate::core::gateway::crashes::{Clearance, Crash, CrashLog, Observer, SharedParts};
 use crate::core::gateway::load::{Load, RANKS};
 use crate::core::gateway::quota::ZoneTotals;
 use crate::core::gateway::routes::{CustomerName, ServiceName};
 use crate::core::gateway::usage::{Counts, Window};
+use crate::core::time::Moment;
+use crate::util::time::as_millis_u64;
+
+/// Limits on the crashes and on the answered parts in the report of a node.
+const MAX_NODE_CRASHES: usize = 8;
+const MAX_NODE_CLEARANCES: usize = 16;
+/// Limits on the crashes and on the answered parts in the sums over an availability zone.
+const MAX_ZONE_CRASHES: usize = 48;
+const MAX_ZONE_CLEARANCES: usize = 64;
 
 /// One datagram.
 #[derive(Clone, PartialEq, Message)]
@@ -108,6 +119,40 @@
     /// Short names of the processes of back ends that announced lately that they are leaving.
     #[prost(fixed32, repeated, tag = "6")]
     pub leaving: Vec<u32>,
+    /// Prompts that were under way when back ends crashed.
+    #[prost(message, repeated, tag = "7")]
+    pub crashes: Vec<CrashWire>,
+    /// Parts of these prompts that were answered since.
+    #[prost(message, repeated, tag = "8")]
+    pub clearances: Vec<ClearanceWire>,
+}
+
+/// A prompt that was under way when its back end crashed.
+#[derive(Clone, PartialEq, Message)]
+pub struct CrashWire {
+    /// Parts of the prompt that others may share.
+    #[prost(fixed64, repeated, tag = "1")]
+    pub parts: Vec<u64>,
+    /// Short name of the process of the back end.
+    #[prost(fixed32, tag = "2")]
+    pub process: u32,
+    /// Time since the call was sent, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub sent_ms: u64,
+    /// Time since the crash, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub ended_ms: u64,
+}
+
+/// A part of a prompt that was answered.
+#[derive(Clone, PartialEq, Message)]
+pub struct ClearanceWire {
+    /// The part.
+    #[prost(fixed64, tag = "1")]
+    pub part: u64,
+    /// Time since the answer, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
 }
 
 /// Units admitted for a customer.
@@ -167,6 +212,67 @@
 }
 
 impl LoadSumWire {
+    /// Sets the crashes of back ends that `observer` or a smaller group of nodes has observed, and the parts of
+    /// prompts that it has seen answered since.
+    pub fn set_crashes(&mut self, log: &CrashLog, observer: Observer, now: Moment) {
+        let (max_crashes, max_clearances) = match observer {
+            Observer::Node => (MAX_NODE_CRASHES, MAX_NODE_CLEARANCES),
+            Observer::Zone | Observer::Fleet => (MAX_ZONE_CRASHES, MAX_ZONE_CLEARANCES),
+        };
+        let age_ms = |at: Moment| as_millis_u64(now.saturating_sub(at));
+        let crashes = log.crashes_to_report(observer, max_crashes).into_iter();
+        self.crashes = crashes
+            .map(|crash| CrashWire {
+                parts: crash.parts.to_vec(),
+                process: crash.process,
+                sent_ms: age_ms(crash.sent),
+                ended_ms: age_ms(crash.ended),
+            })
+            .collect();
+        let clearances = log.clearances_to_report(observer, max_clearances, now);
+        self.clearances = clearances
+            .iter()
+            .map(|clearance| ClearanceWire {
+                part: clearance.part,
+                age_ms: age_ms(clearance.at),
+            })
+            .collect();
+    }
+
+    /// Adds crashes and answered parts of a message that arrived at `now` to those of `observer`.
+    pub fn add_crashes_to(&self, log: &mut CrashLog, observer: Observer, now: Moment) {
+        let moment = |age_ms: u64| now.saturating_sub(Duration::from_millis(age_ms));
+        for crash in &self.crashes {
+            let mut parts = SharedParts::from_slice(&crash.parts);
+            parts.sort_unstable();
+            let crash = Crash {
+                parts,
+                process: crash.process,
+                sent: moment(crash.sent_ms),
+                ended: moment(crash.ended_ms),
+            };
+            log.record_crash(crash, observer);
+        }
+        for clearance in &self.clearances {
+            let clearance = Clearance {
+                part: clearance.part,
+                at: moment(clearance.age_ms),
+            };
+            log.apply_clearance(clearance, observer);
+        }
+    }
+
+    /// Adds the time for which a message was held to the ages of crashes and answers.
+    pub fn add_age(&mut self, held_ms: u64) {
+        for crash in &mut self.crashes {
+            crash.sent_ms = crash.sent_ms.saturating_add(held_ms);
+            crash.ended_ms = crash.ended_ms.saturating_add(held_ms);
+        }
+        for clearance in &mut self.clearances {
+            clearance.age_ms = clearance.age_ms.saturating_add(held_ms);
+        }
+    }
+
     /// Sets the admitted units.
     pub fn set_totals(&mut self, totals: Vec<(CustomerName, f64)>) {
         let totals = totals.into_iter();
--- /dev/null
+++ b/src/ops/gateway/quarantine.rs
@@ -0,0 +1,237 @@
+//! Keeps the quarantine of prompts in the platform's store, and finds the causes of crashes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
+use super::state::GatewayState;
+use super::{keys, relay};
+use crate::core::gateway::cache::PartId;
+use crate::core::gateway::crashes::CrashCause;
+use crate::core::gateway::quarantine::{EntryId, StoreTask, Terms};
+use crate::core::time::{Moment, UnixMillis};
+use crate::sources::store::{Compare, Condition, KeyRange, KeyValue, Op, Result, Revision};
+use crate::sources::store::{Store, StoreError, Transaction};
+use crate::util::time::as_millis_u64;
+
+/// Interval between two searches for causes of crashes.
+const ROUND_INTERVAL: Duration = Duration::from_millis(200);
+/// Time for which new entries are left to the nodes that watch the store, so that not all nodes write them.
+const FOLLOWER_DELAY: Duration = Duration::from_secs(2);
+/// Upper bound of the jitter before a node writes to the store.
+const MAX_WRITE_JITTER: Duration = Duration::from_millis(150);
+/// Pause after a round with writes, within which they arrive in this node's view of the store.
+const WRITE_PAUSE: Duration = Duration::from_millis(400);
+/// Initial backoff after a failed write.
+const INITIAL_BACKOFF: Duration = Duration::from_millis(400);
+/// Upper bound of the backoff.
+const MAX_BACKOFF: Duration = Duration::from_secs(3);
+
+/// An entry in the store.
+#[derive(Serialize, Deserialize)]
+struct EntryWire {
+    /// Ids of the parts.
+    parts: SmallVec<[PartId; 4]>,
+    probe_at_ms: UnixMillis,
+    interval_ms: u64,
+}
+
+impl From<&Terms> for EntryWire {
+    fn from(terms: &Terms) -> Self {
+        Self {
+            parts: terms.parts.clone(),
+            probe_at_ms: terms.probe_at,
+            interval_ms: as_millis_u64(terms.interval),
+        }
+    }
+}
+
+impl From<EntryWire> for Terms {
+    fn from(wire: EntryWire) -> Self {
+        let mut parts = wire.parts;
+        parts.sort_unstable();
+        Self {
+            parts,
+            probe_at: wire.probe_at_ms,
+            interval: Duration::from_millis(wire.interval_ms),
+        }
+    }
+}
+
+/// Searches for causes of crashes and writes the quarantine to the store until the task is dropped.
+pub async fn run(state: Arc<GatewayState>, store: Arc<dyn Store>) {
+    let mut backoff = INITIAL_BACKOFF;
+    let mut pending_since = None;
+    loop {
+        tokio::time::sleep(ROUND_INTERVAL).await;
+        find_causes(&state);
+        if !has_tasks(&state) {
+            pending_since = None;
+            continue;
+        }
+        let since: Moment = *pending_since.get_or_insert(state.now());
+        let pending_for = state.now().saturating_sub(since);
+        if relay::is_follower(&state) && pending_for < FOLLOWER_DELAY {
+            continue;
+        }
+        tokio::time::sleep(MAX_WRITE_JITTER.mul_f64(rand::random())).await;
+        match write(&state, &store).await {
+            Ok(()) => {
+                backoff = INITIAL_BACKOFF;
+                tokio::time::sleep(WRITE_PAUSE).await;
+            }
+            Err(e) => {
+                tracing::warn!(error = %e, "failed to write the quarantine of prompts; retrying");
+                tokio::time::sleep(backoff.mul_f64(0.5 + rand::random::<f64>())).await;
+                backoff = (backoff * 2).min(MAX_BACKOFF);
+            }
+        }
+    }
+}
+
+/// Quarantines the causes of crashes that the known crashes show.
+fn find_causes(state: &GatewayState) {
+    let wall = state.wall();
+    let mut quarantine = state.quarantine.lock();
+    for cause in quarantine.crashes.take_causes(state.now()) {
+        let is_new = quarantine.add(Terms::new(cause.parts.clone(), wall));
+        log_cause(state, &cause, is_new);
+    }
+}
+
+fn log_cause(state: &GatewayState, cause: &CrashCause, is_new: bool) {
+    let now = state.now();
+    metrics::counter!("jayhall_gateway_quarantined").increment(u64::from(is_new));
+    tracing::info!(
+        part_ids = hex(&cause.parts),
+        processes = cause.processes,
+        first_crash_ms = as_millis_u64(now.saturating_sub(cause.first)),
+        last_crash_ms = as_millis_u64(now.saturating_sub(cause.last)),
+        is_new,
+        "prompts quarantined that crash back ends"
+    );
+}
+
+/// Returns ids of parts in hexadecimal, separated by commas.
+pub fn hex(parts: &[PartId]) -> String {
+    let ids: SmallVec<[String; 4]> = parts.iter().map(|id| format!("{id:x}")).collect();
+    ids.join(",")
+}
+
+fn has_tasks(state: &GatewayState) -> bool {
+    let wall = state.wall();
+    !state.quarantine.lock().store_tasks(wall).is_empty()
+}
+
+async fn write(state: &GatewayState, store: &Arc<dyn Store>) -> Result<()> {
+    let wall = state.wall();
+    let tasks = state.quarantine.lock().store_tasks(wall);
+    for task in tasks {
+        match task {
+            StoreTask::Create(terms) => create(state, store, terms).await?,
+            StoreTask::ClaimProbe(terms, revision) => {
+                claim_probe(state, store, terms, revision).await?;
+            }
+            StoreTask::Release(id, revision) => release(state, store, id, revision).await?,
+        }
+    }
+    Ok(())
+}
+
+/// Creates an entry, unless the store has one already.
+async fn create(state: &GatewayState, store: &Arc<dyn Store>, terms: Terms) -> Result<()> {
+    let put = Transaction::compare_and_swap(&keys::quarantine(terms.id()), 0, encode(&terms)?);
+    let reply = store.transact(put).await?;
+    if reply.succeeded {
+        state.quarantine.lock().apply(terms, reply.revision);
+    } else if let Some(found) = reply.found().and_then(|found| found.first()) {
+        put_entry(state, found);
+    }
+    Ok(())
+}
+
+/// Claims the probe of an entry for this node. Another node may have been faster.
+async fn claim_probe(
+    state: &GatewayState,
+    store: &Arc<dyn Store>,
+    terms: Terms,
+    revision: Revision,
+) -> Result<()> {
+    let put =
+        Transaction::compare_and_swap(&keys::quarantine(terms.id()), revision, encode(&terms)?);
+    let reply = store.transact(put).await?;
+    if reply.succeeded {
+        tracing::info!(
+            part_ids = hex(&terms.parts),
+            interval_ms = as_millis_u64(terms.interval),
+            "probe of quarantined prompts claimed"
+        );
+        state.quarantine.lock().grant_probe(terms, reply.revision);
+    } else if let Some(found) = reply.found().and_then(|found| found.first()) {
+        put_entry(state, found);
+    } else {
+        state.quarantine.lock().remove(terms.id());
+    }
+    Ok(())
+}
+
+async fn release(
+    state: &GatewayState,
+    store: &Arc<dyn Store>,
+    id: EntryId,
+    revision: Revision,
+) -> Result<()> {
+    let key = keys::quarantine(id);
+    let delete = Transaction {
+        compares: vec![Compare {
+            key: key.as_str().into(),
+            condition: Condition::ModRevision(revision),
+        }],
+        then: vec![Op::Delete(KeyRange::One(key.as_str().into()))],
+        otherwise: Vec::new(),
+    };
+    if store.transact(delete).await?.succeeded {
+        tracing::info!(id, "quarantined prompts answered and released");
+        state.quarantine.lock().remove(id);
+    }
+    Ok(())
+}
+
+fn encode(terms: &Terms) -> Result<bytes::Bytes> {
+    let text = serde_json::to_vec(&EntryWire::from(terms)).map_err(|e| StoreError::Refused {
+        cause: format!("the entry cannot be written as JSON: {e}").into(),
+    })?;
+    Ok(text.into())
+}
+
+/// Applies an entry of the store.
+pub fn put_entry(state: &GatewayState, item: &KeyValue) {
+    match serde_json::from_slice::<EntryWire>(&item.value) {
+        Ok(wire) => {
+            let terms = Terms::from(wire);
+            tracing::info!(
+                part_ids = hex(&terms.parts),
+                revision = item.mod_revision,
+                probe_at_ms = terms.probe_at,
+                "quarantine entry listed"
+            );
+            state.quarantine.lock().apply(terms, item.mod_revision);
+        }
+        Err(e) => {
+            tracing::warn!(key = &*item.key, error = %e, "cannot decode an entry of the quarantine");
+        }
+    }
+}
+
+/// Applies the deletion of an entry, by the part of its key after the prefix.
+pub fn remove_entry(state: &GatewayState, id: &str) {
+    match EntryId::from_str_radix(id, 16) {
+        Ok(number) => {
+            tracing::info!(id, "quarantine entry no longer listed");
+            state.quarantine.lock().remove(number);
+        }
+        Err(e) => tracing::warn!(id, error = %e, "key of the quarantine without an id"),
+    }
+}
--- a/src/ops/gateway/record.rs
+++ b/src/ops/gateway/record.rs
@@ -13,8 +13,10 @@
 use super::attempt::{AttemptError, RunningAttempt};
 use super::call::Call;
 use super::forward::Progress;
+use super::quarantine;
 use super::refusal::Refusal;
 use super::state::GatewayState;
+use crate::core::gateway::cache::PartId;
 use crate::core::gateway::quota::Shortage;
 use crate::core::verdict::Verdict;
 use crate::util::time::as_millis_u64;
@@ -112,9 +114,8 @@
 
 /// Returns the ids of the parts of a call's prompt, in hexadecimal and separated by commas.
 fn part_ids(call: &Call) -> String {
-    let ids = call.head.parts.iter();
-    let ids: SmallVec<[String; 4]> = ids.map(|part| format!("{:x}", part.id)).collect();
-    ids.join(",")
+    let ids: SmallVec<[PartId; 4]> = call.head.parts.iter().map(|part| part.id).collect();
+    quarantine::hex(&ids)
 }
 
 /// Records an attempt without a usable response.
--- a/src/ops/gateway/refusal.rs
+++ b/src/ops/gateway/refusal.rs
@@ -43,6 +43,8 @@
     AnswerLost,
     /// The call's deadline has passed.
     TimedOut,
+    /// Its prompt has crashed back ends.
+    Quarantined,
 }
 
 impl Cause {
@@ -57,6 +59,8 @@
                 Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
                 _ => StatusCode::BAD_GATEWAY,
             },
+            // Not 422, after which some callers repeat the call.
+            Self::Quarantined => StatusCode::BAD_REQUEST,
             Self::OverQuota => StatusCode::TOO_MANY_REQUESTS,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
             _ => StatusCode::SERVICE_UNAVAILABLE,
@@ -77,6 +81,7 @@
             Self::Declined => "declined",
             Self::AnswerLost => "answer_lost",
             Self::TimedOut => "timed_out",
+            Self::Quarantined => "quarantined",
         }
     }
 
@@ -96,6 +101,9 @@
             }
             Self::Declined => "all back ends are full; come back later",
             Self::AnswerLost => "the back end broke off; it may have done the work",
+            Self::Quarantined => {
+                "a part of this prompt has crashed several engines; it is not sent to any more, and asking again does not help"
+            }
             Self::TimedOut => "the time for this call is over",
         }
     }
--- a/src/ops/gateway/state.rs
+++ b/src/ops/gateway/state.rs
@@ -14,6 +14,7 @@
 use crate::core::gateway::clock::ClockMedian;
 use crate::core::gateway::members::{Capacity, Member, Members};
 use crate::core::gateway::placement::Regions;
+use crate::core::gateway::quarantine::Quarantine;
 use crate::core::gateway::quota::QuotaShares;
 use crate::core::gateway::retry_budget::RetryBudget;
 use crate::core::gateway::routes::{RouteTable, ServiceName};
@@ -55,6 +56,8 @@
     pub retries: Mutex<HashMap<ServiceName, RetryBudget>>,
     /// Counts of calls that were started, for usage reports.
     pub usage: Mutex<UsageCounts>,
+    /// Prompts that crash back ends.
+    pub quarantine: Mutex<Quarantine>,
     /// Rate of incoming work, by service.
     pub work: Mutex<WorkRates>,
     /// Clock readings of all nodes.
@@ -98,6 +101,7 @@
             quotas: Mutex::default(),
             retries: Mutex::default(),
             usage: Mutex::default(),
+            quarantine: Mutex::default(),
             work: Mutex::default(),
             clock: Mutex::default(),
             view: Mutex::default(),
--- a/src/ops/gateway/stream.rs
+++ b/src/ops/gateway/stream.rs
@@ -75,6 +75,7 @@
     Incomplete,
     End,
     Broken(Box<str>),
+    Silent,
     TimedOut,
 }
 
@@ -123,10 +124,16 @@
                     return None;
                 }
                 ReadResult::Broken(cause) => {
-                    if !self.resume_elsewhere(&cause).await {
+                    if !self.resume_elsewhere(Outcome::BrokeOff, &cause).await {
                         return Some(Err(self.abort("broken_off", cause)));
                     }
                 }
+                ReadResult::Silent => {
+                    let cause = "it fell silent";
+                    if !self.resume_elsewhere(Outcome::Unreachable, cause).await {
+                        return Some(Err(self.abort("broken_off", cause.into())));
+                    }
+                }
                 ReadResult::TimedOut => {
                     return Some(Err(self.abort("timed_out", "its time is over".into())));
                 }
@@ -151,7 +158,7 @@
         };
         match tokio::time::timeout_at(until, source.body.frame()).await {
             Err(_) if until == deadline => ReadResult::TimedOut,
-            Err(_) => ReadResult::Broken("it fell silent".into()),
+            Err(_) => ReadResult::Silent,
             Ok(None) if self.buf.is_empty() => ReadResult::End,
             Ok(None) => ReadResult::Broken("it ended within an event".into()),
             Ok(Some(Err(e))) => ReadResult::Broken(e.to_string().into()),
@@ -177,6 +184,7 @@
         }
         if let Some(source) = &mut self.source {
             source.running.mark_started(Duration::ZERO);
+            source.running.note_progress();
             source.last_activity = Instant::now();
         }
         if self.first_event_after.is_none() {
@@ -192,9 +200,9 @@
 
     /// Abandons the back end and resumes the stream at another one, after the last complete event.
     /// Returns whether that succeeded.
-    async fn resume_elsewhere(&mut self, cause: &str) -> bool {
+    async fn resume_elsewhere(&mut self, outcome: Outcome, cause: &str) -> bool {
         if let Some(mut source) = self.source.take() {
-            source.running.set_outcome(Outcome::Unreachable);
+            source.running.set_outcome(outcome);
             record::broke_off(
                 &self.cx.state,
                 &self.call,
@@ -223,7 +231,7 @@
                 ),
                 // `forward::try_backend` has recorded the failure. If no back end can be tried, another
                 // attempt would find none either and would only use up the retry budget of other calls.
-                Err(AttemptError::NoCandidate { .. }) => return false,
+                Err(AttemptError::NoCandidate { .. } | AttemptError::Quarantined) => return false,
                 Err(_) => {}
             }
         }
@@ -240,6 +248,7 @@
             ..
         }) = self.source.take()
         {
+            running.clear_prompt();
             running.set_outcome(Outcome::Answered);
             if body.is_end_stream() {
                 self.cx.pool.release(connection, idle_timeout);
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod placement;
 mod platform_store;
 mod platform_wire;
+mod quarantine;
 mod quota;
 mod scaling;
 mod serving;
--- /dev/null
+++ b/tests/testsuite/gateway/quarantine.rs
@@ -0,0 +1,372 @@
+//! How the cause of crashes is found, and what is quarantined.
+
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use jayhall::core::gateway::cache::PartId;
+use jayhall::core::gateway::crashes::{Crash, CrashLog, Observer, SharedParts};
+use jayhall::core::gateway::quarantine::{Check, Quarantine, StoreTask, Terms};
+use jayhall::ops::gateway::mesh_wire::LoadSumWire;
+use prost::Message;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use smallvec::smallvec;
+
+/// Part that crashes back ends.
+const CRASHING: PartId = 7;
+/// Part that prompts with the crashing part share with sound ones.
+const SHARED: PartId = 1;
+/// Part of other sound prompts.
+const OTHER: PartId = 2;
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn crash(parts: &[PartId], process: u32, sent_ms: u64, ended_ms: u64) -> Crash {
+    Crash {
+        parts: SharedParts::from_slice(parts),
+        process,
+        sent: at(sent_ms),
+        ended: at(ended_ms),
+    }
+}
+
+/// Returns a log of three crashes, one after the other, under prompts with these parts.
+fn log_of_three_crashes(parts: &[PartId]) -> CrashLog {
+    let mut log = CrashLog::default();
+    for index in 0..3 {
+        let sent = 1_000 + 1_000 * u64::from(index);
+        log.record_crash(crash(parts, index, sent, sent + 500), Observer::Node);
+    }
+    log.record_answer(&[OTHER], at(3_600));
+    log
+}
+
+fn causes(log: &mut CrashLog, ms: u64) -> Vec<Vec<PartId>> {
+    let causes = log.take_causes(at(ms));
+    causes.iter().map(|cause| cause.parts.to_vec()).collect()
+}
+
+#[test]
+fn parts_in_common_of_repeated_crashes_are_the_cause() {
+    let mut log = log_of_three_crashes(&[SHARED, CRASHING]);
+    assert_eq!(causes(&mut log, 4_000), Vec::<Vec<PartId>>::new());
+    assert_eq!(causes(&mut log, 4_500), [[SHARED, CRASHING]]);
+    assert_eq!(causes(&mut log, 4_700), Vec::<Vec<PartId>>::new());
+}
+
+#[test]
+fn an_answered_part_is_not_the_cause_of_earlier_crashes() {
+    let mut log = log_of_three_crashes(&[SHARED, CRASHING]);
+    log.record_answer(&[SHARED], at(3_700));
+    assert_eq!(causes(&mut log, 4_500), [[CRASHING]]);
+    let mut log = log_of_three_crashes(&[SHARED]);
+    log.record_answer(&[SHARED], at(3_700));
+    assert_eq!(causes(&mut log, 4_500), Vec::<Vec<PartId>>::new());
+}
+
+#[test]
+fn back_ends_that_crash_at_the_same_moment_show_no_cause() {
+    let mut log = CrashLog::default();
+    for process in 0..40 {
+        let ended = 1_000 + u64::from(process) * 15;
+        log.record_crash(crash(&[SHARED], process, 500, ended), Observer::Node);
+    }
+    log.record_answer(&[OTHER], at(5_000));
+    assert_eq!(causes(&mut log, 5_100), Vec::<Vec<PartId>>::new());
+}
+
+#[test]
+fn crashes_while_no_prompt_is_answered_show_no_cause() {
+    let mut log = CrashLog::default();
+    for process in 0..9 {
+        let sent = 1_000 * u64::from(process);
+        log.record_crash(crash(&[SHARED], process, sent, sent + 400), Observer::Node);
+    }
+    assert_eq!(causes(&mut log, 12_000), Vec::<Vec<PartId>>::new());
+}
+
+#[test]
+fn a_sound_prompt_at_crashed_back_ends_is_not_quarantined_with_the_cause() {
+    let mut log = log_of_three_crashes(&[SHARED, CRASHING]);
+    for process in 0..3 {
+        let sent = 1_100 + 1_000 * u64::from(process);
+        log.record_crash(
+            crash(&[OTHER + 1], process, sent, sent + 400),
+            Observer::Fleet,
+        );
+    }
+    assert_eq!(causes(&mut log, 4_600), [[SHARED, CRASHING]]);
+    log.record_crash(crash(&[OTHER + 1], 2, 3_100, 3_500), Observer::Fleet);
+    assert_eq!(causes(&mut log, 5_000), Vec::<Vec<PartId>>::new());
+}
+
+#[test]
+fn only_prompts_with_all_parts_of_an_entry_are_blocked() {
+    let mut quarantine = Quarantine::default();
+    assert!(quarantine.add(Terms::new(smallvec![SHARED, CRASHING], 0)));
+    assert_eq!(quarantine.check(&[SHARED, CRASHING], 1_000), Check::Block);
+    assert_eq!(
+        quarantine.check(&[SHARED, OTHER, CRASHING], 1_000),
+        Check::Block
+    );
+    assert_eq!(quarantine.check(&[SHARED, OTHER], 1_000), Check::Pass);
+    assert_eq!(quarantine.check(&[], 1_000), Check::Pass);
+}
+
+#[test]
+fn a_probe_is_granted_to_one_call_after_its_claim_in_the_store() {
+    let mut quarantine = Quarantine::default();
+    let terms = Terms::new(smallvec![CRASHING], 0);
+    let parts = [SHARED, CRASHING];
+    quarantine.add(terms.clone());
+    assert_eq!(
+        quarantine.store_tasks(0),
+        [StoreTask::Create(terms.clone())]
+    );
+    quarantine.apply(terms.clone(), 5);
+    assert_eq!(quarantine.check(&parts, terms.probe_at - 1), Check::Block);
+    assert_eq!(quarantine.store_tasks(terms.probe_at), []);
+    assert_eq!(quarantine.check(&parts, terms.probe_at), Check::Block);
+    let claimed = terms.after_claim(terms.probe_at);
+    assert_eq!(claimed.interval, terms.interval * 2);
+    let task = StoreTask::ClaimProbe(claimed.clone(), 5);
+    assert_eq!(quarantine.store_tasks(terms.probe_at), [task]);
+    quarantine.grant_probe(claimed.clone(), 6);
+    assert_eq!(quarantine.check(&parts, terms.probe_at), Check::Probe);
+    assert_eq!(quarantine.check(&parts, terms.probe_at), Check::Block);
+    quarantine.return_probe(&parts);
+    assert_eq!(quarantine.check(&parts, terms.probe_at), Check::Probe);
+    assert_eq!(quarantine.check(&parts, terms.probe_at), Check::Block);
+    quarantine.record_answer(&parts);
+    let release = StoreTask::Release(claimed.id(), 6);
+    assert_eq!(quarantine.store_tasks(terms.probe_at), [release]);
+    quarantine.remove(claimed.id());
+    assert_eq!(quarantine.check(&parts, terms.probe_at), Check::Pass);
+}
+
+#[test]
+fn another_nodes_claim_of_a_probe_keeps_this_node_from_probing() {
+    let mut quarantine = Quarantine::default();
+    let terms = Terms::new(smallvec![CRASHING], 0);
+    quarantine.apply(terms.clone(), 5);
+    quarantine.check(&[CRASHING], terms.probe_at);
+    quarantine.apply(terms.after_claim(terms.probe_at), 6);
+    assert_eq!(quarantine.store_tasks(terms.probe_at), []);
+    assert_eq!(
+        quarantine.check(&[CRASHING], terms.probe_at + 1),
+        Check::Block
+    );
+}
+
+const ZONES: usize = 6;
+/// Zones of the first of the two regions.
+const FIRST_REGION: usize = 3;
+const NODES_PER_ZONE: usize = 49;
+const BACKENDS: usize = 320;
+/// Interval between calls of the route, and share of those with the crashing part.
+const CALL_INTERVAL_MS: u64 = 3;
+const CRASHING_SHARE: f64 = 0.05;
+/// Share of the calls that are sound and have the first part of the crashing ones.
+const SHARED_SHARE: f64 = 0.01;
+/// Time from the sending of a call until its first event, and until its end.
+const FIRST_EVENT_MS: u64 = 400;
+const END_MS: u64 = 1_200;
+/// Time after the fifth crash within which all nodes know the cause, and calls that may follow.
+const KNOWN_WITHIN_MS: u64 = 4_000;
+const MAX_LATER_CALLS: usize = 3;
+/// Bytes that the exchange of crashes may add to one message.
+const MAX_MESSAGE_BYTES: usize = 4_000;
+
+struct RunningCall {
+    node: usize,
+    backend: usize,
+    parts: SharedParts,
+    sent: u64,
+}
+
+/// 294 nodes that exchange crashes in the messages of the mesh, without the store.
+struct LargeFleet {
+    nodes: Vec<Quarantine>,
+    /// Newest sums that each zone's aggregator has of the other zones, with the time of arrival.
+    sums: Vec<HashMap<usize, (LoadSumWire, u64)>>,
+    processes: Vec<u32>,
+    calls: Vec<RunningCall>,
+    last_process: u32,
+    crashes: Vec<u64>,
+    /// Times at which calls with the crashing part were sent.
+    crashing_sends: Vec<u64>,
+    refused_sound: usize,
+    largest_message: usize,
+    rng: StdRng,
+}
+
+impl LargeFleet {
+    fn new(seed: u64) -> Self {
+        Self {
+            nodes: (0..ZONES * NODES_PER_ZONE)
+                .map(|_| Quarantine::default())
+                .collect(),
+            sums: vec![HashMap::new(); ZONES],
+            processes: (0..BACKENDS as u32).collect(),
+            calls: Vec::new(),
+            last_process: BACKENDS as u32,
+            crashes: Vec::new(),
+            crashing_sends: Vec::new(),
+            refused_sound: 0,
+            largest_message: 0,
+            rng: StdRng::seed_from_u64(seed),
+        }
+    }
+
+    fn run(&mut self, end_ms: u64) {
+        for ms in 0..end_ms {
+            if ms % CALL_INTERVAL_MS == 0 {
+                self.send_call(ms);
+            }
+            self.advance_calls(ms);
+            for zone in 0..ZONES {
+                // Zones and nodes exchange messages at different times.
+                let shifted = ms + 97 * zone as u64;
+                if shifted % 625 == 0 {
+                    self.send_reports(zone, ms);
+                }
+                if shifted % 400 == 0 {
+                    self.send_sums(zone, ms, shifted % 800 == 0);
+                    self.forward_sums(zone, ms);
+                }
+            }
+            if ms % 200 == 0 {
+                for node in &mut self.nodes {
+                    for cause in node.crashes.take_causes(at(ms)) {
+                        node.add(Terms::new(cause.parts, ms));
+                    }
+                }
+            }
+        }
+    }
+
+    fn send_call(&mut self, ms: u64) {
+        let draw: f64 = self.rng.random();
+        let parts: SharedParts = if draw < CRASHING_SHARE {
+            smallvec![SHARED, CRASHING]
+        } else if draw < CRASHING_SHARE + SHARED_SHARE {
+            smallvec![SHARED]
+        } else {
+            smallvec![100 + self.rng.random_range(0..60)]
+        };
+        let node = self.rng.random_range(0..self.nodes.len());
+        let is_crashing = parts.contains(&CRASHING);
+        if self.nodes[node].blocks(&parts) {
+            self.refused_sound += usize::from(!is_crashing);
+            return;
+        }
+        if is_crashing {
+            self.crashing_sends.push(ms);
+        }
+        let backend = self.rng.random_range(0..BACKENDS);
+        self.calls.push(RunningCall {
+            node,
+            backend,
+            parts,
+            sent: ms,
+        });
+    }
+
+    fn advance_calls(&mut self, ms: u64) {
+        let mut crashed = HashSet::new();
+        for call in &self.calls {
+            let age = ms - call.sent;
+            if age == FIRST_EVENT_MS && call.parts.contains(&CRASHING) {
+                crashed.insert(call.backend);
+            }
+        }
+        for backend in &crashed {
+            self.crashes.push(ms);
+            for call in self.calls.iter().filter(|call| call.backend == *backend) {
+                if ms - call.sent <= FIRST_EVENT_MS {
+                    let process = self.processes[*backend];
+                    let crash = crash(&call.parts, process, call.sent, ms);
+                    self.nodes[call.node]
+                        .crashes
+                        .record_crash(crash, Observer::Node);
+                }
+            }
+            self.last_process += 1;
+            self.processes[*backend] = self.last_process;
+        }
+        self.calls.retain(|call| !crashed.contains(&call.backend));
+        for call in self.calls.iter().filter(|call| ms - call.sent == END_MS) {
+            self.nodes[call.node]
+                .crashes
+                .record_answer(&call.parts, at(ms));
+        }
+        self.calls.retain(|call| ms - call.sent < END_MS);
+    }
+
+    fn message(&mut self, node: usize, observer: Observer, ms: u64) -> LoadSumWire {
+        let mut message = LoadSumWire::default();
+        message.set_crashes(&self.nodes[node].crashes, observer, at(ms));
+        self.largest_message = self.largest_message.max(message.encoded_len());
+        message
+    }
+
+    fn send_reports(&mut self, zone: usize, ms: u64) {
+        let members = zone * NODES_PER_ZONE..(zone + 1) * NODES_PER_ZONE;
+        for from in members.clone() {
+            let message = self.message(from, Observer::Node, ms);
+            for to in members.clone().filter(|to| *to != from) {
+                message.add_crashes_to(&mut self.nodes[to].crashes, Observer::Zone, at(ms));
+            }
+        }
+    }
+
+    fn send_sums(&mut self, zone: usize, ms: u64, to_other_region: bool) {
+        let message = self.message(zone * NODES_PER_ZONE, Observer::Zone, ms);
+        for to in (0..ZONES).filter(|to| *to != zone) {
+            let same_region = (to < FIRST_REGION) == (zone < FIRST_REGION);
+            if same_region || to_other_region {
+                let aggregator = &mut self.nodes[to * NODES_PER_ZONE].crashes;
+                message.add_crashes_to(aggregator, Observer::Fleet, at(ms));
+                self.sums[to].insert(zone, (message.clone(), ms));
+            }
+        }
+    }
+
+    fn forward_sums(&mut self, zone: usize, ms: u64) {
+        for (message, arrived) in self.sums[zone].values() {
+            let mut message = message.clone();
+            message.add_age(ms - arrived);
+            for node in &mut self.nodes[zone * NODES_PER_ZONE + 1..(zone + 1) * NODES_PER_ZONE] {
+                message.add_crashes_to(&mut node.crashes, Observer::Fleet, at(ms));
+            }
+        }
+    }
+}
+
+#[test]
+fn all_nodes_of_a_large_fleet_find_the_cause_of_crashes_without_the_store() {
+    for seed in 0..3 {
+        let mut fleet = LargeFleet::new(seed);
+        fleet.run(9_000);
+        let known_by = fleet.crashes[4] + KNOWN_WITHIN_MS;
+        let later = fleet.crashing_sends.iter().filter(|sent| **sent > known_by);
+        assert!(
+            later.count() <= MAX_LATER_CALLS,
+            "seed {seed}: {:?}",
+            fleet.crashing_sends
+        );
+        assert_eq!(fleet.refused_sound, 0, "seed {seed}");
+        assert!(
+            fleet.largest_message <= MAX_MESSAGE_BYTES,
+            "{}",
+            fleet.largest_message
+        );
+        println!(
+            "seed {seed}: {} crashes, largest message {} bytes",
+            fleet.crashes.len(),
+            fleet.largest_message
+        );
+    }
+}
