Take a stream that ends with its connection before any event for broken off

An answer may have neither a length nor chunks and end with its connection. One that ended before its first event passed for a complete, empty answer; it is resumed or broken off now, as one that ends within an event was before. The test failed before: the caller got an empty answer as a complete one.

--- a/src/ops/gateway/stream.rs
+++ b/src/ops/gateway/stream.rs
@@ -159,7 +159,10 @@
         match tokio::time::timeout_at(until, source.body.frame()).await {
             Err(_) if until == deadline => ReadResult::TimedOut,
             Err(_) => ReadResult::Silent,
-            Ok(None) if self.buf.is_empty() => ReadResult::End,
+            Ok(None) if self.buf.is_empty() && self.has_events() => ReadResult::End,
+            Ok(None) if self.buf.is_empty() => {
+                ReadResult::Broken("it ended before an event".into())
+            }
             Ok(None) => ReadResult::Broken("it ended within an event".into()),
             Ok(Some(Err(e))) => ReadResult::Broken(e.to_string().into()),
             Ok(Some(Ok(frame))) => match frame.into_data() {
@@ -193,6 +196,11 @@
         ReadResult::Events(events)
     }
 
+    /// Returns whether the caller has received an event, from this response or from the one that it resumes.
+    fn has_events(&self) -> bool {
+        self.first_event_after.is_some() || self.last_event.is_some()
+    }
+
     fn may_resume(&self) -> bool {
         self.call.route.kind == RouteKind::Stream { resumable: true }
             && self.progress.sends < self.call.route.max_backends
--- a/tests/testsuite/gateway/streams.rs
+++ b/tests/testsuite/gateway/streams.rs
@@ -1,11 +1,16 @@
 //! Event streams through a running gateway.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use futures::StreamExt;
 use hyper::HeaderMap;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 
-use super::fixture::{Behaviour, FakeBackend, Fixture, Node, fixture_with_node, total_runs};
+use super::fixture::{
+    Behaviour, FakeBackend, Fixture, Node, config, fixture_with_node, total_runs,
+};
 
 const COMPLETE: Behaviour = Behaviour::Events {
     to: 6,
@@ -196,3 +201,45 @@
     assert_eq!(read_events(res.unwrap()).await, (events(1, 3), true));
     assert_eq!(total_runs(&backends), 1);
 }
+
+/// Starts a back end whose answers have neither a length nor chunks: it sends `text` and closes the connection.
+async fn spawn_unframed_backend(text: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut buf = vec![0; 4096];
+            stream.read(&mut buf).await.unwrap();
+            let head = "HTTP/1.1 200 OK\r\nx-jayhall-response-seal: s\r\ncontent-type: text/event-stream\r\n\r\n";
+            stream.write_all(head.as_bytes()).await.unwrap();
+            stream.write_all(text.as_bytes()).await.unwrap();
+        }
+    });
+    address
+}
+
+/// Reads the answer to a call that is not resumable from such a back end.
+async fn read_unframed(text: &'static str) -> (String, bool) {
+    let fixture = Fixture::new();
+    fixture.put("op/config", config(1)).await;
+    let address = spawn_unframed_backend(text).await;
+    let entry = format!(
+        r#"{{"service":"llm","address":"{address}","zone":"z1","slots":8,"state":"ready","born":1}}"#
+    );
+    fixture.put("servers/b0", entry).await;
+    let node = fixture.node("n1").await;
+    fixture.ready(&node).await;
+    match fixture.call(&node, "/stream/x", "a1").send().await {
+        Ok(res) => read_events(res).await,
+        Err(_) => (String::new(), false),
+    }
+}
+
+#[tokio::test]
+async fn a_stream_that_ends_with_its_connection_is_complete_only_after_a_whole_event() {
+    let whole = "id: 1\ndata: piece 1\n\n";
+    assert_eq!(read_unframed(whole).await, (whole.into(), true));
+    let broken = "id: 1\ndata: piece 1\n\nid: 2\ndata: pie";
+    assert_eq!(read_unframed(broken).await, (whole.into(), false));
+    assert_eq!(read_unframed("").await, (String::new(), false));
+}
