Log the call limit that a back end names in its answers

The logs of the incident do not tell what a back end had named, nor when a node learned of it. `call limit of a back end changed` has both. No call is placed otherwise than before.

--- a/src/core/gateway/backends.rs
+++ b/src/core/gateway/backends.rs
@@ -101,6 +101,8 @@
     paused_until: Moment,
     /// When this node last assigned a call to it.
     last_call: Option<Moment>,
+    /// Calls a second that it takes from all nodes together, if its last answer named a limit.
+    call_limit: Option<f64>,
     /// When this node learned, from an answer of the back end or from another node, that it is leaving.
     leaving_since: Option<Moment>,
 }
@@ -121,6 +123,7 @@
             backoff_until: Moment::ZERO,
             paused_until: Moment::ZERO,
             last_call: None,
+            call_limit: None,
             leaving_since: None,
         }
     }
@@ -435,6 +438,14 @@
         is_new
     }
 
+    /// Records the call limit that an answer of a back end named, if any. Returns whether it has changed.
+    pub fn record_call_limit(&mut self, backend: &Backend, limit: Option<f64>) -> bool {
+        let Some(entry) = self.same_process(backend) else {
+            return false;
+        };
+        std::mem::replace(&mut entry.call_limit, limit) != limit
+    }
+
     /// Records that a back end asked this node to send no calls for the time `stay_away`.
     pub fn record_pause(&mut self, backend: &Backend, stay_away: Duration, now: Moment) {
         if let Some(entry) = self.same_process(backend) {
--- a/src/ops/gateway/attempt.rs
+++ b/src/ops/gateway/attempt.rs
@@ -317,6 +317,18 @@
             "back end leaving"
         );
     }
+    if state
+        .backends
+        .lock()
+        .record_call_limit(backend, head.call_limit)
+    {
+        tracing::info!(
+            backend = &*backend.id,
+            per_second = head.call_limit,
+            source = "answer",
+            "call limit of a back end changed"
+        );
+    }
     if let Some(pause_calls_for) = head.pause_calls_for {
         state
             .backends
--- a/src/ops/gateway/dialect.rs
+++ b/src/ops/gateway/dialect.rs
@@ -70,6 +70,8 @@
     pub idle_timeout: Option<Duration>,
     /// Whether the back end announces that it is leaving.
     pub is_leaving: bool,
+    /// Calls a second that the back end takes from all nodes together, if it names a limit.
+    pub call_limit: Option<f64>,
     /// Time for which a back end that refuses the call asks this node to send it no other calls.
     pub pause_calls_for: Option<Duration>,
 }
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -43,6 +43,8 @@
 pub const FENCE: HeaderName = HeaderName::from_static("x-jayhall-fence-token");
 /// Set to `1` in any answer of a back end that is leaving.
 pub const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+/// Calls a second that a back end in need takes from all nodes together.
+pub const CALL_LIMIT: HeaderName = HeaderName::from_static("server-limit");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Status with which a back end refuses a call.
@@ -179,6 +181,7 @@
         is_signed: headers.contains_key(&SIGNATURE),
         idle_timeout: header_text(headers, &KEEP_ALIVE).and_then(parse_keep_alive_timeout),
         is_leaving: header_text(headers, &LEAVING).is_some_and(|value| value.trim() == "1"),
+        call_limit: header_text(headers, &CALL_LIMIT).and_then(parse_call_limit),
         pause_calls_for: match status {
             UNAVAILABLE => header_text(headers, &RETRY_AFTER).and_then(parse_retry_after),
             _ => None,
@@ -203,6 +206,18 @@
     }
 }
 
+/// Parses a limit on calls a second, a number with an optional fraction.
+fn parse_call_limit(text: &str) -> Option<f64> {
+    let limit = parse_decimal(text.trim());
+    if limit.is_none() {
+        tracing::warn!(
+            value = text,
+            "ignored a back end's call limit that is not a number"
+        );
+    }
+    limit
+}
+
 fn parse_keep_alive_timeout(text: &str) -> Option<Duration> {
     text.split(',')
         .filter_map(|part| part.trim().strip_prefix("timeout="))
