--- a/tests/testsuite/gateway/fixture.rs
+++ b/tests/testsuite/gateway/fixture.rs
@@ -5,7 +5,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures::StreamExt;
@@ -36,6 +36,10 @@
     Answer(u16, &'static str),
     /// Answers and announces that it is leaving.
     AnswerLeaving,
+    /// Answers after a time.
+    AnswerAfter(Duration),
+    /// Answers and names a limit on calls a second.
+    AnswerLimited(f64),
     /// Sends events `1..=2`, then a byte of a third event every 300 ms without end.
     Trickle,
     /// Sends events `1..=to` with a pause before each.
@@ -72,6 +76,7 @@
 /// A call as received by a back end.
 #[derive(Clone, Debug)]
 pub(super) struct ReceivedCall {
+    pub(super) at: Instant,
     pub(super) path: String,
     pub(super) headers: HeaderMap,
     pub(super) body: Bytes,
@@ -213,6 +218,7 @@
     let behaviour = behaviour.lock().clone();
     if !matches!(behaviour, Behaviour::Decline | Behaviour::DeclineFor(_)) {
         seen.lock().push(ReceivedCall {
+            at: Instant::now(),
             path: head.uri.to_string(),
             headers: head.headers.clone(),
             body,
@@ -232,6 +238,9 @@
             Behaviour::AnswerLeaving => {
                 headers.insert("server-leaving", "1".parse().unwrap());
             }
+            Behaviour::AnswerLimited(limit) => {
+                headers.insert("server-limit", limit.to_string().parse().unwrap());
+            }
             Behaviour::BreakOn(_)
             | Behaviour::Events { .. }
             | Behaviour::Trickle
@@ -245,6 +254,11 @@
         Behaviour::Answer(status, body) => (status, full_body(body)),
         Behaviour::AnswerOther | Behaviour::Unsigned => (200, full_body("wrong")),
         Behaviour::AnswerLeaving => (200, full_body("last")),
+        Behaviour::AnswerLimited(_) => (200, full_body("done")),
+        Behaviour::AnswerAfter(delay) => {
+            tokio::time::sleep(delay).await;
+            (200, full_body("done"))
+        }
         Behaviour::DeclineFor(seconds) => {
             *declined_with_delay.lock() += 1;
             let res = Response::builder()
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the gateway: its decisions, the platform adapter, and calls through running gateways.
 
+mod call_limits;
 mod crashing_prompts;
 mod decisions;
 mod departed_backends;
