Share the record of who observed a value between crashes and other observations

Call limits of back ends will need the same: the last observation by this node, its zone and the fleet, so that nothing is reported back to its observer.

--- a/src/core/gateway/crashes.rs
+++ b/src/core/gateway/crashes.rs
@@ -15,6 +15,7 @@
 
 use super::backends::ProcessName;
 use super::cache::{Part, PartId};
+use super::observed::{Observation, Observed, Observer};
 use crate::core::time::Moment;
 
 /// Number of processes of back ends that must have crashed under a prompt part.
@@ -48,17 +49,6 @@
     subset.iter().all(|part| parts.binary_search(part).is_ok())
 }
 
-/// Which nodes observed something, from few to many.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Observer {
-    /// This node.
-    Node,
-    /// Another node of its availability zone.
-    Zone,
-    /// A node of another zone.
-    Fleet,
-}
-
 /// A prompt that was under way without an answer when its back end crashed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Crash {
@@ -100,43 +90,13 @@
     observer: Observer,
 }
 
-/// When a part was last answered, by observer.
-#[derive(Clone, Copy, Debug, Default)]
-struct LastAnswer {
-    by_node: Option<Moment>,
-    by_zone: Option<Moment>,
-    by_fleet: Option<Moment>,
-}
-
-impl LastAnswer {
-    fn get(&self) -> Option<Moment> {
-        self.by_node.max(self.by_zone).max(self.by_fleet)
-    }
-
-    fn record(&mut self, at: Moment, observer: Observer) {
-        let last = match observer {
-            Observer::Node => &mut self.by_node,
-            Observer::Zone => &mut self.by_zone,
-            Observer::Fleet => &mut self.by_fleet,
-        };
-        *last = (*last).max(Some(at));
-    }
-
-    fn up_to(&self, observer: Observer) -> Option<Moment> {
-        match observer {
-            Observer::Node => self.by_node,
-            Observer::Zone => self.by_node.max(self.by_zone),
-            Observer::Fleet => self.get(),
-        }
-    }
-}
-
 /// Crashes that the nodes observed lately, and the answers that clear parts of them.
 #[derive(Debug, Default)]
 pub struct CrashLog {
     crashes: Vec<KnownCrash>,
     known: HashSet<(ProcessName, SharedParts)>,
-    answers: HashMap<PartId, LastAnswer>,
+    /// When parts of these prompts were last answered.
+    answers: HashMap<PartId, Observed<()>>,
     /// Processes whose crash has a known cause, with the time of the crash.
     explained: HashMap<ProcessName, Moment>,
     /// When this node last saw any prompt answered.
@@ -187,8 +147,12 @@
 
     /// Applies an answer that a node saw.
     pub fn apply_clearance(&mut self, clearance: Clearance, observer: Observer) {
+        let answered = Observation {
+            at: clearance.at,
+            value: (),
+        };
         let last = self.answers.entry(clearance.part).or_default();
-        last.record(clearance.at, observer);
+        last.record(answered, observer);
     }
 
     /// Returns the newest crashes, up to `limit`, of which at least one part is not cleared and which
@@ -213,7 +177,7 @@
         let answers = self.answers.iter();
         answers
             .filter_map(|(part, last)| {
-                let at = last.up_to(observer)?;
+                let at = last.last_of(observer)?.at;
                 Some(Clearance { part: *part, at })
             })
             .filter(|clearance| now.saturating_sub(clearance.at) <= CLEARANCE_REPORT_PERIOD)
@@ -307,8 +271,8 @@
     }
 
     fn is_cleared(&self, part: PartId, crashed: Moment) -> bool {
-        let last = self.answers.get(&part).and_then(LastAnswer::get);
-        last >= Some(crashed)
+        let last = self.answers.get(&part).and_then(Observed::last);
+        last.is_some_and(|answered| answered.at >= crashed)
     }
 
     fn expire(&mut self, now: Moment) {
--- a/src/core/gateway/mod.rs
+++ b/src/core/gateway/mod.rs
@@ -10,6 +10,7 @@
 pub mod decay;
 pub mod load;
 pub mod members;
+pub mod observed;
 pub mod origin;
 pub mod placement;
 pub mod quarantine;
--- a/src/ops/gateway/mesh.rs
+++ b/src/ops/gateway/mesh.rs
@@ -21,8 +21,8 @@
 
 use super::mesh_wire::{DatagramWire, LoadSumWire, ReportWire, ZoneSumWire};
 use super::state::{GatewayState, Phase};
-use crate::core::gateway::crashes::Observer;
 use crate::core::gateway::members::Member;
+use crate::core::gateway::observed::Observer;
 use crate::core::gateway::origin::{Origin, ZoneName};
 use crate::core::gateway::zone_sums::ZoneSenders;
 use crate::core::time::Moment;
--- a/src/ops/gateway/mesh_wire.rs
+++ b/src/ops/gateway/mesh_wire.rs
@@ -5,8 +5,9 @@
 
 use prost::Message;
 
-use crate::core::gateway::crashes::{Clearance, Crash, CrashLog, Observer, SharedParts};
+use crate::core::gateway::crashes::{Clearance, Crash, CrashLog, SharedParts};
 use crate::core::gateway::load::{Load, RANKS};
+use crate::core::gateway::observed::Observer;
 use crate::core::gateway::quota::ZoneTotals;
 use crate::core::gateway::routes::{CustomerName, ServiceName};
 use crate::core::gateway::usage::{Counts, Window};
--- a/tests/testsuite/gateway/quarantine.rs
+++ b/tests/testsuite/gateway/quarantine.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use jayhall::core::gateway::cache::PartId;
-use jayhall::core::gateway::crashes::{Crash, CrashLog, Observer, SharedParts};
+use jayhall::core::gateway::crashes::{Crash, CrashLog, SharedParts};
+use jayhall::core::gateway::observed::Observer;
 use jayhall::core::gateway::quarantine::{Check, Quarantine, StoreTask, Terms};
 use jayhall::ops::gateway::mesh_wire::LoadSumWire;
 use prost::Message;
