--- a/tests/testsuite/gateway/quarantine.rs
+++ b/tests/testsuite/gateway/quarantine.rs
@@ -230,11 +230,11 @@
             for zone in 0..ZONES {
                 // Zones and nodes exchange messages at different times.
                 let shifted = ms + 97 * zone as u64;
-                if shifted % 625 == 0 {
+                if shifted.is_multiple_of(625) {
                     self.send_reports(zone, ms);
                 }
-                if shifted % 400 == 0 {
-                    self.send_sums(zone, ms, shifted % 800 == 0);
+                if shifted.is_multiple_of(400) {
+                    self.send_sums(zone, ms, shifted.is_multiple_of(800));
                     self.forward_sums(zone, ms);
                 }
             }
--- a/tests/testsuite/gateway/streams.rs
+++ b/tests/testsuite/gateway/streams.rs
@@ -209,7 +209,8 @@
     tokio::spawn(async move {
         while let Ok((mut stream, _)) = listener.accept().await {
             let mut buf = vec![0; 4096];
-            stream.read(&mut buf).await.unwrap();
+            let len = stream.read(&mut buf).await.unwrap();
+            assert!(len > 0);
             let head = "HTTP/1.1 200 OK\r\nx-jayhall-response-seal: s\r\ncontent-type: text/event-stream\r\n\r\n";
             stream.write_all(head.as_bytes()).await.unwrap();
             stream.write_all(text.as_bytes()).await.unwrap();
