Order replacements for back ends that name a call limit

A back end in need takes few calls, but counted as a whole one in the orders to the cloud. Each one adds one to the demand, spread over the zones and within the operators' limits; the lower bound of reclaimable back ends, which holds without load, may already contain it. Test: with three limited back ends at least three more are ordered, with and without reclaimable ones.

--- a/src/core/gateway/scaling/mod.rs
+++ b/src/core/gateway/scaling/mod.rs
@@ -37,6 +37,8 @@
     pub spot: u32,
     /// Other back ends that accept calls.
     pub regular: u32,
+    /// Back ends of both kinds that take few calls only: they name a limit.
+    pub limited: u32,
     /// Incoming work in milliseconds of back end time a second.
     pub work_ms_per_s: f64,
 }
@@ -83,21 +85,24 @@
         let has_spot = rules.spot_price.is_some();
         let count = zones.len() as u32;
         let min_spot = (f64::from(rules.max) * MIN_SPOT_PART).ceil() as u32;
+        let limited: u32 = zones.values().map(|zone| zone.limited).sum();
+        let replacements = limited.div_ceil(count);
         // The other zones must carry the peak load after the loss of one zone.
         let other_zones = f64::from(count.saturating_sub(1).max(1));
         let spot_each = min_spot
-            .max((peak / SPOT_UTILIZATION / other_zones).ceil() as u32)
+            .max((peak / SPOT_UTILIZATION / other_zones).ceil() as u32 + replacements)
             .clamp(rules.min, rules.max);
         let regular_each = match has_spot {
             true => {
                 let demand = Demand {
-                    all: ((busy / SCARCE_UTILIZATION).ceil() as u32).max(count * rules.min.max(1)),
+                    all: ((busy / SCARCE_UTILIZATION).ceil() as u32).max(count * rules.min.max(1))
+                        + limited,
                     is_scarce: self.is_scarce(now),
                     spot_each,
                 };
                 self.regular_orders.plan(rules, zones, demand, now)
             }
-            false => all_regular(rules, zones, peak),
+            false => all_regular(rules, zones, peak, replacements),
         };
         let mut orders = Vec::new();
         for (zone, state) in zones {
@@ -174,14 +179,15 @@
 }
 
 /// Returns the numbers of back ends of a service without reclaimable ones: enough for the peak load after the
-/// loss of any one zone, within the operators' limits.
+/// loss of any one zone, and `replacements` of limited ones, within the operators' limits.
 fn all_regular(
     rules: &ScalingRules,
     zones: &BTreeMap<Box<str>, ZoneState>,
     peak: f64,
+    replacements: u32,
 ) -> BTreeMap<Box<str>, u32> {
     let other_zones = zones.len().saturating_sub(1).max(1) as f64;
-    let each = (peak / SCARCE_UTILIZATION / other_zones).ceil() as u32;
+    let each = (peak / SCARCE_UTILIZATION / other_zones).ceil() as u32 + replacements;
     let each = each.clamp(rules.min.max(1), rules.max.max(1));
     zones.keys().map(|zone| (zone.clone(), each)).collect()
 }
--- a/src/ops/gateway/duties.rs
+++ b/src/ops/gateway/duties.rs
@@ -421,6 +421,7 @@
             if entry.is_leaving() || entry.listing != Listing::Listed {
                 continue;
             }
+            state.limited += u32::from(entry.is_limited());
             match backend.is_spot {
                 true => state.spot += 1,
                 false => state.regular += 1,
--- a/tests/testsuite/gateway/scaling.rs
+++ b/tests/testsuite/gateway/scaling.rs
@@ -269,6 +269,38 @@
     assert_eq!((counts[0], counts[2]), (6, 3));
 }
 
+#[test]
+fn back_ends_that_name_a_limit_are_replaced_for_as_long_as_they_do() {
+    for spot_price in [None, Some(0.15)] {
+        let rules = ScalingRules {
+            spot_price,
+            ..rules()
+        };
+        // With reclaimable back ends, the lower bound of their number covers less than this work.
+        let work = if spot_price.is_some() {
+            7_000.0
+        } else {
+            4_000.0
+        };
+        let desired = |limited: u32| -> u32 {
+            let mut zones = Cloud::new(4).zones(work, Duration::ZERO);
+            zones.get_mut("a").unwrap().limited = limited;
+            let orders = ServiceScaling::default().plan(&rules, &zones, Duration::ZERO);
+            let own_kind = orders
+                .iter()
+                .filter(|order| order.spot == spot_price.is_some());
+            own_kind.map(|order| order.desired).sum()
+        };
+        assert!(
+            desired(3) >= desired(0) + 3,
+            "{} and {}",
+            desired(3),
+            desired(0)
+        );
+        assert!(desired(30) <= 3 * rules.max);
+    }
+}
+
 #[test]
 fn engines_with_large_batches_need_less_time_for_an_answer() {
     // The time for prefill does not depend on the batch size.
