--- a/src/ops/gateway/mesh.rs
+++ b/src/ops/gateway/mesh/mod.rs
@@ -10,6 +10,9 @@
 //! of its own zone. The number of messages per node then hardly grows with the fleet, and the sums of
 //! another zone are older by these two hops.
 
+mod receive;
+mod report;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -19,14 +22,13 @@
 use prost::Message;
 use tokio::net::UdpSocket;
 
-use super::mesh_wire::{DatagramWire, LoadSumWire, ReportWire, ZoneSumWire};
-use super::state::{GatewayState, Phase};
+use super::mesh_wire::{DatagramWire, ZoneSumWire};
+use super::state::GatewayState;
 use crate::core::gateway::members::Member;
-use crate::core::gateway::observed::Observer;
-use crate::core::gateway::origin::{Origin, ZoneName};
+use crate::core::gateway::origin::ZoneName;
 use crate::core::gateway::zone_sums::ZoneSenders;
 use crate::core::time::Moment;
-use crate::util::time::{as_millis_u64, unix_now};
+use crate::util::time::as_millis_u64;
 
 /// Shortest interval between messages to a node of the own availability zone; also the period of the
 /// send loop.
@@ -339,224 +341,6 @@
             tracing::debug!(node = &*member.name, error = %e, "failed to send a message to a node");
         }
     }
-
-    /// Receives messages until the task is dropped.
-    pub async fn receive(self: Arc<Self>) {
-        let mut buf = vec![0; MAX_DATAGRAM_BYTES];
-        loop {
-            match self.socket.recv_from(&mut buf).await {
-                Ok((len, from)) => match DatagramWire::decode(&buf[..len]) {
-                    Ok(datagram) => self.handle_datagram(datagram),
-                    Err(e) => tracing::warn!(%from, error = %e, "cannot decode a datagram"),
-                },
-                Err(e) => {
-                    tracing::warn!(error = %e, "failed to receive messages of nodes");
-                    tokio::time::sleep(MIN_ZONE_INTERVAL).await;
-                }
-            }
-        }
-    }
-
-    fn build_report(&self, with_loads: bool, with_usage: bool) -> ReportWire {
-        let state = &self.state;
-        let now = state.now();
-        let mut load = LoadSumWire::default();
-        load.set_totals(state.quotas.lock().totals());
-        load.set_work(state.work.lock().local_rates(now));
-        if with_usage {
-            for (window, counts) in state.own_usage() {
-                load.add_usage(window, &counts);
-            }
-        }
-        let backends = state.backends.lock();
-        if with_loads {
-            load.set_loads(&backends.local_loads());
-        }
-        load.leaving = backends.leaving(now, LEAVING_NOTICE_PERIOD);
-        load.set_call_limits(&backends, Observer::Node, now);
-        drop(backends);
-        load.set_crashes(&state.quarantine.lock().crashes, Observer::Node, now);
-        ReportWire {
-            node: state.settings.name.to_string(),
-            incarnation: state.incarnation,
-            wall_ms: unix_now(),
-            ready: state.phase() == Phase::Serving,
-            revision: state.view.lock().revision,
-            config_version: state.table().map_or(0, |table| table.version),
-            zone: state.settings.zone.to_string(),
-            load: Some(load),
-            store_age_ms: state.contact.lock().answer_age(now).map(as_millis_u64),
-        }
-    }
-
-    /// Returns the sums over the own zone.
-    fn build_zone_sum(&self, with_loads: bool, now: Moment) -> ZoneSumWire {
-        let state = &self.state;
-        let settings = &state.settings;
-        let mut load = LoadSumWire::default();
-        load.set_totals(state.quotas.lock().node_totals());
-        load.set_work(state.work.lock().node_rates(now));
-        let first = state
-            .window_at(state.wall())
-            .saturating_sub(PAST_WINDOWS_SENT);
-        for (window, counts) in state.usage.lock().process_totals(first) {
-            load.add_usage(window, &counts);
-        }
-        let backends = state.backends.lock();
-        if with_loads {
-            load.set_loads(&backends.node_loads());
-        }
-        load.leaving = backends.leaving(now, LEAVING_NOTICE_PERIOD);
-        load.set_call_limits(&backends, Observer::Zone, now);
-        drop(backends);
-        load.set_crashes(&state.quarantine.lock().crashes, Observer::Zone, now);
-        let members = state.members.lock();
-        let heard = members.fresh_in_zone(&settings.zone, now, NODE_TIMEOUT);
-        let (ready, not_ready): (Vec<&Member>, Vec<&Member>) =
-            heard.partition(|member| member.is_ready);
-        let incarnations = |members: Vec<&Member>| members.iter().map(|m| m.incarnation).collect();
-        let mut ready: Vec<u64> = incarnations(ready);
-        if state.phase() == Phase::Serving {
-            ready.push(state.incarnation);
-        }
-        ZoneSumWire {
-            zone: settings.zone.to_string(),
-            node: settings.name.to_string(),
-            incarnation: state.incarnation,
-            number: as_millis_u64(now),
-            wall_ms: unix_now(),
-            revision: state.view.lock().revision,
-            ready,
-            not_ready: incarnations(not_ready),
-            load: Some(load),
-            store_age_ms: state.contact.lock().zone_answer_age(now).map(as_millis_u64),
-        }
-    }
-
-    fn handle_datagram(&self, datagram: DatagramWire) {
-        if let Some(report) = &datagram.report {
-            self.handle_report(report);
-        }
-        for sum in datagram.sums {
-            self.handle_zone_sum(sum);
-        }
-    }
-
-    fn handle_report(&self, report: &ReportWire) {
-        let state = &self.state;
-        let now = state.now();
-        if *report.node == *state.settings.name {
-            return;
-        }
-        state.members.lock().apply_report(
-            &report.node,
-            report.incarnation,
-            report.ready,
-            report.revision,
-            now,
-        );
-        state
-            .clock
-            .lock()
-            .record(report.incarnation, report.wall_ms, now);
-        if let Some(age_ms) = report.store_age_ms {
-            let answered_at = now.saturating_sub(Duration::from_millis(age_ms));
-            let mut contact = state.contact.lock();
-            match *report.zone == *state.settings.zone {
-                true => contact.record_zone_answer(answered_at),
-                false => contact.record_any_answer(answered_at),
-            }
-        }
-        if let Some(load) = &report.load {
-            let totals = load.totals();
-            state
-                .quotas
-                .lock()
-                .apply_report(&report.node, report.incarnation, &totals, now);
-            for (window, counts) in load.usage() {
-                state
-                    .usage
-                    .lock()
-                    .merge(report.incarnation, window, &counts);
-            }
-            self.merge_load(&report.node[..].into(), &report.zone, load, now);
-        }
-        self.announce_revision(report.revision);
-    }
-
-    fn handle_zone_sum(&self, sum: ZoneSumWire) {
-        let state = &self.state;
-        let now = state.now();
-        if *sum.zone == *state.settings.zone {
-            return;
-        }
-        let mut sums = self.sums.lock();
-        if !sums
-            .aggregators
-            .accept(&sum.zone, sum.incarnation, sum.number, now)
-        {
-            return;
-        }
-        {
-            let mut members = state.members.lock();
-            for (incarnations, is_ready) in [(&sum.ready, true), (&sum.not_ready, false)] {
-                for incarnation in incarnations {
-                    members.apply_indirect_report(*incarnation, is_ready, now);
-                }
-            }
-            members.apply_report(&sum.node, sum.incarnation, true, sum.revision, now);
-        }
-        state.clock.lock().record(sum.incarnation, sum.wall_ms, now);
-        if let Some(age_ms) = sum.store_age_ms {
-            let answered_at = now.saturating_sub(Duration::from_millis(age_ms));
-            state.contact.lock().record_any_answer(answered_at);
-        }
-        state.quotas.lock().apply_zone_report(&sum.totals(), now);
-        if let Some(load) = &sum.load {
-            for (window, counts) in load.usage() {
-                state.usage.lock().merge_zone(&sum.zone, window, &counts);
-            }
-            let from = Origin::Zone(sum.zone.as_str().into());
-            self.merge_load(&from, &sum.zone, load, now);
-        }
-        self.announce_revision(sum.revision);
-        let zone = sum.zone.as_str().into();
-        sums.newest.insert(zone, ReceivedSum { sum, at: now });
-    }
-
-    fn merge_load(&self, from: &Origin, zone: &str, load: &LoadSumWire, now: Moment) {
-        let state = &self.state;
-        state.work.lock().apply_report(from, zone, load.work(), now);
-        let observer = match *zone == *state.settings.zone {
-            true => Observer::Zone,
-            false => Observer::Fleet,
-        };
-        load.add_crashes_to(&mut state.quarantine.lock().crashes, observer, now);
-        let mut backends = state.backends.lock();
-        if let Some(loads) = load.loads() {
-            backends.apply_report(from, &loads, now);
-        }
-        for backend in backends.apply_leaving_report(&load.leaving, now) {
-            tracing::info!(backend = &*backend, source = "node", "back end leaving");
-        }
-        let limits = load.call_limits(now);
-        for (backend, per_second) in backends.apply_call_limits(&limits, observer, now) {
-            tracing::info!(
-                backend = &*backend,
-                per_second,
-                source = "node",
-                "call limit of a back end changed"
-            );
-        }
-    }
-
-    /// Announces a revision that is newer than this node's view. This is repeated with each message, as
-    /// an earlier attempt to fetch the changes may have failed.
-    fn announce_revision(&self, revision: u64) {
-        if revision > self.state.view.lock().revision {
-            self.newest_revision.send_replace(revision);
-        }
-    }
 }
 
 /// Returns the interval between messages to each of `nodes` that keeps all of them together within the
--- /dev/null
+++ b/src/ops/gateway/mesh/receive.rs
@@ -0,0 +1,156 @@
+//! Applies the messages of other nodes to the state of this one.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use prost::Message;
+
+use super::{MAX_DATAGRAM_BYTES, MIN_ZONE_INTERVAL, Mesh, ReceivedSum};
+use crate::core::gateway::observed::Observer;
+use crate::core::gateway::origin::Origin;
+use crate::core::time::Moment;
+use crate::ops::gateway::mesh_wire::{DatagramWire, LoadSumWire, ReportWire, ZoneSumWire};
+
+impl Mesh {
+    /// Receives messages until the task is dropped.
+    pub async fn receive(self: Arc<Self>) {
+        let mut buf = vec![0; MAX_DATAGRAM_BYTES];
+        loop {
+            match self.socket.recv_from(&mut buf).await {
+                Ok((len, from)) => match DatagramWire::decode(&buf[..len]) {
+                    Ok(datagram) => self.handle_datagram(datagram),
+                    Err(e) => tracing::warn!(%from, error = %e, "cannot decode a datagram"),
+                },
+                Err(e) => {
+                    tracing::warn!(error = %e, "failed to receive messages of nodes");
+                    tokio::time::sleep(MIN_ZONE_INTERVAL).await;
+                }
+            }
+        }
+    }
+
+    fn handle_datagram(&self, datagram: DatagramWire) {
+        if let Some(report) = &datagram.report {
+            self.handle_report(report);
+        }
+        for sum in datagram.sums {
+            self.handle_zone_sum(sum);
+        }
+    }
+
+    fn handle_report(&self, report: &ReportWire) {
+        let state = &self.state;
+        let now = state.now();
+        if *report.node == *state.settings.name {
+            return;
+        }
+        state.members.lock().apply_report(
+            &report.node,
+            report.incarnation,
+            report.ready,
+            report.revision,
+            now,
+        );
+        state
+            .clock
+            .lock()
+            .record(report.incarnation, report.wall_ms, now);
+        if let Some(age_ms) = report.store_age_ms {
+            let answered_at = now.saturating_sub(Duration::from_millis(age_ms));
+            let mut contact = state.contact.lock();
+            match *report.zone == *state.settings.zone {
+                true => contact.record_zone_answer(answered_at),
+                false => contact.record_any_answer(answered_at),
+            }
+        }
+        if let Some(load) = &report.load {
+            let totals = load.totals();
+            state
+                .quotas
+                .lock()
+                .apply_report(&report.node, report.incarnation, &totals, now);
+            for (window, counts) in load.usage() {
+                state
+                    .usage
+                    .lock()
+                    .merge(report.incarnation, window, &counts);
+            }
+            self.merge_load(&report.node[..].into(), &report.zone, load, now);
+        }
+        self.announce_revision(report.revision);
+    }
+
+    fn handle_zone_sum(&self, sum: ZoneSumWire) {
+        let state = &self.state;
+        let now = state.now();
+        if *sum.zone == *state.settings.zone {
+            return;
+        }
+        let mut sums = self.sums.lock();
+        if !sums
+            .aggregators
+            .accept(&sum.zone, sum.incarnation, sum.number, now)
+        {
+            return;
+        }
+        {
+            let mut members = state.members.lock();
+            for (incarnations, is_ready) in [(&sum.ready, true), (&sum.not_ready, false)] {
+                for incarnation in incarnations {
+                    members.apply_indirect_report(*incarnation, is_ready, now);
+                }
+            }
+            members.apply_report(&sum.node, sum.incarnation, true, sum.revision, now);
+        }
+        state.clock.lock().record(sum.incarnation, sum.wall_ms, now);
+        if let Some(age_ms) = sum.store_age_ms {
+            let answered_at = now.saturating_sub(Duration::from_millis(age_ms));
+            state.contact.lock().record_any_answer(answered_at);
+        }
+        state.quotas.lock().apply_zone_report(&sum.totals(), now);
+        if let Some(load) = &sum.load {
+            for (window, counts) in load.usage() {
+                state.usage.lock().merge_zone(&sum.zone, window, &counts);
+            }
+            let from = Origin::Zone(sum.zone.as_str().into());
+            self.merge_load(&from, &sum.zone, load, now);
+        }
+        self.announce_revision(sum.revision);
+        let zone = sum.zone.as_str().into();
+        sums.newest.insert(zone, ReceivedSum { sum, at: now });
+    }
+
+    fn merge_load(&self, from: &Origin, zone: &str, load: &LoadSumWire, now: Moment) {
+        let state = &self.state;
+        state.work.lock().apply_report(from, zone, load.work(), now);
+        let observer = match *zone == *state.settings.zone {
+            true => Observer::Zone,
+            false => Observer::Fleet,
+        };
+        load.add_crashes_to(&mut state.quarantine.lock().crashes, observer, now);
+        let mut backends = state.backends.lock();
+        if let Some(loads) = load.loads() {
+            backends.apply_report(from, &loads, now);
+        }
+        for backend in backends.apply_leaving_report(&load.leaving, now) {
+            tracing::info!(backend = &*backend, source = "node", "back end leaving");
+        }
+        let limits = load.call_limits(now);
+        for (backend, per_second) in backends.apply_call_limits(&limits, observer, now) {
+            tracing::info!(
+                backend = &*backend,
+                per_second,
+                source = "node",
+                "call limit of a back end changed"
+            );
+        }
+    }
+
+    /// Announces a revision that is newer than this node's view. This is repeated with each message, as
+    /// an earlier attempt to fetch the changes may have failed.
+    fn announce_revision(&self, revision: u64) {
+        if revision > self.state.view.lock().revision {
+            self.newest_revision.send_replace(revision);
+        }
+    }
+}
--- /dev/null
+++ b/src/ops/gateway/mesh/report.rs
@@ -0,0 +1,87 @@
+//! What a node, or an availability zone, reports to other nodes.
+
+use super::{LEAVING_NOTICE_PERIOD, Mesh, NODE_TIMEOUT, PAST_WINDOWS_SENT};
+use crate::core::gateway::members::Member;
+use crate::core::gateway::observed::Observer;
+use crate::core::time::Moment;
+use crate::ops::gateway::mesh_wire::{LoadSumWire, ReportWire, ZoneSumWire};
+use crate::ops::gateway::state::Phase;
+use crate::util::time::{as_millis_u64, unix_now};
+
+impl Mesh {
+    pub(super) fn build_report(&self, with_loads: bool, with_usage: bool) -> ReportWire {
+        let state = &self.state;
+        let now = state.now();
+        let mut load = LoadSumWire::default();
+        load.set_totals(state.quotas.lock().totals());
+        load.set_work(state.work.lock().local_rates(now));
+        if with_usage {
+            for (window, counts) in state.own_usage() {
+                load.add_usage(window, &counts);
+            }
+        }
+        let backends = state.backends.lock();
+        if with_loads {
+            load.set_loads(&backends.local_loads());
+        }
+        load.leaving = backends.leaving(now, LEAVING_NOTICE_PERIOD);
+        load.set_call_limits(&backends, Observer::Node, now);
+        drop(backends);
+        load.set_crashes(&state.quarantine.lock().crashes, Observer::Node, now);
+        ReportWire {
+            node: state.settings.name.to_string(),
+            incarnation: state.incarnation,
+            wall_ms: unix_now(),
+            ready: state.phase() == Phase::Serving,
+            revision: state.view.lock().revision,
+            config_version: state.table().map_or(0, |table| table.version),
+            zone: state.settings.zone.to_string(),
+            load: Some(load),
+            store_age_ms: state.contact.lock().answer_age(now).map(as_millis_u64),
+        }
+    }
+
+    /// Returns the sums over the own zone.
+    pub(super) fn build_zone_sum(&self, with_loads: bool, now: Moment) -> ZoneSumWire {
+        let state = &self.state;
+        let settings = &state.settings;
+        let mut load = LoadSumWire::default();
+        load.set_totals(state.quotas.lock().node_totals());
+        load.set_work(state.work.lock().node_rates(now));
+        let first = state
+            .window_at(state.wall())
+            .saturating_sub(PAST_WINDOWS_SENT);
+        for (window, counts) in state.usage.lock().process_totals(first) {
+            load.add_usage(window, &counts);
+        }
+        let backends = state.backends.lock();
+        if with_loads {
+            load.set_loads(&backends.node_loads());
+        }
+        load.leaving = backends.leaving(now, LEAVING_NOTICE_PERIOD);
+        load.set_call_limits(&backends, Observer::Zone, now);
+        drop(backends);
+        load.set_crashes(&state.quarantine.lock().crashes, Observer::Zone, now);
+        let members = state.members.lock();
+        let heard = members.fresh_in_zone(&settings.zone, now, NODE_TIMEOUT);
+        let (ready, not_ready): (Vec<&Member>, Vec<&Member>) =
+            heard.partition(|member| member.is_ready);
+        let incarnations = |members: Vec<&Member>| members.iter().map(|m| m.incarnation).collect();
+        let mut ready: Vec<u64> = incarnations(ready);
+        if state.phase() == Phase::Serving {
+            ready.push(state.incarnation);
+        }
+        ZoneSumWire {
+            zone: settings.zone.to_string(),
+            node: settings.name.to_string(),
+            incarnation: state.incarnation,
+            number: as_millis_u64(now),
+            wall_ms: unix_now(),
+            revision: state.view.lock().revision,
+            ready,
+            not_ready: incarnations(not_ready),
+            load: Some(load),
+            store_age_ms: state.contact.lock().zone_answer_age(now).map(as_millis_u64),
+        }
+    }
+}
