--- a/src/ops/gateway/mesh/report.rs
+++ b/src/ops/gateway/mesh/report.rs
@@ -20,14 +20,10 @@
                 load.add_usage(window, &counts);
             }
         }
-        let backends = state.backends.lock();
         if with_loads {
-            load.set_loads(&backends.local_loads());
+            load.set_loads(&state.backends.lock().local_loads());
         }
-        load.leaving = backends.leaving(now, LEAVING_NOTICE_PERIOD);
-        load.set_call_limits(&backends, Observer::Node, now);
-        drop(backends);
-        load.set_crashes(&state.quarantine.lock().crashes, Observer::Node, now);
+        self.add_observations(&mut load, Observer::Node, now);
         ReportWire {
             node: state.settings.name.to_string(),
             incarnation: state.incarnation,
@@ -54,14 +50,10 @@
         for (window, counts) in state.usage.lock().process_totals(first) {
             load.add_usage(window, &counts);
         }
-        let backends = state.backends.lock();
         if with_loads {
-            load.set_loads(&backends.node_loads());
+            load.set_loads(&state.backends.lock().node_loads());
         }
-        load.leaving = backends.leaving(now, LEAVING_NOTICE_PERIOD);
-        load.set_call_limits(&backends, Observer::Zone, now);
-        drop(backends);
-        load.set_crashes(&state.quarantine.lock().crashes, Observer::Zone, now);
+        self.add_observations(&mut load, Observer::Zone, now);
         let members = state.members.lock();
         let heard = members.fresh_in_zone(&settings.zone, now, NODE_TIMEOUT);
         let (ready, not_ready): (Vec<&Member>, Vec<&Member>) =
@@ -84,4 +76,14 @@
             store_age_ms: state.contact.lock().zone_answer_age(now).map(as_millis_u64),
         }
     }
+
+    /// Adds what `observer` or a smaller group of nodes has learned from back ends.
+    fn add_observations(&self, load: &mut LoadSumWire, observer: Observer, now: Moment) {
+        let backends = self.state.backends.lock();
+        load.leaving = backends.leaving(now, LEAVING_NOTICE_PERIOD);
+        load.set_call_limits(&backends, observer, now);
+        drop(backends);
+        let quarantine = self.state.quarantine.lock();
+        load.set_crashes(&quarantine.crashes, observer, now);
+    }
 }
