Copy the view of a seed when a node starts instead of listing the store

Cause: each of the 295 nodes listed all keys of the store at its start, and 148 of them through the one link between the regions. Ruled out: slow nodes, as those of the store's region are of the same size and had it in 0.5 s.

A node that starts now asks the nodes that its settings name for their view, for 1.5 s at most, and watches the store or follows its zone's watcher from that revision on. Only nodes that are named themselves, and those that find none, list the store.

The probe of a quarantine entry is no longer lost to a call that was sent before, and a copied view is logged.

--- a/src/core/gateway/store_contact.rs
+++ b/src/core/gateway/store_contact.rs
@@ -69,11 +69,6 @@
         self.any_answered_at = self.any_answered_at.max(at);
     }
 
-    /// Returns whether the store has answered this node since its start.
-    pub fn was_answered(&self) -> bool {
-        self.answered_at.is_some()
-    }
-
     /// Returns the time for which this node's view has not been confirmed, or `None` if it never was.
     pub fn view_age(&self, now: Moment) -> Option<Duration> {
         self.confirmed_at.map(|at| now.saturating_sub(at))
--- a/src/ops/gateway/follow_store.rs
+++ b/src/ops/gateway/follow_store.rs
@@ -1,7 +1,8 @@
 //! Replicates the platform's store through one watch over all keys.
 //!
 //! A few nodes of each availability zone do so; the others fetch from one of these (see [`relay`]), so
-//! that the load on the store grows with the number of zones and not of nodes.
+//! that the load on the store grows with the number of zones and not of nodes. For the same reason a node
+//! that starts copies the view of a node that its settings name, if it can, instead of listing all keys.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,9 +10,9 @@
 use futures::StreamExt;
 
 use super::install::{self, Source};
-use super::relay;
 use super::state::GatewayState;
 use super::view::Deletion;
+use super::{relay, snapshot};
 use crate::sources::store::{
     KeyRange, RangeRequest, Result, Store, StoreError, WatchEvent, WatchRequest,
 };
@@ -25,8 +26,9 @@
 pub async fn run(state: Arc<GatewayState>, store: Arc<dyn Store>, client: reqwest::Client) {
     let mut backoff = INITIAL_BACKOFF;
     let mut has_contact = false;
+    let mut has_copy = snapshot::copy_from_seeds(&state, &client).await;
     loop {
-        if has_contact {
+        if has_contact || std::mem::take(&mut has_copy) {
             relay::follow_while_possible(&state, &client).await;
         }
         match list_and_watch(&state, &store, &mut has_contact).await {
@@ -46,14 +48,14 @@
     }
 }
 
-/// Lists the store if that has not been done yet, and watches it until the watch fails or this node can
-/// follow another one instead.
+/// Lists the store if this node's view was never complete, and watches it until the watch fails or this node
+/// can follow another one instead.
 async fn list_and_watch(
     state: &GatewayState,
     store: &Arc<dyn Store>,
     has_contact: &mut bool,
 ) -> Result<()> {
-    if !state.contact.lock().was_answered() {
+    if state.view_age().is_none() {
         list_store(state, store).await?;
         note_contact(state, has_contact);
     }
--- a/src/ops/gateway/forward.rs
+++ b/src/ops/gateway/forward.rs
@@ -212,14 +212,15 @@
     if !cx.state.quarantine.lock().blocks(&parts) {
         return Ok(());
     }
+    if progress.sends > 0 {
+        return Err(AttemptError::Quarantined);
+    }
     let wall = cx.state.wall();
-    match cx.state.quarantine.lock().check(&parts, wall) {
-        Check::Pass => Ok(()),
-        Check::Probe if progress.sends == 0 => {
-            progress.is_probe = true;
-            Ok(())
-        }
-        Check::Probe | Check::Block => Err(AttemptError::Quarantined),
+    let check = cx.state.quarantine.lock().check(&parts, wall);
+    progress.is_probe = check == Check::Probe;
+    match check {
+        Check::Pass | Check::Probe => Ok(()),
+        Check::Block => Err(AttemptError::Quarantined),
     }
 }
 
--- a/src/ops/gateway/snapshot.rs
+++ b/src/ops/gateway/snapshot.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use eyre::WrapErr;
 use prost::Message;
-use rand::seq::IteratorRandom;
+use rand::seq::{IteratorRandom, SliceRandom};
 use reqwest::Client;
 
 use super::install::{self, Source};
@@ -41,8 +41,13 @@
 const MAX_PEERS_ASKED: usize = 3;
 /// Time without a message of a node after which it is not asked.
 const NODE_TIMEOUT: Moment = Moment::from_millis(2500);
-/// Size in bytes from which values are compressed for other nodes.
+/// Size in bytes from which values and whole snapshots are compressed for other nodes.
 const MIN_COMPRESSED_BYTES: usize = 4096;
+/// Time for which a node that starts asks the nodes that its settings name for their view, before it lists the
+/// store itself.
+const MAX_SEED_COPY_TIME: Duration = Duration::from_millis(1500);
+/// Mean interval between two rounds of these requests, while the nodes have no complete view either.
+const SEED_COPY_INTERVAL: Duration = Duration::from_millis(150);
 
 /// A node's view of the store, or the changes since a revision.
 #[derive(Clone, PartialEq, Message)]
@@ -70,6 +75,9 @@
     /// Time for which the node waited for changes before it responded, in milliseconds.
     #[prost(uint64, tag = "7")]
     pub waited_ms: u64,
+    /// All of the above as an LZ4 block preceded by its length, in place of the other fields.
+    #[prost(bytes = "bytes", tag = "8")]
+    pub packed: Bytes,
 }
 
 /// A key with its value.
@@ -175,7 +183,28 @@
         waited_ms: as_millis_u64(waited),
         ..encode(state, after)
     };
-    snapshot.encode_to_vec()
+    let text = snapshot.encode_to_vec();
+    match query_number(query, "may_pack") == 1 && text.len() >= MIN_COMPRESSED_BYTES {
+        true => pack(&text).encode_to_vec(),
+        false => text,
+    }
+}
+
+fn pack(text: &[u8]) -> SnapshotWire {
+    SnapshotWire {
+        packed: lz4_flex::compress_prepend_size(text).into(),
+        ..SnapshotWire::default()
+    }
+}
+
+/// Decodes the response of a node, which may be compressed.
+fn decode(text: Bytes) -> eyre::Result<SnapshotWire> {
+    let snapshot = SnapshotWire::decode(text)?;
+    if snapshot.packed.is_empty() {
+        return Ok(snapshot);
+    }
+    let text = lz4_flex::decompress_size_prepended(&snapshot.packed).wrap_err("unpacking")?;
+    Ok(SnapshotWire::decode(Bytes::from(text))?)
 }
 
 fn query_number(query: &str, name: &str) -> u64 {
@@ -201,7 +230,7 @@
         deletions: deletions.into_iter().map(Into::into).collect(),
         contact_age_ms: view_age.map(as_millis_u64),
         kept,
-        waited_ms: 0,
+        ..SnapshotWire::default()
     }
 }
 
@@ -242,6 +271,51 @@
     }
 }
 
+/// Copies the view of a node that the settings name. Returns whether the view is complete now. A node that the
+/// settings of others name does not ask, so that one of them lists the store.
+pub async fn copy_from_seeds(state: &GatewayState, client: &Client) -> bool {
+    let own = state.settings.listen.control;
+    if state.settings.seeds.contains(&own) {
+        return false;
+    }
+    let mut seeds = state.settings.seeds.clone();
+    seeds.shuffle(&mut rand::rng());
+    let deadline = state.now() + MAX_SEED_COPY_TIME;
+    while !seeds.is_empty() {
+        for seed in &seeds {
+            let left = deadline.saturating_sub(state.now());
+            if left.is_zero() {
+                return false;
+            }
+            if copy_view(state, client, *seed, left).await {
+                let revision = state.view.lock().revision;
+                tracing::info!(peer = %seed, revision, "view of the store copied from a node");
+                return true;
+            }
+        }
+        tokio::time::sleep(SEED_COPY_INTERVAL.mul_f64(0.5 + rand::random::<f64>())).await;
+    }
+    false
+}
+
+/// Copies the view of a node within the time `left`. Returns whether this node's view is complete now.
+async fn copy_view(
+    state: &GatewayState,
+    client: &Client,
+    peer: SocketAddr,
+    left: Duration,
+) -> bool {
+    let time = FetchTime {
+        wait: Duration::ZERO,
+        timeout: FETCH_TIMEOUT.min(left),
+    };
+    match fetch(state, client, peer, time).await {
+        Ok(snapshot) => apply(state, snapshot, peer),
+        Err(e) => tracing::debug!(%peer, error = %e, "failed to fetch a snapshot"),
+    }
+    state.view_age().is_some()
+}
+
 /// Asks the nodes that the settings name until this node has a configuration.
 async fn fetch_from_seeds(state: &GatewayState, client: &Client) {
     loop {
@@ -278,13 +352,13 @@
     let started = state.now();
     let res = client
         .get(format!(
-            "http://{control}{PATH}?after={after}&wait_ms={wait_ms}"
+            "http://{control}{PATH}?after={after}&wait_ms={wait_ms}&may_pack=1"
         ))
         .timeout(time.timeout)
         .send()
         .await?
         .error_for_status()?;
-    let mut snapshot = SnapshotWire::decode(res.bytes().await?)?;
+    let mut snapshot = decode(res.bytes().await?)?;
     let took = as_millis_u64(state.now().saturating_sub(started));
     let transfer = took.saturating_sub(snapshot.waited_ms);
     let with_transfer = |age_ms: u64| age_ms.saturating_add(transfer);
--- a/tests/testsuite/gateway/fixture.rs
+++ b/tests/testsuite/gateway/fixture.rs
@@ -466,6 +466,17 @@
         name: &str,
         zone: &str,
         store: Arc<dyn Store>,
+    ) -> Node {
+        self.node_with_seeds(name, zone, store, &[]).await
+    }
+
+    /// Starts a node whose settings name the control addresses of other nodes.
+    pub(super) async fn node_with_seeds(
+        &self,
+        name: &str,
+        zone: &str,
+        store: Arc<dyn Store>,
+        seeds: &[SocketAddr],
     ) -> Node {
         let text = GatewaySettingsText {
             name,
@@ -476,7 +487,8 @@
             ..default_settings()
         };
         let text = text.render();
-        let settings = GatewaySettings::parse(&text).unwrap();
+        let mut settings = GatewaySettings::parse(&text).unwrap();
+        settings.seeds = seeds.to_vec();
         let platform = Platform {
             dialect: Arc::new(PlatformDialect),
             store,
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod serving;
 mod settings_template;
 mod snapshots;
+mod starting_nodes;
 mod streams;
 mod unresponsive_store;
 mod watched_store;
--- a/tests/testsuite/gateway/watched_store.rs
+++ b/tests/testsuite/gateway/watched_store.rs
@@ -1,13 +1,14 @@
 //! A store with faults as one node sees it.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use futures::StreamExt;
 use futures::future::BoxFuture;
 use futures::stream;
 use jayhall::sources::store::{
-    LeaseGrant, LeaseId, MemoryStore, RangeReply, RangeRequest, Result, Revision, Store,
+    KeyRange, LeaseGrant, LeaseId, MemoryStore, RangeReply, RangeRequest, Result, Revision, Store,
     StoreError, Transaction, TransactionReply, WatchEvent, WatchRequest, WatchStream,
 };
 use tokio::sync::watch;
@@ -39,6 +40,7 @@
 pub(super) struct WatchedStore {
     inner: Arc<MemoryStore>,
     watches: watch::Receiver<Watches>,
+    listings: AtomicUsize,
 }
 
 impl WatchedStore {
@@ -47,9 +49,15 @@
         Arc::new(Self {
             inner: Arc::clone(&fixture.store),
             watches: faults.subscribe(),
+            listings: AtomicUsize::new(0),
         })
     }
 
+    /// Returns how often the node has listed all keys.
+    pub(super) fn listings(&self) -> usize {
+        self.listings.load(Ordering::Relaxed)
+    }
+
     async fn call<T>(&self, call: BoxFuture<'_, Result<T>>) -> Result<T> {
         let mut watches = self.watches.clone();
         let answers = watches.wait_for(|watches| *watches != Watches::Unresponsive);
@@ -60,6 +68,9 @@
 
 impl Store for WatchedStore {
     fn range(&self, req: RangeRequest) -> BoxFuture<'_, Result<RangeReply>> {
+        if req.range == KeyRange::Prefix("".into()) {
+            self.listings.fetch_add(1, Ordering::Relaxed);
+        }
         Box::pin(self.call(self.inner.range(req)))
     }
 
