Release quarantine entries that no call asks for, and name their parts plainly

Entries whose prompts never come again stayed in the store for good and would have filled the limit of 1,024. One that no call has asked for within an hour after its probe was due is released; a test shows it. Read as a newcomer, some names needed explaining: what the store holds of an entry is its value, and an answer that clears a part is a part's answer. One call records both effects of an answer. Names on the wire and in the store stay.

--- a/src/core/gateway/crashes.rs
+++ b/src/core/gateway/crashes.rs
@@ -30,7 +30,7 @@
 /// Limit on the crashes that are kept; the oldest ones are dropped.
 const MAX_CRASHES: usize = 512;
 /// Time for which an answered part is reported to other nodes. Reports may be lost, and are repeated.
-const CLEARANCE_REPORT_PERIOD: Duration = Duration::from_secs(6);
+const ANSWER_REPORT_PERIOD: Duration = Duration::from_secs(6);
 
 /// Sorted ids of the parts that a prompt may share with others: all but the last one.
 pub type SharedParts = SmallVec<[PartId; 4]>;
@@ -64,7 +64,7 @@
 
 /// A part of a prompt that was answered, which clears it of the crashes before.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Clearance {
+pub struct PartAnswer {
     /// The part.
     pub part: PartId,
     /// When the answer was seen.
@@ -134,8 +134,8 @@
                 known.crash.parts.contains(part) && !self.is_cleared(*part, known.crash.ended)
             });
             if is_suspect {
-                self.apply_clearance(
-                    Clearance {
+                self.apply_answer(
+                    PartAnswer {
                         part: *part,
                         at: now,
                     },
@@ -146,12 +146,12 @@
     }
 
     /// Applies an answer that a node saw.
-    pub fn apply_clearance(&mut self, clearance: Clearance, observer: Observer) {
+    pub fn apply_answer(&mut self, answer: PartAnswer, observer: Observer) {
         let answered = Observation {
-            at: clearance.at,
+            at: answer.at,
             value: (),
         };
-        let last = self.answers.entry(clearance.part).or_default();
+        let last = self.answers.entry(answer.part).or_default();
         last.record(answered, observer);
     }
 
@@ -167,20 +167,20 @@
             .collect()
     }
 
-    /// Returns the latest clearances, up to `limit`, which `observer` or a smaller group of nodes has seen.
-    pub fn clearances_to_report(
+    /// Returns the latest answers, up to `limit`, which `observer` or a smaller group of nodes has seen.
+    pub fn answers_to_report(
         &self,
         observer: Observer,
         limit: usize,
         now: Moment,
-    ) -> Vec<Clearance> {
+    ) -> Vec<PartAnswer> {
         let answers = self.answers.iter();
         answers
             .filter_map(|(part, last)| {
                 let at = last.last_of(observer)?.at;
-                Some(Clearance { part: *part, at })
+                Some(PartAnswer { part: *part, at })
             })
-            .filter(|clearance| now.saturating_sub(clearance.at) <= CLEARANCE_REPORT_PERIOD)
+            .filter(|answer| now.saturating_sub(answer.at) <= ANSWER_REPORT_PERIOD)
             .take(limit)
             .collect()
     }
--- a/src/core/gateway/quarantine.rs
+++ b/src/core/gateway/quarantine.rs
@@ -2,7 +2,8 @@
 //!
 //! A prompt with all parts of an entry is sent to no back end. Entries are kept in the platform's store, so that
 //! all nodes know them, those that start later too. After some time, one node may send one such prompt as a
-//! probe; the time until the next probe then doubles. An answered prompt releases the entry.
+//! probe; the time until the next probe then doubles. An answered prompt releases the entry; so does an hour
+//! without such prompts.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -12,7 +13,7 @@
 
 use super::cache::PartId;
 use super::crashes::{CrashLog, SharedParts, contains_all};
-use crate::core::time::UnixMillis;
+use crate::core::time::{Moment, UnixMillis};
 use crate::sources::store::Revision;
 use crate::util::time::as_millis_u64;
 
@@ -23,12 +24,14 @@
 const FIRST_PROBE_AFTER: Duration = Duration::from_secs(30);
 /// Upper bound of the time between two probes.
 const MAX_PROBE_INTERVAL: Duration = Duration::from_secs(3600);
+/// Time after `probe_at` after which an entry is released if no call has asked for the probe.
+const UNUSED_RETENTION: Duration = Duration::from_secs(3600);
 /// Limit on the entries; further ones are left out.
 const MAX_ENTRIES: usize = 1024;
 
-/// What nodes agree on about an entry.
+/// What the store holds of an entry.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Terms {
+pub struct EntryValue {
     /// Prompts with all of these parts are not sent.
     pub parts: SharedParts,
     /// Wall-clock time from which a node may claim a probe.
@@ -37,8 +40,8 @@
     pub interval: Duration,
 }
 
-impl Terms {
-    /// Creates the terms of parts that were found to crash back ends.
+impl EntryValue {
+    /// Creates the value of parts that were found to crash back ends.
     pub fn new(parts: SharedParts, wall: UnixMillis) -> Self {
         Self {
             parts,
@@ -47,7 +50,7 @@
         }
     }
 
-    /// Returns the terms after the claim of a probe.
+    /// Returns the value after the claim of a probe.
     pub fn after_claim(&self, wall: UnixMillis) -> Self {
         let interval = (self.interval * 2).min(MAX_PROBE_INTERVAL);
         Self {
@@ -68,7 +71,7 @@
     }
 }
 
-/// How far this node has come with a probe.
+/// State of this node's claim to the next probe of an entry.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Probe {
     /// No call waits for a probe.
@@ -81,7 +84,7 @@
 
 #[derive(Debug)]
 struct Entry {
-    terms: Terms,
+    value: EntryValue,
     /// Revision in the store; `None` while it is not known to be there.
     revision: Option<Revision>,
     probe: Probe,
@@ -104,9 +107,9 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StoreTask {
     /// Create an entry.
-    Create(Terms),
+    Create(EntryValue),
     /// Claim a probe: replace the entry of a revision.
-    ClaimProbe(Terms, Revision),
+    ClaimProbe(EntryValue, Revision),
     /// Delete the entry of a revision.
     Release(EntryId, Revision),
 }
@@ -134,7 +137,7 @@
                     entry.probe = Probe::None;
                     check = Check::Probe;
                 }
-                Probe::None if wall >= entry.terms.probe_at => {
+                Probe::None if wall >= entry.value.probe_at => {
                     entry.probe = Probe::Wanted;
                     check = Check::Block;
                 }
@@ -159,19 +162,19 @@
     }
 
     /// Adds an entry that this node found. Returns whether it is new.
-    pub fn add(&mut self, terms: Terms) -> bool {
-        let id = terms.id();
+    pub fn add(&mut self, value: EntryValue) -> bool {
+        let id = value.id();
         if self.entries.contains_key(&id) || self.entries.len() >= MAX_ENTRIES {
             return false;
         }
-        self.insert(id, terms, None);
+        self.insert(id, value, None);
         true
     }
 
     /// Applies an entry of the store.
-    pub fn apply(&mut self, terms: Terms, revision: Revision) {
-        self.crashes.explain(&terms.parts);
-        self.insert(terms.id(), terms, Some(revision));
+    pub fn apply(&mut self, value: EntryValue, revision: Revision) {
+        self.crashes.explain(&value.parts);
+        self.insert(value.id(), value, Some(revision));
     }
 
     /// Applies the deletion of an entry of the store.
@@ -180,7 +183,7 @@
             return;
         };
         if let Some(ids) = entry
-            .terms
+            .value
             .parts
             .first()
             .and_then(|part| self.by_part.get_mut(part))
@@ -189,8 +192,9 @@
         }
     }
 
-    /// Records that a prompt with these shared parts was answered.
-    pub fn record_answer(&mut self, parts: &[PartId]) {
+    /// Records that this node saw a prompt with these shared parts answered.
+    pub fn record_answer(&mut self, parts: &[PartId], now: Moment) {
+        self.crashes.record_answer(parts, now);
         for id in self.matching(parts) {
             if let Some(entry) = self.entries.get_mut(&id) {
                 entry.is_answered = true;
@@ -218,9 +222,9 @@
     }
 
     /// Records that this node claimed a probe at a revision of the entry.
-    pub fn grant_probe(&mut self, terms: Terms, revision: Revision) {
-        let id = terms.id();
-        self.insert(id, terms, Some(revision));
+    pub fn grant_probe(&mut self, value: EntryValue, revision: Revision) {
+        let id = value.id();
+        self.insert(id, value, Some(revision));
         if let Some(entry) = self.entries.get_mut(&id) {
             entry.probe = Probe::Granted;
         }
@@ -237,28 +241,28 @@
             .flatten()
         {
             let entry = self.entries.get(id);
-            if entry.is_some_and(|entry| contains_all(parts, &entry.terms.parts)) {
+            if entry.is_some_and(|entry| contains_all(parts, &entry.value.parts)) {
                 ids.push(*id);
             }
         }
         ids
     }
 
-    fn insert(&mut self, id: EntryId, terms: Terms, revision: Option<Revision>) {
-        let Some(first) = terms.parts.first().copied() else {
+    fn insert(&mut self, id: EntryId, value: EntryValue, revision: Option<Revision>) {
+        let Some(first) = value.parts.first().copied() else {
             return;
         };
         match self.entries.get_mut(&id) {
             Some(entry) => {
                 if revision > entry.revision {
-                    entry.terms = terms;
+                    entry.value = value;
                     entry.revision = revision;
                     entry.probe = Probe::None;
                 }
             }
             None => {
                 let entry = Entry {
-                    terms,
+                    value,
                     revision,
                     probe: Probe::None,
                     is_answered: false,
@@ -271,12 +275,20 @@
 }
 
 impl Entry {
+    /// Returns whether the entry has outlived the calls that it was made for.
+    fn is_unused(&self, wall: UnixMillis) -> bool {
+        let retention = as_millis_u64(UNUSED_RETENTION);
+        self.probe == Probe::None && wall > self.value.probe_at + retention
+    }
+
     fn store_task(&self, id: EntryId, wall: UnixMillis) -> Option<StoreTask> {
         match self.revision {
-            None => Some(StoreTask::Create(self.terms.clone())),
-            Some(revision) if self.is_answered => Some(StoreTask::Release(id, revision)),
+            None => Some(StoreTask::Create(self.value.clone())),
+            Some(revision) if self.is_answered || self.is_unused(wall) => {
+                Some(StoreTask::Release(id, revision))
+            }
             Some(revision) if self.probe == Probe::Wanted => Some(StoreTask::ClaimProbe(
-                self.terms.after_claim(wall),
+                self.value.after_claim(wall),
                 revision,
             )),
             Some(_) => None,
--- a/src/ops/gateway/attempt.rs
+++ b/src/ops/gateway/attempt.rs
@@ -187,11 +187,9 @@
             return;
         }
         self.is_cleared = true;
-        let mut quarantine = self.cx.state.quarantine.lock();
-        quarantine
-            .crashes
-            .record_answer(&self.shared_parts, self.cx.state.now());
-        quarantine.record_answer(&self.shared_parts);
+        let state = &self.cx.state;
+        let mut quarantine = state.quarantine.lock();
+        quarantine.record_answer(&self.shared_parts, state.now());
     }
 
     /// Records that the back end crashed before it had answered the prompt.
--- a/src/ops/gateway/mesh_wire.rs
+++ b/src/ops/gateway/mesh_wire.rs
@@ -6,7 +6,7 @@
 use prost::Message;
 
 use crate::core::gateway::backends::{Backends, ProcessName};
-use crate::core::gateway::crashes::{Clearance, Crash, CrashLog, SharedParts};
+use crate::core::gateway::crashes::{Crash, CrashLog, PartAnswer, SharedParts};
 use crate::core::gateway::load::{Load, RANKS};
 use crate::core::gateway::observed::{Observation, Observer};
 use crate::core::gateway::quota::ZoneTotals;
@@ -17,10 +17,10 @@
 
 /// Limits on the crashes and on the answered parts in the report of a node.
 const MAX_NODE_CRASHES: usize = 8;
-const MAX_NODE_CLEARANCES: usize = 16;
+const MAX_NODE_ANSWERS: usize = 16;
 /// Limits on the crashes and on the answered parts in the sums over an availability zone.
 const MAX_ZONE_CRASHES: usize = 48;
-const MAX_ZONE_CLEARANCES: usize = 64;
+const MAX_ZONE_ANSWERS: usize = 64;
 /// Limits on the call limits in the report of a node, and in the sums over an availability zone.
 const MAX_NODE_CALL_LIMITS: usize = 64;
 const MAX_ZONE_CALL_LIMITS: usize = 400;
@@ -131,7 +131,7 @@
     pub crashes: Vec<CrashWire>,
     /// Parts of these prompts that were answered since.
     #[prost(message, repeated, tag = "8")]
-    pub clearances: Vec<ClearanceWire>,
+    pub answers: Vec<PartAnswerWire>,
     /// Call limits that back ends named lately.
     #[prost(message, repeated, tag = "9")]
     pub call_limits: Vec<CallLimitWire>,
@@ -170,7 +170,7 @@
 
 /// A part of a prompt that was answered.
 #[derive(Clone, PartialEq, Message)]
-pub struct ClearanceWire {
+pub struct PartAnswerWire {
     /// The part.
     #[prost(fixed64, tag = "1")]
     pub part: u64,
@@ -239,9 +239,9 @@
     /// Sets the crashes of back ends that `observer` or a smaller group of nodes has observed, and the parts of
     /// prompts that it has seen answered since.
     pub fn set_crashes(&mut self, log: &CrashLog, observer: Observer, now: Moment) {
-        let (max_crashes, max_clearances) = match observer {
-            Observer::Node => (MAX_NODE_CRASHES, MAX_NODE_CLEARANCES),
-            Observer::Zone | Observer::Fleet => (MAX_ZONE_CRASHES, MAX_ZONE_CLEARANCES),
+        let (max_crashes, max_answers) = match observer {
+            Observer::Node => (MAX_NODE_CRASHES, MAX_NODE_ANSWERS),
+            Observer::Zone | Observer::Fleet => (MAX_ZONE_CRASHES, MAX_ZONE_ANSWERS),
         };
         let age_ms = |at: Moment| as_millis_u64(now.saturating_sub(at));
         let crashes = log.crashes_to_report(observer, max_crashes).into_iter();
@@ -253,12 +253,12 @@
                 ended_ms: age_ms(crash.ended),
             })
             .collect();
-        let clearances = log.clearances_to_report(observer, max_clearances, now);
-        self.clearances = clearances
+        let answers = log.answers_to_report(observer, max_answers, now);
+        self.answers = answers
             .iter()
-            .map(|clearance| ClearanceWire {
-                part: clearance.part,
-                age_ms: age_ms(clearance.at),
+            .map(|answer| PartAnswerWire {
+                part: answer.part,
+                age_ms: age_ms(answer.at),
             })
             .collect();
     }
@@ -277,12 +277,12 @@
             };
             log.record_crash(crash, observer);
         }
-        for clearance in &self.clearances {
-            let clearance = Clearance {
-                part: clearance.part,
-                at: moment(clearance.age_ms),
+        for answer in &self.answers {
+            let answer = PartAnswer {
+                part: answer.part,
+                at: moment(answer.age_ms),
             };
-            log.apply_clearance(clearance, observer);
+            log.apply_answer(answer, observer);
         }
     }
 
@@ -326,8 +326,8 @@
             crash.sent_ms = crash.sent_ms.saturating_add(held_ms);
             crash.ended_ms = crash.ended_ms.saturating_add(held_ms);
         }
-        for clearance in &mut self.clearances {
-            clearance.age_ms = clearance.age_ms.saturating_add(held_ms);
+        for answer in &mut self.answers {
+            answer.age_ms = answer.age_ms.saturating_add(held_ms);
         }
     }
 
--- a/src/ops/gateway/quarantine.rs
+++ b/src/ops/gateway/quarantine.rs
@@ -10,7 +10,7 @@
 use super::{keys, relay};
 use crate::core::gateway::cache::PartId;
 use crate::core::gateway::crashes::CrashCause;
-use crate::core::gateway::quarantine::{EntryId, StoreTask, Terms};
+use crate::core::gateway::quarantine::{EntryId, EntryValue, StoreTask};
 use crate::core::time::{Moment, UnixMillis};
 use crate::sources::store::{Compare, Condition, KeyRange, KeyValue, Op, Result, Revision};
 use crate::sources::store::{Store, StoreError, Transaction};
@@ -38,17 +38,17 @@
     interval_ms: u64,
 }
 
-impl From<&Terms> for EntryWire {
-    fn from(terms: &Terms) -> Self {
+impl From<&EntryValue> for EntryWire {
+    fn from(value: &EntryValue) -> Self {
         Self {
-            parts: terms.parts.clone(),
-            probe_at_ms: terms.probe_at,
-            interval_ms: as_millis_u64(terms.interval),
+            parts: value.parts.clone(),
+            probe_at_ms: value.probe_at,
+            interval_ms: as_millis_u64(value.interval),
         }
     }
 }
 
-impl From<EntryWire> for Terms {
+impl From<EntryWire> for EntryValue {
     fn from(wire: EntryWire) -> Self {
         let mut parts = wire.parts;
         parts.sort_unstable();
@@ -96,7 +96,7 @@
     let wall = state.wall();
     let mut quarantine = state.quarantine.lock();
     for cause in quarantine.crashes.take_causes(state.now()) {
-        let is_new = quarantine.add(Terms::new(cause.parts.clone(), wall));
+        let is_new = quarantine.add(EntryValue::new(cause.parts.clone(), wall));
         log_cause(state, &cause, is_new);
     }
 }
@@ -130,9 +130,9 @@
     let tasks = state.quarantine.lock().store_tasks(wall);
     for task in tasks {
         match task {
-            StoreTask::Create(terms) => create(state, store, terms).await?,
-            StoreTask::ClaimProbe(terms, revision) => {
-                claim_probe(state, store, terms, revision).await?;
+            StoreTask::Create(value) => create(state, store, value).await?,
+            StoreTask::ClaimProbe(value, revision) => {
+                claim_probe(state, store, value, revision).await?;
             }
             StoreTask::Release(id, revision) => release(state, store, id, revision).await?,
         }
@@ -141,11 +141,11 @@
 }
 
 /// Creates an entry, unless the store has one already.
-async fn create(state: &GatewayState, store: &Arc<dyn Store>, terms: Terms) -> Result<()> {
-    let put = Transaction::compare_and_swap(&keys::quarantine(terms.id()), 0, encode(&terms)?);
+async fn create(state: &GatewayState, store: &Arc<dyn Store>, value: EntryValue) -> Result<()> {
+    let put = Transaction::compare_and_swap(&keys::quarantine(value.id()), 0, encode(&value)?);
     let reply = store.transact(put).await?;
     if reply.succeeded {
-        state.quarantine.lock().apply(terms, reply.revision);
+        state.quarantine.lock().apply(value, reply.revision);
     } else if let Some(found) = reply.found().and_then(|found| found.first()) {
         put_entry(state, found);
     }
@@ -156,23 +156,23 @@
 async fn claim_probe(
     state: &GatewayState,
     store: &Arc<dyn Store>,
-    terms: Terms,
+    value: EntryValue,
     revision: Revision,
 ) -> Result<()> {
     let put =
-        Transaction::compare_and_swap(&keys::quarantine(terms.id()), revision, encode(&terms)?);
+        Transaction::compare_and_swap(&keys::quarantine(value.id()), revision, encode(&value)?);
     let reply = store.transact(put).await?;
     if reply.succeeded {
         tracing::info!(
-            part_ids = hex(&terms.parts),
-            interval_ms = as_millis_u64(terms.interval),
+            part_ids = hex(&value.parts),
+            interval_ms = as_millis_u64(value.interval),
             "probe of quarantined prompts claimed"
         );
-        state.quarantine.lock().grant_probe(terms, reply.revision);
+        state.quarantine.lock().grant_probe(value, reply.revision);
     } else if let Some(found) = reply.found().and_then(|found| found.first()) {
         put_entry(state, found);
     } else {
-        state.quarantine.lock().remove(terms.id());
+        state.quarantine.lock().remove(value.id());
     }
     Ok(())
 }
@@ -193,14 +193,14 @@
         otherwise: Vec::new(),
     };
     if store.transact(delete).await?.succeeded {
-        tracing::info!(id, "quarantined prompts answered and released");
+        tracing::info!(id, "quarantine entry released");
         state.quarantine.lock().remove(id);
     }
     Ok(())
 }
 
-fn encode(terms: &Terms) -> Result<bytes::Bytes> {
-    let text = serde_json::to_vec(&EntryWire::from(terms)).map_err(|e| StoreError::Refused {
+fn encode(value: &EntryValue) -> Result<bytes::Bytes> {
+    let text = serde_json::to_vec(&EntryWire::from(value)).map_err(|e| StoreError::Refused {
         cause: format!("the entry cannot be written as JSON: {e}").into(),
     })?;
     Ok(text.into())
@@ -210,14 +210,14 @@
 pub fn put_entry(state: &GatewayState, item: &KeyValue) {
     match serde_json::from_slice::<EntryWire>(&item.value) {
         Ok(wire) => {
-            let terms = Terms::from(wire);
+            let value = EntryValue::from(wire);
             tracing::info!(
-                part_ids = hex(&terms.parts),
+                part_ids = hex(&value.parts),
                 revision = item.mod_revision,
-                probe_at_ms = terms.probe_at,
+                probe_at_ms = value.probe_at,
                 "quarantine entry listed"
             );
-            state.quarantine.lock().apply(terms, item.mod_revision);
+            state.quarantine.lock().apply(value, item.mod_revision);
         }
         Err(e) => {
             tracing::warn!(key = &*item.key, error = %e, "cannot decode an entry of the quarantine");
--- a/tests/testsuite/gateway/quarantine.rs
+++ b/tests/testsuite/gateway/quarantine.rs
@@ -6,7 +6,7 @@
 use jayhall::core::gateway::cache::PartId;
 use jayhall::core::gateway::crashes::{Crash, CrashLog, SharedParts};
 use jayhall::core::gateway::observed::Observer;
-use jayhall::core::gateway::quarantine::{Check, Quarantine, StoreTask, Terms};
+use jayhall::core::gateway::quarantine::{Check, EntryValue, Quarantine, StoreTask};
 use jayhall::ops::gateway::mesh_wire::LoadSumWire;
 use prost::Message;
 use rand::rngs::StdRng;
@@ -106,7 +106,7 @@
 #[test]
 fn only_prompts_with_all_parts_of_an_entry_are_blocked() {
     let mut quarantine = Quarantine::default();
-    assert!(quarantine.add(Terms::new(smallvec![SHARED, CRASHING], 0)));
+    assert!(quarantine.add(EntryValue::new(smallvec![SHARED, CRASHING], 0)));
     assert_eq!(quarantine.check(&[SHARED, CRASHING], 1_000), Check::Block);
     assert_eq!(
         quarantine.check(&[SHARED, OTHER, CRASHING], 1_000),
@@ -119,44 +119,55 @@
 #[test]
 fn a_probe_is_granted_to_one_call_after_its_claim_in_the_store() {
     let mut quarantine = Quarantine::default();
-    let terms = Terms::new(smallvec![CRASHING], 0);
+    let value = EntryValue::new(smallvec![CRASHING], 0);
     let parts = [SHARED, CRASHING];
-    quarantine.add(terms.clone());
+    quarantine.add(value.clone());
     assert_eq!(
         quarantine.store_tasks(0),
-        [StoreTask::Create(terms.clone())]
+        [StoreTask::Create(value.clone())]
     );
-    quarantine.apply(terms.clone(), 5);
-    assert_eq!(quarantine.check(&parts, terms.probe_at - 1), Check::Block);
-    assert_eq!(quarantine.store_tasks(terms.probe_at), []);
-    assert_eq!(quarantine.check(&parts, terms.probe_at), Check::Block);
-    let claimed = terms.after_claim(terms.probe_at);
-    assert_eq!(claimed.interval, terms.interval * 2);
+    quarantine.apply(value.clone(), 5);
+    assert_eq!(quarantine.check(&parts, value.probe_at - 1), Check::Block);
+    assert_eq!(quarantine.store_tasks(value.probe_at), []);
+    assert_eq!(quarantine.check(&parts, value.probe_at), Check::Block);
+    let claimed = value.after_claim(value.probe_at);
+    assert_eq!(claimed.interval, value.interval * 2);
     let task = StoreTask::ClaimProbe(claimed.clone(), 5);
-    assert_eq!(quarantine.store_tasks(terms.probe_at), [task]);
+    assert_eq!(quarantine.store_tasks(value.probe_at), [task]);
     quarantine.grant_probe(claimed.clone(), 6);
-    assert_eq!(quarantine.check(&parts, terms.probe_at), Check::Probe);
-    assert_eq!(quarantine.check(&parts, terms.probe_at), Check::Block);
+    assert_eq!(quarantine.check(&parts, value.probe_at), Check::Probe);
+    assert_eq!(quarantine.check(&parts, value.probe_at), Check::Block);
     quarantine.return_probe(&parts);
-    assert_eq!(quarantine.check(&parts, terms.probe_at), Check::Probe);
-    assert_eq!(quarantine.check(&parts, terms.probe_at), Check::Block);
-    quarantine.record_answer(&parts);
+    assert_eq!(quarantine.check(&parts, value.probe_at), Check::Probe);
+    assert_eq!(quarantine.check(&parts, value.probe_at), Check::Block);
+    quarantine.record_answer(&parts, Duration::ZERO);
     let release = StoreTask::Release(claimed.id(), 6);
-    assert_eq!(quarantine.store_tasks(terms.probe_at), [release]);
+    assert_eq!(quarantine.store_tasks(value.probe_at), [release]);
     quarantine.remove(claimed.id());
-    assert_eq!(quarantine.check(&parts, terms.probe_at), Check::Pass);
+    assert_eq!(quarantine.check(&parts, value.probe_at), Check::Pass);
+}
+
+#[test]
+fn an_entry_without_calls_is_released() {
+    let mut quarantine = Quarantine::default();
+    let value = EntryValue::new(smallvec![CRASHING], 0);
+    quarantine.apply(value.clone(), 5);
+    let hour = 3_600_000;
+    assert_eq!(quarantine.store_tasks(value.probe_at + hour), []);
+    let release = StoreTask::Release(value.id(), 5);
+    assert_eq!(quarantine.store_tasks(value.probe_at + hour + 1), [release]);
 }
 
 #[test]
 fn another_nodes_claim_of_a_probe_keeps_this_node_from_probing() {
     let mut quarantine = Quarantine::default();
-    let terms = Terms::new(smallvec![CRASHING], 0);
-    quarantine.apply(terms.clone(), 5);
-    quarantine.check(&[CRASHING], terms.probe_at);
-    quarantine.apply(terms.after_claim(terms.probe_at), 6);
-    assert_eq!(quarantine.store_tasks(terms.probe_at), []);
+    let value = EntryValue::new(smallvec![CRASHING], 0);
+    quarantine.apply(value.clone(), 5);
+    quarantine.check(&[CRASHING], value.probe_at);
+    quarantine.apply(value.after_claim(value.probe_at), 6);
+    assert_eq!(quarantine.store_tasks(value.probe_at), []);
     assert_eq!(
-        quarantine.check(&[CRASHING], terms.probe_at + 1),
+        quarantine.check(&[CRASHING], value.probe_at + 1),
         Check::Block
     );
 }
@@ -241,7 +252,7 @@
             if ms % 200 == 0 {
                 for node in &mut self.nodes {
                     for cause in node.crashes.take_causes(at(ms)) {
-                        node.add(Terms::new(cause.parts, ms));
+                        node.add(EntryValue::new(cause.parts, ms));
                     }
                 }
             }
