Do not take a lost answer for a crash of the back end

Cause, from the replay with logs: three calls with a part that is seldom asked for broke off at three back ends that lost answers and went on. The quarantine took each for a crash. Ruled out: a cut link, and overload, as the back ends answered other calls all the time.

A back end that answers a call which was under way at its supposed crash has not crashed. Nodes compare answered calls of the last 5 s with crashes, their own and reported ones, and report such back ends. A cause is decided 1.5 s after the third crash instead of 1 s, and at most 6 s after the last one, as answers that clear a part are reported for that long.

Proof: back_ends_that_lose_answers_and_go_on_have_not_crashed fails without the comparison.

--- a/src/core/gateway/crashes.rs
+++ b/src/core/gateway/crashes.rs
@@ -6,9 +6,12 @@
 //! are taken for the cause. If the prompts of these crashes have several such parts in common, only prompts
 //! with all of them are: which one is the cause is not known.
 //!
+//! A back end may also lose single answers, or connections, and go on. It has not crashed if it answers a call
+//! that was under way at that time.
+//!
 //! Nodes exchange what they observe. Only parts of prompts that were under way at a crash are kept.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
 use smallvec::SmallVec;
@@ -24,12 +27,18 @@
 /// ends at about the same moment have a common cause of another kind.
 const MIN_REPEAT_DELAY: Duration = Duration::from_millis(700);
 /// Time after the last of these crashes within which answered prompts of all nodes are known.
-const SETTLING_TIME: Duration = Duration::from_secs(1);
+const SETTLING_TIME: Duration = Duration::from_millis(1500);
+/// Time for which answered calls are kept, to compare them with crashes that are reported later.
+const CALL_RETENTION: Duration = Duration::from_secs(5);
+/// Limit on the answered calls that are kept.
+const MAX_CALLS: usize = 256;
+/// Time by which a call must outlast a crash to refute it; the times of other nodes are not exact.
+const SURVIVAL_MARGIN: Duration = Duration::from_millis(100);
 /// Time for which crashes are kept.
 const RETENTION: Duration = Duration::from_secs(120);
 /// Limit on the crashes that are kept; the oldest ones are dropped.
 const MAX_CRASHES: usize = 512;
-/// Time for which an answered part is reported to other nodes. Reports may be lost, and are repeated.
+/// Time for which an answered part or a refuted crash is reported to other nodes. Reports may be lost, and are repeated.
 const ANSWER_REPORT_PERIOD: Duration = Duration::from_secs(6);
 
 /// Sorted ids of the parts that a prompt may share with others: all but the last one.
@@ -71,6 +80,32 @@
     pub at: Moment,
 }
 
+/// A process of a back end that answered a call which was under way at its supposed crash.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Survivor {
+    /// The process.
+    pub process: ProcessName,
+    /// When the answer was complete.
+    pub at: Moment,
+}
+
+/// A call that a back end answered.
+#[derive(Clone, Copy, Debug)]
+struct AnsweredCall {
+    process: ProcessName,
+    sent: Moment,
+    answered: Moment,
+}
+
+impl AnsweredCall {
+    /// Returns whether the call was under way at a crash of its back end, and was answered nevertheless.
+    fn refutes(&self, crash: &Crash) -> bool {
+        self.process == crash.process
+            && self.sent < crash.ended
+            && self.answered >= crash.ended + SURVIVAL_MARGIN
+    }
+}
+
 /// Parts that are taken for the cause of crashes, and why.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CrashCause {
@@ -97,6 +132,10 @@
     known: HashSet<(ProcessName, SharedParts)>,
     /// When parts of these prompts were last answered.
     answers: HashMap<PartId, Observed<()>>,
+    /// Calls that back ends answered to this node lately, in the order of their answers.
+    calls: VecDeque<AnsweredCall>,
+    /// Processes that have not crashed at the time of a crash in this log.
+    survivors: HashMap<ProcessName, Observed<()>>,
     /// Processes whose crash has a known cause, with the time of the crash.
     explained: HashMap<ProcessName, Moment>,
     /// When this node last saw any prompt answered.
@@ -109,9 +148,18 @@
         if crash.parts.is_empty() || self.explained.contains_key(&crash.process) {
             return false;
         }
-        if !self.known.insert((crash.process, crash.parts.clone())) {
+        if !self.known.insert((crash.process, crash.parts.clone())) && !self.forget_refuted(&crash)
+        {
             return false;
         }
+        let calls = self.calls.iter();
+        if let Some(call) = calls.rev().find(|call| call.refutes(&crash)) {
+            let survivor = Survivor {
+                process: crash.process,
+                at: call.answered,
+            };
+            self.apply_survivor(survivor, Observer::Node);
+        }
         if self.crashes.len() >= MAX_CRASHES {
             let oldest = self.crashes.remove(0).crash;
             self.known.remove(&(oldest.process, oldest.parts));
@@ -123,6 +171,72 @@
         true
     }
 
+    /// Records that a back end answered a call of this node.
+    pub fn record_call(&mut self, process: ProcessName, sent: Moment, now: Moment) {
+        let is_old = |call: &AnsweredCall| now.saturating_sub(call.answered) > CALL_RETENTION;
+        while self.calls.len() >= MAX_CALLS || self.calls.front().is_some_and(is_old) {
+            self.calls.pop_front();
+        }
+        let call = AnsweredCall {
+            process,
+            sent,
+            answered: now,
+        };
+        self.calls.push_back(call);
+        let mut open = self.crashes.iter().map(|known| &known.crash);
+        if open.any(|crash| call.refutes(crash) && !self.is_refuted(crash)) {
+            self.apply_survivor(Survivor { process, at: now }, Observer::Node);
+        }
+    }
+
+    /// Applies that a process has not crashed.
+    pub fn apply_survivor(&mut self, survivor: Survivor, observer: Observer) {
+        let seen = Observation {
+            at: survivor.at,
+            value: (),
+        };
+        let last = self.survivors.entry(survivor.process).or_default();
+        last.record(seen, observer);
+    }
+
+    /// Returns the processes, up to `limit`, that have not crashed as `observer` or a smaller group of nodes
+    /// has seen.
+    pub fn survivors_to_report(
+        &self,
+        observer: Observer,
+        limit: usize,
+        now: Moment,
+    ) -> Vec<Survivor> {
+        let survivors = self.survivors.iter();
+        survivors
+            .filter_map(|(process, last)| {
+                let at = last.last_of(observer)?.at;
+                Some(Survivor {
+                    process: *process,
+                    at,
+                })
+            })
+            .filter(|survivor| now.saturating_sub(survivor.at) <= ANSWER_REPORT_PERIOD)
+            .take(limit)
+            .collect()
+    }
+
+    /// Removes a refuted crash of the same process and parts. Returns whether there was one.
+    fn forget_refuted(&mut self, crash: &Crash) -> bool {
+        let refuted = self.crashes.iter().position(|known| {
+            known.crash.process == crash.process
+                && known.crash.parts == crash.parts
+                && crash.ended > known.crash.ended
+                && self.is_refuted(&known.crash)
+        });
+        refuted.map(|at| self.crashes.remove(at)).is_some()
+    }
+
+    fn is_refuted(&self, crash: &Crash) -> bool {
+        let survived = self.survivors.get(&crash.process).and_then(Observed::last);
+        survived.is_some_and(|survived| survived.at >= crash.ended)
+    }
+
     /// Records that this node saw a prompt with these parts answered.
     pub fn record_answer(&mut self, parts: &[PartId], now: Moment) {
         self.last_answer = Some(now);
@@ -162,7 +276,7 @@
         known
             .filter(|known| known.observer <= observer)
             .map(|known| &known.crash)
-            .filter(|crash| !self.suspects(crash).is_empty())
+            .filter(|crash| !self.is_refuted(crash) && !self.suspects(crash).is_empty())
             .take(limit)
             .collect()
     }
@@ -219,6 +333,7 @@
     fn find_cause(&self, now: Moment) -> Option<CrashCause> {
         let open = self.crashes.iter().map(|known| &known.crash);
         let open: Vec<(&Crash, SharedParts)> = open
+            .filter(|crash| !self.is_refuted(crash))
             .map(|crash| (crash, self.suspects(crash)))
             .filter(|(_, suspects)| !suspects.is_empty())
             .collect();
@@ -254,11 +369,15 @@
             .iter()
             .any(|(crash, _)| crash.sent >= first.ended + MIN_REPEAT_DELAY);
         let others_are_answered = self.last_answer >= Some(first.ended);
-        (has_settled && is_repeated && others_are_answered).then(|| CrashCause {
+        // Answers that clear older crashes are no longer reported; this node may have missed them.
+        let last = crashes.last().map_or(first.ended, |(crash, _)| crash.ended);
+        let is_recent = now.saturating_sub(last) <= ANSWER_REPORT_PERIOD;
+        let is_shown = has_settled && is_repeated && others_are_answered && is_recent;
+        is_shown.then(|| CrashCause {
             parts,
             processes: processes.len(),
             first: first.ended,
-            last: crashes.last().map_or(first.ended, |(crash, _)| crash.ended),
+            last,
         })
     }
 
@@ -290,5 +409,8 @@
         let mut parts: HashSet<PartId> = HashSet::new();
         parts.extend(crashes.iter().flat_map(|known| &known.crash.parts));
         self.answers.retain(|part, _| parts.contains(part));
+        let processes: HashSet<ProcessName> = crashes.iter().map(|k| k.crash.process).collect();
+        self.survivors
+            .retain(|process, _| processes.contains(process));
     }
 }
--- a/src/ops/gateway/attempt.rs
+++ b/src/ops/gateway/attempt.rs
@@ -215,8 +215,15 @@
         let state = &self.cx.state;
         let now = state.now();
         let duration = self.sent.elapsed();
-        if self.outcome == Outcome::BrokeOff && !self.is_cleared {
-            self.record_crash(now);
+        match self.outcome {
+            Outcome::BrokeOff if !self.is_cleared => self.record_crash(now),
+            Outcome::Answered => {
+                let process = process_name(&self.place.backend);
+                let sent = now.saturating_sub(duration);
+                let mut quarantine = state.quarantine.lock();
+                quarantine.crashes.record_call(process, sent, now);
+            }
+            _ => {}
         }
         state
             .backends
--- a/src/ops/gateway/mesh_wire.rs
+++ b/src/ops/gateway/mesh_wire.rs
@@ -6,7 +6,7 @@
 use prost::Message;
 
 use crate::core::gateway::backends::{Backends, ProcessName};
-use crate::core::gateway::crashes::{Crash, CrashLog, PartAnswer, SharedParts};
+use crate::core::gateway::crashes::{Crash, CrashLog, PartAnswer, SharedParts, Survivor};
 use crate::core::gateway::load::{Load, RANKS};
 use crate::core::gateway::observed::{Observation, Observer};
 use crate::core::gateway::quota::ZoneTotals;
@@ -135,6 +135,20 @@
     /// Call limits that back ends named lately.
     #[prost(message, repeated, tag = "9")]
     pub call_limits: Vec<CallLimitWire>,
+    /// Processes of back ends that have not crashed, although a call broke off.
+    #[prost(message, repeated, tag = "10")]
+    pub survivors: Vec<SurvivorWire>,
+}
+
+/// Process of a back end that answered a call which was under way at its supposed crash.
+#[derive(Clone, PartialEq, Message)]
+pub struct SurvivorWire {
+    /// Short name of the process.
+    #[prost(fixed32, tag = "1")]
+    pub process: u32,
+    /// Time since the answer, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
 }
 
 /// Call limit that a back end named in an answer.
@@ -261,9 +275,17 @@
                 age_ms: age_ms(answer.at),
             })
             .collect();
+        let survivors = log.survivors_to_report(observer, max_answers, now);
+        self.survivors = survivors
+            .iter()
+            .map(|survivor| SurvivorWire {
+                process: survivor.process,
+                age_ms: age_ms(survivor.at),
+            })
+            .collect();
     }
 
-    /// Adds crashes and answered parts of a message that arrived at `now` to those of `observer`.
+    /// Adds crashes, answered parts and survivors of a message that arrived at `now` to those of `observer`.
     pub fn add_crashes_to(&self, log: &mut CrashLog, observer: Observer, now: Moment) {
         let moment = |age_ms: u64| now.saturating_sub(Duration::from_millis(age_ms));
         for crash in &self.crashes {
@@ -284,6 +306,13 @@
             };
             log.apply_answer(answer, observer);
         }
+        for survivor in &self.survivors {
+            let survivor = Survivor {
+                process: survivor.process,
+                at: moment(survivor.age_ms),
+            };
+            log.apply_survivor(survivor, observer);
+        }
     }
 
     /// Sets the call limits that back ends named to `observer` or a smaller group of nodes.
@@ -319,6 +348,9 @@
 
     /// Adds the time for which a message was held to the ages of its observations.
     pub fn add_age(&mut self, held_ms: u64) {
+        for survivor in &mut self.survivors {
+            survivor.age_ms = survivor.age_ms.saturating_add(held_ms);
+        }
         for limit in &mut self.call_limits {
             limit.age_ms = limit.age_ms.saturating_add(held_ms);
         }
--- a/tests/testsuite/gateway/quarantine.rs
+++ b/tests/testsuite/gateway/quarantine.rs
@@ -52,19 +52,19 @@
 #[test]
 fn parts_in_common_of_repeated_crashes_are_the_cause() {
     let mut log = log_of_three_crashes(&[SHARED, CRASHING]);
-    assert_eq!(causes(&mut log, 4_000), Vec::<Vec<PartId>>::new());
-    assert_eq!(causes(&mut log, 4_500), [[SHARED, CRASHING]]);
-    assert_eq!(causes(&mut log, 4_700), Vec::<Vec<PartId>>::new());
+    assert_eq!(causes(&mut log, 4_900), Vec::<Vec<PartId>>::new());
+    assert_eq!(causes(&mut log, 5_000), [[SHARED, CRASHING]]);
+    assert_eq!(causes(&mut log, 5_200), Vec::<Vec<PartId>>::new());
 }
 
 #[test]
 fn an_answered_part_is_not_the_cause_of_earlier_crashes() {
     let mut log = log_of_three_crashes(&[SHARED, CRASHING]);
     log.record_answer(&[SHARED], at(3_700));
-    assert_eq!(causes(&mut log, 4_500), [[CRASHING]]);
+    assert_eq!(causes(&mut log, 5_000), [[CRASHING]]);
     let mut log = log_of_three_crashes(&[SHARED]);
     log.record_answer(&[SHARED], at(3_700));
-    assert_eq!(causes(&mut log, 4_500), Vec::<Vec<PartId>>::new());
+    assert_eq!(causes(&mut log, 5_000), Vec::<Vec<PartId>>::new());
 }
 
 #[test]
@@ -98,11 +98,58 @@
             Observer::Fleet,
         );
     }
-    assert_eq!(causes(&mut log, 4_600), [[SHARED, CRASHING]]);
+    assert_eq!(causes(&mut log, 5_100), [[SHARED, CRASHING]]);
     log.record_crash(crash(&[OTHER + 1], 2, 3_100, 3_500), Observer::Fleet);
     assert_eq!(causes(&mut log, 5_000), Vec::<Vec<PartId>>::new());
 }
 
+#[test]
+fn back_ends_that_lose_answers_and_go_on_have_not_crashed() {
+    for other_node_sees_it in [false, true] {
+        let mut log = CrashLog::default();
+        let mut other = CrashLog::default();
+        let observer = match other_node_sees_it {
+            true => &mut other,
+            false => &mut log,
+        };
+        // Calls that were under way when the answers below are lost.
+        for process in 0..3 {
+            let lost_at = 1_500 + 1_000 * u64::from(process);
+            observer.record_call(process, at(lost_at - 300), at(lost_at + 400));
+        }
+        for process in 0..3 {
+            let lost_at = 1_500 + 1_000 * u64::from(process);
+            let lost = crash(&[SHARED], process, lost_at - 500, lost_at);
+            log.record_crash(lost.clone(), Observer::Node);
+            other.record_crash(lost, Observer::Fleet);
+        }
+        log.record_answer(&[OTHER], at(3_600));
+        let mut message = LoadSumWire::default();
+        message.set_crashes(&other, Observer::Node, at(4_000));
+        message.add_crashes_to(&mut log, Observer::Fleet, at(4_000));
+        assert_eq!(causes(&mut log, 6_000), Vec::<Vec<PartId>>::new());
+    }
+}
+
+#[test]
+fn a_node_that_can_judge_only_long_after_the_crashes_waits_for_another_one() {
+    let mut log = log_of_three_crashes(&[CRASHING]);
+    assert_eq!(causes(&mut log, 9_600), Vec::<Vec<PartId>>::new());
+    log.record_crash(crash(&[CRASHING], 3, 9_500, 10_000), Observer::Node);
+    assert_eq!(causes(&mut log, 10_100), [[CRASHING]]);
+}
+
+#[test]
+fn a_call_that_ended_before_a_crash_does_not_refute_it() {
+    let mut log = log_of_three_crashes(&[CRASHING]);
+    for process in 0..3 {
+        let ended = 1_500 + 1_000 * u64::from(process);
+        log.record_call(process, at(ended - 300), at(ended));
+        log.record_call(process, at(ended + 100), at(ended + 900));
+    }
+    assert_eq!(causes(&mut log, 5_000), [[CRASHING]]);
+}
+
 #[test]
 fn only_prompts_with_all_parts_of_an_entry_are_blocked() {
     let mut quarantine = Quarantine::default();
@@ -310,6 +357,9 @@
         }
         self.calls.retain(|call| !crashed.contains(&call.backend));
         for call in self.calls.iter().filter(|call| ms - call.sent == END_MS) {
+            let process = self.processes[call.backend];
+            let log = &mut self.nodes[call.node].crashes;
+            log.record_call(process, at(call.sent), at(ms));
             self.nodes[call.node]
                 .crashes
                 .record_answer(&call.parts, at(ms));
