Log when the store answers from another era

The client of the platform's store now logs each change of the era that the store names in its answers.

--- a/crates/jayhall-harness/src/platform_store.rs
+++ b/crates/jayhall-harness/src/platform_store.rs
@@ -11,12 +11,13 @@
 use futures::StreamExt;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use hyper::header::HeaderName;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use jayhall::sources::store::{
-    Compare, Condition, KeyRange, KeyValue, MemoryStore, Op, RangeRequest, Store, Transaction,
-    WatchEvent, WatchRequest,
+    Compare, Condition, KeyRange, KeyValue, MemoryStore, Op, RangeRequest, Store, StoreError,
+    Transaction, WatchEvent, WatchRequest,
 };
 use jayhall::util::query;
 use parking_lot::Mutex;
@@ -29,6 +30,11 @@
 /// Time to wait for further changes to batch into one watch response.
 const WATCH_BATCH_TIME: Duration = Duration::from_millis(10);
 
+/// Header with the number of the era, which rises by one each time the store is restored.
+const ERA: HeaderName = HeaderName::from_static("store-era");
+/// Number of the first era.
+const FIRST_ERA: u64 = 3;
+
 /// Fault of the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum StoreFault {
@@ -148,6 +154,8 @@
         }
         let mut res = Response::new(Full::new(Bytes::from(value.to_string())));
         *res.status_mut() = status;
+        let era = self.store.restores() + FIRST_ERA;
+        res.headers_mut().insert(ERA, era.into());
         Ok(res)
     }
 
@@ -238,7 +246,12 @@
         let mut changes = Vec::new();
         let mut as_of = after;
         let mut timeout = wait;
-        while let Ok(Some(Ok(event))) = tokio::time::timeout(timeout, events.next()).await {
+        while let Ok(Some(event)) = tokio::time::timeout(timeout, events.next()).await {
+            let event = match event {
+                Ok(event) => event,
+                Err(StoreError::Compacted { .. }) => return Ok((StatusCode::GONE, json!({}))),
+                Err(_) => break,
+            };
             match event {
                 WatchEvent::Started { .. } => continue,
                 WatchEvent::Put(kv) => {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,12 +1,15 @@
 //! Client of the platform's key-value store: conditional writes, leases and long polling over HTTP with JSON
 //! bodies.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
 use futures::StreamExt;
 use futures::future::BoxFuture;
+use reqwest::header::HeaderName;
 use reqwest::{Client, Method, RequestBuilder, Response, StatusCode};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -46,6 +49,27 @@
     client: Client,
     base: Box<str>,
     budget: CallRateLimiter,
+    era: Arc<EraLog>,
+}
+
+/// Header with the number of times that the store has come back from an older copy.
+const ERA: HeaderName = HeaderName::from_static("store-era");
+
+/// Logs when the store comes back from an older copy.
+#[derive(Debug, Default)]
+struct EraLog(AtomicU64);
+
+impl EraLog {
+    fn record(&self, res: &Response) {
+        let value = res.headers().get(ERA).and_then(|value| value.to_str().ok());
+        let Some(era) = value.and_then(|value| value.parse().ok()) else {
+            return;
+        };
+        let before = self.0.fetch_max(era, Ordering::Relaxed);
+        if before < era {
+            tracing::warn!(era, before, url = %res.url(), status = res.status().as_u16(), "the store answers from another era");
+        }
+    }
 }
 
 #[derive(Deserialize)]
@@ -229,6 +253,7 @@
             client,
             base: cfg.base.trim_end_matches('/').into(),
             budget: CallRateLimiter::new(cfg.calls),
+            era: Arc::default(),
         })
     }
 
@@ -332,7 +357,9 @@
 
     async fn send(&self, req: RequestBuilder) -> Result<Response> {
         self.budget.take().await?;
-        send(req).await
+        let res = send(req).await?;
+        self.era.record(&res);
+        Ok(res)
     }
 }
 
@@ -375,6 +402,7 @@
     prefix: Box<str>,
     after: Revision,
     has_events: bool,
+    era: Arc<EraLog>,
 }
 
 impl Watch {
@@ -393,7 +421,9 @@
                 ("waitMs", &wait_ms),
             ])
             .timeout(WATCH_WAIT + WATCH_TIMEOUT_MARGIN);
-        let page: EventsWire = read_json(check_status(send(req).await?)?).await?;
+        let res = send(req).await?;
+        self.era.record(&res);
+        let page: EventsWire = read_json(check_status(res)?).await?;
         self.after = self.after.max(page.as_of);
         self.has_events = !page.events.is_empty();
         let mut events = Vec::with_capacity(page.events.len() + 1);
@@ -474,6 +504,7 @@
                 prefix: req.range.start().into(),
                 after: req.from.map_or(0, |from| from.saturating_sub(1)),
                 has_events: false,
+                era: Arc::clone(&self.era),
             };
             let polls = futures::stream::unfold(Some(watch), |watch| async move {
                 let mut watch = watch?;
--- a/src/sources/store/memory/mod.rs
+++ b/src/sources/store/memory/mod.rs
@@ -19,7 +19,7 @@
     LeaseGrant, LeaseId, RangeReply, RangeRequest, Transaction, TransactionReply, WatchRequest,
 };
 use super::{Store, WatchStream};
-use state::State;
+use state::{Data, State};
 
 /// A fault that is injected into a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -79,6 +79,10 @@
     plan: Arc<Mutex<FaultPlan>>,
 }
 
+/// A copy of the data of a store.
+#[derive(Clone, Debug)]
+pub struct StoreCopy(Data);
+
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum CallKind {
     Read,
@@ -125,6 +129,26 @@
         self.state.lock().break_watches();
     }
 
+    /// Copies the data, for [`MemoryStore::restore`].
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.state.lock().data())
+    }
+
+    /// Replaces the data by a copy made before, as if the store had come back from a backup. All writes and
+    /// leases since then are lost, and their numbers are given out again. Watches end with an error.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut state = self.state.lock();
+        state.restore(copy.0.clone());
+        for (lease, ttl) in state.leases() {
+            self.spawn_expiry(lease, ttl);
+        }
+    }
+
+    /// Returns how often the data was restored from a copy.
+    pub fn restores(&self) -> u64 {
+        self.state.lock().restores()
+    }
+
     async fn run<T>(
         &self,
         kind: CallKind,
--- a/src/sources/store/memory/state.rs
+++ b/src/sources/store/memory/state.rs
@@ -17,7 +17,7 @@
 /// Shortest time to live of a lease; the store grants leases in whole seconds.
 const MIN_LEASE_TTL: Duration = Duration::from_secs(1);
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Lease {
     ttl: Duration,
     deadline: Instant,
@@ -29,13 +29,21 @@
     tx: mpsc::UnboundedSender<Result<WatchEvent>>,
 }
 
-#[derive(Debug, Default)]
-pub(super) struct State {
+/// What a restore brings back.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Data {
     revision: Revision,
     entries: BTreeMap<Key, KeyValue>,
     leases: HashMap<LeaseId, Lease>,
     last_lease: LeaseId,
     history: Vec<(Revision, WatchEvent)>,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct State {
+    data: Data,
+    /// Number of restores.
+    restores: u64,
     watchers: Vec<Watcher>,
 }
 
@@ -43,7 +51,7 @@
     pub(super) fn range(&mut self, range: &KeyRange) -> RangeReply {
         self.expire();
         RangeReply {
-            revision: self.revision,
+            revision: self.data.revision,
             entries: self.find(range),
         }
     }
@@ -55,10 +63,10 @@
         for op in ops {
             self.check(op)?;
         }
-        let next = self.revision + 1;
+        let next = self.data.revision + 1;
         let results = ops.iter().map(|op| self.apply(op, next)).collect();
         Ok(TransactionReply {
-            revision: self.revision,
+            revision: self.data.revision,
             succeeded,
             results,
         })
@@ -66,29 +74,36 @@
 
     pub(super) fn grant(&mut self, ttl: Duration) -> LeaseGrant {
         self.expire();
-        self.last_lease += 1;
+        self.data.last_lease += 1;
         let ttl = ttl.max(MIN_LEASE_TTL);
         let lease = Lease {
             ttl,
             deadline: Instant::now() + ttl,
         };
-        self.leases.insert(self.last_lease, lease);
+        self.data.leases.insert(self.data.last_lease, lease);
         LeaseGrant {
-            id: self.last_lease,
+            id: self.data.last_lease,
             ttl,
         }
     }
 
     pub(super) fn keep_alive(&mut self, id: LeaseId) -> Result<LeaseGrant> {
         self.expire();
-        let lease = self.leases.get_mut(&id).ok_or(StoreError::LeaseNotFound)?;
+        let lease = self
+            .data
+            .leases
+            .get_mut(&id)
+            .ok_or(StoreError::LeaseNotFound)?;
         lease.deadline = Instant::now() + lease.ttl;
         Ok(LeaseGrant { id, ttl: lease.ttl })
     }
 
     pub(super) fn revoke(&mut self, id: LeaseId) -> Result<()> {
         self.expire();
-        self.leases.remove(&id).ok_or(StoreError::LeaseNotFound)?;
+        self.data
+            .leases
+            .remove(&id)
+            .ok_or(StoreError::LeaseNotFound)?;
         self.delete_keys_of(id);
         Ok(())
     }
@@ -99,13 +114,18 @@
     ) -> mpsc::UnboundedReceiver<Result<WatchEvent>> {
         self.expire();
         let (tx, rx) = mpsc::unbounded_channel();
-        let revision = self.revision;
+        let revision = self.data.revision;
         let past = self
+            .data
             .history
             .iter()
             .filter(|(at, _)| req.from.is_some_and(|from| *at >= from))
             .filter(|(_, event)| req.range.contains(key_of(event)))
             .map(|(_, event)| event.clone());
+        if req.from.is_some_and(|from| from > revision + 1) {
+            let _ = tx.send(Err(StoreError::Compacted { revision }));
+            return rx;
+        }
         for event in std::iter::once(WatchEvent::Started { revision }).chain(past) {
             let _ = tx.send(Ok(event));
         }
@@ -124,29 +144,56 @@
         }
     }
 
+    pub(super) fn restores(&self) -> u64 {
+        self.restores
+    }
+
+    pub(super) fn leases(&self) -> Vec<(LeaseId, Duration)> {
+        let leases = self.data.leases.iter();
+        leases.map(|(id, lease)| (*id, lease.ttl)).collect()
+    }
+
+    pub(super) fn data(&mut self) -> Data {
+        self.expire();
+        self.data.clone()
+    }
+
+    /// Replaces the data by an older copy. Leases of the copy begin their time to live anew.
+    pub(super) fn restore(&mut self, copy: Data) {
+        self.data = copy;
+        self.restores += 1;
+        let now = Instant::now();
+        for lease in self.data.leases.values_mut() {
+            lease.deadline = now + lease.ttl;
+        }
+        self.break_watches();
+    }
+
     /// Returns when the lease expires, or `None` once it has expired.
     pub(super) fn deadline_of(&mut self, id: LeaseId) -> Option<Instant> {
         self.expire();
-        self.leases.get(&id).map(|lease| lease.deadline)
+        self.data.leases.get(&id).map(|lease| lease.deadline)
     }
 
     fn expire(&mut self) {
         let now = Instant::now();
         let expired: Vec<LeaseId> = self
+            .data
             .leases
             .iter()
             .filter(|(_, lease)| lease.deadline <= now)
             .map(|(id, _)| *id)
             .collect();
         for id in expired {
-            self.leases.remove(&id);
+            self.data.leases.remove(&id);
             self.delete_keys_of(id);
         }
     }
 
     fn delete_keys_of(&mut self, id: LeaseId) {
-        let next = self.revision + 1;
+        let next = self.data.revision + 1;
         let keys: Vec<Key> = self
+            .data
             .entries
             .values()
             .filter(|entry| entry.lease == Some(id))
@@ -158,7 +205,8 @@
     }
 
     fn find(&self, range: &KeyRange) -> Vec<KeyValue> {
-        self.entries
+        self.data
+            .entries
             .range::<str, _>((Bound::Included(range.start()), Bound::Unbounded))
             .take_while(|(key, _)| range.contains(key))
             .map(|(_, entry)| entry.clone())
@@ -166,7 +214,7 @@
     }
 
     fn is_met(&self, compare: &Compare) -> bool {
-        let entry = self.entries.get(&compare.key);
+        let entry = self.data.entries.get(&compare.key);
         match compare.condition {
             Condition::ModRevision(wanted) => entry.map_or(0, |e| e.mod_revision) == wanted,
             Condition::CreateRevision(wanted) => entry.map_or(0, |e| e.create_revision) == wanted,
@@ -181,7 +229,7 @@
             }),
             Op::Put {
                 lease: Some(id), ..
-            } if !self.leases.contains_key(id) => Err(StoreError::LeaseNotFound),
+            } if !self.data.leases.contains_key(id) => Err(StoreError::LeaseNotFound),
             Op::Put { .. } | Op::Delete(_) | Op::Get(_) => Ok(()),
         }
     }
@@ -189,7 +237,7 @@
     fn apply(&mut self, op: &Op, next: Revision) -> OpResult {
         match op {
             Op::Put { key, value, lease } => {
-                let old = self.entries.get(key);
+                let old = self.data.entries.get(key);
                 let entry = KeyValue {
                     key: key.clone(),
                     value: value.clone(),
@@ -198,7 +246,7 @@
                     version: old.map_or(0, |e| e.version) + 1,
                     lease: *lease,
                 };
-                self.entries.insert(key.clone(), entry.clone());
+                self.data.entries.insert(key.clone(), entry.clone());
                 self.publish(next, WatchEvent::Put(entry));
                 OpResult::Put
             }
@@ -214,7 +262,7 @@
     }
 
     fn delete(&mut self, key: &str, next: Revision) {
-        self.entries.remove(key);
+        self.data.entries.remove(key);
         let event = WatchEvent::Deleted {
             key: key.into(),
             revision: next,
@@ -223,11 +271,11 @@
     }
 
     fn publish(&mut self, revision: Revision, event: WatchEvent) {
-        self.revision = revision;
+        self.data.revision = revision;
         let key = key_of(&event).to_owned();
         self.watchers
             .retain(|w| !w.range.contains(&key) || w.tx.send(Ok(event.clone())).is_ok());
-        self.history.push((revision, event));
+        self.data.history.push((revision, event));
     }
 }
 
--- a/src/sources/store/mod.rs
+++ b/src/sources/store/mod.rs
@@ -17,7 +17,7 @@
 pub use budget::{CallRate, CallRateLimiter};
 pub use error::{Result, StoreError};
 pub use etcd::{EtcdConfig, EtcdStore};
-pub use memory::{CallCounts, Fault, MemoryStore};
+pub use memory::{CallCounts, Fault, MemoryStore, StoreCopy};
 pub use types::{
     Compare, Condition, Key, KeyRange, KeyValue, LeaseGrant, LeaseId, Op, OpResult, RangeReply,
     RangeRequest, Revision, Transaction, TransactionReply, Value, WatchEvent, WatchRequest,
