--- a/tests/testsuite/gateway/fixture.rs
+++ b/tests/testsuite/gateway/fixture.rs
@@ -526,6 +526,13 @@
     }
 }
 
+/// Returns a call with an attempt id of its own.
+pub(super) fn numbered_call(fixture: &Fixture, node: &Node, path: &str) -> reqwest::RequestBuilder {
+    static CALLS: AtomicU32 = AtomicU32::new(0);
+    let number = CALLS.fetch_add(1, Ordering::Relaxed);
+    fixture.call(node, path, &format!("c{number}"))
+}
+
 /// Creates a fixture with one ready node and back ends `b0`, `b1`, ... of a service.
 pub(super) async fn fixture_with_node(
     service: &str,
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -11,6 +11,7 @@
 mod platform_wire;
 mod quarantine;
 mod quota;
+mod restored_store;
 mod scaling;
 mod serving;
 mod settings_template;
--- /dev/null
+++ b/tests/testsuite/gateway/restored_store.rs
@@ -0,0 +1,236 @@
+//! The platform's store comes back from an older copy: its revisions go back, and what was written since the
+//! copy is lost.
+
+use std::time::{Duration, Instant};
+
+use jayhall::sources::store::{KeyRange, KeyValue, RangeRequest, Store};
+
+use super::fixture::{Behaviour, FakeBackend, Fixture, Node, config, numbered_call};
+
+/// Time after its acknowledgement within which a configuration is in force, and after the report of a departure
+/// within which the back end still gets calls; the defaults of the settings.
+const APPLY_WITHIN: Duration = Duration::from_millis(2500);
+/// Time after the return of the store within which back ends that it lost register again.
+const REREGISTRATION_TIME: Duration = Duration::from_millis(1800);
+/// Changes that are lost with the restore, besides those of each test.
+const LOST_CHANGES: usize = 12;
+
+/// A configuration in which calls of `/added/` go to the service `plain`, too.
+fn config_with_route(version: u64) -> String {
+    let added = r#"{"name":"added","hostname":"h.example","pathPrefix":"/added/","routeType":"safe","timeoutMs":1500,"targetLatencyMs":1000,"service":"plain","maxAttempts":2}"#;
+    config(version).replacen(r#""routes":["#, &format!(r#""routes":[{added},"#), 1)
+}
+
+/// Nodes of three availability zones; those of the first one follow one of them.
+async fn start_nodes(fixture: &Fixture) -> Vec<Node> {
+    let mut nodes = Vec::new();
+    for (name, zone) in [("n1", "z1"), ("n2", "z1"), ("n3", "z1"), ("n4", "z3")] {
+        let node = fixture.node_in(name, zone).await;
+        fixture.ready(&node).await;
+        nodes.push(node);
+    }
+    nodes
+}
+
+async fn fixture_with_backend() -> (Fixture, FakeBackend) {
+    let fixture = Fixture::new();
+    fixture.put("op/config", config(4)).await;
+    let backend = FakeBackend::spawn(Behaviour::Answer(200, "done")).await;
+    fixture.list_backend("b0", "plain", &backend, "ready").await;
+    (fixture, backend)
+}
+
+async fn write_lost_changes(fixture: &Fixture) {
+    for number in 0..LOST_CHANGES {
+        fixture.put("test/lost", number.to_string()).await;
+    }
+    tokio::time::sleep(Duration::from_millis(800)).await;
+}
+
+async fn status(fixture: &Fixture, node: &Node, path: &str) -> u16 {
+    let res = numbered_call(fixture, node, path).send().await.unwrap();
+    res.status().as_u16()
+}
+
+/// Waits until all nodes answer calls of a path with a status, up to a time limit.
+async fn all_answer(fixture: &Fixture, nodes: &[Node], path: &str, wanted: u16, limit: Duration) {
+    let deadline = Instant::now() + limit;
+    for node in nodes {
+        loop {
+            let status = status(fixture, node, path).await;
+            if status == wanted {
+                break;
+            }
+            let name = &node.settings.name;
+            assert!(Instant::now() < deadline, "{name} answers {status}");
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+}
+
+async fn read(fixture: &Fixture, range: KeyRange) -> Vec<KeyValue> {
+    let reply = fixture.store.range(RangeRequest { range }).await.unwrap();
+    reply.entries
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_written_after_a_restore_is_in_force_in_time_at_all_nodes() {
+    let (fixture, _backend) = fixture_with_backend().await;
+    let nodes = start_nodes(&fixture).await;
+    let copy = fixture.store.copy();
+    fixture.put("op/config", config(6)).await;
+    write_lost_changes(&fixture).await;
+    fixture.store.restore(&copy);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    fixture.put("op/config", config_with_route(9)).await;
+    all_answer(&fixture, &nodes, "/added/x", 200, APPLY_WITHIN).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn each_of_two_restores_in_a_row_is_noticed() {
+    let (fixture, _backend) = fixture_with_backend().await;
+    let nodes = start_nodes(&fixture).await;
+    let copy = fixture.store.copy();
+    write_lost_changes(&fixture).await;
+    fixture.store.restore(&copy);
+    write_lost_changes(&fixture).await;
+    fixture.store.restore(&copy);
+    // The revisions given out again reach those of the first restore before the nodes can look.
+    for number in 0..=LOST_CHANGES {
+        fixture.put("test/again", number.to_string()).await;
+    }
+    fixture.put("op/config", config_with_route(9)).await;
+    fixture.put("test/again", "last").await;
+    all_answer(&fixture, &nodes, "/added/x", 200, APPLY_WITHIN).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_configuration_that_the_store_lost_stays_in_force_also_at_nodes_that_start() {
+    let (fixture, _backend) = fixture_with_backend().await;
+    let nodes = start_nodes(&fixture).await;
+    let copy = fixture.store.copy();
+    fixture.put("op/config", config_with_route(9)).await;
+    all_answer(&fixture, &nodes, "/added/x", 200, APPLY_WITHIN).await;
+    fixture.store.restore(&copy);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let store = fixture.store.clone();
+    let seeds = [nodes[3].settings.listen.control];
+    let copied = fixture
+        .node_with_seeds("n5", "z1", store.clone(), &seeds)
+        .await;
+    // Lists the store itself, which has an older configuration, and learns of the newer one from others.
+    let listed = fixture.node_with_store("n6", "z3", store).await;
+    let started = [copied, listed];
+    for node in &started {
+        fixture.ready(node).await;
+    }
+    all_answer(&fixture, &started, "/added/x", 200, APPLY_WITHIN).await;
+    all_answer(&fixture, &nodes, "/added/x", 200, Duration::ZERO).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_back_end_whose_departure_the_store_lost_gets_no_calls() {
+    for leaves_with_report in [true, false] {
+        let (fixture, backend) = fixture_with_backend().await;
+        let nodes = start_nodes(&fixture).await;
+        let copy = fixture.store.copy();
+        match leaves_with_report {
+            true => {
+                fixture
+                    .list_backend("b0", "plain", &backend, "draining")
+                    .await;
+            }
+            false => fixture.remove("servers/b0").await,
+        }
+        write_lost_changes(&fixture).await;
+        all_answer(&fixture, &nodes, "/get/x", 503, APPLY_WITHIN).await;
+        let runs = backend.runs();
+        fixture.store.restore(&copy);
+        for _ in 0..20 {
+            for node in &nodes {
+                status(&fixture, node, "/get/x").await;
+            }
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        assert_eq!(backend.runs(), runs, "with a report: {leaves_with_report}");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_back_end_that_the_store_lost_is_served_until_it_registers_again() {
+    let (fixture, _gone) = fixture_with_backend().await;
+    let nodes = start_nodes(&fixture).await;
+    fixture.remove("servers/b0").await;
+    let copy = fixture.store.copy();
+    let backend = FakeBackend::spawn(Behaviour::Answer(200, "done")).await;
+    fixture.list_backend("b1", "plain", &backend, "ready").await;
+    write_lost_changes(&fixture).await;
+    all_answer(&fixture, &nodes, "/get/x", 200, APPLY_WITHIN).await;
+    fixture.store.restore(&copy);
+    let restored = Instant::now();
+    while restored.elapsed() < REREGISTRATION_TIME {
+        all_answer(&fixture, &nodes, "/get/x", 200, Duration::ZERO).await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    fixture.list_backend("b1", "plain", &backend, "ready").await;
+    tokio::time::sleep(APPLY_WITHIN).await;
+    all_answer(&fixture, &nodes, "/get/x", 200, Duration::ZERO).await;
+    // Those that do not register again are gone.
+    fixture.store.restore(&copy);
+    tokio::time::sleep(REREGISTRATION_TIME + APPLY_WITHIN).await;
+    all_answer(&fixture, &nodes, "/get/x", 503, Duration::ZERO).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn usage_windows_are_reported_once_and_with_rising_fences_across_a_restore() {
+    let (fixture, _backend) = fixture_with_backend().await;
+    let copy = fixture.store.copy();
+    let nodes = start_nodes(&fixture).await;
+    let started = Instant::now();
+    let mut has_restored = false;
+    while started.elapsed() < Duration::from_secs(14) {
+        for node in &nodes {
+            status(&fixture, node, "/once/x").await;
+        }
+        tokio::time::sleep(Duration::from_millis(40)).await;
+        if !has_restored && started.elapsed() > Duration::from_secs(6) {
+            has_restored = true;
+            write_lost_changes(&fixture).await;
+            fixture.store.restore(&copy);
+        }
+    }
+    let usage = fixture.duties.usage.lock().clone();
+    let fences: Vec<u64> = usage.iter().map(|(holder, ..)| holder.fence).collect();
+    assert!(fences.is_sorted(), "{fences:?}");
+    assert!(fences.first() < fences.last(), "{fences:?}");
+    let mut counts_by_window = std::collections::BTreeMap::new();
+    for (_, window, counts) in usage {
+        let before = counts_by_window.insert(window, counts.clone());
+        assert!(
+            before.is_none_or(|before| before == counts),
+            "window {window} has other counts"
+        );
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_the_nodes_wrote_is_written_again_after_a_restore() {
+    let (fixture, _backend) = fixture_with_backend().await;
+    let copy = fixture.store.copy();
+    let _nodes = start_nodes(&fixture).await;
+    let entry = r#"{"parts":[7],"probe_at_ms":9999999999999,"interval_ms":30000}"#;
+    fixture
+        .put("jayhall/quarantine/00000000000000aa", entry)
+        .await;
+    write_lost_changes(&fixture).await;
+    fixture.store.restore(&copy);
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    let nodes = read(&fixture, KeyRange::Prefix("jayhall/nodes/".into())).await;
+    assert_eq!(nodes.len(), 4, "{nodes:?}");
+    assert!(nodes.iter().all(|node| node.version == 1), "{nodes:?}");
+    let holder = read(&fixture, KeyRange::One("jayhall/holder".into())).await;
+    assert_eq!(holder.len(), 1);
+    let entries = read(&fixture, KeyRange::Prefix("jayhall/quarantine/".into())).await;
+    assert_eq!(entries.len(), 1);
+    assert_eq!(entries[0].version, 1);
+}
