--- a/crates/jayhall-harness/src/platform_store.rs
+++ b/crates/jayhall-harness/src/platform_store.rs
@@ -16,8 +16,8 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use jayhall::sources::store::{
-    Compare, Condition, KeyRange, KeyValue, MemoryStore, Op, RangeRequest, Store, StoreError,
-    Transaction, WatchEvent, WatchRequest,
+    Compare, Condition, KeyRange, KeyValue, MemoryStore, Op, RangeRequest, Revision, Store,
+    StoreError, Transaction, WatchEvent, WatchRequest,
 };
 use jayhall::util::query;
 use parking_lot::Mutex;
@@ -154,7 +154,7 @@
         }
         let mut res = Response::new(Full::new(Bytes::from(value.to_string())));
         *res.status_mut() = status;
-        let era = self.store.restores() + FIRST_ERA;
+        let era = self.store.era() + FIRST_ERA;
         res.headers_mut().insert(ERA, era.into());
         Ok(res)
     }
@@ -211,12 +211,23 @@
         }
     }
 
+    /// Returns the revision of a number in the current era: callers name numbers only.
+    fn revision(&self, number: u64) -> Revision {
+        Revision {
+            era: match number {
+                0 => 0,
+                _ => self.store.era(),
+            },
+            number,
+        }
+    }
+
     async fn get_key(&self, key: &str) -> Reply {
         let reply = self.store.range(RangeRequest::one(key)).await?;
         Ok(match reply.entries.first() {
             Some(kv) => {
                 let mut value = item(kv);
-                value["asOf"] = json!(reply.revision);
+                value["asOf"] = json!(reply.revision.number);
                 (StatusCode::OK, value)
             }
             None => (StatusCode::NOT_FOUND, json!({})),
@@ -228,14 +239,14 @@
         let rest: Vec<_> = reply.entries.iter().filter(|kv| &*kv.key > after).collect();
         let items: Vec<_> = rest.iter().take(PAGE_SIZE).map(|kv| item(kv)).collect();
         let page = json!({
-            "items": items, "truncated": rest.len() > PAGE_SIZE, "asOf": reply.revision
+            "items": items, "truncated": rest.len() > PAGE_SIZE, "asOf": reply.revision.number
         });
         Ok((StatusCode::OK, page))
     }
 
     async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Reply {
         let range = KeyRange::Prefix(prefix.into());
-        let from = Some(after + 1);
+        let from = Some(self.revision(after + 1));
         let watch = self.store.watch(WatchRequest { range, from }).await;
         let Some(mut events) = watch
             .ok()
@@ -255,12 +266,12 @@
             match event {
                 WatchEvent::Started { .. } => continue,
                 WatchEvent::Put(kv) => {
-                    as_of = kv.mod_revision;
+                    as_of = kv.mod_revision.number;
                     changes.push(item(&kv));
                 }
                 WatchEvent::Deleted { key, revision } => {
-                    as_of = revision;
-                    changes.push(json!({"key": key, "revision": revision, "deleted": true}));
+                    as_of = revision.number;
+                    changes.push(json!({"key": key, "revision": revision.number, "deleted": true}));
                 }
             }
             timeout = WATCH_BATCH_TIME;
@@ -277,7 +288,7 @@
             req.otherwise.push(Op::Get(KeyRange::One(key.clone())));
             req.compares.push(Compare {
                 key,
-                condition: Condition::ModRevision(revision),
+                condition: Condition::ModRevision(self.revision(revision)),
             });
         }
         for write in rows(body, "writes") {
@@ -293,7 +304,9 @@
         }
         Ok(match self.store.transact(req).await {
             Err(_) => (StatusCode::NOT_FOUND, json!({})),
-            Ok(reply) if reply.succeeded => (StatusCode::OK, json!({"revision": reply.revision})),
+            Ok(reply) if reply.succeeded => {
+                (StatusCode::OK, json!({"revision": reply.revision.number}))
+            }
             Ok(reply) => {
                 let items: Vec<_> = reply.found().into_iter().flatten().map(item).collect();
                 (StatusCode::PRECONDITION_FAILED, json!({"items": items}))
@@ -303,8 +316,8 @@
 }
 
 fn item(kv: &KeyValue) -> Value {
-    json!({"key": kv.key, "value": STANDARD.encode(&kv.value), "revision": kv.mod_revision,
-        "createRev": kv.create_revision, "lease": kv.lease.unwrap_or(0)})
+    json!({"key": kv.key, "value": STANDARD.encode(&kv.value), "revision": kv.mod_revision.number,
+        "createRev": kv.create_revision.number, "lease": kv.lease.unwrap_or(0)})
 }
 
 fn rows<'a>(body: &'a Value, name: &str) -> impl Iterator<Item = &'a Value> {
--- a/src/core/gateway/backends/entry.rs
+++ b/src/core/gateway/backends/entry.rs
@@ -39,7 +39,7 @@
     peer_load_sum: Load,
     failures: u32,
     backoff_until: Moment,
-    /// End of the pause that it asked for.
+    /// End of the pause that it asked for, or after which it counts as running although it had departed.
     pub(super) paused_until: Moment,
     /// When this node last assigned a call to it.
     pub(super) last_call: Option<Moment>,
--- a/src/core/gateway/backends/mod.rs
+++ b/src/core/gateway/backends/mod.rs
@@ -26,6 +26,10 @@
 
 /// Age after which the loads reported by another node are dropped.
 const MAX_LOAD_AGE: Duration = Duration::from_millis(2500);
+/// Time for which the registry may list a process that has ended.
+const MAX_ENTRY_OUTLASTING: Duration = Duration::from_secs(5);
+/// Time for which departed processes are kept: age of the copies from which the registry may be restored.
+const DEPARTED_RETENTION: Duration = Duration::from_secs(60);
 /// Weight of a new observation in moving averages.
 const AVERAGE_WEIGHT: f64 = 0.15;
 /// Bounds of [`Entry::latency_ratio`].
@@ -117,11 +121,35 @@
     by_short_name: HashMap<u32, BackendId>,
     /// The last load report of each other node or availability zone.
     reports: HashMap<Origin, LoadReport>,
+    /// Processes that the registry ceased to list, and when.
+    departed: HashMap<ProcessName, Moment>,
 }
 
 impl Backends {
+    /// Inserts or updates a back end that a restored registry lists. The entry may be older than what was known
+    /// before: a process that was leaving still is, and one that had departed gets calls only if it is listed
+    /// for longer than an entry outlasts its process. Returns whether anything changed.
+    pub fn put_restored(&mut self, backend: Backend, now: Moment) -> bool {
+        let name = process_name(&backend);
+        let known = self.same_process(&backend);
+        let was_leaving = known.as_ref().is_some_and(|entry| entry.is_leaving());
+        let has_departed = self.departed.contains_key(&name);
+        let id = backend.id.clone();
+        let changed = self.put(backend);
+        if let Some(entry) = self.entries.get_mut(&id) {
+            if was_leaving {
+                entry.leaving_since.get_or_insert(now);
+            }
+            if has_departed {
+                entry.paused_until = entry.paused_until.max(now + MAX_ENTRY_OUTLASTING);
+            }
+        }
+        changed
+    }
+
     /// Inserts or updates a back end from the registry. Returns whether anything changed.
     pub fn put(&mut self, backend: Backend) -> bool {
+        self.departed.remove(&process_name(&backend));
         if let Some(entry) = self.entries.get_mut(&backend.id) {
             let is_same_process = entry.backend.started == backend.started
                 && entry.backend.address == backend.address
@@ -155,11 +183,15 @@
         let listed = self.entries.get_mut(id);
         if let Some(entry) = listed.filter(|entry| entry.listing == Listing::Listed) {
             entry.listing = Listing::Unlisted(gone_at);
+            let name = process_name(&entry.backend);
+            self.departed.insert(name, gone_at);
         }
     }
 
     /// Removes back ends that are gone, and returns them.
     pub fn expire(&mut self, now: Moment) -> Vec<Gone> {
+        let is_recent = |at: Moment| now.saturating_sub(at) <= DEPARTED_RETENTION;
+        self.departed.retain(|_, at| is_recent(*at));
         let gone: Vec<Gone> = self
             .entries
             .values()
--- a/src/core/gateway/members.rs
+++ b/src/core/gateway/members.rs
@@ -11,6 +11,7 @@
 use super::usage::Incarnation;
 use crate::core::cells;
 use crate::core::time::Moment;
+use crate::sources::store::Revision;
 
 /// Name of a node.
 pub type NodeName = Box<str>;
@@ -66,8 +67,25 @@
     /// When this incarnation was first listed in the store.
     listed_at: Moment,
     last_heard: Option<Moment>,
-    /// Revision of the store up to which it has reported to know all changes.
-    revision: u64,
+    /// What it has reported to know of the store.
+    knowledge: StoreKnowledge,
+}
+
+/// How much of the store's contents a node knows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StoreKnowledge {
+    /// Revision of the store up to which it knows all changes.
+    pub revision: Revision,
+    /// Version of the configuration in force; 0 if there is none. It may be newer than the one at `revision`,
+    /// after the store was restored from a copy.
+    pub config_version: u64,
+}
+
+impl StoreKnowledge {
+    /// Returns whether it contains something that `other` lacks.
+    pub fn is_ahead_of(&self, other: &Self) -> bool {
+        self.revision > other.revision || self.config_version > other.config_version
+    }
 }
 
 impl Members {
@@ -81,7 +99,7 @@
                     self.by_incarnation.remove(&node.member.incarnation);
                     node.last_heard = None;
                     node.listed_at = now;
-                    node.revision = 0;
+                    node.knowledge = StoreKnowledge::default();
                 }
                 node.member = member;
             }
@@ -90,7 +108,7 @@
                     member,
                     listed_at: now,
                     last_heard: None,
-                    revision: 0,
+                    knowledge: StoreKnowledge::default(),
                 };
                 self.nodes.insert(node.member.name.clone(), node);
             }
@@ -155,29 +173,28 @@
         self.iter().map(|member| member.zone.clone()).collect()
     }
 
-    /// Records a message of a node: whether it was ready, and the revision of the store up to which it knew all
-    /// changes.
+    /// Records a message of a node: whether it was ready, and what it knew of the store.
     pub fn apply_report(
         &mut self,
         name: &str,
         incarnation: u64,
         is_ready: bool,
-        revision: u64,
+        knowledge: StoreKnowledge,
         now: Moment,
     ) {
         let node = self.nodes.get_mut(name);
         if let Some(node) = node.filter(|node| node.member.incarnation == incarnation) {
             node.last_heard = Some(now);
-            node.revision = revision;
+            node.knowledge = knowledge;
             node.member.is_ready = is_ready;
         }
     }
 
-    /// Returns the control addresses of the nodes that know a later revision of the store than `revision` and
-    /// were heard from within `age`.
+    /// Returns the control addresses of the nodes that know something of the store that `own` lacks and were
+    /// heard from within `age`.
     pub fn ahead_of(
         &self,
-        revision: u64,
+        own: StoreKnowledge,
         now: Moment,
         age: Moment,
     ) -> impl Iterator<Item = SocketAddr> {
@@ -185,7 +202,7 @@
             let is_fresh = node
                 .last_heard
                 .is_some_and(|at| now.saturating_sub(at) <= age);
-            is_fresh && node.revision > revision
+            is_fresh && node.knowledge.is_ahead_of(&own)
         });
         ahead.map(|node| node.member.control)
     }
--- a/src/core/gateway/quarantine.rs
+++ b/src/core/gateway/quarantine.rs
@@ -14,7 +14,7 @@
 use super::cache::PartId;
 use super::crashes::{CrashLog, SharedParts, contains_all};
 use crate::core::time::{Moment, UnixMillis};
-use crate::sources::store::Revision;
+use crate::sources::store::{Era, Revision};
 use crate::util::time::as_millis_u64;
 
 /// Identifies an entry: a hash of its parts.
@@ -177,6 +177,14 @@
         self.insert(value.id(), value, Some(revision));
     }
 
+    /// Records that the store has come back from an older copy, in this era: entries of earlier ones are not
+    /// there any more and are to be created again.
+    pub fn forget_revisions_before(&mut self, era: Era) {
+        for entry in self.entries.values_mut() {
+            entry.revision = entry.revision.filter(|revision| revision.era >= era);
+        }
+    }
+
     /// Applies the deletion of an entry of the store.
     pub fn remove(&mut self, id: EntryId) {
         let Some(entry) = self.entries.remove(&id) else {
@@ -255,7 +263,10 @@
         match self.entries.get_mut(&id) {
             Some(entry) => {
                 if revision > entry.revision {
-                    entry.value = value;
+                    // A store that comes back from an older copy lists an earlier state.
+                    if value.probe_at >= entry.value.probe_at {
+                        entry.value = value;
+                    }
                     entry.revision = revision;
                     entry.probe = Probe::None;
                 }
--- a/src/core/gateway/store_contact.rs
+++ b/src/core/gateway/store_contact.rs
@@ -1,13 +1,15 @@
 //! Contact with the platform's store, and how its outages are detected.
 //!
-//! The registry entry of a back end may be deleted for two reasons: the back end has left, or its lease
-//! expired because it could not reach the store during an outage. Only an outage of the store itself makes
+//! The registry entry of a back end may be deleted for three reasons: the back end has left, its lease
+//! expired because it could not reach the store during an outage, or the store has come back from a copy that
+//! is older than the entry. Only an outage of the store itself makes
 //! the second reason possible. A node that alone could not reach the store must not take departures for
 //! expired leases, so an outage is detected from the contact of all nodes.
 
 use std::time::Duration;
 
 use crate::core::time::Moment;
+use crate::sources::store::Era;
 
 /// Time without an answer of the store to any node that counts as an outage. Leases of back ends last a little
 /// longer.
@@ -28,6 +30,18 @@
     any_answered_at: Moment,
     /// End of the last outage.
     outage_ended_at: Option<Moment>,
+    /// The last known era of the store.
+    era: Option<KnownEra>,
+}
+
+/// An era of the store, as nodes know it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct KnownEra {
+    era: Era,
+    /// First answer of the store in this era to any node, as far as known.
+    began_at: Moment,
+    /// Whether this node knew an earlier era, so that the store was restored while it observed it.
+    is_restored: bool,
 }
 
 impl StoreContact {
@@ -39,6 +53,7 @@
             zone_answered_at: None,
             any_answered_at: now,
             outage_ended_at: None,
+            era: None,
         }
     }
 
@@ -69,6 +84,27 @@
         self.any_answered_at = self.any_answered_at.max(at);
     }
 
+    /// Records an answer of the store in an era, to this node or to another one.
+    pub fn record_era(&mut self, era: Era, at: Moment) {
+        match &mut self.era {
+            Some(known) if known.era > era => {}
+            Some(known) if known.era == era => known.began_at = known.began_at.min(at),
+            known => {
+                *known = Some(KnownEra {
+                    era,
+                    began_at: at,
+                    is_restored: known.is_some(),
+                });
+            }
+        }
+    }
+
+    /// Returns the time since an era began, for other nodes; `None` if it is not the last known one.
+    pub fn era_age(&self, era: Era, now: Moment) -> Option<Duration> {
+        let known = self.era.filter(|known| known.era == era)?;
+        Some(now.saturating_sub(known.began_at))
+    }
+
     /// Returns the time for which this node's view has not been confirmed, or `None` if it never was.
     pub fn view_age(&self, now: Moment) -> Option<Duration> {
         self.confirmed_at.map(|at| now.saturating_sub(at))
@@ -85,9 +121,12 @@
     }
 
     /// Returns until when back ends whose entry is deleted now may still register again, because their
-    /// lease may have expired in an outage, or `None` if there was no outage lately.
+    /// lease may have expired in an outage or the store may have lost the entry in a restore; `None` if there
+    /// was neither lately.
     pub fn reregistration_deadline(&self, now: Moment) -> Option<Moment> {
-        let deadline = self.outage_ended_at? + REREGISTRATION_GRACE;
+        let restored_at = self.era.filter(|era| era.is_restored);
+        let restored_at = restored_at.map(|era| era.began_at);
+        let deadline = self.outage_ended_at.max(restored_at)? + REREGISTRATION_GRACE;
         (now < deadline).then_some(deadline)
     }
 }
--- a/src/core/gateway/tenure.rs
+++ b/src/core/gateway/tenure.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use crate::core::time::Moment;
+use crate::sources::store::Revision;
 
 /// Time before the end of a lease during which the leader no longer acts. It allows for clock drift between
 /// the store and the node, and for the time that a call takes to arrive.
@@ -16,8 +17,8 @@
 /// the VM is suspended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Tenure {
-    /// Fencing token: the revision of the store's write that made the node the leader.
-    pub fence: u64,
+    /// Revision of the store's write that made the node the leader.
+    pub claim: Revision,
     /// When the node became the leader.
     pub since: Moment,
     /// Time that a new leader waits before its first call.
@@ -36,6 +37,11 @@
 }
 
 impl Tenure {
+    /// Returns the fencing token.
+    pub fn fence(&self) -> u64 {
+        self.claim.fencing_token()
+    }
+
     /// Returns whether a call may be made now. `renewed` is when the last lease renewal that the store
     /// confirmed was sent.
     pub fn may_act(&self, now: Moment, renewed: Moment, ttl: Duration) -> MayAct {
--- a/src/ops/gateway/duties.rs
+++ b/src/ops/gateway/duties.rs
@@ -18,7 +18,37 @@
 use crate::core::gateway::tenure::{MayAct, Tenure};
 use crate::core::gateway::usage::{Counts, Window};
 use crate::core::time::Moment;
-use crate::sources::store::{KeyRange, Op, RangeRequest, Result, Store, StoreError, Transaction};
+use crate::sources::store::{
+    Era, KeyRange, Op, RangeRequest, Result, Revision, Store, StoreError, Transaction,
+};
+
+/// What this node knows of the decided counts of a window.
+enum KnownCounts {
+    /// The store has them. `None` if they cannot be decoded.
+    InStore(Option<Counts>),
+    /// They were decided, and the store has lost them.
+    Lost(Counts),
+    /// Nothing.
+    None,
+}
+
+/// The value of the holder's key.
+struct HolderName<'a> {
+    /// Name of the node.
+    node: &'a str,
+    /// Era of the store in which it claimed the duties, if given.
+    era: Option<Era>,
+}
+
+impl<'a> HolderName<'a> {
+    fn parse(value: &'a [u8]) -> Option<Self> {
+        let (node, process) = std::str::from_utf8(value).ok()?.rsplit_once('/')?;
+        let era = process
+            .split_once('@')
+            .and_then(|(_, era)| era.parse().ok());
+        Some(Self { node, era })
+    }
+}
 
 /// Interval between rounds of the holder, and between checks of the other nodes.
 const ROUND_INTERVAL: Duration = Duration::from_millis(400);
@@ -39,7 +69,7 @@
 /// Age of a node's last message up to which its counts are taken as current.
 const MAX_COUNTS_AGE: Duration = Duration::from_millis(2000);
 /// Number of past windows for which the holder checks that they were reported.
-const PAST_WINDOWS_CHECKED: u64 = 3;
+pub(super) const PAST_WINDOWS_CHECKED: u64 = 3;
 /// Number of windows for which decided counts are retained in the store.
 const WINDOWS_RETAINED: u64 = 12;
 /// Time to live of the lease on the holder's key.
@@ -53,8 +83,9 @@
 /// A possible claim to the duties.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct Claim {
-    /// Expected revision of the holder's key for the compare-and-swap; 0 if the key must not exist.
-    expected: u64,
+    /// Expected revision of the holder's key for the compare-and-swap; [`Revision::NONE`] if the key must not
+    /// exist.
+    expected: Revision,
     /// Time for which the new holder waits before its first call.
     settle: Duration,
 }
@@ -74,6 +105,8 @@
     reported: BTreeMap<Window, Counts>,
     /// All windows before this one have been reported in the current tenure.
     reported_before: Option<Window>,
+    /// Era of the store in which the reported counts were last written again.
+    rewritten_in: Era,
     started: Moment,
 }
 
@@ -91,6 +124,7 @@
             scaling: HashMap::new(),
             reported: BTreeMap::new(),
             reported_before: None,
+            rewritten_in: 0,
         }
     }
 
@@ -102,6 +136,9 @@
                 self.release("this node leaves").await;
                 continue;
             }
+            if let Err(e) = self.rewrite_lost_counts().await {
+                tracing::warn!(error = %e, "failed to write decided counts again; retrying");
+            }
             match self.tenure {
                 None => self.try_claim().await,
                 Some(tenure) => self.perform_duties(tenure).await,
@@ -135,20 +172,29 @@
         let Some(lease) = keeper.get() else {
             return Ok(());
         };
-        let mut req =
-            Transaction::compare_and_swap(keys::HOLDER, claim.expected, self.claim_value());
+        let mut req = Transaction::compare_and_swap(
+            keys::HOLDER,
+            claim.expected,
+            self.claim_value(lease.era),
+        );
         if let Some(Op::Put { lease: of, .. }) = req.then.first_mut() {
             *of = Some(lease.id);
         }
         // A claim without a response may have taken effect. The store then names this node, which
         // claims again.
         let reply = self.store.transact(req).await?;
-        if reply.succeeded {
-            self.begin_tenure(reply.revision, claim.settle);
-            self.lease = Some(keeper);
-            return Ok(());
+        if !reply.succeeded {
+            return keeper.close(lease.era).await;
+        }
+        if reply.revision.era != lease.era {
+            // The lease of the key may be that of another node. This node claims the key once more.
+            return Err(StoreError::Restored {
+                era: reply.revision.era,
+            });
         }
-        keeper.close().await
+        self.begin_tenure(reply.revision, claim.settle);
+        self.lease = Some(keeper);
+        Ok(())
     }
 
     /// Releases the duties, so that another node can claim them at once.
@@ -157,12 +203,13 @@
             return;
         };
         tracing::info!(
-            fence = tenure.fence,
+            fence = tenure.fence(),
             cause,
             "this node holds the duties no longer"
         );
+        let era = self.state.view.lock().revision.era;
         if let Some(lease) = self.lease.take()
-            && let Err(e) = lease.close().await
+            && let Err(e) = lease.close(era).await
         {
             tracing::warn!(error = %e, "failed to revoke the lease; the holder's key stays in the store until the lease expires");
         }
@@ -171,24 +218,29 @@
     /// Returns the claim that this node can make now. Either the duties are vacant, or the store names
     /// this node although this process is not the holder. In the second case the holder was an earlier
     /// process of the node, which has ended as a node runs only one, or the claim is an earlier one of
-    /// this process that it gave up; only a last call may still be in flight.
+    /// this process that it gave up; only a last call may still be in flight. If the claim was made in an earlier
+    /// era of the store, it may be older than that of another node, which still acts.
     fn possible_claim(&self) -> Option<Claim> {
         self.state.view_age()?;
         let view = self.state.view.lock();
+        let after_other = self.state.settings.bounds.lease + SETTLE_BEYOND_LEASE;
         let Some(holder) = view.get(keys::HOLDER) else {
             return Some(Claim {
-                expected: 0,
+                expected: Revision::NONE,
                 settle: match self.is_first_start() {
                     true => Duration::ZERO,
-                    false => self.state.settings.bounds.lease + SETTLE_BEYOND_LEASE,
+                    false => after_other,
                 },
             });
         };
-        let node = holder.value.rsplitn(2, |byte| *byte == b'/').last();
-        let is_own = node == Some(self.state.settings.name.as_bytes());
-        is_own.then_some(Claim {
+        let named = HolderName::parse(&holder.value)?;
+        let is_of_this_era = named.era == Some(holder.revision.era);
+        (named.node == &*self.state.settings.name).then_some(Claim {
             expected: holder.revision,
-            settle: SETTLE_AFTER_RESTART,
+            settle: match is_of_this_era {
+                true => SETTLE_AFTER_RESTART,
+                false => after_other,
+            },
         })
     }
 
@@ -198,20 +250,21 @@
         self.state.settings.is_first_start && age < FIRST_START_PERIOD
     }
 
-    fn claim_value(&self) -> bytes::Bytes {
-        format!("{}/{}", self.state.settings.name, self.state.incarnation).into()
+    fn claim_value(&self, era: Era) -> bytes::Bytes {
+        let (node, incarnation) = (&self.state.settings.name, self.state.incarnation);
+        format!("{node}/{incarnation}@{era}").into()
     }
 
-    fn begin_tenure(&mut self, fence: u64, settle: Duration) {
+    fn begin_tenure(&mut self, claim: Revision, settle: Duration) {
         tracing::info!(
-            fence,
+            fence = claim.fencing_token(),
             settle_ms = settle.as_millis() as u64,
             "this node holds the duties"
         );
         self.scaling.clear();
         self.reported_before = None;
         self.tenure = Some(Tenure {
-            fence,
+            claim,
             since: self.state.now(),
             settle,
         });
@@ -236,9 +289,9 @@
     fn is_holder(&self, tenure: Tenure) -> bool {
         let view = self.state.view.lock();
         match view.get(keys::HOLDER).map(|holder| holder.revision) {
-            Some(named) if named >= tenure.fence => named == tenure.fence,
+            Some(named) if named >= tenure.claim => named == tenure.claim,
             // The watch may not have delivered the change yet by which this node became the holder.
-            _ => view.revision < tenure.fence,
+            _ => view.revision < tenure.claim,
         }
     }
 
@@ -252,7 +305,7 @@
     fn holder(&self, tenure: Tenure) -> Holder {
         Holder {
             node: self.state.settings.name.clone(),
-            fence: tenure.fence,
+            fence: tenure.fence(),
         }
     }
 
@@ -292,7 +345,7 @@
                 .await;
             tracing::info!(
                 window,
-                fence = tenure.fence,
+                fence = tenure.fence(),
                 ?reply,
                 calls = counts.values().sum::<u32>(),
                 "usage reported"
@@ -320,19 +373,55 @@
             .all(|member| members.is_fresh(&member.name, now, MAX_COUNTS_AGE))
     }
 
+    /// Returns what this node knows of the decided counts of a window, by the window's key.
+    fn known_counts(&self, key: &str) -> KnownCounts {
+        let view = self.state.view.lock();
+        let Some(decided) = view.get(key) else {
+            return KnownCounts::None;
+        };
+        let counts = decode_counts(&decided.value);
+        match counts {
+            Some(counts) if decided.revision.era < view.revision.era => KnownCounts::Lost(counts),
+            counts => KnownCounts::InStore(counts),
+        }
+    }
+
+    /// Writes the counts that this node has reported again if the store has come back without them, so that no
+    /// other node decides on different ones.
+    async fn rewrite_lost_counts(&mut self) -> Result<()> {
+        let era = self.state.view.lock().revision.era;
+        if era == self.rewritten_in {
+            return Ok(());
+        }
+        let newest = self.reported.keys().next_back().copied();
+        let first = newest
+            .unwrap_or_default()
+            .saturating_sub(PAST_WINDOWS_CHECKED);
+        for (window, counts) in self.reported.range(first..) {
+            let key = keys::usage(*window);
+            if matches!(self.known_counts(&key), KnownCounts::InStore(_)) {
+                continue;
+            }
+            let put = Transaction::compare_and_swap(&key, Revision::NONE, encode_counts(counts)?);
+            let is_new = self.store.transact(put).await?.succeeded;
+            tracing::info!(window, era, is_new, "decided counts written again");
+        }
+        self.rewritten_in = era;
+        Ok(())
+    }
+
     /// Returns the decided counts of a window. If the store has none, the counts that this node knows
     /// are written there first. Returns `None` if the decided counts cannot be decoded or have been
     /// removed meanwhile.
     async fn decide(&self, window: Window) -> Result<Option<Counts>> {
         let key = keys::usage(window);
-        if let Some(decided) = self.state.view.lock().get(&key) {
-            return Ok(decode_counts(&decided.value));
-        }
-        let counts = self.state.usage.lock().total(window);
-        let value = serde_json::to_vec(&counts).map_err(|e| StoreError::Refused {
-            cause: format!("counts cannot be written as JSON: {e}").into(),
-        })?;
-        let mut decide = Transaction::compare_and_swap(&key, 0, value.into());
+        let counts = match self.known_counts(&key) {
+            KnownCounts::InStore(counts) => return Ok(counts),
+            KnownCounts::Lost(counts) => counts,
+            KnownCounts::None => self.state.usage.lock().total(window),
+        };
+        let value = encode_counts(&counts)?;
+        let mut decide = Transaction::compare_and_swap(&key, Revision::NONE, value);
         let old = keys::usage(window.saturating_sub(WINDOWS_RETAINED));
         if self.state.view.lock().get(&old).is_some() {
             decide.then.push(Op::Delete(KeyRange::One(old.into())));
@@ -396,7 +485,7 @@
             spot = order.spot,
             desired = order.desired,
             there = ?zones.get(&order.zone),
-            fence = tenure.fence,
+            fence = tenure.fence(),
             ?reply,
             "back ends ordered"
         );
@@ -437,6 +526,13 @@
     }
 }
 
+fn encode_counts(counts: &Counts) -> Result<bytes::Bytes> {
+    let text = serde_json::to_vec(counts).map_err(|e| StoreError::Refused {
+        cause: format!("counts cannot be written as JSON: {e}").into(),
+    })?;
+    Ok(text.into())
+}
+
 fn decode_counts(text: &[u8]) -> Option<Counts> {
     serde_json::from_slice(text)
         .inspect_err(
--- a/src/ops/gateway/follow_store.rs
+++ b/src/ops/gateway/follow_store.rs
@@ -14,7 +14,7 @@
 use super::view::Deletion;
 use super::{relay, snapshot};
 use crate::sources::store::{
-    KeyRange, RangeRequest, Result, Store, StoreError, WatchEvent, WatchRequest,
+    KeyRange, RangeRequest, Result, Revision, Store, StoreError, WatchEvent, WatchRequest,
 };
 
 /// Initial backoff after a failure.
@@ -37,7 +37,7 @@
                 if has_contact {
                     has_contact = false;
                     backoff = INITIAL_BACKOFF;
-                    tracing::warn!(dependency = "store", error = %e, revision = state.view.lock().revision, "dependency lost");
+                    tracing::warn!(dependency = "store", error = %e, revision = %state.view.lock().revision, "dependency lost");
                 } else {
                     tracing::debug!(dependency = "store", error = %e, "store still not reached");
                 }
@@ -59,7 +59,7 @@
         list_store(state, store).await?;
         note_contact(state, has_contact);
     }
-    let from = state.view.lock().revision + 1;
+    let from = state.view.lock().revision.next();
     let mut events = store
         .watch(WatchRequest {
             range: KeyRange::Prefix("".into()),
@@ -76,9 +76,12 @@
                     return Ok(());
                 }
             }
-            Err(StoreError::Compacted { .. }) => {
+            Err(StoreError::Compacted { revision }) => {
+                if revision != Revision::NONE {
+                    note_era(state, revision);
+                }
                 tracing::info!(
-                    revision = from,
+                    revision = %from,
                     "the store has compacted the revisions to watch; listing all keys"
                 );
                 list_store(state, store).await?;
@@ -93,8 +96,21 @@
 
 async fn list_store(state: &GatewayState, store: &Arc<dyn Store>) -> Result<()> {
     let listed = store.range(RangeRequest::prefix("")).await?;
-    install::apply_listing(state, &listed.entries, &[], listed.revision, Source::Store);
-    Ok(())
+    note_era(state, listed.revision);
+    let is_applied =
+        install::apply_listing(state, &listed.entries, &[], listed.revision, Source::Store);
+    match is_applied {
+        true => Ok(()),
+        // Retried with backoff, as the store is behind what this node has from others.
+        false => Err(StoreError::Refused {
+            cause: format!("its listing of revision {} is older", listed.revision).into(),
+        }),
+    }
+}
+
+fn note_era(state: &GatewayState, revision: Revision) {
+    let now = state.now();
+    state.contact.lock().record_era(revision.era, now);
 }
 
 fn note_contact(state: &GatewayState, has_contact: &mut bool) {
@@ -103,7 +119,7 @@
         *has_contact = true;
         tracing::info!(
             dependency = "store",
-            revision = state.view.lock().revision,
+            revision = %state.view.lock().revision,
             "dependency reached"
         );
     }
--- a/src/ops/gateway/install.rs
+++ b/src/ops/gateway/install.rs
@@ -4,6 +4,7 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
+use super::duties;
 use super::keys;
 use super::node_wire;
 use super::quarantine;
@@ -28,24 +29,43 @@
     Peer,
 }
 
+/// How a value was written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Written {
+    /// Later than all values known before.
+    Later,
+    /// Perhaps earlier: the store has come back from a copy, which may contain it.
+    PerhapsEarlier,
+}
+
 /// Applies a put.
 pub fn put(state: &GatewayState, item: &KeyValue, source: Source) {
+    put_written(state, item, source, Written::Later);
+}
+
+fn put_written(state: &GatewayState, item: &KeyValue, source: Source, written: Written) {
+    let key: &str = &item.key;
+    if key == state.dialect.config_key() {
+        put_table(state, item, source);
+        return;
+    }
     if !state.view.lock().put(item) {
         return;
     }
-    let key: &str = &item.key;
-    if key == state.dialect.config_key() {
-        install_table(state, item, source);
-    } else if let Some(id) = key.strip_prefix(state.dialect.backend_prefix()) {
-        install_backend(state, id, item, source);
+    if let Some(id) = key.strip_prefix(state.dialect.backend_prefix()) {
+        install_backend(state, id, item, source, written);
     } else if key.starts_with(keys::QUARANTINE) {
         quarantine::put_entry(state, item);
     } else if let Some(name) = key.strip_prefix(keys::NODES) {
+        // Living nodes register again; the copy may list others, or earlier processes.
+        if written == Written::PerhapsEarlier {
+            return;
+        }
         match node_wire::decode(&item.value) {
             Ok(member) => {
                 tracing::info!(
                     node = name,
-                    revision = item.mod_revision,
+                    revision = %item.mod_revision,
                     ready = member.is_ready,
                     "node listed"
                 );
@@ -65,26 +85,54 @@
 
 /// Applies a listing of the store at a revision: keys that are neither in `items` nor have a hash in
 /// `kept` are deleted. A listing that is older than the view is left out, as it lacks later deletions.
+/// Returns whether it was applied.
 pub fn apply_listing(
     state: &GatewayState,
     items: &[KeyValue],
     kept: &[KeyHash],
     revision: Revision,
     source: Source,
-) {
+) -> bool {
     let known = state.view.lock().revision;
     if revision < known {
-        tracing::info!(revision, known, ?source, "older listing left out");
-        return;
+        tracing::info!(%revision, %known, ?source, "older listing left out");
+        return false;
     }
+    let is_restored = known != Revision::NONE && revision.era > known.era;
+    let written = match is_restored {
+        true => Written::PerhapsEarlier,
+        false => Written::Later,
+    };
     for item in items {
-        put(state, item, source);
+        put_written(state, item, source, written);
     }
-    for key in missing_keys(state, items, kept, revision) {
+    let missing = missing_keys(state, items, kept, revision);
+    let (lost, missing): (Vec<Key>, Vec<Key>) = missing
+        .into_iter()
+        .partition(|key| is_restored && is_kept_without_store(state, key));
+    for key in missing {
         delete(state, Deletion { key, revision }, source);
     }
+    if is_restored {
+        tracing::warn!(%revision, %known, ?source, lost = lost.len(), "the store has come back from an older copy");
+        state
+            .quarantine
+            .lock()
+            .forget_revisions_before(revision.era);
+    }
     state.view.lock().compact_deletions(revision);
     state.set_revision(revision);
+    true
+}
+
+/// Returns whether a value stays in force when the store loses it: the configuration until a newer one is
+/// written, decided counts for as long as they may be reported, and the quarantine, which this node writes again.
+fn is_kept_without_store(state: &GatewayState, key: &str) -> bool {
+    let now = state.window_at(state.wall());
+    let is_reportable = |window: u64| window + duties::PAST_WINDOWS_CHECKED >= now;
+    key == state.dialect.config_key()
+        || key.starts_with(keys::QUARANTINE)
+        || keys::usage_window(key).is_some_and(is_reportable)
 }
 
 /// Returns the keys of the view that a listing at a revision lacks.
@@ -163,7 +211,7 @@
         state.backends.lock().unlist(id, gone_at);
         tracing::info!(
             backend = id,
-            revision = deletion.revision,
+            revision = %deletion.revision,
             ?source,
             view_age_ms = contact.view_age(now).map(as_millis_u64),
             grace_ms = as_millis_u64(gone_at - now),
@@ -173,11 +221,20 @@
     }
 }
 
+fn put_table(state: &GatewayState, item: &KeyValue, source: Source) {
+    let known = state.view.lock().get(&item.key).map(|known| known.revision);
+    if known != Some(item.mod_revision) {
+        install_table(state, item, source);
+    }
+}
+
+/// Installs a configuration. Its version decides whether it is newer, not the revision of the store, which may
+/// have come back with an older one.
 fn install_table(state: &GatewayState, item: &KeyValue, source: Source) {
     let table = match state.dialect.decode_table(&item.value) {
         Ok(table) => table,
         Err(e) => {
-            tracing::error!(revision = item.mod_revision, error = %format!("{e:#}"), "cannot decode the configuration; the previous one stays in force");
+            tracing::error!(revision = %item.mod_revision, error = %format!("{e:#}"), "cannot decode the configuration; the previous one stays in force");
             return;
         }
     };
@@ -190,10 +247,11 @@
     }
     *current = Some(std::sync::Arc::new(table));
     drop(current);
+    state.view.lock().replace(item);
     tracing::info!(
         version,
         before,
-        revision = item.mod_revision,
+        revision = %item.mod_revision,
         ?source,
         "configuration in force"
     );
@@ -209,19 +267,29 @@
     }
 }
 
-fn install_backend(state: &GatewayState, id: &str, item: &KeyValue, source: Source) {
+fn install_backend(
+    state: &GatewayState,
+    id: &str,
+    item: &KeyValue,
+    source: Source,
+    written: Written,
+) {
     match state.dialect.decode_backend(id, &item.value) {
         Ok(backend) => {
             let leaving = backend.is_leaving;
             let (address, service) = (backend.address, backend.service.clone());
-            let changed = state.backends.lock().put(backend);
+            let now = state.now();
+            let changed = match written {
+                Written::Later => state.backends.lock().put(backend),
+                Written::PerhapsEarlier => state.backends.lock().put_restored(backend, now),
+            };
             if changed {
                 tracing::info!(
                     backend = id,
                     service = &*service,
                     %address,
                     leaving,
-                    revision = item.mod_revision,
+                    revision = %item.mod_revision,
                     ?source,
                     view_age_ms = state.view_age().map(as_millis_u64),
                     last_call_ms = last_call_ms(state, id, state.now()),
@@ -230,7 +298,7 @@
             }
         }
         Err(e) => {
-            tracing::warn!(backend = id, revision = item.mod_revision, error = %format!("{e:#}"), "cannot decode the entry of a back end");
+            tracing::warn!(backend = id, revision = %item.mod_revision, error = %format!("{e:#}"), "cannot decode the entry of a back end");
             let is_known = state
                 .backends
                 .lock()
--- a/src/ops/gateway/keys.rs
+++ b/src/ops/gateway/keys.rs
@@ -20,6 +20,11 @@
     format!("{NODES}{name}")
 }
 
+/// Returns the usage window of a key, if it is one of a usage window.
+pub fn usage_window(key: &str) -> Option<u64> {
+    key.strip_prefix(USAGE)?.parse().ok()
+}
+
 /// Returns the key of a usage window.
 pub fn usage(window: u64) -> String {
     format!("{USAGE}{window:012}")
--- a/src/ops/gateway/lease.rs
+++ b/src/ops/gateway/lease.rs
@@ -8,7 +8,7 @@
 
 use super::state::GatewayState;
 use crate::core::time::Moment;
-use crate::sources::store::{LeaseId, Result, Store, StoreError};
+use crate::sources::store::{Era, LeaseId, Result, Store, StoreError};
 
 /// Initial backoff after a failed renewal.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(350);
@@ -20,6 +20,8 @@
 pub struct Lease {
     /// Identifier in the store.
     pub id: LeaseId,
+    /// Era of the store that granted it. In a later one the store may have lost the lease.
+    pub era: Era,
     /// Time to live after a renewal.
     pub ttl: Duration,
     /// Time at which the last confirmed renewal was sent, by the monotonic clock, which goes on while
@@ -49,6 +51,7 @@
         let grant = store.grant_lease(ttl).await?;
         let lease = Arc::new(Mutex::new(Some(Lease {
             id: grant.id,
+            era: grant.era,
             ttl: grant.ttl,
             renewed: sent,
         })));
@@ -60,20 +63,22 @@
         })
     }
 
-    /// Returns the lease, or `None` once the store has reported that it expired.
+    /// Returns the lease, or `None` once the store has reported that it expired or has come back from an older
+    /// copy.
     pub fn get(&self) -> Option<Lease> {
         *self.lease.lock()
     }
 
-    /// Revokes the lease, so that its keys are removed at once.
+    /// Revokes the lease, so that its keys are removed at once. A lease of another era than `era`, the current
+    /// one, is left to expire, as its id may be that of another lease.
     ///
     /// # Errors
     ///
     /// Fails if the store does not confirm the revocation; the lease then expires by itself.
-    pub async fn close(self) -> Result<()> {
+    pub async fn close(self, era: Era) -> Result<()> {
         self.renewals.abort();
         let lease = self.lease.lock().take();
-        match lease {
+        match lease.filter(|lease| lease.era == era) {
             Some(lease) => self.store.revoke(lease.id).await,
             None => Ok(()),
         }
@@ -89,7 +94,7 @@
 async fn renew(state: Arc<GatewayState>, store: Arc<dyn Store>, lease: Arc<Mutex<Option<Lease>>>) {
     let mut failures = 0;
     loop {
-        let Some(Lease { id, ttl, .. }) = *lease.lock() else {
+        let Some(Lease { id, ttl, era, .. }) = *lease.lock() else {
             return;
         };
         let interval = ttl / RENEWALS_PER_TTL;
@@ -101,6 +106,16 @@
         tokio::time::sleep(delay.mul_f64(0.8 + 0.4 * rand::random::<f64>())).await;
         let sent = state.now();
         match store.keep_alive(id).await {
+            Ok(grant) if grant.era != era => {
+                tracing::warn!(
+                    lease = id,
+                    era,
+                    store_era = grant.era,
+                    "the store may have lost the lease"
+                );
+                *lease.lock() = None;
+                return;
+            }
             Ok(_) => {
                 if failures > 0 {
                     tracing::info!(lease = id, failures, "lease renewed again");
--- a/src/ops/gateway/mesh/mod.rs
+++ b/src/ops/gateway/mesh/mod.rs
@@ -83,9 +83,9 @@
     fn to_forward(&self, now: Moment) -> ZoneSumWire {
         let held_ms = as_millis_u64(now.saturating_sub(self.at));
         let mut sum = self.sum.clone();
-        sum.store_age_ms = sum
-            .store_age_ms
-            .map(|age_ms| age_ms.saturating_add(held_ms));
+        let with_hold = |age_ms: u64| age_ms.saturating_add(held_ms);
+        sum.store_age_ms = sum.store_age_ms.map(with_hold);
+        sum.era_age_ms = sum.era_age_ms.map(with_hold);
         if let Some(load) = &mut sum.load {
             load.add_age(held_ms);
         }
@@ -104,7 +104,7 @@
 pub struct Mesh {
     state: Arc<GatewayState>,
     socket: UdpSocket,
-    newest_revision: tokio::sync::watch::Sender<u64>,
+    has_newer: tokio::sync::watch::Sender<()>,
     sums: Mutex<ReceivedSums>,
 }
 
@@ -129,14 +129,15 @@
         Ok(Arc::new(Self {
             state,
             socket,
-            newest_revision: tokio::sync::watch::Sender::new(0),
+            has_newer: tokio::sync::watch::Sender::new(()),
             sums: Mutex::default(),
         }))
     }
 
-    /// Returns the newest store revision that another node reported and this node did not have.
-    pub fn newest_revision(&self) -> tokio::sync::watch::Receiver<u64> {
-        self.newest_revision.subscribe()
+    /// Returns a receiver that changes whenever another node reports to know something of the store that this
+    /// node does not.
+    pub fn newer_knowledge(&self) -> tokio::sync::watch::Receiver<()> {
+        self.has_newer.subscribe()
     }
 
     /// Sends messages until the task is dropped.
--- a/src/ops/gateway/mesh/receive.rs
+++ b/src/ops/gateway/mesh/receive.rs
@@ -6,10 +6,12 @@
 use prost::Message;
 
 use super::{MAX_DATAGRAM_BYTES, MIN_ZONE_INTERVAL, Mesh, ReceivedSum};
+use crate::core::gateway::members::StoreKnowledge;
 use crate::core::gateway::observed::Observer;
 use crate::core::gateway::origin::Origin;
 use crate::core::time::Moment;
 use crate::ops::gateway::mesh_wire::{DatagramWire, LoadSumWire, ReportWire, ZoneSumWire};
+use crate::sources::store::{Era, Revision};
 
 impl Mesh {
     /// Receives messages until the task is dropped.
@@ -44,11 +46,18 @@
         if *report.node == *state.settings.name {
             return;
         }
+        let knowledge = StoreKnowledge {
+            revision: Revision {
+                era: report.era,
+                number: report.revision,
+            },
+            config_version: report.config_version,
+        };
         state.members.lock().apply_report(
             &report.node,
             report.incarnation,
             report.ready,
-            report.revision,
+            knowledge,
             now,
         );
         state
@@ -77,7 +86,8 @@
             }
             self.merge_load(&report.node[..].into(), &report.zone, load, now);
         }
-        self.announce_revision(report.revision);
+        self.record_era(report.era, report.era_age_ms, now);
+        self.announce(knowledge);
     }
 
     fn handle_zone_sum(&self, sum: ZoneSumWire) {
@@ -93,6 +103,13 @@
         {
             return;
         }
+        let knowledge = StoreKnowledge {
+            revision: Revision {
+                era: sum.era,
+                number: sum.revision,
+            },
+            config_version: sum.config_version,
+        };
         {
             let mut members = state.members.lock();
             for (incarnations, is_ready) in [(&sum.ready, true), (&sum.not_ready, false)] {
@@ -100,7 +117,7 @@
                     members.apply_indirect_report(*incarnation, is_ready, now);
                 }
             }
-            members.apply_report(&sum.node, sum.incarnation, true, sum.revision, now);
+            members.apply_report(&sum.node, sum.incarnation, true, knowledge, now);
         }
         state.clock.lock().record(sum.incarnation, sum.wall_ms, now);
         if let Some(age_ms) = sum.store_age_ms {
@@ -115,7 +132,8 @@
             let from = Origin::Zone(sum.zone.as_str().into());
             self.merge_load(&from, &sum.zone, load, now);
         }
-        self.announce_revision(sum.revision);
+        self.record_era(sum.era, sum.era_age_ms, now);
+        self.announce(knowledge);
         let zone = sum.zone.as_str().into();
         sums.newest.insert(zone, ReceivedSum { sum, at: now });
     }
@@ -146,11 +164,18 @@
         }
     }
 
-    /// Announces a revision that is newer than this node's view. This is repeated with each message, as
-    /// an earlier attempt to fetch the changes may have failed.
-    fn announce_revision(&self, revision: u64) {
-        if revision > self.state.view.lock().revision {
-            self.newest_revision.send_replace(revision);
+    fn record_era(&self, era: Era, age_ms: Option<u64>, now: Moment) {
+        if let Some(age_ms) = age_ms {
+            let began_at = now.saturating_sub(Duration::from_millis(age_ms));
+            self.state.contact.lock().record_era(era, began_at);
+        }
+    }
+
+    /// Announces that another node knows something of the store that this node does not. This is repeated with
+    /// each message, as an earlier attempt to fetch the changes may have failed.
+    fn announce(&self, knowledge: StoreKnowledge) {
+        if knowledge.is_ahead_of(&self.state.knowledge()) {
+            self.has_newer.send_replace(());
         }
     }
 }
--- a/src/ops/gateway/mesh/report.rs
+++ b/src/ops/gateway/mesh/report.rs
@@ -24,16 +24,22 @@
             load.set_loads(&state.backends.lock().local_loads());
         }
         self.add_observations(&mut load, Observer::Node, now);
+        let knowledge = state.knowledge();
+        let contact = *state.contact.lock();
         ReportWire {
             node: state.settings.name.to_string(),
             incarnation: state.incarnation,
             wall_ms: unix_now(),
             ready: state.phase() == Phase::Serving,
-            revision: state.view.lock().revision,
-            config_version: state.table().map_or(0, |table| table.version),
+            revision: knowledge.revision.number,
+            era: knowledge.revision.era,
+            era_age_ms: contact
+                .era_age(knowledge.revision.era, now)
+                .map(as_millis_u64),
+            config_version: knowledge.config_version,
             zone: state.settings.zone.to_string(),
             load: Some(load),
-            store_age_ms: state.contact.lock().answer_age(now).map(as_millis_u64),
+            store_age_ms: contact.answer_age(now).map(as_millis_u64),
         }
     }
 
@@ -63,17 +69,24 @@
         if state.phase() == Phase::Serving {
             ready.push(state.incarnation);
         }
+        let knowledge = state.knowledge();
+        let contact = *state.contact.lock();
         ZoneSumWire {
             zone: settings.zone.to_string(),
             node: settings.name.to_string(),
             incarnation: state.incarnation,
             number: as_millis_u64(now),
             wall_ms: unix_now(),
-            revision: state.view.lock().revision,
+            revision: knowledge.revision.number,
+            era: knowledge.revision.era,
+            era_age_ms: contact
+                .era_age(knowledge.revision.era, now)
+                .map(as_millis_u64),
+            config_version: knowledge.config_version,
             ready,
             not_ready: incarnations(not_ready),
             load: Some(load),
-            store_age_ms: state.contact.lock().zone_answer_age(now).map(as_millis_u64),
+            store_age_ms: contact.zone_answer_age(now).map(as_millis_u64),
         }
     }
 
--- a/src/ops/gateway/mesh_wire.rs
+++ b/src/ops/gateway/mesh_wire.rs
@@ -68,6 +68,12 @@
     /// Time since the store last answered the node, in milliseconds.
     #[prost(uint64, optional, tag = "9")]
     pub store_age_ms: Option<u64>,
+    /// Era of the revision.
+    #[prost(uint64, tag = "10")]
+    pub era: u64,
+    /// Time since the era began, in milliseconds, as far as the node knows.
+    #[prost(uint64, optional, tag = "11")]
+    pub era_age_ms: Option<u64>,
 }
 
 /// Sums over the nodes of an availability zone, made by the zone's aggregator.
@@ -103,6 +109,15 @@
     /// Time since the store last answered a node of the zone, in milliseconds.
     #[prost(uint64, optional, tag = "10")]
     pub store_age_ms: Option<u64>,
+    /// Era of the revision.
+    #[prost(uint64, tag = "11")]
+    pub era: u64,
+    /// Time since the era began, in milliseconds, as far as the node knows.
+    #[prost(uint64, optional, tag = "12")]
+    pub era_age_ms: Option<u64>,
+    /// Version of the configuration in force at the node.
+    #[prost(uint64, tag = "13")]
+    pub config_version: u64,
 }
 
 /// Admitted load, usage and work of one node, or the sums over all nodes of an availability zone.
--- a/src/ops/gateway/quarantine.rs
+++ b/src/ops/gateway/quarantine.rs
@@ -142,7 +142,11 @@
 
 /// Creates an entry, unless the store has one already.
 async fn create(state: &GatewayState, store: &Arc<dyn Store>, value: EntryValue) -> Result<()> {
-    let put = Transaction::compare_and_swap(&keys::quarantine(value.id()), 0, encode(&value)?);
+    let put = Transaction::compare_and_swap(
+        &keys::quarantine(value.id()),
+        Revision::NONE,
+        encode(&value)?,
+    );
     let reply = store.transact(put).await?;
     if reply.succeeded {
         state.quarantine.lock().apply(value, reply.revision);
@@ -213,7 +217,7 @@
             let value = EntryValue::from(wire);
             tracing::info!(
                 part_ids = hex(&value.parts),
-                revision = item.mod_revision,
+                revision = %item.mod_revision,
                 probe_at_ms = value.probe_at,
                 "quarantine entry listed"
             );
--- a/src/ops/gateway/register.rs
+++ b/src/ops/gateway/register.rs
@@ -20,6 +20,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Time after a write within which the entry has arrived in this node's view of the store.
 const WRITE_VISIBLE_WITHIN: Moment = Moment::from_secs(3);
+/// Time over which nodes whose entries the store has lost write them again, for each node of the fleet.
+const SPREAD_PER_NODE: Duration = Duration::from_millis(10);
 /// Initial backoff after a failure.
 const INITIAL_BACKOFF: Duration = Duration::from_millis(350);
 /// Upper bound of the backoff.
@@ -72,7 +74,8 @@
         let Some(lease) = self.lease.lock().await.take() else {
             return;
         };
-        if let Err(e) = lease.close().await {
+        let era = self.state.view.lock().revision.era;
+        if let Err(e) = lease.close(era).await {
             tracing::warn!(error = %e, "failed to revoke the lease; the node's entry stays in the store until the lease expires");
         }
     }
@@ -83,6 +86,12 @@
             return Ok(());
         }
         let mut lease = self.lease.lock().await;
+        if self.is_lost_in_restore(lease.as_ref()) {
+            *lease = None;
+            let nodes = self.state.node_count() as u32;
+            let spread = SPREAD_PER_NODE * nodes;
+            tokio::time::sleep(spread.mul_f64(rand::random())).await;
+        }
         let known = lease.as_ref().and_then(LeaseKeeper::get);
         let id = match known {
             Some(known) => known.id,
@@ -110,6 +119,14 @@
         Ok(())
     }
 
+    /// Returns whether the store has come back from a copy without this node's entry.
+    fn is_lost_in_restore(&self, lease: Option<&LeaseKeeper>) -> bool {
+        let view = self.state.view.lock();
+        let key = keys::node(&self.state.settings.name);
+        let lease = lease.and_then(LeaseKeeper::get);
+        lease.is_some_and(|lease| lease.era < view.revision.era) && view.get(&key).is_none()
+    }
+
     async fn put_entry(&self, lease: LeaseId) -> Result<()> {
         let value =
             node_wire::encode(self.state.own_member()).map_err(|e| StoreError::Refused {
--- a/src/ops/gateway/snapshot.rs
+++ b/src/ops/gateway/snapshot.rs
@@ -18,8 +18,9 @@
 use super::relay::FetchTime;
 use super::state::GatewayState;
 use super::view::{Deletion, KeyHash, Removals, Versioned};
+use crate::core::gateway::members::StoreKnowledge;
 use crate::core::time::Moment;
-use crate::sources::store::{Key, KeyValue};
+use crate::sources::store::{Key, KeyValue, Revision};
 use crate::util::query;
 use crate::util::time::as_millis_u64;
 
@@ -52,7 +53,7 @@
 /// A node's view of the store, or the changes since a revision.
 #[derive(Clone, PartialEq, Message)]
 pub struct SnapshotWire {
-    /// Revision up to which all changes are included.
+    /// Number of the revision up to which all changes are included.
     #[prost(uint64, tag = "1")]
     pub revision: u64,
     /// Keys with their values, written since the requested revision.
@@ -78,6 +79,12 @@
     /// All of the above as an LZ4 block preceded by its length, in place of the other fields.
     #[prost(bytes = "bytes", tag = "8")]
     pub packed: Bytes,
+    /// Era of the revision.
+    #[prost(uint64, tag = "9")]
+    pub era: u64,
+    /// Time since the era began, in milliseconds, as far as the node knows.
+    #[prost(uint64, optional, tag = "10")]
+    pub era_age_ms: Option<u64>,
 }
 
 /// A key with its value.
@@ -89,15 +96,18 @@
     /// The value; if `is_packed` is set, compressed as an LZ4 block preceded by its length.
     #[prost(bytes = "bytes", tag = "2")]
     pub value: Bytes,
-    /// Revision of the last change.
+    /// Number of the revision of the last change.
     #[prost(uint64, tag = "3")]
     pub revision: u64,
-    /// Revision at which the key was created.
+    /// Number of the revision at which the key was created.
     #[prost(uint64, tag = "4")]
     pub created: u64,
     /// Whether the value is compressed.
     #[prost(bool, tag = "5")]
     pub is_packed: bool,
+    /// Era of both revisions.
+    #[prost(uint64, tag = "6")]
+    pub era: u64,
 }
 
 /// A key that was deleted.
@@ -106,9 +116,12 @@
     /// The key.
     #[prost(string, tag = "1")]
     pub key: String,
-    /// Revision of the deletion.
+    /// Number of the revision of the deletion.
     #[prost(uint64, tag = "2")]
     pub revision: u64,
+    /// Era of the revision.
+    #[prost(uint64, tag = "3")]
+    pub era: u64,
 }
 
 impl TryFrom<ItemWire> for KeyValue {
@@ -121,11 +134,15 @@
                 .into(),
             false => wire.value,
         };
+        let in_era = |number| Revision {
+            era: wire.era,
+            number,
+        };
         Ok(Self {
             key: wire.key.into(),
             value,
-            create_revision: wire.created,
-            mod_revision: wire.revision,
+            create_revision: in_era(wire.created),
+            mod_revision: in_era(wire.revision),
             version: 0,
             lease: None,
         })
@@ -141,9 +158,10 @@
                 true => lz4_flex::compress_prepend_size(&item.value).into(),
                 false => item.value,
             },
-            revision: item.revision,
-            created: item.created,
+            revision: item.revision.number,
+            created: item.created.number,
             is_packed,
+            era: item.revision.era,
         }
     }
 }
@@ -152,7 +170,8 @@
     fn from(deletion: Deletion) -> Self {
         Self {
             key: deletion.key.into(),
-            revision: deletion.revision,
+            revision: deletion.revision.number,
+            era: deletion.revision.era,
         }
     }
 }
@@ -161,19 +180,39 @@
     fn from(wire: DeletionWire) -> Self {
         Self {
             key: wire.key.into(),
-            revision: wire.revision,
+            revision: Revision {
+                era: wire.era,
+                number: wire.revision,
+            },
         }
     }
 }
 
-/// Responds to a node that knows all changes up to the query's `after`, with the changes since then. If
-/// there are none, waits for a change, for the query's `wait_ms` at most.
+impl SnapshotWire {
+    /// Returns the revision up to which all changes are included.
+    pub fn revision(&self) -> Revision {
+        Revision {
+            era: self.era,
+            number: self.revision,
+        }
+    }
+}
+
+/// Responds to a node that knows all changes up to the revision `era` and `after` of the query and has the
+/// configuration of version `config`, with the changes since then. If there are none, waits for a change, for
+/// the query's `wait_ms` at most.
 pub async fn respond(state: &GatewayState, query: &str) -> Vec<u8> {
-    let after = query_number(query, "after");
+    let asking = StoreKnowledge {
+        revision: Revision {
+            era: query_number(query, "era"),
+            number: query_number(query, "after"),
+        },
+        config_version: query_number(query, "config"),
+    };
     let wait = Duration::from_millis(query_number(query, "wait_ms"));
     let started = state.now();
     let mut revision = state.revision.subscribe();
-    let changed = revision.wait_for(|known| *known > after);
+    let changed = revision.wait_for(|_| state.knowledge().is_ahead_of(&asking));
     // If nothing changes within the wait, the response contains no changes.
     let _ = tokio::time::timeout(wait, changed)
         .await
@@ -181,7 +220,7 @@
     let waited = state.now().saturating_sub(started);
     let snapshot = SnapshotWire {
         waited_ms: as_millis_u64(waited),
-        ..encode(state, after)
+        ..encode(state, asking)
     };
     let text = snapshot.encode_to_vec();
     match query_number(query, "may_pack") == 1 && text.len() >= MIN_COMPRESSED_BYTES {
@@ -213,22 +252,33 @@
         .unwrap_or(0)
 }
 
-fn encode(state: &GatewayState, after: u64) -> SnapshotWire {
+fn encode(state: &GatewayState, asking: StoreKnowledge) -> SnapshotWire {
     let now = state.now();
+    let own = state.knowledge();
+    let contact = *state.contact.lock();
     let view = state.view.lock();
-    let view_age = state.contact.lock().view_age(now);
-    let changes = view.changes_since(after);
+    let mut changes = view.changes_since(asking.revision);
+    if own.config_version > asking.config_version {
+        let key = state.dialect.config_key();
+        let is_included = changes.items.iter().any(|(item, _)| &**item == key);
+        let table = view.get(key).filter(|_| !is_included);
+        changes
+            .items
+            .extend(table.map(|item| (key.into(), item.clone())));
+    }
     let is_whole = matches!(changes.removals, Removals::AllExcept(_));
     let (deletions, kept) = match changes.removals {
         Removals::Deleted(deletions) => (deletions, Vec::new()),
         Removals::AllExcept(kept) => (Vec::new(), kept),
     };
     SnapshotWire {
-        revision: view.revision,
+        revision: view.revision.number,
+        era: view.revision.era,
+        era_age_ms: contact.era_age(view.revision.era, now).map(as_millis_u64),
         items: changes.items.into_iter().map(Into::into).collect(),
         is_whole,
         deletions: deletions.into_iter().map(Into::into).collect(),
-        contact_age_ms: view_age.map(as_millis_u64),
+        contact_age_ms: contact.view_age(now).map(as_millis_u64),
         kept,
         ..SnapshotWire::default()
     }
@@ -238,7 +288,7 @@
 /// dropped.
 pub async fn run(state: Arc<GatewayState>, mesh: Arc<Mesh>, client: Client) {
     fetch_from_seeds(&state, &client).await;
-    let mut newest = mesh.newest_revision();
+    let mut newest = mesh.newer_knowledge();
     loop {
         if newest.changed().await.is_err() {
             return;
@@ -254,7 +304,7 @@
 /// responds.
 async fn catch_up(state: &GatewayState, client: &Client) {
     for _ in 0..MAX_PEERS_ASKED {
-        let known = state.view.lock().revision;
+        let known = state.knowledge();
         let peer = {
             let members = state.members.lock();
             members
@@ -289,7 +339,7 @@
             }
             if copy_view(state, client, *seed, left).await {
                 let revision = state.view.lock().revision;
-                tracing::info!(peer = %seed, revision, "view of the store copied from a node");
+                tracing::info!(peer = %seed, %revision, "view of the store copied from a node");
                 return true;
             }
         }
@@ -347,12 +397,15 @@
     control: SocketAddr,
     time: FetchTime,
 ) -> eyre::Result<SnapshotWire> {
-    let after = state.view.lock().revision;
+    let StoreKnowledge {
+        revision: Revision { era, number: after },
+        config_version,
+    } = state.knowledge();
     let wait_ms = time.wait.as_millis();
     let started = state.now();
     let res = client
         .get(format!(
-            "http://{control}{PATH}?after={after}&wait_ms={wait_ms}&may_pack=1"
+            "http://{control}{PATH}?after={after}&era={era}&config={config_version}&wait_ms={wait_ms}&may_pack=1"
         ))
         .timeout(time.timeout)
         .send()
@@ -363,11 +416,12 @@
     let transfer = took.saturating_sub(snapshot.waited_ms);
     let with_transfer = |age_ms: u64| age_ms.saturating_add(transfer);
     snapshot.contact_age_ms = snapshot.contact_age_ms.map(with_transfer);
+    snapshot.era_age_ms = snapshot.era_age_ms.map(with_transfer);
     Ok(snapshot)
 }
 
-/// Applies a snapshot from another node if it is newer than this node's view. In any case the view then
-/// contains all that the other node's view did.
+/// Applies a snapshot from another node if it is newer than this node's view, or else its configuration if that
+/// is newer. In any case the view then contains all that the other node's view did.
 pub fn apply(state: &GatewayState, snapshot: SnapshotWire, peer: SocketAddr) {
     let age = snapshot.contact_age_ms.map(Duration::from_millis);
     let confirmed_at = age.map(|age| state.now().saturating_sub(age));
@@ -375,7 +429,16 @@
         // Before the changes, as these may be due to an outage that ends with this contact.
         state.contact.lock().record_any_answer(at);
     }
-    if snapshot.revision > state.view.lock().revision && !apply_changes(state, snapshot, peer) {
+    if let Some(age_ms) = snapshot.era_age_ms {
+        let began_at = state.now().saturating_sub(Duration::from_millis(age_ms));
+        state.contact.lock().record_era(snapshot.era, began_at);
+    }
+    let is_newer = snapshot.revision() > state.view.lock().revision;
+    let is_applied = match is_newer {
+        true => apply_changes(state, snapshot, peer),
+        false => apply_table(state, snapshot, peer),
+    };
+    if !is_applied {
         return;
     }
     if let Some(at) = confirmed_at {
@@ -383,17 +446,35 @@
     }
 }
 
+fn decode_items(items: Vec<ItemWire>, peer: SocketAddr) -> Option<Vec<KeyValue>> {
+    let items = items.into_iter().map(TryInto::try_into);
+    items
+        .collect::<eyre::Result<_>>()
+        .inspect_err(
+            |e| tracing::warn!(%peer, error = %format!("{e:#}"), "cannot decode a snapshot"),
+        )
+        .ok()
+}
+
+/// Applies the configuration of a snapshot that is not newer otherwise. Returns whether it could be decoded.
+fn apply_table(state: &GatewayState, mut snapshot: SnapshotWire, peer: SocketAddr) -> bool {
+    let key = state.dialect.config_key();
+    snapshot.items.retain(|item| item.key == key);
+    let Some(items) = decode_items(snapshot.items, peer) else {
+        return false;
+    };
+    for item in &items {
+        install::put(state, item, Source::Peer);
+    }
+    true
+}
+
 /// Applies the changes of a snapshot. Returns whether they could be decoded.
 fn apply_changes(state: &GatewayState, snapshot: SnapshotWire, peer: SocketAddr) -> bool {
-    let revision = snapshot.revision;
+    let revision = snapshot.revision();
     let count = snapshot.items.len() + snapshot.deletions.len();
-    let items = snapshot.items.into_iter().map(TryInto::try_into);
-    let items = match items.collect::<eyre::Result<Vec<KeyValue>>>() {
-        Ok(items) => items,
-        Err(e) => {
-            tracing::warn!(%peer, error = %format!("{e:#}"), "cannot decode a snapshot");
-            return false;
-        }
+    let Some(items) = decode_items(snapshot.items, peer) else {
+        return false;
     };
     if snapshot.is_whole {
         install::apply_listing(state, &items, &snapshot.kept, revision, Source::Peer);
@@ -406,6 +487,6 @@
         }
         state.set_revision(revision);
     }
-    tracing::debug!(%peer, revision, changes = count, "snapshot of a node applied");
+    tracing::debug!(%peer, %revision, changes = count, "snapshot of a node applied");
     true
 }
--- a/src/ops/gateway/state.rs
+++ b/src/ops/gateway/state.rs
@@ -12,7 +12,7 @@
 use super::view::View;
 use crate::core::gateway::backends::Backends;
 use crate::core::gateway::clock::ClockMedian;
-use crate::core::gateway::members::{Capacity, Member, Members};
+use crate::core::gateway::members::{Capacity, Member, Members, StoreKnowledge};
 use crate::core::gateway::placement::Regions;
 use crate::core::gateway::quarantine::Quarantine;
 use crate::core::gateway::quota::QuotaShares;
@@ -22,6 +22,7 @@
 use crate::core::gateway::usage::{Counts, UsageCounts, Window};
 use crate::core::gateway::work::WorkRates;
 use crate::core::time::{Moment, UnixMillis};
+use crate::sources::store::Revision;
 use crate::util::settings::GatewaySettings;
 use crate::util::time::{since_boot, unix_now};
 
@@ -67,7 +68,7 @@
     /// Contact with the store.
     pub contact: Mutex<StoreContact>,
     /// Revision of the store up to which the view is complete.
-    pub revision: watch::Sender<u64>,
+    pub revision: watch::Sender<Revision>,
     /// Phase of the process.
     pub phase: watch::Sender<Phase>,
     /// Calls that are being served.
@@ -106,7 +107,7 @@
             clock: Mutex::default(),
             view: Mutex::default(),
             contact: Mutex::new(StoreContact::new(since_boot())),
-            revision: watch::Sender::new(0),
+            revision: watch::Sender::new(Revision::NONE),
             phase: watch::Sender::new(Phase::Starting),
             active: AtomicU64::new(0),
             regions,
@@ -185,7 +186,7 @@
     }
 
     /// Marks the view as complete up to a revision and wakes the tasks that wait for it.
-    pub fn set_revision(&self, revision: u64) {
+    pub fn set_revision(&self, revision: Revision) {
         {
             let mut view = self.view.lock();
             view.revision = view.revision.max(revision);
@@ -199,6 +200,14 @@
         self.contact.lock().view_age(self.now())
     }
 
+    /// Returns what this node knows of the store.
+    pub fn knowledge(&self) -> StoreKnowledge {
+        StoreKnowledge {
+            revision: self.view.lock().revision,
+            config_version: self.table().map_or(0, |table| table.version),
+        }
+    }
+
     /// Returns the number of known nodes.
     pub fn node_count(&self) -> usize {
         self.members.lock().count()
--- a/src/ops/gateway/view.rs
+++ b/src/ops/gateway/view.rs
@@ -83,13 +83,18 @@
         if self.last_change(&item.key) >= Some(item.mod_revision) {
             return false;
         }
+        self.replace(item);
+        true
+    }
+
+    /// Stores a value also if a newer change of the key is known.
+    pub fn replace(&mut self, item: &KeyValue) {
         let value = Versioned {
             revision: item.mod_revision,
             created: item.create_revision,
             value: item.value.clone(),
         };
         self.items.insert(item.key.clone(), value);
-        true
     }
 
     /// Applies a deletion unless a newer value or deletion of the key is known. Returns whether the key was
--- a/src/ops/keep_fleet/lease.rs
+++ b/src/ops/keep_fleet/lease.rs
@@ -10,8 +10,8 @@
 use crate::core::time::Moment;
 use crate::core::verdict::Verdict;
 use crate::sources::store::{
-    Compare, Condition, Key, KeyRange, LeaseId, Op, RangeRequest, Result, Store, StoreError,
-    Transaction,
+    Compare, Condition, Key, KeyRange, LeaseId, Op, RangeRequest, Result, Revision, Store,
+    StoreError, Transaction,
 };
 
 /// Prefix of the keys that name the keepers; one key per zone.
@@ -130,7 +130,7 @@
         let claim = Transaction {
             compares: vec![Compare {
                 key: self.key.clone(),
-                condition: Condition::CreateRevision(0),
+                condition: Condition::CreateRevision(Revision::NONE),
             }],
             then: vec![Op::Put {
                 key: self.key.clone(),
@@ -140,7 +140,7 @@
             otherwise: vec![Op::Get(KeyRange::One(self.key.clone()))],
         };
         match self.store.transact(claim).await {
-            Ok(reply) if reply.succeeded => Ok(Some(reply.revision)),
+            Ok(reply) if reply.succeeded => Ok(Some(reply.revision.fencing_token())),
             Ok(_) => Ok(None),
             Err(e) if e.verdict() == Verdict::MayHaveRun => self.read_back().await,
             Err(e) => Err(e),
@@ -151,7 +151,7 @@
     async fn read_back(&self) -> Result<Option<FencingNumber>> {
         let found = self.store.range(RangeRequest::one(&self.key)).await?;
         let own_entry = found.entries.iter().find(|kv| kv.value == self.value());
-        Ok(own_entry.map(|kv| kv.create_revision))
+        Ok(own_entry.map(|kv| kv.create_revision.fencing_token()))
     }
 
     fn value(&self) -> Bytes {
--- a/src/ops/ledger/persist.rs
+++ b/src/ops/ledger/persist.rs
@@ -53,7 +53,7 @@
     let reply = store.transact(req).await?;
     let mut found = reply.results.into_iter().map(first_entry);
     let (revision, head) = match found.next().flatten() {
-        Some(entry) => (entry.mod_revision, Head::decode(&entry.value)?),
+        Some(entry) => (entry.mod_revision.number, Head::decode(&entry.value)?),
         None => (0, Head::default()),
     };
     let pages: Result<Vec<_>, CodecError> = epochs
@@ -83,7 +83,7 @@
 pub(super) async fn commit(store: &dyn Store, shard: ShardIndex, commit: Commit) -> StoreAnswer {
     let req = transaction(shard, &commit);
     StoreAnswer::Committed(match store.transact(req).await {
-        Ok(reply) if reply.succeeded => CommitResult::Applied(reply.revision),
+        Ok(reply) if reply.succeeded => CommitResult::Applied(reply.revision.number),
         Ok(_) => CommitResult::Conflict,
         Err(StoreError::AnswerLost { .. }) => CommitResult::Unknown,
         Err(_) => CommitResult::NotApplied,
@@ -103,7 +103,7 @@
     Transaction {
         compares: vec![Compare {
             key: head_key(shard),
-            condition: Condition::ModRevision(commit.expected),
+            condition: Condition::ModRevision(commit.expected.into()),
         }],
         then: std::iter::once(put(head_key(shard), commit.head.encode()))
             .chain(puts)
--- a/src/ops/publish/archive.rs
+++ b/src/ops/publish/archive.rs
@@ -34,7 +34,7 @@
 pub struct StoredHead {
     /// Head, or `None` before the first publication.
     pub head: Option<Head>,
-    /// Store revision of the last write of the head; 0 before the first publication.
+    /// Store revision of the last write of the head; [`Revision::NONE`] before the first publication.
     pub mod_revision: Revision,
 }
 
@@ -84,7 +84,7 @@
         let Some(entry) = reply.entries.first() else {
             return Ok(StoredHead {
                 head: None,
-                mod_revision: 0,
+                mod_revision: Revision::NONE,
             });
         };
         Ok(StoredHead {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -1,8 +1,6 @@
 //! Client of the platform's key-value store: conditional writes, leases and long polling over HTTP with JSON
 //! bodies.
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use base64::Engine as _;
@@ -15,8 +13,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::sources::store::{
-    CallRate, CallRateLimiter, Compare, Condition, KeyRange, KeyValue, LeaseGrant, LeaseId, Op,
-    OpResult, RangeReply, RangeRequest, Result, Revision, Store, StoreError, Transaction,
+    CallRate, CallRateLimiter, Compare, Condition, Era, KeyRange, KeyValue, LeaseGrant, LeaseId,
+    Op, OpResult, RangeReply, RangeRequest, Result, Revision, Store, StoreError, Transaction,
     TransactionReply, WatchEvent, WatchRequest, WatchStream,
 };
 
@@ -49,27 +47,15 @@
     client: Client,
     base: Box<str>,
     budget: CallRateLimiter,
-    era: Arc<EraLog>,
 }
 
-/// Header with the number of times that the store has come back from an older copy.
+/// Header with the era of the store, in all its answers.
 const ERA: HeaderName = HeaderName::from_static("store-era");
 
-/// Logs when the store comes back from an older copy.
-#[derive(Debug, Default)]
-struct EraLog(AtomicU64);
-
-impl EraLog {
-    fn record(&self, res: &Response) {
-        let value = res.headers().get(ERA).and_then(|value| value.to_str().ok());
-        let Some(era) = value.and_then(|value| value.parse().ok()) else {
-            return;
-        };
-        let before = self.0.fetch_max(era, Ordering::Relaxed);
-        if before < era {
-            tracing::warn!(era, before, url = %res.url(), status = res.status().as_u16(), "the store answers from another era");
-        }
-    }
+/// An answer of the store.
+struct Answer<T> {
+    era: Era,
+    body: T,
 }
 
 #[derive(Deserialize)]
@@ -80,9 +66,9 @@
     value: Box<str>,
     /// Revision of the last change.
     #[serde(default)]
-    revision: Revision,
+    revision: u64,
     #[serde(default)]
-    create_rev: Revision,
+    create_rev: u64,
     /// Lease of the key; 0 means none.
     #[serde(default)]
     lease: LeaseId,
@@ -97,7 +83,7 @@
     #[serde(default)]
     truncated: bool,
     /// Revision of the store.
-    as_of: Revision,
+    as_of: u64,
 }
 
 #[derive(Deserialize)]
@@ -106,20 +92,20 @@
     #[serde(flatten)]
     item: ItemWire,
     #[serde(default)]
-    as_of: Revision,
+    as_of: u64,
 }
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct EventsWire {
     events: Vec<ItemWire>,
-    as_of: Revision,
+    as_of: u64,
 }
 
 #[derive(Serialize)]
 struct ConditionWire {
     key: Box<str>,
-    revision: Revision,
+    revision: u64,
 }
 
 #[derive(Serialize)]
@@ -140,7 +126,7 @@
 
 #[derive(Deserialize)]
 struct WrittenWire {
-    revision: Revision,
+    revision: u64,
 }
 
 #[derive(Deserialize)]
@@ -162,20 +148,20 @@
     ttl_ms: u64,
 }
 
-impl TryFrom<ItemWire> for KeyValue {
-    type Error = StoreError;
-
-    fn try_from(wire: ItemWire) -> Result<Self> {
+impl ItemWire {
+    /// Converts an item in an answer of this era.
+    fn into_key_value(self, era: Era) -> Result<KeyValue> {
         let value = STANDARD
-            .decode(wire.value.as_bytes())
-            .map_err(|e| answer_lost(format!("the value of {} is not base64: {e}", wire.key)))?;
-        Ok(Self {
-            key: wire.key,
+            .decode(self.value.as_bytes())
+            .map_err(|e| answer_lost(format!("the value of {} is not base64: {e}", self.key)))?;
+        let in_era = |number| Revision { era, number };
+        Ok(KeyValue {
+            key: self.key,
             value: value.into(),
-            create_revision: wire.create_rev,
-            mod_revision: wire.revision,
+            create_revision: in_era(self.create_rev),
+            mod_revision: in_era(self.revision),
             version: 0,
-            lease: (wire.lease != 0).then_some(wire.lease),
+            lease: (self.lease != 0).then_some(self.lease),
         })
     }
 }
@@ -185,8 +171,8 @@
 
     fn try_from(compare: &Compare) -> Result<Self> {
         let revision = match compare.condition {
-            Condition::ModRevision(revision) => revision,
-            Condition::CreateRevision(0) | Condition::Version(0) => 0,
+            Condition::ModRevision(revision) => revision.number,
+            Condition::CreateRevision(Revision::NONE) | Condition::Version(0) => 0,
             other => return Err(unsupported(format!("{other:?}"))),
         };
         Ok(Self {
@@ -253,7 +239,6 @@
             client,
             base: cfg.base.trim_end_matches('/').into(),
             budget: CallRateLimiter::new(cfg.calls),
-            era: Arc::default(),
         })
     }
 
@@ -263,7 +248,7 @@
             .timeout(CALL_TIMEOUT)
     }
 
-    async fn fetch_page(&self, prefix: &str, after: Option<&str>) -> Result<PageWire> {
+    async fn fetch_page(&self, prefix: &str, after: Option<&str>) -> Result<Answer<PageWire>> {
         let mut req = self
             .request(Method::GET, "/kv-range")
             .query(&[("pathPrefix", prefix)]);
@@ -274,23 +259,28 @@
     }
 
     async fn get_prefix(&self, prefix: &str) -> Result<RangeReply> {
-        let first = self.fetch_page(prefix, None).await?;
+        let Answer { era, body: first } = self.fetch_page(prefix, None).await?;
         // The first page's revision: a watch from there also reports changes that were made between pages.
-        let revision = first.as_of;
+        let revision = Revision {
+            era,
+            number: first.as_of,
+        };
         let mut more = first.truncated;
         let mut items = first.items;
         while more {
             let last = items.last().map(|item| item.key.clone());
-            let page = self.fetch_page(prefix, last.as_deref()).await?;
-            more = page.truncated && !page.items.is_empty();
-            items.extend(page.items);
+            let Answer { era: later, body } = self.fetch_page(prefix, last.as_deref()).await?;
+            if later != era {
+                return Err(answer_lost(format!(
+                    "the store moved from era {era} to {later} between two pages"
+                )));
+            }
+            more = body.truncated && !body.items.is_empty();
+            items.extend(body.items);
         }
         Ok(RangeReply {
             revision,
-            entries: items
-                .into_iter()
-                .map(TryInto::try_into)
-                .collect::<Result<_>>()?,
+            entries: key_values(items, era)?,
         })
     }
 
@@ -299,14 +289,20 @@
         let res = self.send(req).await?;
         if res.status() == StatusCode::NOT_FOUND {
             return Ok(RangeReply {
-                revision: 0,
+                revision: Revision {
+                    era: era_of(&res),
+                    number: 0,
+                },
                 entries: Vec::new(),
             });
         }
-        let reply: KeyWire = read_json(check_status(res)?).await?;
+        let Answer { era, body } = read_json::<KeyWire>(check_status(res)?).await?;
         Ok(RangeReply {
-            revision: reply.as_of,
-            entries: vec![reply.item.try_into()?],
+            revision: Revision {
+                era,
+                number: body.as_of,
+            },
+            entries: vec![body.item.into_key_value(era)?],
         })
     }
 
@@ -316,25 +312,27 @@
             .send(self.request(Method::POST, "/kv-txn").json(&wire))
             .await?;
         if res.status() == StatusCode::PRECONDITION_FAILED {
-            let conflict: ConflictWire = read_json(res).await?;
-            let current = conflict
-                .items
-                .into_iter()
-                .filter(|item| !item.deleted && item.revision > 0)
-                .map(TryInto::try_into)
-                .collect::<Result<_>>()?;
+            let Answer { era, body } = read_json::<ConflictWire>(res).await?;
+            let current = body.items.into_iter();
+            let current = current.filter(|item| !item.deleted && item.revision > 0);
             return Ok(TransactionReply {
-                revision: 0,
+                revision: Revision { era, number: 0 },
                 succeeded: false,
-                results: vec![OpResult::Got(current)],
+                results: vec![OpResult::Got(key_values(current, era)?)],
             });
         }
         if res.status() == StatusCode::NOT_FOUND {
             return Err(StoreError::LeaseNotFound);
         }
-        let written: WrittenWire = read_json(check_status(res)?).await?;
+        let Answer { era, body } = read_json::<WrittenWire>(check_status(res)?).await?;
+        if req.is_based_on_other_era(era) {
+            return Err(StoreError::Restored { era });
+        }
         Ok(TransactionReply {
-            revision: written.revision,
+            revision: Revision {
+                era,
+                number: body.revision,
+            },
             succeeded: true,
             results: req
                 .then
@@ -347,7 +345,7 @@
         })
     }
 
-    async fn lease_call<T: DeserializeOwned>(&self, req: RequestBuilder) -> Result<T> {
+    async fn lease_call<T: DeserializeOwned>(&self, req: RequestBuilder) -> Result<Answer<T>> {
         let res = self.send(req).await?;
         if res.status() == StatusCode::NOT_FOUND {
             return Err(StoreError::LeaseNotFound);
@@ -357,9 +355,7 @@
 
     async fn send(&self, req: RequestBuilder) -> Result<Response> {
         self.budget.take().await?;
-        let res = send(req).await?;
-        self.era.record(&res);
-        Ok(res)
+        send(req).await
     }
 }
 
@@ -379,7 +375,9 @@
         StatusCode::TOO_MANY_REQUESTS => Err(StoreError::RateLimited {
             retry_after: RATE_LIMIT_PAUSE,
         }),
-        StatusCode::GONE => Err(StoreError::Compacted { revision: 0 }),
+        StatusCode::GONE => Err(StoreError::Compacted {
+            revision: Revision::NONE,
+        }),
         status if status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE => {
             Err(StoreError::Refused {
                 cause: status.to_string().into(),
@@ -389,10 +387,27 @@
     }
 }
 
-async fn read_json<T: DeserializeOwned>(res: Response) -> Result<T> {
-    let body = res.bytes().await.map_err(|e| answer_lost(e.to_string()))?;
-    serde_json::from_slice(&body)
-        .map_err(|e| answer_lost(format!("an answer of another form: {e}")))
+async fn read_json<T: DeserializeOwned>(res: Response) -> Result<Answer<T>> {
+    let era = era_of(&res);
+    let text = res.bytes().await.map_err(|e| answer_lost(e.to_string()))?;
+    let body = serde_json::from_slice(&text)
+        .map_err(|e| answer_lost(format!("an answer of another form: {e}")))?;
+    Ok(Answer { era, body })
+}
+
+/// Returns the era that an answer names; 0 if it names none.
+fn era_of(res: &Response) -> Era {
+    let value = res.headers().get(ERA);
+    let era = value.and_then(|value| value.to_str().ok()?.trim().parse().ok());
+    era.unwrap_or_else(|| {
+        tracing::debug!(?value, "an answer of the store names no era");
+        0
+    })
+}
+
+fn key_values(items: impl IntoIterator<Item = ItemWire>, era: Era) -> Result<Vec<KeyValue>> {
+    let items = items.into_iter();
+    items.map(|item| item.into_key_value(era)).collect()
 }
 
 /// State of a watch between two polls.
@@ -402,7 +417,6 @@
     prefix: Box<str>,
     after: Revision,
     has_events: bool,
-    era: Arc<EraLog>,
 }
 
 impl Watch {
@@ -411,7 +425,7 @@
             tokio::time::sleep(POLL_PAUSE).await;
         }
         let wait_ms = WATCH_WAIT.as_millis().to_string();
-        let after = self.after.to_string();
+        let after = self.after.number.to_string();
         let req = self
             .client
             .get(&self.url)
@@ -421,20 +435,32 @@
                 ("waitMs", &wait_ms),
             ])
             .timeout(WATCH_WAIT + WATCH_TIMEOUT_MARGIN);
-        let res = send(req).await?;
-        self.era.record(&res);
-        let page: EventsWire = read_json(check_status(res)?).await?;
-        self.after = self.after.max(page.as_of);
-        self.has_events = !page.events.is_empty();
-        let mut events = Vec::with_capacity(page.events.len() + 1);
-        for item in page.events {
+        let res = check_status(send(req).await?)?;
+        let Answer { era, body } = read_json::<EventsWire>(res).await?;
+        if self.after != Revision::NONE && era != self.after.era {
+            // The store accepts a revision of another era once it has given out its number again.
+            return Err(StoreError::Compacted {
+                revision: Revision { era, number: 0 },
+            });
+        }
+        let as_of = Revision {
+            era,
+            number: body.as_of,
+        };
+        self.after = self.after.max(as_of);
+        self.has_events = !body.events.is_empty();
+        let mut events = Vec::with_capacity(body.events.len() + 1);
+        for item in body.events {
             events.push(if item.deleted {
                 WatchEvent::Deleted {
                     key: item.key,
-                    revision: item.revision,
+                    revision: Revision {
+                        era,
+                        number: item.revision,
+                    },
                 }
             } else {
-                WatchEvent::Put(item.try_into()?)
+                WatchEvent::Put(item.into_key_value(era)?)
             });
         }
         // Sent also without events: confirms that the store answered and that all changes up to this revision
@@ -466,10 +492,11 @@
                 ttl_ms: ttl.as_millis() as u64,
             };
             let req = self.request(Method::POST, "/kv-lease").json(&body);
-            let grant: GrantWire = self.lease_call(req).await?;
+            let Answer { era, body } = self.lease_call::<GrantWire>(req).await?;
             Ok(LeaseGrant {
-                id: grant.lease,
-                ttl: Duration::from_millis(grant.ttl_ms),
+                id: body.lease,
+                ttl: Duration::from_millis(body.ttl_ms),
+                era,
             })
         })
     }
@@ -477,10 +504,11 @@
     fn keep_alive(&self, lease: LeaseId) -> BoxFuture<'_, Result<LeaseGrant>> {
         Box::pin(async move {
             let req = self.request(Method::POST, &format!("/kv-keep/{lease}"));
-            let ttl: TtlWire = self.lease_call(req).await?;
+            let Answer { era, body } = self.lease_call::<TtlWire>(req).await?;
             Ok(LeaseGrant {
                 id: lease,
-                ttl: Duration::from_millis(ttl.ttl_ms),
+                ttl: Duration::from_millis(body.ttl_ms),
+                era,
             })
         })
     }
@@ -502,9 +530,11 @@
                 client: self.client.clone(),
                 url: format!("{}/kv-watch", self.base),
                 prefix: req.range.start().into(),
-                after: req.from.map_or(0, |from| from.saturating_sub(1)),
+                after: req.from.map_or(Revision::NONE, |from| Revision {
+                    number: from.number.saturating_sub(1),
+                    ..from
+                }),
                 has_events: false,
-                era: Arc::clone(&self.era),
             };
             let polls = futures::stream::unfold(Some(watch), |watch| async move {
                 let mut watch = watch?;
--- a/src/sources/store/error.rs
+++ b/src/sources/store/error.rs
@@ -4,7 +4,7 @@
 
 use thiserror::Error;
 
-use super::types::Revision;
+use super::types::{Era, Revision};
 use crate::core::verdict::Verdict;
 
 /// Why a call to the store failed, and whether it may have taken effect nevertheless.
@@ -36,6 +36,13 @@
         /// Error message of the store.
         cause: Box<str>,
     },
+    /// The store has come back from an older copy since the revision in a condition of the call. The call
+    /// may have taken effect, as a revision of the same number may be that of another value.
+    #[error("the store has come back from an older copy, in era {era}")]
+    Restored {
+        /// Era of the store.
+        era: Era,
+    },
     /// The lease has expired. The call did not take effect.
     #[error("the lease has ended")]
     LeaseNotFound,
@@ -54,7 +61,7 @@
     /// Returns whether the call may have taken effect.
     pub fn verdict(&self) -> Verdict {
         match self {
-            Self::AnswerLost { .. } => Verdict::MayHaveRun,
+            Self::AnswerLost { .. } | Self::Restored { .. } => Verdict::MayHaveRun,
             Self::NotReached { .. }
             | Self::RateLimited { .. }
             | Self::Refused { .. }
--- a/src/sources/store/etcd/watch.rs
+++ b/src/sources/store/etcd/watch.rs
@@ -83,7 +83,7 @@
 
     fn read_reply(&mut self, reply: WatchReply) {
         if reply.compact_revision > 0 {
-            let revision = reply.compact_revision;
+            let revision = reply.compact_revision.into();
             self.ready
                 .push_back(Err(StoreError::Compacted { revision }));
             return;
@@ -94,7 +94,7 @@
             return;
         }
         if reply.created {
-            let revision = reply.header.revision;
+            let revision = reply.header.revision.into();
             self.ready.push_back(Ok(WatchEvent::Started { revision }));
         }
         self.ready
--- a/src/sources/store/etcd/wire.rs
+++ b/src/sources/store/etcd/wire.rs
@@ -112,8 +112,8 @@
         Ok(Self {
             key: key.into(),
             value: decode(&wire.value, "value")?.into(),
-            create_revision: wire.create_revision,
-            mod_revision: wire.mod_revision,
+            create_revision: wire.create_revision.into(),
+            mod_revision: wire.mod_revision.into(),
             version: wire.version,
             lease: (wire.lease != 0).then_some(wire.lease),
         })
@@ -136,7 +136,7 @@
 
     fn try_from(wire: RangeReply) -> Result<Self> {
         Ok(Self {
-            revision: wire.header.revision,
+            revision: wire.header.revision.into(),
             entries: key_values(wire.kvs)?,
         })
     }
@@ -165,8 +165,8 @@
 impl From<&domain::Compare> for Compare {
     fn from(compare: &domain::Compare) -> Self {
         let (target, wanted) = match compare.condition {
-            domain::Condition::ModRevision(n) => ("MOD", Wanted::ModRevision(n)),
-            domain::Condition::CreateRevision(n) => ("CREATE", Wanted::CreateRevision(n)),
+            domain::Condition::ModRevision(n) => ("MOD", Wanted::ModRevision(n.number)),
+            domain::Condition::CreateRevision(n) => ("CREATE", Wanted::CreateRevision(n.number)),
             domain::Condition::Version(n) => ("VERSION", Wanted::Version(n)),
         };
         Self {
@@ -270,7 +270,7 @@
     fn try_from(wire: TxnReply) -> Result<Self> {
         let results: Result<Vec<_>> = wire.responses.into_iter().map(TryInto::try_into).collect();
         Ok(Self {
-            revision: wire.header.revision,
+            revision: wire.header.revision.into(),
             succeeded: wire.succeeded,
             results: results?,
         })
@@ -316,6 +316,7 @@
         Ok(Self {
             id: wire.id,
             ttl: Duration::from_secs(wire.ttl_seconds),
+            era: 0,
         })
     }
 }
--- a/src/sources/store/etcd/wire_watch.rs
+++ b/src/sources/store/etcd/wire_watch.rs
@@ -24,7 +24,7 @@
         Self {
             create_request: WatchCreate {
                 range: (&req.range).into(),
-                start_revision: req.from.unwrap_or(0),
+                start_revision: req.from.map_or(0, |from| from.number),
             },
         }
     }
--- a/src/sources/store/memory/mod.rs
+++ b/src/sources/store/memory/mod.rs
@@ -16,7 +16,7 @@
 
 use super::error::{Result, StoreError};
 use super::types::{
-    LeaseGrant, LeaseId, RangeReply, RangeRequest, Transaction, TransactionReply, WatchRequest,
+    Era, LeaseGrant, LeaseId, RangeReply, RangeRequest, Transaction, TransactionReply, WatchRequest,
 };
 use super::{Store, WatchStream};
 use state::{Data, State};
@@ -144,9 +144,9 @@
         }
     }
 
-    /// Returns how often the data was restored from a copy.
-    pub fn restores(&self) -> u64 {
-        self.state.lock().restores()
+    /// Returns the era: how often the data was restored from a copy.
+    pub fn era(&self) -> Era {
+        self.state.lock().era()
     }
 
     async fn run<T>(
--- a/src/sources/store/memory/state.rs
+++ b/src/sources/store/memory/state.rs
@@ -10,8 +10,8 @@
 use crate::sources::store::MAX_VALUE_BYTES;
 use crate::sources::store::error::{Result, StoreError};
 use crate::sources::store::types::{
-    Compare, Condition, Key, KeyRange, KeyValue, LeaseGrant, LeaseId, Op, OpResult, RangeReply,
-    Revision, Transaction, TransactionReply, WatchEvent, WatchRequest,
+    Compare, Condition, Era, Key, KeyRange, KeyValue, LeaseGrant, LeaseId, Op, OpResult,
+    RangeReply, Revision, Transaction, TransactionReply, WatchEvent, WatchRequest,
 };
 
 /// Shortest time to live of a lease; the store grants leases in whole seconds.
@@ -32,7 +32,8 @@
 /// What a restore brings back.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Data {
-    revision: Revision,
+    /// Number of changes.
+    revision: u64,
     entries: BTreeMap<Key, KeyValue>,
     leases: HashMap<LeaseId, Lease>,
     last_lease: LeaseId,
@@ -43,7 +44,7 @@
 pub(super) struct State {
     data: Data,
     /// Number of restores.
-    restores: u64,
+    era: Era,
     watchers: Vec<Watcher>,
 }
 
@@ -51,7 +52,7 @@
     pub(super) fn range(&mut self, range: &KeyRange) -> RangeReply {
         self.expire();
         RangeReply {
-            revision: self.data.revision,
+            revision: self.revision(),
             entries: self.find(range),
         }
     }
@@ -63,10 +64,13 @@
         for op in ops {
             self.check(op)?;
         }
-        let next = self.data.revision + 1;
+        let next = self.revision().next();
         let results = ops.iter().map(|op| self.apply(op, next)).collect();
+        if succeeded && req.is_based_on_other_era(self.era) {
+            return Err(StoreError::Restored { era: self.era });
+        }
         Ok(TransactionReply {
-            revision: self.data.revision,
+            revision: self.revision(),
             succeeded,
             results,
         })
@@ -84,6 +88,7 @@
         LeaseGrant {
             id: self.data.last_lease,
             ttl,
+            era: self.era,
         }
     }
 
@@ -95,7 +100,11 @@
             .get_mut(&id)
             .ok_or(StoreError::LeaseNotFound)?;
         lease.deadline = Instant::now() + lease.ttl;
-        Ok(LeaseGrant { id, ttl: lease.ttl })
+        Ok(LeaseGrant {
+            id,
+            ttl: lease.ttl,
+            era: self.era,
+        })
     }
 
     pub(super) fn revoke(&mut self, id: LeaseId) -> Result<()> {
@@ -114,7 +123,7 @@
     ) -> mpsc::UnboundedReceiver<Result<WatchEvent>> {
         self.expire();
         let (tx, rx) = mpsc::unbounded_channel();
-        let revision = self.data.revision;
+        let revision = self.revision();
         let past = self
             .data
             .history
@@ -122,7 +131,8 @@
             .filter(|(at, _)| req.from.is_some_and(|from| *at >= from))
             .filter(|(_, event)| req.range.contains(key_of(event)))
             .map(|(_, event)| event.clone());
-        if req.from.is_some_and(|from| from > revision + 1) {
+        let is_unknown = |from: Revision| from.era != self.era || from > revision.next();
+        if req.from.is_some_and(is_unknown) {
             let _ = tx.send(Err(StoreError::Compacted { revision }));
             return rx;
         }
@@ -144,8 +154,15 @@
         }
     }
 
-    pub(super) fn restores(&self) -> u64 {
-        self.restores
+    pub(super) fn era(&self) -> Era {
+        self.era
+    }
+
+    fn revision(&self) -> Revision {
+        Revision {
+            era: self.era,
+            number: self.data.revision,
+        }
     }
 
     pub(super) fn leases(&self) -> Vec<(LeaseId, Duration)> {
@@ -161,7 +178,8 @@
     /// Replaces the data by an older copy. Leases of the copy begin their time to live anew.
     pub(super) fn restore(&mut self, copy: Data) {
         self.data = copy;
-        self.restores += 1;
+        self.era += 1;
+        self.move_data_to_era();
         let now = Instant::now();
         for lease in self.data.leases.values_mut() {
             lease.deadline = now + lease.ttl;
@@ -169,6 +187,24 @@
         self.break_watches();
     }
 
+    fn move_data_to_era(&mut self) {
+        let era = self.era;
+        let put = |entry: &mut KeyValue| {
+            entry.mod_revision.era = era;
+            entry.create_revision.era = era;
+        };
+        self.data.entries.values_mut().for_each(put);
+        for (at, event) in &mut self.data.history {
+            at.era = era;
+            match event {
+                WatchEvent::Started { revision } | WatchEvent::Deleted { revision, .. } => {
+                    revision.era = era;
+                }
+                WatchEvent::Put(entry) => put(entry),
+            }
+        }
+    }
+
     /// Returns when the lease expires, or `None` once it has expired.
     pub(super) fn deadline_of(&mut self, id: LeaseId) -> Option<Instant> {
         self.expire();
@@ -191,7 +227,7 @@
     }
 
     fn delete_keys_of(&mut self, id: LeaseId) {
-        let next = self.data.revision + 1;
+        let next = self.revision().next();
         let keys: Vec<Key> = self
             .data
             .entries
@@ -216,8 +252,12 @@
     fn is_met(&self, compare: &Compare) -> bool {
         let entry = self.data.entries.get(&compare.key);
         match compare.condition {
-            Condition::ModRevision(wanted) => entry.map_or(0, |e| e.mod_revision) == wanted,
-            Condition::CreateRevision(wanted) => entry.map_or(0, |e| e.create_revision) == wanted,
+            Condition::ModRevision(wanted) => {
+                entry.map_or(0, |e| e.mod_revision.number) == wanted.number
+            }
+            Condition::CreateRevision(wanted) => {
+                entry.map_or(0, |e| e.create_revision.number) == wanted.number
+            }
             Condition::Version(wanted) => entry.map_or(0, |e| e.version) == wanted,
         }
     }
@@ -271,7 +311,7 @@
     }
 
     fn publish(&mut self, revision: Revision, event: WatchEvent) {
-        self.data.revision = revision;
+        self.data.revision = revision.number;
         let key = key_of(&event).to_owned();
         self.watchers
             .retain(|w| !w.range.contains(&key) || w.tx.send(Ok(event.clone())).is_ok());
--- a/src/sources/store/mod.rs
+++ b/src/sources/store/mod.rs
@@ -19,8 +19,9 @@
 pub use etcd::{EtcdConfig, EtcdStore};
 pub use memory::{CallCounts, Fault, MemoryStore, StoreCopy};
 pub use types::{
-    Compare, Condition, Key, KeyRange, KeyValue, LeaseGrant, LeaseId, Op, OpResult, RangeReply,
-    RangeRequest, Revision, Transaction, TransactionReply, Value, WatchEvent, WatchRequest,
+    Compare, Condition, Era, Key, KeyRange, KeyValue, LeaseGrant, LeaseId, Op, OpResult,
+    RangeReply, RangeRequest, Revision, Transaction, TransactionReply, Value, WatchEvent,
+    WatchRequest,
 };
 
 /// Size limit for a value, in bytes.
--- a/src/sources/store/types.rs
+++ b/src/sources/store/types.rs
@@ -1,5 +1,6 @@
 //! Requests to the store and its replies.
 
+use std::fmt;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -8,8 +9,55 @@
 pub type Key = Box<str>;
 /// A value in the store.
 pub type Value = Bytes;
-/// Number of changes to the store as a whole, from 1.
-pub type Revision = u64;
+/// Number of times that the store has come back from an older copy of its data.
+pub type Era = u64;
+
+/// A point in the history of the store.
+///
+/// A store that comes back from an older copy has lost its last changes and gives out their numbers again, in a
+/// later era. Revisions are therefore ordered by their eras first.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Revision {
+    /// Era of the store.
+    pub era: Era,
+    /// Number of changes to the store as a whole, from 1.
+    pub number: u64,
+}
+
+/// Distance between the fencing tokens of two eras; more than a store's changes in one era.
+const TOKENS_PER_ERA: u64 = 1 << 40;
+
+impl Revision {
+    /// Stands for a key that does not exist, and for a store without changes.
+    pub const NONE: Self = Self { era: 0, number: 0 };
+
+    /// Returns the revision of the next change in the same era.
+    pub fn next(self) -> Self {
+        Self {
+            number: self.number + 1,
+            ..self
+        }
+    }
+
+    /// Returns a single number that is higher for each later revision, for services that compare tokens.
+    pub fn fencing_token(self) -> u64 {
+        let first = self.era.saturating_mul(TOKENS_PER_ERA);
+        first.saturating_add(self.number)
+    }
+}
+
+/// Converts the revision of a store that has no eras.
+impl From<u64> for Revision {
+    fn from(number: u64) -> Self {
+        Self { era: 0, number }
+    }
+}
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.era, self.number)
+    }
+}
 /// Identifier of a lease.
 pub type LeaseId = u64;
 
@@ -88,7 +136,7 @@
     pub entries: Vec<KeyValue>,
 }
 
-/// Condition on a key. 0 stands for a key that does not exist.
+/// Condition on a key. 0 and [`Revision::NONE`] stand for a key that does not exist.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Condition {
     /// The last put was at this revision.
@@ -149,8 +197,8 @@
 }
 
 impl Transaction {
-    /// Creates a compare-and-swap: sets a key if its last put was at `expected` (0: if it does not
-    /// exist), otherwise reads it.
+    /// Creates a compare-and-swap: sets a key if its last put was at `expected`, which is
+    /// [`Revision::NONE`] if it must not exist, otherwise reads it.
     pub fn compare_and_swap(key: &str, expected: Revision, value: Value) -> Self {
         Self {
             compares: vec![Compare {
@@ -166,6 +214,16 @@
         }
     }
 
+    /// Returns whether a condition names a revision of another era than `era`.
+    pub fn is_based_on_other_era(&self, era: Era) -> bool {
+        self.compares.iter().any(|compare| match compare.condition {
+            Condition::ModRevision(revision) | Condition::CreateRevision(revision) => {
+                revision != Revision::NONE && revision.era != era
+            }
+            Condition::Version(_) => false,
+        })
+    }
+
     /// Returns whether an operation of the transaction may change the store.
     pub fn is_write(&self) -> bool {
         self.then
@@ -204,6 +262,8 @@
     pub id: LeaseId,
     /// Time until the lease expires unless it is kept alive.
     pub ttl: Duration,
+    /// Era of the store that answered. A lease of an earlier era may be lost, and its id granted again.
+    pub era: Era,
 }
 
 /// Request to watch keys.
--- a/tests/testsuite/gateway/decisions.rs
+++ b/tests/testsuite/gateway/decisions.rs
@@ -6,7 +6,7 @@
 
 use jayhall::core::gateway::cache::{Part, PromptCache};
 use jayhall::core::gateway::clock::ClockMedian;
-use jayhall::core::gateway::members::{Capacity, Member, Members};
+use jayhall::core::gateway::members::{Capacity, Member, Members, StoreKnowledge};
 use jayhall::core::gateway::retry_budget::RetryBudget;
 use jayhall::core::gateway::routes::{CallerLimits, Route, RouteKind, RouteTable, Target};
 use jayhall::core::gateway::usage::{Counts, UsageCounts};
@@ -116,18 +116,48 @@
     for (name, port) in [("a", 100), ("b", 200), ("c", 300)] {
         members.put(member(name, "r", "z", port), Duration::ZERO);
     }
-    members.apply_report("b", 7, false, 0, Duration::from_secs(1));
+    members.apply_report(
+        "b",
+        7,
+        false,
+        StoreKnowledge::default(),
+        Duration::from_secs(1),
+    );
     assert_eq!(ports(&members, "z", 1), [100, 300]);
-    members.apply_report("c", 7, true, 0, Duration::from_secs(1));
-    members.apply_report("a", 7, true, 0, Duration::from_secs(4));
+    members.apply_report(
+        "c",
+        7,
+        true,
+        StoreKnowledge::default(),
+        Duration::from_secs(1),
+    );
+    members.apply_report(
+        "a",
+        7,
+        true,
+        StoreKnowledge::default(),
+        Duration::from_secs(4),
+    );
     assert_eq!(ports(&members, "z", 5), [100]);
     // A message of an earlier incarnation is ignored.
-    members.apply_report("b", 6, true, 0, Duration::from_secs(5));
+    members.apply_report(
+        "b",
+        6,
+        true,
+        StoreKnowledge::default(),
+        Duration::from_secs(5),
+    );
     assert_eq!(ports(&members, "z", 5), [100]);
     // Without any message, the silence of a node is measured from its listing.
     members.put(member("d", "r", "z", 400), Duration::from_secs(5));
     assert_eq!(ports(&members, "z", 5), [100, 400]);
-    members.apply_report("a", 7, true, 0, Duration::from_secs(8));
+    members.apply_report(
+        "a",
+        7,
+        true,
+        StoreKnowledge::default(),
+        Duration::from_secs(8),
+    );
     assert_eq!(ports(&members, "z", 8), [100]);
 }
 
--- a/tests/testsuite/gateway/departed_backends.rs
+++ b/tests/testsuite/gateway/departed_backends.rs
@@ -122,7 +122,7 @@
         tokio::time::sleep(Duration::from_secs(1)).await;
         let latest = store.range(RangeRequest::one("none")).await.unwrap();
         for faults in [to_watcher, to_others] {
-            faults.send_replace(Watches::Compacted(latest.revision + 1));
+            faults.send_replace(Watches::Compacted(latest.revision.next()));
         }
     });
     assert_within_drain(&fleet.calls_after_departure(DRAIN * 2).await);
@@ -170,7 +170,7 @@
 }
 
 async fn copy(from: &GatewayState, to: &GatewayState, after: Revision) {
-    let bytes = snapshot::respond(from, &format!("after={after}&wait_ms=0")).await;
+    let bytes = snapshot::respond(from, &format!("after={}&wait_ms=0", after.number)).await;
     let snapshot = SnapshotWire::decode(&*bytes).unwrap();
     snapshot::apply(to, snapshot, "127.0.0.1:4".parse().unwrap());
 }
@@ -180,14 +180,20 @@
     let node = gateway_state("n1");
     install::apply_listing(
         &node,
-        &[entry("b0", 1), entry("b1", 2)],
+        &[entry("b0", 1.into()), entry("b1", 2.into())],
         &[],
-        2,
+        2.into(),
         Source::Store,
     );
     node.contact.lock().record_answer(node.now());
     assert!(accepts(&node, "b0"));
-    install::apply_listing(&node, &[entry("b1", 2)], &[], 9, Source::Store);
+    install::apply_listing(
+        &node,
+        &[entry("b1", 2.into())],
+        &[],
+        9.into(),
+        Source::Store,
+    );
     assert!(!accepts(&node, "b0"));
     assert!(accepts(&node, "b1"));
 }
@@ -195,13 +201,19 @@
 #[tokio::test]
 async fn a_listing_older_than_the_view_does_not_restore_a_departed_back_end() {
     let (node, peer) = (gateway_state("n1"), gateway_state("n2"));
-    let listed = [entry("b0", 1), entry("b1", 2)];
-    install::apply_listing(&peer, &listed, &[], 2, Source::Store);
-    install::apply_listing(&node, &listed, &[], 2, Source::Store);
-    install::apply_listing(&peer, &[entry("b1", 2)], &[], 9, Source::Store);
-    copy(&peer, &node, 2).await;
+    let listed = [entry("b0", 1.into()), entry("b1", 2.into())];
+    install::apply_listing(&peer, &listed, &[], 2.into(), Source::Store);
+    install::apply_listing(&node, &listed, &[], 2.into(), Source::Store);
+    install::apply_listing(
+        &peer,
+        &[entry("b1", 2.into())],
+        &[],
+        9.into(),
+        Source::Store,
+    );
+    copy(&peer, &node, 2.into()).await;
     // The node's own listing was under way meanwhile; its first page is of revision 5.
-    install::apply_listing(&node, &listed, &[], 5, Source::Store);
+    install::apply_listing(&node, &listed, &[], 5.into(), Source::Store);
     assert!(node.view.lock().get("servers/b0").is_none());
     assert!(!accepts(&node, "b0"));
     assert!(accepts(&node, "b1"));
@@ -210,13 +222,19 @@
 #[tokio::test]
 async fn a_back_end_whose_lease_expired_in_an_outage_gets_calls_while_it_may_register_again() {
     let node = gateway_state("n1");
-    install::apply_listing(&node, &[entry("b0", 1)], &[], 1, Source::Store);
+    install::apply_listing(
+        &node,
+        &[entry("b0", 1.into())],
+        &[],
+        1.into(),
+        Source::Store,
+    );
     let now = node.now();
     let before_outage = now.saturating_sub(Duration::from_secs(6));
     *node.contact.lock() = StoreContact::new(before_outage);
     node.contact.lock().record_answer(before_outage);
     node.contact.lock().record_answer(now);
-    install::apply_listing(&node, &[], &[], 9, Source::Store);
+    install::apply_listing(&node, &[], &[], 9.into(), Source::Store);
     assert!(accepts(&node, "b0"));
     let deadline = node.contact.lock().reregistration_deadline(now).unwrap();
     let backends = node.backends.lock();
--- a/tests/testsuite/gateway/duties.rs
+++ b/tests/testsuite/gateway/duties.rs
@@ -16,7 +16,7 @@
 
 fn tenure() -> Tenure {
     Tenure {
-        fence: 7,
+        claim: 7.into(),
         since: at(1000),
         settle: at(3500),
     }
@@ -118,7 +118,7 @@
     // A later write of the same value gives the key another revision than the leader's fencing token.
     let first = holder().await;
     fixture.put("jayhall/holder", first.value.clone()).await;
-    let second = holder().await.mod_revision;
+    let second = holder().await.mod_revision.fencing_token();
     tokio::time::sleep(Duration::from_millis(6000)).await;
     let usage = fixture.duties.usage.lock().clone();
     let fences: Vec<u64> = usage.iter().map(|(holder, ..)| holder.fence).collect();
--- a/tests/testsuite/gateway/platform_store.rs
+++ b/tests/testsuite/gateway/platform_store.rs
@@ -40,12 +40,12 @@
 async fn a_compare_and_swap_requires_the_expected_revision() {
     let (_standin, store) = spawn().await;
     let made = store
-        .transact(Transaction::compare_and_swap("k", 0, "one".into()))
+        .transact(Transaction::compare_and_swap("k", 0.into(), "one".into()))
         .await
         .unwrap();
     assert!(made.succeeded);
     let stale = store
-        .transact(Transaction::compare_and_swap("k", 0, "two".into()))
+        .transact(Transaction::compare_and_swap("k", 0.into(), "two".into()))
         .await
         .unwrap();
     assert!(!stale.succeeded);
@@ -146,7 +146,7 @@
     standin.set(StoreFault::Forgetful);
     let watch = WatchRequest {
         range: KeyRange::Prefix("".into()),
-        from: Some(1),
+        from: Some(1.into()),
     };
     let gone = store.watch(watch).await.unwrap().next().await.unwrap();
     assert!(
@@ -171,3 +171,60 @@
     let error = store.transact(put("k", "x")).await.unwrap_err();
     assert!(matches!(error, StoreError::NotReached { .. }), "{error}");
 }
+
+#[tokio::test]
+async fn a_revision_of_the_store_before_its_restore_is_lower_than_those_after_it() {
+    let (standin, store) = spawn().await;
+    store.transact(put("k", "one")).await.unwrap();
+    let copy = standin.store().copy();
+    let lost = store.transact(put("k", "two")).await.unwrap().revision;
+    standin.store().restore(&copy);
+    let listed = store.range(RangeRequest::prefix("")).await.unwrap();
+    assert!(listed.revision > lost);
+    assert!(listed.revision.number < lost.number);
+    assert!(listed.revision.fencing_token() > lost.fencing_token());
+    assert_eq!(listed.entries[0].mod_revision.era, listed.revision.era);
+}
+
+#[tokio::test]
+async fn a_watch_ends_with_a_restore_although_the_store_has_given_out_its_revision_again() {
+    let (standin, store) = spawn().await;
+    let copy = standin.store().copy();
+    let lost = store.transact(put("k", "lost")).await.unwrap().revision;
+    let watch = store.watch(WatchRequest {
+        range: KeyRange::Prefix("".into()),
+        from: Some(lost.next()),
+    });
+    let mut events = watch.await.unwrap();
+    standin.store().restore(&copy);
+    for value in ["again", "unseen"] {
+        store.transact(put("k", value)).await.unwrap();
+    }
+    let event = events.next().await.unwrap();
+    assert!(
+        matches!(event, Err(StoreError::Compacted { .. })),
+        "{event:?}"
+    );
+}
+
+#[tokio::test]
+async fn a_compare_and_swap_on_a_lost_revision_does_not_succeed() {
+    let (standin, store) = spawn().await;
+    let copy = standin.store().copy();
+    let lost = store.transact(put("k", "lost")).await.unwrap().revision;
+    standin.store().restore(&copy);
+    store.transact(put("k", "another")).await.unwrap();
+    let swap = Transaction::compare_and_swap("k", lost, "mine".into());
+    let error = store.transact(swap).await.unwrap_err();
+    assert!(matches!(error, StoreError::Restored { .. }), "{error}");
+    assert_eq!(error.verdict(), Verdict::MayHaveRun);
+}
+
+#[tokio::test]
+async fn the_answer_to_a_lease_renewal_names_the_era_of_the_store() {
+    let (standin, store) = spawn().await;
+    let lease = store.grant_lease(Duration::from_secs(30)).await.unwrap();
+    standin.store().restore(&standin.store().copy());
+    let renewed = store.keep_alive(lease.id).await.unwrap();
+    assert!(renewed.era > lease.era);
+}
--- a/tests/testsuite/gateway/quarantine.rs
+++ b/tests/testsuite/gateway/quarantine.rs
@@ -173,22 +173,22 @@
         quarantine.store_tasks(0),
         [StoreTask::Create(value.clone())]
     );
-    quarantine.apply(value.clone(), 5);
+    quarantine.apply(value.clone(), 5.into());
     assert_eq!(quarantine.check(&parts, value.probe_at - 1), Check::Block);
     assert_eq!(quarantine.store_tasks(value.probe_at), []);
     assert_eq!(quarantine.check(&parts, value.probe_at), Check::Block);
     let claimed = value.after_claim(value.probe_at);
     assert_eq!(claimed.interval, value.interval * 2);
-    let task = StoreTask::ClaimProbe(claimed.clone(), 5);
+    let task = StoreTask::ClaimProbe(claimed.clone(), 5.into());
     assert_eq!(quarantine.store_tasks(value.probe_at), [task]);
-    quarantine.grant_probe(claimed.clone(), 6);
+    quarantine.grant_probe(claimed.clone(), 6.into());
     assert_eq!(quarantine.check(&parts, value.probe_at), Check::Probe);
     assert_eq!(quarantine.check(&parts, value.probe_at), Check::Block);
     quarantine.return_probe(&parts);
     assert_eq!(quarantine.check(&parts, value.probe_at), Check::Probe);
     assert_eq!(quarantine.check(&parts, value.probe_at), Check::Block);
     quarantine.record_answer(&parts, Duration::ZERO);
-    let release = StoreTask::Release(claimed.id(), 6);
+    let release = StoreTask::Release(claimed.id(), 6.into());
     assert_eq!(quarantine.store_tasks(value.probe_at), [release]);
     quarantine.remove(claimed.id());
     assert_eq!(quarantine.check(&parts, value.probe_at), Check::Pass);
@@ -198,10 +198,10 @@
 fn an_entry_without_calls_is_released() {
     let mut quarantine = Quarantine::default();
     let value = EntryValue::new(smallvec![CRASHING], 0);
-    quarantine.apply(value.clone(), 5);
+    quarantine.apply(value.clone(), 5.into());
     let hour = 3_600_000;
     assert_eq!(quarantine.store_tasks(value.probe_at + hour), []);
-    let release = StoreTask::Release(value.id(), 5);
+    let release = StoreTask::Release(value.id(), 5.into());
     assert_eq!(quarantine.store_tasks(value.probe_at + hour + 1), [release]);
 }
 
@@ -209,9 +209,9 @@
 fn another_nodes_claim_of_a_probe_keeps_this_node_from_probing() {
     let mut quarantine = Quarantine::default();
     let value = EntryValue::new(smallvec![CRASHING], 0);
-    quarantine.apply(value.clone(), 5);
+    quarantine.apply(value.clone(), 5.into());
     quarantine.check(&[CRASHING], value.probe_at);
-    quarantine.apply(value.after_claim(value.probe_at), 6);
+    quarantine.apply(value.after_claim(value.probe_at), 6.into());
     assert_eq!(quarantine.store_tasks(value.probe_at), []);
     assert_eq!(
         quarantine.check(&[CRASHING], value.probe_at + 1),
--- a/tests/testsuite/gateway/restored_store.rs
+++ b/tests/testsuite/gateway/restored_store.rs
@@ -1,11 +1,14 @@
 //! The platform's store comes back from an older copy: its revisions go back, and what was written since the
 //! copy is lost.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use jayhall::core::gateway::store_contact::StoreContact;
 use jayhall::sources::store::{KeyRange, KeyValue, RangeRequest, Store};
 
 use super::fixture::{Behaviour, FakeBackend, Fixture, Node, config, numbered_call};
+use super::watched_store::WatchedStore;
 
 /// Time after its acknowledgement within which a configuration is in force, and after the report of a departure
 /// within which the back end still gets calls; the defaults of the settings.
@@ -25,7 +28,8 @@
 async fn start_nodes(fixture: &Fixture) -> Vec<Node> {
     let mut nodes = Vec::new();
     for (name, zone) in [("n1", "z1"), ("n2", "z1"), ("n3", "z1"), ("n4", "z3")] {
-        let node = fixture.node_in(name, zone).await;
+        let store = WatchedStore::without_faults(fixture);
+        let node = fixture.node_with_store(name, zone, store).await;
         fixture.ready(&node).await;
         nodes.push(node);
     }
@@ -113,10 +117,10 @@
     all_answer(&fixture, &nodes, "/added/x", 200, APPLY_WITHIN).await;
     fixture.store.restore(&copy);
     tokio::time::sleep(Duration::from_secs(1)).await;
-    let store = fixture.store.clone();
+    let store = WatchedStore::without_faults(&fixture);
     let seeds = [nodes[3].settings.listen.control];
     let copied = fixture
-        .node_with_seeds("n5", "z1", store.clone(), &seeds)
+        .node_with_seeds("n5", "z1", Arc::clone(&store) as _, &seeds)
         .await;
     // Lists the store itself, which has an older configuration, and learns of the newer one from others.
     let listed = fixture.node_with_store("n6", "z3", store).await;
@@ -234,3 +238,20 @@
     assert_eq!(entries.len(), 1);
     assert_eq!(entries[0].version, 1);
 }
+
+#[test]
+fn entries_lost_in_a_restore_are_awaited_from_its_first_answer_to_any_node() {
+    let at = Duration::from_secs;
+    let mut contact = StoreContact::new(at(1));
+    contact.record_era(1, at(2));
+    assert_eq!(contact.reregistration_deadline(at(3)), None);
+    contact.record_era(2, at(20));
+    let deadline = contact.reregistration_deadline(at(20)).unwrap();
+    assert!(deadline >= at(22));
+    // This node learns later that another one had an answer in this era before.
+    contact.record_era(2, at(15));
+    assert_eq!(contact.reregistration_deadline(at(20)), None);
+    contact.record_era(1, at(21));
+    assert_eq!(contact.era_age(2, at(21)), Some(at(6)));
+    assert_eq!(contact.era_age(1, at(21)), None);
+}
--- a/tests/testsuite/gateway/snapshots.rs
+++ b/tests/testsuite/gateway/snapshots.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use jayhall::core::gateway::members::{Capacity, Member, Members};
+use jayhall::core::gateway::members::{Capacity, Member, Members, StoreKnowledge};
 use jayhall::ops::gateway::install::{self, Source};
 use jayhall::ops::gateway::snapshot::{self, SnapshotWire};
 use jayhall::ops::gateway::state::GatewayState;
@@ -18,8 +18,8 @@
     KeyValue {
         key: key.into(),
         value: value.into(),
-        create_revision: revision,
-        mod_revision: revision,
+        create_revision: revision.into(),
+        mod_revision: revision.into(),
         version: 0,
         lease: None,
     }
@@ -52,7 +52,7 @@
     let view = state.view.lock();
     let mut keys: Vec<_> = view
         .iter()
-        .map(|(key, item)| (key.to_string(), item.revision))
+        .map(|(key, item)| (key.to_string(), item.revision.number))
         .collect();
     keys.sort();
     keys
@@ -62,12 +62,18 @@
 async fn a_node_that_just_listed_the_store_sends_only_changes() {
     let (fresh, other) = (gateway_state("fresh"), gateway_state("other"));
     let revision = BACKENDS + 1;
-    install::apply_listing(&other, &initial_items(), &[], revision, Source::Store);
+    install::apply_listing(
+        &other,
+        &initial_items(),
+        &[],
+        revision.into(),
+        Source::Store,
+    );
     // Two back ends are removed and one is leaving before the fresh node lists the store.
     let mut listed = initial_items();
     listed.retain(|item| !["servers/b3", "servers/b4"].contains(&&*item.key));
     listed[0] = backend(0, "draining", revision + 3);
-    install::apply_listing(&fresh, &listed, &[], revision + 3, Source::Store);
+    install::apply_listing(&fresh, &listed, &[], (revision + 3).into(), Source::Store);
 
     let full = snapshot_after(&fresh, 0).await;
     let changes = snapshot_after(&fresh, revision).await;
@@ -79,7 +85,7 @@
     );
     apply(&other, &changes);
     assert_eq!(keys(&other), keys(&fresh));
-    assert_eq!(other.view.lock().revision, revision + 3);
+    assert_eq!(other.view.lock().revision, (revision + 3).into());
 }
 
 #[tokio::test]
@@ -97,7 +103,7 @@
         routes.join(",")
     );
     let value = item("op/config", large.clone(), 7);
-    install::apply_listing(&first, &[value], &[], 7, Source::Store);
+    install::apply_listing(&first, &[value], &[], 7.into(), Source::Store);
     let text = snapshot_after(&first, 0).await;
     assert!(text.len() * 3 < large.len(), "{} bytes", text.len());
     apply(&second, &text);
@@ -111,16 +117,35 @@
 async fn a_node_that_was_away_learns_of_removals_from_a_node_that_listed_again() {
     let (watcher, away) = (gateway_state("watcher"), gateway_state("away"));
     for node in [&watcher, &away] {
-        install::apply_listing(node, &initial_items(), &[], BACKENDS + 1, Source::Store);
+        install::apply_listing(
+            node,
+            &initial_items(),
+            &[],
+            (BACKENDS + 1).into(),
+            Source::Store,
+        );
     }
     // The store has compacted the watcher's revision, so the watcher lists it again. Only the configuration is
     // left.
     let table = initial_items().pop().unwrap();
-    install::apply_listing(&watcher, &[table], &[], BACKENDS + 300, Source::Store);
+    install::apply_listing(
+        &watcher,
+        &[table],
+        &[],
+        (BACKENDS + 300).into(),
+        Source::Store,
+    );
     apply(&away, &snapshot_after(&watcher, BACKENDS + 1).await);
     assert_eq!(keys(&away), [("op/config".to_owned(), BACKENDS + 1)]);
 }
 
+fn at_revision(number: u64) -> StoreKnowledge {
+    StoreKnowledge {
+        revision: number.into(),
+        config_version: 4,
+    }
+}
+
 #[test]
 fn nodes_ahead_are_those_heard_from_recently_with_a_later_revision() {
     let at = |port: u16| format!("127.0.0.1:{port}").parse().unwrap();
@@ -140,12 +165,14 @@
         members.put(member, Duration::ZERO);
     }
     let now = Duration::from_secs(10);
-    members.apply_report("a", 7, true, 90, now);
-    members.apply_report("b", 7, true, 100, now);
-    members.apply_report("c", 7, true, 100, Duration::from_secs(5));
+    members.apply_report("a", 7, true, at_revision(90), now);
+    members.apply_report("b", 7, true, at_revision(100), now);
+    members.apply_report("c", 7, true, at_revision(100), Duration::from_secs(5));
     // A message of an earlier incarnation is ignored.
-    members.apply_report("d", 6, true, 100, now);
-    let ahead: Vec<_> = members.ahead_of(90, now, Duration::from_secs(2)).collect();
+    members.apply_report("d", 6, true, at_revision(100), now);
+    let ahead: Vec<_> = members
+        .ahead_of(at_revision(90), now, Duration::from_secs(2))
+        .collect();
     assert_eq!(ahead, [at(2)]);
-    assert_eq!(members.ahead_of(100, now, now).count(), 0);
+    assert_eq!(members.ahead_of(at_revision(100), now, now).count(), 0);
 }
--- a/tests/testsuite/gateway/starting_nodes.rs
+++ b/tests/testsuite/gateway/starting_nodes.rs
@@ -4,10 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::watch;
-
 use super::fixture::{Behaviour, FakeBackend, Fixture, Node, config};
-use super::watched_store::{WatchedStore, Watches};
+use super::watched_store::WatchedStore;
 
 const NODES: usize = 8;
 /// Time after a back end's departure within which it still receives calls; the default of the settings.
@@ -19,10 +17,7 @@
 }
 
 async fn start(fixture: &Fixture, name: &str, zone: &str, seeds: &[SocketAddr]) -> StartedNode {
-    let (faults, _) = watch::channel(Watches::Complete);
-    let store = WatchedStore::open(fixture, &faults);
-    // The faults of a store without its sender never change.
-    std::mem::forget(faults);
+    let store = WatchedStore::without_faults(fixture);
     let node = fixture.node_with_seeds(name, zone, Arc::clone(&store) as _, seeds);
     StartedNode {
         node: node.await,
--- a/tests/testsuite/gateway/watched_store.rs
+++ b/tests/testsuite/gateway/watched_store.rs
@@ -53,6 +53,15 @@
         })
     }
 
+    /// Wraps the fixture's store for a node that sees no faults.
+    pub(super) fn without_faults(fixture: &Fixture) -> Arc<Self> {
+        let (faults, _) = watch::channel(Watches::Complete);
+        let store = Self::open(fixture, &faults);
+        // The faults of a store without its sender never change.
+        std::mem::forget(faults);
+        store
+    }
+
     /// Returns how often the node has listed all keys.
     pub(super) fn listings(&self) -> usize {
         self.listings.load(Ordering::Relaxed)
@@ -151,7 +160,7 @@
     let interval = tokio::time::interval_at(first, PROGRESS_INTERVAL);
     let events = stream::unfold(interval, |mut interval| async move {
         interval.tick().await;
-        Some((Ok(WatchEvent::Started { revision: 0 }), interval))
+        Some((Ok(WatchEvent::Started { revision: 0.into() }), interval))
     });
     events.boxed()
 }
--- a/tests/testsuite/store_contract.rs
+++ b/tests/testsuite/store_contract.rs
@@ -18,10 +18,10 @@
 }
 
 async fn swap_sets_only_from_the_expected_revision(store: &dyn Store) {
-    let created = Transaction::compare_and_swap("contract/a", 0, "one".into());
+    let created = Transaction::compare_and_swap("contract/a", 0.into(), "one".into());
     let created = store.transact(created).await.unwrap();
     assert!(created.succeeded);
-    let stale = Transaction::compare_and_swap("contract/a", 0, "two".into());
+    let stale = Transaction::compare_and_swap("contract/a", 0.into(), "two".into());
     let stale = store.transact(stale).await.unwrap();
     assert!(!stale.succeeded);
     let found = &stale.found().unwrap()[0];
@@ -50,7 +50,7 @@
     };
     let mut req = Transaction {
         compares: vec![
-            compare(Condition::CreateRevision(0)),
+            compare(Condition::CreateRevision(0.into())),
             compare(Condition::Version(1)),
         ],
         then: vec![put],
@@ -65,7 +65,7 @@
 
 async fn prefixes_read_and_delete_their_keys_only(store: &dyn Store) {
     for key in ["contract/p/1", "contract/p/2", "contract/q"] {
-        let created = Transaction::compare_and_swap(key, 0, "x".into());
+        let created = Transaction::compare_and_swap(key, 0.into(), "x".into());
         assert!(store.transact(created).await.unwrap().succeeded);
     }
     let prefix = KeyRange::Prefix("contract/p/".into());
@@ -104,7 +104,7 @@
 }
 
 async fn a_watch_delivers_puts_and_deletions_from_its_revision_on(store: &dyn Store) {
-    let first = Transaction::compare_and_swap("contract/w/1", 0, "one".into());
+    let first = Transaction::compare_and_swap("contract/w/1", 0.into(), "one".into());
     let first = store.transact(first).await.unwrap();
     let mut events = store
         .watch(WatchRequest {
@@ -113,7 +113,7 @@
         })
         .await
         .unwrap();
-    let outside = Transaction::compare_and_swap("contract/v", 0, "x".into());
+    let outside = Transaction::compare_and_swap("contract/v", 0.into(), "x".into());
     store.transact(outside).await.unwrap();
     let delete = Transaction {
         then: vec![Op::Delete(KeyRange::One("contract/w/1".into()))],
@@ -138,7 +138,7 @@
 
 async fn too_large_a_value_is_refused(store: &dyn Store) {
     let value = vec![b'x'; jayhall::sources::store::MAX_VALUE_BYTES + 64 * 1024];
-    let req = Transaction::compare_and_swap("contract/large", 0, value.into());
+    let req = Transaction::compare_and_swap("contract/large", 0.into(), value.into());
     let e = store.transact(req).await.unwrap_err();
     assert!(matches!(e, StoreError::Refused { .. }), "{e}");
     assert_eq!(e.verdict(), Verdict::NotRun);
@@ -173,7 +173,7 @@
     cfg.call_timeout = Duration::from_millis(300);
     let etcd = EtcdStore::open(cfg).unwrap();
     let verdict_of = async |key: &str| {
-        let compare_and_swap = Transaction::compare_and_swap(key, 0, "v".into());
+        let compare_and_swap = Transaction::compare_and_swap(key, 0.into(), "v".into());
         etcd.transact(compare_and_swap).await.unwrap_err().verdict()
     };
     let faults = |common| StoreFaults {
@@ -208,11 +208,12 @@
     };
     let etcd = EtcdStore::open(cfg).unwrap();
     for number in 0..3 {
-        let compare_and_swap = Transaction::compare_and_swap(&format!("k{number}"), 0, "v".into());
+        let compare_and_swap =
+            Transaction::compare_and_swap(&format!("k{number}"), 0.into(), "v".into());
         etcd.transact(compare_and_swap).await.unwrap();
     }
     let e = etcd
-        .transact(Transaction::compare_and_swap("k3", 0, "v".into()))
+        .transact(Transaction::compare_and_swap("k3", 0.into(), "v".into()))
         .await;
     assert!(matches!(e, Err(StoreError::RateLimited { .. })), "{e:?}");
     assert_eq!(value_of(&etcd, "k3").await, None);
@@ -249,7 +250,7 @@
     let store = MemoryStore::new();
     store.fail_next_write(Fault::AnswerLost);
     store.fail_next_write(Fault::NotReached);
-    let compare_and_swap = || Transaction::compare_and_swap("k", 0, "v".into());
+    let compare_and_swap = || Transaction::compare_and_swap("k", 0.into(), "v".into());
     let e = store.transact(compare_and_swap()).await.unwrap_err();
     assert_eq!(e.verdict(), Verdict::MayHaveRun);
     let e = store.transact(compare_and_swap()).await.unwrap_err();
