Name the request of a call in the log lines of its attempts

The lines of failed and ended attempts now name a hash of method, path, customer and body. No logic is changed.

--- a/src/ops/gateway/call.rs
+++ b/src/ops/gateway/call.rs
@@ -7,6 +7,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::HOST;
+use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, Request, Uri};
 use tokio::time::Instant;
 
@@ -15,6 +16,7 @@
 use super::refusal::{Cause, Refusal};
 use super::state::GatewayState;
 use crate::core::gateway::quota::QuotaDecision;
+use crate::core::gateway::request_id::{RequestId, request_id};
 use crate::core::gateway::routes::{Customer, Route, RouteTable, Service};
 
 /// Timeout of a call where neither the caller names a deadline nor the route a timeout.
@@ -39,6 +41,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// Identity of the request over all its attempts.
+    pub id: RequestId,
     /// Matched route.
     pub route: Arc<Route>,
     /// Service chosen from the route.
@@ -83,8 +87,16 @@
         let max_body = table.limits.body_bytes;
         let (parts, body) = req.into_parts();
         let body = read_body(body, max_body, deadline).await?;
+        let path = parts.uri.path_and_query();
+        let id = request_id(
+            parts.method.as_str(),
+            path.map_or("", PathAndQuery::as_str),
+            customer.as_ref().map(|customer| &*customer.name),
+            &body,
+        );
         let mut call = Self {
             head,
+            id,
             method: parts.method,
             uri: parts.uri,
             headers: parts.headers,
--- a/src/ops/gateway/record.rs
+++ b/src/ops/gateway/record.rs
@@ -112,6 +112,11 @@
     }
 }
 
+/// Returns the identity of a call's request, in hexadecimal.
+fn request(call: &Call) -> String {
+    format!("{:x}", call.id)
+}
+
 /// Returns the ids of the parts of a call's prompt, in hexadecimal and separated by commas.
 fn part_ids(call: &Call) -> String {
     let ids: SmallVec<[PartId; 4]> = call.head.parts.iter().map(|part| part.id).collect();
@@ -128,6 +133,7 @@
             backend = progress.tried.last().map(|id| &**id),
             sends = progress.sends,
             verdict = e.verdict().as_str(),
+            request = request(call),
             part_ids = part_ids(call),
             error = %e,
             left_out,
@@ -164,6 +170,7 @@
             attempt = &*call.head.attempt,
             backend = running.backend(),
             cause,
+            request = request(call),
             part_ids = part_ids(call),
             answering_ms = running.answering_for().map(as_millis_u64),
             last_event,
@@ -219,6 +226,7 @@
         customer = call.customer_name(),
         rank = call.rank(),
         tokens = ?call.head.tokens,
+        request = request(call),
         part_ids = part_ids(call),
         parts = ?call.head.parts.iter().map(|part| part.tokens).collect::<SmallVec<[u32; 4]>>(),
         backends = ?progress.tried,
