Add failing tests of a request that crashes one back end after the other

The back ends that crash under some calls move from the tests of crashing prompts to a module of their own, which both use.

--- a/tests/testsuite/gateway/fixture.rs
+++ b/tests/testsuite/gateway/fixture.rs
@@ -55,6 +55,8 @@
     DeclineFor(f64),
     /// Runs the call and closes the connection without an answer.
     Disconnect,
+    /// Runs the call and closes the connection without an answer if the body is this one; else answers.
+    DisconnectOn(&'static str),
     /// Runs the call and never answers.
     Silent,
     /// Answers with the attempt id of another call.
@@ -215,7 +217,11 @@
     };
     let attempt = header("x-jayhall-attempt-id");
     let after = header("last-event-id").parse().unwrap_or(0);
-    let behaviour = behaviour.lock().clone();
+    let behaviour = match behaviour.lock().clone() {
+        Behaviour::DisconnectOn(text) if body == text.as_bytes() => Behaviour::Disconnect,
+        Behaviour::DisconnectOn(_) => Behaviour::Answer(200, "done"),
+        other => other,
+    };
     if !matches!(behaviour, Behaviour::Decline | Behaviour::DeclineFor(_)) {
         seen.lock().push(ReceivedCall {
             at: Instant::now(),
@@ -273,7 +279,9 @@
                 .header("x-jayhall-not-executed", "1");
             return Ok(res.body(full_body("")).unwrap());
         }
-        Behaviour::Disconnect => return Err(std::io::ErrorKind::ConnectionReset.into()),
+        Behaviour::Disconnect | Behaviour::DisconnectOn(_) => {
+            return Err(std::io::ErrorKind::ConnectionReset.into());
+        }
         Behaviour::Silent => {
             let _guard = AbandonedGuard(Some(abandoned));
             std::future::pending::<Infallible>().await;
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -1,7 +1,9 @@
 //! Tests of the gateway: its decisions, the platform adapter, and calls through running gateways.
 
 mod call_limits;
+mod crashing_fleet;
 mod crashing_prompts;
+mod crashing_requests;
 mod decisions;
 mod departed_backends;
 mod duties;
