Hold crashes of back ends against the request, before the parts of its prompt

What callers saw: a request that crashes each engine that runs it, and that comes again at any node, crashed up to 46 of them; sound calls broke off with each, and sound prompts that share its parts were refused for a while.

Cause: crashes were held against the parts that a prompt shares with others only. A plain call has none, and the answer of a sound prompt with the same part cleared the part, or released its entry.

Change: the evidence of a crash is a set of suspects, the shared parts and the request (method, path, customer, body). The same rules and messages find the suspects in common; if they name a request, only this one is quarantined. Parts are, if they explain at least two crashes more, also after one request with them is. Reports name the crashes of repeated requests first, and answers of parts before those of requests. A request that has broken off at two processes is not sent a second time within an attempt.

The test of the retry budget of streams sent one request twice to back ends that break off; its second call has another body now.

--- a/src/core/gateway/quarantine.rs
+++ b/src/core/gateway/quarantine.rs
@@ -1,9 +1,10 @@
-//! Quarantine of prompts that crash back ends.
+//! Quarantine of calls that crash back ends.
 //!
-//! A prompt with all parts of an entry is sent to no back end. Entries are kept in the platform's store, so that
-//! all nodes know them, those that start later too. After some time, one node may send one such prompt as a
-//! probe; the time until the next probe then doubles. An answered prompt releases the entry; so does an hour
-//! without such prompts.
+//! A call with all suspects of an entry, which are parts of prompts and at most one request, is sent to no back
+//! end. Entries are kept in the platform's store, so that
+//! all nodes know them, those that start later too. After some time, one node may send one such call as a
+//! probe; the time until the next probe then doubles. An answered call releases the entry; so does an hour
+//! without such calls.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -11,13 +12,12 @@
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::cache::PartId;
-use super::crashes::{CrashLog, SharedParts, contains_all};
+use super::crashes::{CrashLog, Suspect, Suspects, contains_all};
 use crate::core::time::{Moment, UnixMillis};
 use crate::sources::store::{Era, Revision};
 use crate::util::time::as_millis_u64;
 
-/// Identifies an entry: a hash of its parts.
+/// Identifies an entry: a hash of its suspects.
 pub type EntryId = u64;
 
 /// Time from the discovery of a cause until the first probe.
@@ -26,14 +26,16 @@
 const MAX_PROBE_INTERVAL: Duration = Duration::from_secs(3600);
 /// Time after `probe_at` after which an entry is released if no call has asked for the probe.
 const UNUSED_RETENTION: Duration = Duration::from_secs(3600);
+/// Byte before a request among the hashed suspects, which tells it from a part.
+const REQUEST_MARK: u8 = 1;
 /// Limit on the entries; further ones are left out.
 const MAX_ENTRIES: usize = 1024;
 
 /// What the store holds of an entry.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EntryValue {
-    /// Prompts with all of these parts are not sent.
-    pub parts: SharedParts,
+    /// Calls with all of these are not sent.
+    pub suspects: Suspects,
     /// Wall-clock time from which a node may claim a probe.
     pub probe_at: UnixMillis,
     /// Time between the claim of the last probe, or the discovery, and `probe_at`.
@@ -41,10 +43,10 @@
 }
 
 impl EntryValue {
-    /// Creates the value of parts that were found to crash back ends.
-    pub fn new(parts: SharedParts, wall: UnixMillis) -> Self {
+    /// Creates the value of suspects that were found to crash back ends.
+    pub fn new(suspects: Suspects, wall: UnixMillis) -> Self {
         Self {
-            parts,
+            suspects,
             probe_at: wall + as_millis_u64(FIRST_PROBE_AFTER),
             interval: FIRST_PROBE_AFTER,
         }
@@ -54,7 +56,7 @@
     pub fn after_claim(&self, wall: UnixMillis) -> Self {
         let interval = (self.interval * 2).min(MAX_PROBE_INTERVAL);
         Self {
-            parts: self.parts.clone(),
+            suspects: self.suspects.clone(),
             probe_at: wall + as_millis_u64(interval),
             interval,
         }
@@ -62,11 +64,16 @@
 
     /// Returns the identifier of the entry.
     pub fn id(&self) -> EntryId {
-        let bytes: Vec<u8> = self
-            .parts
-            .iter()
-            .flat_map(|part| part.to_le_bytes())
-            .collect();
+        let mut bytes = Vec::with_capacity(self.suspects.len() * 9);
+        for suspect in &self.suspects {
+            match suspect {
+                Suspect::Part(part) => bytes.extend_from_slice(&part.to_le_bytes()),
+                Suspect::Request(request) => {
+                    bytes.push(REQUEST_MARK);
+                    bytes.extend_from_slice(&request.to_le_bytes());
+                }
+            }
+        }
         xxh3_64(&bytes)
     }
 }
@@ -88,7 +95,7 @@
     /// Revision in the store; `None` while it is not known to be there.
     revision: Option<Revision>,
     probe: Probe,
-    /// Whether a prompt with all parts was answered.
+    /// Whether a call with all suspects was answered.
     is_answered: bool,
 }
 
@@ -114,21 +121,21 @@
     Release(EntryId, Revision),
 }
 
-/// Prompts that are not sent to back ends, and the crashes from which they are found.
+/// Calls that are not sent to back ends, and the crashes from which they are found.
 #[derive(Debug, Default)]
 pub struct Quarantine {
     /// Crashes of back ends.
     pub crashes: CrashLog,
     entries: HashMap<EntryId, Entry>,
-    /// Entries by the first of their parts.
-    by_part: HashMap<PartId, SmallVec<[EntryId; 2]>>,
+    /// Entries by the last of their suspects.
+    by_suspect: HashMap<Suspect, SmallVec<[EntryId; 2]>>,
 }
 
 impl Quarantine {
-    /// Decides whether a call with these shared parts may be sent. A probe is granted to one call only.
-    pub fn check(&mut self, parts: &[PartId], wall: UnixMillis) -> Check {
+    /// Decides whether a call with these suspects may be sent. A probe is granted to one call only.
+    pub fn check(&mut self, suspects: &[Suspect], wall: UnixMillis) -> Check {
         let mut check = Check::Pass;
-        for id in self.matching(parts) {
+        for id in self.matching(suspects) {
             let Some(entry) = self.entries.get_mut(&id) else {
                 continue;
             };
@@ -147,18 +154,18 @@
         check
     }
 
-    /// Takes back the probe that was granted to a call with these shared parts, which was not sent.
-    pub fn return_probe(&mut self, parts: &[PartId]) {
-        for id in self.matching(parts) {
+    /// Takes back the probe that was granted to a call with these suspects, which was not sent.
+    pub fn return_probe(&mut self, suspects: &[Suspect]) {
+        for id in self.matching(suspects) {
             if let Some(entry) = self.entries.get_mut(&id) {
                 entry.probe = Probe::Granted;
             }
         }
     }
 
-    /// Returns whether an entry blocks calls with these shared parts.
-    pub fn blocks(&self, parts: &[PartId]) -> bool {
-        !self.matching(parts).is_empty()
+    /// Returns whether an entry blocks calls with these suspects.
+    pub fn blocks(&self, suspects: &[Suspect]) -> bool {
+        !self.matching(suspects).is_empty()
     }
 
     /// Adds an entry that this node found. Returns whether it is new.
@@ -173,7 +180,7 @@
 
     /// Applies an entry of the store.
     pub fn apply(&mut self, value: EntryValue, revision: Revision) {
-        self.crashes.explain(&value.parts);
+        self.crashes.explain(&value.suspects);
         self.insert(value.id(), value, Some(revision));
     }
 
@@ -192,18 +199,18 @@
         };
         if let Some(ids) = entry
             .value
-            .parts
-            .first()
-            .and_then(|part| self.by_part.get_mut(part))
+            .suspects
+            .last()
+            .and_then(|suspect| self.by_suspect.get_mut(suspect))
         {
             ids.retain(|other| *other != id);
         }
     }
 
-    /// Records that this node saw a prompt with these shared parts answered.
-    pub fn record_answer(&mut self, parts: &[PartId], now: Moment) {
-        self.crashes.record_answer(parts, now);
-        for id in self.matching(parts) {
+    /// Records that this node saw a call with these suspects answered.
+    pub fn record_answer(&mut self, suspects: &[Suspect], now: Moment) {
+        self.crashes.record_answer(suspects, now);
+        for id in self.matching(suspects) {
             if let Some(entry) = self.entries.get_mut(&id) {
                 entry.is_answered = true;
             }
@@ -238,18 +245,18 @@
         }
     }
 
-    fn matching(&self, parts: &[PartId]) -> SmallVec<[EntryId; 2]> {
+    fn matching(&self, suspects: &[Suspect]) -> SmallVec<[EntryId; 2]> {
         let mut ids = SmallVec::new();
         if self.entries.is_empty() {
             return ids;
         }
-        for id in parts
+        for id in suspects
             .iter()
-            .filter_map(|part| self.by_part.get(part))
+            .filter_map(|suspect| self.by_suspect.get(suspect))
             .flatten()
         {
             let entry = self.entries.get(id);
-            if entry.is_some_and(|entry| contains_all(parts, &entry.value.parts)) {
+            if entry.is_some_and(|entry| contains_all(suspects, &entry.value.suspects)) {
                 ids.push(*id);
             }
         }
@@ -257,7 +264,7 @@
     }
 
     fn insert(&mut self, id: EntryId, value: EntryValue, revision: Option<Revision>) {
-        let Some(first) = value.parts.first().copied() else {
+        let Some(last) = value.suspects.last().copied() else {
             return;
         };
         match self.entries.get_mut(&id) {
@@ -279,7 +286,7 @@
                     is_answered: false,
                 };
                 self.entries.insert(id, entry);
-                self.by_part.entry(first).or_default().push(id);
+                self.by_suspect.entry(last).or_default().push(id);
             }
         }
     }
--- a/src/ops/gateway/attempt.rs
+++ b/src/ops/gateway/attempt.rs
@@ -14,14 +14,14 @@
 use super::pool::{BackendPool, Connection, SendError};
 use super::state::GatewayState;
 use crate::core::gateway::backends::{CallPlace, Outcome, process_name};
-use crate::core::gateway::crashes::{Crash, SharedParts, shared_parts};
+use crate::core::gateway::crashes::{Crash, Suspects};
 use crate::core::gateway::observed::Observer;
 use crate::core::gateway::placement::RefusalCause;
 use crate::core::gateway::work::engine_ms;
 use crate::core::time::Moment;
 use crate::core::verdict::Verdict;
 
-/// Time after the first event within which a back end may still crash because of the prompt.
+/// Time after the first event within which a back end may still crash because of the call.
 const CRASH_PERIOD: Duration = Duration::from_millis(400);
 
 /// Shared state that every attempt needs.
@@ -60,8 +60,8 @@
         /// The back end.
         backend: Box<str>,
     },
-    /// The prompt has crashed back ends and is not sent.
-    #[error("the prompt is quarantined")]
+    /// The call has crashed back ends, or others of its kind have, and is not sent.
+    #[error("the call is quarantined")]
     Quarantined,
     /// No back end can be tried.
     #[error("no back end can be tried: {cause:?}")]
@@ -93,11 +93,11 @@
     place: CallPlace,
     sent: Instant,
     first_event_at: Option<Instant>,
-    /// Parts of the prompt that others may share.
-    shared_parts: SharedParts,
+    /// What the call has that may crash the back end.
+    suspects: Suspects,
     /// Whether this call is the probe of a quarantine entry.
     is_probe: bool,
-    /// Whether the answer has cleared the parts of the prompt.
+    /// Whether the answer has cleared the suspects.
     is_cleared: bool,
     expected: Duration,
     outcome: Outcome,
@@ -132,7 +132,7 @@
             place,
             sent: Instant::now(),
             first_event_at: None,
-            shared_parts: shared_parts(&call.head.parts),
+            suspects: call.suspects.clone(),
             is_probe,
             is_cleared: false,
             expected,
@@ -174,28 +174,28 @@
         }
     }
 
-    /// Clears the parts of the prompt if the back end has outlived the start of its answer.
+    /// Clears the suspects if the back end has outlived the start of its answer.
     pub fn note_progress(&mut self) {
         if self.answering_for() >= Some(CRASH_PERIOD) {
-            self.clear_prompt();
+            self.clear_suspects();
         }
     }
 
-    /// Records that the prompt was answered, which shows that its parts do not crash back ends.
-    pub fn clear_prompt(&mut self) {
-        if self.is_cleared || self.shared_parts.is_empty() {
+    /// Records that the call was answered, which shows that its suspects do not crash back ends.
+    pub fn clear_suspects(&mut self) {
+        if self.is_cleared {
             return;
         }
         self.is_cleared = true;
         let state = &self.cx.state;
         let mut quarantine = state.quarantine.lock();
-        quarantine.record_answer(&self.shared_parts, state.now());
+        quarantine.record_answer(&self.suspects, state.now());
     }
 
-    /// Records that the back end crashed before it had answered the prompt.
+    /// Records that the back end crashed before it had answered the call.
     fn record_crash(&self, now: Moment) {
         let crash = Crash {
-            parts: self.shared_parts.clone(),
+            suspects: self.suspects.clone(),
             process: process_name(&self.place.backend),
             sent: now.saturating_sub(self.sent.elapsed()),
             ended: now,
@@ -360,7 +360,7 @@
             backend: running.backend().into(),
         });
     }
-    if !running.is_probe && cx.state.quarantine.lock().blocks(&running.shared_parts) {
+    if !running.is_probe && cx.state.quarantine.lock().blocks(&running.suspects) {
         cx.pool.release(connection, None);
         return Err(AttemptError::Quarantined);
     }
--- a/src/ops/gateway/call.rs
+++ b/src/ops/gateway/call.rs
@@ -15,6 +15,7 @@
 use super::record;
 use super::refusal::{Cause, Refusal};
 use super::state::GatewayState;
+use crate::core::gateway::crashes::{Suspects, suspects_of};
 use crate::core::gateway::quota::QuotaDecision;
 use crate::core::gateway::request_id::{RequestId, request_id};
 use crate::core::gateway::routes::{Customer, Route, RouteTable, Service};
@@ -43,6 +44,8 @@
     pub body: Bytes,
     /// Identity of the request over all its attempts.
     pub id: RequestId,
+    /// What the call has that may crash back ends.
+    pub suspects: Suspects,
     /// Matched route.
     pub route: Arc<Route>,
     /// Service chosen from the route.
@@ -95,6 +98,7 @@
             &body,
         );
         let mut call = Self {
+            suspects: suspects_of(&head.parts, id),
             head,
             id,
             method: parts.method,
--- a/src/ops/gateway/forward.rs
+++ b/src/ops/gateway/forward.rs
@@ -18,7 +18,6 @@
 use super::refusal::{self, Body, Cause, Refusal};
 use super::stream;
 use crate::core::gateway::backends::{BackendId, Outcome};
-use crate::core::gateway::crashes::shared_parts;
 use crate::core::gateway::placement::{self, Placement, PlacementRequest, RefusalCause};
 use crate::core::gateway::quarantine::Check;
 use crate::core::gateway::retry_budget::RetryBudget;
@@ -178,8 +177,7 @@
     check_quarantine(cx, call, progress)?;
     let started = start_attempt(cx, call, progress);
     if std::mem::take(&mut progress.is_probe) && started.is_err() {
-        let parts = shared_parts(&call.head.parts);
-        cx.state.quarantine.lock().return_probe(&parts);
+        cx.state.quarantine.lock().return_probe(&call.suspects);
     }
     let (running, timeout) = started?;
     progress.tried.push(running.backend().into());
@@ -202,21 +200,20 @@
     result
 }
 
-/// Checks that a call may be sent to a back end although others with its prompt have crashed some.
+/// Checks that a call may be sent to a back end: calls with its suspects may have crashed some.
 fn check_quarantine(
     cx: &GatewayContext,
     call: &Call,
     progress: &mut Progress,
 ) -> Result<(), AttemptError> {
-    let parts = shared_parts(&call.head.parts);
-    if !cx.state.quarantine.lock().blocks(&parts) {
+    if !cx.state.quarantine.lock().blocks(&call.suspects) {
         return Ok(());
     }
     if progress.sends > 0 {
         return Err(AttemptError::Quarantined);
     }
     let wall = cx.state.wall();
-    let check = cx.state.quarantine.lock().check(&parts, wall);
+    let check = cx.state.quarantine.lock().check(&call.suspects, wall);
     progress.is_probe = check == Check::Probe;
     match check {
         Check::Pass | Check::Probe => Ok(()),
@@ -315,6 +312,7 @@
         return progress.unreached < MAX_UNREACHED_BACKENDS;
     }
     progress.sends < call.route.max_backends
+        && !cx.state.quarantine.lock().crashes.demands_caution(call.id)
         && progress.unreached < MAX_UNREACHED_BACKENDS
         && with_retry_budget(cx, call, RetryBudget::try_take)
 }
@@ -440,7 +438,7 @@
     let since_start = running.age().saturating_sub(started.elapsed()) / 2;
     running.mark_started(since_start);
     if status.is_success() {
-        running.clear_prompt();
+        running.clear_suspects();
     }
     running.set_outcome(match status.is_server_error() {
         true => Outcome::Failed,
--- a/src/ops/gateway/keys.rs
+++ b/src/ops/gateway/keys.rs
@@ -7,7 +7,7 @@
 /// Prefix of the keys of decided usage windows, followed by the window's number.
 pub const USAGE: &str = "jayhall/usage/";
 
-/// Prefix of the keys of quarantined prompts, followed by the entry's id.
+/// Prefix of the keys of quarantined calls, followed by the entry's id.
 pub const QUARANTINE: &str = "jayhall/quarantine/";
 
 /// Returns the key of a quarantine entry.
--- a/src/ops/gateway/mesh_wire.rs
+++ b/src/ops/gateway/mesh_wire.rs
@@ -6,7 +6,9 @@
 use prost::Message;
 
 use crate::core::gateway::backends::{Backends, ProcessName};
-use crate::core::gateway::crashes::{Crash, CrashLog, PartAnswer, SharedParts, Survivor};
+use crate::core::gateway::crashes::{
+    Crash, CrashLog, Survivor, Suspect, SuspectAnswer, Suspects, parts_of, request_of,
+};
 use crate::core::gateway::load::{Load, RANKS};
 use crate::core::gateway::observed::{Observation, Observer};
 use crate::core::gateway::quota::ZoneTotals;
@@ -146,7 +148,7 @@
     pub crashes: Vec<CrashWire>,
     /// Parts of these prompts that were answered since.
     #[prost(message, repeated, tag = "8")]
-    pub answers: Vec<PartAnswerWire>,
+    pub answers: Vec<SuspectAnswerWire>,
     /// Call limits that back ends named lately.
     #[prost(message, repeated, tag = "9")]
     pub call_limits: Vec<CallLimitWire>,
@@ -195,17 +197,23 @@
     /// Time since the crash, in milliseconds.
     #[prost(uint64, tag = "4")]
     pub ended_ms: u64,
+    /// Identity of the request.
+    #[prost(fixed64, optional, tag = "5")]
+    pub request: Option<u64>,
 }
 
-/// A part of a prompt that was answered.
+/// A part of a prompt, or a request, that was answered.
 #[derive(Clone, PartialEq, Message)]
-pub struct PartAnswerWire {
-    /// The part.
+pub struct SuspectAnswerWire {
+    /// The part or the request.
     #[prost(fixed64, tag = "1")]
-    pub part: u64,
+    pub id: u64,
     /// Time since the answer, in milliseconds.
     #[prost(uint64, tag = "2")]
     pub age_ms: u64,
+    /// Whether it is a request.
+    #[prost(bool, tag = "3")]
+    pub is_request: bool,
 }
 
 /// Units admitted for a customer.
@@ -276,7 +284,8 @@
         let crashes = log.crashes_to_report(observer, max_crashes).into_iter();
         self.crashes = crashes
             .map(|crash| CrashWire {
-                parts: crash.parts.to_vec(),
+                parts: parts_of(&crash.suspects).to_vec(),
+                request: request_of(&crash.suspects),
                 process: crash.process,
                 sent_ms: age_ms(crash.sent),
                 ended_ms: age_ms(crash.ended),
@@ -285,8 +294,11 @@
         let answers = log.answers_to_report(observer, max_answers, now);
         self.answers = answers
             .iter()
-            .map(|answer| PartAnswerWire {
-                part: answer.part,
+            .map(|answer| SuspectAnswerWire {
+                is_request: matches!(answer.suspect, Suspect::Request(_)),
+                id: match answer.suspect {
+                    Suspect::Part(id) | Suspect::Request(id) => id,
+                },
                 age_ms: age_ms(answer.at),
             })
             .collect();
@@ -304,10 +316,12 @@
     pub fn add_crashes_to(&self, log: &mut CrashLog, observer: Observer, now: Moment) {
         let moment = |age_ms: u64| now.saturating_sub(Duration::from_millis(age_ms));
         for crash in &self.crashes {
-            let mut parts = SharedParts::from_slice(&crash.parts);
-            parts.sort_unstable();
+            let parts = crash.parts.iter().copied().map(Suspect::Part);
+            let request = crash.request.map(Suspect::Request);
+            let mut suspects: Suspects = parts.chain(request).collect();
+            suspects.sort_unstable();
             let crash = Crash {
-                parts,
+                suspects,
                 process: crash.process,
                 sent: moment(crash.sent_ms),
                 ended: moment(crash.ended_ms),
@@ -315,8 +329,11 @@
             log.record_crash(crash, observer);
         }
         for answer in &self.answers {
-            let answer = PartAnswer {
-                part: answer.part,
+            let answer = SuspectAnswer {
+                suspect: match answer.is_request {
+                    true => Suspect::Request(answer.id),
+                    false => Suspect::Part(answer.id),
+                },
                 at: moment(answer.age_ms),
             };
             log.apply_answer(answer, observer);
--- a/src/ops/gateway/quarantine.rs
+++ b/src/ops/gateway/quarantine.rs
@@ -1,4 +1,4 @@
-//! Keeps the quarantine of prompts in the platform's store, and finds the causes of crashes.
+//! Keeps the quarantine of calls in the platform's store, and finds the causes of crashes.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,8 +9,9 @@
 use super::state::GatewayState;
 use super::{keys, relay};
 use crate::core::gateway::cache::PartId;
-use crate::core::gateway::crashes::CrashCause;
+use crate::core::gateway::crashes::{CrashCause, Suspect, Suspects, parts_of, request_of};
 use crate::core::gateway::quarantine::{EntryId, EntryValue, StoreTask};
+use crate::core::gateway::request_id::RequestId;
 use crate::core::time::{Moment, UnixMillis};
 use crate::sources::store::{Compare, Condition, KeyRange, KeyValue, Op, Result, Revision};
 use crate::sources::store::{Store, StoreError, Transaction};
@@ -32,8 +33,11 @@
 /// An entry in the store.
 #[derive(Serialize, Deserialize)]
 struct EntryWire {
-    /// Ids of the parts.
+    /// Ids of the parts of prompts.
     parts: SmallVec<[PartId; 4]>,
+    /// Identity of the request, if only this one is quarantined.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    request: Option<RequestId>,
     probe_at_ms: UnixMillis,
     interval_ms: u64,
 }
@@ -41,7 +45,8 @@
 impl From<&EntryValue> for EntryWire {
     fn from(value: &EntryValue) -> Self {
         Self {
-            parts: value.parts.clone(),
+            parts: parts_of(&value.suspects),
+            request: request_of(&value.suspects),
             probe_at_ms: value.probe_at,
             interval_ms: as_millis_u64(value.interval),
         }
@@ -50,10 +55,12 @@
 
 impl From<EntryWire> for EntryValue {
     fn from(wire: EntryWire) -> Self {
-        let mut parts = wire.parts;
-        parts.sort_unstable();
+        let parts = wire.parts.into_iter().map(Suspect::Part);
+        let request = wire.request.map(Suspect::Request);
+        let mut suspects: Suspects = parts.chain(request).collect();
+        suspects.sort_unstable();
         Self {
-            parts,
+            suspects,
             probe_at: wire.probe_at_ms,
             interval: Duration::from_millis(wire.interval_ms),
         }
@@ -83,7 +90,7 @@
                 tokio::time::sleep(WRITE_PAUSE).await;
             }
             Err(e) => {
-                tracing::warn!(error = %e, "failed to write the quarantine of prompts; retrying");
+                tracing::warn!(error = %e, "failed to write the quarantine; retrying");
                 tokio::time::sleep(backoff.mul_f64(0.5 + rand::random::<f64>())).await;
                 backoff = (backoff * 2).min(MAX_BACKOFF);
             }
@@ -96,7 +103,7 @@
     let wall = state.wall();
     let mut quarantine = state.quarantine.lock();
     for cause in quarantine.crashes.take_causes(state.now()) {
-        let is_new = quarantine.add(EntryValue::new(cause.parts.clone(), wall));
+        let is_new = quarantine.add(EntryValue::new(cause.suspects.clone(), wall));
         log_cause(state, &cause, is_new);
     }
 }
@@ -105,12 +112,13 @@
     let now = state.now();
     metrics::counter!("jayhall_gateway_quarantined").increment(u64::from(is_new));
     tracing::info!(
-        part_ids = hex(&cause.parts),
+        request = request_hex(&cause.suspects),
+        part_ids = hex(&parts_of(&cause.suspects)),
         processes = cause.processes,
         first_crash_ms = as_millis_u64(now.saturating_sub(cause.first)),
         last_crash_ms = as_millis_u64(now.saturating_sub(cause.last)),
         is_new,
-        "prompts quarantined that crash back ends"
+        "calls quarantined that crash back ends"
     );
 }
 
@@ -120,6 +128,11 @@
     ids.join(",")
 }
 
+/// Returns the request among suspects in hexadecimal, if there is one.
+fn request_hex(suspects: &[Suspect]) -> Option<String> {
+    request_of(suspects).map(|request| format!("{request:x}"))
+}
+
 fn has_tasks(state: &GatewayState) -> bool {
     let wall = state.wall();
     !state.quarantine.lock().store_tasks(wall).is_empty()
@@ -168,9 +181,10 @@
     let reply = store.transact(put).await?;
     if reply.succeeded {
         tracing::info!(
-            part_ids = hex(&value.parts),
+            request = request_hex(&value.suspects),
+            part_ids = hex(&parts_of(&value.suspects)),
             interval_ms = as_millis_u64(value.interval),
-            "probe of quarantined prompts claimed"
+            "probe of quarantined calls claimed"
         );
         state.quarantine.lock().grant_probe(value, reply.revision);
     } else if let Some(found) = reply.found().and_then(|found| found.first()) {
@@ -216,7 +230,8 @@
         Ok(wire) => {
             let value = EntryValue::from(wire);
             tracing::info!(
-                part_ids = hex(&value.parts),
+                request = request_hex(&value.suspects),
+            part_ids = hex(&parts_of(&value.suspects)),
                 revision = %item.mod_revision,
                 probe_at_ms = value.probe_at,
                 "quarantine entry listed"
--- a/src/ops/gateway/refusal.rs
+++ b/src/ops/gateway/refusal.rs
@@ -43,7 +43,7 @@
     AnswerLost,
     /// The call's deadline has passed.
     TimedOut,
-    /// Its prompt has crashed back ends.
+    /// It, or calls with the same parts of a prompt, have crashed back ends.
     Quarantined,
 }
 
@@ -102,7 +102,7 @@
             Self::Declined => "all back ends are full; come back later",
             Self::AnswerLost => "the back end broke off; it may have done the work",
             Self::Quarantined => {
-                "a part of this prompt has crashed several engines; it is not sent to any more, and asking again does not help"
+                "this request, or a part of its prompt, has crashed several engines; it is not sent to any more, and asking again does not help"
             }
             Self::TimedOut => "the time for this call is over",
         }
--- a/src/ops/gateway/stream.rs
+++ b/src/ops/gateway/stream.rs
@@ -256,7 +256,7 @@
             ..
         }) = self.source.take()
         {
-            running.clear_prompt();
+            running.clear_suspects();
             running.set_outcome(Outcome::Answered);
             if body.is_end_stream() {
                 self.cx.pool.release(connection, idle_timeout);
--- a/tests/testsuite/gateway/quarantine.rs
+++ b/tests/testsuite/gateway/quarantine.rs
@@ -4,14 +4,13 @@
 use std::time::Duration;
 
 use jayhall::core::gateway::cache::PartId;
-use jayhall::core::gateway::crashes::{Crash, CrashLog, SharedParts};
+use jayhall::core::gateway::crashes::{Crash, CrashLog, Suspect, Suspects, parts_of};
 use jayhall::core::gateway::observed::Observer;
 use jayhall::core::gateway::quarantine::{Check, EntryValue, Quarantine, StoreTask};
 use jayhall::ops::gateway::mesh_wire::LoadSumWire;
 use prost::Message;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use smallvec::smallvec;
 
 /// Part that crashes back ends.
 const CRASHING: PartId = 7;
@@ -19,14 +18,25 @@
 const SHARED: PartId = 1;
 /// Part of other sound prompts.
 const OTHER: PartId = 2;
+/// Request that crashes back ends.
+const CRASHING_REQUEST: Suspect = Suspect::Request(5);
 
 fn at(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
 
+fn of_parts(parts: &[PartId]) -> Suspects {
+    parts.iter().copied().map(Suspect::Part).collect()
+}
+
+/// A crash under one of many requests whose prompts have these parts.
 fn crash(parts: &[PartId], process: u32, sent_ms: u64, ended_ms: u64) -> Crash {
+    crash_under(&of_parts(parts), process, sent_ms, ended_ms)
+}
+
+fn crash_under(suspects: &[Suspect], process: u32, sent_ms: u64, ended_ms: u64) -> Crash {
     Crash {
-        parts: SharedParts::from_slice(parts),
+        suspects: Suspects::from_slice(suspects),
         process,
         sent: at(sent_ms),
         ended: at(ended_ms),
@@ -40,13 +50,16 @@
         let sent = 1_000 + 1_000 * u64::from(index);
         log.record_crash(crash(parts, index, sent, sent + 500), Observer::Node);
     }
-    log.record_answer(&[OTHER], at(3_600));
+    log.record_answer(&of_parts(&[OTHER]), at(3_600));
     log
 }
 
 fn causes(log: &mut CrashLog, ms: u64) -> Vec<Vec<PartId>> {
     let causes = log.take_causes(at(ms));
-    causes.iter().map(|cause| cause.parts.to_vec()).collect()
+    causes
+        .iter()
+        .map(|cause| parts_of(&cause.suspects).to_vec())
+        .collect()
 }
 
 #[test]
@@ -60,10 +73,10 @@
 #[test]
 fn an_answered_part_is_not_the_cause_of_earlier_crashes() {
     let mut log = log_of_three_crashes(&[SHARED, CRASHING]);
-    log.record_answer(&[SHARED], at(3_700));
+    log.record_answer(&of_parts(&[SHARED]), at(3_700));
     assert_eq!(causes(&mut log, 5_000), [[CRASHING]]);
     let mut log = log_of_three_crashes(&[SHARED]);
-    log.record_answer(&[SHARED], at(3_700));
+    log.record_answer(&of_parts(&[SHARED]), at(3_700));
     assert_eq!(causes(&mut log, 5_000), Vec::<Vec<PartId>>::new());
 }
 
@@ -74,7 +87,7 @@
         let ended = 1_000 + u64::from(process) * 15;
         log.record_crash(crash(&[SHARED], process, 500, ended), Observer::Node);
     }
-    log.record_answer(&[OTHER], at(5_000));
+    log.record_answer(&of_parts(&[OTHER]), at(5_000));
     assert_eq!(causes(&mut log, 5_100), Vec::<Vec<PartId>>::new());
 }
 
@@ -123,7 +136,7 @@
             log.record_crash(lost.clone(), Observer::Node);
             other.record_crash(lost, Observer::Fleet);
         }
-        log.record_answer(&[OTHER], at(3_600));
+        log.record_answer(&of_parts(&[OTHER]), at(3_600));
         let mut message = LoadSumWire::default();
         message.set_crashes(&other, Observer::Node, at(4_000));
         message.add_crashes_to(&mut log, Observer::Fleet, at(4_000));
@@ -153,21 +166,27 @@
 #[test]
 fn only_prompts_with_all_parts_of_an_entry_are_blocked() {
     let mut quarantine = Quarantine::default();
-    assert!(quarantine.add(EntryValue::new(smallvec![SHARED, CRASHING], 0)));
-    assert_eq!(quarantine.check(&[SHARED, CRASHING], 1_000), Check::Block);
+    assert!(quarantine.add(EntryValue::new(of_parts(&[SHARED, CRASHING]), 0)));
+    assert_eq!(
+        quarantine.check(&of_parts(&[SHARED, CRASHING]), 1_000),
+        Check::Block
+    );
     assert_eq!(
-        quarantine.check(&[SHARED, OTHER, CRASHING], 1_000),
+        quarantine.check(&of_parts(&[SHARED, OTHER, CRASHING]), 1_000),
         Check::Block
     );
-    assert_eq!(quarantine.check(&[SHARED, OTHER], 1_000), Check::Pass);
-    assert_eq!(quarantine.check(&[], 1_000), Check::Pass);
+    assert_eq!(
+        quarantine.check(&of_parts(&[SHARED, OTHER]), 1_000),
+        Check::Pass
+    );
+    assert_eq!(quarantine.check(&of_parts(&[]), 1_000), Check::Pass);
 }
 
 #[test]
 fn a_probe_is_granted_to_one_call_after_its_claim_in_the_store() {
     let mut quarantine = Quarantine::default();
-    let value = EntryValue::new(smallvec![CRASHING], 0);
-    let parts = [SHARED, CRASHING];
+    let value = EntryValue::new(of_parts(&[CRASHING]), 0);
+    let parts = of_parts(&[SHARED, CRASHING]);
     quarantine.add(value.clone());
     assert_eq!(
         quarantine.store_tasks(0),
@@ -197,7 +216,7 @@
 #[test]
 fn an_entry_without_calls_is_released() {
     let mut quarantine = Quarantine::default();
-    let value = EntryValue::new(smallvec![CRASHING], 0);
+    let value = EntryValue::new(of_parts(&[CRASHING]), 0);
     quarantine.apply(value.clone(), 5.into());
     let hour = 3_600_000;
     assert_eq!(quarantine.store_tasks(value.probe_at + hour), []);
@@ -208,13 +227,13 @@
 #[test]
 fn another_nodes_claim_of_a_probe_keeps_this_node_from_probing() {
     let mut quarantine = Quarantine::default();
-    let value = EntryValue::new(smallvec![CRASHING], 0);
+    let value = EntryValue::new(of_parts(&[CRASHING]), 0);
     quarantine.apply(value.clone(), 5.into());
-    quarantine.check(&[CRASHING], value.probe_at);
+    quarantine.check(&of_parts(&[CRASHING]), value.probe_at);
     quarantine.apply(value.after_claim(value.probe_at), 6.into());
     assert_eq!(quarantine.store_tasks(value.probe_at), []);
     assert_eq!(
-        quarantine.check(&[CRASHING], value.probe_at + 1),
+        quarantine.check(&of_parts(&[CRASHING]), value.probe_at + 1),
         Check::Block
     );
 }
@@ -232,7 +251,7 @@
 /// Time from the sending of a call until its first event, and until its end.
 const FIRST_EVENT_MS: u64 = 400;
 const END_MS: u64 = 1_200;
-/// Time after the fifth crash within which all nodes know the cause, and calls that may follow.
+/// Time after these crashes within which all nodes know the cause, and calls that may follow.
 const KNOWN_WITHIN_MS: u64 = 4_000;
 const MAX_LATER_CALLS: usize = 3;
 /// Bytes that the exchange of crashes may add to one message.
@@ -241,12 +260,57 @@
 struct RunningCall {
     node: usize,
     backend: usize,
-    parts: SharedParts,
+    suspects: Suspects,
     sent: u64,
 }
 
+/// What crashes back ends in a play.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Play {
+    /// Prompts with the crashing part.
+    Part,
+    /// One request, whose prompt has a part of sound ones.
+    Request,
+    /// One plain request.
+    PlainRequest,
+}
+
+impl Play {
+    fn crashing_call(self) -> Suspects {
+        match self {
+            Self::Part => of_parts(&[SHARED, CRASHING]),
+            Self::Request => Suspects::from_slice(&[Suspect::Part(SHARED), CRASHING_REQUEST]),
+            Self::PlainRequest => Suspects::from_slice(&[CRASHING_REQUEST]),
+        }
+    }
+
+    fn sound_call(self, part: PartId) -> Suspects {
+        match self {
+            Self::Part | Self::Request => of_parts(&[part]),
+            Self::PlainRequest => Suspects::new(),
+        }
+    }
+
+    /// Number of crashes from which the time runs within which all nodes know the cause.
+    fn crashes_until_known(self) -> usize {
+        match self {
+            Self::Part => 5,
+            Self::Request | Self::PlainRequest => 3,
+        }
+    }
+
+    fn crashes(self, suspects: &[Suspect]) -> bool {
+        let crashing = match self {
+            Self::Part => Suspect::Part(CRASHING),
+            Self::Request | Self::PlainRequest => CRASHING_REQUEST,
+        };
+        suspects.contains(&crashing)
+    }
+}
+
 /// 294 nodes that exchange crashes in the messages of the mesh, without the store.
 struct LargeFleet {
+    play: Play,
     nodes: Vec<Quarantine>,
     /// Newest sums that each zone's aggregator has of the other zones, with the time of arrival.
     sums: Vec<HashMap<usize, (LoadSumWire, u64)>>,
@@ -262,8 +326,9 @@
 }
 
 impl LargeFleet {
-    fn new(seed: u64) -> Self {
+    fn new(play: Play, seed: u64) -> Self {
         Self {
+            play,
             nodes: (0..ZONES * NODES_PER_ZONE)
                 .map(|_| Quarantine::default())
                 .collect(),
@@ -299,7 +364,7 @@
             if ms % 200 == 0 {
                 for node in &mut self.nodes {
                     for cause in node.crashes.take_causes(at(ms)) {
-                        node.add(EntryValue::new(cause.parts, ms));
+                        node.add(EntryValue::new(cause.suspects, ms));
                     }
                 }
             }
@@ -308,16 +373,19 @@
 
     fn send_call(&mut self, ms: u64) {
         let draw: f64 = self.rng.random();
-        let parts: SharedParts = if draw < CRASHING_SHARE {
-            smallvec![SHARED, CRASHING]
+        let mut suspects: Suspects = if draw < CRASHING_SHARE {
+            self.play.crashing_call()
         } else if draw < CRASHING_SHARE + SHARED_SHARE {
-            smallvec![SHARED]
+            self.play.sound_call(SHARED)
         } else {
-            smallvec![100 + self.rng.random_range(0..60)]
+            self.play.sound_call(100 + self.rng.random_range(0..60))
         };
+        let is_crashing = self.play.crashes(&suspects);
+        if !suspects.contains(&CRASHING_REQUEST) {
+            suspects.push(Suspect::Request(1_000 + ms));
+        }
         let node = self.rng.random_range(0..self.nodes.len());
-        let is_crashing = parts.contains(&CRASHING);
-        if self.nodes[node].blocks(&parts) {
+        if self.nodes[node].blocks(&suspects) {
             self.refused_sound += usize::from(!is_crashing);
             return;
         }
@@ -328,7 +396,7 @@
         self.calls.push(RunningCall {
             node,
             backend,
-            parts,
+            suspects,
             sent: ms,
         });
     }
@@ -337,7 +405,7 @@
         let mut crashed = HashSet::new();
         for call in &self.calls {
             let age = ms - call.sent;
-            if age == FIRST_EVENT_MS && call.parts.contains(&CRASHING) {
+            if age == FIRST_EVENT_MS && self.play.crashes(&call.suspects) {
                 crashed.insert(call.backend);
             }
         }
@@ -346,7 +414,7 @@
             for call in self.calls.iter().filter(|call| call.backend == *backend) {
                 if ms - call.sent <= FIRST_EVENT_MS {
                     let process = self.processes[*backend];
-                    let crash = crash(&call.parts, process, call.sent, ms);
+                    let crash = crash_under(&call.suspects, process, call.sent, ms);
                     self.nodes[call.node]
                         .crashes
                         .record_crash(crash, Observer::Node);
@@ -362,7 +430,7 @@
             log.record_call(process, at(call.sent), at(ms));
             self.nodes[call.node]
                 .crashes
-                .record_answer(&call.parts, at(ms));
+                .record_answer(&call.suspects, at(ms));
         }
         self.calls.retain(|call| ms - call.sent < END_MS);
     }
@@ -407,12 +475,11 @@
     }
 }
 
-#[test]
-fn all_nodes_of_a_large_fleet_find_the_cause_of_crashes_without_the_store() {
+fn play_large_fleet(play: Play) {
     for seed in 0..3 {
-        let mut fleet = LargeFleet::new(seed);
+        let mut fleet = LargeFleet::new(play, seed);
         fleet.run(9_000);
-        let known_by = fleet.crashes[4] + KNOWN_WITHIN_MS;
+        let known_by = fleet.crashes[play.crashes_until_known() - 1] + KNOWN_WITHIN_MS;
         let later = fleet.crashing_sends.iter().filter(|sent| **sent > known_by);
         assert!(
             later.count() <= MAX_LATER_CALLS,
@@ -432,3 +499,75 @@
         );
     }
 }
+
+#[test]
+fn all_nodes_of_a_large_fleet_find_a_part_that_crashes_back_ends_without_the_store() {
+    play_large_fleet(Play::Part);
+}
+
+#[test]
+fn all_nodes_of_a_large_fleet_find_a_request_that_crashes_back_ends_without_the_store() {
+    play_large_fleet(Play::Request);
+    play_large_fleet(Play::PlainRequest);
+}
+
+/// Records crashes of processes, one a second from `first` on, under calls with these suspects.
+fn record_crashes(log: &mut CrashLog, suspects: &[Suspect], first: u32, count: u32) {
+    for process in first..first + count {
+        let sent = 1_000 + 1_000 * u64::from(process);
+        let crash = crash_under(suspects, process, sent, sent + 500);
+        log.record_crash(crash, Observer::Node);
+        log.record_answer(&of_parts(&[OTHER]), at(sent + 600));
+        log.record_answer(&[Suspect::Request(OTHER)], at(sent + 600));
+    }
+}
+
+#[test]
+fn a_request_that_comes_again_is_quarantined_and_not_the_parts_of_its_prompt() {
+    let suspects = [Suspect::Part(SHARED), CRASHING_REQUEST];
+    let mut log = CrashLog::default();
+    record_crashes(&mut log, &suspects, 0, 3);
+    // A sound prompt with this part is under way at a crash for another reason.
+    let other = [Suspect::Part(SHARED), Suspect::Request(6)];
+    log.record_crash(crash_under(&other, 9, 3_000, 3_300), Observer::Node);
+    let causes = log.take_causes(at(5_100));
+    assert_eq!(causes.len(), 1);
+    assert_eq!(&*causes[0].suspects, suspects);
+}
+
+#[test]
+fn a_plain_request_is_known_without_a_prompt() {
+    let mut log = CrashLog::default();
+    assert!(!log.demands_caution(5));
+    record_crashes(&mut log, &[CRASHING_REQUEST], 0, 3);
+    assert!(log.demands_caution(5));
+    let causes = log.take_causes(at(5_100));
+    assert_eq!(&*causes[0].suspects, [CRASHING_REQUEST]);
+}
+
+#[test]
+fn a_part_of_several_requests_is_found_although_one_of_them_is_quarantined() {
+    let request = |number| [Suspect::Part(CRASHING), Suspect::Request(number)];
+    let mut log = CrashLog::default();
+    record_crashes(&mut log, &request(5), 0, 3);
+    assert_eq!(&*log.take_causes(at(5_100))[0].suspects, request(5));
+    record_crashes(&mut log, &request(6), 4, 1);
+    assert_eq!(log.take_causes(at(7_500)), []);
+    record_crashes(&mut log, &request(7), 5, 1);
+    let causes = log.take_causes(at(8_100));
+    assert_eq!(causes.len(), 1, "{causes:?}");
+    assert_eq!(causes[0].suspects, of_parts(&[CRASHING]));
+}
+
+#[test]
+fn an_answered_prompt_with_the_same_parts_does_not_release_a_request() {
+    let suspects = [Suspect::Part(SHARED), CRASHING_REQUEST];
+    let mut quarantine = Quarantine::default();
+    let value = EntryValue::new(Suspects::from_slice(&suspects), 0);
+    quarantine.apply(value.clone(), 5.into());
+    let sound = [Suspect::Part(SHARED), Suspect::Request(6)];
+    assert_eq!(quarantine.check(&sound, 0), Check::Pass);
+    quarantine.record_answer(&sound, at(1_000));
+    assert_eq!(quarantine.store_tasks(0), []);
+    assert_eq!(quarantine.check(&suspects, 0), Check::Block);
+}
--- a/tests/testsuite/gateway/streams.rs
+++ b/tests/testsuite/gateway/streams.rs
@@ -153,7 +153,8 @@
         others.push(backend);
     }
     tokio::time::sleep(Duration::from_millis(200)).await;
-    let res = fixture.call(&node, "/resume/x", "a2").send().await.unwrap();
+    let call = fixture.call(&node, "/resume/x", "a2").body("another");
+    let res = call.send().await.unwrap();
     for backend in others.iter().filter(|backend| backend.runs() == 0) {
         backend.set(COMPLETE);
     }
