Do not believe an answer without an attempt on a reused connection

Report of other operators: a faulty engine writes an earlier refusal once more on a kept connection; callers are told 'not run, try again' for calls that run.

It can happen here: an answer that names no attempt was taken for that of the call under way. On a connection that was used before, it may be a late copy.

Such an answer now says nothing on whether the call has run. Engines name the attempt in their answers.

--- a/src/ops/gateway/attempt.rs
+++ b/src/ops/gateway/attempt.rs
@@ -278,19 +278,7 @@
         .dialect
         .response_head(parts.status.as_u16(), &parts.headers);
     apply_backend_hints(cx, &running, &head);
-    let belongs_to_call = head
-        .attempt
-        .as_ref()
-        .is_none_or(|attempt| *attempt == call.head.attempt);
-    let problem = match (
-        belongs_to_call,
-        parts.status.is_success() && !head.is_signed,
-    ) {
-        (false, _) => Some("it belongs to another attempt"),
-        (true, true) => Some("it is a success without the back end's signature"),
-        (true, false) => None,
-    };
-    if let Some(problem) = problem {
+    if let Some(problem) = find_problem(call, &connection, parts.status, &head) {
         running.set_outcome(Outcome::Unreachable);
         return Err(AttemptError::Unusable {
             backend: running.backend().into(),
@@ -307,6 +295,23 @@
     })
 }
 
+/// Returns why a response cannot be that of the back end to this call, if so.
+fn find_problem(
+    call: &Call,
+    connection: &Connection,
+    status: StatusCode,
+    head: &ResponseHead,
+) -> Option<&'static str> {
+    match &head.attempt {
+        Some(attempt) if *attempt != call.head.attempt => Some("it belongs to another attempt"),
+        None if connection.is_reused() => Some("it names no attempt on a reused connection"),
+        _ if status.is_success() && !head.is_signed => {
+            Some("it is a success without the back end's signature")
+        }
+        _ => None,
+    }
+}
+
 /// Applies hints about the back end itself that its response carries: that it is leaving, or that it
 /// asks for a pause without calls.
 fn apply_backend_hints(cx: &GatewayContext, running: &RunningAttempt, head: &ResponseHead) {
--- a/src/ops/gateway/pool.rs
+++ b/src/ops/gateway/pool.rs
@@ -80,6 +80,8 @@
     /// Address of the back end.
     pub address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
+    /// Whether an earlier call was answered on it.
+    is_reused: bool,
 }
 
 struct IdleConnection {
@@ -103,7 +105,10 @@
     /// Fails with [`SendError::NotReached`] if no connection can be made.
     pub async fn acquire(&self, address: SocketAddr, at_most_once: bool) -> Result<Connection> {
         match self.take_idle(address, at_most_once) {
-            Some(connection) => Ok(connection),
+            Some(connection) => Ok(Connection {
+                is_reused: true,
+                ..connection
+            }),
             None => connect(address).await,
         }
     }
@@ -153,6 +158,12 @@
 }
 
 impl Connection {
+    /// Returns whether an earlier call was answered on the connection, so that a late copy of that answer may
+    /// arrive on it.
+    pub fn is_reused(&self) -> bool {
+        self.is_reused
+    }
+
     /// Sends a call and waits for the head of the response. Dropping the returned future, or the body
     /// of the response before its end, closes the connection.
     ///
@@ -194,7 +205,11 @@
             tracing::debug!(%address, error = %e, "connection to a back end ended with an error");
         }
     });
-    Ok(Connection { address, sender })
+    Ok(Connection {
+        address,
+        sender,
+        is_reused: false,
+    })
 }
 
 fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
--- a/tests/testsuite/gateway/fixture.rs
+++ b/tests/testsuite/gateway/fixture.rs
@@ -451,10 +451,19 @@
         service: &str,
         backend: &FakeBackend,
         state: &str,
+    ) {
+        self.list_address(id, service, backend.address, state).await;
+    }
+
+    pub(super) async fn list_address(
+        &self,
+        id: &str,
+        service: &str,
+        address: SocketAddr,
+        state: &str,
     ) {
         let entry = format!(
-            r#"{{"service":"{service}","address":"{}","zone":"z1","slots":8,"state":"{state}","born":1}}"#,
-            backend.address
+            r#"{{"service":"{service}","address":"{address}","zone":"z1","slots":8,"state":"{state}","born":1}}"#
         );
         self.put(&format!("servers/{id}"), entry).await;
     }
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -13,6 +13,7 @@
 mod platform_wire;
 mod quarantine;
 mod quota;
+mod raw_answers;
 mod restored_store;
 mod scaling;
 mod serving;
