Copy a watching node's view after a compaction or a restore

Such a node now asks the watching nodes of its zone first, for a fifth of the drain time of a back end, and lists the store only if none of them has later changes.

--- a/src/ops/gateway/follow_store.rs
+++ b/src/ops/gateway/follow_store.rs
@@ -2,7 +2,8 @@
 //!
 //! A few nodes of each availability zone do so; the others fetch from one of these (see [`relay`]), so
 //! that the load on the store grows with the number of zones and not of nodes. For the same reason a node
-//! that starts copies the view of a node that its settings name, if it can, instead of listing all keys.
+//! copies the view of another one, if it can, instead of listing all keys: a node that starts that of a node that
+//! its settings name, and a node that finds the store's history compacted that of a node that watches the store.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -31,7 +32,7 @@
         if has_contact || std::mem::take(&mut has_copy) {
             relay::follow_while_possible(&state, &client).await;
         }
-        match list_and_watch(&state, &store, &mut has_contact).await {
+        match list_and_watch(&state, &store, &client, &mut has_contact).await {
             Ok(()) => backoff = INITIAL_BACKOFF,
             Err(e) => {
                 if has_contact {
@@ -53,6 +54,7 @@
 async fn list_and_watch(
     state: &GatewayState,
     store: &Arc<dyn Store>,
+    client: &reqwest::Client,
     has_contact: &mut bool,
 ) -> Result<()> {
     if state.view_age().is_none() {
@@ -80,11 +82,15 @@
                 if revision != Revision::NONE {
                     note_era(state, revision);
                 }
+                let is_copied = relay::copy_from_watchers(state, client).await;
                 tracing::info!(
                     revision = %from,
-                    "the store has compacted the revisions to watch; listing all keys"
+                    is_copied,
+                    "the store has compacted the revisions to watch"
                 );
-                list_store(state, store).await?;
+                if !is_copied {
+                    list_store(state, store).await?;
+                }
                 note_contact(state, has_contact);
                 return Ok(());
             }
--- a/src/ops/gateway/relay.rs
+++ b/src/ops/gateway/relay.rs
@@ -23,6 +23,9 @@
 /// store itself. The store may refuse all watching nodes, and its changes must reach the others
 /// nevertheless. The rest of the drain time is for the answer of the store.
 const MAX_VIEW_AGE_DRAIN_SHARE: f64 = 0.6;
+/// Part of the drain time of a back end for which a follower waits for the view of a watching node before it lists
+/// the store.
+const MAX_COPY_DRAIN_SHARE: f64 = 0.2;
 /// Time that is left for the response of the other node after its wait for changes.
 const RESPONSE_TIME: Duration = Duration::from_millis(300);
 /// Time without a message of a node after which it is not expected to watch the store.
@@ -115,6 +118,34 @@
     }
 }
 
+/// Brings the view of a node that does not watch the store itself up to date from nodes of its zone that do.
+/// Returns whether it contains later changes than before.
+pub async fn copy_from_watchers(state: &GatewayState, client: &Client) -> bool {
+    let before = state.view.lock().revision;
+    let deadline = state.now() + state.settings.bounds.drain.mul_f64(MAX_COPY_DRAIN_SHARE);
+    loop {
+        let watchers = watchers(state);
+        let is_watcher = |(name, _): &(NodeName, _)| **name == *state.settings.name;
+        let left = deadline.saturating_sub(state.now());
+        if watchers.is_empty() || watchers.iter().any(is_watcher) || left.is_zero() {
+            return false;
+        }
+        let control = watchers[rand::random_range(0..watchers.len())].1;
+        let time = FetchTime {
+            wait: Duration::ZERO,
+            timeout: snapshot::FETCH_TIMEOUT.min(left),
+        };
+        match snapshot::fetch(state, client, control, time).await {
+            Ok(reply) => snapshot::apply(state, reply, control),
+            Err(e) => tracing::debug!(peer = %control, error = %e, "failed to fetch a snapshot"),
+        }
+        if state.view.lock().revision > before {
+            return true;
+        }
+        tokio::time::sleep(MIN_FETCH_INTERVAL.min(left)).await;
+    }
+}
+
 /// Returns the time until the view is too old to follow another node.
 fn time_left(state: &GatewayState, max_view_age: Duration) -> Duration {
     let left = state.view_age().map(|age| max_view_age.saturating_sub(age));
--- a/tests/testsuite/gateway/restored_store.rs
+++ b/tests/testsuite/gateway/restored_store.rs
@@ -8,7 +8,7 @@
 use jayhall::sources::store::{KeyRange, KeyValue, RangeRequest, Store};
 
 use super::fixture::{Behaviour, FakeBackend, Fixture, Node, config, numbered_call};
-use super::watched_store::WatchedStore;
+use super::watched_store::{WatchedStore, Watches};
 
 /// Time after its acknowledgement within which a configuration is in force, and after the report of a departure
 /// within which the back end still gets calls; the defaults of the settings.
@@ -255,3 +255,32 @@
     assert_eq!(contact.era_age(2, at(21)), Some(at(6)));
     assert_eq!(contact.era_age(1, at(21)), None);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn only_nodes_that_watch_the_store_list_it_after_an_outage_and_a_restore() {
+    let (fixture, _backend) = fixture_with_backend().await;
+    let mut started = Vec::new();
+    let (faults, _) = tokio::sync::watch::channel(Watches::Complete);
+    for name in ["n1", "n2", "n3", "n4", "n5", "n6"] {
+        let store = WatchedStore::open(&fixture, &faults);
+        let node = fixture.node_with_store(name, "z1", Arc::clone(&store) as _);
+        let node = node.await;
+        fixture.ready(&node).await;
+        started.push((node, store));
+    }
+    let copy = fixture.store.copy();
+    write_lost_changes(&fixture).await;
+    let before: usize = started.iter().map(|(_, store)| store.listings()).sum();
+    // Long enough for all nodes to ask the store themselves.
+    faults.send_replace(Watches::Unresponsive);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    fixture.store.restore(&copy);
+    faults.send_replace(Watches::Complete);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let after: usize = started.iter().map(|(_, store)| store.listings()).sum();
+    // Two nodes of a zone watch the store if there is no other zone.
+    assert!(after - before <= 2, "{} listings", after - before);
+    fixture.put("op/config", config_with_route(9)).await;
+    let nodes: Vec<Node> = started.into_iter().map(|(node, _)| node).collect();
+    all_answer(&fixture, &nodes, "/added/x", 200, APPLY_WITHIN).await;
+}
