Restore the store from a copy in the soak

The operator writes the newest configuration again at once, back ends their entries at the next heartbeat, and entries of those that have ended expire.

--- a/crates/jayhall-soak/src/faults.rs
+++ b/crates/jayhall-soak/src/faults.rs
@@ -14,7 +14,7 @@
 use crate::backend::Mode;
 use crate::config::{DRAIN_TIME, PLAIN_SERVICES, STOP_TIMEOUT};
 use crate::history::{Moment, Stop, Target};
-use crate::world::{ListingState, Node, World};
+use crate::world::{ListingState, Node, World, config_version};
 
 /// Mean time between two faults that are not simultaneous.
 const MEAN_FAULT_INTERVAL: Duration = Duration::from_millis(1100);
@@ -22,6 +22,10 @@
 const SIMULTANEOUS_PROBABILITY: f64 = 0.25;
 /// Time after a crash until the entry of the back end is deleted: one and a half heartbeats.
 const ENTRY_EXPIRY: Duration = Duration::from_millis(1500);
+/// Limit on the restores of the store in a run.
+const MAX_RESTORES: u32 = 2;
+/// Random sequence from which restores are drawn.
+const RESTORE_STREAM: u64 = 1;
 /// Time for which a link in the state `Reset` resets connections.
 const RESET_DURATION: Duration = Duration::from_millis(60);
 
@@ -66,6 +70,9 @@
     },
     /// Injects a fault into the store, for all nodes.
     Store { fault: StoreFault, time: Duration },
+    /// Replaces the store's data, after it has refused all calls for `away`, by a copy from the begin of the
+    /// fault, which is then `age` old.
+    RestoreStore { age: Duration, away: Duration },
     /// Crashes a back end, and starts a replacement.
     BackendCrash { draw: f64 },
     /// Drains a back end, or deletes its entry without draining, and starts a replacement.
@@ -100,6 +107,22 @@
     plan
 }
 
+/// Draws restores of the store, from a random sequence of their own: the other faults of a seed stay as they are.
+pub(crate) fn plan_restores(seed: u64, from: Moment, to: Moment) -> Vec<(Moment, Fault)> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(RESTORE_STREAM);
+    let count = rng.random_range(0..=MAX_RESTORES);
+    let mut draw = || {
+        let at = from + (to - from).mul_f64(rng.random());
+        let fault = Fault::RestoreStore {
+            age: Duration::from_millis(rng.random_range(500..9000)),
+            away: Duration::from_millis(rng.random_range(200..3000)),
+        };
+        (at, fault)
+    };
+    (0..count).map(|_| draw()).collect()
+}
+
 fn draw(rng: &mut ChaCha8Rng, nodes: usize) -> Fault {
     let node = rng.random_range(0..nodes);
     let time = Duration::from_millis(rng.random_range(300..4000));
@@ -236,6 +259,18 @@
             world.store.set(StoreFault::None);
             Ok(())
         }
+        Fault::RestoreStore { age, away } => {
+            let copy = world.store.store().copy();
+            tokio::time::sleep(age).await;
+            let _disturbance = world.history.begin_disturbance(Target::Store);
+            world.store.set(StoreFault::Refuse(503));
+            tokio::time::sleep(away).await;
+            world.restore_store(&copy).await?;
+            world.store.set(StoreFault::None);
+            // Entries of back ends that have ended expire.
+            tokio::time::sleep(ENTRY_EXPIRY).await;
+            world.rewrite_departures().await
+        }
         Fault::BackendCrash { draw } => crash(&world, draw).await,
         Fault::BackendLeaves { draw, says_so } => leave(&world, draw, says_so).await,
         Fault::BackendLink { draw, state, time } => match world.pick_backend(draw) {
@@ -259,7 +294,7 @@
         Fault::Configure => {
             let version = world.history.lock().versions.len() as u64;
             let to = PLAIN_SERVICES[(version % 2) as usize];
-            world.configure(version * 3 + 1, to).await
+            world.configure(config_version(version), to).await
         }
     }
 }
--- a/crates/jayhall-soak/src/lib.rs
+++ b/crates/jayhall-soak/src/lib.rs
@@ -76,7 +76,10 @@
         })
         .collect();
     let from = world.history.now() + WARM_UP_TIME;
-    let faults = faults::plan(plan.seed, from, from + plan.time, plan.nodes);
+    let to = from + plan.time;
+    let mut faults = faults::plan(plan.seed, from, to, plan.nodes);
+    faults.extend(faults::plan_restores(plan.seed, from, to));
+    faults.sort_by_key(|(at, _)| *at);
     faults::play(&world, &faults).await?;
     let recovered = world.history.now() + RECOVERY_TIME;
     tokio::time::sleep(RECOVERY_TIME + VERIFICATION_TIME).await;
--- a/crates/jayhall-soak/src/world.rs
+++ b/crates/jayhall-soak/src/world.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use eyre::{Result, WrapErr, bail};
-use jayhall::sources::store::{KeyRange, Op, Store, Transaction};
+use jayhall::sources::store::{KeyRange, Op, Store, StoreCopy, Transaction};
 use jayhall::util::time::unix_now;
 use jayhall_harness::{GatewaySettingsText, Link, PlatformStoreStandin, Process, bin_dir};
 use parking_lot::Mutex;
@@ -89,6 +89,11 @@
     Ipv4Addr::new(127, first, low, run.wrapping_mul(8).wrapping_add(party)).into()
 }
 
+/// Returns the version of the configuration that is written after `count` others.
+pub(crate) fn config_version(count: u64) -> u64 {
+    count * 3 + 1
+}
+
 impl World {
     /// Starts all components. `run` is unique among the concurrent runs of a process and less than 32.
     pub(crate) async fn spawn(run: u8, nodes: usize, dir: &Path) -> Result<Arc<Self>> {
@@ -211,6 +216,33 @@
         Ok(())
     }
 
+    /// Replaces the store's data by an older copy. The operator writes the newest configuration again at once, and
+    /// back ends do so with their entries at their next heartbeat.
+    pub(crate) async fn restore_store(&self, copy: &StoreCopy) -> Result<()> {
+        let _guard = self.listing_lock.lock().await;
+        self.store.store().restore(copy);
+        let (count, route) = {
+            let events = self.history.lock();
+            let newest = events.versions.last().map(|version| version.moving_route);
+            (events.versions.len() as u64, newest)
+        };
+        let Some(route) = route else { return Ok(()) };
+        let text = config::document(config_version(count - 1), route);
+        self.put("op/config", text).await
+    }
+
+    /// Deletes the entries of back ends that have ended, and marks those that are leaving, as the store may have
+    /// lost these changes.
+    pub(crate) async fn rewrite_departures(&self) -> Result<()> {
+        let entries = self.backends.lock().clone();
+        for Entry { backend, listed } in entries {
+            if listed != ListingState::Ready {
+                self.set_listing(backend.number, listed).await?;
+            }
+        }
+        Ok(())
+    }
+
     /// Renews the entry of a back end if it is still listed as ready.
     async fn renew(&self, backend: &Backend, seq: u64) {
         let _guard = self.listing_lock.lock().await;
