Write decided counts again from the views of all nodes after a restore

What the platform saw: two reports of a usage window with different counts.

Cause: after a restore only the node that had reported a window wrote its decided counts again. If that node was killed at the same moment, the counts were in the views of the others only; a holder that had started anew decided on its own, empty ones.

Change: each node that knows decided counts from an earlier era of the store creates them again, watching nodes first, unless they are there.

--- a/src/ops/gateway/duties.rs
+++ b/src/ops/gateway/duties.rs
@@ -77,6 +77,8 @@
 /// Time for which vacant duties are left to the nodes that watch the store, so that not all nodes claim
 /// them at once.
 const FOLLOWER_CLAIM_DELAY: Duration = Duration::from_secs(2);
+/// Pause after a write of lost counts.
+const REWRITE_PAUSE: Duration = Duration::from_millis(400);
 /// Upper bound of the jitter before a node claims the duties.
 const MAX_CLAIM_JITTER: Duration = Duration::from_millis(250);
 
@@ -107,6 +109,8 @@
     reported_before: Option<Window>,
     /// Era of the store in which the reported counts were last written again.
     rewritten_in: Era,
+    /// Time since which the store lacks decided counts that this node knows.
+    lost_since: Option<Moment>,
     started: Moment,
 }
 
@@ -125,6 +129,7 @@
             reported: BTreeMap::new(),
             reported_before: None,
             rewritten_in: 0,
+            lost_since: None,
         }
     }
 
@@ -386,27 +391,59 @@
         }
     }
 
-    /// Writes the counts that this node has reported again if the store has come back without them, so that no
-    /// other node decides on different ones.
+    /// Writes decided counts again that the store has come back without, so that no other node decides on
+    /// different ones: those that this node has reported at once, and those that it knows from the store unless
+    /// another node does so first.
     async fn rewrite_lost_counts(&mut self) -> Result<()> {
         let era = self.state.view.lock().revision.era;
-        if era == self.rewritten_in {
+        if era != self.rewritten_in {
+            let newest = self.reported.keys().next_back().copied();
+            let first = newest
+                .unwrap_or_default()
+                .saturating_sub(PAST_WINDOWS_CHECKED);
+            for (window, counts) in self.reported.range(first..) {
+                self.rewrite(*window, counts).await?;
+            }
+            self.rewritten_in = era;
+        }
+        let now = self.state.now();
+        let lost = self.lost_counts();
+        if lost.is_empty() {
+            self.lost_since = None;
             return Ok(());
         }
-        let newest = self.reported.keys().next_back().copied();
-        let first = newest
-            .unwrap_or_default()
-            .saturating_sub(PAST_WINDOWS_CHECKED);
-        for (window, counts) in self.reported.range(first..) {
-            let key = keys::usage(*window);
-            if matches!(self.known_counts(&key), KnownCounts::InStore(_)) {
-                continue;
-            }
-            let put = Transaction::compare_and_swap(&key, Revision::NONE, encode_counts(counts)?);
-            let is_new = self.store.transact(put).await?.succeeded;
-            tracing::info!(window, era, is_new, "decided counts written again");
+        let lost_for = now.saturating_sub(*self.lost_since.get_or_insert(now));
+        if relay::is_follower(&self.state) && lost_for < FOLLOWER_CLAIM_DELAY {
+            return Ok(());
+        }
+        tokio::time::sleep(MAX_CLAIM_JITTER.mul_f64(rand::random())).await;
+        for (window, counts) in lost {
+            self.rewrite(window, &counts).await?;
+        }
+        // By then the counts have arrived in this node's view.
+        tokio::time::sleep(REWRITE_PAUSE).await;
+        Ok(())
+    }
+
+    /// Returns the decided counts in this node's view that the store has come back without.
+    fn lost_counts(&self) -> Vec<(Window, Counts)> {
+        let view = self.state.view.lock();
+        let lost = view
+            .iter()
+            .filter(|(_, item)| item.revision.era < view.revision.era);
+        lost.filter_map(|(key, item)| Some((keys::usage_window(key)?, decode_counts(&item.value)?)))
+            .collect()
+    }
+
+    /// Writes the counts of a window unless the store has some.
+    async fn rewrite(&self, window: Window, counts: &Counts) -> Result<()> {
+        let key = keys::usage(window);
+        if matches!(self.known_counts(&key), KnownCounts::InStore(_)) {
+            return Ok(());
         }
-        self.rewritten_in = era;
+        let put = Transaction::compare_and_swap(&key, Revision::NONE, encode_counts(counts)?);
+        let is_new = self.store.transact(put).await?.succeeded;
+        tracing::info!(window, is_new, "decided counts written again");
         Ok(())
     }
 
--- a/tests/testsuite/gateway/restored_store.rs
+++ b/tests/testsuite/gateway/restored_store.rs
@@ -284,3 +284,21 @@
     let nodes: Vec<Node> = started.into_iter().map(|(node, _)| node).collect();
     all_answer(&fixture, &nodes, "/added/x", 200, APPLY_WITHIN).await;
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn decided_counts_that_the_store_lost_are_written_again_although_their_holder_has_ended() {
+    let (fixture, _backend) = fixture_with_backend().await;
+    let _nodes = start_nodes(&fixture).await;
+    let copy = fixture.store.copy();
+    // Windows last a second. No node of this test has reported this one.
+    let window = jayhall::util::time::unix_now() / 1000 + 1;
+    let key = format!("jayhall/usage/{window:012}");
+    fixture.put(&key, r#"{"anna":7}"#).await;
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    fixture.store.restore(&copy);
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    let found = read(&fixture, KeyRange::One(key.as_str().into())).await;
+    assert_eq!(found.len(), 1);
+    assert_eq!(&*found[0].value, br#"{"anna":7}"#);
+    assert_eq!(found[0].version, 1);
+}
