--- a/src/core/gateway/crashes.rs
+++ b/src/core/gateway/crashes.rs
@@ -17,12 +17,10 @@
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
-use smallvec::SmallVec;
-
 use super::backends::ProcessName;
-use super::cache::{Part, PartId};
 use super::observed::{Observation, Observed, Observer};
 use super::request_id::RequestId;
+use super::suspects::{Suspect, Suspects, contains_all, request_of};
 use crate::core::time::Moment;
 
 /// Number of processes of back ends that must have crashed under a suspect.
@@ -49,52 +47,6 @@
 /// Time for which an answered part or a refuted crash is reported to other nodes. Reports may be lost, and are repeated.
 const ANSWER_REPORT_PERIOD: Duration = Duration::from_secs(6);
 
-/// What a call has that may crash back ends, and that other calls may have as well.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub enum Suspect {
-    /// A part of its prompt that it may share with other prompts.
-    Part(PartId),
-    /// Its request, which may come again.
-    Request(RequestId),
-}
-
-/// The suspects of a call, sorted: the parts of its prompt but the last one, and its request.
-pub type Suspects = SmallVec<[Suspect; 4]>;
-
-/// Returns the suspects of a call.
-pub fn suspects_of(parts: &[Part], request: RequestId) -> Suspects {
-    let shared = &parts[..parts.len().saturating_sub(1)];
-    let mut suspects: Suspects = shared.iter().map(|part| Suspect::Part(part.id)).collect();
-    suspects.push(Suspect::Request(request));
-    suspects.sort_unstable();
-    suspects.dedup();
-    suspects
-}
-
-/// Returns whether sorted `suspects` contain all of sorted `subset`.
-pub fn contains_all(suspects: &[Suspect], subset: &[Suspect]) -> bool {
-    subset
-        .iter()
-        .all(|suspect| suspects.binary_search(suspect).is_ok())
-}
-
-/// Returns the request among sorted suspects.
-pub fn request_of(suspects: &[Suspect]) -> Option<RequestId> {
-    match suspects.last()? {
-        Suspect::Request(request) => Some(*request),
-        Suspect::Part(_) => None,
-    }
-}
-
-/// Returns the parts among sorted suspects.
-pub fn parts_of(suspects: &[Suspect]) -> SmallVec<[PartId; 4]> {
-    let parts = suspects.iter().filter_map(|suspect| match suspect {
-        Suspect::Part(part) => Some(*part),
-        Suspect::Request(_) => None,
-    });
-    parts.collect()
-}
-
 /// Whether a call has a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 enum CallKind {
--- a/src/core/gateway/mod.rs
+++ b/src/core/gateway/mod.rs
@@ -21,6 +21,7 @@
 pub mod routes;
 pub mod scaling;
 pub mod store_contact;
+pub mod suspects;
 pub mod tenure;
 pub mod usage;
 pub mod work;
--- a/src/core/gateway/quarantine.rs
+++ b/src/core/gateway/quarantine.rs
@@ -12,7 +12,8 @@
 use smallvec::SmallVec;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::crashes::{CrashLog, Suspect, Suspects, contains_all};
+use super::crashes::CrashLog;
+use super::suspects::{Suspect, Suspects, contains_all};
 use crate::core::time::{Moment, UnixMillis};
 use crate::sources::store::{Era, Revision};
 use crate::util::time::as_millis_u64;
--- a/src/ops/gateway/call.rs
+++ b/src/ops/gateway/call.rs
@@ -15,10 +15,10 @@
 use super::record;
 use super::refusal::{Cause, Refusal};
 use super::state::GatewayState;
-use crate::core::gateway::crashes::{Suspects, suspects_of};
 use crate::core::gateway::quota::QuotaDecision;
 use crate::core::gateway::request_id::{RequestId, request_id};
 use crate::core::gateway::routes::{Customer, Route, RouteTable, Service};
+use crate::core::gateway::suspects::{Suspects, suspects_of};
 
 /// Timeout of a call where neither the caller names a deadline nor the route a timeout.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
--- a/src/ops/gateway/mesh_wire.rs
+++ b/src/ops/gateway/mesh_wire.rs
@@ -6,13 +6,12 @@
 use prost::Message;
 
 use crate::core::gateway::backends::{Backends, ProcessName};
-use crate::core::gateway::crashes::{
-    Crash, CrashLog, Survivor, Suspect, SuspectAnswer, Suspects, parts_of, request_of,
-};
+use crate::core::gateway::crashes::{Crash, CrashLog, Survivor, SuspectAnswer};
 use crate::core::gateway::load::{Load, RANKS};
 use crate::core::gateway::observed::{Observation, Observer};
 use crate::core::gateway::quota::ZoneTotals;
 use crate::core::gateway::routes::{CustomerName, ServiceName};
+use crate::core::gateway::suspects::{Suspect, Suspects, parts_of, request_of};
 use crate::core::gateway::usage::{Counts, Window};
 use crate::core::time::Moment;
 use crate::util::time::as_millis_u64;
--- a/tests/testsuite/gateway/quarantine.rs
+++ b/tests/testsuite/gateway/quarantine.rs
@@ -4,9 +4,10 @@
 use std::time::Duration;
 
 use jayhall::core::gateway::cache::PartId;
-use jayhall::core::gateway::crashes::{Crash, CrashLog, Suspect, Suspects, parts_of};
+use jayhall::core::gateway::crashes::{Crash, CrashLog};
 use jayhall::core::gateway::observed::Observer;
 use jayhall::core::gateway::quarantine::{Check, EntryValue, Quarantine, StoreTask};
+use jayhall::core::gateway::suspects::{Suspect, Suspects, parts_of};
 use jayhall::ops::gateway::mesh_wire::LoadSumWire;
 use prost::Message;
 use rand::rngs::StdRng;
