Keep values that the store has lost when it is listed once more

After a restore, a second listing (a compaction, or a change of the node that is followed) removed the quarantine entries and decided counts that their owners had not written again yet. Which values stay in force is now decided by the era of the known value, not by whether this listing is the first of its era. values_lost_in_a_restore_stay_in_force_... fails without the change.

--- a/src/core/gateway/store_contact.rs
+++ b/src/core/gateway/store_contact.rs
@@ -2,9 +2,9 @@
 //!
 //! The registry entry of a back end may be deleted for three reasons: the back end has left, its lease
 //! expired because it could not reach the store during an outage, or the store has come back from a copy that
-//! is older than the entry. Only an outage of the store itself makes
-//! the second reason possible. A node that alone could not reach the store must not take departures for
-//! expired leases, so an outage is detected from the contact of all nodes.
+//! is older than the entry. Only an outage of the store itself makes the second reason possible. A node that
+//! alone could not reach the store must not take departures for expired leases, so an outage is detected from the
+//! contact of all nodes, and so is the begin of an era.
 
 use std::time::Duration;
 
--- a/src/ops/gateway/install.rs
+++ b/src/ops/gateway/install.rs
@@ -29,21 +29,21 @@
     Peer,
 }
 
-/// How a value was written.
+/// Whether a value was written later than the one known before.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Written {
-    /// Later than all values known before.
+enum WriteOrder {
+    /// It was.
     Later,
-    /// Perhaps earlier: the store has come back from a copy, which may contain it.
-    PerhapsEarlier,
+    /// It may be earlier: the store has come back from a copy, which may contain it.
+    Unknown,
 }
 
 /// Applies a put.
 pub fn put(state: &GatewayState, item: &KeyValue, source: Source) {
-    put_written(state, item, source, Written::Later);
+    put_in_order(state, item, source, WriteOrder::Later);
 }
 
-fn put_written(state: &GatewayState, item: &KeyValue, source: Source, written: Written) {
+fn put_in_order(state: &GatewayState, item: &KeyValue, source: Source, order: WriteOrder) {
     let key: &str = &item.key;
     if key == state.dialect.config_key() {
         put_table(state, item, source);
@@ -53,12 +53,12 @@
         return;
     }
     if let Some(id) = key.strip_prefix(state.dialect.backend_prefix()) {
-        install_backend(state, id, item, source, written);
+        install_backend(state, id, item, source, order);
     } else if key.starts_with(keys::QUARANTINE) {
         quarantine::put_entry(state, item);
     } else if let Some(name) = key.strip_prefix(keys::NODES) {
         // Living nodes register again; the copy may list others, or earlier processes.
-        if written == Written::PerhapsEarlier {
+        if order == WriteOrder::Unknown {
             return;
         }
         match node_wire::decode(&item.value) {
@@ -99,17 +99,17 @@
         return false;
     }
     let is_restored = known != Revision::NONE && revision.era > known.era;
-    let written = match is_restored {
-        true => Written::PerhapsEarlier,
-        false => Written::Later,
+    let order = match is_restored {
+        true => WriteOrder::Unknown,
+        false => WriteOrder::Later,
     };
     for item in items {
-        put_written(state, item, source, written);
+        put_in_order(state, item, source, order);
     }
     let missing = missing_keys(state, items, kept, revision);
     let (lost, missing): (Vec<Key>, Vec<Key>) = missing
         .into_iter()
-        .partition(|key| is_restored && is_kept_without_store(state, key));
+        .partition(|key| is_lost_value(state, key, revision));
     for key in missing {
         delete(state, Deletion { key, revision }, source);
     }
@@ -125,6 +125,12 @@
     true
 }
 
+/// Returns whether a missing value was lost in a restore and stays in force nevertheless.
+fn is_lost_value(state: &GatewayState, key: &str, listed_at: Revision) -> bool {
+    let known = state.view.lock().get(key).map(|known| known.revision);
+    known.is_some_and(|known| known.era < listed_at.era) && is_kept_without_store(state, key)
+}
+
 /// Returns whether a value stays in force when the store loses it: the configuration until a newer one is
 /// written, decided counts for as long as they may be reported, and the quarantine, which this node writes again.
 fn is_kept_without_store(state: &GatewayState, key: &str) -> bool {
@@ -272,16 +278,16 @@
     id: &str,
     item: &KeyValue,
     source: Source,
-    written: Written,
+    order: WriteOrder,
 ) {
     match state.dialect.decode_backend(id, &item.value) {
         Ok(backend) => {
             let leaving = backend.is_leaving;
             let (address, service) = (backend.address, backend.service.clone());
             let now = state.now();
-            let changed = match written {
-                Written::Later => state.backends.lock().put(backend),
-                Written::PerhapsEarlier => state.backends.lock().put_restored(backend, now),
+            let changed = match order {
+                WriteOrder::Later => state.backends.lock().put(backend),
+                WriteOrder::Unknown => state.backends.lock().put_restored(backend, now),
             };
             if changed {
                 tracing::info!(
--- a/tests/testsuite/gateway/restored_store.rs
+++ b/tests/testsuite/gateway/restored_store.rs
@@ -5,9 +5,11 @@
 use std::time::{Duration, Instant};
 
 use jayhall::core::gateway::store_contact::StoreContact;
-use jayhall::sources::store::{KeyRange, KeyValue, RangeRequest, Store};
+use jayhall::core::gateway::suspects::Suspect;
+use jayhall::ops::gateway::install::{self, Source};
+use jayhall::sources::store::{KeyRange, KeyValue, RangeRequest, Revision, Store};
 
-use super::fixture::{Behaviour, FakeBackend, Fixture, Node, config, numbered_call};
+use super::fixture::{Behaviour, FakeBackend, Fixture, Node, config, gateway_state, numbered_call};
 use super::watched_store::{WatchedStore, Watches};
 
 /// Time after its acknowledgement within which a configuration is in force, and after the report of a departure
@@ -302,3 +304,40 @@
     assert_eq!(&*found[0].value, br#"{"anna":7}"#);
     assert_eq!(found[0].version, 1);
 }
+
+#[tokio::test]
+async fn values_lost_in_a_restore_stay_in_force_when_the_store_is_listed_again() {
+    let node = gateway_state("n1");
+    let at = |era, number| Revision { era, number };
+    let entry = KeyValue {
+        key: "jayhall/quarantine/00000000000000aa".into(),
+        value: r#"{"parts":[7],"probe_at_ms":9999999999999,"interval_ms":30000}"#.into(),
+        create_revision: at(1, 5),
+        mod_revision: at(1, 5),
+        version: 1,
+        lease: None,
+    };
+    install::apply_listing(&node, &[entry], &[], at(1, 9), Source::Store);
+    for number in [4, 6] {
+        assert!(install::apply_listing(
+            &node,
+            &[],
+            &[],
+            at(2, number),
+            Source::Store
+        ));
+        let quarantine = node.quarantine.lock();
+        assert!(
+            quarantine.blocks(&[Suspect::Part(7)]),
+            "revision 2.{number}"
+        );
+    }
+    // An older node's larger revision of the era before does not count.
+    assert!(!install::apply_listing(
+        &node,
+        &[],
+        &[],
+        at(1, 99),
+        Source::Peer
+    ));
+}
