--- a/tests/testsuite/gateway/restored_store.rs
+++ b/tests/testsuite/gateway/restored_store.rs
@@ -4,8 +4,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use jayhall::core::gateway::quarantine::EntryValue;
 use jayhall::core::gateway::store_contact::StoreContact;
-use jayhall::core::gateway::suspects::Suspect;
+use jayhall::core::gateway::suspects::{Suspect, Suspects};
 use jayhall::ops::gateway::install::{self, Source};
 use jayhall::sources::store::{KeyRange, KeyValue, RangeRequest, Revision, Store};
 
@@ -309,8 +310,10 @@
 async fn values_lost_in_a_restore_stay_in_force_when_the_store_is_listed_again() {
     let node = gateway_state("n1");
     let at = |era, number| Revision { era, number };
+    let suspects = Suspects::from_slice(&[Suspect::Part(7)]);
+    let id = EntryValue::new(suspects, 0).id();
     let entry = KeyValue {
-        key: "jayhall/quarantine/00000000000000aa".into(),
+        key: format!("jayhall/quarantine/{id:016x}").into(),
         value: r#"{"parts":[7],"probe_at_ms":9999999999999,"interval_ms":30000}"#.into(),
         create_revision: at(1, 5),
         mod_revision: at(1, 5),
