Keep a node a member of its own fleet while the store lacks its entry

Cause: a node gets no message of its own, so the removal of silent nodes without an entry in the store removed the node itself from its list of nodes: after its start until its entry is in its view, and after a restore that lost its entry. It then takes no share in call limits, and does not find itself among the nodes that watch the store for their zone.

--- a/src/ops/gateway/install.rs
+++ b/src/ops/gateway/install.rs
@@ -170,7 +170,7 @@
     state.backends.lock().assign_limit_shares(share, now);
 }
 
-/// Removes back ends whose grace period is over, and nodes that have neither an entry in the store nor
+/// Removes back ends whose grace period is over, and other nodes that have neither an entry in the store nor
 /// sent a message lately.
 pub fn expire(state: &GatewayState) {
     let now = state.now();
@@ -187,6 +187,7 @@
         members
             .iter()
             .map(|member| &member.name)
+            .filter(|name| **name != state.settings.name)
             .filter(|name| !members.is_fresh(name, now, NODE_TIMEOUT))
             .filter(|name| view.get(&keys::node(name)).is_none())
             .cloned()
--- a/tests/testsuite/gateway/restored_store.rs
+++ b/tests/testsuite/gateway/restored_store.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use jayhall::core::gateway::members::Member;
 use jayhall::core::gateway::quarantine::EntryValue;
 use jayhall::core::gateway::store_contact::StoreContact;
 use jayhall::core::gateway::suspects::{Suspect, Suspects};
@@ -344,3 +345,21 @@
         Source::Peer
     ));
 }
+
+#[test]
+fn a_node_without_an_entry_in_the_store_stays_a_member_of_its_own_fleet() {
+    let state = gateway_state("n1");
+    let own = state.own_member();
+    let other = Member {
+        name: "n2".into(),
+        incarnation: own.incarnation + 1,
+        ..own.clone()
+    };
+    for member in [own, other] {
+        state.members.lock().put(member, state.now());
+    }
+    install::expire(&state);
+    let members = state.members.lock();
+    let names: Vec<&str> = members.iter().map(|member| &*member.name).collect();
+    assert_eq!(names, ["n1"]);
+}
