--- a/src/core/gateway/quarantine.rs
+++ b/src/core/gateway/quarantine.rs
@@ -1,10 +1,9 @@
 //! Quarantine of calls that crash back ends.
 //!
 //! A call with all suspects of an entry, which are parts of prompts and at most one request, is sent to no back
-//! end. Entries are kept in the platform's store, so that
-//! all nodes know them, those that start later too. After some time, one node may send one such call as a
-//! probe; the time until the next probe then doubles. An answered call releases the entry; so does an hour
-//! without such calls.
+//! end. Entries are kept in the platform's store, so that all nodes know them, those that start later too. After
+//! some time, one node may send one such call as a probe; the time until the next probe then doubles. An answered
+//! call releases the entry; so does an hour without such calls.
 
 use std::collections::HashMap;
 use std::time::Duration;
--- a/src/ops/gateway/quarantine.rs
+++ b/src/ops/gateway/quarantine.rs
@@ -232,7 +232,7 @@
             let value = EntryValue::from(wire);
             tracing::info!(
                 request = request_hex(&value.suspects),
-            part_ids = hex(&parts_of(&value.suspects)),
+                part_ids = hex(&parts_of(&value.suspects)),
                 revision = %item.mod_revision,
                 probe_at_ms = value.probe_at,
                 "quarantine entry listed"
