Keep decided counts for as long as a holder may report them

Cause: nodes kept the counts of the last three windows that the store had lost. A holder begins three windows before the newest complete one, and a window is complete only after up to 0.65 of the report's time limit, if nodes are silent. The rewriting of a holder's own reports counted from its newest one and had the same gap.

Change: the first window that any holder may still report is computed in one place, next to the rule by which holders report, and used by both.

Evidence: counts_that_a_holder_may_still_report_... fails before (the oldest of five windows is removed).

--- a/src/ops/gateway/duties.rs
+++ b/src/ops/gateway/duties.rs
@@ -21,6 +21,7 @@
 use crate::sources::store::{
     Era, KeyRange, Op, RangeRequest, Result, Revision, Store, StoreError, Transaction,
 };
+use crate::util::time::as_millis_u64;
 
 /// What this node knows of the decided counts of a window.
 enum KnownCounts {
@@ -69,7 +70,7 @@
 /// Age of a node's last message up to which its counts are taken as current.
 const MAX_COUNTS_AGE: Duration = Duration::from_millis(2000);
 /// Number of past windows for which the holder checks that they were reported.
-pub(super) const PAST_WINDOWS_CHECKED: u64 = 3;
+const PAST_WINDOWS_CHECKED: u64 = 3;
 /// Number of windows for which decided counts are retained in the store.
 const WINDOWS_RETAINED: u64 = 12;
 /// Time to live of the lease on the holder's key.
@@ -320,12 +321,7 @@
         let wall = self.state.wall();
         let delay = match self.has_current_counts() {
             true => USAGE_COLLECTION_DELAY,
-            false => self
-                .state
-                .settings
-                .bounds
-                .usage_late
-                .mul_f64(MAX_COLLECTION_SHARE),
+            false => collection_limit(&self.state),
         };
         let complete_before = self
             .state
@@ -397,10 +393,7 @@
     async fn rewrite_lost_counts(&mut self) -> Result<()> {
         let era = self.state.view.lock().revision.era;
         if era != self.rewritten_in {
-            let newest = self.reported.keys().next_back().copied();
-            let first = newest
-                .unwrap_or_default()
-                .saturating_sub(PAST_WINDOWS_CHECKED);
+            let first = first_reportable_window(&self.state);
             for (window, counts) in self.reported.range(first..) {
                 self.rewrite(*window, counts).await?;
             }
@@ -563,6 +556,22 @@
     }
 }
 
+/// Returns the time after a window's end within which a holder waits for the counts of nodes that are silent.
+fn collection_limit(state: &GatewayState) -> Duration {
+    state
+        .settings
+        .bounds
+        .usage_late
+        .mul_f64(MAX_COLLECTION_SHARE)
+}
+
+/// Returns the first window that any holder may still report, now or later.
+pub(super) fn first_reportable_window(state: &GatewayState) -> Window {
+    let delay = collection_limit(state).max(USAGE_COLLECTION_DELAY);
+    let complete_before = state.window_at(state.wall().saturating_sub(as_millis_u64(delay)));
+    complete_before.saturating_sub(PAST_WINDOWS_CHECKED)
+}
+
 fn encode_counts(counts: &Counts) -> Result<bytes::Bytes> {
     let text = serde_json::to_vec(counts).map_err(|e| StoreError::Refused {
         cause: format!("counts cannot be written as JSON: {e}").into(),
--- a/src/ops/gateway/install.rs
+++ b/src/ops/gateway/install.rs
@@ -134,8 +134,7 @@
 /// Returns whether a value stays in force when the store loses it: the configuration until a newer one is
 /// written, decided counts for as long as they may be reported, and the quarantine, which this node writes again.
 fn is_kept_without_store(state: &GatewayState, key: &str) -> bool {
-    let now = state.window_at(state.wall());
-    let is_reportable = |window: u64| window + duties::PAST_WINDOWS_CHECKED >= now;
+    let is_reportable = |window| window >= duties::first_reportable_window(state);
     key == state.dialect.config_key()
         || key.starts_with(keys::QUARANTINE)
         || keys::usage_window(key).is_some_and(is_reportable)
--- a/tests/testsuite/gateway/restored_store.rs
+++ b/tests/testsuite/gateway/restored_store.rs
@@ -346,6 +346,30 @@
     ));
 }
 
+#[test]
+fn counts_that_a_holder_may_still_report_stay_decided_when_the_store_loses_them() {
+    let node = gateway_state("n1");
+    let now = node.window_at(node.wall());
+    // A holder that waits 6.5 s for the counts of silent nodes begins with the third window, of 5 s, before these.
+    let windows = now - 4..=now;
+    let at = |era, number| Revision { era, number };
+    let decided = |window| KeyValue {
+        key: format!("jayhall/usage/{window:012}").into(),
+        value: r#"{"anna":7}"#.into(),
+        create_revision: at(4, 5),
+        mod_revision: at(4, 5),
+        version: 1,
+        lease: None,
+    };
+    let items: Vec<KeyValue> = windows.map(decided).collect();
+    install::apply_listing(&node, &items, &[], at(4, 9), Source::Store);
+    install::apply_listing(&node, &[], &[], at(5, 4), Source::Store);
+    let view = node.view.lock();
+    let lost = items.iter().map(|item| &item.key);
+    let lost: Vec<&Box<str>> = lost.filter(|key| view.get(key).is_none()).collect();
+    assert!(lost.is_empty(), "{lost:?}");
+}
+
 #[test]
 fn a_node_without_an_entry_in_the_store_stays_a_member_of_its_own_fleet() {
     let state = gateway_state("n1");
