Read and write what nodes know of the store in one place

The reports of nodes and the sums of zones were decoded into StoreKnowledge by the same lines, and the age of an era was computed three times and recorded twice. No logic is changed: the wire types return their StoreKnowledge, and GatewayState converts ages.

--- a/src/ops/gateway/mesh/receive.rs
+++ b/src/ops/gateway/mesh/receive.rs
@@ -11,7 +11,6 @@
 use crate::core::gateway::origin::Origin;
 use crate::core::time::Moment;
 use crate::ops::gateway::mesh_wire::{DatagramWire, LoadSumWire, ReportWire, ZoneSumWire};
-use crate::sources::store::{Era, Revision};
 
 impl Mesh {
     /// Receives messages until the task is dropped.
@@ -46,13 +45,7 @@
         if *report.node == *state.settings.name {
             return;
         }
-        let knowledge = StoreKnowledge {
-            revision: Revision {
-                era: report.era,
-                number: report.revision,
-            },
-            config_version: report.config_version,
-        };
+        let knowledge = report.knowledge();
         state.members.lock().apply_report(
             &report.node,
             report.incarnation,
@@ -86,7 +79,7 @@
             }
             self.merge_load(&report.node[..].into(), &report.zone, load, now);
         }
-        self.record_era(report.era, report.era_age_ms, now);
+        state.record_era_age(report.era, report.era_age_ms);
         self.announce(knowledge);
     }
 
@@ -103,13 +96,7 @@
         {
             return;
         }
-        let knowledge = StoreKnowledge {
-            revision: Revision {
-                era: sum.era,
-                number: sum.revision,
-            },
-            config_version: sum.config_version,
-        };
+        let knowledge = sum.knowledge();
         {
             let mut members = state.members.lock();
             for (incarnations, is_ready) in [(&sum.ready, true), (&sum.not_ready, false)] {
@@ -132,7 +119,7 @@
             let from = Origin::Zone(sum.zone.as_str().into());
             self.merge_load(&from, &sum.zone, load, now);
         }
-        self.record_era(sum.era, sum.era_age_ms, now);
+        state.record_era_age(sum.era, sum.era_age_ms);
         self.announce(knowledge);
         let zone = sum.zone.as_str().into();
         sums.newest.insert(zone, ReceivedSum { sum, at: now });
@@ -164,13 +151,6 @@
         }
     }
 
-    fn record_era(&self, era: Era, age_ms: Option<u64>, now: Moment) {
-        if let Some(age_ms) = age_ms {
-            let began_at = now.saturating_sub(Duration::from_millis(age_ms));
-            self.state.contact.lock().record_era(era, began_at);
-        }
-    }
-
     /// Announces that another node knows something of the store that this node does not. This is repeated with
     /// each message, as an earlier attempt to fetch the changes may have failed.
     fn announce(&self, knowledge: StoreKnowledge) {
--- a/src/ops/gateway/mesh/report.rs
+++ b/src/ops/gateway/mesh/report.rs
@@ -25,7 +25,6 @@
         }
         self.add_observations(&mut load, Observer::Node, now);
         let knowledge = state.knowledge();
-        let contact = *state.contact.lock();
         ReportWire {
             node: state.settings.name.to_string(),
             incarnation: state.incarnation,
@@ -33,13 +32,11 @@
             ready: state.phase() == Phase::Serving,
             revision: knowledge.revision.number,
             era: knowledge.revision.era,
-            era_age_ms: contact
-                .era_age(knowledge.revision.era, now)
-                .map(as_millis_u64),
+            era_age_ms: state.era_age_ms(knowledge.revision.era, now),
             config_version: knowledge.config_version,
             zone: state.settings.zone.to_string(),
             load: Some(load),
-            store_age_ms: contact.answer_age(now).map(as_millis_u64),
+            store_age_ms: state.contact.lock().answer_age(now).map(as_millis_u64),
         }
     }
 
@@ -70,7 +67,6 @@
             ready.push(state.incarnation);
         }
         let knowledge = state.knowledge();
-        let contact = *state.contact.lock();
         ZoneSumWire {
             zone: settings.zone.to_string(),
             node: settings.name.to_string(),
@@ -79,14 +75,12 @@
             wall_ms: unix_now(),
             revision: knowledge.revision.number,
             era: knowledge.revision.era,
-            era_age_ms: contact
-                .era_age(knowledge.revision.era, now)
-                .map(as_millis_u64),
+            era_age_ms: state.era_age_ms(knowledge.revision.era, now),
             config_version: knowledge.config_version,
             ready,
             not_ready: incarnations(not_ready),
             load: Some(load),
-            store_age_ms: contact.zone_answer_age(now).map(as_millis_u64),
+            store_age_ms: state.contact.lock().zone_answer_age(now).map(as_millis_u64),
         }
     }
 
--- a/src/ops/gateway/mesh_wire.rs
+++ b/src/ops/gateway/mesh_wire.rs
@@ -8,12 +8,14 @@
 use crate::core::gateway::backends::{Backends, ProcessName};
 use crate::core::gateway::crashes::{Crash, CrashLog, Survivor, SuspectAnswer};
 use crate::core::gateway::load::{Load, RANKS};
+use crate::core::gateway::members::StoreKnowledge;
 use crate::core::gateway::observed::{Observation, Observer};
 use crate::core::gateway::quota::ZoneTotals;
 use crate::core::gateway::routes::{CustomerName, ServiceName};
 use crate::core::gateway::suspects::{Suspect, Suspects, parts_of, request_of};
 use crate::core::gateway::usage::{Counts, Window};
 use crate::core::time::Moment;
+use crate::sources::store::Revision;
 use crate::util::time::as_millis_u64;
 
 /// Limits on the crashes and on the answered parts in the report of a node.
@@ -465,7 +467,31 @@
     }
 }
 
+impl ReportWire {
+    /// Returns what the node knows of the store.
+    pub fn knowledge(&self) -> StoreKnowledge {
+        StoreKnowledge {
+            revision: Revision {
+                era: self.era,
+                number: self.revision,
+            },
+            config_version: self.config_version,
+        }
+    }
+}
+
 impl ZoneSumWire {
+    /// Returns what the node that made the sums knows of the store.
+    pub fn knowledge(&self) -> StoreKnowledge {
+        StoreKnowledge {
+            revision: Revision {
+                era: self.era,
+                number: self.revision,
+            },
+            config_version: self.config_version,
+        }
+    }
+
     /// Returns the units that the zone's nodes admitted.
     pub fn totals(&self) -> ZoneTotals {
         ZoneTotals {
--- a/src/ops/gateway/snapshot.rs
+++ b/src/ops/gateway/snapshot.rs
@@ -429,10 +429,7 @@
         // Before the changes, as these may be due to an outage that ends with this contact.
         state.contact.lock().record_any_answer(at);
     }
-    if let Some(age_ms) = snapshot.era_age_ms {
-        let began_at = state.now().saturating_sub(Duration::from_millis(age_ms));
-        state.contact.lock().record_era(snapshot.era, began_at);
-    }
+    state.record_era_age(snapshot.era, snapshot.era_age_ms);
     let is_newer = snapshot.revision() > state.view.lock().revision;
     let is_applied = match is_newer {
         true => apply_changes(state, snapshot, peer),
--- a/src/ops/gateway/state.rs
+++ b/src/ops/gateway/state.rs
@@ -22,9 +22,9 @@
 use crate::core::gateway::usage::{Counts, UsageCounts, Window};
 use crate::core::gateway::work::WorkRates;
 use crate::core::time::{Moment, UnixMillis};
-use crate::sources::store::Revision;
+use crate::sources::store::{Era, Revision};
 use crate::util::settings::GatewaySettings;
-use crate::util::time::{since_boot, unix_now};
+use crate::util::time::{as_millis_u64, since_boot, unix_now};
 
 /// Lifecycle phase of the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -208,6 +208,21 @@
         }
     }
 
+    /// Returns the time since an era of the store began, in milliseconds, for other nodes; `None` if it is not the
+    /// last known one.
+    pub fn era_age_ms(&self, era: Era, now: Moment) -> Option<u64> {
+        self.contact.lock().era_age(era, now).map(as_millis_u64)
+    }
+
+    /// Records the time since an era of the store began, in milliseconds, as another node reports it.
+    pub fn record_era_age(&self, era: Era, age_ms: Option<u64>) {
+        if let Some(age_ms) = age_ms {
+            let now = self.now();
+            let began_at = now.saturating_sub(Duration::from_millis(age_ms));
+            self.contact.lock().record_era(era, began_at);
+        }
+    }
+
     /// Returns the number of known nodes.
     pub fn node_count(&self) -> usize {
         self.members.lock().count()
