Move the decided counts of usage windows to a module of their own

What is decided, kept and written again is one job, and the rule by which a holder reports now stands beside the one by which nodes keep counts, so that they cannot drift apart again. No logic is changed; the target of the log line "decided counts written again" is jayhall::ops::gateway::decided_counts. The tests of restores, duties and usage pass.

--- a/src/ops/gateway/duties.rs
+++ b/src/ops/gateway/duties.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::decided_counts::{self, DecidedCounts};
 use super::dialect::{Duties, DutyReply, Holder};
 use super::keys;
 use super::lease::LeaseKeeper;
@@ -16,22 +17,9 @@
 use crate::core::gateway::routes::ServiceName;
 use crate::core::gateway::scaling::{Order, ServiceScaling, ZoneState};
 use crate::core::gateway::tenure::{MayAct, Tenure};
-use crate::core::gateway::usage::{Counts, Window};
+use crate::core::gateway::usage::Window;
 use crate::core::time::Moment;
-use crate::sources::store::{
-    Era, KeyRange, Op, RangeRequest, Result, Revision, Store, StoreError, Transaction,
-};
-use crate::util::time::as_millis_u64;
-
-/// What this node knows of the decided counts of a window.
-enum KnownCounts {
-    /// The store has them. `None` if they cannot be decoded.
-    InStore(Option<Counts>),
-    /// They were decided, and the store has lost them.
-    Lost(Counts),
-    /// Nothing.
-    None,
-}
+use crate::sources::store::{Era, Op, Result, Revision, Store, StoreError, Transaction};
 
 /// The value of the holder's key.
 struct HolderName<'a> {
@@ -62,26 +50,15 @@
 /// Time after the first start of the whole system in which there cannot have been another holder: no
 /// lease granted since then can have expired.
 const FIRST_START_PERIOD: Duration = Duration::from_secs(3);
-/// Time after a window's end within which its counts have arrived from all nodes.
-const USAGE_COLLECTION_DELAY: Duration = Duration::from_millis(2600);
-/// Part of the time limit for a report after which a window is decided although some nodes have not
-/// been heard from since its end.
-const MAX_COLLECTION_SHARE: f64 = 0.65;
 /// Age of a node's last message up to which its counts are taken as current.
 const MAX_COUNTS_AGE: Duration = Duration::from_millis(2000);
-/// Number of past windows for which the holder checks that they were reported.
-const PAST_WINDOWS_CHECKED: u64 = 3;
-/// Number of windows for which decided counts are retained in the store.
-const WINDOWS_RETAINED: u64 = 12;
 /// Time to live of the lease on the holder's key.
 const LEASE_TTL: Duration = Duration::from_millis(4400);
 /// Time for which vacant duties are left to the nodes that watch the store, so that not all nodes claim
 /// them at once.
-const FOLLOWER_CLAIM_DELAY: Duration = Duration::from_secs(2);
-/// Pause after a write of lost counts.
-const REWRITE_PAUSE: Duration = Duration::from_millis(400);
+pub(super) const FOLLOWER_CLAIM_DELAY: Duration = Duration::from_secs(2);
 /// Upper bound of the jitter before a node claims the duties.
-const MAX_CLAIM_JITTER: Duration = Duration::from_millis(250);
+pub(super) const MAX_CLAIM_JITTER: Duration = Duration::from_millis(250);
 
 /// A possible claim to the duties.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -104,14 +81,9 @@
     /// Time since which this node could claim the duties.
     vacant_since: Option<Moment>,
     scaling: HashMap<ServiceName, ServiceScaling>,
-    /// Counts reported in this process, by window.
-    reported: BTreeMap<Window, Counts>,
+    counts: DecidedCounts,
     /// All windows before this one have been reported in the current tenure.
     reported_before: Option<Window>,
-    /// Era of the store in which the reported counts were last written again.
-    rewritten_in: Era,
-    /// Time since which the store lacks decided counts that this node knows.
-    lost_since: Option<Moment>,
     started: Moment,
 }
 
@@ -120,6 +92,7 @@
     pub fn new(state: Arc<GatewayState>, store: Arc<dyn Store>, duties: Arc<dyn Duties>) -> Self {
         Self {
             started: state.now(),
+            counts: DecidedCounts::new(Arc::clone(&state), Arc::clone(&store)),
             state,
             store,
             duties,
@@ -127,10 +100,7 @@
             lease: None,
             vacant_since: None,
             scaling: HashMap::new(),
-            reported: BTreeMap::new(),
             reported_before: None,
-            rewritten_in: 0,
-            lost_since: None,
         }
     }
 
@@ -142,7 +112,7 @@
                 self.release("this node leaves").await;
                 continue;
             }
-            if let Err(e) = self.rewrite_lost_counts().await {
+            if let Err(e) = self.counts.rewrite_lost().await {
                 tracing::warn!(error = %e, "failed to write decided counts again; retrying");
             }
             match self.tenure {
@@ -318,22 +288,16 @@
     /// Reports the usage windows whose counts are complete. The counts of each window are first decided
     /// in the store, once for all holders, then reported.
     async fn report_usage(&mut self, tenure: Tenure) -> Result<()> {
-        let wall = self.state.wall();
-        let delay = match self.has_current_counts() {
-            true => USAGE_COLLECTION_DELAY,
-            false => collection_limit(&self.state),
-        };
-        let complete_before = self
-            .state
-            .window_at(wall.saturating_sub(delay.as_millis() as u64));
+        let windows = decided_counts::windows_to_report(&self.state, self.has_current_counts());
+        let complete_before = windows.end;
         if complete_before == 0 || self.reported_before == Some(complete_before) {
             return Ok(());
         }
-        for window in complete_before.saturating_sub(PAST_WINDOWS_CHECKED)..complete_before {
-            if self.reported.contains_key(&window) {
+        for window in windows {
+            if self.counts.is_reported(window) {
                 continue;
             }
-            let Some(counts) = self.decide(window).await? else {
+            let Some(counts) = self.counts.decide(window).await? else {
                 continue;
             };
             if !self.may_act(tenure) {
@@ -354,12 +318,10 @@
             if reply != DutyReply::Taken {
                 return Ok(());
             }
-            self.reported.insert(window, counts);
+            self.counts.record_report(window, counts);
         }
         self.reported_before = Some(complete_before);
-        self.reported = self
-            .reported
-            .split_off(&complete_before.saturating_sub(WINDOWS_RETAINED));
+        self.counts.forget_old_reports(complete_before);
         Ok(())
     }
 
@@ -374,108 +336,6 @@
             .all(|member| members.is_fresh(&member.name, now, MAX_COUNTS_AGE))
     }
 
-    /// Returns what this node knows of the decided counts of a window, by the window's key.
-    fn known_counts(&self, key: &str) -> KnownCounts {
-        let view = self.state.view.lock();
-        let Some(decided) = view.get(key) else {
-            return KnownCounts::None;
-        };
-        let counts = decode_counts(&decided.value);
-        match counts {
-            Some(counts) if decided.revision.era < view.revision.era => KnownCounts::Lost(counts),
-            counts => KnownCounts::InStore(counts),
-        }
-    }
-
-    /// Writes decided counts again that the store has come back without, so that no other node decides on
-    /// different ones: those that this node has reported at once, and those that it knows from the store unless
-    /// another node does so first.
-    async fn rewrite_lost_counts(&mut self) -> Result<()> {
-        let era = self.state.view.lock().revision.era;
-        if era != self.rewritten_in {
-            let first = first_reportable_window(&self.state);
-            for (window, counts) in self.reported.range(first..) {
-                self.rewrite(*window, counts).await?;
-            }
-            self.rewritten_in = era;
-        }
-        let now = self.state.now();
-        let lost = self.lost_counts();
-        if lost.is_empty() {
-            self.lost_since = None;
-            return Ok(());
-        }
-        let lost_for = now.saturating_sub(*self.lost_since.get_or_insert(now));
-        if relay::is_follower(&self.state) && lost_for < FOLLOWER_CLAIM_DELAY {
-            return Ok(());
-        }
-        tokio::time::sleep(MAX_CLAIM_JITTER.mul_f64(rand::random())).await;
-        for (window, counts) in lost {
-            self.rewrite(window, &counts).await?;
-        }
-        // By then the counts have arrived in this node's view.
-        tokio::time::sleep(REWRITE_PAUSE).await;
-        Ok(())
-    }
-
-    /// Returns the decided counts in this node's view that the store has come back without.
-    fn lost_counts(&self) -> Vec<(Window, Counts)> {
-        let view = self.state.view.lock();
-        let lost = view
-            .iter()
-            .filter(|(_, item)| item.revision.era < view.revision.era);
-        lost.filter_map(|(key, item)| Some((keys::usage_window(key)?, decode_counts(&item.value)?)))
-            .collect()
-    }
-
-    /// Writes the counts of a window unless the store has some.
-    async fn rewrite(&self, window: Window, counts: &Counts) -> Result<()> {
-        let key = keys::usage(window);
-        if matches!(self.known_counts(&key), KnownCounts::InStore(_)) {
-            return Ok(());
-        }
-        let put = Transaction::compare_and_swap(&key, Revision::NONE, encode_counts(counts)?);
-        let is_new = self.store.transact(put).await?.succeeded;
-        tracing::info!(window, is_new, "decided counts written again");
-        Ok(())
-    }
-
-    /// Returns the decided counts of a window. If the store has none, the counts that this node knows
-    /// are written there first. Returns `None` if the decided counts cannot be decoded or have been
-    /// removed meanwhile.
-    async fn decide(&self, window: Window) -> Result<Option<Counts>> {
-        let key = keys::usage(window);
-        let counts = match self.known_counts(&key) {
-            KnownCounts::InStore(counts) => return Ok(counts),
-            KnownCounts::Lost(counts) => counts,
-            KnownCounts::None => self.state.usage.lock().total(window),
-        };
-        let value = encode_counts(&counts)?;
-        let mut decide = Transaction::compare_and_swap(&key, Revision::NONE, value);
-        let old = keys::usage(window.saturating_sub(WINDOWS_RETAINED));
-        if self.state.view.lock().get(&old).is_some() {
-            decide.then.push(Op::Delete(KeyRange::One(old.into())));
-        }
-        let reply = self.store.transact(decide).await?;
-        if reply.succeeded {
-            return Ok(Some(counts));
-        }
-        let found = match reply.found().and_then(|found| found.first()) {
-            Some(found) => found.clone(),
-            None => match self
-                .store
-                .range(RangeRequest::one(&key))
-                .await?
-                .entries
-                .pop()
-            {
-                Some(found) => found,
-                None => return Ok(None),
-            },
-        };
-        Ok(decode_counts(&found.value))
-    }
-
     /// Orders back ends for services whose present number differs from the planned one.
     async fn order_backends(&mut self, tenure: Tenure) {
         let Some(table) = self.state.table() else {
@@ -555,34 +415,3 @@
         zones
     }
 }
-
-/// Returns the time after a window's end within which a holder waits for the counts of nodes that are silent.
-fn collection_limit(state: &GatewayState) -> Duration {
-    state
-        .settings
-        .bounds
-        .usage_late
-        .mul_f64(MAX_COLLECTION_SHARE)
-}
-
-/// Returns the first window that any holder may still report, now or later.
-pub(super) fn first_reportable_window(state: &GatewayState) -> Window {
-    let delay = collection_limit(state).max(USAGE_COLLECTION_DELAY);
-    let complete_before = state.window_at(state.wall().saturating_sub(as_millis_u64(delay)));
-    complete_before.saturating_sub(PAST_WINDOWS_CHECKED)
-}
-
-fn encode_counts(counts: &Counts) -> Result<bytes::Bytes> {
-    let text = serde_json::to_vec(counts).map_err(|e| StoreError::Refused {
-        cause: format!("counts cannot be written as JSON: {e}").into(),
-    })?;
-    Ok(text.into())
-}
-
-fn decode_counts(text: &[u8]) -> Option<Counts> {
-    serde_json::from_slice(text)
-        .inspect_err(
-            |e| tracing::error!(error = %e, "cannot decode the decided counts of a usage window"),
-        )
-        .ok()
-}
--- a/src/ops/gateway/install.rs
+++ b/src/ops/gateway/install.rs
@@ -4,7 +4,7 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
-use super::duties;
+use super::decided_counts;
 use super::keys;
 use super::node_wire;
 use super::quarantine;
@@ -134,7 +134,7 @@
 /// Returns whether a value stays in force when the store loses it: the configuration until a newer one is
 /// written, decided counts for as long as they may be reported, and the quarantine, which this node writes again.
 fn is_kept_without_store(state: &GatewayState, key: &str) -> bool {
-    let is_reportable = |window| window >= duties::first_reportable_window(state);
+    let is_reportable = |window| window >= decided_counts::first_reportable_window(state);
     key == state.dialect.config_key()
         || key.starts_with(keys::QUARANTINE)
         || keys::usage_window(key).is_some_and(is_reportable)
--- a/src/ops/gateway/mod.rs
+++ b/src/ops/gateway/mod.rs
@@ -11,6 +11,7 @@
 
 pub mod attempt;
 pub mod call;
+pub mod decided_counts;
 pub mod dialect;
 pub mod duties;
 pub mod follow_store;
