Join the two copies of a caller that repeats a crashing request in tests

Both plays spawned and ended it with the same lines. Assertions and intervals are untouched; the six tests of crashing prompts and requests pass.

--- a/tests/testsuite/gateway/crashing_requests.rs
+++ b/tests/testsuite/gateway/crashing_requests.rs
@@ -80,19 +80,32 @@
     CrashingFleet::start("llm", behaviour, has_crashing_body).await
 }
 
-/// Sends the crashing request to the nodes in turn until `is_over` is set.
-async fn send_crashing(
-    fleet: Arc<CrashingFleet>,
-    nodes: Arc<Vec<Node>>,
-    call: TestCall<'static>,
+/// Sends a request to nodes in turn.
+struct RepeatingCaller {
     is_over: Arc<AtomicBool>,
-) {
-    for node in nodes.iter().cycle() {
-        if is_over.load(Ordering::Relaxed) {
-            return;
-        }
-        fleet.call(node, call).await;
-        tokio::time::sleep(CRASHING_INTERVAL).await;
+    task: tokio::task::JoinHandle<()>,
+}
+
+impl RepeatingCaller {
+    fn spawn(fleet: &Arc<CrashingFleet>, nodes: &Arc<Vec<Node>>, call: TestCall<'static>) -> Self {
+        let (fleet, nodes) = (Arc::clone(fleet), Arc::clone(nodes));
+        let is_over = Arc::new(AtomicBool::new(false));
+        let ends = Arc::clone(&is_over);
+        let task = tokio::spawn(async move {
+            for node in nodes.iter().cycle() {
+                if ends.load(Ordering::Relaxed) {
+                    return;
+                }
+                fleet.call(node, call).await;
+                tokio::time::sleep(CRASHING_INTERVAL).await;
+            }
+        });
+        Self { is_over, task }
+    }
+
+    async fn stop(self) {
+        self.is_over.store(true, Ordering::Relaxed);
+        self.task.await.unwrap();
     }
 }
 
@@ -131,13 +144,7 @@
 async fn play(fleet: Arc<CrashingFleet>, calls: Calls) {
     let nodes = Arc::new(fleet.nodes(&["n1", "n2"]).await);
     send_sound(&fleet, &nodes, calls, Duration::from_millis(500)).await;
-    let is_over = Arc::new(AtomicBool::new(false));
-    let crashing = tokio::spawn(send_crashing(
-        Arc::clone(&fleet),
-        Arc::clone(&nodes),
-        calls.crashing,
-        Arc::clone(&is_over),
-    ));
+    let crashing = RepeatingCaller::spawn(&fleet, &nodes, calls.crashing);
     let third = tokio::select! {
         third = fleet.wait_for_crashes(CRASHES_UNTIL_KNOWN) => third,
         _ = send_sound(&fleet, &nodes, calls, Duration::from_secs(30)) => panic!("too few crashes"),
@@ -146,8 +153,7 @@
     let left = known_at.saturating_duration_since(Instant::now());
     send_sound(&fleet, &nodes, calls, left).await;
     let sound = send_sound(&fleet, &nodes, calls, Duration::from_secs(5)).await;
-    is_over.store(true, Ordering::Relaxed);
-    crashing.await.unwrap();
+    crashing.stop().await;
     let later = fleet.reached_since(known_at);
     assert!(later <= MAX_LATER_CALLS, "{later} calls reached back ends");
     let answered = sound.get(&200).copied().unwrap_or_default();
@@ -176,17 +182,10 @@
     let calls = plain("/once/x");
     let fleet = start_plain().await;
     let nodes = Arc::new(fleet.nodes(&["n1", "n2"]).await);
-    let is_over = Arc::new(AtomicBool::new(false));
-    let crashing = tokio::spawn(send_crashing(
-        Arc::clone(&fleet),
-        Arc::clone(&nodes),
-        calls.crashing,
-        Arc::clone(&is_over),
-    ));
+    let crashing = RepeatingCaller::spawn(&fleet, &nodes, calls.crashing);
     let time = KNOWN_WITHIN + Duration::from_secs(3);
     send_sound(&fleet, &nodes, calls, time).await;
-    is_over.store(true, Ordering::Relaxed);
-    crashing.await.unwrap();
+    crashing.stop().await;
     let fleet = fleet.without_nodes().await;
     let nodes = fleet.nodes(&["n1", "n2"]).await;
     let started = Instant::now();
