--- a/src/core/gateway/backends/mod.rs
+++ b/src/core/gateway/backends/mod.rs
@@ -21,6 +21,8 @@
 
 /// Name of a back end.
 pub type BackendId = Box<str>;
+/// Version of the software of a back end, as it names it.
+pub type SoftwareVersion = Box<str>;
 /// Short name of a back end's process in messages between nodes; see [`process_name`].
 pub type ProcessName = u32;
 
@@ -54,6 +56,8 @@
     pub started: u64,
     /// Whether the cloud may reclaim it.
     pub is_spot: bool,
+    /// Version of its software; `None` if its entry names none.
+    pub software: Option<SoftwareVersion>,
 }
 
 /// Whether the registry lists a back end.
--- a/src/ops/gateway/attempt.rs
+++ b/src/ops/gateway/attempt.rs
@@ -147,6 +147,11 @@
         &self.place.backend.id
     }
 
+    /// Returns the version of the back end's software, as its entry named it when the call was placed.
+    pub fn software(&self) -> Option<&str> {
+        self.place.backend.software.as_deref()
+    }
+
     /// Returns the time since the attempt began.
     pub fn age(&self) -> Duration {
         self.sent.elapsed()
--- a/src/ops/gateway/dialect.rs
+++ b/src/ops/gateway/dialect.rs
@@ -40,6 +40,8 @@
     pub length_hint: Option<u32>,
     /// Id of the last event received; a resumed stream continues after it.
     pub last_event: Option<u64>,
+    /// The caller's attempt that brought the first event of the stream that it resumes.
+    pub resumes: Option<Box<str>>,
 }
 
 /// What the gateway adds to a call for the back end.
--- a/src/ops/gateway/forward.rs
+++ b/src/ops/gateway/forward.rs
@@ -17,7 +17,7 @@
 use super::record::{self, CallEnd};
 use super::refusal::{self, Body, Cause, Refusal};
 use super::stream;
-use crate::core::gateway::backends::{BackendId, Outcome};
+use crate::core::gateway::backends::{BackendId, Outcome, SoftwareVersion};
 use crate::core::gateway::placement::{self, Placement, PlacementRequest, RefusalCause};
 use crate::core::gateway::quarantine::Check;
 use crate::core::gateway::retry_budget::RetryBudget;
@@ -71,6 +71,8 @@
     pub may_have_run: bool,
     /// Whether the next send is the probe of a quarantine entry.
     pub is_probe: bool,
+    /// Software of the back ends that sent events, in the order of their events.
+    pub software: SmallVec<[SoftwareVersion; 2]>,
 }
 
 impl Progress {
@@ -81,6 +83,14 @@
             false => Verdict::NotRun,
         }
     }
+
+    /// Records the software of a back end that has sent events.
+    pub fn note_software(&mut self, software: Option<&str>) {
+        let software = software.unwrap_or_default();
+        if self.software.last().is_none_or(|last| **last != *software) {
+            self.software.push(software.into());
+        }
+    }
 }
 
 /// Serves a call.
--- a/src/ops/gateway/install.rs
+++ b/src/ops/gateway/install.rs
@@ -284,6 +284,7 @@
         Ok(backend) => {
             let leaving = backend.is_leaving;
             let (address, service) = (backend.address, backend.service.clone());
+            let software = backend.software.clone();
             let now = state.now();
             let changed = match order {
                 WriteOrder::Later => state.backends.lock().put(backend),
@@ -294,6 +295,7 @@
                     backend = id,
                     service = &*service,
                     %address,
+                    software = software.as_deref(),
                     leaving,
                     revision = %item.mod_revision,
                     ?source,
--- a/src/ops/gateway/record.rs
+++ b/src/ops/gateway/record.rs
@@ -236,6 +236,8 @@
         left_ms = as_millis_u64(call.remaining()),
         retry_after_ms = retry_after.map(as_millis_u64),
         last_event,
+        resumes = call.head.resumes.as_deref(),
+        software = ?progress.software,
         config = call.config_version,
         store_age_ms = state.view_age().map(as_millis_u64),
         left_out,
--- a/src/ops/gateway/stream.rs
+++ b/src/ops/gateway/stream.rs
@@ -186,6 +186,7 @@
             self.last_event = Some(id);
         }
         if let Some(source) = &mut self.source {
+            self.progress.note_software(source.running.software());
             source.running.mark_started(Duration::ZERO);
             source.running.note_progress();
             source.last_activity = Instant::now();
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -25,6 +25,8 @@
 pub const LENGTH_HINT: HeaderName = HeaderName::from_static("x-jayhall-length-hint");
 /// Id of the event after which a stream resumes.
 pub const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
+/// The caller's attempt that brought the first event of the stream that a call resumes.
+pub const RESUMES: HeaderName = HeaderName::from_static("resumes");
 /// A back end's signature of its answer.
 pub const SIGNATURE: HeaderName = HeaderName::from_static("x-jayhall-response-seal");
 /// The customer to whom a call is charged.
@@ -108,6 +110,7 @@
             .unwrap_or_default(),
         length_hint: header_number(headers, &LENGTH_HINT),
         last_event: header_number(headers, &LAST_EVENT),
+        resumes: header_text(headers, &RESUMES).map(|value| value.trim().into()),
     }
 }
 
--- a/src/platform/registry.rs
+++ b/src/platform/registry.rs
@@ -22,6 +22,9 @@
     born: u64,
     #[serde(default)]
     spot: bool,
+    /// Version of the software.
+    #[serde(default)]
+    version: serde_json::Value,
 }
 
 /// Decodes an entry. Entries are not trusted: an invalid one is an error and adds no back end.
@@ -45,5 +48,10 @@
         is_leaving,
         started: wire.born,
         is_spot: wire.spot,
+        software: wire
+            .version
+            .as_str()
+            .filter(|v| !v.is_empty())
+            .map(Into::into),
     })
 }
--- a/tests/testsuite/gateway/call_limits.rs
+++ b/tests/testsuite/gateway/call_limits.rs
@@ -199,6 +199,7 @@
         is_leaving: false,
         started: 1,
         is_spot: false,
+        software: Some("v1".into()),
     }
 }
 
--- a/tests/testsuite/gateway/departed_backends.rs
+++ b/tests/testsuite/gateway/departed_backends.rs
@@ -161,6 +161,7 @@
         is_leaving: false,
         started: 1,
         is_spot: false,
+        software: Some("v1".into()),
     }
 }
 
--- a/tests/testsuite/gateway/fixture.rs
+++ b/tests/testsuite/gateway/fixture.rs
@@ -463,7 +463,7 @@
         state: &str,
     ) {
         let entry = format!(
-            r#"{{"service":"{service}","address":"{address}","zone":"z1","slots":8,"state":"{state}","born":1}}"#
+            r#"{{"service":"{service}","address":"{address}","zone":"z1","slots":8,"state":"{state}","born":1,"version":"v1"}}"#
         );
         self.put(&format!("servers/{id}"), entry).await;
     }
--- a/tests/testsuite/gateway/placement.rs
+++ b/tests/testsuite/gateway/placement.rs
@@ -36,6 +36,7 @@
         is_leaving: false,
         started: 1,
         is_spot: true,
+        software: Some("v1".into()),
     }
 }
 
