--- /dev/null
+++ b/tests/testsuite/gateway/software_versions.rs
@@ -0,0 +1,299 @@
+//! Streams of back ends of two software versions in one service. What two versions write does not fit together, so a
+//! stream that goes on at a back end of another version than the one that began it is corrupt, and nothing shows it.
+
+use std::time::{Duration, Instant};
+
+use futures::StreamExt;
+use jayhall::sources::store::{KeyRange, Op, Transaction};
+
+use super::fixture::{Behaviour, FakeBackend, Fixture, Node, config, total_runs};
+
+/// Events of a complete stream.
+const EVENTS: u64 = 40;
+/// Back ends of the other version, so that a choice among all back ends hardly ever hits the right one.
+const OTHERS: usize = 5;
+/// Software versions, as JSON.
+const FIRST: &str = r#""v1""#;
+const SECOND: &str = r#""v2""#;
+/// Time within which the nodes know a new back end.
+const LISTED_WITHIN: Duration = Duration::from_millis(200);
+/// Time within which a call that cannot be served is answered.
+const REFUSED_WITHIN: Duration = Duration::from_millis(1100);
+
+fn complete() -> Behaviour {
+    Behaviour::Events {
+        to: EVENTS,
+        ends_normally: true,
+    }
+}
+
+/// A stream that breaks off after 400 ms.
+fn breaking() -> Behaviour {
+    Behaviour::Events {
+        to: 20,
+        ends_normally: false,
+    }
+}
+
+/// Lists a back end. Those of the first version are far away, so that the nodes prefer the others.
+async fn list(fixture: &Fixture, id: &str, backend: &FakeBackend, version: &str) {
+    let zone = if version == FIRST { "z3" } else { "z1" };
+    let entry = format!(
+        r#"{{"service":"llm","address":"{}","zone":"{zone}","slots":64,"state":"ready","born":1,"version":{version}}}"#,
+        backend.address
+    );
+    fixture.put(&format!("servers/{id}"), entry).await;
+}
+
+async fn spawn_listed(
+    fixture: &Fixture,
+    id: &str,
+    behaviour: Behaviour,
+    version: &str,
+) -> FakeBackend {
+    let backend = FakeBackend::spawn(behaviour).await;
+    list(fixture, id, &backend, version).await;
+    backend
+}
+
+/// Lists [`OTHERS`] back ends of a version whose streams are complete.
+async fn list_others(fixture: &Fixture, version: &str) -> Vec<FakeBackend> {
+    let mut others = Vec::new();
+    for index in 0..OTHERS {
+        others.push(spawn_listed(fixture, &format!("other{index}"), complete(), version).await);
+    }
+    tokio::time::sleep(LISTED_WITHIN).await;
+    others
+}
+
+async fn fixture() -> Fixture {
+    let fixture = Fixture::new();
+    fixture.put("op/config", config(1)).await;
+    fixture
+}
+
+async fn ready_node(fixture: &Fixture, name: &str, zone: &str) -> Node {
+    let node = fixture.node_in(name, zone).await;
+    fixture.ready(&node).await;
+    node
+}
+
+fn stream(fixture: &Fixture, node: &Node, attempt: &str) -> reqwest::RequestBuilder {
+    fixture
+        .call(node, "/long/x", attempt)
+        .body(attempt.to_owned())
+}
+
+/// A call that resumes the stream that `attempt` began, after event 10.
+fn resumed(fixture: &Fixture, node: &Node, attempt: &str) -> reqwest::RequestBuilder {
+    fixture
+        .call(node, "/long/x", &format!("{attempt}-again"))
+        .header("last-event-id", "10")
+        .header("resumes", attempt)
+        .body(attempt.to_owned())
+}
+
+/// Begins a stream and leaves it after its first event.
+async fn begin(fixture: &Fixture, node: &Node, attempt: &str) {
+    let res = stream(fixture, node, attempt).send().await.unwrap();
+    assert_eq!(res.status(), 200);
+    res.bytes_stream().next().await.unwrap().unwrap();
+}
+
+/// Reads a stream to its end. Returns the number of its events, and whether it ended normally.
+async fn read(res: reqwest::Response) -> (usize, bool) {
+    let mut text = Vec::new();
+    let mut chunks = res.bytes_stream();
+    let ended_normally = loop {
+        match chunks.next().await {
+            Some(Ok(chunk)) => text.extend_from_slice(&chunk),
+            Some(Err(_)) => break false,
+            None => break true,
+        }
+    };
+    let text = String::from_utf8(text).unwrap();
+    (text.matches("\n\n").count(), ended_normally)
+}
+
+#[tokio::test]
+async fn a_stream_that_breaks_off_does_not_go_on_at_another_software_version() {
+    let fixture = fixture().await;
+    spawn_listed(&fixture, "b0", breaking(), FIRST).await;
+    let node = ready_node(&fixture, "n1", "z1").await;
+    let res = stream(&fixture, &node, "a1").send().await.unwrap();
+    let others = list_others(&fixture, SECOND).await;
+    assert_eq!(read(res).await, (20, false));
+    assert_eq!(total_runs(&others), 0);
+}
+
+#[tokio::test]
+async fn a_stream_that_breaks_off_goes_on_at_its_own_software_version() {
+    let fixture = fixture().await;
+    spawn_listed(&fixture, "b0", breaking(), FIRST).await;
+    let node = ready_node(&fixture, "n1", "z1").await;
+    let res = stream(&fixture, &node, "a1").send().await.unwrap();
+    let same = spawn_listed(&fixture, "b1", complete(), FIRST).await;
+    let others = list_others(&fixture, SECOND).await;
+    assert_eq!(read(res).await, (EVENTS as usize, true));
+    assert_eq!((same.runs(), total_runs(&others)), (1, 0));
+}
+
+#[tokio::test]
+async fn back_ends_without_a_software_version_do_not_continue_each_others_streams() {
+    let fixture = fixture().await;
+    spawn_listed(&fixture, "b0", breaking(), "null").await;
+    let node = ready_node(&fixture, "n1", "z1").await;
+    let res = stream(&fixture, &node, "a1").send().await.unwrap();
+    let others = list_others(&fixture, "7").await;
+    assert_eq!(read(res).await, (20, false));
+    assert_eq!(total_runs(&others), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_resumes_its_stream_at_any_node_only_at_the_software_version_that_began_it() {
+    let fixture = fixture().await;
+    let first = spawn_listed(&fixture, "b0", complete(), FIRST).await;
+    let mut nodes = Vec::new();
+    for (name, zone) in [("n1", "z1"), ("n2", "z2"), ("n3", "z3"), ("n4", "z1")] {
+        nodes.push(ready_node(&fixture, name, zone).await);
+    }
+    // Waits until the nodes exchange messages.
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    for index in 0..8 {
+        begin(&fixture, &nodes[index % 4], &format!("s{index}")).await;
+    }
+    let second = spawn_listed(&fixture, "b1", complete(), FIRST).await;
+    let others = list_others(&fixture, SECOND).await;
+    for index in 0..8 {
+        let call = resumed(&fixture, &nodes[(index + 1) % 4], &format!("s{index}"));
+        let res = call.send().await.unwrap();
+        assert_eq!(res.status(), 200);
+        assert_eq!(read(res).await, (EVENTS as usize - 10, true));
+    }
+    assert_eq!(total_runs(&others), 0);
+    assert_eq!(first.runs() + second.runs(), 16);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_whose_software_version_has_left_is_refused_at_once_and_for_good() {
+    let fixture = fixture().await;
+    spawn_listed(&fixture, "b0", complete(), FIRST).await;
+    let node = ready_node(&fixture, "n1", "z1").await;
+    let other_node = ready_node(&fixture, "n2", "z2").await;
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    begin(&fixture, &node, "a1").await;
+    let others = list_others(&fixture, SECOND).await;
+    fixture.remove("servers/b0").await;
+    tokio::time::sleep(LISTED_WITHIN).await;
+    for (node, attempt) in [(&node, "a1"), (&other_node, "a1"), (&node, "unheard-of")] {
+        let started = Instant::now();
+        let res = resumed(&fixture, node, attempt).send().await.unwrap();
+        // A status after which callers do not repeat the call.
+        assert_eq!(res.status(), 400, "{attempt}");
+        assert!(
+            started.elapsed() < REFUSED_WITHIN,
+            "{:?}",
+            started.elapsed()
+        );
+    }
+    assert_eq!(total_runs(&others), 0);
+    // Without the id of its last event the call is a new one.
+    let res = stream(&fixture, &node, "a2").send().await.unwrap();
+    assert_eq!(read(res).await, (EVENTS as usize, true));
+}
+
+/// Runs nodes in a runtime of their own, so that they all end at the same moment.
+fn spawn_doomed_nodes(
+    fixture: &Fixture,
+    names: &[&'static str],
+) -> (tokio::runtime::Runtime, Vec<Node>) {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .unwrap();
+    let nodes = tokio::task::block_in_place(|| {
+        runtime.block_on(async {
+            let mut nodes = Vec::new();
+            for name in names {
+                nodes.push(ready_node(fixture, name, "z1").await);
+            }
+            tokio::time::sleep(Duration::from_millis(2500)).await;
+            nodes
+        })
+    });
+    (runtime, nodes)
+}
+
+/// Removes the entries of nodes from the store, as when their leases expire.
+async fn expire_nodes(fixture: &Fixture) {
+    let delete = Transaction {
+        then: vec![Op::Delete(KeyRange::Prefix("jayhall/nodes/".into()))],
+        ..Transaction::default()
+    };
+    jayhall::sources::store::Store::transact(&*fixture.store, delete)
+        .await
+        .unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_that_start_anew_do_not_join_streams_of_a_software_version_that_has_just_left() {
+    let fixture = fixture().await;
+    spawn_listed(&fixture, "b0", complete(), FIRST).await;
+    let (runtime, nodes) = spawn_doomed_nodes(&fixture, &["n1", "n2"]);
+    begin(&fixture, &nodes[0], "a1").await;
+    let others = list_others(&fixture, SECOND).await;
+    runtime.shutdown_background();
+    // The last back end of the old version leaves while no node is there to see it.
+    fixture.remove("servers/b0").await;
+    expire_nodes(&fixture).await;
+    let node = ready_node(&fixture, "n3", "z1").await;
+    for attempt in ["a1", "unheard-of"] {
+        let started = Instant::now();
+        let res = resumed(&fixture, &node, attempt).send().await.unwrap();
+        assert_eq!(res.status(), 400, "{attempt}");
+        assert!(
+            started.elapsed() < REFUSED_WITHIN,
+            "{:?}",
+            started.elapsed()
+        );
+    }
+    assert_eq!(total_runs(&others), 0);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_that_start_anew_resume_streams_where_both_software_versions_serve() {
+    let fixture = fixture().await;
+    let first = spawn_listed(&fixture, "b0", complete(), FIRST).await;
+    let (runtime, nodes) = spawn_doomed_nodes(&fixture, &["n1", "n2"]);
+    for index in 0..6 {
+        begin(&fixture, &nodes[index % 2], &format!("s{index}")).await;
+    }
+    let others = list_others(&fixture, SECOND).await;
+    for index in 6..12 {
+        begin(&fixture, &nodes[index % 2], &format!("s{index}")).await;
+    }
+    // Whatever must outlast the nodes is in the store by now.
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    runtime.shutdown_background();
+    expire_nodes(&fixture).await;
+    let begun_at_first = first.runs();
+    let node = ready_node(&fixture, "n3", "z1").await;
+    let mut resumed_count = 0;
+    for index in 0..12 {
+        let call = resumed(&fixture, &node, &format!("s{index}"));
+        let res = call.send().await.unwrap();
+        if res.status() == 200 {
+            assert_eq!(read(res).await, (EVENTS as usize - 10, true));
+            resumed_count += 1;
+        }
+    }
+    assert!(resumed_count >= 6, "{resumed_count} of 12 streams go on");
+    let resumed_at_first = first.runs() - begun_at_first;
+    let begun_at_others = 12 - begun_at_first;
+    assert!(resumed_at_first <= begun_at_first);
+    assert!(total_runs(&others) - begun_at_others <= begun_at_others);
+    if resumed_count == 12 {
+        assert_eq!(resumed_at_first, begun_at_first);
+    }
+}
