Let a stream go on only at the software version that began it

Cause: nothing tied a stream to the version that began it. Within a response a broken stream was resumed at any back end of the service; a caller's own resumption began at any, too, as Resumes was not read. Class: state that only one producer can continue, routed as if all producers were equal.

A stream now has a software version from its first event on, that of the process to which its call was placed. Within a response only back ends of this version are candidates. Over the caller's attempts, the node that passes on the first event sends the stream's origin (16 bytes) to three nodes of different zones, chosen by rendezvous hashing over the attempt's id, so that the cost for each node does not grow with the fleet; a node at which the stream is resumed asks them. If none knows it, the stream goes on only if its service has had one version for 60 s. That is on record in the store, under one key a service, which is written when the set of versions changes; a version leaves it after the writer has not seen it listed for 60 s, by its monotonic clock, so that a node which starts anew knows it, too. Otherwise the call is refused at once: 400 if the version has left or will never be known (callers do not repeat it), 503 if it may still become known. An entry without a version equals no other.

--- a/src/core/gateway/backends/mod.rs
+++ b/src/core/gateway/backends/mod.rs
@@ -15,14 +15,13 @@
 use crate::core::gateway::observed::{Observation, Observer};
 use crate::core::gateway::origin::Origin;
 use crate::core::gateway::routes::ServiceName;
+use crate::core::gateway::software::{SoftwareId, SoftwareVersion, software_id};
 use crate::core::time::Moment;
 
 pub use entry::Entry;
 
 /// Name of a back end.
 pub type BackendId = Box<str>;
-/// Version of the software of a back end, as it names it.
-pub type SoftwareVersion = Box<str>;
 /// Short name of a back end's process in messages between nodes; see [`process_name`].
 pub type ProcessName = u32;
 
@@ -60,6 +59,14 @@
     pub software: Option<SoftwareVersion>,
 }
 
+impl Backend {
+    /// Returns the identifier of its software version, or `None` if its entry names none.
+    pub fn software_id(&self) -> Option<SoftwareId> {
+        let version = self.software.as_deref()?;
+        Some(software_id(&self.service, version))
+    }
+}
+
 /// Whether the registry lists a back end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Listing {
@@ -216,6 +223,11 @@
         self.entries.get(id)
     }
 
+    /// Returns all back ends.
+    pub fn iter(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values()
+    }
+
     /// Returns the back ends of a service, in the order of their names.
     pub fn of_service(&self, service: &str) -> impl Iterator<Item = &Entry> {
         self.services
--- a/src/core/gateway/members.rs
+++ b/src/core/gateway/members.rs
@@ -152,6 +152,34 @@
         in_zone.into_iter().take(count).collect()
     }
 
+    /// Returns up to `count` nodes that keep something for a job, in as many availability zones as possible. Nodes
+    /// that are not ready or are silent are left out. All nodes with the same view choose the same ones, and a node
+    /// that comes or goes changes the choice only for few jobs.
+    pub fn keepers(
+        &self,
+        job: u64,
+        own: &str,
+        count: usize,
+        now: Moment,
+        silence: Moment,
+    ) -> SmallVec<[&Member; 4]> {
+        let is_able =
+            |m: &&Member| &*m.name == own || (m.is_ready && !self.is_silent(&m.name, now, silence));
+        let mut ranked: Vec<&Member> = self.iter().filter(is_able).collect();
+        ranked.sort_by_cached_key(|m| Reverse(cells::weight_of(job, &m.name)));
+        let mut keepers: SmallVec<[&Member; 4]> = SmallVec::new();
+        let mut others = Vec::new();
+        for member in ranked {
+            match keepers.iter().any(|keeper| keeper.zone == member.zone) {
+                false => keepers.push(member),
+                true => others.push(member),
+            }
+        }
+        keepers.extend(others);
+        keepers.truncate(count);
+        keepers
+    }
+
     /// Returns the nodes of an availability zone that were heard from within `age`.
     pub fn fresh_in_zone(
         &self,
--- a/src/core/gateway/placement.rs
+++ b/src/core/gateway/placement.rs
@@ -18,6 +18,7 @@
 use super::cache::Part;
 use super::load::{CallLoad, rank_index};
 use super::routes::EngineSize;
+use super::software::AllowedSoftware;
 use crate::core::cells;
 use crate::core::time::Moment;
 
@@ -70,6 +71,8 @@
     pub zone: &'a str,
     /// Back ends to which the call was sent before.
     pub tried: &'a [BackendId],
+    /// Software versions at which its stream may begin or go on.
+    pub software: AllowedSoftware,
 }
 
 /// Why a call is refused.
@@ -79,6 +82,8 @@
     NoBackend,
     /// The queueing time at the best back end exceeds the longest useful wait.
     Overloaded,
+    /// No back end has the software version at which the call's stream may go on.
+    NoSuchSoftware,
 }
 
 /// Result of placing a call.
@@ -129,6 +134,7 @@
     let candidates: SmallVec<[&Entry; 32]> = backends
         .of_service(ask.service)
         .filter(|entry| entry.is_open(now) && !ask.tried.contains(&entry.backend.id))
+        .filter(|entry| allows_software(ask, entry))
         .collect();
     let preferred = preferred_engine(&candidates, ask);
     let best = candidates
@@ -147,7 +153,7 @@
         .min_by(|a, b| a.score.total_cmp(&b.score));
     let Some(best) = best else {
         return Placement::Refuse {
-            cause: RefusalCause::NoBackend,
+            cause: cause_of_none_open(backends, ask, now),
             retry_after: retry_after_none_open(backends, ask.service, now, draw()),
             wait: Duration::ZERO,
         };
@@ -256,6 +262,25 @@
     }
 }
 
+fn allows_software(ask: &PlacementRequest<'_>, entry: &Entry) -> bool {
+    ask.software == AllowedSoftware::Any || ask.software.allows(entry.backend.software_id())
+}
+
+/// Returns why no back end is open for a call.
+fn cause_of_none_open(
+    backends: &Backends,
+    ask: &PlacementRequest<'_>,
+    now: Moment,
+) -> RefusalCause {
+    let mut staying = backends
+        .of_service(ask.service)
+        .filter(|entry| !entry.is_gone(now) && !entry.is_leaving());
+    match ask.software == AllowedSoftware::Any || staying.any(|entry| allows_software(ask, entry)) {
+        true => RefusalCause::NoBackend,
+        false => RefusalCause::NoSuchSoftware,
+    }
+}
+
 fn penalty_ms(entry: &Entry) -> f64 {
     let suspect = if entry.is_suspect() {
         SUSPECT_PENALTY_MS
--- /dev/null
+++ b/src/core/gateway/stream_origins.rs
@@ -0,0 +1,88 @@
+//! Which software version began a stream that its caller may resume at another node.
+//!
+//! A node keeps the origins of the streams that it began and of those that other nodes have given it to keep.
+
+use std::collections::{HashMap, VecDeque};
+
+use super::software::{STREAM_LIFETIME, SoftwareId};
+use crate::core::time::Moment;
+
+/// Identifies a stream: a hash of the caller's attempt that brought its first event.
+pub type StreamId = u64;
+
+/// Limit on the origins that a node keeps.
+const MAX_ORIGINS: usize = 100_000;
+
+/// Returns the identifier of the stream that an attempt of a caller began. All nodes compute the same one.
+pub fn stream_id(attempt: &str) -> StreamId {
+    xxhash_rust::xxh3::xxh3_64(attempt.as_bytes())
+}
+
+/// The origin of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StreamOrigin {
+    /// The stream.
+    pub stream: StreamId,
+    /// Software version that began it.
+    pub software: SoftwareId,
+    /// When this node began it or was given its origin.
+    pub at: Moment,
+}
+
+/// Origins of streams, kept for as long as their callers may resume them.
+#[derive(Debug, Default)]
+pub struct StreamOrigins {
+    software: HashMap<StreamId, SoftwareId>,
+    /// All origins, the oldest ones first.
+    known: VecDeque<StreamOrigin>,
+    /// Those of streams that this node began, the oldest ones first.
+    begun: VecDeque<StreamOrigin>,
+}
+
+impl StreamOrigins {
+    /// Records a stream that this node began.
+    pub fn record_begun(&mut self, origin: StreamOrigin) {
+        self.begun.push_back(origin);
+        self.record(origin);
+    }
+
+    /// Records the origin of a stream. The first one that is known of a stream stays.
+    pub fn record(&mut self, origin: StreamOrigin) {
+        if self.software.contains_key(&origin.stream) {
+            return;
+        }
+        self.software.insert(origin.stream, origin.software);
+        self.known.push_back(origin);
+        if self.known.len() > MAX_ORIGINS {
+            self.forget_oldest();
+        }
+    }
+
+    /// Returns the software version that began a stream.
+    pub fn get(&self, stream: StreamId) -> Option<SoftwareId> {
+        self.software.get(&stream).copied()
+    }
+
+    /// Returns the streams that this node began at `since` or later, the oldest ones first.
+    pub fn begun_since(&self, since: Moment) -> impl Iterator<Item = &StreamOrigin> {
+        let first = self.begun.partition_point(|origin| origin.at < since);
+        self.begun.range(first..)
+    }
+
+    /// Forgets streams that are too old to be resumed.
+    pub fn expire(&mut self, now: Moment) {
+        let is_over = |origin: &StreamOrigin| now.saturating_sub(origin.at) > STREAM_LIFETIME;
+        while self.known.front().is_some_and(is_over) {
+            self.forget_oldest();
+        }
+        while self.begun.front().is_some_and(is_over) {
+            self.begun.pop_front();
+        }
+    }
+
+    fn forget_oldest(&mut self) {
+        if let Some(oldest) = self.known.pop_front() {
+            self.software.remove(&oldest.stream);
+        }
+    }
+}
--- a/src/node/gateway.rs
+++ b/src/node/gateway.rs
@@ -17,7 +17,7 @@
 use crate::ops::gateway::pool::BackendPool;
 use crate::ops::gateway::register::Registration;
 use crate::ops::gateway::state::{GatewayState, Phase};
-use crate::ops::gateway::{follow_store, install, quarantine, snapshot};
+use crate::ops::gateway::{follow_store, install, quarantine, resume, snapshot, software};
 use crate::sources::store::Store;
 use crate::util::settings::GatewaySettings;
 
@@ -65,9 +65,16 @@
         metrics: PrometheusHandle,
     ) -> Result<Self> {
         let state = GatewayState::new(settings, platform.dialect);
+        let peers = reqwest::Client::builder()
+            .tcp_nodelay(true)
+            .build()
+            .wrap_err("setting up the client for other nodes")?;
+        let (new_origins, origin_queue) = resume::origin_queue();
         let cx = Arc::new(GatewayContext {
             state: Arc::clone(&state),
             pool: BackendPool::default(),
+            peers: peers.clone(),
+            new_origins,
         });
         let (listening, _) = watch::channel(Listening::Open);
         let addresses = state.settings.listen;
@@ -88,10 +95,6 @@
         }
         let own_member = state.own_member();
         state.members.lock().put(own_member, state.now());
-        let peers = reqwest::Client::builder()
-            .tcp_nodelay(true)
-            .build()
-            .wrap_err("setting up the client for other nodes")?;
         let registration = Registration::new(Arc::clone(&state), Arc::clone(&platform.store));
         let mesh = {
             let _control_guard = control.enter();
@@ -107,6 +110,10 @@
                 Arc::clone(&state),
                 Arc::clone(&platform.store),
             ));
+            tokio::spawn(software::run(
+                Arc::clone(&state),
+                Arc::clone(&platform.store),
+            ));
             tokio::spawn(follow_store::run(
                 Arc::clone(&state),
                 platform.store,
@@ -115,6 +122,11 @@
             tokio::spawn(Arc::clone(&registration).run());
             tokio::spawn(Arc::clone(&mesh).send());
             tokio::spawn(Arc::clone(&mesh).receive());
+            tokio::spawn(resume::send_origins(
+                Arc::clone(&state),
+                Arc::clone(&mesh),
+                origin_queue,
+            ));
             tokio::spawn(snapshot::run(Arc::clone(&state), Arc::clone(&mesh), peers));
             mesh
         };
@@ -176,6 +188,7 @@
         tokio::time::sleep(MAINTENANCE_INTERVAL).await;
         install::expire(&cx.state);
         install::assign_limit_shares(&cx.state);
+        cx.state.origins.lock().expire(cx.state.now());
         cx.pool.close_expired();
         if collected.elapsed() >= METRICS_INTERVAL {
             collected = Instant::now();
--- a/src/ops/gateway/attempt.rs
+++ b/src/ops/gateway/attempt.rs
@@ -7,6 +7,7 @@
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Request, StatusCode};
 use thiserror::Error;
+use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use super::call::Call;
@@ -17,6 +18,8 @@
 use crate::core::gateway::crashes::Crash;
 use crate::core::gateway::observed::Observer;
 use crate::core::gateway::placement::RefusalCause;
+use crate::core::gateway::software::SoftwareId;
+use crate::core::gateway::stream_origins::StreamOrigin;
 use crate::core::gateway::suspects::Suspects;
 use crate::core::gateway::work::engine_ms;
 use crate::core::time::Moment;
@@ -31,6 +34,10 @@
     pub state: Arc<GatewayState>,
     /// Connection pool for back ends.
     pub pool: BackendPool,
+    /// HTTP client for other nodes.
+    pub peers: reqwest::Client,
+    /// Origins of streams that other nodes are to keep.
+    pub new_origins: mpsc::Sender<StreamOrigin>,
 }
 
 /// Why an attempt has no usable response.
@@ -152,6 +159,16 @@
         self.place.backend.software.as_deref()
     }
 
+    /// Returns the identifier of that version. It is not known if the registry now lists another process of the
+    /// back end, which may be the one that answers.
+    pub fn software_id(&self) -> Option<SoftwareId> {
+        let backend = &self.place.backend;
+        let backends = self.cx.state.backends.lock();
+        let listed = backends.get(&backend.id);
+        let is_same = listed.is_none_or(|entry| entry.backend.started == backend.started);
+        backend.software_id().filter(|_| is_same)
+    }
+
     /// Returns the time since the attempt began.
     pub fn age(&self) -> Duration {
         self.sent.elapsed()
--- a/src/ops/gateway/forward.rs
+++ b/src/ops/gateway/forward.rs
@@ -16,12 +16,14 @@
 use super::call::Call;
 use super::record::{self, CallEnd};
 use super::refusal::{self, Body, Cause, Refusal};
+use super::resume;
 use super::stream;
-use crate::core::gateway::backends::{BackendId, Outcome, SoftwareVersion};
+use crate::core::gateway::backends::{BackendId, Outcome};
 use crate::core::gateway::placement::{self, Placement, PlacementRequest, RefusalCause};
 use crate::core::gateway::quarantine::Check;
 use crate::core::gateway::retry_budget::RetryBudget;
 use crate::core::gateway::routes::RouteKind;
+use crate::core::gateway::software::{AllowedSoftware, SoftwareVersion};
 use crate::core::time::Moment;
 use crate::core::verdict::Verdict;
 
@@ -73,6 +75,8 @@
     pub is_probe: bool,
     /// Software of the back ends that sent events, in the order of their events.
     pub software: SmallVec<[SoftwareVersion; 2]>,
+    /// Software versions at which the call may be placed.
+    pub allowed: AllowedSoftware,
 }
 
 impl Progress {
@@ -107,10 +111,11 @@
     }
 }
 
-async fn run(cx: Arc<GatewayContext>, call: Call, active: ActiveCall) -> Response<Body> {
+async fn run(cx: Arc<GatewayContext>, mut call: Call, active: ActiveCall) -> Response<Body> {
     let mut progress = Progress::default();
-    let timeout =
-        tokio::time::timeout_at(call.deadline, serve_with_retries(&cx, &call, &mut progress)).await;
+    let deadline = call.deadline;
+    let served = serve_with_retries(&cx, &mut call, &mut progress);
+    let timeout = tokio::time::timeout_at(deadline, served).await;
     let result =
         timeout.unwrap_or_else(|_| Err(Refusal::with_verdict(Cause::TimedOut, Verdict::NotRun)));
     match result {
@@ -157,9 +162,10 @@
 
 async fn serve_with_retries(
     cx: &Arc<GatewayContext>,
-    call: &Call,
+    call: &mut Call,
     progress: &mut Progress,
 ) -> Result<CallerResponse, Refusal> {
+    progress.allowed = resume::allowed_software(cx, call).await?;
     loop {
         let next = match try_backend(cx, call, progress, call.head.last_event).await {
             Ok(response) => handle_response(cx, call, progress, response).await,
@@ -239,10 +245,6 @@
     progress: &Progress,
 ) -> Result<(RunningAttempt, Duration), AttemptError> {
     let state = &cx.state;
-    let factor = match progress.tried.is_empty() {
-        true => MAX_WAIT_FACTOR,
-        false => MAX_RETRY_WAIT_FACTOR,
-    };
     let (prompt_tokens, answer_tokens) = call.head.tokens.unwrap_or_default();
     let answer_tokens = call
         .head
@@ -256,13 +258,10 @@
         prompt_tokens,
         answer_tokens,
         rank: call.rank(),
-        max_wait: call
-            .route
-            .target_latency
-            .mul_f64(factor)
-            .min(call.remaining() / 2),
+        max_wait: max_wait(call, progress),
         zone: &state.settings.zone,
         tried: &progress.tried,
+        software: progress.allowed,
     };
     let placement = {
         let mut backends = state.backends.lock();
@@ -294,6 +293,18 @@
     }
 }
 
+/// Returns the longest expected wait at a back end after which the call is still worth to be placed there.
+fn max_wait(call: &Call, progress: &Progress) -> Duration {
+    let longest = call.remaining() / 2;
+    let target_latency = call.route.target_latency;
+    match progress.allowed {
+        // A stream that has begun cannot go on elsewhere.
+        AllowedSoftware::Only(_) => longest,
+        _ if progress.tried.is_empty() => target_latency.mul_f64(MAX_WAIT_FACTOR).min(longest),
+        _ => target_latency.mul_f64(MAX_RETRY_WAIT_FACTOR).min(longest),
+    }
+}
+
 /// Returns the timeout for the response head, after which another back end may be tried.
 fn attempt_timeout(call: &Call, progress: &Progress, expected: Duration) -> Duration {
     let is_last = progress.sends + 1 >= call.route.max_backends;
@@ -401,6 +412,9 @@
         let cause = match cause {
             RefusalCause::NoBackend => Cause::NoBackend,
             RefusalCause::Overloaded => Cause::Overloaded,
+            RefusalCause::NoSuchSoftware => {
+                return NextStep::GiveUp(Refusal::not_run(Cause::StreamLost));
+            }
         };
         return NextStep::GiveUp(Refusal::retry_later(cause, *retry_after));
     }
--- a/src/ops/gateway/install.rs
+++ b/src/ops/gateway/install.rs
@@ -8,6 +8,7 @@
 use super::keys;
 use super::node_wire;
 use super::quarantine;
+use super::software;
 use super::state::{GatewayState, Phase};
 use super::view::{self, Deletion, KeyHash};
 use crate::core::gateway::backends::{Backend, Listing};
@@ -56,6 +57,8 @@
         install_backend(state, id, item, source, order);
     } else if key.starts_with(keys::QUARANTINE) {
         quarantine::put_entry(state, item);
+    } else if let Some(service) = key.strip_prefix(keys::SOFTWARE) {
+        software::put_record(state, service, item);
     } else if let Some(name) = key.strip_prefix(keys::NODES) {
         // Living nodes register again; the copy may list others, or earlier processes.
         if order == WriteOrder::Unknown {
@@ -119,6 +122,7 @@
             .quarantine
             .lock()
             .forget_revisions_before(revision.era);
+        state.software.lock().forget_revisions_before(revision.era);
     }
     state.view.lock().compact_deletions(revision);
     state.set_revision(revision);
@@ -132,11 +136,13 @@
 }
 
 /// Returns whether a value stays in force when the store loses it: the configuration until a newer one is
-/// written, decided counts for as long as they may be reported, and the quarantine, which this node writes again.
+/// written, decided counts for as long as they may be reported, and the quarantine and the software versions of
+/// services, which this node writes again.
 fn is_kept_without_store(state: &GatewayState, key: &str) -> bool {
     let is_reportable = |window| window >= decided_counts::first_reportable_window(state);
     key == state.dialect.config_key()
         || key.starts_with(keys::QUARANTINE)
+        || key.starts_with(keys::SOFTWARE)
         || keys::usage_window(key).is_some_and(is_reportable)
 }
 
@@ -210,6 +216,10 @@
         quarantine::remove_entry(state, id);
         return;
     }
+    if let Some(service) = deletion.key.strip_prefix(keys::SOFTWARE) {
+        software::remove_record(state, service);
+        return;
+    }
     if let Some(id) = deletion.key.strip_prefix(state.dialect.backend_prefix()) {
         let now = state.now();
         let contact = *state.contact.lock();
@@ -286,6 +296,10 @@
             let (address, service) = (backend.address, backend.service.clone());
             let software = backend.software.clone();
             let now = state.now();
+            state
+                .software
+                .lock()
+                .note_listed(&service, software.as_deref(), now);
             let changed = match order {
                 WriteOrder::Later => state.backends.lock().put(backend),
                 WriteOrder::Unknown => state.backends.lock().put_restored(backend, now),
--- a/src/ops/gateway/keys.rs
+++ b/src/ops/gateway/keys.rs
@@ -10,6 +10,14 @@
 /// Prefix of the keys of quarantined calls, followed by the entry's id.
 pub const QUARANTINE: &str = "jayhall/quarantine/";
 
+/// Prefix of the keys of the software versions that services have had lately, followed by the service's name.
+pub const SOFTWARE: &str = "jayhall/software/";
+
+/// Returns the key of the software versions of a service.
+pub fn software(service: &str) -> String {
+    format!("{SOFTWARE}{service}")
+}
+
 /// Returns the key of a quarantine entry.
 pub fn quarantine(id: u64) -> String {
     format!("{QUARANTINE}{id:016x}")
--- a/src/ops/gateway/listen.rs
+++ b/src/ops/gateway/listen.rs
@@ -21,7 +21,7 @@
 use super::attempt::GatewayContext;
 use super::refusal::{Body, full_body};
 use super::state::{GatewayState, Phase};
-use super::{forward, snapshot};
+use super::{forward, resume, snapshot};
 
 /// Idle timeout of callers' connections, as a multiple of the one that operators configure for callers.
 /// It is longer, so that the server does not close a connection just as a caller reuses it.
@@ -161,6 +161,13 @@
                     snapshot::respond(&state, query).await,
                 )
             }
+            resume::PATH => {
+                let query = req.uri().query().unwrap_or_default();
+                match resume::respond(&state, query) {
+                    Some(origin) => with_body("text/plain", origin),
+                    None => status(StatusCode::NOT_FOUND),
+                }
+            }
             "/metrics" => with_body("text/plain; version=0.0.4", metrics.render()),
             _ => status(StatusCode::NOT_FOUND),
         },
--- a/src/ops/gateway/mesh/mod.rs
+++ b/src/ops/gateway/mesh/mod.rs
@@ -26,6 +26,7 @@
 use super::state::GatewayState;
 use crate::core::gateway::members::Member;
 use crate::core::gateway::origin::ZoneName;
+use crate::core::gateway::stream_origins::StreamOrigin;
 use crate::core::gateway::zone_sums::ZoneSenders;
 use crate::core::time::Moment;
 use crate::util::time::as_millis_u64;
@@ -254,7 +255,7 @@
             let payload = encoded.entry((with_loads, with_usage)).or_insert_with(|| {
                 let datagram = DatagramWire {
                     report: Some(self.build_report(with_loads, with_usage)),
-                    sums: Vec::new(),
+                    ..DatagramWire::default()
                 };
                 datagram.encode_to_vec()
             });
@@ -283,8 +284,8 @@
             sent.sums_at = now;
             let payload = encoded.entry(same_region).or_insert_with(|| {
                 let datagram = DatagramWire {
-                    report: None,
                     sums: vec![self.build_zone_sum(same_region, now)],
+                    ..DatagramWire::default()
                 };
                 datagram.encode_to_vec()
             });
@@ -329,14 +330,30 @@
                     last.sums.push(sum);
                 }
                 _ => datagrams.push(DatagramWire {
-                    report: None,
                     sums: vec![sum],
+                    ..DatagramWire::default()
                 }),
             }
         }
         datagrams.iter().map(Message::encode_to_vec).collect()
     }
 
+    /// Sends origins of streams to the nodes at the addresses that keep each of them.
+    pub async fn send_origins(&self, origins: &[(StreamOrigin, Vec<SocketAddr>)]) {
+        let mut datagrams: HashMap<SocketAddr, DatagramWire> = HashMap::new();
+        for (origin, keepers) in origins {
+            for keeper in keepers {
+                let datagram = datagrams.entry(*keeper).or_default();
+                datagram.origins.push((*origin).into());
+            }
+        }
+        for (keeper, datagram) in datagrams {
+            if let Err(e) = self.socket.send_to(&datagram.encode_to_vec(), keeper).await {
+                tracing::debug!(peer = %keeper, error = %e, "failed to send origins of streams");
+            }
+        }
+    }
+
     async fn send_to(&self, member: &Member, payload: &[u8]) {
         if let Err(e) = self.socket.send_to(payload, member.peers).await {
             tracing::debug!(node = &*member.name, error = %e, "failed to send a message to a node");
--- a/src/ops/gateway/mesh/receive.rs
+++ b/src/ops/gateway/mesh/receive.rs
@@ -9,8 +9,11 @@
 use crate::core::gateway::members::StoreKnowledge;
 use crate::core::gateway::observed::Observer;
 use crate::core::gateway::origin::Origin;
+use crate::core::gateway::stream_origins::StreamOrigin;
 use crate::core::time::Moment;
-use crate::ops::gateway::mesh_wire::{DatagramWire, LoadSumWire, ReportWire, ZoneSumWire};
+use crate::ops::gateway::mesh_wire::{
+    DatagramWire, LoadSumWire, ReportWire, StreamOriginWire, ZoneSumWire,
+};
 
 impl Mesh {
     /// Receives messages until the task is dropped.
@@ -37,6 +40,19 @@
         for sum in datagram.sums {
             self.handle_zone_sum(sum);
         }
+        self.keep_origins(&datagram.origins);
+    }
+
+    fn keep_origins(&self, origins: &[StreamOriginWire]) {
+        let at = self.state.now();
+        let mut kept = self.state.origins.lock();
+        for origin in origins {
+            kept.record(StreamOrigin {
+                stream: origin.stream,
+                software: origin.software,
+                at,
+            });
+        }
     }
 
     fn handle_report(&self, report: &ReportWire) {
--- a/src/ops/gateway/mesh_wire.rs
+++ b/src/ops/gateway/mesh_wire.rs
@@ -12,6 +12,7 @@
 use crate::core::gateway::observed::{Observation, Observer};
 use crate::core::gateway::quota::ZoneTotals;
 use crate::core::gateway::routes::{CustomerName, ServiceName};
+use crate::core::gateway::stream_origins::StreamOrigin;
 use crate::core::gateway::suspects::{Suspect, Suspects, parts_of, request_of};
 use crate::core::gateway::usage::{Counts, Window};
 use crate::core::time::Moment;
@@ -39,6 +40,20 @@
     /// Sums over availability zones: the sender's own, or others that it forwards.
     #[prost(message, repeated, tag = "2")]
     pub sums: Vec<ZoneSumWire>,
+    /// Origins of streams that the receiver keeps.
+    #[prost(message, repeated, tag = "3")]
+    pub origins: Vec<StreamOriginWire>,
+}
+
+/// Software version that began a stream.
+#[derive(Clone, PartialEq, Message)]
+pub struct StreamOriginWire {
+    /// The stream.
+    #[prost(fixed64, tag = "1")]
+    pub stream: u64,
+    /// Identifier of the software version.
+    #[prost(fixed64, tag = "2")]
+    pub software: u64,
 }
 
 /// Report of a node about itself.
@@ -507,6 +522,15 @@
     }
 }
 
+impl From<StreamOrigin> for StreamOriginWire {
+    fn from(origin: StreamOrigin) -> Self {
+        Self {
+            stream: origin.stream,
+            software: origin.software,
+        }
+    }
+}
+
 impl From<&(u32, Load)> for LoadWire {
     fn from((backend, load): &(u32, Load)) -> Self {
         let ranks = |values: &[u32; RANKS]| {
--- a/src/ops/gateway/mod.rs
+++ b/src/ops/gateway/mod.rs
@@ -5,6 +5,7 @@
 //! - [`follow_store`], [`register`], [`mesh`], [`snapshot`], [`relay`], [`install`]: replication of the
 //!   store's contents and of load, usage and liveness between nodes;
 //! - [`duties`]: work that is done by one elected node on behalf of all;
+//! - [`software`], [`resume`]: the software version at which a broken stream may go on;
 //! - [`quarantine`]: prompts that crash back ends and are sent to none;
 //! - [`state`]: state of the node that is shared by all of these;
 //! - [`dialect`]: interface that the adapter of a platform implements.
@@ -29,7 +30,9 @@
 pub mod refusal;
 pub mod register;
 pub mod relay;
+pub mod resume;
 pub mod snapshot;
+pub mod software;
 pub mod state;
 pub mod stream;
 pub mod view;
--- a/src/ops/gateway/record.rs
+++ b/src/ops/gateway/record.rs
@@ -15,6 +15,7 @@
 use super::forward::Progress;
 use super::quarantine;
 use super::refusal::Refusal;
+use super::resume::KnownFrom;
 use super::state::GatewayState;
 use crate::core::gateway::cache::PartId;
 use crate::core::gateway::quota::Shortage;
@@ -123,6 +124,21 @@
     quarantine::hex(&ids)
 }
 
+/// Records that a call resumes a stream whose software version is known.
+pub fn resumed(state: &GatewayState, call: &Call, known_from: KnownFrom) {
+    if let Some(left_out) = admit_failure_line(state) {
+        tracing::info!(
+            attempt = &*call.head.attempt,
+            resumes = call.head.resumes.as_deref(),
+            last_event = call.head.last_event,
+            ?known_from,
+            store_age_ms = state.view_age().map(as_millis_u64),
+            left_out,
+            "stream resumed by its caller"
+        );
+    }
+}
+
 /// Records an attempt without a usable response.
 pub fn attempt_failed(state: &GatewayState, call: &Call, progress: &Progress, e: &AttemptError) {
     metrics::counter!("jayhall_gateway_failed_sends", "service" => call.service.name.to_string())
--- a/src/ops/gateway/refusal.rs
+++ b/src/ops/gateway/refusal.rs
@@ -45,6 +45,10 @@
     TimedOut,
     /// It, or calls with the same parts of a prompt, have crashed back ends.
     Quarantined,
+    /// The call resumes a stream, and the software version that began it has left or will never be known.
+    StreamLost,
+    /// The call resumes a stream, and the software version that began it is not known yet.
+    StreamUnknown,
 }
 
 impl Cause {
@@ -60,7 +64,7 @@
                 _ => StatusCode::BAD_GATEWAY,
             },
             // Not 422, after which some callers repeat the call.
-            Self::Quarantined => StatusCode::BAD_REQUEST,
+            Self::Quarantined | Self::StreamLost => StatusCode::BAD_REQUEST,
             Self::OverQuota => StatusCode::TOO_MANY_REQUESTS,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
             _ => StatusCode::SERVICE_UNAVAILABLE,
@@ -82,6 +86,8 @@
             Self::AnswerLost => "answer_lost",
             Self::TimedOut => "timed_out",
             Self::Quarantined => "quarantined",
+            Self::StreamLost => "stream_lost",
+            Self::StreamUnknown => "stream_unknown",
         }
     }
 
@@ -104,6 +110,12 @@
             Self::Quarantined => {
                 "this request, or a part of its prompt, has crashed several engines; it is not sent to any more, and asking again does not help"
             }
+            Self::StreamLost => {
+                "no engine can continue this stream: the software version that began it has left or is not known; asking again does not help, unless the stream is begun anew"
+            }
+            Self::StreamUnknown => {
+                "it is not known yet which engines can continue this stream; come back later"
+            }
             Self::TimedOut => "the time for this call is over",
         }
     }
--- /dev/null
+++ b/src/ops/gateway/resume.rs
@@ -0,0 +1,272 @@
+//! Calls that resume a stream: at which software version they may go on.
+//!
+//! The caller names the attempt that began its stream, mostly at another node, which may be gone. So the node that
+//! passes on the first event of a stream sends its origin to a few nodes, which are chosen by rendezvous hashing, and
+//! a node at which the stream is resumed asks these. If none of them knows it, the stream goes on only if its service
+//! has had a single software version for as long as a stream may last. Otherwise the call is refused.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::future::join_all;
+use reqwest::StatusCode;
+use tokio::sync::mpsc;
+
+use super::attempt::GatewayContext;
+use super::call::Call;
+use super::mesh::Mesh;
+use super::record;
+use super::refusal::{Cause, Refusal};
+use super::state::GatewayState;
+use crate::core::gateway::routes::{RouteKind, ServiceName};
+use crate::core::gateway::software::{AllowedSoftware, RecentSoftware, SoftwareId};
+use crate::core::gateway::stream_origins::{StreamId, StreamOrigin, stream_id};
+use crate::core::time::Moment;
+use crate::util::query;
+
+/// Path on the control listener at which nodes ask for the origin of a stream.
+pub const PATH: &str = "/stream-origin";
+/// Number of nodes that keep the origin of a stream.
+const KEEPERS: usize = 3;
+/// Number of nodes that are asked for it: more than keep it, as nodes come and go.
+const ASKED: usize = 4;
+/// Timeout of a question to a node.
+const ASK_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time without a message of a node after which it keeps no origins and is not asked.
+const NODE_TIMEOUT: Moment = Moment::from_millis(2000);
+/// Number of times that the origin of a stream is looked up while it may still become known.
+const LOOKUPS: u32 = 3;
+/// Pause between two look-ups.
+const LOOKUP_PAUSE: Duration = Duration::from_millis(200);
+/// `Retry-After` of a call whose origin may still become known.
+const RETRY_AFTER: Duration = Duration::from_millis(700);
+/// Limit on origins that wait to be sent to the nodes that keep them.
+const MAX_UNSENT_ORIGINS: usize = 1024;
+/// Limit on the origins that are sent together.
+const MAX_ORIGINS_PER_ROUND: usize = 64;
+
+/// Where the software version that began a stream is known from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KnownFrom {
+    /// This node began the stream or keeps its origin.
+    Node,
+    /// Another node keeps its origin.
+    Keeper,
+    /// The service has had only this version.
+    OnlyVersion,
+}
+
+/// What is known of the origin of a stream.
+enum Lookup {
+    /// It began at this software version of this service.
+    Found(SoftwareId, ServiceName, KnownFrom),
+    /// It will never be known.
+    Lost,
+    /// It may still become known.
+    NotYet,
+}
+
+/// What the nodes that may keep the origin of a stream answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kept {
+    /// One of them keeps it.
+    At(SoftwareId),
+    /// None of them keeps it.
+    Nowhere,
+    /// Some did not answer, and the others do not keep it.
+    NotKnown,
+}
+
+/// Returns the software versions at which a call may be placed. If it resumes a stream, sets its service to the one
+/// that began the stream.
+///
+/// # Errors
+///
+/// Fails if the call resumes a stream that cannot go on; the call has not run.
+pub async fn allowed_software(
+    cx: &GatewayContext,
+    call: &mut Call,
+) -> Result<AllowedSoftware, Refusal> {
+    let is_resumed = call.head.last_event.is_some() || call.head.resumes.is_some();
+    if !is_resumed || !call.route.kind.is_stream() {
+        return Ok(AllowedSoftware::Any);
+    }
+    for lookup in 1..=LOOKUPS {
+        match look_up(cx, call).await {
+            Lookup::Found(software, service, known_from) => {
+                record::resumed(&cx.state, call, known_from);
+                set_service(&cx.state, call, &service);
+                return Ok(AllowedSoftware::Only(software));
+            }
+            Lookup::Lost => return Err(Refusal::not_run(Cause::StreamLost)),
+            Lookup::NotYet if lookup < LOOKUPS => tokio::time::sleep(LOOKUP_PAUSE).await,
+            Lookup::NotYet => {}
+        }
+    }
+    Err(Refusal::retry_later(Cause::StreamUnknown, RETRY_AFTER))
+}
+
+async fn look_up(cx: &GatewayContext, call: &Call) -> Lookup {
+    let state = &cx.state;
+    let stream = call.head.resumes.as_deref().map(stream_id);
+    let own = stream.and_then(|stream| state.origins.lock().get(stream));
+    if let Some(software) = own {
+        return found(state, call, software, KnownFrom::Node);
+    }
+    let kept = match stream {
+        Some(stream) => ask_keepers(cx, stream).await,
+        None => Kept::Nowhere,
+    };
+    let services = call.route.targets.iter().map(|target| &target.service);
+    let recent = state.software.lock().recent(services, state.now());
+    match (kept, recent) {
+        (Kept::At(software), _) => found(state, call, software, KnownFrom::Keeper),
+        (_, RecentSoftware::One(software)) if is_view_fresh(state) => {
+            found(state, call, software, KnownFrom::OnlyVersion)
+        }
+        (Kept::Nowhere, RecentSoftware::Several) => Lookup::Lost,
+        _ => Lookup::NotYet,
+    }
+}
+
+/// Returns whether this node would know a software version that has been listed for longer than departures may take
+/// to arrive.
+fn is_view_fresh(state: &GatewayState) -> bool {
+    let age = state.view_age();
+    age.is_some_and(|age| age <= state.settings.bounds.drain)
+}
+
+fn found(state: &GatewayState, call: &Call, software: SoftwareId, known_from: KnownFrom) -> Lookup {
+    let services = call.route.targets.iter().map(|target| &target.service);
+    match state.software.lock().service_with(software, services) {
+        Some(service) => Lookup::Found(software, service.clone(), known_from),
+        // Another node has seen this version listed.
+        None => Lookup::NotYet,
+    }
+}
+
+fn set_service(state: &GatewayState, call: &mut Call, service: &str) {
+    let known = state
+        .table()
+        .and_then(|table| table.services.get(service).cloned());
+    if let Some(service) = known {
+        call.service = service;
+    }
+}
+
+/// Asks the nodes that may keep the origin of a stream. Records it at this node, too.
+async fn ask_keepers(cx: &GatewayContext, stream: StreamId) -> Kept {
+    let state = &cx.state;
+    let asked = keepers(state, stream, ASKED, |member| member.control);
+    if asked.is_empty() && state.node_count() > 1 {
+        return Kept::NotKnown;
+    }
+    let answers = asked.into_iter().map(|control| ask(cx, control, stream));
+    let answers = join_all(answers).await;
+    let kept = answers.iter().find_map(|answer| match answer {
+        Kept::At(software) => Some(*software),
+        Kept::Nowhere | Kept::NotKnown => None,
+    });
+    if let Some(software) = kept {
+        let at = state.now();
+        state.origins.lock().record(StreamOrigin {
+            stream,
+            software,
+            at,
+        });
+        return Kept::At(software);
+    }
+    match answers.contains(&Kept::NotKnown) {
+        true => Kept::NotKnown,
+        false => Kept::Nowhere,
+    }
+}
+
+/// Returns an address of each node other than this one that keeps the origin of a stream.
+fn keepers<T>(
+    state: &GatewayState,
+    stream: StreamId,
+    count: usize,
+    address: impl Fn(&crate::core::gateway::members::Member) -> T,
+) -> Vec<T> {
+    let own = &state.settings.name;
+    let members = state.members.lock();
+    let keepers = members.keepers(stream, own, count, state.now(), NODE_TIMEOUT);
+    let others = keepers.into_iter().filter(|member| member.name != *own);
+    others.map(address).collect()
+}
+
+async fn ask(cx: &GatewayContext, control: SocketAddr, stream: StreamId) -> Kept {
+    let url = format!("http://{control}{PATH}?stream={stream:x}");
+    let asked = async {
+        let res = cx.peers.get(url).timeout(ASK_TIMEOUT).send().await?;
+        match res.status() {
+            StatusCode::NOT_FOUND => Ok(None),
+            _ => res.error_for_status()?.text().await.map(Some),
+        }
+    };
+    match asked.await {
+        Ok(None) => Kept::Nowhere,
+        Ok(Some(text)) => match SoftwareId::from_str_radix(&text, 16) {
+            Ok(software) => Kept::At(software),
+            Err(e) => {
+                tracing::warn!(peer = %control, error = %e, "cannot decode the origin of a stream");
+                Kept::NotKnown
+            }
+        },
+        Err(e) => {
+            tracing::debug!(peer = %control, error = %e, "failed to ask for the origin of a stream");
+            Kept::NotKnown
+        }
+    }
+}
+
+/// Returns the origin of a stream that this node keeps, for another node. `query` names the stream.
+pub fn respond(state: &GatewayState, query: &str) -> Option<String> {
+    let stream = query::value(query, "stream")?;
+    let stream = StreamId::from_str_radix(stream, 16).ok()?;
+    let software = state.origins.lock().get(stream)?;
+    Some(format!("{software:x}"))
+}
+
+/// Records that the first event of a call's stream was passed on, and where it is from. Other nodes are told if the
+/// caller may resume it.
+pub fn note_begun(cx: &GatewayContext, call: &Call, software: Option<SoftwareId>) {
+    let is_new = call.head.last_event.is_none() && call.head.resumes.is_none();
+    let is_resumable = call.route.kind == RouteKind::Stream { resumable: true };
+    let (Some(software), true) = (software, is_new && is_resumable) else {
+        return;
+    };
+    let origin = StreamOrigin {
+        stream: stream_id(&call.head.attempt),
+        software,
+        at: cx.state.now(),
+    };
+    cx.state.origins.lock().record_begun(origin);
+    if cx.new_origins.try_send(origin).is_err() {
+        metrics::counter!("jayhall_gateway_unsent_origins").increment(1);
+    }
+}
+
+/// Creates the queue of origins that [`send_origins`] sends.
+pub fn origin_queue() -> (mpsc::Sender<StreamOrigin>, mpsc::Receiver<StreamOrigin>) {
+    mpsc::channel(MAX_UNSENT_ORIGINS)
+}
+
+/// Sends origins of streams to the nodes that keep them, until the task is dropped.
+pub async fn send_origins(
+    state: Arc<GatewayState>,
+    mesh: Arc<Mesh>,
+    mut queue: mpsc::Receiver<StreamOrigin>,
+) {
+    let mut origins = Vec::new();
+    while queue.recv_many(&mut origins, MAX_ORIGINS_PER_ROUND).await > 0 {
+        let with_keepers = origins.drain(..).map(|origin| {
+            let keepers = keepers(&state, origin.stream, KEEPERS, |member| member.peers);
+            (origin, keepers)
+        });
+        let with_keepers: Vec<_> = with_keepers.collect();
+        mesh.send_origins(&with_keepers).await;
+    }
+}
--- a/src/ops/gateway/state.rs
+++ b/src/ops/gateway/state.rs
@@ -18,7 +18,9 @@
 use crate::core::gateway::quota::QuotaShares;
 use crate::core::gateway::retry_budget::RetryBudget;
 use crate::core::gateway::routes::{RouteTable, ServiceName};
+use crate::core::gateway::software::SoftwareHistory;
 use crate::core::gateway::store_contact::StoreContact;
+use crate::core::gateway::stream_origins::StreamOrigins;
 use crate::core::gateway::usage::{Counts, UsageCounts, Window};
 use crate::core::gateway::work::WorkRates;
 use crate::core::time::{Moment, UnixMillis};
@@ -59,6 +61,10 @@
     pub usage: Mutex<UsageCounts>,
     /// Prompts that crash back ends.
     pub quarantine: Mutex<Quarantine>,
+    /// Software versions that services have had lately.
+    pub software: Mutex<SoftwareHistory>,
+    /// Which software versions began streams.
+    pub origins: Mutex<StreamOrigins>,
     /// Rate of incoming work, by service.
     pub work: Mutex<WorkRates>,
     /// Clock readings of all nodes.
@@ -103,6 +109,8 @@
             retries: Mutex::default(),
             usage: Mutex::default(),
             quarantine: Mutex::default(),
+            software: Mutex::default(),
+            origins: Mutex::default(),
             work: Mutex::default(),
             clock: Mutex::default(),
             view: Mutex::default(),
--- a/src/ops/gateway/stream.rs
+++ b/src/ops/gateway/stream.rs
@@ -21,8 +21,10 @@
 use super::pool::Connection;
 use super::record::{self, CallEnd};
 use super::refusal::{Body, BodyError};
+use super::resume;
 use crate::core::gateway::backends::Outcome;
 use crate::core::gateway::routes::RouteKind;
+use crate::core::gateway::software::AllowedSoftware;
 
 /// Lower bound on the time without a complete event after which a resumable stream moves to another
 /// back end.
@@ -181,6 +183,9 @@
         let Some(end) = end_of_events(&self.buf) else {
             return ReadResult::Incomplete;
         };
+        if !self.accepts_software() {
+            return ReadResult::Broken("another process has the name of the back end".into());
+        }
         let events = self.buf.copy_to_bytes(end);
         if let Some(id) = last_event_id(&events) {
             self.last_event = Some(id);
@@ -197,6 +202,25 @@
         ReadResult::Events(events)
     }
 
+    /// Returns whether the back end's events may be passed on. The first event of a stream determines its software
+    /// version.
+    fn accepts_software(&mut self) -> bool {
+        let Some(source) = &self.source else {
+            return true;
+        };
+        if source.running.answering_for().is_some() {
+            return true;
+        }
+        let software = source.running.software_id();
+        if self.progress.allowed == AllowedSoftware::Any {
+            self.progress.allowed =
+                software.map_or(AllowedSoftware::Unknown, AllowedSoftware::Only);
+            resume::note_begun(&self.cx, &self.call, software);
+            return true;
+        }
+        self.progress.allowed.allows(software)
+    }
+
     /// Returns whether the caller has received an event, from this response or from the one that it resumes.
     fn has_events(&self) -> bool {
         self.first_event_after.is_some() || self.last_event.is_some()
--- a/tests/testsuite/gateway/placement.rs
+++ b/tests/testsuite/gateway/placement.rs
@@ -9,6 +9,7 @@
 use jayhall::core::gateway::load::Load;
 use jayhall::core::gateway::placement::{self, Placement, PlacementRequest, RefusalCause, Regions};
 use jayhall::core::gateway::routes::EngineSize;
+use jayhall::core::gateway::software::AllowedSoftware;
 use rand::rngs::ChaCha8Rng;
 use rand::{RngExt, SeedableRng};
 
@@ -59,6 +60,7 @@
         max_wait: Duration::from_millis(max_wait_ms),
         zone: "r1",
         tried: &[],
+        software: AllowedSoftware::Any,
     }
 }
 
