Keep the origins of streams in the store while a service has several versions

The node's view leaves them out; the same node reads them, at most every 2 s, when a stream is resumed whose origin no node keeps. The number of writes grows with the zones, not with the nodes. In calm nothing is written.

--- a/src/core/gateway/stream_origins.rs
+++ b/src/core/gateway/stream_origins.rs
@@ -37,6 +37,8 @@
     known: VecDeque<StreamOrigin>,
     /// Those of streams that this node began, the oldest ones first.
     begun: VecDeque<StreamOrigin>,
+    /// Those that this node writes to the store, the oldest ones first.
+    archived: VecDeque<StreamOrigin>,
 }
 
 impl StreamOrigins {
@@ -65,8 +67,21 @@
 
     /// Returns the streams that this node began at `since` or later, the oldest ones first.
     pub fn begun_since(&self, since: Moment) -> impl Iterator<Item = &StreamOrigin> {
-        let first = self.begun.partition_point(|origin| origin.at < since);
-        self.begun.range(first..)
+        since_moment(&self.begun, since)
+    }
+
+    /// Records the origin of a stream that this node is to write to the store.
+    pub fn archive(&mut self, origin: StreamOrigin) {
+        self.archived.push_back(origin);
+        if self.archived.len() > MAX_ORIGINS {
+            self.archived.pop_front();
+        }
+        self.record(origin);
+    }
+
+    /// Returns the origins to be written to the store that were recorded at `since` or later, the oldest ones first.
+    pub fn archived_since(&self, since: Moment) -> impl Iterator<Item = &StreamOrigin> {
+        since_moment(&self.archived, since)
     }
 
     /// Forgets streams that are too old to be resumed.
@@ -75,8 +90,10 @@
         while self.known.front().is_some_and(is_over) {
             self.forget_oldest();
         }
-        while self.begun.front().is_some_and(is_over) {
-            self.begun.pop_front();
+        for origins in [&mut self.begun, &mut self.archived] {
+            while origins.front().is_some_and(is_over) {
+                origins.pop_front();
+            }
         }
     }
 
@@ -86,3 +103,11 @@
         }
     }
 }
+
+fn since_moment(
+    origins: &VecDeque<StreamOrigin>,
+    since: Moment,
+) -> impl Iterator<Item = &StreamOrigin> {
+    let first = origins.partition_point(|origin| origin.at < since);
+    origins.range(first..)
+}
--- a/src/node/gateway.rs
+++ b/src/node/gateway.rs
@@ -14,6 +14,7 @@
 use crate::ops::gateway::duties::DutyRunner;
 use crate::ops::gateway::listen::{self, Listening, Purpose};
 use crate::ops::gateway::mesh::Mesh;
+use crate::ops::gateway::origin_archive::{self, OriginArchive};
 use crate::ops::gateway::pool::BackendPool;
 use crate::ops::gateway::register::Registration;
 use crate::ops::gateway::state::{GatewayState, Phase};
@@ -74,6 +75,7 @@
             state: Arc::clone(&state),
             pool: BackendPool::default(),
             peers: peers.clone(),
+            archive: OriginArchive::new(Arc::clone(&state), Arc::clone(&platform.store)),
             new_origins,
         });
         let (listening, _) = watch::channel(Listening::Open);
@@ -84,7 +86,7 @@
             (addresses.directory, Purpose::Directory(Arc::clone(&state))),
             (
                 addresses.control,
-                Purpose::Control(Arc::clone(&state), metrics.clone()),
+                Purpose::Control(Arc::clone(&cx), metrics.clone()),
             ),
         ];
         for (address, purpose) in purposes {
@@ -114,6 +116,12 @@
                 Arc::clone(&state),
                 Arc::clone(&platform.store),
             ));
+            tokio::spawn(origin_archive::run(
+                Arc::clone(&state),
+                Arc::clone(&platform.store),
+                Arc::clone(&registration),
+                Arc::clone(&mesh),
+            ));
             tokio::spawn(follow_store::run(
                 Arc::clone(&state),
                 platform.store,
--- a/src/ops/gateway/attempt.rs
+++ b/src/ops/gateway/attempt.rs
@@ -12,6 +12,7 @@
 
 use super::call::Call;
 use super::dialect::{ForwardMetadata, ResponseHead};
+use super::origin_archive::OriginArchive;
 use super::pool::{BackendPool, Connection, SendError};
 use super::state::GatewayState;
 use crate::core::gateway::backends::{CallPlace, Outcome, process_name};
@@ -36,6 +37,8 @@
     pub pool: BackendPool,
     /// HTTP client for other nodes.
     pub peers: reqwest::Client,
+    /// Origins of streams in the store.
+    pub archive: OriginArchive,
     /// Origins of streams that other nodes are to keep.
     pub new_origins: mpsc::Sender<StreamOrigin>,
 }
--- a/src/ops/gateway/install.rs
+++ b/src/ops/gateway/install.rs
@@ -46,6 +46,9 @@
 
 fn put_in_order(state: &GatewayState, item: &KeyValue, source: Source, order: WriteOrder) {
     let key: &str = &item.key;
+    if key.starts_with(keys::STREAMS) {
+        return;
+    }
     if key == state.dialect.config_key() {
         put_table(state, item, source);
         return;
@@ -81,6 +84,9 @@
 
 /// Applies a deletion.
 pub fn delete(state: &GatewayState, deletion: Deletion, source: Source) {
+    if deletion.key.starts_with(keys::STREAMS) {
+        return;
+    }
     if state.view.lock().delete(deletion.clone()) {
         handle_deletion(state, &deletion, source);
     }
--- a/src/ops/gateway/keys.rs
+++ b/src/ops/gateway/keys.rs
@@ -18,6 +18,14 @@
     format!("{SOFTWARE}{service}")
 }
 
+/// Prefix of the keys of origins of streams. Nodes do not keep them in their view of the store.
+pub const STREAMS: &str = "jayhall/streams/";
+
+/// Returns the key of the origins of streams that a process of a node began within a numbered period.
+pub fn streams(incarnation: u64, period: u64) -> String {
+    format!("{STREAMS}{incarnation:016x}/{period}")
+}
+
 /// Returns the key of a quarantine entry.
 pub fn quarantine(id: u64) -> String {
     format!("{QUARANTINE}{id:016x}")
--- a/src/ops/gateway/listen.rs
+++ b/src/ops/gateway/listen.rs
@@ -12,7 +12,7 @@
 use hyper::header::{CONTENT_TYPE, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Uri};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use metrics_exporter_prometheus::PrometheusHandle;
 use tokio::net::{TcpListener, TcpStream};
@@ -20,6 +20,7 @@
 
 use super::attempt::GatewayContext;
 use super::refusal::{Body, full_body};
+use super::resume::Kept;
 use super::state::{GatewayState, Phase};
 use super::{forward, resume, snapshot};
 
@@ -47,7 +48,7 @@
     /// Directory queries: which nodes to connect to.
     Directory(Arc<GatewayState>),
     /// Snapshots for other nodes, and metrics.
-    Control(Arc<GatewayState>, PrometheusHandle),
+    Control(Arc<GatewayContext>, PrometheusHandle),
 }
 
 /// Whether listeners accept connections.
@@ -153,24 +154,28 @@
         Purpose::Directory(state) => {
             directory_response(&state, req.uri().query().unwrap_or_default())
         }
-        Purpose::Control(state, metrics) => match req.uri().path() {
-            snapshot::PATH => {
-                let query = req.uri().query().unwrap_or_default();
-                with_body(
-                    "application/octet-stream",
-                    snapshot::respond(&state, query).await,
-                )
-            }
-            resume::PATH => {
-                let query = req.uri().query().unwrap_or_default();
-                match resume::respond(&state, query) {
-                    Some(origin) => with_body("text/plain", origin),
-                    None => status(StatusCode::NOT_FOUND),
-                }
-            }
-            "/metrics" => with_body("text/plain; version=0.0.4", metrics.render()),
-            _ => status(StatusCode::NOT_FOUND),
+        Purpose::Control(cx, metrics) => respond_to_node(&cx, &metrics, req.uri()).await,
+    }
+}
+
+async fn respond_to_node(
+    cx: &GatewayContext,
+    metrics: &PrometheusHandle,
+    uri: &Uri,
+) -> Response<Body> {
+    let query = uri.query().unwrap_or_default();
+    match uri.path() {
+        snapshot::PATH => with_body(
+            "application/octet-stream",
+            snapshot::respond(&cx.state, query).await,
+        ),
+        resume::PATH => match resume::respond(cx, query).await {
+            Kept::At(software) => with_body("text/plain", format!("{software:x}")),
+            Kept::Nowhere => status(StatusCode::NOT_FOUND),
+            Kept::NotKnown => status(StatusCode::SERVICE_UNAVAILABLE),
         },
+        "/metrics" => with_body("text/plain; version=0.0.4", metrics.render()),
+        _ => status(StatusCode::NOT_FOUND),
     }
 }
 
--- a/src/ops/gateway/mesh/mod.rs
+++ b/src/ops/gateway/mesh/mod.rs
@@ -62,6 +62,8 @@
 const PAST_WINDOWS_SENT: u64 = 3;
 /// Time for which a back end's announcement that it is leaving is passed on to other nodes.
 const LEAVING_NOTICE_PERIOD: Duration = Duration::from_secs(8);
+/// Limit on the origins of streams in one datagram.
+const MAX_ORIGINS_PER_DATAGRAM: usize = 1000;
 /// Largest datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 60 * 1024;
 
@@ -354,6 +356,17 @@
         }
     }
 
+    /// Sends origins of streams to the node that writes them to the store.
+    pub async fn send_archived_origins(&self, origins: &[StreamOrigin], archivist: &Member) {
+        for origins in origins.chunks(MAX_ORIGINS_PER_DATAGRAM) {
+            let datagram = DatagramWire {
+                archived_origins: origins.iter().copied().map(Into::into).collect(),
+                ..DatagramWire::default()
+            };
+            self.send_to(archivist, &datagram.encode_to_vec()).await;
+        }
+    }
+
     async fn send_to(&self, member: &Member, payload: &[u8]) {
         if let Err(e) = self.socket.send_to(payload, member.peers).await {
             tracing::debug!(node = &*member.name, error = %e, "failed to send a message to a node");
--- a/src/ops/gateway/mesh/receive.rs
+++ b/src/ops/gateway/mesh/receive.rs
@@ -9,11 +9,8 @@
 use crate::core::gateway::members::StoreKnowledge;
 use crate::core::gateway::observed::Observer;
 use crate::core::gateway::origin::Origin;
-use crate::core::gateway::stream_origins::StreamOrigin;
 use crate::core::time::Moment;
-use crate::ops::gateway::mesh_wire::{
-    DatagramWire, LoadSumWire, ReportWire, StreamOriginWire, ZoneSumWire,
-};
+use crate::ops::gateway::mesh_wire::{DatagramWire, LoadSumWire, ReportWire, ZoneSumWire};
 
 impl Mesh {
     /// Receives messages until the task is dropped.
@@ -40,19 +37,8 @@
         for sum in datagram.sums {
             self.handle_zone_sum(sum);
         }
-        self.keep_origins(&datagram.origins);
-    }
-
-    fn keep_origins(&self, origins: &[StreamOriginWire]) {
-        let at = self.state.now();
-        let mut kept = self.state.origins.lock();
-        for origin in origins {
-            kept.record(StreamOrigin {
-                stream: origin.stream,
-                software: origin.software,
-                at,
-            });
-        }
+        self.state.record_origins(&datagram.origins);
+        self.state.archive_origins(&datagram.archived_origins);
     }
 
     fn handle_report(&self, report: &ReportWire) {
--- a/src/ops/gateway/mesh_wire.rs
+++ b/src/ops/gateway/mesh_wire.rs
@@ -43,6 +43,9 @@
     /// Origins of streams that the receiver keeps.
     #[prost(message, repeated, tag = "3")]
     pub origins: Vec<StreamOriginWire>,
+    /// Origins of streams that the receiver writes to the store.
+    #[prost(message, repeated, tag = "4")]
+    pub archived_origins: Vec<StreamOriginWire>,
 }
 
 /// Software version that began a stream.
--- a/src/ops/gateway/mod.rs
+++ b/src/ops/gateway/mod.rs
@@ -5,7 +5,7 @@
 //! - [`follow_store`], [`register`], [`mesh`], [`snapshot`], [`relay`], [`install`]: replication of the
 //!   store's contents and of load, usage and liveness between nodes;
 //! - [`duties`]: work that is done by one elected node on behalf of all;
-//! - [`software`], [`resume`]: the software version at which a broken stream may go on;
+//! - [`software`], [`resume`], [`origin_archive`]: the software version at which a broken stream may go on;
 //! - [`quarantine`]: prompts that crash back ends and are sent to none;
 //! - [`state`]: state of the node that is shared by all of these;
 //! - [`dialect`]: interface that the adapter of a platform implements.
@@ -24,6 +24,7 @@
 pub mod mesh;
 pub mod mesh_wire;
 pub mod node_wire;
+pub mod origin_archive;
 pub mod pool;
 pub mod quarantine;
 pub mod record;
--- /dev/null
+++ b/src/ops/gateway/origin_archive.rs
@@ -0,0 +1,227 @@
+//! Keeps the origins of streams in the store while a service has several software versions.
+//!
+//! Nodes keep origins in memory, and may all be lost at the same moment. If the service has had one version only, the
+//! nodes that start anew need no origins. Otherwise one node of each availability zone writes those of the streams that
+//! the zone's nodes began, so that the number of writes does not grow with the fleet. They are bound to the lease of the
+//! node's registration, which outlasts it. They are in no node's view of the store: the same node reads them when a
+//! stream is resumed whose origin no node keeps.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use prost::Message;
+use tokio::sync::Mutex;
+
+use super::keys;
+use super::mesh::Mesh;
+use super::mesh_wire::StreamOriginWire;
+use super::register::Registration;
+use super::state::GatewayState;
+use crate::core::gateway::members::Member;
+use crate::core::gateway::stream_origins::{StreamOrigin, StreamOrigins};
+use crate::core::time::Moment;
+use crate::sources::store::{LeaseId, Op, RangeRequest, Result, Store, Transaction};
+
+/// Interval between two writes, and between two messages to the node that writes.
+const INTERVAL: Duration = Duration::from_millis(400);
+/// Time without a message of a node after which another one writes.
+const NODE_TIMEOUT: Moment = Moment::from_millis(2000);
+/// Period whose streams share a key.
+const SEGMENT: Duration = Duration::from_secs(10);
+/// Period of which streams are written as soon as a service has several versions; most streams are over by then.
+const INITIAL_PERIOD: Duration = Duration::from_secs(20);
+/// Shortest interval between two reads of a node.
+const READ_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Origins of the streams that a node began within a period.
+#[derive(Clone, PartialEq, Message)]
+struct SegmentWire {
+    #[prost(message, repeated, tag = "1")]
+    origins: Vec<StreamOriginWire>,
+}
+
+/// Reads the origins in the store.
+pub struct OriginArchive {
+    state: Arc<GatewayState>,
+    store: Arc<dyn Store>,
+    read_at: Mutex<Option<Moment>>,
+}
+
+impl OriginArchive {
+    /// Creates an archive that has not been read.
+    pub fn new(state: Arc<GatewayState>, store: Arc<dyn Store>) -> Self {
+        Self {
+            state,
+            store,
+            read_at: Mutex::default(),
+        }
+    }
+
+    /// Reads all origins into this node's memory, unless that was done lately.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not serve the read.
+    pub async fn read(&self) -> Result<()> {
+        let mut read_at = self.read_at.lock().await;
+        let now = self.state.now();
+        if read_at.is_some_and(|at| now.saturating_sub(at) < READ_INTERVAL) {
+            return Ok(());
+        }
+        let listed = self
+            .store
+            .range(RangeRequest::prefix(keys::STREAMS))
+            .await?;
+        *read_at = Some(now);
+        let mut count = 0;
+        for item in &listed.entries {
+            match SegmentWire::decode(&item.value[..]) {
+                Ok(segment) => {
+                    count += segment.origins.len();
+                    self.state.record_origins(&segment.origins);
+                }
+                Err(e) => {
+                    tracing::warn!(key = &*item.key, error = %e, "cannot decode origins of streams");
+                }
+            }
+        }
+        tracing::info!(
+            segments = listed.entries.len(),
+            count,
+            revision = %listed.revision,
+            "origins of streams read from the store"
+        );
+        Ok(())
+    }
+}
+
+/// Brings the origins of streams that this node began to the store while a service has several software versions, until
+/// the task is dropped.
+pub async fn run(
+    state: Arc<GatewayState>,
+    store: Arc<dyn Store>,
+    registration: Arc<Registration>,
+    mesh: Arc<Mesh>,
+) {
+    let mut collected_to = None;
+    let mut written_to = None;
+    loop {
+        tokio::time::sleep(INTERVAL).await;
+        let now = state.now();
+        if !state.software.lock().has_several(now) {
+            collected_to = None;
+            continue;
+        }
+        let since = collected_to.unwrap_or(now.saturating_sub(INITIAL_PERIOD));
+        collect(&state, &mesh, since).await;
+        collected_to = Some(now);
+        let Some(lease) = registration.lease().await else {
+            continue;
+        };
+        match write(&state, &store, lease, written_to.unwrap_or_default()).await {
+            Ok(()) => written_to = Some(now),
+            Err(e) => tracing::warn!(error = %e, "failed to write origins of streams; retrying"),
+        }
+    }
+}
+
+/// Returns the node of this availability zone that writes and reads origins; `None` stands for this node.
+pub fn archivist(state: &GatewayState) -> Option<Member> {
+    let settings = &state.settings;
+    let members = state.members.lock();
+    let now = state.now();
+    let largest = members.largest_in_zone(&settings.zone, &settings.name, 1, now, NODE_TIMEOUT);
+    let mut others = largest.into_iter().filter(|m| m.name != settings.name);
+    others.next().cloned()
+}
+
+/// Passes the origins of streams that this node began at `since` or later to the node that writes them.
+async fn collect(state: &GatewayState, mesh: &Mesh, since: Moment) {
+    let archivist = archivist(state);
+    let begun = {
+        let mut origins = state.origins.lock();
+        let begun: Vec<StreamOrigin> = origins.begun_since(since).copied().collect();
+        if archivist.is_none() {
+            archive(&mut origins, &begun, state.now());
+        }
+        begun
+    };
+    if let Some(archivist) = archivist {
+        mesh.send_archived_origins(&begun, &archivist).await;
+    }
+}
+
+/// Records origins that this node is to write, as of `now`.
+fn archive(known: &mut StreamOrigins, origins: &[StreamOrigin], at: Moment) {
+    for origin in origins {
+        known.archive(StreamOrigin { at, ..*origin });
+    }
+}
+
+/// Writes the segments with origins that were recorded at `since` or later.
+async fn write(
+    state: &GatewayState,
+    store: &Arc<dyn Store>,
+    lease: LeaseId,
+    since: Moment,
+) -> Result<()> {
+    let segments = segments_since(state, since);
+    if segments.is_empty() {
+        return Ok(());
+    }
+    let puts = segments.into_iter().map(|(number, segment)| Op::Put {
+        key: keys::streams(state.incarnation, number).into(),
+        value: segment.encode_to_vec().into(),
+        lease: Some(lease),
+    });
+    let put = Transaction {
+        then: puts.collect(),
+        ..Transaction::default()
+    };
+    store.transact(put).await.map(drop)
+}
+
+/// Returns the segments with origins that were recorded at `since` or later, each as a whole.
+fn segments_since(state: &GatewayState, since: Moment) -> BTreeMap<u64, SegmentWire> {
+    let number_of = |at: Moment| at.as_secs() / SEGMENT.as_secs();
+    let origins = state.origins.lock();
+    let first = match origins.archived_since(since).next() {
+        Some(origin) => number_of(origin.at),
+        None => return BTreeMap::new(),
+    };
+    let mut segments: BTreeMap<u64, SegmentWire> = BTreeMap::new();
+    for origin in origins.archived_since(Moment::from_secs(first * SEGMENT.as_secs())) {
+        let segment = segments.entry(number_of(origin.at)).or_default();
+        segment.origins.push((*origin).into());
+    }
+    segments
+}
+
+impl GatewayState {
+    /// Records origins of streams that other nodes began and this node is to write to the store.
+    pub fn archive_origins(&self, origins: &[StreamOriginWire]) {
+        let at = self.now();
+        let mut known = self.origins.lock();
+        for origin in origins {
+            known.archive(StreamOrigin {
+                stream: origin.stream,
+                software: origin.software,
+                at,
+            });
+        }
+    }
+
+    /// Records origins of streams that other nodes began.
+    pub fn record_origins(&self, origins: &[StreamOriginWire]) {
+        let at = self.now();
+        let mut known = self.origins.lock();
+        for origin in origins {
+            known.record(StreamOrigin {
+                stream: origin.stream,
+                software: origin.software,
+                at,
+            });
+        }
+    }
+}
--- a/src/ops/gateway/resume.rs
+++ b/src/ops/gateway/resume.rs
@@ -3,7 +3,8 @@
 //! The caller names the attempt that began its stream, mostly at another node, which may be gone. So the node that
 //! passes on the first event of a stream sends its origin to a few nodes, which are chosen by rendezvous hashing, and
 //! a node at which the stream is resumed asks these. If none of them knows it, the stream goes on only if its service
-//! has had a single software version for as long as a stream may last. Otherwise the call is refused.
+//! has had a single software version for as long as a stream may last, or if the store has its origin. Otherwise the
+//! call is refused.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -16,6 +17,7 @@
 use super::attempt::GatewayContext;
 use super::call::Call;
 use super::mesh::Mesh;
+use super::origin_archive;
 use super::record;
 use super::refusal::{Cause, Refusal};
 use super::state::GatewayState;
@@ -33,6 +35,8 @@
 const ASKED: usize = 4;
 /// Timeout of a question to a node.
 const ASK_TIMEOUT: Duration = Duration::from_millis(250);
+/// Timeout of a question to a node that reads the store to answer it.
+const ARCHIVE_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time without a message of a node after which it keeps no origins and is not asked.
 const NODE_TIMEOUT: Moment = Moment::from_millis(2000);
 /// Number of times that the origin of a stream is looked up while it may still become known.
@@ -53,6 +57,8 @@
     Node,
     /// Another node keeps its origin.
     Keeper,
+    /// The store has its origin.
+    Archive,
     /// The service has had only this version.
     OnlyVersion,
 }
@@ -67,17 +73,26 @@
     NotYet,
 }
 
-/// What the nodes that may keep the origin of a stream answered.
+/// What nodes or the store know of the origin of a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Kept {
-    /// One of them keeps it.
+pub enum Kept {
+    /// It began at this software version.
     At(SoftwareId),
-    /// None of them keeps it.
+    /// They do not keep it.
     Nowhere,
     /// Some did not answer, and the others do not keep it.
     NotKnown,
 }
 
+/// Which origins another node is asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Question {
+    /// Those that it keeps in memory.
+    Memory,
+    /// Those in the store, too.
+    Archive,
+}
+
 /// Returns the software versions at which a call may be placed. If it resumes a stream, sets its service to the one
 /// that began the stream.
 ///
@@ -110,8 +125,7 @@
 async fn look_up(cx: &GatewayContext, call: &Call) -> Lookup {
     let state = &cx.state;
     let stream = call.head.resumes.as_deref().map(stream_id);
-    let own = stream.and_then(|stream| state.origins.lock().get(stream));
-    if let Some(software) = own {
+    if let Some(Kept::At(software)) = stream.map(|stream| kept_here(state, stream)) {
         return found(state, call, software, KnownFrom::Node);
     }
     let kept = match stream {
@@ -125,7 +139,17 @@
         (_, RecentSoftware::One(software)) if is_view_fresh(state) => {
             found(state, call, software, KnownFrom::OnlyVersion)
         }
-        (Kept::Nowhere, RecentSoftware::Several) => Lookup::Lost,
+        (_, RecentSoftware::Several) => {
+            let archived = match stream {
+                Some(stream) => ask_archive(cx, stream).await,
+                None => Kept::Nowhere,
+            };
+            match (archived, kept) {
+                (Kept::At(software), _) => found(state, call, software, KnownFrom::Archive),
+                (Kept::Nowhere, Kept::Nowhere) => Lookup::Lost,
+                _ => Lookup::NotYet,
+            }
+        }
         _ => Lookup::NotYet,
     }
 }
@@ -162,7 +186,9 @@
     if asked.is_empty() && state.node_count() > 1 {
         return Kept::NotKnown;
     }
-    let answers = asked.into_iter().map(|control| ask(cx, control, stream));
+    let answers = asked
+        .into_iter()
+        .map(|control| ask(cx, control, stream, Question::Memory));
     let answers = join_all(answers).await;
     let kept = answers.iter().find_map(|answer| match answer {
         Kept::At(software) => Some(*software),
@@ -197,10 +223,19 @@
     others.map(address).collect()
 }
 
-async fn ask(cx: &GatewayContext, control: SocketAddr, stream: StreamId) -> Kept {
-    let url = format!("http://{control}{PATH}?stream={stream:x}");
+async fn ask(
+    cx: &GatewayContext,
+    control: SocketAddr,
+    stream: StreamId,
+    question: Question,
+) -> Kept {
+    let (suffix, timeout) = match question {
+        Question::Memory => ("", ASK_TIMEOUT),
+        Question::Archive => ("&archive=1", ARCHIVE_TIMEOUT),
+    };
+    let url = format!("http://{control}{PATH}?stream={stream:x}{suffix}");
     let asked = async {
-        let res = cx.peers.get(url).timeout(ASK_TIMEOUT).send().await?;
+        let res = cx.peers.get(url).timeout(timeout).send().await?;
         match res.status() {
             StatusCode::NOT_FOUND => Ok(None),
             _ => res.error_for_status()?.text().await.map(Some),
@@ -222,12 +257,41 @@
     }
 }
 
-/// Returns the origin of a stream that this node keeps, for another node. `query` names the stream.
-pub fn respond(state: &GatewayState, query: &str) -> Option<String> {
-    let stream = query::value(query, "stream")?;
-    let stream = StreamId::from_str_radix(stream, 16).ok()?;
-    let software = state.origins.lock().get(stream)?;
-    Some(format!("{software:x}"))
+/// Returns what this node knows of the origin of a stream, for another node. `query` names the stream, and whether the
+/// store is to be read if this node does not keep the origin.
+pub async fn respond(cx: &GatewayContext, query: &str) -> Kept {
+    let stream = query::value(query, "stream");
+    let Some(Ok(stream)) = stream.map(|text| StreamId::from_str_radix(text, 16)) else {
+        return Kept::NotKnown;
+    };
+    if query::value(query, "archive").is_some() {
+        return read_archive(cx, stream).await;
+    }
+    kept_here(&cx.state, stream)
+}
+
+fn kept_here(state: &GatewayState, stream: StreamId) -> Kept {
+    let known = state.origins.lock().get(stream);
+    known.map_or(Kept::Nowhere, Kept::At)
+}
+
+/// Looks an origin up in the store, through the node of this availability zone that reads origins.
+async fn ask_archive(cx: &GatewayContext, stream: StreamId) -> Kept {
+    match origin_archive::archivist(&cx.state) {
+        Some(node) => ask(cx, node.control, stream, Question::Archive).await,
+        None => read_archive(cx, stream).await,
+    }
+}
+
+async fn read_archive(cx: &GatewayContext, stream: StreamId) -> Kept {
+    if let Kept::At(software) = kept_here(&cx.state, stream) {
+        return Kept::At(software);
+    }
+    if let Err(e) = cx.archive.read().await {
+        tracing::warn!(error = %e, "failed to read origins of streams from the store");
+        return Kept::NotKnown;
+    }
+    kept_here(&cx.state, stream)
 }
 
 /// Records that the first event of a call's stream was passed on, and where it is from. Other nodes are told if the
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -19,6 +19,7 @@
 mod serving;
 mod settings_template;
 mod snapshots;
+mod software_history;
 mod software_versions;
 mod starting_nodes;
 mod streams;
