--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod crashing_fleet;
 mod crashing_prompts;
 mod crashing_requests;
+mod cut_nodes;
 mod decisions;
 mod departed_backends;
 mod duties;
