Forward calls through other nodes while a node reaches no back end

Cause: a node could serve a call only through its own connections. Class: a component that treats the loss of its own links as the loss of the servers, though a replica beside it reaches them.

It passes its calls to other nodes' control listeners: those of its zone, if most of them are sound, else of its region. A forwarded call carries what is left of its deadline and of its sends and the software version of its stream; the other node places it like a call of its own callers, charges no quota, and does not forward it again. Its answer is the back end's, or a refusal that says whether the call may have run, so that a call that must run once is sent again only after 'not run'. A call that fails to reach two back ends, or finds all in backoff, is forwarded, too, which covers nodes that lose some back ends only. Nodes report that they are cut off and forward nothing then; if all are, calls are refused at once. A probe connects every 300 ms; the first connection ends the state and the backoffs. Broken forwarded calls are no evidence of crashes, and only the forwarding node counts usage and load.

--- a/src/core/gateway/backends/entry.rs
+++ b/src/core/gateway/backends/entry.rs
@@ -150,6 +150,12 @@
         self.failures > 0 || self.listing != Listing::Listed
     }
 
+    /// Forgets that calls could not reach it.
+    pub(super) fn reset_backoff(&mut self) {
+        self.failures = 0;
+        self.backoff_until = Moment::ZERO;
+    }
+
     /// Applies what an answer named as the limit. Returns whether the limit has changed.
     pub(super) fn apply_named_limit(
         &mut self,
--- a/src/core/gateway/backends/mod.rs
+++ b/src/core/gateway/backends/mod.rs
@@ -435,6 +435,15 @@
         }
     }
 
+    /// Ends the backoff of the back ends of a service, after this node could reach none of them for a while.
+    pub fn reset_backoff(&mut self, service: &str) {
+        for id in self.services.get(service).into_iter().flatten() {
+            if let Some(entry) = self.entries.get_mut(id) {
+                entry.reset_backoff();
+            }
+        }
+    }
+
     /// Returns whether the process to which a call was assigned still runs and accepts calls of this node.
     pub fn accepts(&self, backend: &Backend, now: Moment) -> bool {
         let entry = self.entries.get(&backend.id);
--- a/src/core/gateway/members.rs
+++ b/src/core/gateway/members.rs
@@ -69,6 +69,8 @@
     last_heard: Option<Moment>,
     /// What it has reported to know of the store.
     knowledge: StoreKnowledge,
+    /// Whether it has reported that it does not reach the back ends of a service.
+    is_cut_off: bool,
 }
 
 /// How much of the store's contents a node knows.
@@ -100,6 +102,7 @@
                     node.last_heard = None;
                     node.listed_at = now;
                     node.knowledge = StoreKnowledge::default();
+                    node.is_cut_off = false;
                 }
                 node.member = member;
             }
@@ -109,6 +112,7 @@
                     listed_at: now,
                     last_heard: None,
                     knowledge: StoreKnowledge::default(),
+                    is_cut_off: false,
                 };
                 self.nodes.insert(node.member.name.clone(), node);
             }
@@ -218,6 +222,52 @@
         }
     }
 
+    /// Records whether a process of a node has reported that it does not reach the back ends of a service.
+    pub fn set_cut_off(&mut self, incarnation: Incarnation, is_cut_off: bool) {
+        let name = self.by_incarnation.get(&incarnation);
+        if let Some(node) = name.and_then(|name| self.nodes.get_mut(name)) {
+            node.is_cut_off = is_cut_off;
+        }
+    }
+
+    /// Returns whether a node has reported that it does not reach the back ends of a service.
+    pub fn is_cut_off(&self, name: &str) -> bool {
+        self.nodes.get(name).is_some_and(|node| node.is_cut_off)
+    }
+
+    /// Returns the nodes through which node `own` may forward calls: ready ones that have been heard from within
+    /// `silence` and reach all back ends. Those of its availability zone suffice if they are most of the zone's
+    /// nodes; else those of its region, if there are any.
+    pub fn forwarders(&self, own: &str, now: Moment, silence: Moment) -> Vec<&Member> {
+        let Some(own) = self.nodes.get(own).map(|node| &node.member) else {
+            return Vec::new();
+        };
+        let others = self
+            .nodes
+            .values()
+            .filter(|node| node.member.name != own.name);
+        let able: Vec<&Member> = others
+            .filter(|node| node.member.is_ready && !node.is_cut_off)
+            .map(|node| &node.member)
+            .filter(|member| self.is_fresh(&member.name, now, silence))
+            .collect();
+        let in_zone: Vec<&Member> = able
+            .iter()
+            .copied()
+            .filter(|m| m.zone == own.zone)
+            .collect();
+        let zone_size = self.iter().filter(|m| m.zone == own.zone).count();
+        if !in_zone.is_empty() && in_zone.len() * 2 >= zone_size {
+            return in_zone;
+        }
+        let in_region = able.iter().copied().filter(|m| m.region == own.region);
+        let in_region: Vec<&Member> = in_region.collect();
+        match in_region.is_empty() {
+            true => able,
+            false => in_region,
+        }
+    }
+
     /// Returns the control addresses of the nodes that know something of the store that `own` lacks and were
     /// heard from within `age`.
     pub fn ahead_of(
--- a/src/core/gateway/mod.rs
+++ b/src/core/gateway/mod.rs
@@ -16,6 +16,7 @@
 pub mod placement;
 pub mod quarantine;
 pub mod quota;
+pub mod reachability;
 pub mod request_id;
 pub mod retry_budget;
 pub mod routes;
--- a/src/ops/gateway/attempt.rs
+++ b/src/ops/gateway/attempt.rs
@@ -13,10 +13,13 @@
 use super::call::Call;
 use super::dialect::{ForwardMetadata, ResponseHead};
 use super::origin_archive::OriginArchive;
+use super::peer_forward;
 use super::pool::{BackendPool, Connection, SendError};
 use super::state::GatewayState;
-use crate::core::gateway::backends::{CallPlace, Outcome, process_name};
+use crate::core::gateway::backends::{Backend, CallPlace, Outcome, process_name};
 use crate::core::gateway::crashes::Crash;
+use crate::core::gateway::load::CallLoad;
+use crate::core::gateway::members::Member;
 use crate::core::gateway::observed::Observer;
 use crate::core::gateway::placement::RefusalCause;
 use crate::core::gateway::software::SoftwareId;
@@ -71,6 +74,14 @@
         /// The back end.
         backend: Box<str>,
     },
+    /// The node through which the call was forwarded refused it.
+    #[error("node {node} refused the call")]
+    NodeRefused {
+        /// The node.
+        node: Box<str>,
+        /// Whether the call may have run.
+        verdict: Verdict,
+    },
     /// The call has crashed back ends, or others of its kind have, and is not sent.
     #[error("the call is quarantined")]
     Quarantined,
@@ -89,6 +100,7 @@
     pub fn verdict(&self) -> Verdict {
         match self {
             Self::Send(e) => e.verdict(),
+            Self::NodeRefused { verdict, .. } => *verdict,
             Self::Unusable { .. } | Self::ResponseTimeout { .. } => Verdict::MayHaveRun,
             Self::NotAccepting { .. } | Self::Quarantined | Self::NoCandidate { .. } => {
                 Verdict::NotRun
@@ -97,6 +109,13 @@
     }
 }
 
+/// What the node through which a call is forwarded said of its back end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ForwardedBy {
+    /// Software version of the back end, if it is known.
+    pub software: Option<SoftwareId>,
+}
+
 /// Accounts for a call in progress at a back end. Dropping it releases the call's slot there and
 /// reports the outcome.
 pub struct RunningAttempt {
@@ -113,6 +132,8 @@
     expected: Duration,
     outcome: Outcome,
     customer: Option<Box<str>>,
+    /// Set if another node forwards the call, which accounts for it then.
+    forwarded_by: Option<ForwardedBy>,
 }
 
 impl RunningAttempt {
@@ -149,9 +170,54 @@
             expected,
             outcome: Outcome::Declined,
             customer: call.customer_name().map(Into::into),
+            forwarded_by: None,
+        }
+    }
+
+    /// Begins a call that another node forwards to a back end.
+    pub fn begin_forwarded(cx: &Arc<GatewayContext>, call: &Call, node: &Member) -> Self {
+        // Stands for the back end, which is not known. No back end has this name.
+        let backend = Backend {
+            id: node.name.clone(),
+            service: call.service.name.clone(),
+            address: node.control,
+            zone: node.zone.clone(),
+            slots: 1,
+            is_leaving: false,
+            started: 0,
+            is_spot: false,
+            software: None,
+        };
+        Self {
+            cx: Arc::clone(cx),
+            place: CallPlace {
+                backend: Arc::new(backend),
+                load: CallLoad::default(),
+                has_begun: false,
+                is_charged: false,
+            },
+            sent: Instant::now(),
+            first_event_at: None,
+            suspects: Suspects::new(),
+            is_probe: false,
+            is_cleared: true,
+            expected: Duration::ZERO,
+            outcome: Outcome::Declined,
+            customer: None,
+            forwarded_by: Some(ForwardedBy { software: None }),
         }
     }
 
+    /// Sets what the node through which the call is forwarded said of the back end.
+    pub fn set_forwarded_by(&mut self, forwarded_by: ForwardedBy) {
+        self.forwarded_by = Some(forwarded_by);
+    }
+
+    /// Returns whether another node forwards the call.
+    pub fn is_forwarded(&self) -> bool {
+        self.forwarded_by.is_some()
+    }
+
     /// Returns the name of the back end.
     pub fn backend(&self) -> &str {
         &self.place.backend.id
@@ -165,6 +231,9 @@
     /// Returns the identifier of that version. It is not known if the registry now lists another process of the
     /// back end, which may be the one that answers.
     pub fn software_id(&self) -> Option<SoftwareId> {
+        if let Some(forwarded_by) = self.forwarded_by {
+            return forwarded_by.software;
+        }
         let backend = &self.place.backend;
         let backends = self.cx.state.backends.lock();
         let listed = backends.get(&backend.id);
@@ -243,7 +312,7 @@
         let duration = self.sent.elapsed();
         match self.outcome {
             Outcome::BrokeOff if !self.is_cleared => self.record_crash(now),
-            Outcome::Answered => {
+            Outcome::Answered if !self.is_forwarded() => {
                 let process = process_name(&self.place.backend);
                 let sent = now.saturating_sub(duration);
                 let mut quarantine = state.quarantine.lock();
@@ -290,6 +359,9 @@
     let (connection, res) = match result {
         Ok(answered) => answered,
         Err(e) => {
+            if matches!(e, AttemptError::Send(SendError::NotReached { .. })) {
+                peer_forward::note_unreached(cx, &call.service.name, running.backend());
+            }
             running.set_outcome(match e {
                 AttemptError::NotAccepting { .. } | AttemptError::Quarantined => Outcome::Declined,
                 AttemptError::Send(SendError::Lost { .. }) => Outcome::BrokeOff,
@@ -298,12 +370,30 @@
             return Err(e);
         }
     };
+    peer_forward::note_reached(cx, &call.service.name);
+    receive(cx, call, running, connection, res)
+}
+
+/// Decodes and checks the head of the response to a call.
+///
+/// # Errors
+///
+/// Fails if the response is not usable.
+pub fn receive(
+    cx: &GatewayContext,
+    call: &Call,
+    mut running: RunningAttempt,
+    connection: Connection,
+    res: hyper::Response<Incoming>,
+) -> Result<BackendResponse, AttemptError> {
     let (parts, body) = res.into_parts();
     let head = cx
         .state
         .dialect
         .response_head(parts.status.as_u16(), &parts.headers);
-    apply_backend_hints(cx, &running, &head);
+    if !running.is_forwarded() {
+        apply_backend_hints(cx, &running, &head);
+    }
     if let Some(problem) = find_problem(call, &connection, parts.status, &head) {
         running.set_outcome(Outcome::Unreachable);
         return Err(AttemptError::Unusable {
@@ -427,7 +517,7 @@
 }
 
 /// Returns path and query of a call; scheme and authority of an absolute-form target are dropped.
-fn path_of(call: &Call) -> hyper::Uri {
+pub fn path_of(call: &Call) -> hyper::Uri {
     match call.uri.path_and_query() {
         Some(path) => hyper::Uri::from(path.clone()),
         None => call.uri.clone(),
--- a/src/ops/gateway/call.rs
+++ b/src/ops/gateway/call.rs
@@ -60,10 +60,12 @@
     pub deadline: Instant,
     /// Units charged against the customer's quota.
     pub quota_units: f64,
+    /// Largest number of back ends to which the call may be sent.
+    pub max_backends: u32,
 }
 
 impl Call {
-    /// Reads the body of a call with the decoded `head`, and checks its route, key, size and quota.
+    /// Reads the body of a call with the decoded `head`, and checks its route, key and size.
     ///
     /// # Errors
     ///
@@ -97,7 +99,8 @@
             customer.as_ref().map(|customer| &*customer.name),
             &body,
         );
-        let mut call = Self {
+        Ok(Self {
+            max_backends: route.max_backends,
             suspects: suspects_of(&head.parts, id),
             head,
             id,
@@ -112,9 +115,7 @@
             received,
             deadline,
             quota_units: 0.0,
-        };
-        call.charge_quota(state)?;
-        Ok(call)
+        })
     }
 
     /// Returns the time until the deadline.
@@ -149,7 +150,12 @@
         }
     }
 
-    fn charge_quota(&mut self, state: &GatewayState) -> Result<(), Refusal> {
+    /// Charges the call against its customer's quota.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the quota is used up; the call has not run.
+    pub fn charge_quota(&mut self, state: &GatewayState) -> Result<(), Refusal> {
         let Some(customer) = &self.customer else {
             return Ok(());
         };
--- a/src/ops/gateway/dialect.rs
+++ b/src/ops/gateway/dialect.rs
@@ -87,6 +87,15 @@
     /// headers that only the gateway may set.
     fn forward_head(&self, headers: &HeaderMap, send: &ForwardMetadata<'_>) -> HeaderMap;
 
+    /// Returns the headers of a call that another node forwards to a back end: without hop-by-hop headers, with the
+    /// time until the deadline and the id of the last event received.
+    fn node_head(
+        &self,
+        headers: &HeaderMap,
+        deadline: Duration,
+        last_event: Option<u64>,
+    ) -> HeaderMap;
+
     /// Decodes the head of a back end's response.
     fn response_head(&self, status: u16, headers: &HeaderMap) -> ResponseHead;
 
--- a/src/ops/gateway/forward.rs
+++ b/src/ops/gateway/forward.rs
@@ -14,11 +14,14 @@
 
 use super::attempt::{self, AttemptError, BackendResponse, GatewayContext, RunningAttempt};
 use super::call::Call;
+use super::dialect::CallHead;
+use super::peer_forward::{self, ForwardedCall};
 use super::record::{self, CallEnd};
 use super::refusal::{self, Body, Cause, Refusal};
 use super::resume;
 use super::stream;
 use crate::core::gateway::backends::{BackendId, Outcome};
+use crate::core::gateway::members::Member;
 use crate::core::gateway::placement::{self, Placement, PlacementRequest, RefusalCause};
 use crate::core::gateway::quarantine::Check;
 use crate::core::gateway::retry_budget::RetryBudget;
@@ -77,6 +80,10 @@
     pub software: SmallVec<[SoftwareVersion; 2]>,
     /// Software versions at which the call may be placed.
     pub allowed: AllowedSoftware,
+    /// Whether another node forwards the call to this one.
+    pub is_forwarded: bool,
+    /// Number of nodes through which it was forwarded.
+    pub forwards: u32,
 }
 
 impl Progress {
@@ -102,8 +109,8 @@
     let active = ActiveCall::begin(&cx);
     let head = cx.state.dialect.call_head(req.headers());
     let attempt = head.attempt.clone();
-    match Call::read(&cx.state, head, req).await {
-        Ok(call) => run(cx, call, active).await,
+    match read_and_charge(&cx, head, req).await {
+        Ok(call) => run(cx, call, Progress::default(), active).await,
         Err(refusal) => {
             record::refused_while_reading(&cx.state, &attempt, &refusal);
             refusal.into_response(&*cx.state.dialect)
@@ -111,8 +118,59 @@
     }
 }
 
-async fn run(cx: Arc<GatewayContext>, mut call: Call, active: ActiveCall) -> Response<Body> {
-    let mut progress = Progress::default();
+async fn read_and_charge(
+    cx: &GatewayContext,
+    head: CallHead,
+    req: Request<Incoming>,
+) -> Result<Call, Refusal> {
+    let mut call = Call::read(&cx.state, head, req).await?;
+    call.charge_quota(&cx.state)?;
+    Ok(call)
+}
+
+/// Serves a call that another node forwards. That node has charged it against its customer's quota.
+pub async fn serve_forwarded(
+    cx: Arc<GatewayContext>,
+    req: Request<Incoming>,
+    forwarded: ForwardedCall,
+) -> Response<Body> {
+    let active = ActiveCall::begin(&cx);
+    let head = cx.state.dialect.call_head(req.headers());
+    let attempt = head.attempt.clone();
+    let mut call = match Call::read(&cx.state, head, req).await {
+        Ok(call) => call,
+        Err(refusal) => {
+            record::refused_while_reading(&cx.state, &attempt, &refusal);
+            return refusal_response(&cx, refusal, true);
+        }
+    };
+    call.max_backends = call.max_backends.min(forwarded.max_sends);
+    if let AllowedSoftware::Only(software) = forwarded.allowed {
+        resume::set_service_with(&cx.state, &mut call, software);
+    }
+    let progress = Progress {
+        is_forwarded: true,
+        allowed: forwarded.allowed,
+        ..Progress::default()
+    };
+    run(cx, call, progress, active).await
+}
+
+fn refusal_response(cx: &GatewayContext, refusal: Refusal, is_forwarded: bool) -> Response<Body> {
+    let verdict = refusal.verdict;
+    let mut res = refusal.into_response(&*cx.state.dialect);
+    if is_forwarded {
+        peer_forward::mark_refusal(&mut res, verdict);
+    }
+    res
+}
+
+async fn run(
+    cx: Arc<GatewayContext>,
+    mut call: Call,
+    mut progress: Progress,
+    active: ActiveCall,
+) -> Response<Body> {
     let deadline = call.deadline;
     let served = serve_with_retries(&cx, &mut call, &mut progress);
     let timeout = tokio::time::timeout_at(deadline, served).await;
@@ -135,7 +193,7 @@
                 .retry_after
                 .map(|after| after.min(call.remaining() / 3));
             record::ended(&cx.state, &call, &progress, CallEnd::Refused(refusal));
-            refusal.into_response(&*cx.state.dialect)
+            refusal_response(&cx, refusal, progress.is_forwarded)
         }
     }
 }
@@ -165,7 +223,9 @@
     call: &mut Call,
     progress: &mut Progress,
 ) -> Result<CallerResponse, Refusal> {
-    progress.allowed = resume::allowed_software(cx, call).await?;
+    if !progress.is_forwarded {
+        progress.allowed = resume::allowed_software(cx, call).await?;
+    }
     loop {
         let next = match try_backend(cx, call, progress, call.head.last_event).await {
             Ok(response) => handle_response(cx, call, progress, response).await,
@@ -191,21 +251,37 @@
     last_event: Option<u64>,
 ) -> Result<BackendResponse, AttemptError> {
     check_quarantine(cx, call, progress)?;
-    let started = start_attempt(cx, call, progress);
-    if std::mem::take(&mut progress.is_probe) && started.is_err() {
+    let hop = next_hop(cx, call, progress);
+    if std::mem::take(&mut progress.is_probe) && !matches!(hop, Ok(Hop::Backend(..))) {
         cx.state.quarantine.lock().return_probe(&call.suspects);
     }
-    let (running, timeout) = started?;
-    progress.tried.push(running.backend().into());
+    let hop = hop?;
+    progress.tried.push(hop.name().into());
     // The call may have run until the outcome is known. The future is dropped before that if the caller
     // disconnects or the deadline passes.
     let may_have_run = std::mem::replace(&mut progress.may_have_run, true);
-    progress.sends += 1;
-    note_send(cx, call, progress.sends);
-    let result = attempt::send(cx, call, running, last_event, timeout).await;
+    let sends_before = progress.sends;
+    let result = match hop {
+        Hop::Backend(running, timeout) => {
+            progress.sends += 1;
+            note_send(cx, call, progress.sends);
+            attempt::send(cx, call, running, last_event, timeout).await
+        }
+        Hop::Node(node) => {
+            progress.forwards += 1;
+            let forwarded = ForwardedCall {
+                max_sends: call.max_backends.saturating_sub(progress.sends).max(1),
+                allowed: progress.allowed,
+            };
+            let timeout = attempt_timeout(call, progress, call.route.target_latency);
+            // The node may send it to all back ends that are left.
+            progress.sends = call.max_backends;
+            peer_forward::send(cx, call, &node, forwarded, last_event, timeout).await
+        }
+    };
     if let Err(e) = &result {
         if e.verdict() == Verdict::NotRun {
-            progress.sends -= 1;
+            progress.sends = sends_before;
             progress.unreached += 1;
             progress.may_have_run = may_have_run;
         }
@@ -216,6 +292,48 @@
     result
 }
 
+/// Where a call is sent to.
+enum Hop {
+    /// To a back end, with the timeout for its response.
+    Backend(RunningAttempt, Duration),
+    /// To another node, which forwards it to a back end.
+    Node(Member),
+}
+
+impl Hop {
+    fn name(&self) -> &str {
+        match self {
+            Self::Backend(running, _) => running.backend(),
+            Self::Node(node) => &node.name,
+        }
+    }
+}
+
+fn next_hop(
+    cx: &Arc<GatewayContext>,
+    call: &Call,
+    progress: &Progress,
+) -> Result<Hop, AttemptError> {
+    if let Some(node) = peer_forward::choose_node(cx, call, progress) {
+        return Ok(Hop::Node(node));
+    }
+    let no_backend = match start_attempt(cx, call, progress) {
+        Ok((running, timeout)) => return Ok(Hop::Backend(running, timeout)),
+        Err(e) => e,
+    };
+    let is_none_open = matches!(
+        no_backend,
+        AttemptError::NoCandidate {
+            cause: RefusalCause::NoBackend,
+            ..
+        }
+    );
+    let node = is_none_open
+        .then(|| peer_forward::choose_node_without_backend(cx, call, progress))
+        .flatten();
+    node.map(Hop::Node).ok_or(no_backend)
+}
+
 /// Checks that a call may be sent to a back end: calls with its suspects may have crashed some.
 fn check_quarantine(
     cx: &GatewayContext,
@@ -307,7 +425,7 @@
 
 /// Returns the timeout for the response head, after which another back end may be tried.
 fn attempt_timeout(call: &Call, progress: &Progress, expected: Duration) -> Duration {
-    let is_last = progress.sends + 1 >= call.route.max_backends;
+    let is_last = progress.sends + 1 >= call.max_backends;
     let suspect_after = expected.mul_f64(ATTEMPT_TIMEOUT_FACTOR);
     match call.route.kind {
         _ if is_last => call.remaining(),
@@ -332,7 +450,7 @@
     if progress.sends == 0 {
         return progress.unreached < MAX_UNREACHED_BACKENDS;
     }
-    progress.sends < call.route.max_backends
+    progress.sends < call.max_backends
         && !cx.state.quarantine.lock().crashes.demands_caution(call.id)
         && progress.unreached < MAX_UNREACHED_BACKENDS
         && with_retry_budget(cx, call, RetryBudget::try_take)
--- a/src/ops/gateway/listen.rs
+++ b/src/ops/gateway/listen.rs
@@ -22,7 +22,7 @@
 use super::refusal::{Body, full_body};
 use super::resume::Kept;
 use super::state::{GatewayState, Phase};
-use super::{forward, resume, snapshot};
+use super::{forward, peer_forward, resume, snapshot};
 
 /// Idle timeout of callers' connections, as a multiple of the one that operators configure for callers.
 /// It is longer, so that the server does not close a connection just as a caller reuses it.
@@ -47,7 +47,7 @@
     Readiness(Arc<GatewayState>),
     /// Directory queries: which nodes to connect to.
     Directory(Arc<GatewayState>),
-    /// Snapshots for other nodes, and metrics.
+    /// Calls that other nodes forward, answers to their questions, and metrics.
     Control(Arc<GatewayContext>, PrometheusHandle),
 }
 
@@ -154,6 +154,9 @@
         Purpose::Directory(state) => {
             directory_response(&state, req.uri().query().unwrap_or_default())
         }
+        Purpose::Control(cx, _) if peer_forward::is_forwarded(req.headers()) => {
+            peer_forward::serve(cx, req).await
+        }
         Purpose::Control(cx, metrics) => respond_to_node(&cx, &metrics, req.uri()).await,
     }
 }
--- a/src/ops/gateway/mesh/receive.rs
+++ b/src/ops/gateway/mesh/receive.rs
@@ -48,13 +48,17 @@
             return;
         }
         let knowledge = report.knowledge();
-        state.members.lock().apply_report(
-            &report.node,
-            report.incarnation,
-            report.ready,
-            knowledge,
-            now,
-        );
+        {
+            let mut members = state.members.lock();
+            members.apply_report(
+                &report.node,
+                report.incarnation,
+                report.ready,
+                knowledge,
+                now,
+            );
+            members.set_cut_off(report.incarnation, report.cut_off);
+        }
         state
             .clock
             .lock()
@@ -104,6 +108,7 @@
             for (incarnations, is_ready) in [(&sum.ready, true), (&sum.not_ready, false)] {
                 for incarnation in incarnations {
                     members.apply_indirect_report(*incarnation, is_ready, now);
+                    members.set_cut_off(*incarnation, sum.cut_off.contains(incarnation));
                 }
             }
             members.apply_report(&sum.node, sum.incarnation, true, knowledge, now);
--- a/src/ops/gateway/mesh/report.rs
+++ b/src/ops/gateway/mesh/report.rs
@@ -37,6 +37,7 @@
             zone: state.settings.zone.to_string(),
             load: Some(load),
             store_age_ms: state.contact.lock().answer_age(now).map(as_millis_u64),
+            cut_off: state.is_cut_off(),
         }
     }
 
@@ -67,6 +68,12 @@
             ready.push(state.incarnation);
         }
         let knowledge = state.knowledge();
+        let in_zone = members.fresh_in_zone(&settings.zone, now, NODE_TIMEOUT);
+        let cut_off = in_zone.filter(|member| members.is_cut_off(&member.name));
+        let mut cut_off: Vec<u64> = cut_off.map(|member| member.incarnation).collect();
+        if state.is_cut_off() {
+            cut_off.push(state.incarnation);
+        }
         ZoneSumWire {
             zone: settings.zone.to_string(),
             node: settings.name.to_string(),
@@ -79,6 +86,7 @@
             config_version: knowledge.config_version,
             ready,
             not_ready: incarnations(not_ready),
+            cut_off,
             load: Some(load),
             store_age_ms: state.contact.lock().zone_answer_age(now).map(as_millis_u64),
         }
--- a/src/ops/gateway/mesh_wire.rs
+++ b/src/ops/gateway/mesh_wire.rs
@@ -95,6 +95,9 @@
     /// Time since the era began, in milliseconds, as far as the node knows.
     #[prost(uint64, optional, tag = "11")]
     pub era_age_ms: Option<u64>,
+    /// Whether it does not reach the back ends of a service.
+    #[prost(bool, tag = "12")]
+    pub cut_off: bool,
 }
 
 /// Sums over the nodes of an availability zone, made by the zone's aggregator.
@@ -139,6 +142,9 @@
     /// Version of the configuration in force at the node.
     #[prost(uint64, tag = "13")]
     pub config_version: u64,
+    /// Incarnations of the zone's nodes that do not reach the back ends of a service.
+    #[prost(fixed64, repeated, tag = "14")]
+    pub cut_off: Vec<u64>,
 }
 
 /// Admitted load, usage and work of one node, or the sums over all nodes of an availability zone.
--- a/src/ops/gateway/mod.rs
+++ b/src/ops/gateway/mod.rs
@@ -2,6 +2,7 @@
 //! platform's registry.
 //!
 //! - [`listen`], [`forward`], [`stream`], [`attempt`], [`pool`]: the data path of a call;
+//! - [`peer_forward`]: calls that reach back ends only through another node;
 //! - [`follow_store`], [`register`], [`mesh`], [`snapshot`], [`relay`], [`install`]: replication of the
 //!   store's contents and of load, usage and liveness between nodes;
 //! - [`duties`]: work that is done by one elected node on behalf of all;
@@ -25,6 +26,7 @@
 pub mod mesh_wire;
 pub mod node_wire;
 pub mod origin_archive;
+pub mod peer_forward;
 pub mod pool;
 pub mod quarantine;
 pub mod record;
--- /dev/null
+++ b/src/ops/gateway/peer_forward.rs
@@ -0,0 +1,260 @@
+//! Forwards calls through another node while this node reaches no back end.
+//!
+//! The other node receives the call on its control listener as the caller sent it, with what is left of its deadline
+//! and of its sends. It places the call as one of its own callers' calls, but charges no quota and does not forward it
+//! again. Its answer is the back end's, or a refusal that says whether the call may have run.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::{HeaderMap, Request, Response};
+use rand::seq::IndexedRandom;
+
+use super::attempt::{
+    self, AttemptError, BackendResponse, ForwardedBy, GatewayContext, RunningAttempt,
+};
+use super::call::Call;
+use super::forward::{self, Progress};
+use super::refusal::Body;
+use crate::core::gateway::backends::Outcome;
+use crate::core::gateway::members::Member;
+use crate::core::gateway::reachability::Change;
+use crate::core::gateway::software::{AllowedSoftware, SoftwareId};
+use crate::core::time::Moment;
+use crate::core::verdict::Verdict;
+
+/// In a forwarded call: number of back ends to which it may be sent.
+const MAX_SENDS: HeaderName = HeaderName::from_static("jayhall-max-sends");
+/// In a forwarded call: software version at which its stream may go on. In the answer: that of the back end.
+const SOFTWARE: HeaderName = HeaderName::from_static("jayhall-software");
+/// In the refusal of a forwarded call: whether the call may have run.
+const VERDICT: HeaderName = HeaderName::from_static("jayhall-verdict");
+/// Value of [`SOFTWARE`] if the stream has not begun.
+const ANY_SOFTWARE: &str = "any";
+
+/// Number of nodes through which a call is forwarded, one after the other.
+const MAX_FORWARDS: u32 = 2;
+/// Number of back ends that a call may not reach before it is forwarded.
+const MAX_UNREACHED_DIRECTLY: usize = 2;
+/// Time without a message of a node after which no calls are forwarded through it.
+const NODE_TIMEOUT: Moment = Moment::from_millis(1500);
+/// Interval between two attempts to connect to a back end while the node is cut off.
+const PROBE_INTERVAL: Duration = Duration::from_millis(300);
+
+/// What a node that forwards a call says of it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ForwardedCall {
+    /// Number of back ends to which it may be sent.
+    pub max_sends: u32,
+    /// Software versions at which its stream may begin or go on.
+    pub allowed: AllowedSoftware,
+}
+
+/// Returns the node through which a call is to be forwarded instead of being sent to a back end, if this node is cut
+/// off from the back ends or the call did not reach some.
+pub fn choose_node(cx: &GatewayContext, call: &Call, progress: &Progress) -> Option<Member> {
+    let is_cut_off = cx.state.reach.lock().is_cut_off(&call.service.name);
+    let is_due = is_cut_off || progress.unreached >= MAX_UNREACHED_DIRECTLY;
+    is_due.then(|| any_node(cx, progress)).flatten()
+}
+
+/// Returns the node through which a call is to be forwarded for which no back end is open: a back end that accepts
+/// calls may only be in backoff because this node did not reach it.
+pub fn choose_node_without_backend(
+    cx: &GatewayContext,
+    call: &Call,
+    progress: &Progress,
+) -> Option<Member> {
+    let is_suspect = {
+        let now = cx.state.now();
+        let backends = cx.state.backends.lock();
+        let mut entries = backends.of_service(&call.service.name);
+        entries.any(|entry| entry.accepts(now) && entry.is_suspect())
+    };
+    is_suspect.then(|| any_node(cx, progress)).flatten()
+}
+
+fn any_node(cx: &GatewayContext, progress: &Progress) -> Option<Member> {
+    if progress.is_forwarded || progress.forwards >= MAX_FORWARDS {
+        return None;
+    }
+    let state = &cx.state;
+    let members = state.members.lock();
+    let mut nodes = members.forwarders(&state.settings.name, state.now(), NODE_TIMEOUT);
+    nodes.retain(|node| !progress.tried.contains(&node.name));
+    nodes.choose(&mut rand::rng()).map(|node| (*node).clone())
+}
+
+/// Forwards a call through a node and waits up to `timeout` for the head of the response.
+///
+/// # Errors
+///
+/// Fails if there is no usable response.
+pub async fn send(
+    cx: &Arc<GatewayContext>,
+    call: &Call,
+    node: &Member,
+    forwarded: ForwardedCall,
+    last_event: Option<u64>,
+    timeout: Duration,
+) -> Result<BackendResponse, AttemptError> {
+    let mut running = RunningAttempt::begin_forwarded(cx, call, node);
+    let at_most_once = !call.route.kind.may_repeat();
+    let mut connection = cx.pool.acquire(node.control, at_most_once).await?;
+    let req = request(cx, call, forwarded, last_event);
+    let timed_out = |_| AttemptError::ResponseTimeout {
+        backend: node.name.clone(),
+        after: timeout,
+    };
+    let answered = tokio::time::timeout(timeout, connection.send(req)).await;
+    let res = answered.map_err(timed_out)??;
+    if let Some(verdict) = refusal_verdict(res.headers()) {
+        return Err(AttemptError::NodeRefused {
+            node: node.name.clone(),
+            verdict,
+        });
+    }
+    running.set_outcome(Outcome::Answered);
+    running.set_forwarded_by(ForwardedBy {
+        software: software(res.headers()),
+    });
+    attempt::receive(cx, call, running, connection, res)
+}
+
+fn request(
+    cx: &GatewayContext,
+    call: &Call,
+    forwarded: ForwardedCall,
+    last_event: Option<u64>,
+) -> Request<Full<bytes::Bytes>> {
+    let mut req = Request::new(Full::new(call.body.clone()));
+    *req.method_mut() = call.method.clone();
+    *req.uri_mut() = attempt::path_of(call);
+    let dialect = &cx.state.dialect;
+    let mut headers = dialect.node_head(&call.headers, call.remaining(), last_event);
+    headers.insert(MAX_SENDS, forwarded.max_sends.into());
+    let software = match forwarded.allowed {
+        AllowedSoftware::Only(software) => software_value(software),
+        AllowedSoftware::Any | AllowedSoftware::Unknown => HeaderValue::from_static(ANY_SOFTWARE),
+    };
+    headers.insert(SOFTWARE, software);
+    *req.headers_mut() = headers;
+    req
+}
+
+fn software_value(software: SoftwareId) -> HeaderValue {
+    HeaderValue::from_str(&format!("{software:x}")).expect("a hexadecimal number is a header value")
+}
+
+fn software(headers: &HeaderMap) -> Option<SoftwareId> {
+    let text = headers.get(SOFTWARE)?.to_str().ok()?;
+    SoftwareId::from_str_radix(text, 16).ok()
+}
+
+fn refusal_verdict(headers: &HeaderMap) -> Option<Verdict> {
+    let verdict = headers.get(VERDICT)?;
+    Some(match verdict == Verdict::NotRun.as_str() {
+        true => Verdict::NotRun,
+        false => Verdict::MayHaveRun,
+    })
+}
+
+/// Returns whether a request on the control listener is a forwarded call.
+pub fn is_forwarded(headers: &HeaderMap) -> bool {
+    headers.contains_key(MAX_SENDS)
+}
+
+/// Serves a call that another node forwards.
+pub async fn serve(cx: Arc<GatewayContext>, mut req: Request<Incoming>) -> Response<Body> {
+    let headers = req.headers_mut();
+    let allowed = software(headers).map_or(AllowedSoftware::Any, AllowedSoftware::Only);
+    let max_sends = headers.remove(MAX_SENDS);
+    let max_sends = max_sends.and_then(|value| value.to_str().ok()?.parse().ok());
+    headers.remove(SOFTWARE);
+    let forwarded = ForwardedCall {
+        max_sends: max_sends.unwrap_or(1),
+        allowed,
+    };
+    forward::serve_forwarded(cx, req, forwarded).await
+}
+
+/// Adds to a refusal of a forwarded call whether the call may have run.
+pub fn mark_refusal(res: &mut Response<Body>, verdict: Verdict) {
+    let value = HeaderValue::from_static(verdict.as_str());
+    res.headers_mut().insert(VERDICT, value);
+}
+
+/// Adds to the stream of a forwarded call which software version began it or goes on with it.
+pub fn mark_stream(headers: &mut HeaderMap, software: Option<SoftwareId>) {
+    if let Some(software) = software {
+        headers.insert(SOFTWARE, software_value(software));
+    }
+}
+
+/// Removes from an answer what only this node needs.
+pub fn strip(headers: &mut HeaderMap) {
+    headers.remove(SOFTWARE);
+}
+
+/// Records that a back end was reached.
+pub fn note_reached(cx: &GatewayContext, service: &str) {
+    if cx.state.reach.lock().record_reached(service) == Change::Regained {
+        cx.state.backends.lock().reset_backoff(service);
+        tracing::info!(dependency = "back ends", service, "dependency reached");
+    }
+}
+
+/// Records that no connection to a back end could be made.
+pub fn note_unreached(cx: &GatewayContext, service: &str, backend: &str) {
+    let now = cx.state.now();
+    let listed = {
+        let backends = cx.state.backends.lock();
+        let accepting = backends.of_service(service);
+        accepting.filter(|entry| entry.accepts(now)).count()
+    };
+    let mut reach = cx.state.reach.lock();
+    if reach.record_unreached(service, backend, listed.max(1)) == Change::CutOff {
+        drop(reach);
+        tracing::warn!(
+            dependency = "back ends",
+            service,
+            backend,
+            listed,
+            "dependency lost; other nodes forward the calls of this one"
+        );
+    }
+}
+
+/// Tries to connect to back ends from which this node is cut off until the task is dropped.
+pub async fn probe(cx: Arc<GatewayContext>) {
+    loop {
+        tokio::time::sleep(PROBE_INTERVAL).await;
+        let services: Vec<_> = cx.state.reach.lock().cut_off().cloned().collect();
+        for service in services {
+            probe_service(&cx, &service).await;
+        }
+    }
+}
+
+async fn probe_service(cx: &GatewayContext, service: &str) {
+    let address = {
+        let now = cx.state.now();
+        let backends = cx.state.backends.lock();
+        let accepting = backends.of_service(service);
+        let addresses: Vec<_> = accepting
+            .filter(|entry| entry.accepts(now))
+            .map(|entry| entry.backend.address)
+            .collect();
+        addresses.choose(&mut rand::rng()).copied()
+    };
+    let Some(address) = address else {
+        return;
+    };
+    match cx.pool.connect(address).await {
+        Ok(()) => note_reached(cx, service),
+        Err(e) => tracing::debug!(service, error = %e, "back ends still not reached"),
+    }
+}
--- a/src/ops/gateway/pool.rs
+++ b/src/ops/gateway/pool.rs
@@ -113,6 +113,17 @@
         }
     }
 
+    /// Makes a connection and keeps it for a later call.
+    ///
+    /// # Errors
+    ///
+    /// Fails with [`SendError::NotReached`] if no connection can be made.
+    pub async fn connect(&self, address: SocketAddr) -> Result<()> {
+        let connection = connect(address).await?;
+        self.release(connection, None);
+        Ok(())
+    }
+
     /// Returns a connection to the pool after a complete response.
     pub fn release(&self, connection: Connection, idle_timeout: Option<Duration>) {
         let limit =
--- a/src/ops/gateway/record.rs
+++ b/src/ops/gateway/record.rs
@@ -221,7 +221,9 @@
         CallEnd::CallerDisconnected => ("caller_left", 0, progress.verdict()),
     };
     let took = call.received.elapsed();
-    count(call, outcome, first_event_after.unwrap_or(took));
+    if !progress.is_forwarded {
+        count(call, outcome, first_event_after.unwrap_or(took));
+    }
     let is_served = matches!(ended, CallEnd::Answered(status) if !status.is_server_error());
     let line = match is_served {
         true => SERVED_LINES.admit(state.now().as_secs(), MAX_SERVED_LINES_PER_S),
@@ -247,6 +249,8 @@
         parts = ?call.head.parts.iter().map(|part| part.tokens).collect::<SmallVec<[u32; 4]>>(),
         backends = ?progress.tried,
         sends = progress.sends,
+        forwards = progress.forwards,
+        is_forwarded = progress.is_forwarded,
         first_ms = first_event_after.map(as_millis_u64),
         took_ms = as_millis_u64(took),
         left_ms = as_millis_u64(call.remaining()),
--- a/src/ops/gateway/resume.rs
+++ b/src/ops/gateway/resume.rs
@@ -170,6 +170,20 @@
     }
 }
 
+/// Sets the service of a call to the one that has a software version, if its route has that service.
+pub fn set_service_with(state: &GatewayState, call: &mut Call, software: SoftwareId) {
+    let route = std::sync::Arc::clone(&call.route);
+    let services = route.targets.iter().map(|target| &target.service);
+    let service = state
+        .software
+        .lock()
+        .service_with(software, services)
+        .cloned();
+    if let Some(service) = service {
+        set_service(state, call, &service);
+    }
+}
+
 fn set_service(state: &GatewayState, call: &mut Call, service: &str) {
     let known = state
         .table()
--- a/src/ops/gateway/state.rs
+++ b/src/ops/gateway/state.rs
@@ -16,6 +16,7 @@
 use crate::core::gateway::placement::Regions;
 use crate::core::gateway::quarantine::Quarantine;
 use crate::core::gateway::quota::QuotaShares;
+use crate::core::gateway::reachability::Reachability;
 use crate::core::gateway::retry_budget::RetryBudget;
 use crate::core::gateway::routes::{RouteTable, ServiceName};
 use crate::core::gateway::software::SoftwareHistory;
@@ -61,6 +62,8 @@
     pub usage: Mutex<UsageCounts>,
     /// Prompts that crash back ends.
     pub quarantine: Mutex<Quarantine>,
+    /// Whether this node reaches the back ends of each service.
+    pub reach: Mutex<Reachability>,
     /// Software versions that services have had lately.
     pub software: Mutex<SoftwareHistory>,
     /// Which software versions began streams.
@@ -109,6 +112,7 @@
             retries: Mutex::default(),
             usage: Mutex::default(),
             quarantine: Mutex::default(),
+            reach: Mutex::default(),
             software: Mutex::default(),
             origins: Mutex::default(),
             work: Mutex::default(),
@@ -231,6 +235,11 @@
         }
     }
 
+    /// Returns whether this node does not reach the back ends of a service.
+    pub fn is_cut_off(&self) -> bool {
+        self.reach.lock().cut_off().next().is_some()
+    }
+
     /// Returns the number of known nodes.
     pub fn node_count(&self) -> usize {
         self.members.lock().count()
--- a/src/ops/gateway/stream.rs
+++ b/src/ops/gateway/stream.rs
@@ -18,6 +18,7 @@
 use super::attempt::{AttemptError, BackendResponse, GatewayContext, RunningAttempt};
 use super::call::Call;
 use super::forward::{self, Progress};
+use super::peer_forward;
 use super::pool::Connection;
 use super::record::{self, CallEnd};
 use super::refusal::{Body, BodyError};
@@ -92,6 +93,10 @@
     let headers = std::mem::take(&mut response.headers);
     let mut headers = cx.state.dialect.response_for_caller(headers);
     headers.remove(CONTENT_LENGTH);
+    peer_forward::strip(&mut headers);
+    if progress.is_forwarded {
+        peer_forward::mark_stream(&mut headers, response.running.software_id());
+    }
     let relay = StreamRelay {
         last_event: call.head.last_event,
         cx,
@@ -228,7 +233,7 @@
 
     fn may_resume(&self) -> bool {
         self.call.route.kind == RouteKind::Stream { resumable: true }
-            && self.progress.sends < self.call.route.max_backends
+            && self.progress.sends < self.call.max_backends
     }
 
     /// Abandons the back end and resumes the stream at another one, after the last complete event.
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -72,11 +72,10 @@
 
 /// Headers of callers that are not forwarded to back ends, because they address the gateway or only the gateway
 /// may set them.
-static GATEWAY_ONLY: [HeaderName; 11] = [
+static GATEWAY_ONLY: [HeaderName; 10] = [
     AUTHORIZATION,
     CUSTOMER,
     EXPECTED_BACKEND,
-    DEADLINE,
     PRIORITY,
     HeaderName::from_static("x-jayhall-expect-version"),
     HeaderName::from_static("x-jayhall-pin-ms"),
@@ -133,19 +132,29 @@
 
 /// Returns the headers with which a call is forwarded to a back end.
 pub(super) fn forward_head(headers: &HeaderMap, send: &ForwardMetadata<'_>) -> HeaderMap {
-    let mut head = without_hop_by_hop(headers);
+    let mut head = node_head(headers, send.deadline, send.last_event);
     for name in &GATEWAY_ONLY {
         head.remove(name);
     }
-    head.remove(CONTENT_LENGTH);
-    let deadline_ms = u64::try_from(send.deadline.as_millis()).unwrap_or(u64::MAX);
-    head.insert(DEADLINE, deadline_ms.max(1).into());
     head.insert(PRIORITY, u16::from(send.rank.min(LOWEST_PRIORITY)).into());
     insert_text(&mut head, EXPECTED_BACKEND, send.backend);
     if let Some(customer) = send.customer {
         insert_text(&mut head, CUSTOMER, customer);
     }
-    if let Some(event) = send.last_event {
+    head
+}
+
+/// Returns the headers of a call that another node forwards.
+pub(super) fn node_head(
+    headers: &HeaderMap,
+    deadline: Duration,
+    last_event: Option<u64>,
+) -> HeaderMap {
+    let mut head = without_hop_by_hop(headers);
+    head.remove(CONTENT_LENGTH);
+    let deadline_ms = u64::try_from(deadline.as_millis()).unwrap_or(u64::MAX);
+    head.insert(DEADLINE, deadline_ms.max(1).into());
+    if let Some(event) = last_event {
         head.insert(LAST_EVENT, event.into());
     }
     head
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -44,6 +44,15 @@
         headers::forward_head(headers, send)
     }
 
+    fn node_head(
+        &self,
+        headers: &HeaderMap,
+        deadline: Duration,
+        last_event: Option<u64>,
+    ) -> HeaderMap {
+        headers::node_head(headers, deadline, last_event)
+    }
+
     fn response_head(&self, status: u16, headers: &HeaderMap) -> ResponseHead {
         headers::response_head(status, headers)
     }
