--- a/tests/testsuite/gateway/fixture.rs
+++ b/tests/testsuite/gateway/fixture.rs
@@ -40,6 +40,14 @@
     AnswerAfter(Duration),
     /// Answers and names a limit on calls a second.
     AnswerLimited(f64),
+    /// Answers after 100 ms, with this header as what it can bear of rejected calls a second. Declines calls beyond
+    /// the number that it runs at once.
+    Brittle {
+        /// Calls that it runs at once.
+        room: usize,
+        /// Value of the header.
+        bearable: u32,
+    },
     /// Sends events `1..=2`, then a byte of a third event every 300 ms without end.
     Trickle,
     /// Sends events `1..=to` with a pause before each.
@@ -94,6 +102,10 @@
     pub(super) abandoned: Arc<Mutex<u32>>,
     /// Number of calls declined with a `Retry-After`.
     pub(super) declined_with_delay: Arc<Mutex<u32>>,
+    /// When calls were declined for want of room.
+    pub(super) rejected: Arc<Mutex<Vec<Instant>>>,
+    /// Calls that run, if their number is limited.
+    running: Arc<AtomicU32>,
 }
 
 struct AbandonedGuard(Option<Arc<Mutex<u32>>>);
@@ -156,6 +168,26 @@
     BodyExt::boxed_unsync(StreamBody::new(frames.boxed()))
 }
 
+/// Counts a call as running.
+struct RunningGuard {
+    running: Arc<AtomicU32>,
+    /// Number of calls that ran before.
+    others: usize,
+}
+
+impl RunningGuard {
+    fn new(running: Arc<AtomicU32>) -> Self {
+        let others = running.fetch_add(1, Ordering::Relaxed) as usize;
+        Self { running, others }
+    }
+}
+
+impl Drop for RunningGuard {
+    fn drop(&mut self) {
+        self.running.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 impl FakeBackend {
     pub(super) async fn spawn(behaviour: Behaviour) -> Self {
         let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
@@ -165,17 +197,14 @@
             behaviour: Arc::new(Mutex::new(behaviour)),
             abandoned: Arc::default(),
             declined_with_delay: Arc::default(),
+            rejected: Arc::default(),
+            running: Arc::default(),
         };
-        let parts = (
-            backend.seen.clone(),
-            backend.behaviour.clone(),
-            backend.abandoned.clone(),
-            backend.declined_with_delay.clone(),
-        );
+        let shared = backend.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                let parts = parts.clone();
-                let service = service_fn(move |req| answer(req, parts.clone()));
+                let shared = shared.clone();
+                let service = service_fn(move |req| answer(req, shared.clone()));
                 let io = TokioIo::new(stream);
                 tokio::spawn(
                     hyper::server::conn::http1::Builder::new().serve_connection(io, service),
@@ -194,17 +223,19 @@
     }
 }
 
-type BackendState = (
-    Arc<Mutex<Vec<ReceivedCall>>>,
-    Arc<Mutex<Behaviour>>,
-    Arc<Mutex<u32>>,
-    Arc<Mutex<u32>>,
-);
-
 async fn answer(
     req: Request<Incoming>,
-    (seen, behaviour, abandoned, declined_with_delay): BackendState,
+    backend: FakeBackend,
 ) -> Result<Response<Body>, std::io::Error> {
+    let FakeBackend {
+        seen,
+        behaviour,
+        abandoned,
+        declined_with_delay,
+        rejected,
+        running,
+        ..
+    } = backend;
     let (head, body) = req.into_parts();
     let body = body
         .collect()
@@ -222,6 +253,17 @@
         Behaviour::DisconnectOn(_) => Behaviour::Answer(200, "done"),
         other => other,
     };
+    let slot = RunningGuard::new(running);
+    if let Behaviour::Brittle { room, bearable } = &behaviour
+        && slot.others >= *room
+    {
+        rejected.lock().push(Instant::now());
+        let res = Response::builder()
+            .status(503)
+            .header("x-jayhall-not-executed", "1")
+            .header("server-brittle", bearable.to_string());
+        return Ok(res.body(full_body("")).unwrap());
+    }
     if !matches!(behaviour, Behaviour::Decline | Behaviour::DeclineFor(_)) {
         seen.lock().push(ReceivedCall {
             at: Instant::now(),
@@ -244,6 +286,9 @@
             Behaviour::AnswerLeaving => {
                 headers.insert("server-leaving", "1".parse().unwrap());
             }
+            Behaviour::Brittle { bearable, .. } => {
+                headers.insert("server-brittle", (*bearable).into());
+            }
             Behaviour::AnswerLimited(limit) => {
                 headers.insert("server-limit", limit.to_string().parse().unwrap());
             }
@@ -261,6 +306,10 @@
         Behaviour::AnswerOther | Behaviour::Unsigned => (200, full_body("wrong")),
         Behaviour::AnswerLeaving => (200, full_body("last")),
         Behaviour::AnswerLimited(_) => (200, full_body("done")),
+        Behaviour::Brittle { .. } => {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            (200, full_body("done"))
+        }
         Behaviour::AnswerAfter(delay) => {
             tokio::time::sleep(delay).await;
             (200, full_body("done"))
