Leave room at brittle back ends

Cause: the header was unknown, and nodes place calls beyond the places of a back end, as back ends usually let some wait; several nodes see the same free place.

While answers of a service say so, and 5 s after, a node does not place calls beyond the known free places, and beyond a third of the places only within a share of its own: nine tenths of the places, divided among all nodes by their order, with the rest turning from one back end to the next. A back end that rejects a call gets none of this node for 1.2 s. A second test shows that the shares add up to the places at most, up to 1,100 nodes.

--- a/src/core/gateway/backends/mod.rs
+++ b/src/core/gateway/backends/mod.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::core::gateway::brittle::{BrittleServices, REJECTED_PAUSE};
 use crate::core::gateway::cache::Part;
 use crate::core::gateway::load::{CallLoad, Load};
 use crate::core::gateway::observed::{Observation, Observer};
@@ -134,6 +135,8 @@
     reports: HashMap<Origin, LoadReport>,
     /// Processes that the registry ceased to list, and when.
     departed: HashMap<ProcessName, Moment>,
+    /// Services whose back ends are brittle.
+    brittle: BrittleServices,
 }
 
 impl Backends {
@@ -352,6 +355,20 @@
         is_new
     }
 
+    /// Records that an answer of a back end said that it is brittle, and whether it rejected the call. Returns whether
+    /// this is new of its service.
+    pub fn record_brittle(&mut self, backend: &Backend, is_rejected: bool, now: Moment) -> bool {
+        if let Some(entry) = self.same_process(backend).filter(|_| is_rejected) {
+            entry.paused_until = entry.paused_until.max(now + REJECTED_PAUSE);
+        }
+        self.brittle.record(&backend.service, now)
+    }
+
+    /// Returns whether the back ends of a service are brittle.
+    pub fn is_brittle(&self, service: &str, now: Moment) -> bool {
+        self.brittle.is_brittle(service, now)
+    }
+
     /// Records the call limit that an answer of a back end to this node named, if any. Returns whether the
     /// limit has changed.
     pub fn record_call_limit(
--- a/src/core/gateway/members.rs
+++ b/src/core/gateway/members.rs
@@ -295,6 +295,11 @@
         self.nodes.len().max(1)
     }
 
+    /// Returns the position of node `own` among all nodes, in the order of their names.
+    pub fn position(&self, own: &str) -> usize {
+        self.nodes.keys().filter(|name| ***name < *own).count()
+    }
+
     /// Returns whether a node was heard from within `age`.
     pub fn is_fresh(&self, name: &str, now: Moment, age: Moment) -> bool {
         let last_heard = self.nodes.get(name).and_then(|node| node.last_heard);
--- a/src/core/gateway/mod.rs
+++ b/src/core/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! depends only on its state, the event and the time passed in; [`crate::ops::gateway`] does the I/O.
 
 pub mod backends;
+pub mod brittle;
 pub mod cache;
 pub mod call_limit;
 pub mod clock;
--- a/src/core/gateway/placement.rs
+++ b/src/core/gateway/placement.rs
@@ -14,7 +14,8 @@
 
 use smallvec::SmallVec;
 
-use super::backends::{BackendId, Backends, CallPlace, Entry};
+use super::backends::{Backend, BackendId, Backends, CallPlace, Entry};
+use super::brittle::Shares;
 use super::cache::Part;
 use super::load::{CallLoad, rank_index};
 use super::routes::EngineSize;
@@ -73,6 +74,8 @@
     pub tried: &'a [BackendId],
     /// Software versions at which its stream may begin or go on.
     pub software: AllowedSoftware,
+    /// This node's shares in the places of brittle back ends.
+    pub shares: Shares,
 }
 
 /// Why a call is refused.
@@ -131,10 +134,12 @@
     now: Moment,
     draw: &mut dyn FnMut() -> f64,
 ) -> Placement {
+    let is_brittle = backends.is_brittle(ask.service, now);
     let candidates: SmallVec<[&Entry; 32]> = backends
         .of_service(ask.service)
         .filter(|entry| entry.is_open(now) && !ask.tried.contains(&entry.backend.id))
         .filter(|entry| allows_software(ask, entry))
+        .filter(|entry| !is_brittle || has_room(ask, entry))
         .collect();
     let preferred = preferred_engine(&candidates, ask);
     let best = candidates
@@ -262,6 +267,12 @@
     }
 }
 
+fn has_room(ask: &PlacementRequest<'_>, entry: &Entry) -> bool {
+    let Backend { id, slots, .. } = &*entry.backend;
+    let known = entry.load().calls;
+    ask.shares.has_room(id, *slots, entry.own.calls, known)
+}
+
 fn allows_software(ask: &PlacementRequest<'_>, entry: &Entry) -> bool {
     ask.software == AllowedSoftware::Any || ask.software.allows(entry.backend.software_id())
 }
--- a/src/ops/gateway/attempt.rs
+++ b/src/ops/gateway/attempt.rs
@@ -450,6 +450,21 @@
             "call limit of a back end changed"
         );
     }
+    if let Some(bearable) = head.bearable_rejections {
+        let is_rejected = head.not_run;
+        let is_new = state
+            .backends
+            .lock()
+            .record_brittle(backend, is_rejected, now);
+        if is_new {
+            tracing::info!(
+                backend = &*backend.id,
+                service = &*backend.service,
+                bearable,
+                "the back ends of a service are brittle"
+            );
+        }
+    }
     if let Some(pause_calls_for) = head.pause_calls_for {
         state
             .backends
--- a/src/ops/gateway/dialect.rs
+++ b/src/ops/gateway/dialect.rs
@@ -74,6 +74,8 @@
     pub is_leaving: bool,
     /// Calls a second that the back end takes from all nodes together, if it names a limit.
     pub call_limit: Option<f64>,
+    /// Rejected calls a second above which the back end falls over, if it is brittle.
+    pub bearable_rejections: Option<f64>,
     /// Time for which a back end that refuses the call asks this node to send it no other calls.
     pub pause_calls_for: Option<Duration>,
 }
--- a/src/ops/gateway/forward.rs
+++ b/src/ops/gateway/forward.rs
@@ -19,8 +19,10 @@
 use super::record::{self, CallEnd};
 use super::refusal::{self, Body, Cause, Refusal};
 use super::resume;
+use super::state::GatewayState;
 use super::stream;
 use crate::core::gateway::backends::{BackendId, Outcome};
+use crate::core::gateway::brittle::Shares;
 use crate::core::gateway::members::Member;
 use crate::core::gateway::placement::{self, Placement, PlacementRequest, RefusalCause};
 use crate::core::gateway::quarantine::Check;
@@ -380,6 +382,7 @@
         zone: &state.settings.zone,
         tried: &progress.tried,
         software: progress.allowed,
+        shares: shares(state),
     };
     let placement = {
         let mut backends = state.backends.lock();
@@ -411,6 +414,15 @@
     }
 }
 
+/// Returns this node's shares in the places of brittle back ends.
+fn shares(state: &GatewayState) -> Shares {
+    let members = state.members.lock();
+    Shares {
+        position: members.position(&state.settings.name),
+        nodes: members.count(),
+    }
+}
+
 /// Returns the longest expected wait at a back end after which the call is still worth to be placed there.
 fn max_wait(call: &Call, progress: &Progress) -> Duration {
     let longest = call.remaining() / 2;
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -47,6 +47,8 @@
 pub const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 /// Calls a second that a back end in need takes from all nodes together.
 pub const CALL_LIMIT: HeaderName = HeaderName::from_static("server-limit");
+/// Rejected calls a second above which a brittle back end falls over.
+pub const BRITTLE: HeaderName = HeaderName::from_static("server-brittle");
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 
 /// Status with which a back end refuses a call.
@@ -193,7 +195,8 @@
         is_signed: headers.contains_key(&SIGNATURE),
         idle_timeout: header_text(headers, &KEEP_ALIVE).and_then(parse_keep_alive_timeout),
         is_leaving: header_text(headers, &LEAVING).is_some_and(|value| value.trim() == "1"),
-        call_limit: header_text(headers, &CALL_LIMIT).and_then(parse_call_limit),
+        call_limit: header_text(headers, &CALL_LIMIT).and_then(parse_rate),
+        bearable_rejections: header_text(headers, &BRITTLE).and_then(parse_rate),
         pause_calls_for: match status {
             UNAVAILABLE => header_text(headers, &RETRY_AFTER).and_then(parse_retry_after),
             _ => None,
@@ -218,16 +221,16 @@
     }
 }
 
-/// Parses a limit on calls a second, a number with an optional fraction.
-fn parse_call_limit(text: &str) -> Option<f64> {
-    let limit = parse_decimal(text.trim());
-    if limit.is_none() {
+/// Parses a number of calls a second, with an optional fraction.
+fn parse_rate(text: &str) -> Option<f64> {
+    let rate = parse_decimal(text.trim());
+    if rate.is_none() {
         tracing::warn!(
             value = text,
-            "ignored a back end's call limit that is not a number"
+            "ignored a back end's limit on calls that is not a number"
         );
     }
-    limit
+    rate
 }
 
 fn parse_keep_alive_timeout(text: &str) -> Option<Duration> {
--- a/tests/testsuite/gateway/brittle_backends.rs
+++ b/tests/testsuite/gateway/brittle_backends.rs
@@ -5,6 +5,8 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
+use jayhall::core::gateway::brittle::Shares;
+
 use super::fixture::{Behaviour, FakeBackend, Fixture, Node, config};
 
 /// Time after a back end's first answer from which the bound holds.
@@ -113,3 +115,35 @@
         "{served} calls served, at least {least} expected"
     );
 }
+
+/// Returns the most calls that all nodes may have at a back end with these places, as far as their shares go.
+fn sum_of_shares(nodes: usize, slots: u32, backend: &str) -> u32 {
+    let shares = (0..nodes).map(|position| {
+        let shares = Shares { position, nodes };
+        let is_within = |own: &u32| shares.has_room(backend, slots, *own, slots - 1);
+        (0..slots).take_while(is_within).count() as u32
+    });
+    shares.sum()
+}
+
+#[test]
+fn the_shares_of_all_nodes_add_up_to_no_more_than_the_places() {
+    for (nodes, slots) in [
+        (1, 1),
+        (6, 64),
+        (6, 6),
+        (74, 16),
+        (295, 12),
+        (295, 6),
+        (1100, 12),
+    ] {
+        let sums: Vec<u32> = (0..40)
+            .map(|index| sum_of_shares(nodes, slots, &format!("i-{index}")))
+            .collect();
+        let is_used = |sum: &u32| *sum <= slots && f64::from(*sum) >= f64::from(slots) * 0.75;
+        assert!(
+            sums.iter().all(is_used),
+            "{nodes} nodes, {slots} places: {sums:?}"
+        );
+    }
+}
