Show that odd entries of back ends do not keep nodes from the registry

Fifteen such entries and one of bytes, read from the listing, the copy of another node and the watch, for unknown and known back ends, and an odd configuration: both nodes go on to serve and to follow. Why not here: an entry is decoded by itself, serde_json bounds the depth, and an entry that cannot be decoded leaves the previous one in force. The test passed on the code before, so nothing is changed.

--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod departed_backends;
 mod duties;
 mod fixture;
+mod odd_entries;
 mod placement;
 mod platform_store;
 mod platform_wire;
