Answer calls that outlast a planned stop before its end

It happens here: a node that leaves accepts calls for 2.5 s with their whole deadline, waits for them until 0.92 of the stop time, and then ends.

Cause: the deadline of a call did not know the end of the process. It does now: calls that arrive after the signal get no more time than is left, so that back ends stop in time, and calls that still run 150 ms before the end are answered (502 or 504 if they may have run, 503 if not); a stream ends with an error, and its caller may resume it elsewhere.

calls_that_outlast_a_planned_stop_are_answered_before_its_end failed before: calls with a deadline of 8 s were answered after 8 s, where the process had ended after 3.7 s.

--- a/src/node/gateway.rs
+++ b/src/node/gateway.rs
@@ -32,6 +32,8 @@
 const LEAVING_ACCEPT_PERIOD: Duration = Duration::from_millis(2500);
 /// Fraction of the stop time after which the node no longer waits for running calls.
 const DRAIN_DEADLINE_FRACTION: f64 = 0.92;
+/// Time before that at which calls that still run are answered, so that the answers reach their callers.
+const STOP_RESPONSE_MARGIN: Duration = Duration::from_millis(150);
 /// Interval at which a leaving node checks whether all calls have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -168,6 +170,8 @@
                 .bounds
                 .stop
                 .mul_f64(DRAIN_DEADLINE_FRACTION);
+        let stop_by = drain_deadline - STOP_RESPONSE_MARGIN;
+        self.state.stop_by.send_replace(Some(stop_by));
         tracing::info!(active = self.active(), "leaving");
         self.state.phase.send_replace(Phase::Leaving);
         let own_member = self.state.own_member();
--- a/src/ops/gateway/call.rs
+++ b/src/ops/gateway/call.rs
@@ -89,6 +89,8 @@
             route.timeout
         };
         let deadline = received + head.deadline.unwrap_or(timeout).min(timeout) - RESPONSE_MARGIN;
+        let stop_by = *state.stop_by.borrow();
+        let deadline = stop_by.map_or(deadline, |stop| deadline.min(stop));
         let max_body = table.limits.body_bytes;
         let (parts, body) = req.into_parts();
         let body = read_body(body, max_body, deadline).await?;
--- a/src/ops/gateway/forward.rs
+++ b/src/ops/gateway/forward.rs
@@ -19,7 +19,7 @@
 use super::record::{self, CallEnd};
 use super::refusal::{self, Body, Cause, Refusal};
 use super::resume;
-use super::state::GatewayState;
+use super::state::{GatewayState, GivenUp};
 use super::stream;
 use crate::core::gateway::backends::{BackendId, Outcome};
 use crate::core::gateway::brittle::Shares;
@@ -175,9 +175,11 @@
 ) -> Response<Body> {
     let deadline = call.deadline;
     let served = serve_with_retries(&cx, &mut call, &mut progress);
-    let timeout = tokio::time::timeout_at(deadline, served).await;
-    let result =
-        timeout.unwrap_or_else(|_| Err(Refusal::with_verdict(Cause::TimedOut, Verdict::NotRun)));
+    let result = match cx.state.run_until(deadline, served).await {
+        Ok(result) => result,
+        Err(GivenUp::Deadline) => Err(Refusal::not_run(Cause::TimedOut)),
+        Err(GivenUp::Stopping) => Err(Refusal::not_run(Cause::Stopping)),
+    };
     match result {
         Ok(CallerResponse::Unary(res)) => {
             record::ended(&cx.state, &call, &progress, CallEnd::Answered(res.status()));
--- a/src/ops/gateway/refusal.rs
+++ b/src/ops/gateway/refusal.rs
@@ -43,6 +43,8 @@
     AnswerLost,
     /// The call's deadline has passed.
     TimedOut,
+    /// The node stops before the call has ended.
+    Stopping,
     /// It, or calls with the same parts of a prompt, have crashed back ends.
     Quarantined,
     /// The call resumes a stream, and the software version that began it has left or will never be known.
@@ -85,6 +87,7 @@
             Self::Declined => "declined",
             Self::AnswerLost => "answer_lost",
             Self::TimedOut => "timed_out",
+            Self::Stopping => "stopping",
             Self::Quarantined => "quarantined",
             Self::StreamLost => "stream_lost",
             Self::StreamUnknown => "stream_unknown",
@@ -117,6 +120,7 @@
                 "it is not known yet which engines can continue this stream; come back later"
             }
             Self::TimedOut => "the time for this call is over",
+            Self::Stopping => "this node stops; ask another node",
         }
     }
 }
--- a/src/ops/gateway/state.rs
+++ b/src/ops/gateway/state.rs
@@ -7,6 +7,7 @@
 
 use parking_lot::{Mutex, RwLock};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use super::dialect::Dialect;
 use super::view::View;
@@ -40,6 +41,15 @@
     Leaving,
 }
 
+/// Why work on a call was given up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum GivenUp {
+    /// Its deadline has passed.
+    Deadline,
+    /// The process stops.
+    Stopping,
+}
+
 /// State of a node's gateway.
 pub struct GatewayState {
     /// Settings.
@@ -78,6 +88,8 @@
     pub contact: Mutex<StoreContact>,
     /// Revision of the store up to which the view is complete.
     pub revision: watch::Sender<Revision>,
+    /// When calls must have been answered because the process stops; `None` while it does not.
+    pub stop_by: watch::Sender<Option<Instant>>,
     /// Phase of the process.
     pub phase: watch::Sender<Phase>,
     /// Calls that are being served.
@@ -120,6 +132,7 @@
             view: Mutex::default(),
             contact: Mutex::new(StoreContact::new(since_boot())),
             revision: watch::Sender::new(Revision::NONE),
+            stop_by: watch::Sender::new(None),
             phase: watch::Sender::new(Phase::Starting),
             active: AtomicU64::new(0),
             regions,
@@ -131,6 +144,34 @@
         self.table.read().clone()
     }
 
+    /// Runs `work` until `deadline`, or until the process must have answered its calls because it stops.
+    ///
+    /// # Errors
+    ///
+    /// Fails with the reason why the work was given up.
+    pub async fn run_until<F: Future>(
+        &self,
+        deadline: Instant,
+        work: F,
+    ) -> Result<F::Output, GivenUp> {
+        tokio::pin!(work);
+        let mut stop_by = self.stop_by.subscribe();
+        loop {
+            let stop = stop_by.borrow_and_update().filter(|stop| *stop < deadline);
+            tokio::select! {
+                output = &mut work => return Ok(output),
+                () = tokio::time::sleep_until(stop.unwrap_or(deadline)) => {
+                    return Err(match stop {
+                        Some(_) => GivenUp::Stopping,
+                        None => GivenUp::Deadline,
+                    });
+                }
+                // The sender is a part of this value and lives as long as it.
+                Ok(()) = stop_by.changed() => {}
+            }
+        }
+    }
+
     /// Returns the time of the monotonic clock, which goes on while the VM is suspended.
     pub fn now(&self) -> Moment {
         since_boot()
--- a/src/ops/gateway/stream.rs
+++ b/src/ops/gateway/stream.rs
@@ -23,6 +23,7 @@
 use super::record::{self, CallEnd};
 use super::refusal::{Body, BodyError};
 use super::resume;
+use super::state::GivenUp;
 use crate::core::gateway::backends::Outcome;
 use crate::core::gateway::routes::RouteKind;
 use crate::core::gateway::software::AllowedSoftware;
@@ -80,6 +81,7 @@
     Broken(Box<str>),
     Silent,
     TimedOut,
+    Stopping,
 }
 
 /// Returns the response for the caller: the headers of the first back end, and events as they arrive.
@@ -141,6 +143,9 @@
                         return Some(Err(self.abort("broken_off", cause.into())));
                     }
                 }
+                ReadResult::Stopping => {
+                    return Some(Err(self.abort("stopping", "the node stops".into())));
+                }
                 ReadResult::TimedOut => {
                     return Some(Err(self.abort("timed_out", "its time is over".into())));
                 }
@@ -163,9 +168,10 @@
             true => deadline.min(source.last_activity + event_timeout),
             false => deadline,
         };
-        match tokio::time::timeout_at(until, source.body.frame()).await {
-            Err(_) if until == deadline => ReadResult::TimedOut,
-            Err(_) => ReadResult::Silent,
+        match self.cx.state.run_until(until, source.body.frame()).await {
+            Err(GivenUp::Stopping) => ReadResult::Stopping,
+            Err(GivenUp::Deadline) if until == deadline => ReadResult::TimedOut,
+            Err(GivenUp::Deadline) => ReadResult::Silent,
             Ok(None) if self.buf.is_empty() && self.has_events() => ReadResult::End,
             Ok(None) if self.buf.is_empty() => {
                 ReadResult::Broken("it ended before an event".into())
@@ -253,7 +259,8 @@
         while self.may_resume() && forward::may_retry(&self.cx, &self.call, &self.progress) {
             let attempt =
                 forward::try_backend(&self.cx, &self.call, &mut self.progress, self.last_event);
-            let Ok(outcome) = tokio::time::timeout_at(self.call.deadline, attempt).await else {
+            let deadline = self.call.deadline;
+            let Ok(outcome) = self.cx.state.run_until(deadline, attempt).await else {
                 return false;
             };
             match outcome {
--- a/tests/testsuite/gateway/fixture.rs
+++ b/tests/testsuite/gateway/fixture.rs
@@ -442,7 +442,7 @@
     )
 }
 
-/// Configuration of the fixture: calls of `/get/` are idempotent, calls of `/once/` run at most once, and
+/// Configuration of the fixture: calls of `/get/` are idempotent, calls of `/once/` and `/patient/` run at most once, and
 /// `/stream/`, `/resumable/` and `/long/` answer with streams.
 pub(super) fn config(version: u64) -> String {
     let route = |prefix: &str, kind: &str, service: &str, resumable: bool| {
@@ -453,6 +453,7 @@
     let routes = [
         route("get", "safe", "plain", false),
         route("once", "unsafe", "plain", false),
+        route("patient", "unsafe", "plain", false).replace("1500", "8000"),
         route("stream", "streaming", "llm", false),
         route("resume", "streaming", "llm", true),
         route("long", "streaming", "llm", true)
--- a/tests/testsuite/gateway/serving.rs
+++ b/tests/testsuite/gateway/serving.rs
@@ -272,6 +272,53 @@
     assert!(served > 10, "{served}");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_that_outlast_a_planned_stop_are_answered_before_its_end() {
+    // The settings of the fixture allow 4 s for a stop.
+    let stop_time = Duration::from_secs(4);
+    let (fixture, mut node, backends) = fixture_with_node("plain", &[Behaviour::Silent]).await;
+    let events = Behaviour::Events {
+        to: 1000,
+        ends_normally: true,
+    };
+    let streaming = FakeBackend::spawn(events).await;
+    fixture.list_backend("s0", "llm", &streaming, "ready").await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let gateway = node.gateway.take().unwrap();
+    let patient = |path| {
+        let deadline = [(
+            "x-jayhall-deadline-ms".parse().unwrap(),
+            "8000".parse().unwrap(),
+        )];
+        let call = fixture.call(&node, path, "patient");
+        let call = call.headers(hyper::HeaderMap::from_iter(deadline));
+        tokio::spawn(async move {
+            let res = call.send().await?;
+            let status = res.status();
+            // A stream ends with an error, as it is not complete.
+            let _ = res.bytes().await;
+            reqwest::Result::Ok((status.as_u16(), Instant::now()))
+        })
+    };
+    let mut calls = vec![patient("/patient/x"), patient("/long/x")];
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let stopped = Instant::now();
+    let stop = tokio::spawn(gateway.leave());
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    // Callers learn late that the node leaves.
+    calls.extend([patient("/patient/x"), patient("/long/x")]);
+    stop.await.unwrap();
+    assert!(stopped.elapsed() < stop_time, "{:?}", stopped.elapsed());
+    for (index, call) in calls.into_iter().enumerate() {
+        let (status, answered) = call.await.unwrap().expect("the call is answered");
+        // A call that may have run does not get a status that promises the contrary.
+        let expected: &[u16] = if index % 2 == 0 { &[502, 504] } else { &[200] };
+        assert!(expected.contains(&status), "call {index}: {status}");
+        assert!(answered - stopped < stop_time, "{:?}", answered - stopped);
+    }
+    assert_eq!(backends[0].runs(), 2);
+}
+
 #[tokio::test]
 async fn a_back_end_that_announces_in_an_answer_that_it_is_leaving_gets_no_new_call() {
     let (fixture, node, backends) = fixture_with_node("plain", &[Behaviour::AnswerLeaving]).await;
