Split the attempt, the forwarding and the messages of the gateway by job

What was tried (progress), where a call goes next (next_hop), the accounting of a call at a back end (running) and the encoding of loads and observations (load_wire) stand in files of their own. Moves only, no logic is changed.

--- a/src/ops/gateway/forward.rs
+++ b/src/ops/gateway/forward.rs
@@ -3,51 +3,32 @@
 
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
-use smallvec::SmallVec;
 use tokio::time::Instant;
 
-use super::attempt::{self, AttemptError, BackendResponse, GatewayContext, RunningAttempt};
+use super::attempt::{self, AttemptError, BackendResponse, GatewayContext};
 use super::call::Call;
 use super::dialect::CallHead;
+use super::next_hop::{self, Hop};
 use super::peer_forward::{self, ForwardedCall};
+use super::progress::{self, Progress};
 use super::record::{self, CallEnd};
 use super::refusal::{self, Body, Cause, Refusal};
 use super::resume;
-use super::state::{GatewayState, GivenUp};
+use super::state::GivenUp;
 use super::stream;
-use crate::core::gateway::backends::{BackendId, Outcome};
-use crate::core::gateway::brittle::Shares;
-use crate::core::gateway::members::Member;
-use crate::core::gateway::placement::{self, Placement, PlacementRequest, RefusalCause};
-use crate::core::gateway::quarantine::Check;
-use crate::core::gateway::retry_budget::RetryBudget;
+use crate::core::gateway::backends::Outcome;
+use crate::core::gateway::placement::RefusalCause;
 use crate::core::gateway::routes::RouteKind;
-use crate::core::gateway::software::{AllowedSoftware, SoftwareVersion};
-use crate::core::time::Moment;
+use crate::core::gateway::software::AllowedSoftware;
 use crate::core::verdict::Verdict;
 
 /// Size limit for a response that is not a stream.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
-/// Number of unreachable back ends after which no more are tried.
-const MAX_UNREACHED_BACKENDS: usize = 3;
-/// Longest expected wait at a back end, as a multiple of the route's target latency.
-const MAX_WAIT_FACTOR: f64 = 1.0;
-/// Longest expected wait, as a multiple of the target latency, for a call that another back end was sent
-/// before.
-const MAX_RETRY_WAIT_FACTOR: f64 = 2.0;
-/// Lower bound on the timeout after which an idempotent call is sent to another back end.
-const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Lower bound on the timeout for the head of a resumable stream, after which another back end is
-/// tried.
-const MIN_STREAM_TIMEOUT: Duration = Duration::from_millis(1800);
-/// Timeout of an attempt, as a multiple of the expected time to the first event.
-const ATTEMPT_TIMEOUT_FACTOR: f64 = 3.0;
 
 /// Guard that counts a call as in progress.
 struct ActiveCall(Arc<GatewayContext>);
@@ -65,47 +46,6 @@
     }
 }
 
-/// Attempts of a call so far.
-#[derive(Debug, Default)]
-pub struct Progress {
-    /// Back ends that were tried, whether or not they were reached.
-    pub tried: SmallVec<[BackendId; 4]>,
-    /// Number of back ends that received the call, or may have.
-    pub sends: u32,
-    /// Number of back ends that were not reached.
-    pub unreached: usize,
-    /// Whether the call may have run.
-    pub may_have_run: bool,
-    /// Whether the next send is the probe of a quarantine entry.
-    pub is_probe: bool,
-    /// Software of the back ends that sent events, in the order of their events.
-    pub software: SmallVec<[SoftwareVersion; 2]>,
-    /// Software versions at which the call may be placed.
-    pub allowed: AllowedSoftware,
-    /// Whether another node forwards the call to this one.
-    pub is_forwarded: bool,
-    /// Number of nodes through which it was forwarded.
-    pub forwards: u32,
-}
-
-impl Progress {
-    /// Returns whether the call may have run.
-    pub fn verdict(&self) -> Verdict {
-        match self.may_have_run {
-            true => Verdict::MayHaveRun,
-            false => Verdict::NotRun,
-        }
-    }
-
-    /// Records the software of a back end that has sent events.
-    pub fn note_software(&mut self, software: Option<&str>) {
-        let software = software.unwrap_or_default();
-        if self.software.last().is_none_or(|last| **last != *software) {
-            self.software.push(software.into());
-        }
-    }
-}
-
 /// Serves a call.
 pub async fn serve(cx: Arc<GatewayContext>, req: Request<Incoming>) -> Response<Body> {
     let active = ActiveCall::begin(&cx);
@@ -254,8 +194,8 @@
     progress: &mut Progress,
     last_event: Option<u64>,
 ) -> Result<BackendResponse, AttemptError> {
-    check_quarantine(cx, call, progress)?;
-    let hop = next_hop(cx, call, progress);
+    next_hop::check_quarantine(cx, call, progress)?;
+    let hop = next_hop::next_hop(cx, call, progress);
     if std::mem::take(&mut progress.is_probe) && !matches!(hop, Ok(Hop::Backend(..))) {
         cx.state.quarantine.lock().return_probe(&call.suspects);
     }
@@ -268,7 +208,7 @@
     let result = match hop {
         Hop::Backend(running, timeout) => {
             progress.sends += 1;
-            note_send(cx, call, progress.sends);
+            progress::note_send(cx, call, progress.sends);
             attempt::send(cx, call, running, last_event, timeout).await
         }
         Hop::Node(node) => {
@@ -277,7 +217,7 @@
                 max_sends: call.max_backends.saturating_sub(progress.sends).max(1),
                 allowed: progress.allowed,
             };
-            let timeout = attempt_timeout(call, progress, call.route.target_latency);
+            let timeout = next_hop::attempt_timeout(call, progress, call.route.target_latency);
             // The node may send it to all back ends that are left.
             progress.sends = call.max_backends;
             peer_forward::send(cx, call, &node, forwarded, last_event, timeout).await
@@ -296,202 +236,6 @@
     result
 }
 
-/// Where a call is sent to.
-enum Hop {
-    /// To a back end, with the timeout for its response.
-    Backend(RunningAttempt, Duration),
-    /// To another node, which forwards it to a back end.
-    Node(Member),
-}
-
-impl Hop {
-    fn name(&self) -> &str {
-        match self {
-            Self::Backend(running, _) => running.backend(),
-            Self::Node(node) => &node.name,
-        }
-    }
-}
-
-fn next_hop(
-    cx: &Arc<GatewayContext>,
-    call: &Call,
-    progress: &Progress,
-) -> Result<Hop, AttemptError> {
-    if let Some(node) = peer_forward::choose_node(cx, call, progress) {
-        return Ok(Hop::Node(node));
-    }
-    let no_backend = match start_attempt(cx, call, progress) {
-        Ok((running, timeout)) => return Ok(Hop::Backend(running, timeout)),
-        Err(e) => e,
-    };
-    let is_none_open = matches!(
-        no_backend,
-        AttemptError::NoCandidate {
-            cause: RefusalCause::NoBackend,
-            ..
-        }
-    );
-    let node = is_none_open
-        .then(|| peer_forward::choose_node_without_backend(cx, call, progress))
-        .flatten();
-    node.map(Hop::Node).ok_or(no_backend)
-}
-
-/// Checks that a call may be sent to a back end: calls with its suspects may have crashed some.
-fn check_quarantine(
-    cx: &GatewayContext,
-    call: &Call,
-    progress: &mut Progress,
-) -> Result<(), AttemptError> {
-    if !cx.state.quarantine.lock().blocks(&call.suspects) {
-        return Ok(());
-    }
-    if progress.sends > 0 {
-        return Err(AttemptError::Quarantined);
-    }
-    let wall = cx.state.wall();
-    let check = cx.state.quarantine.lock().check(&call.suspects, wall);
-    progress.is_probe = check == Check::Probe;
-    match check {
-        Check::Pass | Check::Probe => Ok(()),
-        Check::Block => Err(AttemptError::Quarantined),
-    }
-}
-
-/// Chooses a back end and occupies a slot there in one step, so that concurrent calls see each other's
-/// slots.
-fn start_attempt(
-    cx: &Arc<GatewayContext>,
-    call: &Call,
-    progress: &Progress,
-) -> Result<(RunningAttempt, Duration), AttemptError> {
-    let state = &cx.state;
-    let (prompt_tokens, answer_tokens) = call.head.tokens.unwrap_or_default();
-    let answer_tokens = call
-        .head
-        .length_hint
-        .unwrap_or(answer_tokens)
-        .min(answer_tokens);
-    let ask = PlacementRequest {
-        service: &call.service.name,
-        engine: call.service.engine,
-        parts: &call.head.parts,
-        prompt_tokens,
-        answer_tokens,
-        rank: call.rank(),
-        max_wait: max_wait(call, progress),
-        zone: &state.settings.zone,
-        tried: &progress.tried,
-        software: progress.allowed,
-        shares: shares(state),
-    };
-    let placement = {
-        let mut backends = state.backends.lock();
-        let now = state.now();
-        backends.expire_loads(now);
-        let mut placement = placement::place(
-            &backends,
-            state.regions(),
-            &ask,
-            now,
-            &mut rand::random::<f64>,
-        );
-        if let Placement::Send { place, .. } = &mut placement {
-            let kv_tokens = call.service.engine.map_or(0, |engine| engine.kv_tokens);
-            backends.begin(place, &call.head.parts, u64::from(kv_tokens), now);
-        }
-        placement
-    };
-    match placement {
-        Placement::Send {
-            place, expected, ..
-        } => {
-            let running = RunningAttempt::begin(cx, call, place, expected, progress.is_probe);
-            Ok((running, attempt_timeout(call, progress, expected)))
-        }
-        Placement::Refuse {
-            cause, retry_after, ..
-        } => Err(AttemptError::NoCandidate { cause, retry_after }),
-    }
-}
-
-/// Returns this node's shares in the places of brittle back ends.
-fn shares(state: &GatewayState) -> Shares {
-    let members = state.members.lock();
-    Shares {
-        position: members.position(&state.settings.name),
-        nodes: members.count(),
-    }
-}
-
-/// Returns the longest expected wait at a back end after which the call is still worth to be placed there.
-fn max_wait(call: &Call, progress: &Progress) -> Duration {
-    let longest = call.remaining() / 2;
-    let target_latency = call.route.target_latency;
-    match progress.allowed {
-        // A stream that has begun cannot go on elsewhere.
-        AllowedSoftware::Only(_) => longest,
-        _ if progress.tried.is_empty() => target_latency.mul_f64(MAX_WAIT_FACTOR).min(longest),
-        _ => target_latency.mul_f64(MAX_RETRY_WAIT_FACTOR).min(longest),
-    }
-}
-
-/// Returns the timeout for the response head, after which another back end may be tried.
-fn attempt_timeout(call: &Call, progress: &Progress, expected: Duration) -> Duration {
-    let is_last = progress.sends + 1 >= call.max_backends;
-    let suspect_after = expected.mul_f64(ATTEMPT_TIMEOUT_FACTOR);
-    match call.route.kind {
-        _ if is_last => call.remaining(),
-        RouteKind::Idempotent => MIN_ATTEMPT_TIMEOUT.max(suspect_after).min(call.remaining()),
-        RouteKind::Stream { resumable: true } => {
-            MIN_STREAM_TIMEOUT.max(suspect_after).min(call.remaining())
-        }
-        RouteKind::Stream { .. } | RouteKind::AtMostOnce => call.remaining(),
-    }
-}
-
-/// Counts the first send of a call, from which the service's retry budget grows.
-fn note_send(cx: &GatewayContext, call: &Call, sends: u32) {
-    if sends == 1 {
-        with_retry_budget(cx, call, RetryBudget::record_call);
-    }
-}
-
-/// Returns whether the call may be sent to one more back end, and charges the retry budget if it was
-/// sent before.
-pub fn may_retry(cx: &GatewayContext, call: &Call, progress: &Progress) -> bool {
-    if progress.sends == 0 {
-        return progress.unreached < MAX_UNREACHED_BACKENDS;
-    }
-    progress.sends < call.max_backends
-        && !cx.state.quarantine.lock().crashes.demands_caution(call.id)
-        && progress.unreached < MAX_UNREACHED_BACKENDS
-        && with_retry_budget(cx, call, RetryBudget::try_take)
-}
-
-fn with_retry_budget<T>(
-    cx: &GatewayContext,
-    call: &Call,
-    f: impl FnOnce(&mut RetryBudget, Moment) -> T,
-) -> T {
-    let state = &cx.state;
-    let now = state.now();
-    let bounds = &state.settings.bounds;
-    let nodes = state.node_count();
-    let mut retries = state.retries.lock();
-    let budget = retries.entry(call.service.name.clone()).or_insert_with(|| {
-        RetryBudget::new(
-            bounds.retry_ratio,
-            bounds.retry_slack,
-            bounds.retry_window,
-            nodes,
-            now,
-        )
-    });
-    f(budget, now)
-}
-
 /// Decides what to do with a response.
 async fn handle_response(
     cx: &Arc<GatewayContext>,
@@ -506,7 +250,9 @@
         return NextStep::Respond(CallerResponse::Stream(Box::new(response)));
     }
     let failed = response.status.is_server_error();
-    let retry = failed && call.route.kind == RouteKind::Idempotent && may_retry(cx, call, progress);
+    let retry = failed
+        && call.route.kind == RouteKind::Idempotent
+        && progress::may_retry(cx, call, progress);
     match read_full_response(cx, response).await {
         Ok(_) if retry => NextStep::TryAnother,
         Ok(res) => NextStep::Respond(CallerResponse::Unary(res)),
@@ -526,7 +272,7 @@
     response.running.set_outcome(Outcome::Declined);
     record::declined(&cx.state, call, response.running.backend(), response.status);
     drop(response);
-    if may_retry(cx, call, progress) {
+    if progress::may_retry(cx, call, progress) {
         NextStep::TryAnother
     } else {
         let retry_after = call.route.target_latency / 2;
@@ -554,7 +300,7 @@
         return NextStep::GiveUp(Refusal::not_run(Cause::Quarantined));
     }
     let may_repeat = call.route.kind.may_repeat() || e.verdict() == Verdict::NotRun;
-    if may_repeat && may_retry(cx, call, progress) {
+    if may_repeat && progress::may_retry(cx, call, progress) {
         return NextStep::TryAnother;
     }
     if call.remaining().is_zero() {
--- a/src/ops/gateway/mesh/receive.rs
+++ b/src/ops/gateway/mesh/receive.rs
@@ -10,7 +10,8 @@
 use crate::core::gateway::observed::Observer;
 use crate::core::gateway::origin::Origin;
 use crate::core::time::Moment;
-use crate::ops::gateway::mesh_wire::{DatagramWire, LoadSumWire, ReportWire, ZoneSumWire};
+use crate::ops::gateway::load_wire::LoadSumWire;
+use crate::ops::gateway::mesh_wire::{DatagramWire, ReportWire, ZoneSumWire};
 
 impl Mesh {
     /// Receives messages until the task is dropped.
--- a/src/ops/gateway/mesh/report.rs
+++ b/src/ops/gateway/mesh/report.rs
@@ -4,7 +4,8 @@
 use crate::core::gateway::members::Member;
 use crate::core::gateway::observed::Observer;
 use crate::core::time::Moment;
-use crate::ops::gateway::mesh_wire::{LoadSumWire, ReportWire, ZoneSumWire};
+use crate::ops::gateway::load_wire::LoadSumWire;
+use crate::ops::gateway::mesh_wire::{ReportWire, ZoneSumWire};
 use crate::ops::gateway::state::Phase;
 use crate::util::time::{as_millis_u64, unix_now};
 
--- a/src/ops/gateway/mod.rs
+++ b/src/ops/gateway/mod.rs
@@ -1,7 +1,8 @@
 //! The gateway: a reverse proxy that routes calls by host and path to the back ends listed in the
 //! platform's registry.
 //!
-//! - [`listen`], [`forward`], [`stream`], [`attempt`], [`pool`]: the data path of a call;
+//! - [`listen`], [`forward`], [`progress`], [`next_hop`], [`attempt`], [`running`], [`stream`], [`pool`]: the data
+//!   path of a call;
 //! - [`peer_forward`]: calls that reach back ends only through another node;
 //! - [`follow_store`], [`register`], [`mesh`], [`snapshot`], [`relay`], [`install`]: replication of the
 //!   store's contents and of load, usage and liveness between nodes;
@@ -22,18 +23,22 @@
 pub mod keys;
 pub mod lease;
 pub mod listen;
+pub mod load_wire;
 pub mod mesh;
 pub mod mesh_wire;
+pub mod next_hop;
 pub mod node_wire;
 pub mod origin_archive;
 pub mod peer_forward;
 pub mod pool;
+pub mod progress;
 pub mod quarantine;
 pub mod record;
 pub mod refusal;
 pub mod register;
 pub mod relay;
 pub mod resume;
+pub mod running;
 pub mod snapshot;
 pub mod software;
 pub mod state;
--- /dev/null
+++ b/src/ops/gateway/next_hop.rs
@@ -0,0 +1,196 @@
+//! Chooses where a call is sent to next, and how long its response may take.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::attempt::{AttemptError, GatewayContext};
+use super::call::Call;
+use super::peer_forward;
+use super::progress::Progress;
+use super::running::RunningAttempt;
+use super::state::GatewayState;
+use crate::core::gateway::brittle::Shares;
+use crate::core::gateway::members::Member;
+use crate::core::gateway::placement::{self, Placement, PlacementRequest, RefusalCause};
+use crate::core::gateway::quarantine::Check;
+use crate::core::gateway::routes::RouteKind;
+use crate::core::gateway::software::AllowedSoftware;
+
+/// Longest expected wait at a back end, as a multiple of the route's target latency.
+const MAX_WAIT_FACTOR: f64 = 1.0;
+/// Longest expected wait, as a multiple of the target latency, for a call that another back end was sent
+/// before.
+const MAX_RETRY_WAIT_FACTOR: f64 = 2.0;
+/// Lower bound on the timeout after which an idempotent call is sent to another back end.
+const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Lower bound on the timeout for the head of a resumable stream, after which another back end is
+/// tried.
+const MIN_STREAM_TIMEOUT: Duration = Duration::from_millis(1800);
+/// Timeout of an attempt, as a multiple of the expected time to the first event.
+const ATTEMPT_TIMEOUT_FACTOR: f64 = 3.0;
+
+/// Where a call is sent to.
+pub enum Hop {
+    /// To a back end, with the timeout for its response.
+    Backend(RunningAttempt, Duration),
+    /// To another node, which forwards it to a back end.
+    Node(Member),
+}
+
+impl Hop {
+    /// Returns the name of the back end or node.
+    pub fn name(&self) -> &str {
+        match self {
+            Self::Backend(running, _) => running.backend(),
+            Self::Node(node) => &node.name,
+        }
+    }
+}
+
+/// Chooses where a call is sent to: a back end, whose slot it occupies at once, or a node if this one does not reach
+/// the back ends.
+///
+/// # Errors
+///
+/// Fails if there is neither.
+pub fn next_hop(
+    cx: &Arc<GatewayContext>,
+    call: &Call,
+    progress: &Progress,
+) -> Result<Hop, AttemptError> {
+    if let Some(node) = peer_forward::choose_node(cx, call, progress) {
+        return Ok(Hop::Node(node));
+    }
+    let no_backend = match start_attempt(cx, call, progress) {
+        Ok((running, timeout)) => return Ok(Hop::Backend(running, timeout)),
+        Err(e) => e,
+    };
+    let is_none_open = matches!(
+        no_backend,
+        AttemptError::NoCandidate {
+            cause: RefusalCause::NoBackend,
+            ..
+        }
+    );
+    let node = is_none_open
+        .then(|| peer_forward::choose_node_without_backend(cx, call, progress))
+        .flatten();
+    node.map(Hop::Node).ok_or(no_backend)
+}
+
+/// Checks that a call may be sent to a back end: calls with its suspects may have crashed some.
+///
+/// # Errors
+///
+/// Fails if the call is quarantined.
+pub fn check_quarantine(
+    cx: &GatewayContext,
+    call: &Call,
+    progress: &mut Progress,
+) -> Result<(), AttemptError> {
+    if !cx.state.quarantine.lock().blocks(&call.suspects) {
+        return Ok(());
+    }
+    if progress.sends > 0 {
+        return Err(AttemptError::Quarantined);
+    }
+    let wall = cx.state.wall();
+    let check = cx.state.quarantine.lock().check(&call.suspects, wall);
+    progress.is_probe = check == Check::Probe;
+    match check {
+        Check::Pass | Check::Probe => Ok(()),
+        Check::Block => Err(AttemptError::Quarantined),
+    }
+}
+
+/// Chooses a back end and occupies a slot there in one step, so that concurrent calls see each other's
+/// slots.
+fn start_attempt(
+    cx: &Arc<GatewayContext>,
+    call: &Call,
+    progress: &Progress,
+) -> Result<(RunningAttempt, Duration), AttemptError> {
+    let state = &cx.state;
+    let (prompt_tokens, answer_tokens) = call.head.tokens.unwrap_or_default();
+    let answer_tokens = call
+        .head
+        .length_hint
+        .unwrap_or(answer_tokens)
+        .min(answer_tokens);
+    let ask = PlacementRequest {
+        service: &call.service.name,
+        engine: call.service.engine,
+        parts: &call.head.parts,
+        prompt_tokens,
+        answer_tokens,
+        rank: call.rank(),
+        max_wait: max_wait(call, progress),
+        zone: &state.settings.zone,
+        tried: &progress.tried,
+        software: progress.allowed,
+        shares: shares(state),
+    };
+    let placement = {
+        let mut backends = state.backends.lock();
+        let now = state.now();
+        backends.expire_loads(now);
+        let mut placement = placement::place(
+            &backends,
+            state.regions(),
+            &ask,
+            now,
+            &mut rand::random::<f64>,
+        );
+        if let Placement::Send { place, .. } = &mut placement {
+            let kv_tokens = call.service.engine.map_or(0, |engine| engine.kv_tokens);
+            backends.begin(place, &call.head.parts, u64::from(kv_tokens), now);
+        }
+        placement
+    };
+    match placement {
+        Placement::Send {
+            place, expected, ..
+        } => {
+            let running = RunningAttempt::begin(cx, call, place, expected, progress.is_probe);
+            Ok((running, attempt_timeout(call, progress, expected)))
+        }
+        Placement::Refuse {
+            cause, retry_after, ..
+        } => Err(AttemptError::NoCandidate { cause, retry_after }),
+    }
+}
+
+/// Returns this node's shares in the places of brittle back ends.
+fn shares(state: &GatewayState) -> Shares {
+    let members = state.members.lock();
+    Shares {
+        position: members.position(&state.settings.name),
+        nodes: members.count(),
+    }
+}
+
+/// Returns the longest expected wait at a back end after which the call is still worth to be placed there.
+fn max_wait(call: &Call, progress: &Progress) -> Duration {
+    let longest = call.remaining() / 2;
+    let target_latency = call.route.target_latency;
+    match progress.allowed {
+        // A stream that has begun cannot go on elsewhere.
+        AllowedSoftware::Only(_) => longest,
+        _ if progress.tried.is_empty() => target_latency.mul_f64(MAX_WAIT_FACTOR).min(longest),
+        _ => target_latency.mul_f64(MAX_RETRY_WAIT_FACTOR).min(longest),
+    }
+}
+
+/// Returns the timeout for the response head, after which another back end may be tried.
+pub fn attempt_timeout(call: &Call, progress: &Progress, expected: Duration) -> Duration {
+    let is_last = progress.sends + 1 >= call.max_backends;
+    let suspect_after = expected.mul_f64(ATTEMPT_TIMEOUT_FACTOR);
+    match call.route.kind {
+        _ if is_last => call.remaining(),
+        RouteKind::Idempotent => MIN_ATTEMPT_TIMEOUT.max(suspect_after).min(call.remaining()),
+        RouteKind::Stream { resumable: true } => {
+            MIN_STREAM_TIMEOUT.max(suspect_after).min(call.remaining())
+        }
+        RouteKind::Stream { .. } | RouteKind::AtMostOnce => call.remaining(),
+    }
+}
--- a/src/ops/gateway/peer_forward.rs
+++ b/src/ops/gateway/peer_forward.rs
@@ -13,12 +13,12 @@
 use hyper::{HeaderMap, Request, Response};
 use rand::seq::IndexedRandom;
 
-use super::attempt::{
-    self, AttemptError, BackendResponse, ForwardedBy, GatewayContext, RunningAttempt,
-};
+use super::attempt::{self, AttemptError, BackendResponse, GatewayContext};
 use super::call::Call;
-use super::forward::{self, Progress};
+use super::forward;
+use super::progress::Progress;
 use super::refusal::Body;
+use super::running::{ForwardedBy, RunningAttempt};
 use crate::core::gateway::backends::Outcome;
 use crate::core::gateway::members::Member;
 use crate::core::gateway::reachability::Change;
--- a/src/ops/gateway/record.rs
+++ b/src/ops/gateway/record.rs
@@ -10,12 +10,13 @@
 use hyper::StatusCode;
 use smallvec::SmallVec;
 
-use super::attempt::{AttemptError, RunningAttempt};
+use super::attempt::AttemptError;
 use super::call::Call;
-use super::forward::Progress;
+use super::progress::Progress;
 use super::quarantine;
 use super::refusal::Refusal;
 use super::resume::KnownFrom;
+use super::running::RunningAttempt;
 use super::state::GatewayState;
 use crate::core::gateway::cache::PartId;
 use crate::core::gateway::quota::Shortage;
--- a/src/ops/gateway/stream.rs
+++ b/src/ops/gateway/stream.rs
@@ -15,14 +15,16 @@
 use hyper::{Response, StatusCode};
 use tokio::time::Instant;
 
-use super::attempt::{AttemptError, BackendResponse, GatewayContext, RunningAttempt};
+use super::attempt::{AttemptError, BackendResponse, GatewayContext};
 use super::call::Call;
-use super::forward::{self, Progress};
+use super::forward;
 use super::peer_forward;
 use super::pool::Connection;
+use super::progress::{self, Progress};
 use super::record::{self, CallEnd};
 use super::refusal::{Body, BodyError};
 use super::resume;
+use super::running::RunningAttempt;
 use super::state::GivenUp;
 use crate::core::gateway::backends::Outcome;
 use crate::core::gateway::routes::RouteKind;
@@ -256,7 +258,7 @@
             );
         }
         self.buf.clear();
-        while self.may_resume() && forward::may_retry(&self.cx, &self.call, &self.progress) {
+        while self.may_resume() && progress::may_retry(&self.cx, &self.call, &self.progress) {
             let attempt =
                 forward::try_backend(&self.cx, &self.call, &mut self.progress, self.last_event);
             let deadline = self.call.deadline;
--- a/tests/testsuite/gateway/quarantine.rs
+++ b/tests/testsuite/gateway/quarantine.rs
@@ -8,7 +8,7 @@
 use jayhall::core::gateway::observed::Observer;
 use jayhall::core::gateway::quarantine::{Check, EntryValue, Quarantine, StoreTask};
 use jayhall::core::gateway::suspects::{Suspect, Suspects, parts_of};
-use jayhall::ops::gateway::mesh_wire::LoadSumWire;
+use jayhall::ops::gateway::load_wire::LoadSumWire;
 use prost::Message;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
