Do not refuse a stream's resumption for the quota that it was charged before

A stream was charged in full when it began, and again with each resumption, so that work which had been paid for was given up. A resumption whose origin a node or the store has on record is charged, but may overdraw the customer's rate by 2 s, and later calls wait; one that only claims to resume a stream is charged as new.

The test fails before (429) and passes.

--- a/src/core/gateway/quota.rs
+++ b/src/core/gateway/quota.rs
@@ -37,6 +37,8 @@
 const LOW_LEVEL: f64 = 0.3;
 /// Calls that may arrive at one node at once beyond its share of the burst.
 const BURST_CALLS: f64 = 3.0;
+/// Time for which a customer's rate may be overdrawn by calls that go on with charged work.
+const MAX_OVERDRAFT: Duration = Duration::from_secs(2);
 /// Bounds of the retry delay that a refused caller is given.
 const RETRY_AFTER_BOUNDS: (Duration, Duration) =
     (Duration::from_millis(200), Duration::from_secs(4));
@@ -149,6 +151,33 @@
         units: f64,
         nodes: usize,
         now: Moment,
+    ) -> QuotaDecision {
+        self.charge_above(0.0, customer, quota, units, nodes, now)
+    }
+
+    /// Charges a call that goes on with work which was charged before. It may overdraw the limit, so that the work is
+    /// not lost; later calls wait for longer then.
+    pub fn try_charge_continued(
+        &mut self,
+        customer: &str,
+        quota: &Quota,
+        units: f64,
+        nodes: usize,
+        now: Moment,
+    ) -> QuotaDecision {
+        let lowest = -quota.per_second * MAX_OVERDRAFT.as_secs_f64();
+        self.charge_above(lowest, customer, quota, units, nodes, now)
+    }
+
+    /// Charges a call if the levels of both buckets are above `lowest`.
+    fn charge_above(
+        &mut self,
+        lowest: f64,
+        customer: &str,
+        quota: &Quota,
+        units: f64,
+        nodes: usize,
+        now: Moment,
     ) -> QuotaDecision {
         let peers = self.peers(nodes, now);
         let bucket = self.bucket(customer);
@@ -157,7 +186,7 @@
         bucket.refill_own(quota, units, peers, now);
         bucket.refilled_at = now;
         let level = bucket.level - bucket.estimate_unreported(now);
-        if level > 0.0 && bucket.part_level > 0.0 {
+        if level > lowest && bucket.part_level > lowest {
             // The level may become negative, so that a call larger than the current level is served, too.
             bucket.level -= units;
             bucket.part_level -= units;
--- a/src/ops/gateway/call.rs
+++ b/src/ops/gateway/call.rs
@@ -29,6 +29,15 @@
 /// Number of route ranks within one customer rank.
 const ROUTE_RANK_COUNT: u8 = 3;
 
+/// Whether the work of a call was charged before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Work {
+    /// It is new, as far as is known.
+    New,
+    /// It goes on with a stream that a node has recorded.
+    Continued,
+}
+
 /// A call whose head and body have been read.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -152,12 +161,18 @@
         }
     }
 
+    /// Returns whether the call resumes a stream.
+    pub fn is_resumption(&self) -> bool {
+        let is_resumed = self.head.last_event.is_some() || self.head.resumes.is_some();
+        is_resumed && self.route.kind.is_stream()
+    }
+
     /// Charges the call against its customer's quota.
     ///
     /// # Errors
     ///
     /// Fails if the quota is used up; the call has not run.
-    pub fn charge_quota(&mut self, state: &GatewayState) -> Result<(), Refusal> {
+    pub fn charge_quota(&mut self, state: &GatewayState, work: Work) -> Result<(), Refusal> {
         let Some(customer) = &self.customer else {
             return Ok(());
         };
@@ -167,10 +182,14 @@
         let units = self.units();
         let nodes = state.node_count();
         let now = state.now();
-        let decision = state
-            .quotas
-            .lock()
-            .try_charge(&customer.name, quota, units, nodes, now);
+        let mut quotas = state.quotas.lock();
+        let decision = match work {
+            Work::New => quotas.try_charge(&customer.name, quota, units, nodes, now),
+            Work::Continued => {
+                quotas.try_charge_continued(&customer.name, quota, units, nodes, now)
+            }
+        };
+        drop(quotas);
         match decision {
             QuotaDecision::Within => {
                 self.quota_units = units;
--- a/src/ops/gateway/forward.rs
+++ b/src/ops/gateway/forward.rs
@@ -11,14 +11,14 @@
 use tokio::time::Instant;
 
 use super::attempt::{self, AttemptError, BackendResponse, GatewayContext};
-use super::call::Call;
+use super::call::{Call, Work};
 use super::dialect::CallHead;
 use super::next_hop::{self, Hop};
 use super::peer_forward::{self, ForwardedCall};
 use super::progress::{self, Progress};
 use super::record::{self, CallEnd};
 use super::refusal::{self, Body, Cause, Refusal};
-use super::resume;
+use super::resume::{self, KnownFrom};
 use super::state::GivenUp;
 use super::stream;
 use crate::core::gateway::backends::Outcome;
@@ -66,7 +66,9 @@
     req: Request<Incoming>,
 ) -> Result<Call, Refusal> {
     let mut call = Call::read(&cx.state, head, req).await?;
-    call.charge_quota(&cx.state)?;
+    if !call.is_resumption() {
+        call.charge_quota(&cx.state, Work::New)?;
+    }
     Ok(call)
 }
 
@@ -167,8 +169,8 @@
     call: &mut Call,
     progress: &mut Progress,
 ) -> Result<CallerResponse, Refusal> {
-    if !progress.is_forwarded {
-        progress.allowed = resume::allowed_software(cx, call).await?;
+    if call.is_resumption() && !progress.is_forwarded {
+        prepare_resumption(cx, call, progress).await?;
     }
     loop {
         let next = match try_backend(cx, call, progress, call.head.last_event).await {
@@ -183,6 +185,22 @@
     }
 }
 
+/// Finds out where a resumed stream may go on, and charges the call.
+async fn prepare_resumption(
+    cx: &GatewayContext,
+    call: &mut Call,
+    progress: &mut Progress,
+) -> Result<(), Refusal> {
+    let (software, known_from) = resume::find_origin(cx, call).await?;
+    progress.allowed = AllowedSoftware::Only(software);
+    // Any caller can claim to resume a stream.
+    let work = match known_from {
+        KnownFrom::OnlyVersion => Work::New,
+        KnownFrom::Node | KnownFrom::Keeper | KnownFrom::Archive => Work::Continued,
+    };
+    call.charge_quota(&cx.state, work)
+}
+
 /// Chooses a back end, sends the call to it and waits for the head of the response.
 ///
 /// # Errors
--- a/src/ops/gateway/resume.rs
+++ b/src/ops/gateway/resume.rs
@@ -22,7 +22,7 @@
 use super::refusal::{Cause, Refusal};
 use super::state::GatewayState;
 use crate::core::gateway::routes::{RouteKind, ServiceName};
-use crate::core::gateway::software::{AllowedSoftware, RecentSoftware, SoftwareId};
+use crate::core::gateway::software::{RecentSoftware, SoftwareId};
 use crate::core::gateway::stream_origins::{StreamId, StreamOrigin, stream_id};
 use crate::core::time::Moment;
 use crate::util::query;
@@ -93,26 +93,22 @@
     Archive,
 }
 
-/// Returns the software versions at which a call may be placed. If it resumes a stream, sets its service to the one
-/// that began the stream.
+/// Returns the software version at which a call that resumes a stream goes on, and sets its service to the one that
+/// began the stream.
 ///
 /// # Errors
 ///
-/// Fails if the call resumes a stream that cannot go on; the call has not run.
-pub async fn allowed_software(
+/// Fails if the stream cannot go on; the call has not run.
+pub async fn find_origin(
     cx: &GatewayContext,
     call: &mut Call,
-) -> Result<AllowedSoftware, Refusal> {
-    let is_resumed = call.head.last_event.is_some() || call.head.resumes.is_some();
-    if !is_resumed || !call.route.kind.is_stream() {
-        return Ok(AllowedSoftware::Any);
-    }
+) -> Result<(SoftwareId, KnownFrom), Refusal> {
     for lookup in 1..=LOOKUPS {
         match look_up(cx, call).await {
             Lookup::Found(software, service, known_from) => {
                 record::resumed(&cx.state, call, known_from);
                 set_service(&cx.state, call, &service);
-                return Ok(AllowedSoftware::Only(software));
+                return Ok((software, known_from));
             }
             Lookup::Lost => return Err(Refusal::not_run(Cause::StreamLost)),
             Lookup::NotYet if lookup < LOOKUPS => tokio::time::sleep(LOOKUP_PAUSE).await,
@@ -311,9 +307,8 @@
 /// Records that the first event of a call's stream was passed on, and where it is from. Other nodes are told if the
 /// caller may resume it.
 pub fn note_begun(cx: &GatewayContext, call: &Call, software: Option<SoftwareId>) {
-    let is_new = call.head.last_event.is_none() && call.head.resumes.is_none();
     let is_resumable = call.route.kind == RouteKind::Stream { resumable: true };
-    let (Some(software), true) = (software, is_new && is_resumable) else {
+    let (Some(software), true) = (software, is_resumable && !call.is_resumption()) else {
         return;
     };
     let origin = StreamOrigin {
--- a/tests/testsuite/gateway/software_versions.rs
+++ b/tests/testsuite/gateway/software_versions.rs
@@ -174,6 +174,33 @@
     assert_eq!(first.runs() + second.runs(), 16);
 }
 
+#[tokio::test]
+async fn a_stream_that_was_charged_is_resumed_though_its_customer_has_used_up_the_quota() {
+    let fixture = Fixture::new();
+    let quota = r#""apiKeys":["k1"],"ratePerS":1,"burst":1"#;
+    let config = config(1).replace(r#""apiKeys":["k1"]"#, quota);
+    fixture.put("op/config", config).await;
+    spawn_listed(&fixture, "b0", complete(), FIRST).await;
+    let node = ready_node(&fixture, "n1", "z1").await;
+    begin(&fixture, &node, "a1").await;
+    let mut new_calls = 0;
+    while stream(&fixture, &node, "new")
+        .send()
+        .await
+        .unwrap()
+        .status()
+        == 200
+    {
+        new_calls += 1;
+        assert!(new_calls < 10, "the quota is not used up");
+    }
+    let res = resumed(&fixture, &node, "a1").send().await.unwrap();
+    assert_eq!(read(res).await, (EVENTS as usize - 10, true));
+    // Who only claims to resume a stream is refused.
+    let res = resumed(&fixture, &node, "unheard-of").send().await.unwrap();
+    assert_eq!(res.status(), 429);
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_whose_software_version_has_left_is_refused_at_once_and_for_good() {
     let fixture = fixture().await;
