Let a leaving node read the call of a connection that has just been opened

Cause: connections that a leaving node accepts are told to finish at once, and hyper closes a connection that is told so before it has seen a byte. A call that arrives a moment after its connection, as over any real link, was not read; without load it had mostly arrived. Callers may repeat such a call, but it is a failed attempt, in the 2.5 s in which the node is to serve callers that learn late that it leaves.

A leaving node now waits for the first byte of a new connection, 1 s at most, and reads what has arrived before it tells the connection to finish.

--- a/src/ops/gateway/listen.rs
+++ b/src/ops/gateway/listen.rs
@@ -33,6 +33,8 @@
 const DIRECTORY_TTL: Duration = Duration::from_secs(2);
 /// Nodes without a message for this long are left out of the directory.
 const NODE_TIMEOUT: Duration = Duration::from_millis(2200);
+/// Time within which a caller sends its call on a connection that it opens to a leaving node.
+const FIRST_BYTES_TIMEOUT: Duration = Duration::from_secs(1);
 /// Pause after `accept` fails.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 /// Size limit for the head of a call, whatever operators configure.
@@ -99,6 +101,9 @@
     if let Err(e) = stream.set_nodelay(true) {
         tracing::debug!(error = %e, "failed to set socket options");
     }
+    if *listening.borrow() >= Listening::Finishing {
+        wait_for_first_bytes(&stream).await;
+    }
     let idle = idle_timeout_for(&purpose);
     let service = service_fn(move |req| {
         let purpose = purpose.clone();
@@ -111,6 +116,8 @@
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let finished = tokio::select! {
+        // Reads a call that has arrived before the connection is told to finish.
+        biased;
         ended = connection.as_mut() => Some(ended),
         () = wait_for_state(&mut listening, Listening::Finishing) => None,
     };
@@ -126,6 +133,16 @@
     }
 }
 
+/// Waits until a caller has sent something. A connection that is told to finish before that would close at once, although
+/// its caller is about to send a call.
+async fn wait_for_first_bytes(stream: &TcpStream) {
+    match tokio::time::timeout(FIRST_BYTES_TIMEOUT, stream.peek(&mut [0])).await {
+        Ok(Ok(_)) => {}
+        Ok(Err(e)) => tracing::debug!(error = %e, "connection of a caller failed"),
+        Err(_) => tracing::debug!("caller sent nothing on a new connection"),
+    }
+}
+
 /// Waits until `listening` has reached a state. A dropped sender counts as having reached it.
 async fn wait_for_state(listening: &mut watch::Receiver<Listening>, state: Listening) {
     let _ = listening.wait_for(|now| *now >= state).await;
--- a/tests/testsuite/gateway/serving.rs
+++ b/tests/testsuite/gateway/serving.rs
@@ -272,6 +272,24 @@
     assert!(served > 10, "{served}");
 }
 
+#[tokio::test]
+async fn a_leaving_node_reads_a_call_that_arrives_a_moment_after_its_connection() {
+    let done = Behaviour::Answer(200, "done");
+    let (_fixture, mut node, _backends) = fixture_with_node("plain", &[done]).await;
+    let gateway = node.gateway.take().unwrap();
+    let stop = tokio::spawn(gateway.leave());
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let address = node.settings.listen.callers;
+    let mut stream = tokio::net::TcpStream::connect(address).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let call = "GET /get/x HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k1\r\n\r\n";
+    stream.write_all(call.as_bytes()).await.unwrap();
+    let mut text = String::new();
+    stream.read_to_string(&mut text).await.unwrap();
+    assert!(text.starts_with("HTTP/1.1 200"), "{text:?}");
+    stop.await.unwrap();
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn calls_that_outlast_a_planned_stop_are_answered_before_its_end() {
     // The settings of the fixture allow 4 s for a stop.
