Do not forward a stream whose software version is not known

A stream that began at a back end whose entry names no version may go on nowhere. A node that was cut off when it broke sent it on through another node nevertheless, as if it had not begun: the header for 'any version' stood for 'unknown', too. The other node had a back end run it in vain; callers saw nothing of it, as this node passes on no event of another version.

Such a call is not forwarded any more, and a forwarded call carries a version or none, so that 'unknown' cannot be said. The same function adds the header to the call and to its answer.

a_stream_of_unknown_software_is_not_sent_on_... fails without the check: a back end gets the call with the id of its last event.

--- a/src/core/gateway/software.rs
+++ b/src/core/gateway/software.rs
@@ -42,6 +42,14 @@
 }
 
 impl AllowedSoftware {
+    /// Returns the version, if only one is allowed.
+    pub fn only(self) -> Option<SoftwareId> {
+        match self {
+            Self::Only(only) => Some(only),
+            Self::Any | Self::Unknown => None,
+        }
+    }
+
     /// Returns whether a call may be placed at a version.
     pub fn allows(self, software: Option<SoftwareId>) -> bool {
         match self {
--- a/src/ops/gateway/forward.rs
+++ b/src/ops/gateway/forward.rs
@@ -89,14 +89,14 @@
         }
     };
     call.max_backends = call.max_backends.min(forwarded.max_sends);
-    if let AllowedSoftware::Only(software) = forwarded.allowed {
-        resume::set_service_with(&cx.state, &mut call, software);
-    }
-    let progress = Progress {
+    let mut progress = Progress {
         is_forwarded: true,
-        allowed: forwarded.allowed,
         ..Progress::default()
     };
+    if let Some(software) = forwarded.software {
+        resume::set_service_with(&cx.state, &mut call, software);
+        progress.allowed = AllowedSoftware::Only(software);
+    }
     run(cx, call, progress, active).await
 }
 
@@ -233,7 +233,7 @@
             progress.forwards += 1;
             let forwarded = ForwardedCall {
                 max_sends: call.max_backends.saturating_sub(progress.sends).max(1),
-                allowed: progress.allowed,
+                software: progress.allowed.only(),
             };
             let timeout = next_hop::attempt_timeout(call, progress, call.route.target_latency);
             // The node may send it to all back ends that are left.
--- a/src/ops/gateway/peer_forward.rs
+++ b/src/ops/gateway/peer_forward.rs
@@ -28,12 +28,10 @@
 
 /// In a forwarded call: number of back ends to which it may be sent.
 const MAX_SENDS: HeaderName = HeaderName::from_static("jayhall-max-sends");
-/// In a forwarded call: software version at which its stream may go on. In the answer: that of the back end.
+/// In a forwarded call: software version at which its stream goes on. In the answer: that of the back end.
 const SOFTWARE: HeaderName = HeaderName::from_static("jayhall-software");
 /// In the refusal of a forwarded call: whether the call may have run.
 const VERDICT: HeaderName = HeaderName::from_static("jayhall-verdict");
-/// Value of [`SOFTWARE`] if the stream has not begun.
-const ANY_SOFTWARE: &str = "any";
 
 /// Number of nodes through which a call is forwarded, one after the other.
 const MAX_FORWARDS: u32 = 2;
@@ -49,8 +47,8 @@
 pub struct ForwardedCall {
     /// Number of back ends to which it may be sent.
     pub max_sends: u32,
-    /// Software versions at which its stream may begin or go on.
-    pub allowed: AllowedSoftware,
+    /// Software version at which its stream goes on; `None` if it has not begun.
+    pub software: Option<SoftwareId>,
 }
 
 /// Returns the node through which a call is to be forwarded instead of being sent to a back end, if this node is cut
@@ -78,6 +76,9 @@
 }
 
 fn any_node(cx: &GatewayContext, progress: &Progress) -> Option<Member> {
+    if progress.allowed == AllowedSoftware::Unknown {
+        return None;
+    }
     if progress.is_forwarded || progress.forwards >= MAX_FORWARDS {
         return None;
     }
@@ -136,19 +137,11 @@
     let dialect = &cx.state.dialect;
     let mut headers = dialect.node_head(&call.headers, call.remaining(), last_event);
     headers.insert(MAX_SENDS, forwarded.max_sends.into());
-    let software = match forwarded.allowed {
-        AllowedSoftware::Only(software) => software_value(software),
-        AllowedSoftware::Any | AllowedSoftware::Unknown => HeaderValue::from_static(ANY_SOFTWARE),
-    };
-    headers.insert(SOFTWARE, software);
+    mark_software(&mut headers, forwarded.software);
     *req.headers_mut() = headers;
     req
 }
 
-fn software_value(software: SoftwareId) -> HeaderValue {
-    HeaderValue::from_str(&format!("{software:x}")).expect("a hexadecimal number is a header value")
-}
-
 fn software(headers: &HeaderMap) -> Option<SoftwareId> {
     let text = headers.get(SOFTWARE)?.to_str().ok()?;
     SoftwareId::from_str_radix(text, 16).ok()
@@ -170,13 +163,13 @@
 /// Serves a call that another node forwards.
 pub async fn serve(cx: Arc<GatewayContext>, mut req: Request<Incoming>) -> Response<Body> {
     let headers = req.headers_mut();
-    let allowed = software(headers).map_or(AllowedSoftware::Any, AllowedSoftware::Only);
+    let software = software(headers);
     let max_sends = headers.remove(MAX_SENDS);
     let max_sends = max_sends.and_then(|value| value.to_str().ok()?.parse().ok());
     headers.remove(SOFTWARE);
     let forwarded = ForwardedCall {
         max_sends: max_sends.unwrap_or(1),
-        allowed,
+        software,
     };
     forward::serve_forwarded(cx, req, forwarded).await
 }
@@ -187,10 +180,15 @@
     res.headers_mut().insert(VERDICT, value);
 }
 
-/// Adds to the stream of a forwarded call which software version began it or goes on with it.
-pub fn mark_stream(headers: &mut HeaderMap, software: Option<SoftwareId>) {
+/// Adds the software version that began a stream, or goes on with it, to the headers of a forwarded call or of its
+/// answer.
+pub fn mark_software(headers: &mut HeaderMap, software: Option<SoftwareId>) {
     if let Some(software) = software {
-        headers.insert(SOFTWARE, software_value(software));
+        let value = HeaderValue::from_str(&format!("{software:x}"));
+        headers.insert(
+            SOFTWARE,
+            value.expect("a hexadecimal number is a header value"),
+        );
     }
 }
 
--- a/src/ops/gateway/stream.rs
+++ b/src/ops/gateway/stream.rs
@@ -99,7 +99,7 @@
     headers.remove(CONTENT_LENGTH);
     peer_forward::strip(&mut headers);
     if progress.is_forwarded {
-        peer_forward::mark_stream(&mut headers, response.running.software_id());
+        peer_forward::mark_software(&mut headers, response.running.software_id());
     }
     let relay = StreamRelay {
         last_event: call.head.last_event,
--- a/tests/testsuite/gateway/cut_nodes.rs
+++ b/tests/testsuite/gateway/cut_nodes.rs
@@ -250,6 +250,55 @@
     assert_eq!(text, expected);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_of_unknown_software_is_not_sent_on_through_another_node() {
+    let events = Behaviour::Events {
+        to: 350,
+        ends_normally: true,
+    };
+    let fleet = Fleet::start("llm", &events).await;
+    let unnamed = |index: usize, state: &str| {
+        let address = fleet.backends[index].address;
+        let entry = format!(
+            r#"{{"service":"llm","address":"{address}","zone":"z1","slots":8,"state":"{state}","born":1}}"#
+        );
+        (format!("servers/b{index}"), entry)
+    };
+    for index in 0..BACKENDS {
+        let (key, entry) = unnamed(index, "ready");
+        fleet.fixture.put(&key, entry).await;
+    }
+    let mut links = fleet.links().await;
+    let addresses: Vec<SocketAddr> = links.iter().map(Link::address).collect();
+    let cut = fleet.node_reaching("n1", "z1", &addresses).await;
+    let _sound = fleet.sound_node("n2", "z2").await;
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    let stream = numbered_call(&fleet.fixture, &cut, "/long/x");
+    let deadline = [(
+        "x-jayhall-deadline-ms".parse().unwrap(),
+        "8000".parse().unwrap(),
+    )];
+    let stream = stream.headers(hyper::HeaderMap::from_iter(deadline));
+    let res = stream.send().await.unwrap();
+    let runs = fleet.backends.iter().map(FakeBackend::runs);
+    let streaming = runs.collect::<Vec<_>>().iter().position(|runs| *runs == 1);
+    let streaming = streaming.expect("a back end sends the stream");
+    // Its back end leaves, the others are cut off, and the node notices that before the stream breaks.
+    let (key, entry) = unnamed(streaming, "draining");
+    fleet.fixture.put(&key, entry).await;
+    let last = links.remove(streaming);
+    drop(links);
+    for _ in 0..2 {
+        let call = numbered_call(&fleet.fixture, &cut, "/resume/x");
+        call.send().await.unwrap().text().await.unwrap_err();
+    }
+    drop(last);
+    res.text().await.unwrap_err();
+    let seen = fleet.backends.iter().flat_map(|b| b.seen.lock().clone());
+    let mut resumed = seen.filter(|call| call.headers.contains_key("last-event-id"));
+    assert!(resumed.next().is_none());
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn nodes_that_are_all_cut_off_refuse_calls_at_once_instead_of_passing_them_to_and_fro() {
     let fleet = Fleet::start("plain", &DONE).await;
