Compute the shares in brittle back ends only for brittle services

Every placement locked the list of nodes and compared all their names to find this node's position, also where no back end is brittle: work on the path of each call that grows with the fleet. The request of a placement now has shares only if the service is brittle, and the placement does not look that up itself. The pause after a rejection is set by record_pause, which had a copy in record_brittle.

Behaviour is as before; the tests of placement and of brittle back ends pass. The requests of the former have no shares, as no back end is brittle there.

--- a/src/core/gateway/backends/mod.rs
+++ b/src/core/gateway/backends/mod.rs
@@ -358,8 +358,8 @@
     /// Records that an answer of a back end said that it is brittle, and whether it rejected the call. Returns whether
     /// this is new of its service.
     pub fn record_brittle(&mut self, backend: &Backend, is_rejected: bool, now: Moment) -> bool {
-        if let Some(entry) = self.same_process(backend).filter(|_| is_rejected) {
-            entry.paused_until = entry.paused_until.max(now + REJECTED_PAUSE);
+        if is_rejected {
+            self.record_pause(backend, REJECTED_PAUSE, now);
         }
         self.brittle.record(&backend.service, now)
     }
--- a/src/core/gateway/placement.rs
+++ b/src/core/gateway/placement.rs
@@ -74,8 +74,8 @@
     pub tried: &'a [BackendId],
     /// Software versions at which its stream may begin or go on.
     pub software: AllowedSoftware,
-    /// This node's shares in the places of brittle back ends.
-    pub shares: Shares,
+    /// This node's shares in the places of the back ends, if these are brittle.
+    pub shares: Option<Shares>,
 }
 
 /// Why a call is refused.
@@ -134,12 +134,11 @@
     now: Moment,
     draw: &mut dyn FnMut() -> f64,
 ) -> Placement {
-    let is_brittle = backends.is_brittle(ask.service, now);
     let candidates: SmallVec<[&Entry; 32]> = backends
         .of_service(ask.service)
         .filter(|entry| entry.is_open(now) && !ask.tried.contains(&entry.backend.id))
         .filter(|entry| allows_software(ask, entry))
-        .filter(|entry| !is_brittle || has_room(ask, entry))
+        .filter(|entry| ask.shares.is_none_or(|shares| has_room(shares, entry)))
         .collect();
     let preferred = preferred_engine(&candidates, ask);
     let best = candidates
@@ -267,10 +266,10 @@
     }
 }
 
-fn has_room(ask: &PlacementRequest<'_>, entry: &Entry) -> bool {
+fn has_room(shares: Shares, entry: &Entry) -> bool {
     let Backend { id, slots, .. } = &*entry.backend;
     let known = entry.load().calls;
-    ask.shares.has_room(id, *slots, entry.own.calls, known)
+    shares.has_room(id, *slots, entry.own.calls, known)
 }
 
 fn allows_software(ask: &PlacementRequest<'_>, entry: &Entry) -> bool {
--- a/src/ops/gateway/next_hop.rs
+++ b/src/ops/gateway/next_hop.rs
@@ -128,7 +128,7 @@
         zone: &state.settings.zone,
         tried: &progress.tried,
         software: progress.allowed,
-        shares: shares(state),
+        shares: shares(state, &call.service.name),
     };
     let placement = {
         let mut backends = state.backends.lock();
@@ -160,13 +160,16 @@
     }
 }
 
-/// Returns this node's shares in the places of brittle back ends.
-fn shares(state: &GatewayState) -> Shares {
+/// Returns this node's shares in the places of a service's back ends, if these are brittle.
+fn shares(state: &GatewayState, service: &str) -> Option<Shares> {
+    if !state.backends.lock().is_brittle(service, state.now()) {
+        return None;
+    }
     let members = state.members.lock();
-    Shares {
+    Some(Shares {
         position: members.position(&state.settings.name),
         nodes: members.count(),
-    }
+    })
 }
 
 /// Returns the longest expected wait at a back end after which the call is still worth to be placed there.
--- a/tests/testsuite/gateway/placement.rs
+++ b/tests/testsuite/gateway/placement.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use jayhall::core::gateway::backends::{Backend, Backends, CallPlace, Outcome, short_name};
-use jayhall::core::gateway::brittle::Shares;
 use jayhall::core::gateway::cache::Part;
 use jayhall::core::gateway::load::Load;
 use jayhall::core::gateway::placement::{self, Placement, PlacementRequest, RefusalCause, Regions};
@@ -62,10 +61,7 @@
         zone: "r1",
         tried: &[],
         software: AllowedSoftware::Any,
-        shares: Shares {
-            position: 0,
-            nodes: 1,
-        },
+        shares: None,
     }
 }
 
