Look up the service of a resumed stream and record received origins in one place each

Which service of a route has a software version was looked up by two functions of resume.rs, one of which carried its name to a third that set it. One function now finds and sets it. An origin that arrives is converted from the wire in one place instead of three, and recorded where a node asks for it, not only where it asks the keepers. The copies on GatewayState, in a file that is not about that state, are gone, and a datagram locks the origins once.

Behaviour is as before but for one thing: an origin that the store had is now remembered by the node that asked, too, and not only by the one that read it.

--- a/src/ops/gateway/mesh/receive.rs
+++ b/src/ops/gateway/mesh/receive.rs
@@ -38,8 +38,14 @@
         for sum in datagram.sums {
             self.handle_zone_sum(sum);
         }
-        self.state.record_origins(&datagram.origins);
-        self.state.archive_origins(&datagram.archived_origins);
+        let now = self.state.now();
+        let mut origins = self.state.origins.lock();
+        for origin in &datagram.origins {
+            origins.record(origin.received(now));
+        }
+        for origin in &datagram.archived_origins {
+            origins.archive(origin.received(now));
+        }
     }
 
     fn handle_report(&self, report: &ReportWire) {
--- a/src/ops/gateway/mesh_wire.rs
+++ b/src/ops/gateway/mesh_wire.rs
@@ -6,6 +6,7 @@
 use crate::core::gateway::members::StoreKnowledge;
 use crate::core::gateway::quota::ZoneTotals;
 use crate::core::gateway::stream_origins::StreamOrigin;
+use crate::core::time::Moment;
 use crate::sources::store::Revision;
 
 /// One datagram.
@@ -164,6 +165,17 @@
     }
 }
 
+impl StreamOriginWire {
+    /// Returns the origin, which was received at `at`.
+    pub fn received(&self, at: Moment) -> StreamOrigin {
+        StreamOrigin {
+            stream: self.stream,
+            software: self.software,
+            at,
+        }
+    }
+}
+
 impl From<StreamOrigin> for StreamOriginWire {
     fn from(origin: StreamOrigin) -> Self {
         Self {
--- a/src/ops/gateway/origin_archive.rs
+++ b/src/ops/gateway/origin_archive.rs
@@ -19,7 +19,7 @@
 use super::register::Registration;
 use super::state::GatewayState;
 use crate::core::gateway::members::Member;
-use crate::core::gateway::stream_origins::{StreamOrigin, StreamOrigins};
+use crate::core::gateway::stream_origins::StreamOrigin;
 use crate::core::time::Moment;
 use crate::sources::store::{LeaseId, Op, RangeRequest, Result, Store, Transaction};
 
@@ -79,7 +79,10 @@
             match SegmentWire::decode(&item.value[..]) {
                 Ok(segment) => {
                     count += segment.origins.len();
-                    self.state.record_origins(&segment.origins);
+                    let mut known = self.state.origins.lock();
+                    for origin in &segment.origins {
+                        known.record(origin.received(now));
+                    }
                 }
                 Err(e) => {
                     tracing::warn!(key = &*item.key, error = %e, "cannot decode origins of streams");
@@ -143,7 +146,10 @@
         let mut origins = state.origins.lock();
         let begun: Vec<StreamOrigin> = origins.begun_since(since).copied().collect();
         if archivist.is_none() {
-            archive(&mut origins, &begun, state.now());
+            let at = state.now();
+            for origin in &begun {
+                origins.archive(StreamOrigin { at, ..*origin });
+            }
         }
         begun
     };
@@ -152,13 +158,6 @@
     }
 }
 
-/// Records origins that this node is to write, as of `now`.
-fn archive(known: &mut StreamOrigins, origins: &[StreamOrigin], at: Moment) {
-    for origin in origins {
-        known.archive(StreamOrigin { at, ..*origin });
-    }
-}
-
 /// Writes the segments with origins that were recorded at `since` or later.
 async fn write(
     state: &GatewayState,
@@ -197,31 +196,3 @@
     }
     segments
 }
-
-impl GatewayState {
-    /// Records origins of streams that other nodes began and this node is to write to the store.
-    pub fn archive_origins(&self, origins: &[StreamOriginWire]) {
-        let at = self.now();
-        let mut known = self.origins.lock();
-        for origin in origins {
-            known.archive(StreamOrigin {
-                stream: origin.stream,
-                software: origin.software,
-                at,
-            });
-        }
-    }
-
-    /// Records origins of streams that other nodes began.
-    pub fn record_origins(&self, origins: &[StreamOriginWire]) {
-        let at = self.now();
-        let mut known = self.origins.lock();
-        for origin in origins {
-            known.record(StreamOrigin {
-                stream: origin.stream,
-                software: origin.software,
-                at,
-            });
-        }
-    }
-}
--- a/src/ops/gateway/resume.rs
+++ b/src/ops/gateway/resume.rs
@@ -21,7 +21,8 @@
 use super::record;
 use super::refusal::{Cause, Refusal};
 use super::state::GatewayState;
-use crate::core::gateway::routes::{RouteKind, ServiceName};
+use crate::core::gateway::members::Member;
+use crate::core::gateway::routes::RouteKind;
 use crate::core::gateway::software::{RecentSoftware, SoftwareId};
 use crate::core::gateway::stream_origins::{StreamId, StreamOrigin, stream_id};
 use crate::core::time::Moment;
@@ -65,8 +66,8 @@
 
 /// What is known of the origin of a stream.
 enum Lookup {
-    /// It began at this software version of this service.
-    Found(SoftwareId, ServiceName, KnownFrom),
+    /// It began at this software version.
+    Found(SoftwareId, KnownFrom),
     /// It will never be known.
     Lost,
     /// It may still become known.
@@ -105,15 +106,19 @@
 ) -> Result<(SoftwareId, KnownFrom), Refusal> {
     for lookup in 1..=LOOKUPS {
         match look_up(cx, call).await {
-            Lookup::Found(software, service, known_from) => {
-                record::resumed(&cx.state, call, known_from);
-                set_service(&cx.state, call, &service);
-                return Ok((software, known_from));
+            Lookup::Found(software, known_from) => {
+                if set_service_with(&cx.state, call, software) {
+                    record::resumed(&cx.state, call, known_from);
+                    return Ok((software, known_from));
+                }
+                // Another node has seen this version listed.
             }
             Lookup::Lost => return Err(Refusal::not_run(Cause::StreamLost)),
-            Lookup::NotYet if lookup < LOOKUPS => tokio::time::sleep(LOOKUP_PAUSE).await,
             Lookup::NotYet => {}
         }
+        if lookup < LOOKUPS {
+            tokio::time::sleep(LOOKUP_PAUSE).await;
+        }
     }
     Err(Refusal::retry_later(Cause::StreamUnknown, RETRY_AFTER))
 }
@@ -122,7 +127,7 @@
     let state = &cx.state;
     let stream = call.head.resumes.as_deref().map(stream_id);
     if let Some(Kept::At(software)) = stream.map(|stream| kept_here(state, stream)) {
-        return found(state, call, software, KnownFrom::Node);
+        return Lookup::Found(software, KnownFrom::Node);
     }
     let kept = match stream {
         Some(stream) => ask_keepers(cx, stream).await,
@@ -131,9 +136,9 @@
     let services = call.route.targets.iter().map(|target| &target.service);
     let recent = state.software.lock().recent(services, state.now());
     match (kept, recent) {
-        (Kept::At(software), _) => found(state, call, software, KnownFrom::Keeper),
+        (Kept::At(software), _) => Lookup::Found(software, KnownFrom::Keeper),
         (_, RecentSoftware::One(software)) if is_view_fresh(state) => {
-            found(state, call, software, KnownFrom::OnlyVersion)
+            Lookup::Found(software, KnownFrom::OnlyVersion)
         }
         (_, RecentSoftware::Several) => {
             let archived = match stream {
@@ -141,7 +146,7 @@
                 None => Kept::Nowhere,
             };
             match (archived, kept) {
-                (Kept::At(software), _) => found(state, call, software, KnownFrom::Archive),
+                (Kept::At(software), _) => Lookup::Found(software, KnownFrom::Archive),
                 (Kept::Nowhere, Kept::Nowhere) => Lookup::Lost,
                 _ => Lookup::NotYet,
             }
@@ -157,66 +162,35 @@
     age.is_some_and(|age| age <= state.settings.bounds.drain)
 }
 
-fn found(state: &GatewayState, call: &Call, software: SoftwareId, known_from: KnownFrom) -> Lookup {
+/// Sets the service of a call to the one that has a software version. Returns whether its route has that service, as
+/// far as this node knows.
+pub fn set_service_with(state: &GatewayState, call: &mut Call, software: SoftwareId) -> bool {
     let services = call.route.targets.iter().map(|target| &target.service);
-    match state.software.lock().service_with(software, services) {
-        Some(service) => Lookup::Found(software, service.clone(), known_from),
-        // Another node has seen this version listed.
-        None => Lookup::NotYet,
-    }
-}
-
-/// Sets the service of a call to the one that has a software version, if its route has that service.
-pub fn set_service_with(state: &GatewayState, call: &mut Call, software: SoftwareId) {
-    let route = std::sync::Arc::clone(&call.route);
-    let services = route.targets.iter().map(|target| &target.service);
-    let service = state
-        .software
-        .lock()
-        .service_with(software, services)
-        .cloned();
+    let known = state.software.lock();
+    let Some(name) = known.service_with(software, services) else {
+        return false;
+    };
+    let table = state.table();
+    let service = table.and_then(|table| table.services.get(name).cloned());
     if let Some(service) = service {
-        set_service(state, call, &service);
-    }
-}
-
-fn set_service(state: &GatewayState, call: &mut Call, service: &str) {
-    let known = state
-        .table()
-        .and_then(|table| table.services.get(service).cloned());
-    if let Some(service) = known {
         call.service = service;
     }
+    true
 }
 
-/// Asks the nodes that may keep the origin of a stream. Records it at this node, too.
+/// Asks the nodes that may keep the origin of a stream.
 async fn ask_keepers(cx: &GatewayContext, stream: StreamId) -> Kept {
-    let state = &cx.state;
-    let asked = keepers(state, stream, ASKED, |member| member.control);
-    if asked.is_empty() && state.node_count() > 1 {
+    let asked = keepers(&cx.state, stream, ASKED, |member| member.control);
+    if asked.is_empty() && cx.state.node_count() > 1 {
         return Kept::NotKnown;
     }
     let answers = asked
         .into_iter()
         .map(|control| ask(cx, control, stream, Question::Memory));
     let answers = join_all(answers).await;
-    let kept = answers.iter().find_map(|answer| match answer {
-        Kept::At(software) => Some(*software),
-        Kept::Nowhere | Kept::NotKnown => None,
-    });
-    if let Some(software) = kept {
-        let at = state.now();
-        state.origins.lock().record(StreamOrigin {
-            stream,
-            software,
-            at,
-        });
-        return Kept::At(software);
-    }
-    match answers.contains(&Kept::NotKnown) {
-        true => Kept::NotKnown,
-        false => Kept::Nowhere,
-    }
+    let kept_at = answers.iter().find(|kept| matches!(kept, Kept::At(_)));
+    let not_known = answers.iter().find(|kept| **kept == Kept::NotKnown);
+    *kept_at.or(not_known).unwrap_or(&Kept::Nowhere)
 }
 
 /// Returns an address of each node other than this one that keeps the origin of a stream.
@@ -224,7 +198,7 @@
     state: &GatewayState,
     stream: StreamId,
     count: usize,
-    address: impl Fn(&crate::core::gateway::members::Member) -> T,
+    address: impl Fn(&Member) -> T,
 ) -> Vec<T> {
     let own = &state.settings.name;
     let members = state.members.lock();
@@ -233,6 +207,7 @@
     others.map(address).collect()
 }
 
+/// Asks a node for the origin of a stream. Records it at this node, too.
 async fn ask(
     cx: &GatewayContext,
     control: SocketAddr,
@@ -254,7 +229,10 @@
     match asked.await {
         Ok(None) => Kept::Nowhere,
         Ok(Some(text)) => match SoftwareId::from_str_radix(&text, 16) {
-            Ok(software) => Kept::At(software),
+            Ok(software) => {
+                record_origin(&cx.state, stream, software);
+                Kept::At(software)
+            }
             Err(e) => {
                 tracing::warn!(peer = %control, error = %e, "cannot decode the origin of a stream");
                 Kept::NotKnown
@@ -267,6 +245,16 @@
     }
 }
 
+fn record_origin(state: &GatewayState, stream: StreamId, software: SoftwareId) {
+    let at = state.now();
+    let origin = StreamOrigin {
+        stream,
+        software,
+        at,
+    };
+    state.origins.lock().record(origin);
+}
+
 /// Returns what this node knows of the origin of a stream, for another node. `query` names the stream, and whether the
 /// store is to be read if this node does not keep the origin.
 pub async fn respond(cx: &GatewayContext, query: &str) -> Kept {
