Decide whose turn it is to write to the store in one place

The records of software versions copied the loop of the quarantine: leave a write to the nodes that watch the store for 2 s, then write it anyway. Both use WriteTurn now; the rule and the 2 s stand once. Jitter and backoff stay with each, as they differ. Behaviour is as before; the tests of the quarantine, of crashing prompts and requests and of software versions pass.

--- a/src/ops/gateway/mod.rs
+++ b/src/ops/gateway/mod.rs
@@ -44,3 +44,4 @@
 pub mod state;
 pub mod stream;
 pub mod view;
+pub mod write_turn;
--- a/src/ops/gateway/quarantine.rs
+++ b/src/ops/gateway/quarantine.rs
@@ -6,22 +6,21 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
+use super::keys;
 use super::state::GatewayState;
-use super::{keys, relay};
+use super::write_turn::WriteTurn;
 use crate::core::gateway::cache::PartId;
 use crate::core::gateway::crashes::CrashCause;
 use crate::core::gateway::quarantine::{EntryId, EntryValue, StoreTask};
 use crate::core::gateway::request_id::RequestId;
 use crate::core::gateway::suspects::{Suspect, Suspects, parts_of, request_of};
-use crate::core::time::{Moment, UnixMillis};
+use crate::core::time::UnixMillis;
 use crate::sources::store::{Compare, Condition, KeyRange, KeyValue, Op, Result, Revision};
 use crate::sources::store::{Store, StoreError, Transaction};
 use crate::util::time::as_millis_u64;
 
 /// Interval between two searches for causes of crashes.
 const ROUND_INTERVAL: Duration = Duration::from_millis(200);
-/// Time for which new entries are left to the nodes that watch the store, so that not all nodes write them.
-const FOLLOWER_DELAY: Duration = Duration::from_secs(2);
 /// Upper bound of the jitter before a node writes to the store.
 const MAX_WRITE_JITTER: Duration = Duration::from_millis(150);
 /// Pause after a round with writes, within which they arrive in this node's view of the store.
@@ -71,17 +70,11 @@
 /// Searches for causes of crashes and writes the quarantine to the store until the task is dropped.
 pub async fn run(state: Arc<GatewayState>, store: Arc<dyn Store>) {
     let mut backoff = INITIAL_BACKOFF;
-    let mut pending_since = None;
+    let mut turn = WriteTurn::default();
     loop {
         tokio::time::sleep(ROUND_INTERVAL).await;
         find_causes(&state);
-        if !has_tasks(&state) {
-            pending_since = None;
-            continue;
-        }
-        let since: Moment = *pending_since.get_or_insert(state.now());
-        let pending_for = state.now().saturating_sub(since);
-        if relay::is_follower(&state) && pending_for < FOLLOWER_DELAY {
+        if !turn.has_come(&state, has_tasks(&state)) {
             continue;
         }
         tokio::time::sleep(MAX_WRITE_JITTER.mul_f64(rand::random())).await;
--- a/src/ops/gateway/software.rs
+++ b/src/ops/gateway/software.rs
@@ -4,16 +4,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::keys;
 use super::state::{GatewayState, Phase};
-use super::{keys, relay};
+use super::write_turn::WriteTurn;
 use crate::core::gateway::software::{RecordTask, SoftwareVersion};
-use crate::core::time::Moment;
-use crate::sources::store::{KeyValue, Result, Store, StoreError, Transaction};
+use crate::sources::store::{KeyValue, Result, Revision, Store, StoreError, Transaction};
 
 /// Interval between two comparisons of the records with the registry.
 const ROUND_INTERVAL: Duration = Duration::from_millis(200);
-/// Time for which a record is left to the nodes that watch the store, so that not all nodes write it.
-const FOLLOWER_DELAY: Duration = Duration::from_secs(2);
 /// Upper bound of the jitter before a node writes to the store.
 const MAX_WRITE_JITTER: Duration = Duration::from_millis(100);
 /// Pause after a failed write.
@@ -23,17 +21,11 @@
 
 /// Maintains the records until the task is dropped.
 pub async fn run(state: Arc<GatewayState>, store: Arc<dyn Store>) {
-    let mut pending_since = None;
+    let mut turn = WriteTurn::default();
     loop {
         tokio::time::sleep(ROUND_INTERVAL).await;
         let tasks = due_tasks(&state);
-        if tasks.is_empty() {
-            pending_since = None;
-            continue;
-        }
-        let since: Moment = *pending_since.get_or_insert(state.now());
-        let pending_for = state.now().saturating_sub(since);
-        if relay::is_follower(&state) && pending_for < FOLLOWER_DELAY {
+        if !turn.has_come(&state, !tasks.is_empty()) {
             continue;
         }
         tokio::time::sleep(MAX_WRITE_JITTER.mul_f64(rand::random())).await;
@@ -67,7 +59,7 @@
     let put = Transaction::compare_and_swap(&keys::software(&task.service), task.revision, text);
     let reply = store.transact(put).await?;
     if reply.succeeded {
-        apply(state, &task.service, task.versions, &reply.revision);
+        apply(state, &task.service, task.versions, reply.revision);
         return Ok(());
     }
     match reply.found().and_then(|found| found.first()) {
@@ -87,7 +79,7 @@
 /// Applies the record of a service in the store.
 pub fn put_record(state: &GatewayState, service: &str, item: &KeyValue) {
     match serde_json::from_slice::<BTreeSet<SoftwareVersion>>(&item.value) {
-        Ok(versions) => apply(state, service, versions, &item.mod_revision),
+        Ok(versions) => apply(state, service, versions, item.mod_revision),
         Err(e) => {
             tracing::warn!(service, error = %e, "cannot decode the software versions of a service");
         }
@@ -107,7 +99,7 @@
     state: &GatewayState,
     service: &str,
     versions: BTreeSet<SoftwareVersion>,
-    revision: &crate::sources::store::Revision,
+    revision: Revision,
 ) {
     tracing::info!(
         service,
@@ -117,5 +109,5 @@
     );
     let now = state.now();
     let mut software = state.software.lock();
-    software.apply_record(service, versions, *revision, now);
+    software.apply_record(service, versions, revision, now);
 }
