Send forwarded calls and calls to back ends by the same code, and note reachability apart

The forwarding through another node had its own copies of the request and of the exchange with a timeout, and began the accounting of a call twice: without the back end's software version, and with it once the answer was there. Both use request and exchange of attempt.rs now, and the accounting begins with the answer. What a node notes of its reachability, and the probe, are a module of their own (reach); the back ends that accept calls, which three places filtered for themselves, come from Backends::accepting.

Behaviour is as before; the tests of cut nodes, serving, streams and raw answers pass.

--- a/src/core/gateway/backends/mod.rs
+++ b/src/core/gateway/backends/mod.rs
@@ -240,6 +240,12 @@
             .filter_map(|id| self.entries.get(id))
     }
 
+    /// Returns the back ends of a service that accept calls of this node, whether or not it reaches them.
+    pub fn accepting(&self, service: &str, now: Moment) -> impl Iterator<Item = &Entry> {
+        self.of_service(service)
+            .filter(move |entry| entry.accepts(now))
+    }
+
     /// Adds a call to the load and the prompt cache of its back end, and charges it to the back end's limit.
     pub fn begin(&mut self, place: &mut CallPlace, parts: &[Part], cache_tokens: u64, now: Moment) {
         let Some(entry) = self.same_process(&place.backend) else {
--- a/src/node/gateway.rs
+++ b/src/node/gateway.rs
@@ -18,9 +18,7 @@
 use crate::ops::gateway::pool::BackendPool;
 use crate::ops::gateway::register::Registration;
 use crate::ops::gateway::state::{GatewayState, Phase};
-use crate::ops::gateway::{
-    follow_store, install, peer_forward, quarantine, resume, snapshot, software,
-};
+use crate::ops::gateway::{follow_store, install, quarantine, reach, resume, snapshot, software};
 use crate::sources::store::Store;
 use crate::util::settings::GatewaySettings;
 
@@ -142,7 +140,7 @@
             tokio::spawn(snapshot::run(Arc::clone(&state), Arc::clone(&mesh), peers));
             mesh
         };
-        tokio::spawn(peer_forward::probe(Arc::clone(&cx)));
+        tokio::spawn(reach::probe(Arc::clone(&cx)));
         tokio::spawn(run_maintenance(cx, metrics));
         tracing::info!(
             node = &*state.settings.name,
--- a/src/ops/gateway/attempt.rs
+++ b/src/ops/gateway/attempt.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::{HeaderMap, Request, StatusCode};
@@ -12,8 +13,8 @@
 use super::call::Call;
 use super::dialect::{ForwardMetadata, ResponseHead};
 use super::origin_archive::OriginArchive;
-use super::peer_forward;
 use super::pool::{BackendPool, Connection, SendError};
+use super::reach;
 use super::running::RunningAttempt;
 use super::state::GatewayState;
 use crate::core::gateway::backends::Outcome;
@@ -126,12 +127,12 @@
     last_event: Option<u64>,
     timeout: Duration,
 ) -> Result<BackendResponse, AttemptError> {
-    let result = exchange(cx, call, &running, last_event, timeout).await;
+    let result = send_to_backend(cx, call, &running, last_event, timeout).await;
     let (connection, res) = match result {
         Ok(answered) => answered,
         Err(e) => {
             if matches!(e, AttemptError::Send(SendError::NotReached { .. })) {
-                peer_forward::note_unreached(cx, &call.service.name, running.backend());
+                reach::note_unreached(cx, &call.service.name, running.backend());
             }
             running.set_outcome(match e {
                 AttemptError::NotAccepting { .. } | AttemptError::Quarantined => Outcome::Declined,
@@ -141,7 +142,7 @@
             return Err(e);
         }
     };
-    peer_forward::note_reached(cx, &call.service.name);
+    reach::note_reached(cx, &call.service.name);
     receive(cx, call, running, connection, res)
 }
 
@@ -250,7 +251,7 @@
     }
 }
 
-async fn exchange(
+async fn send_to_backend(
     cx: &Arc<GatewayContext>,
     call: &Call,
     running: &RunningAttempt,
@@ -271,23 +272,6 @@
         cx.pool.release(connection, None);
         return Err(AttemptError::Quarantined);
     }
-    let req = build_request(cx, call, running, last_event);
-    let timed_out = |_| AttemptError::ResponseTimeout {
-        backend: running.backend().into(),
-        after: timeout,
-    };
-    let res = tokio::time::timeout(timeout, connection.send(req))
-        .await
-        .map_err(timed_out)??;
-    Ok((connection, res))
-}
-
-fn build_request(
-    cx: &GatewayContext,
-    call: &Call,
-    running: &RunningAttempt,
-    last_event: Option<u64>,
-) -> Request<Full<bytes::Bytes>> {
     let send = ForwardMetadata {
         backend: running.backend(),
         deadline: call.remaining(),
@@ -295,15 +279,42 @@
         rank: call.rank(),
         last_event,
     };
+    let headers = cx.state.dialect.forward_head(&call.headers, &send);
+    let req = request(call, headers);
+    let res = exchange(&mut connection, req, running.backend(), timeout).await?;
+    Ok((connection, res))
+}
+
+/// Sends a request to a back end or node and waits up to `timeout` for the head of the response.
+///
+/// # Errors
+///
+/// Fails if there is no response.
+pub async fn exchange(
+    connection: &mut Connection,
+    req: Request<Full<Bytes>>,
+    receiver: &str,
+    timeout: Duration,
+) -> Result<hyper::Response<Incoming>, AttemptError> {
+    let timed_out = |_| AttemptError::ResponseTimeout {
+        backend: receiver.into(),
+        after: timeout,
+    };
+    let answered = tokio::time::timeout(timeout, connection.send(req)).await;
+    Ok(answered.map_err(timed_out)??)
+}
+
+/// Returns the request of a call with these headers.
+pub fn request(call: &Call, headers: HeaderMap) -> Request<Full<Bytes>> {
     let mut req = Request::new(Full::new(call.body.clone()));
     *req.method_mut() = call.method.clone();
     *req.uri_mut() = path_of(call);
-    *req.headers_mut() = cx.state.dialect.forward_head(&call.headers, &send);
+    *req.headers_mut() = headers;
     req
 }
 
 /// Returns path and query of a call; scheme and authority of an absolute-form target are dropped.
-pub fn path_of(call: &Call) -> hyper::Uri {
+fn path_of(call: &Call) -> hyper::Uri {
     match call.uri.path_and_query() {
         Some(path) => hyper::Uri::from(path.clone()),
         None => call.uri.clone(),
--- a/src/ops/gateway/mod.rs
+++ b/src/ops/gateway/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! - [`listen`], [`forward`], [`progress`], [`next_hop`], [`attempt`], [`running`], [`stream`], [`pool`]: the data
 //!   path of a call;
-//! - [`peer_forward`]: calls that reach back ends only through another node;
+//! - [`peer_forward`], [`reach`]: calls that reach back ends only through another node;
 //! - [`follow_store`], [`register`], [`mesh`], [`snapshot`], [`relay`], [`install`]: replication of the
 //!   store's contents and of load, usage and liveness between nodes;
 //! - [`duties`]: work that is done by one elected node on behalf of all;
@@ -33,6 +33,7 @@
 pub mod pool;
 pub mod progress;
 pub mod quarantine;
+pub mod reach;
 pub mod record;
 pub mod refusal;
 pub mod register;
--- a/src/ops/gateway/peer_forward.rs
+++ b/src/ops/gateway/peer_forward.rs
@@ -7,7 +7,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{HeaderMap, Request, Response};
@@ -18,10 +17,9 @@
 use super::forward;
 use super::progress::Progress;
 use super::refusal::Body;
-use super::running::{ForwardedBy, RunningAttempt};
-use crate::core::gateway::backends::Outcome;
+use super::running::RunningAttempt;
+use crate::core::gateway::backends::Entry;
 use crate::core::gateway::members::Member;
-use crate::core::gateway::reachability::Change;
 use crate::core::gateway::software::{AllowedSoftware, SoftwareId};
 use crate::core::time::Moment;
 use crate::core::verdict::Verdict;
@@ -39,8 +37,6 @@
 const MAX_UNREACHED_DIRECTLY: usize = 2;
 /// Time without a message of a node after which no calls are forwarded through it.
 const NODE_TIMEOUT: Moment = Moment::from_millis(1500);
-/// Interval between two attempts to connect to a back end while the node is cut off.
-const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 
 /// What a node that forwards a call says of it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -69,8 +65,8 @@
     let is_suspect = {
         let now = cx.state.now();
         let backends = cx.state.backends.lock();
-        let mut entries = backends.of_service(&call.service.name);
-        entries.any(|entry| entry.accepts(now) && entry.is_suspect())
+        let mut accepting = backends.accepting(&call.service.name, now);
+        accepting.any(Entry::is_suspect)
     };
     is_suspect.then(|| any_node(cx, progress)).flatten()
 }
@@ -102,44 +98,31 @@
     last_event: Option<u64>,
     timeout: Duration,
 ) -> Result<BackendResponse, AttemptError> {
-    let mut running = RunningAttempt::begin_forwarded(cx, call, node);
     let at_most_once = !call.route.kind.may_repeat();
     let mut connection = cx.pool.acquire(node.control, at_most_once).await?;
-    let req = request(cx, call, forwarded, last_event);
-    let timed_out = |_| AttemptError::ResponseTimeout {
-        backend: node.name.clone(),
-        after: timeout,
-    };
-    let answered = tokio::time::timeout(timeout, connection.send(req)).await;
-    let res = answered.map_err(timed_out)??;
+    let req = attempt::request(call, node_headers(cx, call, forwarded, last_event));
+    let res = attempt::exchange(&mut connection, req, &node.name, timeout).await?;
     if let Some(verdict) = refusal_verdict(res.headers()) {
         return Err(AttemptError::NodeRefused {
             node: node.name.clone(),
             verdict,
         });
     }
-    running.set_outcome(Outcome::Answered);
-    running.set_forwarded_by(ForwardedBy {
-        software: software(res.headers()),
-    });
+    let running = RunningAttempt::begin_forwarded(cx, call, node, software(res.headers()));
     attempt::receive(cx, call, running, connection, res)
 }
 
-fn request(
+fn node_headers(
     cx: &GatewayContext,
     call: &Call,
     forwarded: ForwardedCall,
     last_event: Option<u64>,
-) -> Request<Full<bytes::Bytes>> {
-    let mut req = Request::new(Full::new(call.body.clone()));
-    *req.method_mut() = call.method.clone();
-    *req.uri_mut() = attempt::path_of(call);
+) -> HeaderMap {
     let dialect = &cx.state.dialect;
     let mut headers = dialect.node_head(&call.headers, call.remaining(), last_event);
     headers.insert(MAX_SENDS, forwarded.max_sends.into());
     mark_software(&mut headers, forwarded.software);
-    *req.headers_mut() = headers;
-    req
+    headers
 }
 
 fn software(headers: &HeaderMap) -> Option<SoftwareId> {
@@ -196,63 +179,3 @@
 pub fn strip(headers: &mut HeaderMap) {
     headers.remove(SOFTWARE);
 }
-
-/// Records that a back end was reached.
-pub fn note_reached(cx: &GatewayContext, service: &str) {
-    if cx.state.reach.lock().record_reached(service) == Change::Regained {
-        cx.state.backends.lock().reset_backoff(service);
-        tracing::info!(dependency = "back ends", service, "dependency reached");
-    }
-}
-
-/// Records that no connection to a back end could be made.
-pub fn note_unreached(cx: &GatewayContext, service: &str, backend: &str) {
-    let now = cx.state.now();
-    let listed = {
-        let backends = cx.state.backends.lock();
-        let accepting = backends.of_service(service);
-        accepting.filter(|entry| entry.accepts(now)).count()
-    };
-    let mut reach = cx.state.reach.lock();
-    if reach.record_unreached(service, backend, listed.max(1)) == Change::CutOff {
-        drop(reach);
-        tracing::warn!(
-            dependency = "back ends",
-            service,
-            backend,
-            listed,
-            "dependency lost; other nodes forward the calls of this one"
-        );
-    }
-}
-
-/// Tries to connect to back ends from which this node is cut off until the task is dropped.
-pub async fn probe(cx: Arc<GatewayContext>) {
-    loop {
-        tokio::time::sleep(PROBE_INTERVAL).await;
-        let services: Vec<_> = cx.state.reach.lock().cut_off().cloned().collect();
-        for service in services {
-            probe_service(&cx, &service).await;
-        }
-    }
-}
-
-async fn probe_service(cx: &GatewayContext, service: &str) {
-    let address = {
-        let now = cx.state.now();
-        let backends = cx.state.backends.lock();
-        let accepting = backends.of_service(service);
-        let addresses: Vec<_> = accepting
-            .filter(|entry| entry.accepts(now))
-            .map(|entry| entry.backend.address)
-            .collect();
-        addresses.choose(&mut rand::rng()).copied()
-    };
-    let Some(address) = address else {
-        return;
-    };
-    match cx.pool.connect(address).await {
-        Ok(()) => note_reached(cx, service),
-        Err(e) => tracing::debug!(service, error = %e, "back ends still not reached"),
-    }
-}
--- a/src/ops/gateway/running.rs
+++ b/src/ops/gateway/running.rs
@@ -85,8 +85,14 @@
         }
     }
 
-    /// Begins a call that another node forwards to a back end.
-    pub fn begin_forwarded(cx: &Arc<GatewayContext>, call: &Call, node: &Member) -> Self {
+    /// Accounts for a call that another node has forwarded to a back end.
+    /// Its answer names the back end's software version, if that is known.
+    pub fn begin_forwarded(
+        cx: &Arc<GatewayContext>,
+        call: &Call,
+        node: &Member,
+        software: Option<SoftwareId>,
+    ) -> Self {
         // Stands for the back end, which is not known. No back end has this name.
         let backend = Backend {
             id: node.name.clone(),
@@ -113,17 +119,12 @@
             is_probe: false,
             is_cleared: true,
             expected: Duration::ZERO,
-            outcome: Outcome::Declined,
+            outcome: Outcome::Answered,
             customer: None,
-            forwarded_by: Some(ForwardedBy { software: None }),
+            forwarded_by: Some(ForwardedBy { software }),
         }
     }
 
-    /// Sets what the node through which the call is forwarded said of the back end.
-    pub fn set_forwarded_by(&mut self, forwarded_by: ForwardedBy) {
-        self.forwarded_by = Some(forwarded_by);
-    }
-
     /// Returns whether another node forwards the call.
     pub fn is_forwarded(&self) -> bool {
         self.forwarded_by.is_some()
