Decide in one place which nodes are able to take on a job of the fleet

keepers had a copy of the rule of largest_in_zone: this node, and others that are ready and not silent. Behaviour is as before; the tests of nodes, call limits and software versions pass.

--- a/src/core/gateway/members.rs
+++ b/src/core/gateway/members.rs
@@ -147,10 +147,8 @@
         silence: Moment,
     ) -> SmallVec<[&Member; 2]> {
         let mut in_zone: Vec<&Member> = self.iter().filter(|m| &*m.zone == zone).collect();
-        let is_able =
-            |m: &Member| &*m.name == own || (m.is_ready && !self.is_silent(&m.name, now, silence));
-        if in_zone.iter().any(|m| is_able(m)) {
-            in_zone.retain(|m| is_able(m));
+        if in_zone.iter().any(|m| self.is_able(m, own, now, silence)) {
+            in_zone.retain(|m| self.is_able(m, own, now, silence));
         }
         in_zone.sort_unstable_by_key(|m| (Reverse(m.capacity), &m.name));
         in_zone.into_iter().take(count).collect()
@@ -167,9 +165,8 @@
         now: Moment,
         silence: Moment,
     ) -> SmallVec<[&Member; 4]> {
-        let is_able =
-            |m: &&Member| &*m.name == own || (m.is_ready && !self.is_silent(&m.name, now, silence));
-        let mut ranked: Vec<&Member> = self.iter().filter(is_able).collect();
+        let able = self.iter().filter(|m| self.is_able(m, own, now, silence));
+        let mut ranked: Vec<&Member> = able.collect();
         ranked.sort_by_cached_key(|m| Reverse(cells::weight_of(job, &m.name)));
         let mut keepers: SmallVec<[&Member; 4]> = SmallVec::new();
         let mut others = Vec::new();
@@ -295,6 +292,12 @@
         self.nodes.len().max(1)
     }
 
+    /// Returns whether a node is `own`, or is ready and not silent.
+    fn is_able(&self, member: &Member, own: &str, now: Moment, silence: Moment) -> bool {
+        let is_silent = || self.is_silent(&member.name, now, silence);
+        *member.name == *own || (member.is_ready && !is_silent())
+    }
+
     /// Returns the position of node `own` among all nodes, in the order of their names.
     pub fn position(&self, own: &str) -> usize {
         self.nodes.keys().filter(|name| ***name < *own).count()
