Share the member of a played fleet and the check of a final refusal in tests

Two copies each. The assertions are the same: status 400 within the same time; the member is that of the tests of call limits, and the count of keepers is indexed by its incarnation, which begins at 0 there.

--- a/tests/testsuite/gateway/call_limits.rs
+++ b/tests/testsuite/gateway/call_limits.rs
@@ -7,10 +7,10 @@
 use hyper::StatusCode;
 use jayhall::core::gateway::backends::Backend;
 use jayhall::core::gateway::call_limit::{CallLimit, SenderChoice};
-use jayhall::core::gateway::members::{Capacity, Member, Members};
+use jayhall::core::gateway::members::Members;
 use jayhall::core::gateway::placement::Regions;
 
-use super::fixture::{Behaviour, FakeBackend, Fixture, Node, config};
+use super::fixture::{Behaviour, FakeBackend, Fixture, Node, config, member};
 
 /// Time after a back end's first answer with its limit from which the bound holds.
 const KNOWN_WITHIN: Duration = Duration::from_secs(4);
@@ -174,21 +174,6 @@
     }
 }
 
-fn member(index: usize) -> Member {
-    let address = std::net::SocketAddr::from(([127, 0, 0, 1], 1));
-    Member {
-        name: format!("n{index}").into(),
-        region: "r".into(),
-        zone: format!("z{}", index % 6).into(),
-        callers: address,
-        peers: address,
-        control: address,
-        incarnation: index as u64,
-        is_ready: true,
-        capacity: Capacity::default(),
-    }
-}
-
 fn limited_backend() -> Backend {
     Backend {
         id: "b0".into(),
--- a/tests/testsuite/gateway/fixture.rs
+++ b/tests/testsuite/gateway/fixture.rs
@@ -17,6 +17,7 @@
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use jayhall::core::gateway::members::{Capacity, Member};
 use jayhall::core::gateway::scaling::Order;
 use jayhall::core::gateway::usage::{Counts, Window};
 use jayhall::node::{Gateway, Platform};
@@ -638,3 +639,19 @@
     };
     headers.iter().map(pair).collect()
 }
+
+/// Returns the node `n<index>` of a played fleet in six availability zones.
+pub(super) fn member(index: usize) -> Member {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    Member {
+        name: format!("n{index}").into(),
+        region: "r".into(),
+        zone: format!("z{}", index % 6).into(),
+        callers: address,
+        peers: address,
+        control: address,
+        incarnation: index as u64,
+        is_ready: true,
+        capacity: Capacity::default(),
+    }
+}
--- a/tests/testsuite/gateway/software_history.rs
+++ b/tests/testsuite/gateway/software_history.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use jayhall::core::gateway::members::{Capacity, Member, Members};
+use jayhall::core::gateway::members::{Member, Members};
 use jayhall::core::gateway::software::{
     RecentSoftware, STREAM_LIFETIME, SoftwareHistory, software_id,
 };
@@ -11,6 +11,8 @@
 use jayhall::core::time::Moment;
 use jayhall::sources::store::Revision;
 
+use super::fixture::member;
+
 const SECOND: Duration = Duration::from_secs(1);
 
 fn services() -> [Box<str>; 1] {
@@ -99,21 +101,6 @@
     assert_eq!(origins.get(stream), None);
 }
 
-fn member(index: usize) -> Member {
-    let address = "127.0.0.1:1".parse().unwrap();
-    Member {
-        name: format!("n{index}").into(),
-        region: "r".into(),
-        zone: format!("z{}", index % 6).into(),
-        callers: address,
-        peers: address,
-        control: address,
-        incarnation: index as u64 + 1,
-        is_ready: true,
-        capacity: Capacity::default(),
-    }
-}
-
 #[test]
 fn keepers_are_of_different_zones_evenly_chosen_and_change_only_with_lost_nodes() {
     let nodes = 295;
@@ -134,7 +121,7 @@
         let zones: BTreeSet<_> = keepers.iter().map(|keeper| &keeper.zone).collect();
         assert_eq!(zones.len(), 3);
         for keeper in keepers {
-            counts[keeper.incarnation as usize - 1] += 1;
+            counts[keeper.incarnation as usize] += 1;
         }
     }
     assert!(counts.iter().all(|count| *count <= 40), "{counts:?}");
--- a/tests/testsuite/gateway/software_versions.rs
+++ b/tests/testsuite/gateway/software_versions.rs
@@ -115,6 +115,15 @@
     (text.matches("\n\n").count(), ended_normally)
 }
 
+/// Checks that a call which resumes a stream is refused at once, with a status after which callers do not repeat it.
+async fn assert_refused_for_good(fixture: &Fixture, node: &Node, attempt: &str) {
+    let started = Instant::now();
+    let res = resumed(fixture, node, attempt).send().await.unwrap();
+    let took = started.elapsed();
+    assert_eq!(res.status(), 400, "{attempt}");
+    assert!(took < REFUSED_WITHIN, "{took:?}");
+}
+
 #[tokio::test]
 async fn a_stream_that_breaks_off_does_not_go_on_at_another_software_version() {
     let fixture = fixture().await;
@@ -213,15 +222,7 @@
     fixture.remove("servers/b0").await;
     tokio::time::sleep(LISTED_WITHIN).await;
     for (node, attempt) in [(&node, "a1"), (&other_node, "a1"), (&node, "unheard-of")] {
-        let started = Instant::now();
-        let res = resumed(&fixture, node, attempt).send().await.unwrap();
-        // A status after which callers do not repeat the call.
-        assert_eq!(res.status(), 400, "{attempt}");
-        assert!(
-            started.elapsed() < REFUSED_WITHIN,
-            "{:?}",
-            started.elapsed()
-        );
+        assert_refused_for_good(&fixture, node, attempt).await;
     }
     assert_eq!(total_runs(&others), 0);
     // Without the id of its last event the call is a new one.
@@ -276,14 +277,7 @@
     expire_nodes(&fixture).await;
     let node = ready_node(&fixture, "n3", "z1").await;
     for attempt in ["a1", "unheard-of"] {
-        let started = Instant::now();
-        let res = resumed(&fixture, &node, attempt).send().await.unwrap();
-        assert_eq!(res.status(), 400, "{attempt}");
-        assert!(
-            started.elapsed() < REFUSED_WITHIN,
-            "{:?}",
-            started.elapsed()
-        );
+        assert_refused_for_good(&fixture, &node, attempt).await;
     }
     assert_eq!(total_runs(&others), 0);
 }
