Begin a forwarded stream only at the version that its head names

A node that is cut off records as the origin of a forwarded stream the software version that the other node's head names. If that back end broke off before its first event, the other node sent the call to any other, as retries before an event may go anywhere, but its head had gone. The first node then took the stream's events for those of the named version, and resumed it there later: events of two versions (ORDER).

Cause: the version was said with the head and decided with the first event. For a forwarded stream the head decides now. The first event of a response, not the state of the version, makes it the beginning that is recorded.

--- a/src/ops/gateway/stream.rs
+++ b/src/ops/gateway/stream.rs
@@ -90,7 +90,7 @@
 pub(super) fn respond<A: Send + 'static>(
     cx: Arc<GatewayContext>,
     call: Call,
-    progress: Progress,
+    mut progress: Progress,
     mut response: Box<BackendResponse>,
     active: A,
 ) -> Response<Body> {
@@ -99,7 +99,10 @@
     headers.remove(CONTENT_LENGTH);
     peer_forward::strip(&mut headers);
     if progress.is_forwarded {
-        peer_forward::mark_software(&mut headers, response.running.software_id());
+        // The other node records the version that the head names, so that no other may send the first event.
+        let software = response.running.software_id();
+        peer_forward::mark_software(&mut headers, software);
+        progress.allowed = software.map_or(progress.allowed, AllowedSoftware::Only);
     }
     let relay = StreamRelay {
         last_event: call.head.last_event,
@@ -225,13 +228,15 @@
             return true;
         }
         let software = source.running.software_id();
-        if self.progress.allowed == AllowedSoftware::Any {
+        if !self.progress.allowed.allows(software) {
+            return false;
+        }
+        if self.first_event_after.is_none() {
             self.progress.allowed =
                 software.map_or(AllowedSoftware::Unknown, AllowedSoftware::Only);
             resume::note_begun(&self.cx, &self.call, software);
-            return true;
         }
-        self.progress.allowed.allows(software)
+        true
     }
 
     /// Returns whether the caller has received an event, from this response or from the one that it resumes.
--- a/tests/testsuite/gateway/cut_nodes.rs
+++ b/tests/testsuite/gateway/cut_nodes.rs
@@ -250,6 +250,51 @@
     assert_eq!(text, expected);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_forwarded_stream_is_not_resumed_at_a_version_that_sent_none_of_its_events() {
+    let complete = Behaviour::Events {
+        to: 40,
+        ends_normally: true,
+    };
+    let breaks_before_an_event = Behaviour::Events {
+        to: 0,
+        ends_normally: false,
+    };
+    let fleet = Fleet::start("llm", &complete).await;
+    let first = &fleet.backends[0];
+    first.set(breaks_before_an_event);
+    let list = async |index: usize, zone: &str, version: &str| {
+        let address = fleet.backends[index].address;
+        let entry = format!(
+            r#"{{"service":"llm","address":"{address}","zone":"{zone}","slots":8,"state":"ready","born":1,"version":"{version}"}}"#
+        );
+        fleet.fixture.put(&format!("servers/b{index}"), entry).await;
+    };
+    // The other node prefers the back end that breaks off.
+    list(0, "z2", "v1").await;
+    for index in 1..BACKENDS {
+        list(index, "z3", "v2").await;
+    }
+    let refused: SocketAddr = "127.0.0.1:1".parse().unwrap();
+    let cut = fleet.node_reaching("n1", "z1", &[refused; BACKENDS]).await;
+    let _sound = fleet.sound_node("n2", "z2").await;
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    let begin = numbered_call(&fleet.fixture, &cut, "/long/x");
+    let begin = begin.headers(hyper::HeaderMap::from_iter([(
+        "x-jayhall-attempt-id".parse().unwrap(),
+        "s".parse().unwrap(),
+    )]));
+    let begun = begin.send().await.unwrap().bytes().await;
+    assert_eq!(first.runs(), 1);
+    first.set(complete);
+    let resumed = numbered_call(&fleet.fixture, &cut, "/long/x");
+    let resumed = resumed.header("resumes", "s").header("last-event-id", "10");
+    let resumed = resumed.send().await.unwrap().bytes().await;
+    let has_events = begun.is_ok_and(|text| !text.is_empty());
+    let is_joined = has_events && resumed.is_ok() && first.runs() > 1;
+    assert!(!is_joined, "events of both versions");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_stream_of_unknown_software_is_not_sent_on_through_another_node() {
     let events = Behaviour::Events {
