--- a/review/standins/src/bin/other_software.rs
+++ b/review/standins/src/bin/other_software.rs
@@ -244,6 +244,9 @@
     machines.iter_mut().for_each(Machine::start);
     if !machines.iter().all(|m| m.wait_ready(Duration::from_secs(15))) {
         record.say("the gateways don't become ready");
+        drop(engines);
+        drop(machines);
+        fleet::clean_up();
         std::process::exit(2);
     }
     record.say("gateways are ready");
--- a/review/standins/src/bin/stale_order.rs
+++ b/review/standins/src/bin/stale_order.rs
@@ -83,6 +83,8 @@
     machines.iter_mut().for_each(Machine::start);
     if !machines.iter().all(|m| m.wait_ready(Duration::from_secs(15))) {
         record.say("the gateways don't become ready");
+        drop(machines);
+        fleet::clean_up();
         std::process::exit(2);
     }
     record.say("gateways are ready");
@@ -152,6 +154,8 @@
     }
     if highest.is_empty() || (has_trouble() && cut.is_none()) {
         record.say("no holder has acted");
+        drop(machines);
+        fleet::clean_up();
         std::process::exit(2);
     }
     drop(machines);
