--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,5 +3,5 @@
 case_dir=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$case_dir/../.." && pwd)
 cd "$root" || exit 2
-[ -x target/release/jayhalld ] && [ -x target/review/release/stale_order ] || exit 2
-CASE_DIR=$case_dir exec target/review/release/stale_order
+[ -x target/release/jayhalld ] && [ -x target/review/release/endless_head ] || exit 2
+CASE_DIR=$case_dir exec target/review/release/endless_head
