Bound the memory of all bodies together, and keep a body in one buffer

Cause: the bodies of answers and calls were collected as a list of frames, so that a chunk of one byte cost some 40 bytes, and the limits counted data only. Nothing bounded what all bodies hold together. The buffer of a stream's events had no common bound either, and was searched from its start for each chunk.

Change: bodies are read into one buffer whose memory is reserved first, from a quarter of the VM's memory for calls and 0.15 for answers and events. A call that finds none in 0.4 s is refused with Retry-After; the rest of its body is read first, so that its caller gets the answer. New setting [gateway] memory.

--- a/src/ops/gateway/call.rs
+++ b/src/ops/gateway/call.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, Request, Uri};
 use tokio::time::Instant;
 
+use super::body_memory::{self, ReadError};
 use super::dialect::CallHead;
 use super::record;
 use super::refusal::{Cause, Refusal};
@@ -26,6 +26,12 @@
 const RESPONSE_MARGIN: Duration = Duration::from_millis(30);
 /// `Retry-After` while the node has no configuration, or the configuration has no such service.
 const STARTUP_RETRY_AFTER: Duration = Duration::from_millis(400);
+/// Time for which a call waits for memory for its body.
+const MEMORY_WAIT: Duration = Duration::from_millis(400);
+/// `Retry-After` of a call for whose body there was no memory.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(1000);
+/// Time within which the body of a refused call arrives.
+const DISCARD_TIME: Duration = Duration::from_secs(1);
 /// Number of route ranks within one customer rank.
 const ROUTE_RANK_COUNT: u8 = 3;
 
@@ -102,7 +108,7 @@
         let deadline = stop_by.map_or(deadline, |stop| deadline.min(stop));
         let max_body = table.limits.body_bytes;
         let (parts, body) = req.into_parts();
-        let body = read_body(body, max_body, deadline).await?;
+        let body = read_body(state, body, max_body, deadline).await?;
         let path = parts.uri.path_and_query();
         let id = request_id(
             parts.method.as_str(),
@@ -240,17 +246,29 @@
         .ok_or(Refusal::retry_later(Cause::NoBackend, STARTUP_RETRY_AFTER))
 }
 
-async fn read_body(body: Incoming, max: usize, deadline: Instant) -> Result<Bytes, Refusal> {
-    let limited = Limited::new(body, max).collect();
-    match tokio::time::timeout_at(deadline, limited).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.is::<http_body_util::LengthLimitError>() => {
-            Err(Refusal::not_run(Cause::BodyTooLarge))
+async fn read_body(
+    state: &GatewayState,
+    mut body: Incoming,
+    max: usize,
+    deadline: Instant,
+) -> Result<Bytes, Refusal> {
+    let budget = &state.bodies.calls;
+    let read = body_memory::read_body(&mut body, budget, max, MEMORY_WAIT);
+    let Ok(read) = tokio::time::timeout_at(deadline, read).await else {
+        return Err(Refusal::not_run(Cause::BodyIncomplete));
+    };
+    match read {
+        Ok(body) => Ok(body),
+        Err(ReadError::TooLarge { .. }) => Err(Refusal::not_run(Cause::BodyTooLarge)),
+        Err(ReadError::NoMemory) => {
+            let reserved = budget.reserved_bytes();
+            tracing::info!(reserved, "no memory for the body of a call");
+            body_memory::discard_body(&mut body, max, DISCARD_TIME).await;
+            Err(Refusal::retry_later(Cause::NoMemory, MEMORY_RETRY_AFTER))
         }
-        Ok(Err(e)) => {
+        Err(e @ ReadError::Incomplete(_)) => {
             tracing::debug!(error = %e, "failed to read the body of a call");
             Err(Refusal::not_run(Cause::BodyIncomplete))
         }
-        Err(_) => Err(Refusal::not_run(Cause::BodyIncomplete)),
     }
 }
--- a/src/ops/gateway/forward.rs
+++ b/src/ops/gateway/forward.rs
@@ -4,13 +4,12 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use tokio::time::Instant;
 
 use super::attempt::{self, AttemptError, BackendResponse, GatewayContext};
+use super::body_memory::{self, ReadError};
 use super::call::{Call, Work};
 use super::dialect::CallHead;
 use super::next_hop::{self, Hop};
@@ -271,7 +270,7 @@
     let retry = failed
         && call.route.kind == RouteKind::Idempotent
         && progress::may_retry(cx, call, progress);
-    match read_full_response(cx, response).await {
+    match read_full_response(cx, call, response).await {
         Ok(_) if retry => NextStep::TryAnother,
         Ok(res) => NextStep::Respond(CallerResponse::Unary(res)),
         Err(e) => {
@@ -333,25 +332,34 @@
 /// Reads the whole body of a response that is not a stream.
 async fn read_full_response(
     cx: &GatewayContext,
+    call: &Call,
     response: BackendResponse,
 ) -> Result<Response<Body>, AttemptError> {
     let BackendResponse {
         status,
         headers,
         head,
-        body,
+        mut body,
         connection,
         mut running,
     } = response;
     let started = Instant::now();
-    let body: Bytes = match Limited::new(body, MAX_RESPONSE_BYTES).collect().await {
-        Ok(body) => body.to_bytes(),
+    let budget = &cx.state.bodies.answers;
+    // The work has been done, so the answer waits for memory as long as its call may.
+    let wait = call.remaining();
+    let body = match body_memory::read_body(&mut body, budget, MAX_RESPONSE_BYTES, wait).await {
+        Ok(body) => body,
         Err(e) => {
             tracing::debug!(backend = running.backend(), error = %e, "failed to read the body of a response");
-            running.set_outcome(Outcome::BrokeOff);
+            let (outcome, problem) = match e {
+                ReadError::NoMemory => (Outcome::Answered, "there is no memory for it"),
+                ReadError::TooLarge { .. } => (Outcome::BrokeOff, "it is too large"),
+                ReadError::Incomplete(_) => (Outcome::BrokeOff, "it broke off"),
+            };
+            running.set_outcome(outcome);
             return Err(AttemptError::Unusable {
                 backend: running.backend().into(),
-                problem: "it broke off",
+                problem,
             });
         }
     };
--- a/src/ops/gateway/mod.rs
+++ b/src/ops/gateway/mod.rs
@@ -8,11 +8,13 @@
 //!   store's contents and of load, usage and liveness between nodes;
 //! - [`duties`]: work that is done by one elected node on behalf of all;
 //! - [`software`], [`resume`], [`origin_archive`]: the software version at which a broken stream may go on;
+//! - [`body_memory`]: memory for the bodies of calls and answers;
 //! - [`quarantine`]: prompts that crash back ends and are sent to none;
 //! - [`state`]: state of the node that is shared by all of these;
 //! - [`dialect`]: interface that the adapter of a platform implements.
 
 pub mod attempt;
+pub mod body_memory;
 pub mod call;
 pub mod decided_counts;
 pub mod dialect;
--- a/src/ops/gateway/refusal.rs
+++ b/src/ops/gateway/refusal.rs
@@ -31,6 +31,8 @@
     BodyTooLarge,
     /// The request body did not arrive completely.
     BodyIncomplete,
+    /// The node has no memory for the request body.
+    NoMemory,
     /// The customer's quota is used up.
     OverQuota,
     /// There is no back end for the service.
@@ -81,6 +83,7 @@
             Self::UnknownKey => "unknown_key",
             Self::BodyTooLarge => "body_too_large",
             Self::BodyIncomplete => "body_incomplete",
+            Self::NoMemory => "no_memory",
             Self::OverQuota => "over_quota",
             Self::NoBackend => "no_backend",
             Self::Overloaded => "overloaded",
@@ -103,6 +106,7 @@
             Self::UnknownKey => "the key is missing or not known",
             Self::BodyTooLarge => "the body is larger than is allowed",
             Self::BodyIncomplete => "the body did not arrive",
+            Self::NoMemory => "this node is busy with large requests; come back later",
             Self::OverQuota => "the limit of your account is used up; come back later",
             Self::NoBackend => "no back end can be reached at the moment; come back later",
             Self::Overloaded => {
--- a/src/ops/gateway/state.rs
+++ b/src/ops/gateway/state.rs
@@ -9,6 +9,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use super::body_memory::BodyMemory;
 use super::dialect::Dialect;
 use super::view::View;
 use crate::core::gateway::backends::Backends;
@@ -92,6 +93,8 @@
     pub stop_by: watch::Sender<Option<Instant>>,
     /// Phase of the process.
     pub phase: watch::Sender<Phase>,
+    /// Memory for the bodies of calls and answers.
+    pub bodies: BodyMemory,
     /// Calls that are being served.
     pub active: AtomicU64,
     regions: RegionMap,
@@ -114,6 +117,7 @@
     pub fn new(settings: GatewaySettings, dialect: Arc<dyn Dialect>) -> Arc<Self> {
         let regions = RegionMap(settings.regions.clone());
         Arc::new(Self {
+            bodies: BodyMemory::new(settings.memory_bytes),
             settings,
             dialect,
             incarnation: rand::random::<u64>().max(1),
--- a/src/util/settings/gateway.rs
+++ b/src/util/settings/gateway.rs
@@ -8,6 +8,8 @@
 use super::{LOG, LogFormat, LogSettings, NODE, Problems, Reader, Result};
 use crate::util::schema::{KeySpec, SectionSpec, ValueKind};
 
+/// Bytes in a megabyte of memory.
+const BYTES_PER_MB: f64 = 1024.0 * 1024.0;
 /// Allowed range of durations.
 const ANY_DURATION: ValueKind = ValueKind::Time {
     min: Duration::ZERO,
@@ -76,6 +78,12 @@
             "1000",
             "the VM's link to the network, in Mbit/s",
         ),
+        KeySpec::optional(
+            "memory",
+            ValueKind::Decimal,
+            "160",
+            "memory that the process may use, in MB",
+        ),
     ],
 };
 
@@ -162,6 +170,8 @@
     pub cores: f64,
     /// Network bandwidth of the VM, in Mbit/s.
     pub link_mbps: f64,
+    /// Memory that the process may use, in bytes.
+    pub memory_bytes: u64,
     /// Whether the whole system starts for the first time, so that no other node can hold a duty.
     pub is_first_start: bool,
     /// Operational limits.
@@ -261,8 +271,12 @@
         )
     });
     let (seeds, regions, store, cloud, is_first_start) = texts;
-    let (cores, link_mbps) = reader.read_section(&GATEWAY, |fields| {
-        (fields.decimal("cores"), fields.decimal("link"))
+    let (cores, link_mbps, memory_mb) = reader.read_section(&GATEWAY, |fields| {
+        (
+            fields.decimal("cores"),
+            fields.decimal("link"),
+            fields.decimal("memory"),
+        )
     });
     let bounds = reader.read_section(&BOUNDS, |fields| GatewayBounds {
         drain: fields.duration("drain"),
@@ -289,6 +303,7 @@
         cloud,
         cores,
         link_mbps,
+        memory_bytes: (memory_mb * BYTES_PER_MB) as u64,
         is_first_start,
         bounds,
         log,
--- /dev/null
+++ b/tests/testsuite/gateway/body_memory.rs
@@ -0,0 +1,289 @@
+//! Memory that bodies take: in small chunks, without end, and more than fit.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures::StreamExt;
+use futures::future::join_all;
+use futures::stream;
+use hyper::StatusCode;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
+use jayhall::sources::store::{Op, Store, Transaction};
+use jayhall_harness::{GatewaySettingsText, PlatformStoreStandin, Process};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+use super::fixture::{
+    Behaviour, FakeBackend, Fixture, Node, config, default_settings, free_addresses, header_value,
+    numbered_call,
+};
+
+/// Memory for bodies in MB where the settings name none: 0.4 of the 160 MB of the smallest VMs.
+const BODIES_MB: u64 = 64;
+/// Size limit for the bodies of calls.
+const MAX_BODY: usize = 4 * 1024 * 1024;
+
+/// A configuration that allows bodies of [`MAX_BODY`].
+fn config_with_large_bodies() -> String {
+    let limit = format!(r#""maxBodyBytes":{MAX_BODY}"#);
+    let text = config(1).replace(r#""maxBodyBytes":1000"#, &limit);
+    text.replace(r#""timeoutMs":8000"#, r#""timeoutMs":20000"#)
+}
+
+/// Writes `part` over and over as the body of an answer, until the caller closes. Returns its address.
+async fn spawn_endless(status: u16, part: &'static [u8]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(write_endlessly(stream, status, part));
+        }
+    });
+    address
+}
+
+async fn write_endlessly(mut stream: TcpStream, status: u16, part: &'static [u8]) {
+    let mut head = Vec::new();
+    while !head.windows(4).any(|bytes| bytes == b"\r\n\r\n") {
+        if stream.read_buf(&mut head).await.unwrap_or(0) == 0 {
+            return;
+        }
+    }
+    let head = String::from_utf8_lossy(&head).to_lowercase();
+    let name = "x-jayhall-attempt-id:";
+    let line = head.lines().find_map(|line| line.strip_prefix(name));
+    let attempt = line.unwrap_or_default().trim();
+    let answer = format!(
+        "HTTP/1.1 {status} S\r\nX-Jayhall-Attempt-Id: {attempt}\r\nX-Jayhall-Response-Seal: seal\r\nTransfer-Encoding: chunked\r\n\r\n"
+    );
+    let mut written = stream.write_all(answer.as_bytes()).await;
+    let parts = part.repeat(4000);
+    while written.is_ok() {
+        written = stream.write_all(&parts).await;
+    }
+}
+
+/// A gateway in a process of its own.
+struct GatewayProcess {
+    process: Process,
+    callers: SocketAddr,
+    _dir: tempfile::TempDir,
+}
+
+impl GatewayProcess {
+    async fn spawn(store: &PlatformStoreStandin) -> Self {
+        let dir = tempfile::tempdir().unwrap();
+        let listen = free_addresses();
+        let text = GatewaySettingsText {
+            listen,
+            store: store.address(),
+            ..default_settings()
+        };
+        let settings = dir.path().join("node.ini");
+        std::fs::write(&settings, text.render()).unwrap();
+        let program = Path::new(env!("CARGO_BIN_EXE_jayhalld"));
+        let args = [
+            "--gateway".into(),
+            "--settings".into(),
+            settings.display().to_string(),
+        ];
+        let log = dir.path().join("node.log");
+        let process = Process::spawn_logging("n1", program, &args, &log).unwrap();
+        wait_ready(listen[1]).await;
+        Self {
+            process,
+            callers: listen[0],
+            _dir: dir,
+        }
+    }
+
+    /// Returns the most memory that the process has had, in MB.
+    fn peak_mb(&self) -> u64 {
+        let path = PathBuf::from(format!("/proc/{}/status", self.process.id()));
+        let status = std::fs::read_to_string(path).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kb = line.unwrap().trim().trim_end_matches(" kB");
+        kb.parse::<u64>().unwrap() / 1024
+    }
+}
+
+async fn wait_ready(readiness: SocketAddr) {
+    let client = reqwest::Client::new();
+    let url = format!("http://{readiness}/readyz");
+    for _ in 0..500 {
+        let res = client.get(&url).send().await;
+        if res.is_ok_and(|res| res.status() == StatusCode::OK) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    panic!("the process does not become ready");
+}
+
+async fn put(store: &PlatformStoreStandin, key: &str, value: impl Into<Bytes>) {
+    let put = Transaction {
+        then: vec![Op::Put {
+            key: key.into(),
+            value: value.into(),
+            lease: None,
+        }],
+        ..Transaction::default()
+    };
+    store.store().transact(put).await.unwrap();
+}
+
+async fn put_backend(store: &PlatformStoreStandin, service: &str, address: SocketAddr) {
+    let entry = format!(
+        r#"{{"service":"{service}","address":"{address}","zone":"z1","slots":8,"state":"ready","born":1,"version":"v1"}}"#
+    );
+    put(store, &format!("servers/{service}"), entry).await;
+}
+
+/// A body of `len` bytes in chunks of one byte.
+fn single_bytes(len: usize) -> Vec<u8> {
+    let mut bytes = b"1\r\nx\r\n".repeat(len);
+    bytes.extend_from_slice(b"0\r\n\r\n");
+    bytes
+}
+
+/// Sends a chunked call and returns the status line of the answer, if one came within 20 s.
+async fn send_chunked(to: SocketAddr, path: &str, attempt: &str, body: &[u8]) -> Option<String> {
+    let mut stream = TcpStream::connect(to).await.unwrap();
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nhost: h.example\r\nauthorization: Bearer k1\r\nx-jayhall-attempt-id: {attempt}\r\ntransfer-encoding: chunked\r\n\r\n"
+    );
+    let exchanged = async {
+        stream.write_all(head.as_bytes()).await.ok()?;
+        let _ = stream.write_all(body).await;
+        let mut buf = [0; 64];
+        let len = stream.read(&mut buf).await.ok()?;
+        Some(String::from_utf8_lossy(&buf[..len]).into_owned())
+    };
+    let exchanged = tokio::time::timeout(Duration::from_secs(20), exchanged);
+    exchanged.await.ok().flatten()
+}
+
+/// Guards against bodies whose memory grows with the number of their chunks: an answer without end, and calls of the
+/// allowed size, each in chunks of one byte, took a process over its VM's memory.
+#[tokio::test(flavor = "multi_thread")]
+async fn bodies_in_small_chunks_do_not_take_a_process_over_its_memory() {
+    let store = PlatformStoreStandin::spawn(Ipv4Addr::LOCALHOST.into());
+    let store = store.await.unwrap();
+    put(&store, "op/config", config_with_large_bodies()).await;
+    let endless = spawn_endless(500, b"1\r\nx\r\n").await;
+    put_backend(&store, "llm", endless).await;
+    let sound = FakeBackend::spawn(Behaviour::Answer(200, "done")).await;
+    put_backend(&store, "plain", sound.address).await;
+    let gateway = GatewayProcess::spawn(&store).await;
+    let idle_mb = gateway.peak_mb();
+    let callers = gateway.callers;
+    let endless =
+        tokio::spawn(async move { send_chunked(callers, "/stream/x", "a0", b"0\r\n\r\n").await });
+    let body = single_bytes(MAX_BODY / 4);
+    let calls = (0..3).map(|number| {
+        let (body, attempt) = (&body, format!("c{number}"));
+        async move { send_chunked(callers, "/patient/x", &attempt, body).await }
+    });
+    let statuses = join_all(calls).await;
+    endless.await.unwrap();
+    let peak_mb = gateway.peak_mb();
+    assert!(
+        peak_mb < idle_mb + BODIES_MB,
+        "{peak_mb} MB, {idle_mb} MB before; {statuses:?}"
+    );
+    for status in statuses {
+        assert!(
+            status.as_ref().is_some_and(|line| line.contains(" 200 ")),
+            "{status:?}"
+        );
+    }
+}
+
+/// Replaces the deadline that the fixture gives each call.
+fn with_deadline(call: reqwest::RequestBuilder, ms: &'static str) -> reqwest::RequestBuilder {
+    let name = HeaderName::from_static("x-jayhall-deadline-ms");
+    call.headers(HeaderMap::from_iter([(name, HeaderValue::from_static(ms))]))
+}
+
+/// A call whose body arrives over a second and a half.
+async fn slow_call(fixture: &Fixture, node: &Node) -> (StatusCode, Option<String>) {
+    let parts = stream::iter(0..16).then(|_| async {
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        Ok::<_, std::io::Error>(Bytes::from(vec![b'x'; MAX_BODY / 16]))
+    });
+    let call = numbered_call(fixture, node, "/patient/x");
+    let call = call.header("content-length", MAX_BODY);
+    let call = with_deadline(call, "8000");
+    let res = call.body(reqwest::Body::wrap_stream(parts)).send().await;
+    let res = res.unwrap();
+    let retry_after = header_value(&res, "retry-after");
+    (res.status(), retry_after)
+}
+
+/// Guards against sound calls with large bodies that together take a process over its VM's memory: those for whose
+/// bodies there is no memory are refused with a time to come back, and their callers get that answer.
+#[tokio::test]
+async fn calls_whose_bodies_do_not_fit_into_memory_are_refused_for_a_while() {
+    let fixture = Fixture::new();
+    fixture.put("op/config", config_with_large_bodies()).await;
+    let backend = FakeBackend::spawn(Behaviour::Answer(200, "done")).await;
+    fixture.list_backend("b0", "plain", &backend, "ready").await;
+    let node = fixture.node_with_memory("n1", 32 * 1024 * 1024).await;
+    fixture.ready(&node).await;
+    let answers = join_all((0..5).map(|_| slow_call(&fixture, &node))).await;
+    let is_served = |answer: &&(StatusCode, _)| answer.0 == StatusCode::OK;
+    let served = answers.iter().filter(is_served).count();
+    assert_eq!(served, 2, "8 MB hold two bodies of 4 MB: {answers:?}");
+    for (status, retry_after) in answers.iter().filter(|answer| !is_served(answer)) {
+        assert_eq!(*status, StatusCode::SERVICE_UNAVAILABLE);
+        assert!(retry_after.is_some());
+    }
+    assert_eq!(backend.runs(), 2);
+    let (status, _) = slow_call(&fixture, &node).await;
+    assert_eq!(status, StatusCode::OK, "the memory was not given back");
+}
+
+/// An event of 60 kB in chunks of one byte.
+fn event_in_single_bytes(attempt: &str) -> Vec<u8> {
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nX-Jayhall-Attempt-Id: {attempt}\r\nX-Jayhall-Response-Seal: seal\r\nTransfer-Encoding: chunked\r\n\r\n"
+    );
+    let mut bytes = head.into_bytes();
+    for byte in [b"id: 1\ndata: ", &*vec![b'x'; 60_000], b"\n\n"].concat() {
+        bytes.extend_from_slice(&[b'1', b'\r', b'\n', byte, b'\r', b'\n']);
+    }
+    bytes.extend_from_slice(b"0\r\n\r\n");
+    bytes
+}
+
+/// Guards against a search of the whole buffer for each chunk of a large event, which held the thread of all calls for
+/// seconds.
+#[tokio::test]
+async fn a_large_event_in_small_chunks_takes_time_in_proportion_to_its_size() {
+    let fixture = Fixture::new();
+    fixture.put("op/config", config_with_large_bodies()).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    fixture.list_address("b0", "llm", address, "ready").await;
+    let node = fixture.node("n1").await;
+    fixture.ready(&node).await;
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        let mut buf = vec![0; 4096];
+        stream.read(&mut buf).await.unwrap();
+        stream
+            .write_all(&event_in_single_bytes("c1"))
+            .await
+            .unwrap();
+        stream.read(&mut buf).await.unwrap();
+    });
+    let sent = Instant::now();
+    let call = fixture.call(&node, "/long/x", "c1");
+    let call = with_deadline(call, "15000");
+    let text = call.send().await.unwrap().bytes().await.unwrap();
+    assert_eq!(text.len(), 60_014);
+    let took = sent.elapsed();
+    assert!(took < Duration::from_secs(5), "{took:?}");
+}
--- a/tests/testsuite/gateway/fixture.rs
+++ b/tests/testsuite/gateway/fixture.rs
@@ -398,7 +398,7 @@
 }
 
 /// Returns addresses that no other test uses: each node has its own loopback address.
-fn free_addresses() -> [SocketAddr; 5] {
+pub(super) fn free_addresses() -> [SocketAddr; 5] {
     static NODES: AtomicU32 = AtomicU32::new(0);
     let [_, _, high, low] = NODES.fetch_add(1, Ordering::Relaxed).to_be_bytes();
     let process = std::process::id() % 250 + 1;
@@ -431,6 +431,19 @@
     }
 }
 
+/// Settings of a node in the zones `z1` to `z3`, at addresses of its own.
+fn node_settings(name: &str, zone: &str) -> GatewaySettings {
+    let text = GatewaySettingsText {
+        name,
+        zone,
+        regions: "z1:r, z2:r, z3:q",
+        listen: free_addresses(),
+        bounds: "stop = 4s\nlease = 300ms\nusage_window = 1s\n",
+        ..default_settings()
+    };
+    GatewaySettings::parse(&text.render()).unwrap()
+}
+
 /// Returns the state of a node that has just started, without its tasks.
 pub(super) fn gateway_state(name: &str) -> Arc<GatewayState> {
     let text = GatewaySettingsText {
@@ -546,17 +559,20 @@
         store: Arc<dyn Store>,
         seeds: &[SocketAddr],
     ) -> Node {
-        let text = GatewaySettingsText {
-            name,
-            zone,
-            regions: "z1:r, z2:r, z3:q",
-            listen: free_addresses(),
-            bounds: "stop = 4s\nlease = 300ms\nusage_window = 1s\n",
-            ..default_settings()
-        };
-        let text = text.render();
-        let mut settings = GatewaySettings::parse(&text).unwrap();
+        let mut settings = node_settings(name, zone);
         settings.seeds = seeds.to_vec();
+        self.node_with_settings(settings, store).await
+    }
+
+    /// Starts a node on a VM with this much memory.
+    pub(super) async fn node_with_memory(&self, name: &str, memory_bytes: u64) -> Node {
+        let mut settings = node_settings(name, "z1");
+        settings.memory_bytes = memory_bytes;
+        let store = Arc::clone(&self.store);
+        self.node_with_settings(settings, store).await
+    }
+
+    async fn node_with_settings(&self, settings: GatewaySettings, store: Arc<dyn Store>) -> Node {
         let platform = Platform {
             dialect: Arc::new(PlatformDialect),
             store,
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of the gateway: its decisions, the platform adapter, and calls through running gateways.
 
+mod body_memory;
 mod brittle_backends;
 mod call_limits;
 mod crashing_fleet;
