Bound what a connection may send without a message

Cause: the library bounds neither interim heads nor the digits of a chunk's size, and the timeouts of calls are timers of the same thread.

Change: a stream below the library counts what was read since a head or a part of a body was handed over. It fails the connection beyond 256 kB, and ends the turn of the task after 256 kB. It serves back ends, other nodes and callers.

Evidence: tests/testsuite/gateway/endless_bytes.rs.

--- a/src/ops/gateway/attempt.rs
+++ b/src/ops/gateway/attempt.rs
@@ -5,7 +5,6 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::{HeaderMap, Request, StatusCode};
 use thiserror::Error;
 use tokio::sync::mpsc;
@@ -21,6 +20,7 @@
 use crate::core::gateway::placement::RefusalCause;
 use crate::core::gateway::stream_origins::StreamOrigin;
 use crate::core::verdict::Verdict;
+use crate::sources::http::ReceivedBody;
 
 /// Shared state that every attempt needs.
 pub struct GatewayContext {
@@ -108,7 +108,7 @@
     /// Decoded head.
     pub head: ResponseHead,
     /// Body.
-    pub body: Incoming,
+    pub body: ReceivedBody,
     /// Connection that the body is read from.
     pub connection: Connection,
     /// Accounting of the call at the back end.
@@ -156,7 +156,7 @@
     call: &Call,
     mut running: RunningAttempt,
     connection: Connection,
-    res: hyper::Response<Incoming>,
+    res: hyper::Response<ReceivedBody>,
 ) -> Result<BackendResponse, AttemptError> {
     let (parts, body) = res.into_parts();
     let head = cx
@@ -257,7 +257,7 @@
     running: &RunningAttempt,
     last_event: Option<u64>,
     timeout: Duration,
-) -> Result<(Connection, hyper::Response<Incoming>), AttemptError> {
+) -> Result<(Connection, hyper::Response<ReceivedBody>), AttemptError> {
     let at_most_once = !call.route.kind.may_repeat();
     let address = running.place.backend.address;
     let mut connection = cx.pool.acquire(address, at_most_once).await?;
@@ -295,7 +295,7 @@
     req: Request<Full<Bytes>>,
     receiver: &str,
     timeout: Duration,
-) -> Result<hyper::Response<Incoming>, AttemptError> {
+) -> Result<hyper::Response<ReceivedBody>, AttemptError> {
     let timed_out = |_| AttemptError::ResponseTimeout {
         backend: receiver.into(),
         after: timeout,
--- a/src/ops/gateway/body_memory.rs
+++ b/src/ops/gateway/body_memory.rs
@@ -9,10 +9,12 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use thiserror::Error;
 use tokio::sync::{AcquireError, OwnedSemaphorePermit, Semaphore};
 
+use crate::sources::http::ReceivedBody;
+
 /// Bytes in a unit of a budget.
 const UNIT_BYTES: usize = 1024;
 /// Size up to which a buffer needs no reservation. The limit on connections bounds their sum.
@@ -163,7 +165,7 @@
 ///
 /// Fails if the body is larger, does not arrive, or finds no memory. The rest of the body is not read.
 pub async fn read_body(
-    body: &mut Incoming,
+    body: &mut ReceivedBody,
     budget: &Budget,
     limit: usize,
     wait: Duration,
@@ -200,7 +202,7 @@
 
 /// Reads and drops the rest of a body, up to `limit` bytes and for up to `wait`, so that the caller gets the answer: a
 /// connection that is closed with unread bytes is reset.
-pub async fn discard_body(body: &mut Incoming, limit: usize, wait: Duration) {
+pub async fn discard_body(body: &mut ReceivedBody, limit: usize, wait: Duration) {
     let discarded = async {
         let mut bytes = 0;
         while let Some(Ok(frame)) = body.frame().await {
--- a/src/ops/gateway/call.rs
+++ b/src/ops/gateway/call.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::http::uri::PathAndQuery;
 use hyper::{HeaderMap, Method, Request, Uri};
@@ -19,6 +18,7 @@
 use crate::core::gateway::request_id::{RequestId, request_id};
 use crate::core::gateway::routes::{Customer, Route, RouteTable, Service};
 use crate::core::gateway::suspects::{Suspects, suspects_of};
+use crate::sources::http::ReceivedBody;
 
 /// Timeout of a call where neither the caller names a deadline nor the route a timeout.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(30);
@@ -88,7 +88,7 @@
     pub async fn read(
         state: &GatewayState,
         head: CallHead,
-        req: Request<Incoming>,
+        req: Request<ReceivedBody>,
     ) -> Result<Self, Refusal> {
         let received = Instant::now();
         let table = state.table().ok_or(Refusal::retry_later(
@@ -210,7 +210,7 @@
     }
 }
 
-fn find_route(table: &RouteTable, req: &Request<Incoming>) -> Result<Arc<Route>, Refusal> {
+fn find_route(table: &RouteTable, req: &Request<ReceivedBody>) -> Result<Arc<Route>, Refusal> {
     let host = req
         .headers()
         .get(HOST)
@@ -248,7 +248,7 @@
 
 async fn read_body(
     state: &GatewayState,
-    mut body: Incoming,
+    mut body: ReceivedBody,
     max: usize,
     deadline: Instant,
 ) -> Result<Bytes, Refusal> {
--- a/src/ops/gateway/forward.rs
+++ b/src/ops/gateway/forward.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 
-use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use tokio::time::Instant;
 
@@ -25,6 +24,7 @@
 use crate::core::gateway::routes::RouteKind;
 use crate::core::gateway::software::AllowedSoftware;
 use crate::core::verdict::Verdict;
+use crate::sources::http::ReceivedBody;
 
 /// Size limit for a response that is not a stream.
 const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
@@ -46,7 +46,7 @@
 }
 
 /// Serves a call.
-pub async fn serve(cx: Arc<GatewayContext>, req: Request<Incoming>) -> Response<Body> {
+pub async fn serve(cx: Arc<GatewayContext>, req: Request<ReceivedBody>) -> Response<Body> {
     let active = ActiveCall::begin(&cx);
     let head = cx.state.dialect.call_head(req.headers());
     let attempt = head.attempt.clone();
@@ -62,7 +62,7 @@
 async fn read_and_charge(
     cx: &GatewayContext,
     head: CallHead,
-    req: Request<Incoming>,
+    req: Request<ReceivedBody>,
 ) -> Result<Call, Refusal> {
     let mut call = Call::read(&cx.state, head, req).await?;
     if !call.is_resumption() {
@@ -74,7 +74,7 @@
 /// Serves a call that another node forwards. That node has charged it against its customer's quota.
 pub async fn serve_forwarded(
     cx: Arc<GatewayContext>,
-    req: Request<Incoming>,
+    req: Request<ReceivedBody>,
     forwarded: ForwardedCall,
 ) -> Response<Body> {
     let active = ActiveCall::begin(&cx);
--- a/src/ops/gateway/listen.rs
+++ b/src/ops/gateway/listen.rs
@@ -24,6 +24,8 @@
 use super::state::{GatewayState, Phase};
 use super::{forward, peer_forward, resume, snapshot};
 
+use crate::sources::http::{MAX_HEAD_BYTES, MeteredStream, ReceivedBody};
+
 /// Idle timeout of callers' connections, as a multiple of the one that operators configure for callers.
 /// It is longer, so that the server does not close a connection just as a caller reuses it.
 const IDLE_TIMEOUT_FACTOR: u32 = 3;
@@ -37,8 +39,6 @@
 const FIRST_BYTES_TIMEOUT: Duration = Duration::from_secs(1);
 /// Pause after `accept` fails.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
-/// Size limit for the head of a call, whatever operators configure.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
 
 /// What a listener is for.
 #[derive(Clone)]
@@ -105,8 +105,11 @@
         wait_for_first_bytes(&stream).await;
     }
     let idle = idle_timeout_for(&purpose);
-    let service = service_fn(move |req| {
+    let stream = MeteredStream::new(stream);
+    let meter = stream.meter();
+    let service = service_fn(move |req: Request<Incoming>| {
         let purpose = purpose.clone();
+        let req = req.map(|body| ReceivedBody::new(body, meter.clone()));
         async move { Ok::<_, Infallible>(respond(purpose, req).await) }
     });
     let connection = http1::Builder::new()
@@ -161,7 +164,7 @@
     }
 }
 
-async fn respond(purpose: Purpose, req: Request<Incoming>) -> Response<Body> {
+async fn respond(purpose: Purpose, req: Request<ReceivedBody>) -> Response<Body> {
     match purpose {
         Purpose::Calls(cx) => forward::serve(cx, req).await,
         Purpose::Readiness(state) => status(match state.phase() {
--- a/src/ops/gateway/peer_forward.rs
+++ b/src/ops/gateway/peer_forward.rs
@@ -7,7 +7,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hyper::body::Incoming;
 use hyper::header::{HeaderName, HeaderValue};
 use hyper::{HeaderMap, Request, Response};
 use rand::seq::IndexedRandom;
@@ -23,6 +22,7 @@
 use crate::core::gateway::software::{AllowedSoftware, SoftwareId};
 use crate::core::time::Moment;
 use crate::core::verdict::Verdict;
+use crate::sources::http::ReceivedBody;
 
 /// In a forwarded call: number of back ends to which it may be sent.
 const MAX_SENDS: HeaderName = HeaderName::from_static("jayhall-max-sends");
@@ -144,7 +144,7 @@
 }
 
 /// Serves a call that another node forwards.
-pub async fn serve(cx: Arc<GatewayContext>, mut req: Request<Incoming>) -> Response<Body> {
+pub async fn serve(cx: Arc<GatewayContext>, mut req: Request<ReceivedBody>) -> Response<Body> {
     let headers = req.headers_mut();
     let software = software(headers);
     let max_sends = headers.remove(MAX_SENDS);
--- a/src/ops/gateway/pool.rs
+++ b/src/ops/gateway/pool.rs
@@ -10,7 +10,6 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
-use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
@@ -20,6 +19,7 @@
 use tokio::time::Instant;
 
 use crate::core::verdict::Verdict;
+use crate::sources::http::{MAX_HEAD_BYTES, Meter, MeteredStream, ReceivedBody};
 
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -80,6 +80,7 @@
     /// Address of the back end.
     pub address: SocketAddr,
     sender: SendRequest<Full<Bytes>>,
+    meter: Meter,
     /// Whether an earlier call was answered on it.
     is_reused: bool,
 }
@@ -182,16 +183,22 @@
     ///
     /// Fails with [`SendError::NotReached`] if the request was not sent, and with [`SendError::Lost`]
     /// if it may have been.
-    pub async fn send(&mut self, req: Request<Full<Bytes>>) -> Result<hyper::Response<Incoming>> {
+    pub async fn send(
+        &mut self,
+        req: Request<Full<Bytes>>,
+    ) -> Result<hyper::Response<ReceivedBody>> {
         let address = self.address;
-        self.sender.try_send_request(req).await.map_err(|mut e| {
+        self.meter.note_delivered();
+        let answered = self.sender.try_send_request(req).await;
+        let res = answered.map_err(|mut e| {
             let unsent = e.take_message().is_some();
             let cause = e.error().to_string().into();
             match unsent {
                 true => SendError::NotReached { address, cause },
                 false => SendError::Lost { address, cause },
             }
-        })
+        })?;
+        Ok(res.map(|body| ReceivedBody::new(body, self.meter.clone())))
     }
 }
 
@@ -207,7 +214,10 @@
     if let Err(e) = set_socket_options(&stream) {
         tracing::debug!(%address, error = %e, "failed to set socket options");
     }
+    let stream = MeteredStream::new(stream);
+    let meter = stream.meter();
     let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
         .handshake(TokioIo::new(stream))
         .await
         .map_err(|e| not_reached(e.to_string()))?;
@@ -219,6 +229,7 @@
     Ok(Connection {
         address,
         sender,
+        meter,
         is_reused: false,
     })
 }
--- a/src/ops/gateway/stream.rs
+++ b/src/ops/gateway/stream.rs
@@ -10,7 +10,7 @@
 use bytes::{Bytes, BytesMut};
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
-use hyper::body::{Body as _, Frame, Incoming};
+use hyper::body::{Body as _, Frame};
 use hyper::header::CONTENT_LENGTH;
 use hyper::{Response, StatusCode};
 use tokio::time::Instant;
@@ -30,6 +30,7 @@
 use crate::core::gateway::backends::Outcome;
 use crate::core::gateway::routes::RouteKind;
 use crate::core::gateway::software::AllowedSoftware;
+use crate::sources::http::ReceivedBody;
 
 /// Lower bound on the time without a complete event after which a resumable stream moves to another
 /// back end.
@@ -45,7 +46,7 @@
 
 /// The response of a back end from which events are read.
 struct EventSource {
-    body: Incoming,
+    body: ReceivedBody,
     connection: Connection,
     running: RunningAttempt,
     idle_timeout: Option<Duration>,
--- /dev/null
+++ b/src/sources/http/metered.rs
@@ -0,0 +1,115 @@
+//! A connection that counts the bytes that were read from it and have led to nothing yet.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Poll, ready};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+use super::MAX_HEAD_BYTES;
+
+/// Limit in bytes on what is read without a head or a part of a body being handed over. The library's buffer may hold
+/// a part of the next message beside a whole head.
+pub const MAX_UNDELIVERED_BYTES: usize = 4 * MAX_HEAD_BYTES;
+/// Bytes after which a read ends the turn of its task, so that other tasks of the thread run.
+const MAX_TURN_BYTES: usize = 4 * MAX_HEAD_BYTES;
+
+/// Counts the bytes of a connection that were read since it last handed something over. Copies share the count.
+#[derive(Clone, Debug, Default)]
+pub struct Meter(Arc<AtomicUsize>);
+
+impl Meter {
+    /// Records that a head or a part of a body was handed over.
+    pub fn note_delivered(&self) {
+        self.0.store(0, Ordering::Relaxed);
+    }
+
+    /// Adds bytes that were read, and returns the count.
+    fn add(&self, bytes: usize) -> usize {
+        self.0.fetch_add(bytes, Ordering::Relaxed) + bytes
+    }
+}
+
+/// A connection whose reads fail once [`MAX_UNDELIVERED_BYTES`] have led to nothing.
+#[derive(Debug)]
+pub struct MeteredStream<S> {
+    stream: S,
+    meter: Meter,
+    /// Bytes that were read since the stream last had none, or since the last turn ended.
+    turn_bytes: usize,
+}
+
+impl<S> MeteredStream<S> {
+    /// Wraps a connection from a peer.
+    pub fn new(stream: S) -> Self {
+        Self {
+            stream,
+            meter: Meter::default(),
+            turn_bytes: 0,
+        }
+    }
+
+    /// Returns the connection's meter.
+    pub fn meter(&self) -> Meter {
+        self.meter.clone()
+    }
+}
+
+impl<S: AsyncRead + Unpin> AsyncRead for MeteredStream<S> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.turn_bytes >= MAX_TURN_BYTES {
+            self.turn_bytes = 0;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let filled = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if read.is_pending() {
+            self.turn_bytes = 0;
+        }
+        ready!(read)?;
+        let bytes = buf.filled().len() - filled;
+        self.turn_bytes += bytes;
+        if self.meter.add(bytes) > MAX_UNDELIVERED_BYTES {
+            let cause = format!("{MAX_UNDELIVERED_BYTES} bytes without a message");
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, cause)));
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl<S: AsyncWrite + Unpin> AsyncWrite for MeteredStream<S> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- a/src/sources/mod.rs
+++ b/src/sources/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod cloud;
 pub mod engine;
+pub mod http;
 pub mod platform;
 pub mod service;
 pub mod store;
--- a/tests/testsuite/gateway/body_memory.rs
+++ b/tests/testsuite/gateway/body_memory.rs
@@ -9,7 +9,6 @@
 use futures::future::join_all;
 use futures::stream;
 use hyper::StatusCode;
-use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use jayhall::sources::store::{Op, Store, Transaction};
 use jayhall_harness::{GatewaySettingsText, PlatformStoreStandin, Process};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -17,7 +16,7 @@
 
 use super::fixture::{
     Behaviour, FakeBackend, Fixture, Node, config, default_settings, free_addresses, header_value,
-    numbered_call,
+    numbered_call, with_deadline,
 };
 
 /// Memory for bodies in MB where the settings name none: 0.4 of the 160 MB of the smallest VMs.
@@ -201,12 +200,6 @@
     }
 }
 
-/// Replaces the deadline that the fixture gives each call.
-fn with_deadline(call: reqwest::RequestBuilder, ms: &'static str) -> reqwest::RequestBuilder {
-    let name = HeaderName::from_static("x-jayhall-deadline-ms");
-    call.headers(HeaderMap::from_iter([(name, HeaderValue::from_static(ms))]))
-}
-
 /// A call whose body arrives over a second and a half.
 async fn slow_call(fixture: &Fixture, node: &Node) -> (StatusCode, Option<String>) {
     let parts = stream::iter(0..16).then(|_| async {
--- a/tests/testsuite/gateway/fixture.rs
+++ b/tests/testsuite/gateway/fixture.rs
@@ -14,6 +14,7 @@
 use http_body_util::combinators::UnsyncBoxBody;
 use http_body_util::{BodyExt, Full, StreamBody};
 use hyper::body::{Frame, Incoming};
+use hyper::header::{HeaderName, HeaderValue};
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -617,6 +618,15 @@
     fixture.call(node, path, &format!("c{number}"))
 }
 
+/// Replaces the deadline that the fixture gives each call.
+pub(super) fn with_deadline(
+    call: reqwest::RequestBuilder,
+    ms: &'static str,
+) -> reqwest::RequestBuilder {
+    let name = HeaderName::from_static("x-jayhall-deadline-ms");
+    call.headers(HeaderMap::from_iter([(name, HeaderValue::from_static(ms))]))
+}
+
 /// Creates a fixture with one ready node and back ends `b0`, `b1`, ... of a service.
 pub(super) async fn fixture_with_node(
     service: &str,
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod decisions;
 mod departed_backends;
 mod duties;
+mod endless_bytes;
 mod fixture;
 mod odd_entries;
 mod placement;
