Reset connections on close, so that a call that was given up does not arrive later

Cause: the timeout of a call ended only the wait for it. Closing the connection left what was written to it with the kernel, which sent it when the partition had ended. The times for which a new holder waits rest on a call's end with its timeout, in three places.

Change: outgoing connections of a gateway are opened in one place, with a linger time of zero and a TCP user timeout, and send no end of the stream. The client of the store, the cloud and other nodes stands on hyper's connections now, as reqwest offers neither; it bounds answers, too. The times of a holder follow from one constant. The interval of keep-alive probes, 0.5 s, was refused by the kernel and the error not seen; it is 1 s.

Evidence: tests/testsuite/gateway/late_calls.rs, three tests (an order, a write without a condition, a call to a back end).

--- a/src/bin/jayhalld/gateway.rs
+++ b/src/bin/jayhalld/gateway.rs
@@ -35,11 +35,11 @@
     traffic.block_on(async {
         let platform = Platform {
             dialect: Arc::new(PlatformDialect),
-            store: Arc::new(PlatformStore::open(&PlatformStoreConfig {
+            store: Arc::new(PlatformStore::new(&PlatformStoreConfig {
                 base: settings.store.clone(),
                 calls: STORE_CALL_RATE,
-            })?),
-            duties: open_duties(&settings.cloud)?,
+            })),
+            duties: duties(&settings.cloud),
         };
         let settings_watch = tokio::spawn(log_settings_changes(path.to_owned(), settings.clone()));
         let gateway = Gateway::spawn(settings, platform, &control, metrics).await?;
@@ -50,11 +50,11 @@
     })
 }
 
-fn open_duties(cloud: &str) -> Result<Option<Arc<dyn Duties>>> {
-    Ok(match cloud {
+fn duties(cloud: &str) -> Option<Arc<dyn Duties>> {
+    match cloud {
         "" => None,
-        cloud => Some(Arc::new(CloudDuties::open(cloud)?)),
-    })
+        cloud => Some(Arc::new(CloudDuties::new(cloud))),
+    }
 }
 
 /// Reads the settings again on SIGHUP and logs whether they changed. No setting can change in a running
--- a/src/core/gateway/tenure.rs
+++ b/src/core/gateway/tenure.rs
@@ -13,6 +13,17 @@
 /// the store and the node, and for the time that a call takes to arrive.
 const LEASE_SAFETY_MARGIN: Duration = Duration::from_millis(900);
 
+/// Time after which a call of the leader to the cloud has arrived or never will: its connection is reset then, by the
+/// process or, if that stands still, by the kernel.
+pub const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Time beyond a lease for which a new leader waits: calls of the previous one may begin until shortly before the end of
+/// its lease.
+pub const SETTLE_BEYOND_LEASE: Duration = CALL_TIMEOUT.saturating_sub(LEASE_SAFETY_MARGIN);
+/// Time for which a leader waits that takes over from an earlier process of the same node.
+pub const SETTLE_AFTER_RESTART: Duration = CALL_TIMEOUT.saturating_add(NETWORK_DELAY);
+/// Time for which bytes may be under way after the end of the process that sent them.
+const NETWORK_DELAY: Duration = Duration::from_millis(300);
+
 /// A period during which one node holds the duties. Its moments come from a clock that keeps running while
 /// the VM is suspended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/node/gateway.rs
+++ b/src/node/gateway.rs
@@ -19,6 +19,7 @@
 use crate::ops::gateway::register::Registration;
 use crate::ops::gateway::state::{GatewayState, Phase};
 use crate::ops::gateway::{follow_store, install, quarantine, reach, resume, snapshot, software};
+use crate::sources::http::{ConnectOptions, HttpClient};
 use crate::sources::store::Store;
 use crate::util::settings::GatewaySettings;
 
@@ -35,6 +36,12 @@
 /// Interval at which a leaving node checks whether all calls have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// How connections for requests to other nodes are opened.
+const PEER_CONNECT_OPTIONS: ConnectOptions = ConnectOptions {
+    timeout: Duration::from_millis(1000),
+    user_timeout: Duration::from_millis(1500),
+};
+
 /// Platform-specific dependencies of a gateway.
 pub struct Platform {
     /// Header, key and field names that the platform uses on the wire.
@@ -60,7 +67,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if an address cannot be bound or the HTTP client cannot be set up.
+    /// Fails if an address cannot be bound.
     pub async fn spawn(
         settings: GatewaySettings,
         platform: Platform,
@@ -68,10 +75,7 @@
         metrics: PrometheusHandle,
     ) -> Result<Self> {
         let state = GatewayState::new(settings, platform.dialect);
-        let peers = reqwest::Client::builder()
-            .tcp_nodelay(true)
-            .build()
-            .wrap_err("setting up the client for other nodes")?;
+        let peers = HttpClient::new(PEER_CONNECT_OPTIONS);
         let (new_origins, origin_queue) = resume::origin_queue();
         let cx = Arc::new(GatewayContext {
             state: Arc::clone(&state),
--- a/src/ops/gateway/attempt.rs
+++ b/src/ops/gateway/attempt.rs
@@ -20,7 +20,7 @@
 use crate::core::gateway::placement::RefusalCause;
 use crate::core::gateway::stream_origins::StreamOrigin;
 use crate::core::verdict::Verdict;
-use crate::sources::http::ReceivedBody;
+use crate::sources::http::{HttpClient, ReceivedBody};
 
 /// Shared state that every attempt needs.
 pub struct GatewayContext {
@@ -29,7 +29,7 @@
     /// Connection pool for back ends.
     pub pool: BackendPool,
     /// HTTP client for other nodes.
-    pub peers: reqwest::Client,
+    pub peers: HttpClient,
     /// Origins of streams in the store.
     pub archive: OriginArchive,
     /// Origins of streams that other nodes are to keep.
--- a/src/ops/gateway/duties.rs
+++ b/src/ops/gateway/duties.rs
@@ -16,7 +16,7 @@
 use crate::core::gateway::backends::Listing;
 use crate::core::gateway::routes::ServiceName;
 use crate::core::gateway::scaling::{Order, ServiceScaling, ZoneState};
-use crate::core::gateway::tenure::{MayAct, Tenure};
+use crate::core::gateway::tenure::{MayAct, SETTLE_AFTER_RESTART, SETTLE_BEYOND_LEASE, Tenure};
 use crate::core::gateway::usage::Window;
 use crate::core::time::Moment;
 use crate::sources::store::{Era, Op, Result, Revision, Store, StoreError, Transaction};
@@ -41,12 +41,6 @@
 
 /// Interval between rounds of the holder, and between checks of the other nodes.
 const ROUND_INTERVAL: Duration = Duration::from_millis(400);
-/// Time beyond the lease for which a new holder waits, as calls of the previous one may still be in
-/// flight.
-const SETTLE_BEYOND_LEASE: Duration = Duration::from_millis(500);
-/// Time for which a holder waits that takes over from an earlier process of the same node. It is longer
-/// than a call to the cloud may take.
-const SETTLE_AFTER_RESTART: Duration = Duration::from_millis(1800);
 /// Time after the first start of the whole system in which there cannot have been another holder: no
 /// lease granted since then can have expired.
 const FIRST_START_PERIOD: Duration = Duration::from_secs(3);
--- a/src/ops/gateway/follow_store.rs
+++ b/src/ops/gateway/follow_store.rs
@@ -14,6 +14,7 @@
 use super::state::GatewayState;
 use super::view::Deletion;
 use super::{relay, snapshot};
+use crate::sources::http::HttpClient;
 use crate::sources::store::{
     KeyRange, RangeRequest, Result, Revision, Store, StoreError, WatchEvent, WatchRequest,
 };
@@ -24,7 +25,7 @@
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
 
 /// Keeps the view up to date until the task is dropped.
-pub async fn run(state: Arc<GatewayState>, store: Arc<dyn Store>, client: reqwest::Client) {
+pub async fn run(state: Arc<GatewayState>, store: Arc<dyn Store>, client: HttpClient) {
     let mut backoff = INITIAL_BACKOFF;
     let mut has_contact = false;
     let mut has_copy = snapshot::copy_from_seeds(&state, &client).await;
@@ -54,7 +55,7 @@
 async fn list_and_watch(
     state: &GatewayState,
     store: &Arc<dyn Store>,
-    client: &reqwest::Client,
+    client: &HttpClient,
     has_contact: &mut bool,
 ) -> Result<()> {
     if state.view_age().is_none() {
--- a/src/ops/gateway/listen.rs
+++ b/src/ops/gateway/listen.rs
@@ -105,7 +105,7 @@
         wait_for_first_bytes(&stream).await;
     }
     let idle = idle_timeout_for(&purpose);
-    let stream = MeteredStream::new(stream);
+    let stream = MeteredStream::incoming(stream);
     let meter = stream.meter();
     let service = service_fn(move |req: Request<Incoming>| {
         let purpose = purpose.clone();
--- a/src/ops/gateway/pool.rs
+++ b/src/ops/gateway/pool.rs
@@ -13,16 +13,12 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use parking_lot::Mutex;
-use socket2::{SockRef, TcpKeepalive};
 use thiserror::Error;
-use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 use crate::core::verdict::Verdict;
-use crate::sources::http::{MAX_HEAD_BYTES, Meter, MeteredStream, ReceivedBody};
+use crate::sources::http::{self, ConnectOptions, MAX_HEAD_BYTES, Meter, ReceivedBody};
 
-/// Timeout for opening a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Idle timeout where the back end names none; also the upper bound.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(4);
 /// Part of the back end's idle timeout for which an idle connection is reused.
@@ -32,14 +28,11 @@
 const MAX_IDLE_TIME_AT_MOST_ONCE: Duration = Duration::from_millis(900);
 /// Limit on idle connections per back end.
 const MAX_IDLE_PER_BACKEND: usize = 24;
-/// Idle time before the first TCP keep-alive probe.
-const KEEPALIVE_TIME: Duration = Duration::from_secs(1);
-/// Time between TCP keep-alive probes.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(500);
-/// Unanswered TCP keep-alive probes after which a connection is closed.
-const KEEPALIVE_RETRIES: u32 = 3;
-/// TCP user timeout: time without an acknowledgement of sent bytes after which a connection is closed.
-const TCP_USER_TIMEOUT: Duration = Duration::from_millis(2500);
+/// How connections to back ends and nodes are opened.
+const CONNECT_OPTIONS: ConnectOptions = ConnectOptions {
+    timeout: Duration::from_millis(600),
+    user_timeout: Duration::from_millis(2500),
+};
 
 /// Why a call has no response.
 #[derive(Debug, Error)]
@@ -177,7 +170,7 @@
     }
 
     /// Sends a call and waits for the head of the response. Dropping the returned future, or the body
-    /// of the response before its end, closes the connection.
+    /// of the response before its end, resets the connection.
     ///
     /// # Errors
     ///
@@ -207,14 +200,9 @@
         address,
         cause: cause.into(),
     };
-    let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
+    let stream = http::connect(address, CONNECT_OPTIONS)
         .await
-        .map_err(|_| not_reached(format!("none within {} ms", CONNECT_TIMEOUT.as_millis())))?
         .map_err(|e| not_reached(e.to_string()))?;
-    if let Err(e) = set_socket_options(&stream) {
-        tracing::debug!(%address, error = %e, "failed to set socket options");
-    }
-    let stream = MeteredStream::new(stream);
     let meter = stream.meter();
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
@@ -233,14 +221,3 @@
         is_reused: false,
     })
 }
-
-fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
-    stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_TIME)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(KEEPALIVE_RETRIES);
-    socket.set_tcp_keepalive(&keepalive)
-}
--- a/src/ops/gateway/relay.rs
+++ b/src/ops/gateway/relay.rs
@@ -4,13 +4,13 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use reqwest::Client;
 use smallvec::SmallVec;
 
 use super::snapshot;
 use super::state::GatewayState;
 use crate::core::gateway::members::NodeName;
 use crate::core::time::Moment;
+use crate::sources::http::HttpClient;
 use crate::util::time::as_millis_u64;
 
 /// Long-poll timeout: time after which the other node responds without changes.
@@ -91,7 +91,7 @@
 /// Follows another node as long as this node has the role of a follower, each fetch succeeds and the view
 /// is confirmed often enough. After a failure the caller asks the store: trying a second node that does not
 /// respond would take longer than changes may take to arrive.
-pub async fn follow_while_possible(state: &GatewayState, client: &Client) {
+pub async fn follow_while_possible(state: &GatewayState, client: &HttpClient) {
     let max_view_age = max_view_age(state.settings.bounds.drain);
     loop {
         let watchers = watchers(state);
@@ -120,7 +120,7 @@
 
 /// Brings the view of a node that does not watch the store itself up to date from nodes of its zone that do.
 /// Returns whether it contains later changes than before.
-pub async fn copy_from_watchers(state: &GatewayState, client: &Client) -> bool {
+pub async fn copy_from_watchers(state: &GatewayState, client: &HttpClient) -> bool {
     let before = state.view.lock().revision;
     let deadline = state.now() + state.settings.bounds.drain.mul_f64(MAX_COPY_DRAIN_SHARE);
     loop {
--- a/src/ops/gateway/resume.rs
+++ b/src/ops/gateway/resume.rs
@@ -10,8 +10,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures::future::join_all;
-use reqwest::StatusCode;
+use http_body_util::Full;
+use hyper::{Request, Response, StatusCode};
 use tokio::sync::mpsc;
 
 use super::attempt::GatewayContext;
@@ -26,6 +28,7 @@
 use crate::core::gateway::software::{RecentSoftware, SoftwareId};
 use crate::core::gateway::stream_origins::{StreamId, StreamOrigin, stream_id};
 use crate::core::time::Moment;
+use crate::sources::http::AnswerLimits;
 use crate::util::query;
 
 /// Path on the control listener at which nodes ask for the origin of a stream.
@@ -38,6 +41,8 @@
 const ASK_TIMEOUT: Duration = Duration::from_millis(250);
 /// Timeout of a question to a node that reads the store to answer it.
 const ARCHIVE_TIMEOUT: Duration = Duration::from_millis(900);
+/// Size limit for a node's answer.
+const MAX_ORIGIN_BYTES: usize = 1024;
 /// Time without a message of a node after which it keeps no origins and is not asked.
 const NODE_TIMEOUT: Moment = Moment::from_millis(2000);
 /// Number of times that the origin of a stream is looked up while it may still become known.
@@ -219,22 +224,16 @@
         Question::Archive => ("&archive=1", ARCHIVE_TIMEOUT),
     };
     let url = format!("http://{control}{PATH}?stream={stream:x}{suffix}");
-    let asked = async {
-        let res = cx.peers.get(url).timeout(timeout).send().await?;
-        match res.status() {
-            StatusCode::NOT_FOUND => Ok(None),
-            _ => res.error_for_status()?.text().await.map(Some),
-        }
-    };
-    match asked.await {
-        Ok(None) => Kept::Nowhere,
-        Ok(Some(text)) => match SoftwareId::from_str_radix(&text, 16) {
-            Ok(software) => {
+    match get(cx, url, timeout).await {
+        Ok(res) if res.status() == StatusCode::NOT_FOUND => Kept::Nowhere,
+        Ok(res) if !res.status().is_success() => Kept::NotKnown,
+        Ok(res) => match parse_software(res.body()) {
+            Some(software) => {
                 record_origin(&cx.state, stream, software);
                 Kept::At(software)
             }
-            Err(e) => {
-                tracing::warn!(peer = %control, error = %e, "cannot decode the origin of a stream");
+            None => {
+                tracing::warn!(peer = %control, "cannot decode the origin of a stream");
                 Kept::NotKnown
             }
         },
@@ -245,6 +244,20 @@
     }
 }
 
+async fn get(cx: &GatewayContext, url: String, timeout: Duration) -> eyre::Result<Response<Bytes>> {
+    let limits = AnswerLimits {
+        timeout,
+        bytes: MAX_ORIGIN_BYTES,
+    };
+    let req = Request::get(url).body(Full::default())?;
+    Ok(cx.peers.send(req, limits).await?)
+}
+
+fn parse_software(text: &[u8]) -> Option<SoftwareId> {
+    let text = std::str::from_utf8(text).ok()?;
+    SoftwareId::from_str_radix(text, 16).ok()
+}
+
 fn record_origin(state: &GatewayState, stream: StreamId, software: SoftwareId) {
     let at = state.now();
     let origin = StreamOrigin {
--- a/src/ops/gateway/snapshot.rs
+++ b/src/ops/gateway/snapshot.rs
@@ -9,9 +9,10 @@
 
 use bytes::Bytes;
 use eyre::WrapErr;
+use http_body_util::Full;
+use hyper::Request;
 use prost::Message;
 use rand::seq::{IteratorRandom, SliceRandom};
-use reqwest::Client;
 
 use super::install::{self, Source};
 use super::mesh::Mesh;
@@ -20,6 +21,7 @@
 use super::view::{Deletion, KeyHash, Removals, Versioned};
 use crate::core::gateway::members::StoreKnowledge;
 use crate::core::time::Moment;
+use crate::sources::http::{AnswerLimits, HttpClient};
 use crate::sources::store::{Key, KeyValue, Revision};
 use crate::util::query;
 use crate::util::time::as_millis_u64;
@@ -44,6 +46,8 @@
 const NODE_TIMEOUT: Moment = Moment::from_millis(2500);
 /// Size in bytes from which values and whole snapshots are compressed for other nodes.
 const MIN_COMPRESSED_BYTES: usize = 4096;
+/// Size limit for a snapshot, as it is sent and unpacked.
+const MAX_SNAPSHOT_BYTES: usize = 16 * 1024 * 1024;
 /// Time for which a node that starts asks the nodes that its settings name for their view, before it lists the
 /// store itself.
 const MAX_SEED_COPY_TIME: Duration = Duration::from_millis(1500);
@@ -129,7 +133,7 @@
 
     fn try_from(wire: ItemWire) -> eyre::Result<Self> {
         let value = match wire.is_packed {
-            true => lz4_flex::decompress_size_prepended(&wire.value)
+            true => unpack(&wire.value)
                 .wrap_err_with(|| format!("unpacking the value of {}", wire.key))?
                 .into(),
             false => wire.value,
@@ -236,13 +240,20 @@
     }
 }
 
+/// Uncompresses an LZ4 block that is preceded by its length, if that is no more than [`MAX_SNAPSHOT_BYTES`].
+fn unpack(packed: &[u8]) -> eyre::Result<Vec<u8>> {
+    let (len, _) = lz4_flex::block::uncompressed_size(packed)?;
+    eyre::ensure!(len <= MAX_SNAPSHOT_BYTES, "{len} bytes are too many");
+    Ok(lz4_flex::decompress_size_prepended(packed)?)
+}
+
 /// Decodes the response of a node, which may be compressed.
 fn decode(text: Bytes) -> eyre::Result<SnapshotWire> {
     let snapshot = SnapshotWire::decode(text)?;
     if snapshot.packed.is_empty() {
         return Ok(snapshot);
     }
-    let text = lz4_flex::decompress_size_prepended(&snapshot.packed).wrap_err("unpacking")?;
+    let text = unpack(&snapshot.packed).wrap_err("unpacking")?;
     Ok(SnapshotWire::decode(Bytes::from(text))?)
 }
 
@@ -286,7 +297,7 @@
 
 /// Fetches changes from other nodes while the store does not serve this node, until the task is
 /// dropped.
-pub async fn run(state: Arc<GatewayState>, mesh: Arc<Mesh>, client: Client) {
+pub async fn run(state: Arc<GatewayState>, mesh: Arc<Mesh>, client: HttpClient) {
     fetch_from_seeds(&state, &client).await;
     let mut newest = mesh.newer_knowledge();
     loop {
@@ -302,7 +313,7 @@
 
 /// Asks nodes with a newer revision than this one's, one after the other in random order, until one
 /// responds.
-async fn catch_up(state: &GatewayState, client: &Client) {
+async fn catch_up(state: &GatewayState, client: &HttpClient) {
     for _ in 0..MAX_PEERS_ASKED {
         let known = state.knowledge();
         let peer = {
@@ -323,7 +334,7 @@
 
 /// Copies the view of a node that the settings name. Returns whether the view is complete now. A node that the
 /// settings of others name does not ask, so that one of them lists the store.
-pub async fn copy_from_seeds(state: &GatewayState, client: &Client) -> bool {
+pub async fn copy_from_seeds(state: &GatewayState, client: &HttpClient) -> bool {
     let own = state.settings.listen.control;
     if state.settings.seeds.contains(&own) {
         return false;
@@ -351,7 +362,7 @@
 /// Copies the view of a node within the time `left`. Returns whether this node's view is complete now.
 async fn copy_view(
     state: &GatewayState,
-    client: &Client,
+    client: &HttpClient,
     peer: SocketAddr,
     left: Duration,
 ) -> bool {
@@ -367,7 +378,7 @@
 }
 
 /// Asks the nodes that the settings name until this node has a configuration.
-async fn fetch_from_seeds(state: &GatewayState, client: &Client) {
+async fn fetch_from_seeds(state: &GatewayState, client: &HttpClient) {
     loop {
         tokio::time::sleep(SEED_FETCH_DELAY).await;
         if state.table().is_some() {
@@ -393,7 +404,7 @@
 /// Fails if the node is not reached, or if its response cannot be decoded.
 pub async fn fetch(
     state: &GatewayState,
-    client: &Client,
+    client: &HttpClient,
     control: SocketAddr,
     time: FetchTime,
 ) -> eyre::Result<SnapshotWire> {
@@ -403,15 +414,17 @@
     } = state.knowledge();
     let wait_ms = time.wait.as_millis();
     let started = state.now();
-    let res = client
-        .get(format!(
-            "http://{control}{PATH}?after={after}&era={era}&config={config_version}&wait_ms={wait_ms}&may_pack=1"
-        ))
-        .timeout(time.timeout)
-        .send()
-        .await?
-        .error_for_status()?;
-    let mut snapshot = decode(res.bytes().await?)?;
+    let url = format!(
+        "http://{control}{PATH}?after={after}&era={era}&config={config_version}&wait_ms={wait_ms}&may_pack=1"
+    );
+    let limits = AnswerLimits {
+        timeout: time.timeout,
+        bytes: MAX_SNAPSHOT_BYTES,
+    };
+    let req = Request::get(url).body(Full::default())?;
+    let res = client.send(req, limits).await?;
+    eyre::ensure!(res.status().is_success(), "status {}", res.status());
+    let mut snapshot = decode(res.into_body())?;
     let took = as_millis_u64(state.now().saturating_sub(started));
     let transfer = took.saturating_sub(snapshot.waited_ms);
     let with_transfer = |age_ms: u64| age_ms.saturating_add(transfer);
--- a/src/platform/duties.rs
+++ b/src/platform/duties.rs
@@ -2,23 +2,32 @@
 
 use std::time::Duration;
 
-use eyre::WrapErr;
+use bytes::Bytes;
 use futures::future::BoxFuture;
-use reqwest::{Client, StatusCode};
+use http_body_util::Full;
+use hyper::header::CONTENT_TYPE;
+use hyper::{Request, StatusCode};
 use serde::Serialize;
 
 use super::headers::{DUTY_HOLDER, FENCE};
 use crate::core::gateway::scaling::Order;
+use crate::core::gateway::tenure::CALL_TIMEOUT;
 use crate::core::gateway::usage::{Counts, Window};
 use crate::ops::gateway::dialect::{Duties, DutyReply, Holder, Result};
+use crate::sources::http::{AnswerLimits, ConnectOptions, HttpClient};
 
-/// Timeout of a call. It is shorter than the time that a new leader waits before its first call.
-const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Timeout for opening a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
+/// Limits on the answers of the cloud.
+const ANSWER_LIMITS: AnswerLimits = AnswerLimits {
+    timeout: CALL_TIMEOUT,
+    bytes: 64 * 1024,
+};
 
 /// Client of the cloud's API for duties.
 #[derive(Clone, Debug)]
 pub struct CloudDuties {
-    client: Client,
+    client: HttpClient,
     base: Box<str>,
 }
 
@@ -39,32 +48,25 @@
 
 impl CloudDuties {
     /// Creates a client for the cloud at the base URL `base`, such as `http://10.0.0.1:8225`.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the HTTP client cannot be created.
-    pub fn open(base: &str) -> Result<Self> {
-        let client = Client::builder()
-            .timeout(CALL_TIMEOUT)
-            .tcp_nodelay(true)
-            .build()
-            .wrap_err("setting up the client of the cloud")?;
-        Ok(Self {
-            client,
+    pub fn new(base: &str) -> Self {
+        Self {
+            client: HttpClient::new(ConnectOptions {
+                timeout: CONNECT_TIMEOUT,
+                user_timeout: CALL_TIMEOUT,
+            }),
             base: base.trim_end_matches('/').into(),
-        })
+        }
     }
 
     async fn post<T: Serialize>(&self, holder: Holder, path: &str, body: &T) -> DutyReply {
-        let sent = self
-            .client
-            .post(format!("{}{path}", self.base))
-            .header(DUTY_HOLDER, &*holder.node)
-            .header(FENCE, holder.fence)
-            .json(body)
-            .send()
-            .await;
-        match sent.map(|answer| answer.status()) {
+        let sent = match self.request(holder, path, body) {
+            Ok(req) => self.client.send(req, ANSWER_LIMITS).await,
+            Err(e) => {
+                tracing::error!(path, error = %e, "request to the cloud cannot be made");
+                return DutyReply::NoAnswer;
+            }
+        };
+        match sent.map(|res| res.status()) {
             Ok(status) if status.is_success() => DutyReply::Taken,
             Ok(StatusCode::CONFLICT) => DutyReply::NoneThere,
             Ok(status) => DutyReply::Refused(status.as_u16()),
@@ -74,6 +76,20 @@
             }
         }
     }
+
+    fn request<T: Serialize>(
+        &self,
+        holder: Holder,
+        path: &str,
+        body: &T,
+    ) -> Result<Request<Full<Bytes>>> {
+        let req = Request::post(format!("{}{path}", self.base))
+            .header(DUTY_HOLDER, &*holder.node)
+            .header(FENCE, holder.fence)
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::from(serde_json::to_vec(body)?))?;
+        Ok(req)
+    }
 }
 
 impl Duties for CloudDuties {
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -5,13 +5,18 @@
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
 use futures::StreamExt;
 use futures::future::BoxFuture;
-use reqwest::header::HeaderName;
-use reqwest::{Client, Method, RequestBuilder, Response, StatusCode};
+use http_body_util::Full;
+use hyper::header::{CONTENT_TYPE, HeaderName};
+use hyper::{Method, Request, Response, StatusCode};
+use reqwest::Url;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 
+use crate::sources::http::{AnswerLimits, ConnectOptions, HttpClient, HttpError};
 use crate::sources::store::{
     CallRate, CallRateLimiter, Compare, Condition, Era, KeyRange, KeyValue, LeaseGrant, LeaseId,
     Op, OpResult, RangeReply, RangeRequest, Result, Revision, Store, StoreError, Transaction,
@@ -20,8 +25,14 @@
 
 /// Timeout of calls other than watches.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
-/// Timeout for opening a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// How connections to the store are opened. Writes arrive within [`CALL_TIMEOUT`] or not at all, except from a process
+/// that stands still.
+const CONNECT_OPTIONS: ConnectOptions = ConnectOptions {
+    timeout: Duration::from_millis(400),
+    user_timeout: Duration::from_millis(1500),
+};
+/// Size limit for an answer of the store. A page of a list has about 1 MB.
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 /// Time after which the store answers a watch without events. It bounds the time until a dead connection is
 /// detected.
 const WATCH_WAIT: Duration = Duration::from_millis(1000);
@@ -44,7 +55,7 @@
 /// Client of the platform's store.
 #[derive(Debug)]
 pub struct PlatformStore {
-    client: Client,
+    client: HttpClient,
     base: Box<str>,
     budget: CallRateLimiter,
 }
@@ -223,39 +234,40 @@
 
 impl PlatformStore {
     /// Creates a client. Connections are opened on first use.
-    ///
-    /// # Errors
-    ///
-    /// Fails with [`StoreError::Refused`] if the HTTP client cannot be created.
-    pub fn open(cfg: &PlatformStoreConfig) -> Result<Self> {
-        let client = Client::builder()
-            .connect_timeout(CONNECT_TIMEOUT)
-            .tcp_nodelay(true)
-            .build()
-            .map_err(|e| StoreError::Refused {
-                cause: format!("the HTTP client cannot be made: {e}").into(),
-            })?;
-        Ok(Self {
-            client,
+    pub fn new(cfg: &PlatformStoreConfig) -> Self {
+        Self {
+            client: HttpClient::new(CONNECT_OPTIONS),
             base: cfg.base.trim_end_matches('/').into(),
             budget: CallRateLimiter::new(cfg.calls),
-        })
+        }
     }
 
-    fn request(&self, method: Method, path: &str) -> RequestBuilder {
-        self.client
-            .request(method, format!("{}{path}", self.base))
-            .timeout(CALL_TIMEOUT)
+    fn url(&self, path: &str, query: &[(&str, &str)]) -> Result<Url> {
+        url(&format!("{}{path}", self.base), query)
+    }
+
+    async fn get(&self, path: &str, query: &[(&str, &str)]) -> Result<Response<Bytes>> {
+        let req = Request::get(self.url(path, query)?.as_str()).body(Full::default());
+        self.send(req).await
+    }
+
+    async fn call(&self, method: Method, path: &str) -> Result<Response<Bytes>> {
+        let req = Request::builder().method(method);
+        let url = self.url(path, &[])?;
+        self.send(req.uri(url.as_str()).body(Full::default())).await
+    }
+
+    async fn post<T: Serialize>(&self, path: &str, body: &T) -> Result<Response<Bytes>> {
+        let text = serde_json::to_vec(body).map_err(|e| invalid(&e))?;
+        let url = self.url(path, &[])?;
+        let req = Request::post(url.as_str()).header(CONTENT_TYPE, "application/json");
+        self.send(req.body(text.into())).await
     }
 
     async fn fetch_page(&self, prefix: &str, after: Option<&str>) -> Result<Answer<PageWire>> {
-        let mut req = self
-            .request(Method::GET, "/kv-range")
-            .query(&[("pathPrefix", prefix)]);
-        if let Some(after) = after {
-            req = req.query(&[("after", after)]);
-        }
-        read_json(check_status(self.send(req).await?)?).await
+        let mut query = SmallVec::<[_; 2]>::from_slice(&[("pathPrefix", prefix)]);
+        query.extend(after.map(|after| ("after", after)));
+        read_json(check_status(self.get("/kv-range", &query).await?)?)
     }
 
     async fn get_prefix(&self, prefix: &str) -> Result<RangeReply> {
@@ -285,8 +297,7 @@
     }
 
     async fn get_key(&self, key: &str) -> Result<RangeReply> {
-        let req = self.request(Method::GET, "/kv-key").query(&[("key", key)]);
-        let res = self.send(req).await?;
+        let res = self.get("/kv-key", &[("key", key)]).await?;
         if res.status() == StatusCode::NOT_FOUND {
             return Ok(RangeReply {
                 revision: Revision {
@@ -296,7 +307,7 @@
                 entries: Vec::new(),
             });
         }
-        let Answer { era, body } = read_json::<KeyWire>(check_status(res)?).await?;
+        let Answer { era, body } = read_json::<KeyWire>(check_status(res)?)?;
         Ok(RangeReply {
             revision: Revision {
                 era,
@@ -308,11 +319,9 @@
 
     async fn transaction(&self, req: Transaction) -> Result<TransactionReply> {
         let wire = TransactionWire::try_from(&req)?;
-        let res = self
-            .send(self.request(Method::POST, "/kv-txn").json(&wire))
-            .await?;
+        let res = self.post("/kv-txn", &wire).await?;
         if res.status() == StatusCode::PRECONDITION_FAILED {
-            let Answer { era, body } = read_json::<ConflictWire>(res).await?;
+            let Answer { era, body } = read_json::<ConflictWire>(res)?;
             let current = body.items.into_iter();
             let current = current.filter(|item| !item.deleted && item.revision > 0);
             return Ok(TransactionReply {
@@ -324,7 +333,7 @@
         if res.status() == StatusCode::NOT_FOUND {
             return Err(StoreError::LeaseNotFound);
         }
-        let Answer { era, body } = read_json::<WrittenWire>(check_status(res)?).await?;
+        let Answer { era, body } = read_json::<WrittenWire>(check_status(res)?)?;
         if req.is_based_on_other_era(era) {
             return Err(StoreError::Restored { era });
         }
@@ -345,31 +354,56 @@
         })
     }
 
-    async fn lease_call<T: DeserializeOwned>(&self, req: RequestBuilder) -> Result<Answer<T>> {
-        let res = self.send(req).await?;
-        if res.status() == StatusCode::NOT_FOUND {
-            return Err(StoreError::LeaseNotFound);
-        }
-        read_json(check_status(res)?).await
-    }
-
-    async fn send(&self, req: RequestBuilder) -> Result<Response> {
+    async fn send(
+        &self,
+        req: hyper::http::Result<Request<Full<Bytes>>>,
+    ) -> Result<Response<Bytes>> {
         self.budget.take().await?;
-        send(req).await
+        send(&self.client, req, CALL_TIMEOUT).await
     }
 }
 
-async fn send(req: RequestBuilder) -> Result<Response> {
-    req.send().await.map_err(|e| match e.is_connect() {
-        true => StoreError::NotReached {
-            cause: e.to_string().into(),
-        },
-        false => answer_lost(e.to_string()),
+async fn send(
+    client: &HttpClient,
+    req: hyper::http::Result<Request<Full<Bytes>>>,
+    timeout: Duration,
+) -> Result<Response<Bytes>> {
+    let limits = AnswerLimits {
+        timeout,
+        bytes: MAX_ANSWER_BYTES,
+    };
+    let req = req.map_err(|e| invalid(&e))?;
+    client.send(req, limits).await.map_err(|e| match e {
+        HttpError::NotReached(cause) => StoreError::NotReached { cause },
+        HttpError::NoAnswer(cause) => StoreError::AnswerLost { cause },
     })
 }
 
+fn url(base: &str, query: &[(&str, &str)]) -> Result<Url> {
+    let url = match query {
+        [] => Url::parse(base),
+        query => Url::parse_with_params(base, query),
+    };
+    url.map_err(|e| invalid(&e))
+}
+
+/// Returns the error for a request that cannot be made.
+fn invalid(e: &dyn std::error::Error) -> StoreError {
+    StoreError::Refused {
+        cause: format!("the request cannot be made: {e}").into(),
+    }
+}
+
+/// Decodes the answer to a call about a lease.
+fn read_lease<T: DeserializeOwned>(res: Response<Bytes>) -> Result<Answer<T>> {
+    if res.status() == StatusCode::NOT_FOUND {
+        return Err(StoreError::LeaseNotFound);
+    }
+    read_json(check_status(res)?)
+}
+
 /// Converts a status other than success into an error.
-fn check_status(res: Response) -> Result<Response> {
+fn check_status(res: Response<Bytes>) -> Result<Response<Bytes>> {
     match res.status() {
         status if status.is_success() => Ok(res),
         StatusCode::TOO_MANY_REQUESTS => Err(StoreError::RateLimited {
@@ -387,16 +421,15 @@
     }
 }
 
-async fn read_json<T: DeserializeOwned>(res: Response) -> Result<Answer<T>> {
+fn read_json<T: DeserializeOwned>(res: Response<Bytes>) -> Result<Answer<T>> {
     let era = era_of(&res);
-    let text = res.bytes().await.map_err(|e| answer_lost(e.to_string()))?;
-    let body = serde_json::from_slice(&text)
+    let body = serde_json::from_slice(res.body())
         .map_err(|e| answer_lost(format!("an answer of another form: {e}")))?;
     Ok(Answer { era, body })
 }
 
 /// Returns the era that an answer names; 0 if it names none.
-fn era_of(res: &Response) -> Era {
+fn era_of(res: &Response<Bytes>) -> Era {
     let value = res.headers().get(ERA);
     let era = value.and_then(|value| value.to_str().ok()?.trim().parse().ok());
     era.unwrap_or_else(|| {
@@ -412,7 +445,7 @@
 
 /// State of a watch between two polls.
 struct Watch {
-    client: Client,
+    client: HttpClient,
     url: String,
     prefix: Box<str>,
     after: Revision,
@@ -426,17 +459,15 @@
         }
         let wait_ms = WATCH_WAIT.as_millis().to_string();
         let after = self.after.number.to_string();
-        let req = self
-            .client
-            .get(&self.url)
-            .query(&[
-                ("pathPrefix", &*self.prefix),
-                ("after", &after),
-                ("waitMs", &wait_ms),
-            ])
-            .timeout(WATCH_WAIT + WATCH_TIMEOUT_MARGIN);
-        let res = check_status(send(req).await?)?;
-        let Answer { era, body } = read_json::<EventsWire>(res).await?;
+        let query = [
+            ("pathPrefix", &*self.prefix),
+            ("after", &after),
+            ("waitMs", &wait_ms),
+        ];
+        let req = Request::get(url(&self.url, &query)?.as_str()).body(Full::default());
+        let timeout = WATCH_WAIT + WATCH_TIMEOUT_MARGIN;
+        let res = check_status(send(&self.client, req, timeout).await?)?;
+        let Answer { era, body } = read_json::<EventsWire>(res)?;
         if self.after != Revision::NONE && era != self.after.era {
             // The store accepts a revision of another era once it has given out its number again.
             return Err(StoreError::Compacted {
@@ -491,8 +522,8 @@
             let body = TtlWire {
                 ttl_ms: ttl.as_millis() as u64,
             };
-            let req = self.request(Method::POST, "/kv-lease").json(&body);
-            let Answer { era, body } = self.lease_call::<GrantWire>(req).await?;
+            let res = self.post("/kv-lease", &body).await?;
+            let Answer { era, body } = read_lease::<GrantWire>(res)?;
             Ok(LeaseGrant {
                 id: body.lease,
                 ttl: Duration::from_millis(body.ttl_ms),
@@ -503,8 +534,9 @@
 
     fn keep_alive(&self, lease: LeaseId) -> BoxFuture<'_, Result<LeaseGrant>> {
         Box::pin(async move {
-            let req = self.request(Method::POST, &format!("/kv-keep/{lease}"));
-            let Answer { era, body } = self.lease_call::<TtlWire>(req).await?;
+            let path = format!("/kv-keep/{lease}");
+            let res = self.call(Method::POST, &path).await?;
+            let Answer { era, body } = read_lease::<TtlWire>(res)?;
             Ok(LeaseGrant {
                 id: lease,
                 ttl: Duration::from_millis(body.ttl_ms),
@@ -515,8 +547,8 @@
 
     fn revoke(&self, lease: LeaseId) -> BoxFuture<'_, Result<()>> {
         Box::pin(async move {
-            let req = self.request(Method::DELETE, &format!("/kv-lease-end/{lease}"));
-            let res = self.send(req).await?;
+            let path = format!("/kv-lease-end/{lease}");
+            let res = self.call(Method::DELETE, &path).await?;
             match res.status() {
                 StatusCode::NOT_FOUND => Err(StoreError::LeaseNotFound),
                 _ => check_status(res).map(drop),
--- a/src/sources/http/metered.rs
+++ b/src/sources/http/metered.rs
@@ -32,6 +32,16 @@
     }
 }
 
+/// What ends the writing of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum WriteEnd {
+    /// The peer gets an end of the stream after all bytes.
+    EndOfStream,
+    /// Only the close of the connection, which resets it. Behind an end of the stream, bytes that the peer has not
+    /// received would still be sent.
+    Close,
+}
+
 /// A connection whose reads fail once [`MAX_UNDELIVERED_BYTES`] have led to nothing.
 #[derive(Debug)]
 pub struct MeteredStream<S> {
@@ -39,15 +49,26 @@
     meter: Meter,
     /// Bytes that were read since the stream last had none, or since the last turn ended.
     turn_bytes: usize,
+    write_end: WriteEnd,
 }
 
 impl<S> MeteredStream<S> {
-    /// Wraps a connection from a peer.
-    pub fn new(stream: S) -> Self {
+    /// Wraps a connection that a peer has opened.
+    pub fn incoming(stream: S) -> Self {
+        Self::new(stream, WriteEnd::EndOfStream)
+    }
+
+    /// Wraps a connection that this process has opened, which is reset when it closes.
+    pub(super) fn outgoing(stream: S) -> Self {
+        Self::new(stream, WriteEnd::Close)
+    }
+
+    fn new(stream: S, write_end: WriteEnd) -> Self {
         Self {
             stream,
             meter: Meter::default(),
             turn_bytes: 0,
+            write_end,
         }
     }
 
@@ -110,6 +131,9 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        match self.write_end {
+            WriteEnd::EndOfStream => Pin::new(&mut self.stream).poll_shutdown(cx),
+            WriteEnd::Close => Poll::Ready(Ok(())),
+        }
     }
 }
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -12,6 +12,7 @@
 mod duties;
 mod endless_bytes;
 mod fixture;
+mod late_calls;
 mod odd_entries;
 mod placement;
 mod platform_store;
--- a/tests/testsuite/gateway/platform_store.rs
+++ b/tests/testsuite/gateway/platform_store.rs
@@ -15,14 +15,14 @@
     let standin = PlatformStoreStandin::spawn(Ipv4Addr::LOCALHOST.into())
         .await
         .unwrap();
-    let store = PlatformStore::open(&PlatformStoreConfig {
+    let store = PlatformStore::new(&PlatformStoreConfig {
         base: format!("http://{}", standin.address()).into(),
         calls: CallRate {
             per_second: 1000.0,
             burst: 1000,
         },
     });
-    (standin, store.unwrap())
+    (standin, store)
 }
 
 fn put(key: &str, value: &'static str) -> Transaction {
@@ -160,14 +160,13 @@
     let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     drop(listener);
-    let store = PlatformStore::open(&PlatformStoreConfig {
+    let store = PlatformStore::new(&PlatformStoreConfig {
         base: format!("http://{address}").into(),
         calls: CallRate {
             per_second: 10.0,
             burst: 10,
         },
-    })
-    .unwrap();
+    });
     let error = store.transact(put("k", "x")).await.unwrap_err();
     assert!(matches!(error, StoreError::NotReached { .. }), "{error}");
 }
