Continue a stream at the only known version only if others or the store confirm it

Callers whose streams had begun at a new software version got the rest from an old one, if they resumed them at a node that was cut off from the others for some seconds during the release.

Cause: look_up did not look at whether the nodes that keep origins of streams had answered, and a view of up to the drain time was taken for complete. The age of the view counted from when an answer was handled, also if it had waited while the node stood still.

Change: a single version counts if two other nodes answer and have seen no other one (a new header of the same answer), or if the store, asked after the call arrived, has nothing that the view lacks. Answers of the store that waited count from when they must have been given.

--- a/src/core/gateway/software.rs
+++ b/src/core/gateway/software.rs
@@ -29,6 +29,24 @@
     xxhash_rust::xxh3::xxh3_64_with_seed(version.as_bytes(), seed)
 }
 
+/// A software version that a service has had lately, as nodes tell each other. Both are hashes of names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct SeenSoftware {
+    /// The service.
+    pub service: u64,
+    /// The version.
+    pub software: SoftwareId,
+}
+
+impl SeenSoftware {
+    fn new(service: &str, version: &str) -> Self {
+        Self {
+            service: xxhash_rust::xxh3::xxh3_64(service.as_bytes()),
+            software: software_id(service, version),
+        }
+    }
+}
+
 /// Software versions at which a call may be placed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum AllowedSoftware {
@@ -173,6 +191,35 @@
         found.map_or(RecentSoftware::NoRecord, RecentSoftware::One)
     }
 
+    /// Returns the versions that all services have had lately, for other nodes.
+    pub fn seen(&self, now: Moment) -> Vec<SeenSoftware> {
+        let versions = self.services.iter().flat_map(|(service, software)| {
+            let recent = software.recent(now).into_iter();
+            recent.map(move |version| SeenSoftware::new(service, version))
+        });
+        versions.collect()
+    }
+
+    /// Returns whether other nodes have seen a version of these services that this node has not.
+    pub fn lacks<'a>(
+        &self,
+        seen_by_others: &[SeenSoftware],
+        services: impl IntoIterator<Item = &'a ServiceName>,
+        now: Moment,
+    ) -> bool {
+        services.into_iter().any(|service| {
+            let of_service = xxhash_rust::xxh3::xxh3_64(service.as_bytes());
+            let mut seen = seen_by_others
+                .iter()
+                .filter(|seen| seen.service == of_service);
+            let known = self.services.get(service).map(|known| known.recent(now));
+            seen.any(|seen| {
+                let mut known = known.iter().flatten();
+                !known.any(|version| software_id(service, version) == seen.software)
+            })
+        })
+    }
+
     /// Returns whether any service has had several versions lately.
     pub fn has_several(&self, now: Moment) -> bool {
         let mut services = self.services.values();
--- a/src/core/gateway/store_contact.rs
+++ b/src/core/gateway/store_contact.rs
@@ -17,6 +17,10 @@
 /// Time after an outage in which back ends whose lease expired meanwhile register again.
 const REREGISTRATION_GRACE: Duration = Duration::from_millis(2200);
 
+/// Time within which the store answers a node that waits for changes: the longest wait for a change, the pause after
+/// changes, and the way there and back.
+pub const MAX_ANSWER_TIME: Duration = Duration::from_millis(1600);
+
 /// When the store was last in contact with this node and with others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StoreContact {
@@ -57,11 +61,14 @@
         }
     }
 
-    /// Records an answer of the store to this node that completes its view.
-    pub fn record_answer(&mut self, now: Moment) {
-        self.answered_at = self.answered_at.max(Some(now));
-        self.zone_answered_at = self.zone_answered_at.max(Some(now));
-        self.record_copy(now);
+    /// Records that an answer of the store to this node, which completes its view, was handled at the time `now`. The
+    /// node began to wait for it at `asked`. The store answers within [`MAX_ANSWER_TIME`]: an answer that is handled
+    /// later has waited, as this node or its VM stood still.
+    pub fn record_answer(&mut self, asked: Moment, now: Moment) {
+        let at = now.min(asked + MAX_ANSWER_TIME);
+        self.answered_at = self.answered_at.max(Some(at));
+        self.zone_answered_at = self.zone_answered_at.max(Some(at));
+        self.record_copy(at);
     }
 
     /// Records that this node has copied the view of another node, which was complete at the time `at`.
--- a/src/ops/gateway/follow_store.rs
+++ b/src/ops/gateway/follow_store.rs
@@ -14,6 +14,7 @@
 use super::state::GatewayState;
 use super::view::Deletion;
 use super::{relay, snapshot};
+use crate::core::time::Moment;
 use crate::sources::http::HttpClient;
 use crate::sources::store::{
     KeyRange, RangeRequest, Result, Revision, Store, StoreError, WatchEvent, WatchRequest,
@@ -59,8 +60,9 @@
     has_contact: &mut bool,
 ) -> Result<()> {
     if state.view_age().is_none() {
+        let asked = state.now();
         list_store(state, store).await?;
-        note_contact(state, has_contact);
+        note_contact(state, asked, has_contact);
     }
     let from = state.view.lock().revision.next();
     let mut events = store
@@ -69,15 +71,19 @@
             from: Some(from),
         })
         .await?;
+    let mut asked = state.now();
     while let Some(event) = events.next().await {
         match event {
             Ok(event) => {
                 let is_progress = matches!(event, WatchEvent::Started { .. });
-                note_contact(state, has_contact);
+                note_contact(state, asked, has_contact);
                 apply_event(state, event);
                 if is_progress && relay::is_follower(state) {
                     return Ok(());
                 }
+                if is_progress {
+                    asked = state.now();
+                }
             }
             Err(StoreError::Compacted { revision }) => {
                 if revision != Revision::NONE {
@@ -90,9 +96,10 @@
                     "the store has compacted the revisions to watch"
                 );
                 if !is_copied {
+                    asked = state.now();
                     list_store(state, store).await?;
                 }
-                note_contact(state, has_contact);
+                note_contact(state, asked, has_contact);
                 return Ok(());
             }
             Err(e) => return Err(e),
@@ -120,8 +127,9 @@
     state.contact.lock().record_era(revision.era, now);
 }
 
-fn note_contact(state: &GatewayState, has_contact: &mut bool) {
-    state.contact.lock().record_answer(state.now());
+/// Records an answer of the store for which this node has waited since `asked`.
+fn note_contact(state: &GatewayState, asked: Moment, has_contact: &mut bool) {
+    state.contact.lock().record_answer(asked, state.now());
     if !*has_contact {
         *has_contact = true;
         tracing::info!(
--- a/src/ops/gateway/listen.rs
+++ b/src/ops/gateway/listen.rs
@@ -192,16 +192,22 @@
             "application/octet-stream",
             snapshot::respond(&cx.state, query).await,
         ),
-        resume::PATH => match resume::respond(cx, query).await {
-            Kept::At(software) => with_body("text/plain", format!("{software:x}")),
-            Kept::Nowhere => status(StatusCode::NOT_FOUND),
-            Kept::NotKnown => status(StatusCode::SERVICE_UNAVAILABLE),
-        },
+        resume::PATH => origin_response(cx, query).await,
         "/metrics" => with_body("text/plain; version=0.0.4", metrics.render()),
         _ => status(StatusCode::NOT_FOUND),
     }
 }
 
+async fn origin_response(cx: &GatewayContext, query: &str) -> Response<Body> {
+    let mut res = match resume::respond(cx, query).await {
+        Kept::At(software) => with_body("text/plain", format!("{software:x}")),
+        Kept::Nowhere => status(StatusCode::NOT_FOUND),
+        Kept::NotKnown => status(StatusCode::SERVICE_UNAVAILABLE),
+    };
+    resume::mark_seen(&cx.state, res.headers_mut());
+    res
+}
+
 fn directory_response(state: &GatewayState, query: &str) -> Response<Body> {
     let (region, zone) = state.dialect.decode_directory_query(query);
     let own = &state.settings.name;
--- a/src/ops/gateway/origin_archive.rs
+++ b/src/ops/gateway/origin_archive.rs
@@ -21,7 +21,7 @@
 use crate::core::gateway::members::Member;
 use crate::core::gateway::stream_origins::StreamOrigin;
 use crate::core::time::Moment;
-use crate::sources::store::{LeaseId, Op, RangeRequest, Result, Store, Transaction};
+use crate::sources::store::{LeaseId, Op, RangeRequest, Result, Revision, Store, Transaction};
 
 /// Interval between two writes, and between two messages to the node that writes.
 const INTERVAL: Duration = Duration::from_millis(400);
@@ -41,11 +41,21 @@
     origins: Vec<StreamOriginWire>,
 }
 
-/// Reads the origins in the store.
+/// Reads the origins in the store, and the store's revision.
 pub struct OriginArchive {
     state: Arc<GatewayState>,
     store: Arc<dyn Store>,
     read_at: Mutex<Option<Moment>>,
+    /// Last answer of the store to [`Self::is_view_complete_since`].
+    last_revision: Mutex<Option<KnownRevision>>,
+}
+
+/// Revision that the store had at some moment.
+#[derive(Clone, Copy, Debug)]
+struct KnownRevision {
+    revision: Revision,
+    /// When the store was asked.
+    asked: Moment,
 }
 
 impl OriginArchive {
@@ -55,7 +65,32 @@
             state,
             store,
             read_at: Mutex::default(),
+            last_revision: Mutex::default(),
+        }
+    }
+
+    /// Returns whether this node's view of the store has all that the store had at `since`, and asks the store for its
+    /// revision if that is not known. Calls that wait here at the same time share an answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not answer.
+    pub async fn is_view_complete_since(&self, since: Moment) -> Result<bool> {
+        let mut last = self.last_revision.lock().await;
+        let known = match last.filter(|known| known.asked >= since) {
+            Some(known) => known,
+            None => {
+                let asked = self.state.now();
+                let reply = self.store.range(RangeRequest::one(keys::HOLDER)).await?;
+                let revision = reply.revision;
+                *last.insert(KnownRevision { revision, asked })
+            }
+        };
+        let is_complete = self.state.view.lock().revision >= known.revision;
+        if !is_complete {
+            self.state.is_behind.notify_one();
         }
+        Ok(is_complete)
     }
 
     /// Reads all origins into this node's memory, unless that was done lately.
--- a/src/ops/gateway/relay.rs
+++ b/src/ops/gateway/relay.rs
@@ -106,7 +106,14 @@
             tracing::info!(peer = %control, view_age_ms, "the node followed does not reach the store");
             return;
         };
-        match snapshot::fetch(state, client, control, time).await {
+        let fetched = tokio::select! {
+            fetched = snapshot::fetch(state, client, control, time) => fetched,
+            () = state.is_behind.notified() => {
+                tracing::info!(peer = %control, "the node followed is behind the store");
+                return;
+            }
+        };
+        match fetched {
             Ok(reply) => snapshot::apply(state, reply, control),
             Err(e) => {
                 tracing::info!(peer = %control, error = %e, "the node followed does not answer");
--- a/src/ops/gateway/resume.rs
+++ b/src/ops/gateway/resume.rs
@@ -5,6 +5,10 @@
 //! a node at which the stream is resumed asks these. If none of them knows it, the stream goes on only if its service
 //! has had a single software version for as long as a stream may last, or if the store has its origin. Otherwise the
 //! call is refused.
+//!
+//! A node that is cut off knows only the versions from before. So a single version counts only if enough of the other
+//! nodes answer and have seen no other one, or if the store confirms that this node's view has all that the store had
+//! when the call arrived: a stream that is resumed began before that, at a back end that was listed.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -13,7 +17,8 @@
 use bytes::Bytes;
 use futures::future::join_all;
 use http_body_util::Full;
-use hyper::{Request, Response, StatusCode};
+use hyper::header::{HeaderName, HeaderValue};
+use hyper::{HeaderMap, Request, Response, StatusCode};
 use tokio::sync::mpsc;
 
 use super::attempt::GatewayContext;
@@ -24,8 +29,8 @@
 use super::refusal::{Cause, Refusal};
 use super::state::GatewayState;
 use crate::core::gateway::members::Member;
-use crate::core::gateway::routes::RouteKind;
-use crate::core::gateway::software::{RecentSoftware, SoftwareId};
+use crate::core::gateway::routes::{RouteKind, ServiceName};
+use crate::core::gateway::software::{RecentSoftware, SeenSoftware, SoftwareId};
 use crate::core::gateway::stream_origins::{StreamId, StreamOrigin, stream_id};
 use crate::core::time::Moment;
 use crate::sources::http::AnswerLimits;
@@ -37,8 +42,12 @@
 const KEEPERS: usize = 3;
 /// Number of nodes that are asked for it: more than keep it, as nodes come and go.
 const ASKED: usize = 4;
+/// Number of these that have to answer, if there are as many: one of them keeps the origin if any node does.
+const ENOUGH_ANSWERS: usize = 1 + ASKED - KEEPERS;
 /// Timeout of a question to a node.
 const ASK_TIMEOUT: Duration = Duration::from_millis(250);
+/// Timeout of a question to the store.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(400);
 /// Timeout of a question to a node that reads the store to answer it.
 const ARCHIVE_TIMEOUT: Duration = Duration::from_millis(900);
 /// Size limit for a node's answer.
@@ -79,6 +88,36 @@
     NotYet,
 }
 
+/// In the answer to a question: software versions that the node has seen, each as the hashes of service and version.
+const SEEN_SOFTWARE: HeaderName = HeaderName::from_static("jayhall-software-seen");
+
+/// What the nodes that were asked for the origin of a stream know.
+#[derive(Debug)]
+struct Answers {
+    kept: Kept,
+    /// Whether enough of them have answered.
+    suffice: bool,
+    /// Versions that services have had lately.
+    seen: Vec<SeenSoftware>,
+}
+
+/// What one node or the store answers.
+#[derive(Debug)]
+struct Answer {
+    kept: Kept,
+    seen: Vec<SeenSoftware>,
+}
+
+impl Answer {
+    /// Stands for a node that did not answer, or whose answer cannot be decoded.
+    fn none() -> Self {
+        Self {
+            kept: Kept::NotKnown,
+            seen: Vec::new(),
+        }
+    }
+}
+
 /// What nodes or the store know of the origin of a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kept {
@@ -134,29 +173,69 @@
     if let Some(Kept::At(software)) = stream.map(|stream| kept_here(state, stream)) {
         return Lookup::Found(software, KnownFrom::Node);
     }
-    let kept = match stream {
-        Some(stream) => ask_keepers(cx, stream).await,
-        None => Kept::Nowhere,
-    };
-    let services = call.route.targets.iter().map(|target| &target.service);
-    let recent = state.software.lock().recent(services, state.now());
-    match (kept, recent) {
-        (Kept::At(software), _) => Lookup::Found(software, KnownFrom::Keeper),
-        (_, RecentSoftware::One(software)) if is_view_fresh(state) => {
+    // Without a stream, the nodes are asked for the versions that they have seen.
+    let asked_for = stream.unwrap_or_else(|| stream_id(&call.head.attempt));
+    let answers = ask_keepers(cx, asked_for).await;
+    if let Kept::At(software) = answers.kept {
+        return Lookup::Found(software, KnownFrom::Keeper);
+    }
+    match recent_software(state, call, &answers) {
+        RecentSoftware::One(software) if is_view_complete(cx, call, &answers).await => {
             Lookup::Found(software, KnownFrom::OnlyVersion)
         }
-        (_, RecentSoftware::Several) => {
+        RecentSoftware::Several => {
             let archived = match stream {
                 Some(stream) => ask_archive(cx, stream).await,
                 None => Kept::Nowhere,
             };
-            match (archived, kept) {
+            match (archived, answers.kept) {
                 (Kept::At(software), _) => Lookup::Found(software, KnownFrom::Archive),
                 (Kept::Nowhere, Kept::Nowhere) => Lookup::Lost,
                 _ => Lookup::NotYet,
             }
         }
-        _ => Lookup::NotYet,
+        RecentSoftware::One(_) | RecentSoftware::NoRecord => Lookup::NotYet,
+    }
+}
+
+/// Returns the versions that the services of a call's route have had lately, as far as this node or those that answered
+/// have seen.
+fn recent_software(state: &GatewayState, call: &Call, answers: &Answers) -> RecentSoftware {
+    let now = state.now();
+    let software = state.software.lock();
+    match software.recent(services(call), now) {
+        RecentSoftware::One(_) if software.lacks(&answers.seen, services(call), now) => {
+            RecentSoftware::Several
+        }
+        recent => recent,
+    }
+}
+
+fn services(call: &Call) -> impl Iterator<Item = &ServiceName> {
+    call.route.targets.iter().map(|target| &target.service)
+}
+
+/// Returns whether this node knows all versions at which the call's stream may have begun, together with the nodes that
+/// answered.
+async fn is_view_complete(cx: &GatewayContext, call: &Call, answers: &Answers) -> bool {
+    if answers.suffice && is_view_fresh(&cx.state) {
+        return true;
+    }
+    let received = cx.state.now().saturating_sub(call.received.elapsed());
+    let confirmed = cx.archive.is_view_complete_since(received);
+    match tokio::time::timeout(CONFIRM_TIMEOUT, confirmed).await {
+        Ok(Ok(is_complete)) => is_complete,
+        Ok(Err(e)) => {
+            tracing::info!(attempt = &*call.head.attempt, error = %e, "cannot confirm the software versions of a service");
+            false
+        }
+        Err(_) => {
+            tracing::info!(
+                attempt = &*call.head.attempt,
+                "cannot confirm the software versions of a service in time"
+            );
+            false
+        }
     }
 }
 
@@ -170,9 +249,8 @@
 /// Sets the service of a call to the one that has a software version. Returns whether its route has that service, as
 /// far as this node knows.
 pub fn set_service_with(state: &GatewayState, call: &mut Call, software: SoftwareId) -> bool {
-    let services = call.route.targets.iter().map(|target| &target.service);
     let known = state.software.lock();
-    let Some(name) = known.service_with(software, services) else {
+    let Some(name) = known.service_with(software, services(call)) else {
         return false;
     };
     let table = state.table();
@@ -184,18 +262,27 @@
 }
 
 /// Asks the nodes that may keep the origin of a stream.
-async fn ask_keepers(cx: &GatewayContext, stream: StreamId) -> Kept {
+async fn ask_keepers(cx: &GatewayContext, stream: StreamId) -> Answers {
     let asked = keepers(&cx.state, stream, ASKED, |member| member.control);
-    if asked.is_empty() && cx.state.node_count() > 1 {
-        return Kept::NotKnown;
-    }
+    let is_alone = cx.state.node_count() <= 1;
+    let enough = ENOUGH_ANSWERS.min(asked.len()).max(usize::from(!is_alone));
     let answers = asked
         .into_iter()
         .map(|control| ask(cx, control, stream, Question::Memory));
     let answers = join_all(answers).await;
-    let kept_at = answers.iter().find(|kept| matches!(kept, Kept::At(_)));
-    let not_known = answers.iter().find(|kept| **kept == Kept::NotKnown);
-    *kept_at.or(not_known).unwrap_or(&Kept::Nowhere)
+    let kept = answers.iter().map(|answer| answer.kept);
+    let answered = kept.clone().filter(|kept| *kept != Kept::NotKnown).count();
+    let suffice = answered >= enough;
+    let without_origin = match suffice && answered == answers.len() {
+        true => Kept::Nowhere,
+        false => Kept::NotKnown,
+    };
+    let kept_at = kept.into_iter().find(|kept| matches!(kept, Kept::At(_)));
+    Answers {
+        kept: kept_at.unwrap_or(without_origin),
+        suffice,
+        seen: answers.into_iter().flat_map(|answer| answer.seen).collect(),
+    }
 }
 
 /// Returns an address of each node other than this one that keeps the origin of a stream.
@@ -218,16 +305,27 @@
     control: SocketAddr,
     stream: StreamId,
     question: Question,
-) -> Kept {
+) -> Answer {
     let (suffix, timeout) = match question {
         Question::Memory => ("", ASK_TIMEOUT),
         Question::Archive => ("&archive=1", ARCHIVE_TIMEOUT),
     };
     let url = format!("http://{control}{PATH}?stream={stream:x}{suffix}");
-    match get(cx, url, timeout).await {
-        Ok(res) if res.status() == StatusCode::NOT_FOUND => Kept::Nowhere,
-        Ok(res) if !res.status().is_success() => Kept::NotKnown,
-        Ok(res) => match parse_software(res.body()) {
+    let res = match get(cx, url, timeout).await {
+        Ok(res) => res,
+        Err(e) => {
+            tracing::debug!(peer = %control, error = %e, "failed to ask for the origin of a stream");
+            return Answer::none();
+        }
+    };
+    let seen = res
+        .headers()
+        .get(SEEN_SOFTWARE)
+        .map_or_else(Vec::new, decode_seen);
+    let kept = match res.status() {
+        StatusCode::NOT_FOUND => Kept::Nowhere,
+        status if !status.is_success() => Kept::NotKnown,
+        _ => match parse_software(res.body()) {
             Some(software) => {
                 record_origin(&cx.state, stream, software);
                 Kept::At(software)
@@ -237,13 +335,36 @@
                 Kept::NotKnown
             }
         },
-        Err(e) => {
-            tracing::debug!(peer = %control, error = %e, "failed to ask for the origin of a stream");
-            Kept::NotKnown
-        }
+    };
+    Answer { kept, seen }
+}
+
+/// Adds to the answer to another node which software versions this node has seen.
+pub fn mark_seen(state: &GatewayState, headers: &mut HeaderMap) {
+    let seen = state.software.lock().seen(state.now());
+    let texts = seen
+        .iter()
+        .map(|seen| format!("{:x}.{:x}", seen.service, seen.software));
+    let text = texts.collect::<Vec<_>>().join(",");
+    match HeaderValue::try_from(text) {
+        Ok(value) => drop(headers.insert(SEEN_SOFTWARE, value)),
+        Err(e) => tracing::error!(error = %e, "cannot encode software versions"),
     }
 }
 
+/// Decodes the versions that another node has seen. Parts of another form are left out.
+fn decode_seen(value: &HeaderValue) -> Vec<SeenSoftware> {
+    let text = value.to_str().unwrap_or_default();
+    let parts = text.split(',').filter_map(|part| part.split_once('.'));
+    let parsed = parts.filter_map(|(service, software)| {
+        Some(SeenSoftware {
+            service: u64::from_str_radix(service, 16).ok()?,
+            software: SoftwareId::from_str_radix(software, 16).ok()?,
+        })
+    });
+    parsed.collect()
+}
+
 async fn get(cx: &GatewayContext, url: String, timeout: Duration) -> eyre::Result<Response<Bytes>> {
     let limits = AnswerLimits {
         timeout,
@@ -289,7 +410,7 @@
 /// Looks an origin up in the store, through the node of this availability zone that reads origins.
 async fn ask_archive(cx: &GatewayContext, stream: StreamId) -> Kept {
     match origin_archive::archivist(&cx.state) {
-        Some(node) => ask(cx, node.control, stream, Question::Archive).await,
+        Some(node) => ask(cx, node.control, stream, Question::Archive).await.kept,
         None => read_archive(cx, stream).await,
     }
 }
--- a/src/ops/gateway/state.rs
+++ b/src/ops/gateway/state.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use parking_lot::{Mutex, RwLock};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
 use super::body_memory::BodyMemory;
@@ -89,6 +89,8 @@
     pub contact: Mutex<StoreContact>,
     /// Revision of the store up to which the view is complete.
     pub revision: watch::Sender<Revision>,
+    /// Notified when the store is known to be ahead of the view, so that this node asks the store itself.
+    pub is_behind: Notify,
     /// When calls must have been answered because the process stops; `None` while it does not.
     pub stop_by: watch::Sender<Option<Instant>>,
     /// Phase of the process.
@@ -136,6 +138,7 @@
             view: Mutex::default(),
             contact: Mutex::new(StoreContact::new(since_boot())),
             revision: watch::Sender::new(Revision::NONE),
+            is_behind: Notify::new(),
             stop_by: watch::Sender::new(None),
             phase: watch::Sender::new(Phase::Starting),
             active: AtomicU64::new(0),
--- a/tests/testsuite/gateway/departed_backends.rs
+++ b/tests/testsuite/gateway/departed_backends.rs
@@ -186,7 +186,7 @@
         2.into(),
         Source::Store,
     );
-    node.contact.lock().record_answer(node.now());
+    node.contact.lock().record_answer(node.now(), node.now());
     assert!(accepts(&node, "b0"));
     install::apply_listing(
         &node,
@@ -233,8 +233,10 @@
     let now = node.now();
     let before_outage = now.saturating_sub(Duration::from_secs(6));
     *node.contact.lock() = StoreContact::new(before_outage);
-    node.contact.lock().record_answer(before_outage);
-    node.contact.lock().record_answer(now);
+    node.contact
+        .lock()
+        .record_answer(before_outage, before_outage);
+    node.contact.lock().record_answer(now, now);
     install::apply_listing(&node, &[], &[], 9.into(), Source::Store);
     assert!(accepts(&node, "b0"));
     let deadline = node.contact.lock().reregistration_deadline(now).unwrap();
@@ -246,16 +248,16 @@
 fn only_an_outage_for_all_nodes_puts_a_departure_in_doubt() {
     let at = Duration::from_millis;
     let mut contact = StoreContact::new(at(0));
-    contact.record_answer(at(1_000));
+    contact.record_answer(at(1_000), at(1_000));
     // Only this node is cut off from the store: another one had an answer meanwhile.
     contact.record_any_answer(at(3_000));
-    contact.record_answer(at(6_000));
+    contact.record_answer(at(6_000), at(6_000));
     assert_eq!(contact.reregistration_deadline(at(6_000)), None);
     // Nobody had an answer for four seconds.
     contact.record_zone_answer(at(10_000));
     let deadline = contact.reregistration_deadline(at(10_000)).unwrap();
     // The grace period does not begin again when this node learns of a deletion.
-    contact.record_answer(at(11_000));
+    contact.record_answer(at(11_000), at(11_000));
     assert_eq!(contact.reregistration_deadline(at(11_000)), Some(deadline));
     assert_eq!(contact.reregistration_deadline(deadline), None);
 }
@@ -272,6 +274,19 @@
     assert!(contact.reregistration_deadline(at(54_200)).is_some());
 }
 
+/// Guards against a view that is taken for a fresh one after a standstill, when an answer is handled that has waited
+/// meanwhile.
+#[test]
+fn an_answer_that_waited_during_a_standstill_does_not_make_the_view_fresh() {
+    let at = Duration::from_millis;
+    let mut contact = StoreContact::new(at(0));
+    contact.record_answer(at(1_000), at(1_900));
+    assert_eq!(contact.view_age(at(2_000)), Some(at(100)));
+    contact.record_answer(at(1_900), at(6_000));
+    let age = contact.view_age(at(6_000)).unwrap();
+    assert!(age >= at(2_500), "{age:?}");
+}
+
 #[test]
 fn a_follower_gives_up_a_silent_watcher_before_its_view_is_too_old() {
     for drain_ms in [1_000, 2_500, 4_000, 20_000] {
--- a/tests/testsuite/gateway/software_versions.rs
+++ b/tests/testsuite/gateway/software_versions.rs
@@ -4,9 +4,14 @@
 use std::time::{Duration, Instant};
 
 use futures::StreamExt;
+use futures::future::join_all;
+use hyper::StatusCode;
 use jayhall::sources::store::{KeyRange, Op, Transaction};
 
+use tokio::sync::watch;
+
 use super::fixture::{Behaviour, FakeBackend, Fixture, Node, config, total_runs};
+use super::watched_store::{WatchedStore, Watches};
 
 /// Events of a complete stream.
 const EVENTS: u64 = 40;
@@ -230,6 +235,83 @@
     assert_eq!(read(res).await, (EVENTS as usize, true));
 }
 
+/// Nodes that a caller's next node cannot reach any more. As many that it keeps the origins of some streams only.
+const OTHER_NODES: [&str; 6] = ["n2", "n3", "n4", "n5", "n6", "n7"];
+
+/// Guards against a node that is out of step during a release: it reaches neither the store nor the nodes that keep the
+/// origins of streams, takes the version that it knows for the only one, and continues streams of a newer version there.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_node_that_is_cut_off_does_not_take_the_version_that_it_knows_for_the_only_one() {
+    let fixture = fixture().await;
+    let first = spawn_listed(&fixture, "b0", complete(), FIRST).await;
+    let (faults, _) = watch::channel(Watches::Complete);
+    let store = WatchedStore::open(&fixture, &faults);
+    let cut_off = fixture.node_with_store("n1", "z1", store).await;
+    fixture.ready(&cut_off).await;
+    let (runtime, others) = spawn_doomed_nodes(&fixture, &OTHER_NODES);
+    faults.send_replace(Watches::Unresponsive);
+    let mut second = Vec::new();
+    for index in 0..OTHERS {
+        let id = format!("other{index}");
+        second.push(spawn_listed(&fixture, &id, complete(), SECOND).await);
+    }
+    // The node that is cut off must not copy the view of another one.
+    tokio::time::sleep(Duration::from_millis(40)).await;
+    let attempts: Vec<_> = (0..24).map(|index| format!("s{index}")).collect();
+    let begun = attempts.iter().enumerate();
+    let begun =
+        begun.map(|(index, attempt)| begin(&fixture, &others[index % others.len()], attempt));
+    join_all(begun).await;
+    runtime.shutdown_background();
+    let runs = |backends: &[FakeBackend], attempt: &str| {
+        let seen = backends
+            .iter()
+            .flat_map(|backend| backend.seen.lock().clone());
+        seen.filter(|call| call.body == attempt.as_bytes()).count()
+    };
+    let begun_at_second = attempts.iter().filter(|attempt| runs(&second, attempt) > 0);
+    assert!(begun_at_second.count() >= 4, "no node knew the new version");
+    let calls = attempts
+        .iter()
+        .map(|attempt| resumed(&fixture, &cut_off, attempt).send());
+    for res in join_all(calls).await {
+        let _ = res.unwrap().bytes().await;
+    }
+    let first = [first];
+    let mixed = attempts
+        .iter()
+        .filter(|attempt| runs(&first, attempt) > 0 && runs(&second, attempt) > 0);
+    assert_eq!(mixed.count(), 0, "streams of two versions");
+}
+
+/// Guards against streams that are lost with the other nodes: the last node continues them, as the store confirms that
+/// their service has had one version only.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_last_node_continues_streams_if_it_reaches_the_store() {
+    let fixture = fixture().await;
+    spawn_listed(&fixture, "b0", complete(), FIRST).await;
+    let store = WatchedStore::without_faults(&fixture);
+    let last = fixture.node_with_store("n1", "z1", store).await;
+    fixture.ready(&last).await;
+    let (runtime, others) = spawn_doomed_nodes(&fixture, &OTHER_NODES);
+    for index in 0..12 {
+        begin(
+            &fixture,
+            &others[index % others.len()],
+            &format!("s{index}"),
+        )
+        .await;
+    }
+    runtime.shutdown_background();
+    let calls = (0..12).map(|index| resumed(&fixture, &last, &format!("s{index}")).send());
+    let answers = join_all(calls).await;
+    let statuses: Vec<_> = answers
+        .into_iter()
+        .map(|res| res.unwrap().status())
+        .collect();
+    assert_eq!(statuses, [StatusCode::OK; 12]);
+}
+
 /// Runs nodes in a runtime of their own, so that they all end at the same moment.
 fn spawn_doomed_nodes(
     fixture: &Fixture,
