--- a/tests/testsuite/gateway/body_memory.rs
+++ b/tests/testsuite/gateway/body_memory.rs
@@ -265,12 +265,13 @@
     tokio::spawn(async move {
         let (mut stream, _) = listener.accept().await.unwrap();
         let mut buf = vec![0; 4096];
-        stream.read(&mut buf).await.unwrap();
+        assert!(stream.read(&mut buf).await.unwrap() > 0);
         stream
             .write_all(&event_in_single_bytes("c1"))
             .await
             .unwrap();
-        stream.read(&mut buf).await.unwrap();
+        // Keeps the connection until the caller has read all of it.
+        let _ = stream.read(&mut buf).await;
     });
     let sent = Instant::now();
     let call = fixture.call(&node, "/long/x", "c1");
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod quarantine;
 mod quota;
 mod raw_answers;
+mod recorded_messages;
 mod restored_store;
 mod scaling;
 mod serving;
