--- a/src/core/gateway/software.rs
+++ b/src/core/gateway/software.rs
@@ -29,7 +29,7 @@
     xxhash_rust::xxh3::xxh3_64_with_seed(version.as_bytes(), seed)
 }
 
-/// A software version that a service has had lately, as nodes tell each other. Both are hashes of names.
+/// A software version that a service has had lately, as nodes exchange it. Both fields are hashes of names.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct SeenSoftware {
     /// The service.
--- a/src/core/gateway/store_contact.rs
+++ b/src/core/gateway/store_contact.rs
@@ -63,7 +63,7 @@
 
     /// Records that an answer of the store to this node, which completes its view, was handled at the time `now`. The
     /// node began to wait for it at `asked`. The store answers within [`MAX_ANSWER_TIME`]: an answer that is handled
-    /// later has waited, as this node or its VM stood still.
+    /// later has waited, as this node or its VM was suspended.
     pub fn record_answer(&mut self, asked: Moment, now: Moment) {
         let at = now.min(asked + MAX_ANSWER_TIME);
         self.answered_at = self.answered_at.max(Some(at));
--- a/src/core/gateway/tenure.rs
+++ b/src/core/gateway/tenure.rs
@@ -14,7 +14,7 @@
 const LEASE_SAFETY_MARGIN: Duration = Duration::from_millis(900);
 
 /// Time after which a call of the leader to the cloud has arrived or never will: its connection is reset then, by the
-/// process or, if that stands still, by the kernel.
+/// process or, if that is suspended, by the kernel.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Time beyond a lease for which a new leader waits: calls of the previous one may begin until shortly before the end of
 /// its lease.
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -26,7 +26,7 @@
 /// Timeout of calls other than watches.
 const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 /// How connections to the store are opened. Writes arrive within [`CALL_TIMEOUT`] or not at all, except from a process
-/// that stands still.
+/// that is suspended.
 const CONNECT_OPTIONS: ConnectOptions = ConnectOptions {
     timeout: Duration::from_millis(400),
     user_timeout: Duration::from_millis(1500),
--- a/src/sources/http/connect.rs
+++ b/src/sources/http/connect.rs
@@ -2,7 +2,7 @@
 //!
 //! A connection that is closed, by its owner or because the process ends, is reset: the kernel drops what the peer has
 //! not received. Without that it would go on sending for a minute and more, and a call that was given up could arrive
-//! after later ones. While the process stands still, the kernel itself gives up after the TCP user timeout.
+//! after later ones. While the process is suspended, the kernel itself gives up after the TCP user timeout.
 
 use std::io;
 use std::net::SocketAddr;
