Let the stream of the large event pause for longer than its test allows

The event took over 2 s there, the time after which a stream without a complete event moves to another back end, so that the stream ended before the test's own bound of 5 s. Seen: 'unexpected EOF during chunk size line' at the read of the body.

Change: the route of this test allows a pause of 6 s, which makes that time 12 s. The bound of 5 s stays.

--- a/tests/testsuite/gateway/body_memory.rs
+++ b/tests/testsuite/gateway/body_memory.rs
@@ -256,7 +256,9 @@
 #[tokio::test]
 async fn a_large_event_in_small_chunks_takes_time_in_proportion_to_its_size() {
     let fixture = Fixture::new();
-    fixture.put("op/config", config_with_large_bodies()).await;
+    // The stream may pause for longer than the test allows, so that a slow machine does not end it sooner.
+    let config = config_with_large_bodies().replace(r#""gapAimMs":1000"#, r#""gapAimMs":6000"#);
+    fixture.put("op/config", config).await;
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     fixture.list_address("b0", "llm", address, "ready").await;
