--- a/src/core/gateway/software.rs
+++ b/src/core/gateway/software.rs
@@ -8,6 +8,8 @@
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
+use smallvec::SmallVec;
+
 use super::routes::ServiceName;
 use crate::core::time::Moment;
 use crate::sources::store::{Era, Revision};
@@ -25,8 +27,11 @@
 
 /// Returns the identifier of a software version. All nodes compute the same one.
 pub fn software_id(service: &str, version: &str) -> SoftwareId {
-    let seed = xxhash_rust::xxh3::xxh3_64(service.as_bytes());
-    xxhash_rust::xxh3::xxh3_64_with_seed(version.as_bytes(), seed)
+    xxhash_rust::xxh3::xxh3_64_with_seed(version.as_bytes(), service_id(service))
+}
+
+fn service_id(service: &str) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(service.as_bytes())
 }
 
 /// A software version that a service has had lately, as nodes exchange it. Both fields are hashes of names.
@@ -41,7 +46,7 @@
 impl SeenSoftware {
     fn new(service: &str, version: &str) -> Self {
         Self {
-            service: xxhash_rust::xxh3::xxh3_64(service.as_bytes()),
+            service: service_id(service),
             software: software_id(service, version),
         }
     }
@@ -207,17 +212,12 @@
         services: impl IntoIterator<Item = &'a ServiceName>,
         now: Moment,
     ) -> bool {
-        services.into_iter().any(|service| {
-            let of_service = xxhash_rust::xxh3::xxh3_64(service.as_bytes());
-            let mut seen = seen_by_others
-                .iter()
-                .filter(|seen| seen.service == of_service);
-            let known = self.services.get(service).map(|known| known.recent(now));
-            seen.any(|seen| {
-                let mut known = known.iter().flatten();
-                !known.any(|version| software_id(service, version) == seen.software)
-            })
-        })
+        let known = self.seen(now);
+        let services: SmallVec<[u64; 2]> = services.into_iter().map(|s| service_id(s)).collect();
+        let mut of_services = seen_by_others
+            .iter()
+            .filter(|seen| services.contains(&seen.service));
+        of_services.any(|seen| !known.contains(seen))
     }
 
     /// Returns whether any service has had several versions lately.
--- a/src/ops/gateway/body_memory.rs
+++ b/src/ops/gateway/body_memory.rs
@@ -18,11 +18,13 @@
 /// Bytes in a unit of a budget.
 const UNIT_BYTES: usize = 1024;
 /// Size up to which a buffer needs no reservation. The limit on connections bounds their sum.
-pub const UNRESERVED_BYTES: usize = 16 * 1024;
+const UNRESERVED_BYTES: usize = 16 * 1024;
 /// Share of the VM's memory for the bodies of calls.
 const CALL_SHARE: f64 = 0.25;
 /// Share of the VM's memory for the bodies of answers, and for events of streams that are not complete.
 const ANSWER_SHARE: f64 = 0.15;
+/// Time for which a call waits for memory for its body, and a stream for memory for an event.
+pub const MEMORY_WAIT: Duration = Duration::from_millis(400);
 /// Smallest budget, so that a body of the largest allowed size always fits into an idle process.
 const MIN_BUDGET_BYTES: usize = 8 * 1024 * 1024;
 
--- a/src/ops/gateway/call.rs
+++ b/src/ops/gateway/call.rs
@@ -9,7 +9,7 @@
 use hyper::{HeaderMap, Method, Request, Uri};
 use tokio::time::Instant;
 
-use super::body_memory::{self, ReadError};
+use super::body_memory::{self, MEMORY_WAIT, ReadError};
 use super::dialect::CallHead;
 use super::record;
 use super::refusal::{Cause, Refusal};
@@ -26,8 +26,6 @@
 const RESPONSE_MARGIN: Duration = Duration::from_millis(30);
 /// `Retry-After` while the node has no configuration, or the configuration has no such service.
 const STARTUP_RETRY_AFTER: Duration = Duration::from_millis(400);
-/// Time for which a call waits for memory for its body.
-const MEMORY_WAIT: Duration = Duration::from_millis(400);
 /// `Retry-After` of a call for whose body there was no memory.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(1000);
 /// Time within which the body of a refused call arrives.
--- a/src/ops/gateway/mod.rs
+++ b/src/ops/gateway/mod.rs
@@ -1,8 +1,8 @@
 //! The gateway: a reverse proxy that routes calls by host and path to the back ends listed in the
 //! platform's registry.
 //!
-//! - [`listen`], [`forward`], [`progress`], [`next_hop`], [`attempt`], [`running`], [`stream`], [`pool`]: the data
-//!   path of a call;
+//! - [`listen`], [`forward`], [`progress`], [`next_hop`], [`attempt`], [`running`], [`stream`], `event_buffer`, [`pool`]:
+//!   the data path of a call;
 //! - [`peer_forward`], [`reach`]: calls that reach back ends only through another node;
 //! - [`follow_store`], [`register`], [`mesh`], [`snapshot`], [`relay`], [`install`]: replication of the
 //!   store's contents and of load, usage and liveness between nodes;
@@ -19,6 +19,7 @@
 pub mod decided_counts;
 pub mod dialect;
 pub mod duties;
+mod event_buffer;
 pub mod follow_store;
 pub mod forward;
 pub mod install;
--- a/src/ops/gateway/resume.rs
+++ b/src/ops/gateway/resume.rs
@@ -38,6 +38,8 @@
 
 /// Path on the control listener at which nodes ask for the origin of a stream.
 pub const PATH: &str = "/stream-origin";
+/// In the answer to a question: software versions that the node has seen, each as the hashes of service and version.
+const SEEN_SOFTWARE: HeaderName = HeaderName::from_static("jayhall-software-seen");
 /// Number of nodes that keep the origin of a stream.
 const KEEPERS: usize = 3;
 /// Number of nodes that are asked for it: more than keep it, as nodes come and go.
@@ -88,9 +90,6 @@
     NotYet,
 }
 
-/// In the answer to a question: software versions that the node has seen, each as the hashes of service and version.
-const SEEN_SOFTWARE: HeaderName = HeaderName::from_static("jayhall-software-seen");
-
 /// What the nodes that were asked for the origin of a stream know.
 #[derive(Debug)]
 struct Answers {
--- a/src/ops/gateway/stream.rs
+++ b/src/ops/gateway/stream.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures::stream;
 use http_body_util::{BodyExt, StreamBody};
 use hyper::body::{Body as _, Frame};
@@ -16,8 +16,9 @@
 use tokio::time::Instant;
 
 use super::attempt::{AttemptError, BackendResponse, GatewayContext};
-use super::body_memory::{self, Reservation};
+use super::body_memory::ReadError;
 use super::call::Call;
+use super::event_buffer::EventBuffer;
 use super::forward;
 use super::peer_forward;
 use super::pool::Connection;
@@ -38,12 +39,6 @@
 /// Time without a complete event after which a resumable stream moves to another back end, as a multiple of
 /// the route's target for the pause between events: a slow engine is not a failed one.
 const TARGET_PAUSE_FACTOR: u32 = 2;
-/// Size limit for the buffer in which events are assembled.
-const MAX_EVENT_BYTES: usize = 4 * 1024 * 1024;
-
-/// Time for which a stream waits for memory for an event.
-const MEMORY_WAIT: Duration = Duration::from_millis(400);
-
 /// The response of a back end from which events are read.
 struct EventSource {
     body: ReceivedBody,
@@ -73,11 +68,7 @@
     call: Call,
     progress: Progress,
     source: Option<EventSource>,
-    buf: BytesMut,
-    /// Memory of `buf`.
-    reservation: Reservation,
-    /// Length of the start of `buf` that has been searched and has no end of an event.
-    searched: usize,
+    buf: EventBuffer,
     last_event: Option<u64>,
     first_event_after: Option<Duration>,
     is_finished: bool,
@@ -119,9 +110,7 @@
         call,
         progress,
         source: Some((*response).into()),
-        buf: BytesMut::new(),
-        reservation: Reservation::default(),
-        searched: 0,
+        buf: EventBuffer::default(),
         first_event_after: None,
         is_finished: false,
         _active: active,
@@ -203,22 +192,21 @@
 
     /// Appends bytes of the back end to the buffer and returns the events that they complete.
     async fn append(&mut self, data: &[u8]) -> ReadResult {
-        let len = self.buf.len() + data.len();
-        if len > MAX_EVENT_BYTES {
-            return ReadResult::Broken("an event is too large".into());
-        }
-        if let Err(e) = self.reserve(len).await {
-            return ReadResult::Broken(e.to_string().into());
+        let budget = &self.cx.state.bodies.answers;
+        match self.buf.append(data, budget).await {
+            Ok(()) => {}
+            Err(ReadError::TooLarge { .. }) => {
+                return ReadResult::Broken("an event is too large".into());
+            }
+            Err(e) => return ReadResult::Broken(e.to_string().into()),
         }
-        self.buf.extend_from_slice(data);
-        let Some(end) = end_of_events(&self.buf, self.searched) else {
-            self.searched = self.buf.len();
+        let Some(end) = self.buf.end_of_events() else {
             return ReadResult::Incomplete;
         };
         if !self.accepts_software() {
             return ReadResult::Broken("another process has the name of the back end".into());
         }
-        let events = self.take_events(end);
+        let events = self.buf.take(end);
         if let Some(id) = last_event_id(&events) {
             self.last_event = Some(id);
         }
@@ -234,33 +222,6 @@
         ReadResult::Events(events)
     }
 
-    /// Reserves memory so that the buffer can hold `len` bytes.
-    async fn reserve(&mut self, len: usize) -> body_memory::Result<()> {
-        let capacity = self.buf.capacity();
-        if len <= capacity {
-            return Ok(());
-        }
-        // The buffer doubles when it grows.
-        let capacity = len.max(2 * capacity);
-        let budget = &self.cx.state.bodies.answers;
-        budget
-            .extend(&mut self.reservation, capacity, MEMORY_WAIT)
-            .await
-    }
-
-    /// Removes the complete events from the buffer, which end at `end`. A reservation stays with them until the caller
-    /// has received them.
-    fn take_events(&mut self, end: usize) -> Bytes {
-        self.searched = 0;
-        let reservation = std::mem::take(&mut self.reservation);
-        if reservation.is_empty() {
-            return self.buf.split_to(end).freeze();
-        }
-        let rest = self.buf.split_off(end);
-        let events = std::mem::replace(&mut self.buf, BytesMut::from(&*rest));
-        reservation.attach(events.freeze())
-    }
-
     /// Returns whether the back end's events may be passed on. The first event of a stream determines its software
     /// version.
     fn accepts_software(&mut self) -> bool {
@@ -305,9 +266,7 @@
                 self.last_event,
             );
         }
-        self.buf = BytesMut::new();
-        self.reservation = Reservation::default();
-        self.searched = 0;
+        self.buf = EventBuffer::default();
         while self.may_resume() && progress::may_retry(&self.cx, &self.call, &self.progress) {
             let attempt =
                 forward::try_backend(&self.cx, &self.call, &mut self.progress, self.last_event);
@@ -384,17 +343,6 @@
     }
 }
 
-/// Returns the position after the last complete event. No event ends within the first `searched` bytes.
-fn end_of_events(buf: &[u8], searched: usize) -> Option<usize> {
-    let newline = |at: usize| buf.get(at) == Some(&b'\n');
-    (searched.max(1)..buf.len())
-        .rev()
-        .find(|&at| {
-            newline(at) && (newline(at - 1) || (buf[at - 1] == b'\r' && at >= 2 && newline(at - 2)))
-        })
-        .map(|at| at + 1)
-}
-
 /// Returns the id of the last event that has one.
 fn last_event_id(events: &[u8]) -> Option<u64> {
     events
--- a/src/sources/http/client.rs
+++ b/src/sources/http/client.rs
@@ -82,8 +82,9 @@
 
     async fn exchange(&self, req: Request<Full<Bytes>>, limit: usize) -> Result<Response<Bytes>> {
         let res = self.client.request(req).await.map_err(|e| {
-            let cause = chain(&e).into();
-            match e.is_connect() {
+            let is_connect = e.is_connect();
+            let cause = chain(e);
+            match is_connect {
                 true => HttpError::NotReached(cause),
                 false => HttpError::NoAnswer(cause),
             }
@@ -96,21 +97,14 @@
 }
 
 /// Joins the messages of an error and of its causes.
-fn chain(e: &dyn std::error::Error) -> String {
-    let mut text = e.to_string();
-    let mut cause = e.source();
-    while let Some(e) = cause {
-        text.push_str(": ");
-        text.push_str(&e.to_string());
-        cause = e.source();
-    }
-    text
+fn chain(e: impl std::error::Error + Send + Sync + 'static) -> Box<str> {
+    format!("{:#}", eyre::Report::new(e)).into()
 }
 
 async fn read_body(mut body: ReceivedBody, limit: usize) -> Result<Bytes> {
     let mut buf = Vec::new();
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|e| HttpError::NoAnswer(chain(&e).into()))?;
+        let frame = frame.map_err(|e| HttpError::NoAnswer(chain(e)))?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
--- a/tests/testsuite/gateway/body_memory.rs
+++ b/tests/testsuite/gateway/body_memory.rs
@@ -9,14 +9,15 @@
 use futures::future::join_all;
 use futures::stream;
 use hyper::StatusCode;
-use jayhall::sources::store::{Op, Store, Transaction};
+use jayhall::sources::store::Store;
 use jayhall_harness::{GatewaySettingsText, PlatformStoreStandin, Process};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
+use super::endless_bytes::{FAILED_HEAD, spawn_endless};
 use super::fixture::{
-    Behaviour, FakeBackend, Fixture, Node, config, default_settings, free_addresses, header_value,
-    numbered_call, with_deadline,
+    Behaviour, FakeBackend, Fixture, Node, backend_entry, config, default_settings, free_addresses,
+    header_value, numbered_call, put, with_deadline,
 };
 
 /// Memory for bodies in MB where the settings name none: 0.4 of the 160 MB of the smallest VMs.
@@ -31,39 +32,6 @@
     text.replace(r#""timeoutMs":8000"#, r#""timeoutMs":60000"#)
 }
 
-/// Writes `part` over and over as the body of an answer, until the caller closes. Returns its address.
-async fn spawn_endless(status: u16, part: &'static [u8]) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    tokio::spawn(async move {
-        while let Ok((stream, _)) = listener.accept().await {
-            tokio::spawn(write_endlessly(stream, status, part));
-        }
-    });
-    address
-}
-
-async fn write_endlessly(mut stream: TcpStream, status: u16, part: &'static [u8]) {
-    let mut head = Vec::new();
-    while !head.windows(4).any(|bytes| bytes == b"\r\n\r\n") {
-        if stream.read_buf(&mut head).await.unwrap_or(0) == 0 {
-            return;
-        }
-    }
-    let head = String::from_utf8_lossy(&head).to_lowercase();
-    let name = "x-jayhall-attempt-id:";
-    let line = head.lines().find_map(|line| line.strip_prefix(name));
-    let attempt = line.unwrap_or_default().trim();
-    let answer = format!(
-        "HTTP/1.1 {status} S\r\nX-Jayhall-Attempt-Id: {attempt}\r\nX-Jayhall-Response-Seal: seal\r\nTransfer-Encoding: chunked\r\n\r\n"
-    );
-    let mut written = stream.write_all(answer.as_bytes()).await;
-    let parts = part.repeat(4000);
-    while written.is_ok() {
-        written = stream.write_all(&parts).await;
-    }
-}
-
 /// A gateway in a process of its own.
 struct GatewayProcess {
     process: Process,
@@ -121,23 +89,10 @@
     panic!("the process does not become ready");
 }
 
-async fn put(store: &PlatformStoreStandin, key: &str, value: impl Into<Bytes>) {
-    let put = Transaction {
-        then: vec![Op::Put {
-            key: key.into(),
-            value: value.into(),
-            lease: None,
-        }],
-        ..Transaction::default()
-    };
-    store.store().transact(put).await.unwrap();
-}
-
 async fn put_backend(store: &PlatformStoreStandin, service: &str, address: SocketAddr) {
-    let entry = format!(
-        r#"{{"service":"{service}","address":"{address}","zone":"z1","slots":8,"state":"ready","born":1,"version":"v1"}}"#
-    );
-    put(store, &format!("servers/{service}"), entry).await;
+    let entry = backend_entry(service, address, "ready");
+    let put = put(&format!("servers/{service}"), entry);
+    store.store().transact(put).await.unwrap();
 }
 
 /// A body of `len` bytes in chunks of one byte.
@@ -170,8 +125,9 @@
 async fn bodies_in_small_chunks_do_not_take_a_process_over_its_memory() {
     let store = PlatformStoreStandin::spawn(Ipv4Addr::LOCALHOST.into());
     let store = store.await.unwrap();
-    put(&store, "op/config", config_with_large_bodies()).await;
-    let endless = spawn_endless(500, b"1\r\nx\r\n").await;
+    let config = put("op/config", config_with_large_bodies());
+    store.store().transact(config).await.unwrap();
+    let endless = spawn_endless(FAILED_HEAD, b"1\r\nx\r\n");
     put_backend(&store, "llm", endless).await;
     let sound = FakeBackend::spawn(Behaviour::Answer(200, "done")).await;
     put_backend(&store, "plain", sound.address).await;
--- a/tests/testsuite/gateway/endless_bytes.rs
+++ b/tests/testsuite/gateway/endless_bytes.rs
@@ -25,7 +25,7 @@
 }
 
 /// Answers each connection with `start`, which names the call's attempt for `ATTEMPT`, and then with `part` without end.
-fn spawn_endless(start: &'static str, part: &'static [u8]) -> SocketAddr {
+pub(super) fn spawn_endless(start: &'static str, part: &'static [u8]) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     std::thread::spawn(move || {
@@ -77,7 +77,8 @@
     }
 }
 
-const FAILED_HEAD: &str = "HTTP/1.1 500 S\r\nX-Jayhall-Attempt-Id: ATTEMPT\r\nX-Jayhall-Response-Seal: seal\r\nTransfer-Encoding: chunked\r\n\r\n";
+/// Start of an answer that failed, with a body in chunks.
+pub(super) const FAILED_HEAD: &str = "HTTP/1.1 500 S\r\nX-Jayhall-Attempt-Id: ATTEMPT\r\nX-Jayhall-Response-Seal: seal\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 /// Guards against an answer that keeps the HTTP library busy without handing anything over: interim heads, digits of a
 /// chunk's size. It held the thread of all calls, so that none of a node was answered in time.
--- a/tests/testsuite/gateway/fixture.rs
+++ b/tests/testsuite/gateway/fixture.rs
@@ -432,6 +432,25 @@
     }
 }
 
+/// Returns the write of a key without a condition.
+pub(super) fn put(key: &str, value: impl Into<Bytes>) -> Transaction {
+    Transaction {
+        then: vec![Op::Put {
+            key: key.into(),
+            value: value.into(),
+            lease: None,
+        }],
+        ..Transaction::default()
+    }
+}
+
+/// Returns the entry of a back end of version `v1` in the availability zone `z1`.
+pub(super) fn backend_entry(service: &str, address: SocketAddr, state: &str) -> String {
+    format!(
+        r#"{{"service":"{service}","address":"{address}","zone":"z1","slots":8,"state":"{state}","born":1,"version":"v1"}}"#
+    )
+}
+
 /// Settings of a node in the zones `z1` to `z3`, at addresses of its own.
 fn node_settings(name: &str, zone: &str) -> GatewaySettings {
     let text = GatewaySettingsText {
@@ -491,15 +510,7 @@
     }
 
     pub(super) async fn put(&self, key: &str, value: impl Into<Bytes>) {
-        let put = Transaction {
-            then: vec![Op::Put {
-                key: key.into(),
-                value: value.into(),
-                lease: None,
-            }],
-            ..Transaction::default()
-        };
-        self.store.transact(put).await.unwrap();
+        self.store.transact(put(key, value)).await.unwrap();
     }
 
     pub(super) async fn remove(&self, key: &str) {
@@ -527,9 +538,7 @@
         address: SocketAddr,
         state: &str,
     ) {
-        let entry = format!(
-            r#"{{"service":"{service}","address":"{address}","zone":"z1","slots":8,"state":"{state}","born":1,"version":"v1"}}"#
-        );
+        let entry = backend_entry(service, address, state);
         self.put(&format!("servers/{id}"), entry).await;
     }
 
--- a/tests/testsuite/gateway/late_calls.rs
+++ b/tests/testsuite/gateway/late_calls.rs
@@ -9,14 +9,14 @@
 use jayhall::core::gateway::scaling::Order;
 use jayhall::ops::gateway::dialect::{Duties, DutyReply, Holder};
 use jayhall::platform::{CloudDuties, PlatformStore, PlatformStoreConfig};
-use jayhall::sources::store::{CallRate, Op, RangeRequest, Store, Transaction};
+use jayhall::sources::store::{CallRate, RangeRequest, Store};
 use jayhall_harness::PlatformStoreStandin;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 
-use super::fixture::{Behaviour, FakeBackend, Fixture, config, numbered_call};
+use super::fixture::{Behaviour, FakeBackend, Fixture, config, numbered_call, put};
 
 /// Time from the end of a call to the end of a hold.
 const HOLD_TIME: Duration = Duration::from_millis(100);
@@ -129,17 +129,6 @@
     assert_eq!(cloud.runs(), 2);
 }
 
-fn put(value: &'static str) -> Transaction {
-    Transaction {
-        then: vec![Op::Put {
-            key: "k".into(),
-            value: value.into(),
-            lease: None,
-        }],
-        ..Transaction::default()
-    }
-}
-
 /// Guards against the same with writes that have no condition: they would undo what was written after them.
 #[tokio::test]
 async fn a_write_that_was_given_up_does_not_undo_a_later_one() {
@@ -153,10 +142,10 @@
             burst: 1000,
         },
     });
-    store.transact(put("first")).await.unwrap();
+    store.transact(put("k", "first")).await.unwrap();
     link.hold();
-    store.transact(put("given up")).await.unwrap_err();
-    standin.store().transact(put("later")).await.unwrap();
+    store.transact(put("k", "given up")).await.unwrap_err();
+    standin.store().transact(put("k", "later")).await.unwrap();
     link.heal().await;
     let read = store.range(RangeRequest::one("k")).await.unwrap();
     assert_eq!(&*read.entries[0].value, b"later");
--- a/tests/testsuite/gateway/platform_store.rs
+++ b/tests/testsuite/gateway/platform_store.rs
@@ -11,6 +11,8 @@
 };
 use jayhall_harness::{PlatformStoreStandin, StoreFault};
 
+use super::fixture::put;
+
 async fn spawn() -> (PlatformStoreStandin, PlatformStore) {
     let standin = PlatformStoreStandin::spawn(Ipv4Addr::LOCALHOST.into())
         .await
@@ -25,17 +27,6 @@
     (standin, store)
 }
 
-fn put(key: &str, value: &'static str) -> Transaction {
-    Transaction {
-        then: vec![Op::Put {
-            key: key.into(),
-            value: value.into(),
-            lease: None,
-        }],
-        ..Transaction::default()
-    }
-}
-
 #[tokio::test]
 async fn a_compare_and_swap_requires_the_expected_revision() {
     let (_standin, store) = spawn().await;
