Refuse a resumption that names no stream at once where there are several versions

Cause: asks the nodes for the versions that they have seen in this case, too, and took one that does not answer for an origin that may become known.

Change: with several versions and no stream, the stream is lost.

--- a/src/ops/gateway/resume.rs
+++ b/src/ops/gateway/resume.rs
@@ -178,22 +178,20 @@
     if let Kept::At(software) = answers.kept {
         return Lookup::Found(software, KnownFrom::Keeper);
     }
-    match recent_software(state, call, &answers) {
-        RecentSoftware::One(software) if is_view_complete(cx, call, &answers).await => {
+    match (recent_software(state, call, &answers), stream) {
+        (RecentSoftware::One(software), _) if is_view_complete(cx, call, &answers).await => {
             Lookup::Found(software, KnownFrom::OnlyVersion)
         }
-        RecentSoftware::Several => {
-            let archived = match stream {
-                Some(stream) => ask_archive(cx, stream).await,
-                None => Kept::Nowhere,
-            };
-            match (archived, answers.kept) {
+        // Nobody can tell which of the versions it was.
+        (RecentSoftware::Several, None) => Lookup::Lost,
+        (RecentSoftware::Several, Some(stream)) => {
+            match (ask_archive(cx, stream).await, answers.kept) {
                 (Kept::At(software), _) => Lookup::Found(software, KnownFrom::Archive),
                 (Kept::Nowhere, Kept::Nowhere) => Lookup::Lost,
                 _ => Lookup::NotYet,
             }
         }
-        RecentSoftware::One(_) | RecentSoftware::NoRecord => Lookup::NotYet,
+        (RecentSoftware::One(_) | RecentSoftware::NoRecord, _) => Lookup::NotYet,
     }
 }
 
--- a/tests/testsuite/gateway/software_versions.rs
+++ b/tests/testsuite/gateway/software_versions.rs
@@ -312,6 +312,24 @@
     assert_eq!(statuses, [StatusCode::OK; 12]);
 }
 
+/// Guards against a call that names no stream and waits for nodes that do not answer, though none of them could tell which
+/// of the versions began it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_resumption_that_names_no_stream_is_refused_at_once_though_other_nodes_are_silent() {
+    let fixture = fixture().await;
+    spawn_listed(&fixture, "b0", complete(), FIRST).await;
+    spawn_listed(&fixture, "b1", complete(), SECOND).await;
+    let last = ready_node(&fixture, "n1", "z1").await;
+    let (runtime, _others) = spawn_doomed_nodes(&fixture, &OTHER_NODES);
+    runtime.shutdown_background();
+    let started = Instant::now();
+    let call = stream(&fixture, &last, "a1").header("last-event-id", "10");
+    let res = call.send().await.unwrap();
+    let took = started.elapsed();
+    assert_eq!(res.status(), 400);
+    assert!(took < REFUSED_WITHIN, "{took:?}");
+}
+
 /// Runs nodes in a runtime of their own, so that they all end at the same moment.
 fn spawn_doomed_nodes(
     fixture: &Fixture,
