Answer a call without memory for its body by its deadline

Cause: the rest of a refused body was read for up to a second beyond the call's deadline, found by reading: the wait was bounded by itself only.

Change: the deadline bounds it, too.

No test shows the wait past a deadline.

--- a/src/ops/gateway/call.rs
+++ b/src/ops/gateway/call.rs
@@ -261,7 +261,10 @@
         Err(ReadError::NoMemory) => {
             let reserved = budget.reserved_bytes();
             tracing::info!(reserved, "no memory for the body of a call");
-            body_memory::discard_body(&mut body, max, DISCARD_TIME).await;
+            let discarded = body_memory::discard_body(&mut body, max, DISCARD_TIME);
+            if tokio::time::timeout_at(deadline, discarded).await.is_err() {
+                tracing::debug!("the call ended before the rest of its body arrived");
+            }
             Err(Refusal::retry_later(Cause::NoMemory, MEMORY_RETRY_AFTER))
         }
         Err(e @ ReadError::Incomplete(_)) => {
