--- a/src/ops/gateway/attempt.rs
+++ b/src/ops/gateway/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt: a call sent to one back end.
 
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -109,6 +110,8 @@
     }
 }
 
+/// Statuses that an answer may have. Lower ones are interim, and higher ones are none of HTTP.
+const ANSWER_STATUSES: RangeInclusive<u16> = 200..=599;
 /// Interval between two decisions whether to go on waiting for a silent back end.
 pub const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -183,24 +186,21 @@
 pub fn receive(
     cx: &GatewayContext,
     call: &Call,
-    mut running: RunningAttempt,
+    running: RunningAttempt,
     connection: Connection,
     res: hyper::Response<ReceivedBody>,
 ) -> Result<BackendResponse, AttemptError> {
     let (parts, body) = res.into_parts();
-    let head = cx
-        .state
-        .dialect
-        .response_head(parts.status.as_u16(), &parts.headers);
+    let status = parts.status.as_u16();
+    if !ANSWER_STATUSES.contains(&status) {
+        return Err(unusable(running, "its status is none of an answer"));
+    }
+    let head = cx.state.dialect.response_head(status, &parts.headers);
     if !running.is_forwarded() {
         apply_backend_hints(cx, &running, &head);
     }
     if let Some(problem) = find_problem(call, &connection, parts.status, &head) {
-        running.set_outcome(Outcome::Unreachable);
-        return Err(AttemptError::Unusable {
-            backend: running.backend().into(),
-            problem,
-        });
+        return Err(unusable(running, problem));
     }
     Ok(BackendResponse {
         status: parts.status,
@@ -212,6 +212,15 @@
     })
 }
 
+/// Ends an attempt whose response cannot be used.
+fn unusable(mut running: RunningAttempt, problem: &'static str) -> AttemptError {
+    running.set_outcome(Outcome::Unreachable);
+    AttemptError::Unusable {
+        backend: running.backend().into(),
+        problem,
+    }
+}
+
 /// Returns why a response cannot be that of the back end to this call, if so.
 fn find_problem(
     call: &Call,
--- a/src/ops/gateway/body_memory.rs
+++ b/src/ops/gateway/body_memory.rs
@@ -18,7 +18,7 @@
 use thiserror::Error;
 use tokio::sync::{AcquireError, OwnedSemaphorePermit, Semaphore};
 
-use crate::sources::http::ReceivedBody;
+use crate::sources::http::{ReceiveError, ReceivedBody};
 
 /// Bytes in a unit of a budget.
 const UNIT_BYTES: usize = 1024;
@@ -55,7 +55,7 @@
     NoMemory,
     /// The connection failed, or its bytes are no body.
     #[error("it did not arrive completely: {0}")]
-    Incomplete(#[from] hyper::Error),
+    Incomplete(#[from] ReceiveError),
 }
 
 /// The module's result.
--- a/src/ops/gateway/pool.rs
+++ b/src/ops/gateway/pool.rs
@@ -18,7 +18,9 @@
 
 use crate::core::gateway::listed_process::ProcessStart;
 use crate::core::verdict::Verdict;
-use crate::sources::http::{self, ConnectOptions, MAX_HEAD_BYTES, Meter, ReceivedBody};
+use crate::sources::http::{
+    self, ConnectOptions, MAX_HEAD_BYTES, Meter, ReceivedBody, RequestProgress, SentBody,
+};
 
 /// Idle timeout where the back end names none; also the upper bound.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(4);
@@ -75,8 +77,9 @@
 pub struct Connection {
     /// Address of the back end.
     pub address: SocketAddr,
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<SentBody>,
     meter: Meter,
+    request: RequestProgress,
     /// Whether an earlier call was answered on it.
     is_reused: bool,
     /// Start of the process at its other end, if that has reported it on this connection.
@@ -247,6 +250,7 @@
     ) -> Result<hyper::Response<ReceivedBody>> {
         let address = self.address;
         self.meter.note_delivered();
+        let req = req.map(|body| self.request.begin(body));
         let answered = self.sender.try_send_request(req).await;
         let res = answered.map_err(|mut e| {
             let unsent = e.take_message().is_some();
@@ -256,7 +260,8 @@
                 false => SendError::Lost { address, cause },
             }
         })?;
-        Ok(res.map(|body| ReceivedBody::new(body, self.meter.clone())))
+        let meter = self.meter.clone();
+        Ok(ReceivedBody::of_answer(res, meter, &self.request))
     }
 }
 
@@ -269,6 +274,7 @@
         .await
         .map_err(|e| not_reached(e.to_string()))?;
     let meter = stream.meter();
+    let request = stream.request_progress();
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .handshake(TokioIo::new(stream))
@@ -283,6 +289,7 @@
         address,
         sender,
         meter,
+        request,
         is_reused: false,
         process: None,
     })
--- a/src/ops/gateway/stream/event_source.rs
+++ b/src/ops/gateway/stream/event_source.rs
@@ -15,7 +15,7 @@
 use crate::ops::gateway::call::Call;
 use crate::ops::gateway::pool::Connection;
 use crate::ops::gateway::running::RunningAttempt;
-use crate::sources::http::ReceivedBody;
+use crate::sources::http::{ReceiveError, ReceivedBody};
 
 /// Limit on bytes that are kept while another back end is tried.
 const MAX_EARLY_BYTES: usize = 64 * 1024;
@@ -73,7 +73,7 @@
     }
 
     /// Returns the next frame of the body.
-    pub(super) async fn frame(&mut self) -> Option<Result<Frame<Bytes>, hyper::Error>> {
+    pub(super) async fn frame(&mut self) -> Option<Result<Frame<Bytes>, ReceiveError>> {
         match self.early.pop_front() {
             Some(frame) => frame.map(Ok),
             None => self.body.frame().await,
--- a/src/sources/http/metered.rs
+++ b/src/sources/http/metered.rs
@@ -9,6 +9,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use super::MAX_HEAD_BYTES;
+use super::request::RequestProgress;
 
 /// Limit in bytes on what is read without a head or a part of a body being handed over. The library's buffer may hold
 /// a part of the next message beside a whole head.
@@ -47,6 +48,7 @@
 pub struct MeteredStream<S> {
     stream: S,
     meter: Meter,
+    request: RequestProgress,
     /// Bytes that were read since the stream last had none, or since the last turn ended.
     turn_bytes: usize,
     write_end: WriteEnd,
@@ -67,6 +69,7 @@
         Self {
             stream,
             meter: Meter::default(),
+            request: RequestProgress::default(),
             turn_bytes: 0,
             write_end,
         }
@@ -76,6 +79,11 @@
     pub fn meter(&self) -> Meter {
         self.meter.clone()
     }
+
+    /// Returns the progress of the request that is being sent on the connection.
+    pub fn request_progress(&self) -> RequestProgress {
+        self.request.clone()
+    }
 }
 
 impl<S: AsyncRead + Unpin> AsyncRead for MeteredStream<S> {
@@ -127,7 +135,9 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        ready!(Pin::new(&mut self.stream).poll_flush(cx))?;
+        self.request.note_flushed();
+        Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/src/sources/http/mod.rs
+++ b/src/sources/http/mod.rs
@@ -10,11 +10,13 @@
 mod client;
 mod connect;
 mod metered;
+mod request;
 
-pub use body::ReceivedBody;
+pub use body::{ReceiveError, ReceivedBody};
 pub use client::{AnswerLimits, HttpClient, HttpError};
 pub use connect::{ConnectOptions, connect};
 pub use metered::{MAX_UNDELIVERED_BYTES, Meter, MeteredStream};
+pub use request::{RequestProgress, SentBody};
 
 /// Size limit in bytes for the head of a message and for the buffer of a connection.
 pub const MAX_HEAD_BYTES: usize = 64 * 1024;
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod decisions;
 mod departed_backends;
 mod duties;
+mod early_answers;
 mod endless_bytes;
 mod fixture;
 mod gateway_process;
