--- a/src/node/gateway.rs
+++ b/src/node/gateway.rs
@@ -1,7 +1,7 @@
 //! Starts a gateway from its settings and shuts it down gracefully.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use eyre::{Result, WrapErr};
@@ -10,6 +10,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
+use crate::ops::gateway::active::Stage;
 use crate::ops::gateway::attempt::GatewayContext;
 use crate::ops::gateway::dialect::{Dialect, Duties};
 use crate::ops::gateway::duties::DutyRunner;
@@ -188,29 +189,54 @@
         self.listening.send_replace(Listening::Finishing);
         tokio::time::sleep(LEAVING_ACCEPT_PERIOD).await;
         self.listening.send_replace(Listening::Closed);
-        wait_for_none(&self.state.active, drain_deadline).await;
+        wait_for_none(|| self.active(), stop_by - DRAIN_POLL_INTERVAL).await;
+        self.log_outlasting_calls();
+        wait_for_none(|| self.active(), drain_deadline).await;
         // The task would write the entry again.
         self.registration_task.abort();
-        tokio::join!(
-            self.registration.deregister(),
-            wait_for_none(&self.state.call_connections, send_deadline),
+        let (deregistered, ()) = tokio::join!(
+            tokio::time::timeout_at(send_deadline, self.registration.deregister()),
+            wait_for_none(|| self.connections(), send_deadline),
         );
+        if deregistered.is_err() {
+            tracing::warn!(
+                "the store did not answer in time; the node's entry stays there until the lease expires"
+            );
+        }
         tracing::info!(
             active = self.active(),
-            connections = self.state.call_connections.load(Ordering::Relaxed),
+            connections = self.connections(),
             took_ms = started.elapsed().as_millis() as u64,
             "stopped"
         );
     }
 
     fn active(&self) -> u64 {
-        self.state.active.load(Ordering::Relaxed)
+        self.state.active.total()
+    }
+
+    fn connections(&self) -> u64 {
+        self.state.call_connections.load(Ordering::Relaxed)
+    }
+
+    /// Logs the calls that still run shortly before they are ended because the node stops.
+    fn log_outlasting_calls(&self) {
+        let calls = &self.state.active;
+        if calls.total() > 0 {
+            tracing::warn!(
+                reading = calls.at(Stage::Reading),
+                serving = calls.at(Stage::Serving),
+                streaming = calls.at(Stage::Streaming),
+                forwarded = calls.forwarded(),
+                "calls outlast the time to stop"
+            );
+        }
     }
 }
 
 /// Waits until a count is 0, or until a deadline.
-async fn wait_for_none(count: &AtomicU64, deadline: Instant) {
-    while count.load(Ordering::Relaxed) > 0 && Instant::now() < deadline {
+async fn wait_for_none(count: impl Fn() -> u64, deadline: Instant) {
+    while count() > 0 && Instant::now() < deadline {
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
 }
--- a/src/ops/gateway/call.rs
+++ b/src/ops/gateway/call.rs
@@ -14,7 +14,7 @@
 use super::quota::{self, ChargeError, Charged};
 use super::record;
 use super::refusal::{Cause, Refusal};
-use super::state::GatewayState;
+use super::state::{GatewayState, GivenUp};
 use crate::core::gateway::quota::Work;
 use crate::core::gateway::request_id::{RequestId, request_id};
 use crate::core::gateway::routes::{Customer, Route, RouteTable, Service};
@@ -96,11 +96,11 @@
             route.timeout
         };
         let deadline = received + head.deadline.unwrap_or(timeout).min(timeout) - RESPONSE_MARGIN;
-        let stop_by = *state.stop_by.borrow();
-        let deadline = stop_by.map_or(deadline, |stop| deadline.min(stop));
         let max_body = table.limits.body_bytes;
         let (parts, body) = req.into_parts();
         let body = read_body(state, body, max_body, deadline).await?;
+        let stop_by = *state.stop_by.borrow();
+        let deadline = stop_by.map_or(deadline, |stop| deadline.min(stop));
         let path = parts.uri.path_and_query();
         let id = request_id(
             parts.method.as_str(),
@@ -241,8 +241,10 @@
 ) -> Result<Bytes, Refusal> {
     let budget = &state.bodies.calls;
     let read = body_memory::read_body(&mut body, budget, max, MEMORY_WAIT);
-    let Ok(read) = tokio::time::timeout_at(deadline, read).await else {
-        return Err(Refusal::not_run(Cause::BodyIncomplete));
+    let read = match state.run_until(deadline, read).await {
+        Ok(read) => read,
+        Err(GivenUp::Deadline) => return Err(Refusal::not_run(Cause::BodyIncomplete)),
+        Err(GivenUp::Stopping) => return Err(Refusal::not_run(Cause::Stopping)),
     };
     match read {
         Ok(body) => Ok(body),
--- a/src/ops/gateway/forward.rs
+++ b/src/ops/gateway/forward.rs
@@ -2,11 +2,11 @@
 //! one complete response or a refusal that says whether the call may have run.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 
 use hyper::{Request, Response, StatusCode};
 use tokio::time::Instant;
 
+use super::active::{ActiveCall, Stage};
 use super::attempt::{self, AttemptError, BackendResponse, GatewayContext, HeadWait};
 use super::body_memory::{self, MAX_ANSWER_BYTES, ReadError};
 use super::call::Call;
@@ -29,25 +29,9 @@
 use crate::core::verdict::Verdict;
 use crate::sources::http::ReceivedBody;
 
-/// Guard that counts a call as in progress.
-struct ActiveCall(Arc<GatewayContext>);
-
-impl ActiveCall {
-    fn begin(cx: &Arc<GatewayContext>) -> Self {
-        cx.state.active.fetch_add(1, Ordering::Relaxed);
-        Self(Arc::clone(cx))
-    }
-}
-
-impl Drop for ActiveCall {
-    fn drop(&mut self) {
-        self.0.state.active.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 /// Serves a call.
 pub async fn serve(cx: Arc<GatewayContext>, req: Request<ReceivedBody>) -> Response<Body> {
-    let active = ActiveCall::begin(&cx);
+    let active = ActiveCall::begin(&cx.state, false);
     let head = cx.state.dialect.call_head(req.headers());
     let attempt = head.attempt.clone();
     match read_and_charge(&cx, head, req).await {
@@ -77,7 +61,7 @@
     req: Request<ReceivedBody>,
     forwarded: ForwardedCall,
 ) -> Response<Body> {
-    let active = ActiveCall::begin(&cx);
+    let active = ActiveCall::begin(&cx.state, true);
     let head = cx.state.dialect.call_head(req.headers());
     let attempt = head.attempt.clone();
     let mut call = match Call::read(&cx.state, head, req).await {
@@ -112,8 +96,9 @@
     cx: Arc<GatewayContext>,
     mut call: Call,
     mut progress: Progress,
-    active: ActiveCall,
+    mut active: ActiveCall,
 ) -> Response<Body> {
+    active.enter(Stage::Serving);
     let deadline = call.deadline;
     let served = serve_with_retries(&cx, &mut call, &mut progress);
     let result = match cx.state.run_until(deadline, served).await {
@@ -127,6 +112,7 @@
             res
         }
         Ok(CallerResponse::Stream(response)) => {
+            active.enter(Stage::Streaming);
             stream::respond(cx, call, progress, response, active)
         }
         Err(mut refusal) => {
--- a/src/ops/gateway/mod.rs
+++ b/src/ops/gateway/mod.rs
@@ -15,6 +15,7 @@
 //! - [`state`]: state of the node that is shared by all of these;
 //! - [`dialect`]: interface that the adapter of a platform implements.
 
+pub mod active;
 pub mod attempt;
 pub mod body_memory;
 pub mod call;
--- a/src/ops/gateway/state.rs
+++ b/src/ops/gateway/state.rs
@@ -9,6 +9,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
+use super::active::ActiveCalls;
 use super::body_memory::BodyMemory;
 use super::dialect::Dialect;
 use super::quota::Quotas;
@@ -100,8 +101,8 @@
     pub phase: watch::Sender<Phase>,
     /// Memory for the bodies of calls and answers.
     pub bodies: BodyMemory,
-    /// Calls that are being served. A call counts until its response has been made, not until it has been sent.
-    pub active: AtomicU64,
+    /// Calls that are being served.
+    pub active: ActiveCalls,
     /// Open connections on which a call has arrived. Their callers may still be receiving responses.
     pub call_connections: AtomicU64,
     regions: RegionMap,
@@ -148,7 +149,7 @@
             is_behind: Notify::new(),
             stop_by: watch::Sender::new(None),
             phase: watch::Sender::new(Phase::Starting),
-            active: AtomicU64::new(0),
+            active: ActiveCalls::default(),
             call_connections: AtomicU64::new(0),
             regions,
         })
--- a/src/util/logs.rs
+++ b/src/util/logs.rs
@@ -1,5 +1,8 @@
 //! Logging setup, with text or JSON output.
 
+use std::sync::mpsc;
+use std::time::Duration;
+
 use eyre::{Result, WrapErr, eyre};
 use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
@@ -8,16 +11,40 @@
 
 /// Capacity of the buffer for log lines; while it is full, new lines are dropped.
 const MAX_BUFFERED_LINES: usize = 4096;
+/// Time for which the end of a process waits until the buffered lines have been written.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Guard of the thread that writes log lines. Dropping it waits until the buffered lines have been written, for
+/// [`FLUSH_TIMEOUT`] at most.
+#[derive(Debug)]
+pub struct LogGuard(Option<WorkerGuard>);
+
+impl Drop for LogGuard {
+    fn drop(&mut self) {
+        let worker = self.0.take();
+        let (tx, flushed) = mpsc::channel::<()>();
+        // The library waits for a second if nobody reads the lines, and without end if the buffer is full.
+        let flush = move || {
+            drop(worker);
+            drop(tx);
+        };
+        let thread = std::thread::Builder::new().name("flush-logs".into());
+        if thread.spawn(flush).is_ok() {
+            // Ends early, with an error, when the thread drops the sender.
+            let _ = flushed.recv_timeout(FLUSH_TIMEOUT);
+        }
+    }
+}
 
 /// Starts logging to standard output.
 ///
 /// A background thread writes the lines, so that a blocked reader never blocks the process: once the
-/// buffer is full, lines are dropped. Dropping the returned guard flushes the buffered lines.
+/// buffer is full, lines are dropped.
 ///
 /// # Errors
 ///
 /// Fails if the filter is invalid or a logger is already installed.
-pub fn init_stdout(settings: &LogSettings) -> Result<WorkerGuard> {
+pub fn init_stdout(settings: &LogSettings) -> Result<LogGuard> {
     let (writer, guard) = NonBlockingBuilder::default()
         .buffered_lines_limit(MAX_BUFFERED_LINES)
         .lossy(true)
@@ -30,7 +57,7 @@
         LogFormat::Json => builder.json().flatten_event(true).try_init(),
     };
     installed.map_err(|e| eyre!("starting logs: {e}"))?;
-    Ok(guard)
+    Ok(LogGuard(Some(guard)))
 }
 
 fn filter(settings: &LogSettings) -> Result<EnvFilter> {
--- a/tests/testsuite/gateway/gateway_process.rs
+++ b/tests/testsuite/gateway/gateway_process.rs
@@ -19,7 +19,11 @@
 
 impl GatewayProcess {
     pub(super) async fn spawn(store: &PlatformStoreStandin) -> Self {
-        let dir = tempfile::tempdir().unwrap();
+        Self::spawn_in(store, tempfile::tempdir().unwrap()).await
+    }
+
+    /// Starts a gateway that appends its log to `node.log` in this folder.
+    pub(super) async fn spawn_in(store: &PlatformStoreStandin, dir: tempfile::TempDir) -> Self {
         let listen = free_addresses();
         let text = GatewaySettingsText {
             listen,
--- a/tests/testsuite/gateway/stopping_processes.rs
+++ b/tests/testsuite/gateway/stopping_processes.rs
@@ -1,12 +1,17 @@
 //! Planned stops of gateways in processes of their own, with callers that read slowly.
 
+use std::fs::OpenOptions;
+use std::io::Write;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::os::unix::fs::OpenOptionsExt;
+use std::path::Path;
+use std::process::Command;
 use std::time::{Duration, Instant};
 
 use futures::future::join_all;
 use jayhall::ops::gateway::keys::NODES;
 use jayhall::sources::store::{RangeRequest, Store};
-use jayhall_harness::PlatformStoreStandin;
+use jayhall_harness::{PlatformStoreStandin, StoreFault};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 
@@ -294,3 +299,138 @@
     // A stream that ends in the last sixth of the time is one that could not have been finished.
     assert!(first >= STOP_TIME.mul_f64(5.0 / 6.0), "{first:?}\n{log}");
 }
+
+/// What a process waits for when it stops.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum WaitsFor {
+    /// Streams that outlast its time.
+    Streams,
+    /// The same, and a store that answers too late.
+    StreamsAndStore,
+    /// Callers that read nothing of large answers.
+    Readers,
+    /// Callers that have sent a part of a call.
+    Uploads,
+}
+
+/// Time for which a slow store delays its answers.
+const STORE_DELAY: Duration = Duration::from_secs(3);
+
+/// Starts a call that keeps a process waiting. Returns its connection.
+async fn keep_waiting(to: SocketAddr, waits_for: WaitsFor) -> TcpStream {
+    match waits_for {
+        WaitsFor::Streams | WaitsFor::StreamsAndStore => call_slowly(to, "/long/x", "w1").await,
+        WaitsFor::Readers => call_slowly(to, "/patient/x", "w1").await,
+        WaitsFor::Uploads => {
+            let mut stream = TcpStream::connect(to).await.unwrap();
+            let call = "POST /patient/x HTTP/1.1\r\nhost: h.example\r\nauthorization: Bearer k1\r\nx-jayhall-attempt-id: w1\r\ncontent-length: 100\r\n\r\nhalf";
+            stream.write_all(call.as_bytes()).await.unwrap();
+            stream
+        }
+    }
+}
+
+/// How a process stopped.
+struct Stopped {
+    /// Time from SIGTERM to its end.
+    took: Duration,
+    log: String,
+    /// What the caller received that it waited for.
+    received: Vec<u8>,
+}
+
+async fn stop(waits_for: WaitsFor) -> Stopped {
+    let store = start(large_answer(), large_answer()).await;
+    let endless = Behaviour::Slow {
+        to: 1000,
+        pause_ms: 100,
+    };
+    let streaming = FakeBackend::spawn(endless).await;
+    put_backend(&store, "llm", streaming.address).await;
+    let mut gateway = GatewayProcess::spawn(&store).await;
+    let mut waiting = keep_waiting(gateway.callers, waits_for).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    if waits_for == WaitsFor::StreamsAndStore {
+        store.set(StoreFault::Slow(STORE_DELAY));
+    }
+    let began = Instant::now();
+    gateway.process.terminate().unwrap();
+    let (is_success, log) = gateway.ended().await;
+    let took = began.elapsed();
+    assert!(is_success, "{waits_for:?}\n{log}");
+    let mut received = Vec::new();
+    // A connection that was reset may have brought a part.
+    let _ = waiting.read_to_end(&mut received).await;
+    Stopped {
+        took,
+        log,
+        received,
+    }
+}
+
+/// Guards against a process that is killed because it still waits for something when its time is over.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_ends_within_its_time_whatever_the_process_waits_for() {
+    let all = [
+        WaitsFor::Streams,
+        WaitsFor::StreamsAndStore,
+        WaitsFor::Readers,
+        WaitsFor::Uploads,
+    ];
+    let stops = join_all(all.map(async |waits_for| (waits_for, stop(waits_for).await)));
+    for (waits_for, stopped) in stops.await {
+        let Stopped {
+            took,
+            log,
+            received,
+        } = stopped;
+        assert!(took < STOP_TIME, "{waits_for:?}: {took:?}\n{log}");
+        let awaited = match waits_for {
+            WaitsFor::Streams | WaitsFor::StreamsAndStore => r#""streaming":1"#,
+            WaitsFor::Readers => r#""connections":1"#,
+            WaitsFor::Uploads => r#""reading":1"#,
+        };
+        assert!(log.contains(awaited), "{waits_for:?}\n{log}");
+        if waits_for == WaitsFor::Uploads {
+            let text = String::from_utf8_lossy(&received);
+            assert!(text.starts_with("HTTP/1.1 503"), "{text:?}\n{log}");
+        }
+    }
+}
+
+/// Flag by which opening a file and writing to it do not wait, as Linux has it.
+const O_NONBLOCK: i32 = 0o4000;
+
+/// Creates a pipe at this path that is full and that nobody reads. It stays so while the result lives.
+fn create_full_pipe(path: &Path) -> std::fs::File {
+    let made = Command::new("mkfifo").arg(path).status().unwrap();
+    assert!(made.success());
+    let mut opts = OpenOptions::new();
+    opts.read(true).write(true).custom_flags(O_NONBLOCK);
+    let mut pipe = opts.open(path).unwrap();
+    while pipe.write(&[b'x'; 4096]).is_ok() {}
+    pipe
+}
+
+/// Guards against a process that waits at its end until its log has been written, although nobody reads it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_ends_within_its_time_although_nobody_reads_the_log() {
+    let store = start(large_answer(), large_answer()).await;
+    let endless = Behaviour::Slow {
+        to: 1000,
+        pause_ms: 100,
+    };
+    let streaming = FakeBackend::spawn(endless).await;
+    put_backend(&store, "llm", streaming.address).await;
+    let dir = tempfile::tempdir().unwrap();
+    let _pipe = create_full_pipe(&dir.path().join("node.log"));
+    let mut gateway = GatewayProcess::spawn_in(&store, dir).await;
+    let _waiting = keep_waiting(gateway.callers, WaitsFor::Streams).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let began = Instant::now();
+    gateway.process.terminate().unwrap();
+    while gateway.process.ended().is_none() {
+        assert!(began.elapsed() < STOP_TIME, "it still runs");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
