--- a/src/core/gateway/scaling/fill.rs
+++ b/src/core/gateway/scaling/fill.rs
@@ -3,9 +3,9 @@
 //! Designed for growing load while the cloud reclaims the back ends of one zone after another and offers no
 //! new reclaimable ones for a while. The limit of a zone applies to both kinds together, so regular back ends
 //! occupy the places of reclaimable ones later: they are released step by step once reclaimable ones are
-//! available again.
+//! available again. After a peak in the load, the surplus is released also while there are none.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use super::{ScalingRules, ZoneState};
@@ -41,6 +41,10 @@
 pub(super) struct RegularOrders {
     /// Regular back ends ordered for lack of reclaimable ones.
     ordered: ZoneCounts,
+    /// Availability zones whose order was lowered since.
+    lowered: BTreeSet<Box<str>>,
+    /// Back ends that the reclaimable ones lacked in the rounds of the last [`RELEASE_ORDERED_AFTER`].
+    missing: VecDeque<(Moment, u32)>,
     covered_since: Option<Moment>,
     exchanged_at: Option<Moment>,
 }
@@ -60,7 +64,7 @@
         }
         self.covered_since = None;
         match demand.is_scarce {
-            true => self.add(rules, zones, demand.all - spot),
+            true => self.follow(rules, zones, demand.all - spot, now),
             false => self.exchange(rules, zones, demand, now),
         }
     }
@@ -76,28 +80,75 @@
             return ZoneCounts::new();
         }
         self.ordered.clear();
+        self.lowered.clear();
+        self.missing.clear();
         zones.keys().map(|zone| (zone.clone(), 0)).collect()
     }
 
-    /// Orders `missing` regular back ends in total. The number of a zone is never lowered here, which would
-    /// cancel back ends that are starting.
-    fn add(
+    /// Orders as many regular back ends in total as were missing at most within [`RELEASE_ORDERED_AFTER`], so that
+    /// fluctuations cancel none that are starting.
+    fn follow(
         &mut self,
         rules: &ScalingRules,
         zones: &BTreeMap<Box<str>, ZoneState>,
         missing: u32,
+        now: Moment,
     ) -> ZoneCounts {
-        for (zone, desired) in distribute(rules, zones, missing) {
-            let ordered = self.ordered.entry(zone).or_default();
-            *ordered = (*ordered).max(desired);
+        let is_observed = self.record_missing(missing, now);
+        self.raise(rules, zones, missing);
+        if is_observed {
+            self.lower(rules, zones);
         }
         let running = |zone: &str| zones.get(zone).map_or(0, |state| state.regular);
-        let more = self.ordered.iter();
-        let more = more.filter(|(zone, desired)| **desired > running(zone));
-        more.map(|(zone, desired)| (zone.clone(), *desired))
+        let is_due =
+            |zone: &Box<str>, desired: u32| desired > running(zone) || self.lowered.contains(zone);
+        let due = self.ordered.iter();
+        let due = due.filter(|(zone, desired)| is_due(zone, **desired));
+        due.map(|(zone, desired)| (zone.clone(), *desired))
             .collect()
     }
 
+    /// Records how many back ends are missing in this round. Returns whether the rounds of [`RELEASE_ORDERED_AFTER`] are
+    /// known.
+    fn record_missing(&mut self, missing: u32, now: Moment) -> bool {
+        self.missing.push_back((now, missing));
+        let is_old = |at: Moment| now.saturating_sub(at) > RELEASE_ORDERED_AFTER;
+        let mut is_observed = false;
+        while self.missing.front().is_some_and(|(at, _)| is_old(*at)) {
+            self.missing.pop_front();
+            is_observed = true;
+        }
+        is_observed
+    }
+
+    fn raise(&mut self, rules: &ScalingRules, zones: &BTreeMap<Box<str>, ZoneState>, missing: u32) {
+        for (zone, desired) in distribute(rules, zones, missing) {
+            let ordered = self.ordered.entry(zone.clone()).or_default();
+            if desired > *ordered {
+                *ordered = desired;
+                self.lowered.remove(&zone);
+            }
+        }
+    }
+
+    /// Lowers the orders to the number that was missing at most, in the most expensive zones first.
+    fn lower(&mut self, rules: &ScalingRules, zones: &BTreeMap<Box<str>, ZoneState>) {
+        let peak = self.missing.iter().map(|(_, missing)| *missing).max();
+        let ordered: u32 = self.ordered.values().sum();
+        let mut surplus = ordered.saturating_sub(peak.unwrap_or(0));
+        for zone in by_price(rules, zones).into_iter().rev() {
+            let Some(ordered) = self.ordered.get_mut(zone) else {
+                continue;
+            };
+            let released = surplus.min(*ordered);
+            if released > 0 {
+                *ordered -= released;
+                surplus -= released;
+                self.lowered.insert(zone.into());
+            }
+        }
+    }
+
     /// Releases regular back ends in zones where they take the places of reclaimable ones, in the most
     /// expensive zones first. At most the surplus over the demand is released until the reclaimable ones have
     /// started, or the minimum of [`EXCHANGE_PART`] if that is more.
--- a/tests/testsuite/gateway/scaling.rs
+++ b/tests/testsuite/gateway/scaling.rs
@@ -242,6 +242,30 @@
     );
 }
 
+#[test]
+fn regular_back_ends_of_a_peak_are_released_while_reclaimable_ones_are_scarce() {
+    let mut cloud = Cloud::new(6);
+    let mut scaling = ServiceScaling::default();
+    simulate(&mut cloud, &mut scaling, (0, 20), 6_000.0);
+    for zone in ["a", "b"] {
+        cloud.reclaim(zone);
+    }
+    let regular = |cloud: &Cloud| -> usize {
+        let regular = cloud.running.iter().filter(|((_, spot), _)| !spot);
+        regular.map(|(_, starts)| starts.len()).sum()
+    };
+    simulate(&mut cloud, &mut scaling, (20, 26), 14_000.0);
+    let at_peak = regular(&cloud);
+    assert!(at_peak >= 13, "{:?}", cloud.running);
+    // Half of the work, for which the reclaimable ones of one zone do not suffice.
+    let fewest = simulate(&mut cloud, &mut scaling, (26, 40), 7_000.0);
+    assert!(fewest >= 11, "{fewest}");
+    let left = regular(&cloud);
+    assert!(left < at_peak && left > 0, "{left} of {at_peak}");
+    let needed = (7_000.0_f64 / 1e3 / 0.65).ceil() as usize;
+    assert_eq!(cloud.ready(Duration::from_secs(40)), needed);
+}
+
 #[test]
 fn a_service_without_reclaimable_back_ends_grows_and_shrinks_with_its_work() {
     let rules = ScalingRules {
