--- a/src/core/gateway/mod.rs
+++ b/src/core/gateway/mod.rs
@@ -21,6 +21,7 @@
 pub mod reachability;
 pub mod request_id;
 pub mod retry_budget;
+pub mod rollout;
 pub mod routes;
 pub mod scaling;
 pub mod silence;
--- a/src/core/gateway/placement.rs
+++ b/src/core/gateway/placement.rs
@@ -18,6 +18,7 @@
 use super::brittle::Shares;
 use super::cache::Part;
 use super::load::{CallLoad, rank_index};
+use super::rollout::candidates::Candidates;
 use super::routes::EngineSize;
 use super::software::AllowedSoftware;
 use crate::core::cells;
@@ -76,6 +77,8 @@
     pub software: AllowedSoftware,
     /// This node's shares in the places of the back ends, if these are brittle.
     pub shares: Option<Shares>,
+    /// Back ends to which a rollout restricts the call.
+    pub candidates: &'a Candidates,
 }
 
 /// Why a call is refused.
@@ -137,7 +140,7 @@
     let candidates: SmallVec<[&Entry; 32]> = backends
         .of_service(ask.service)
         .filter(|entry| entry.is_open(now) && !ask.tried.contains(&entry.backend.id))
-        .filter(|entry| allows_software(ask, entry))
+        .filter(|entry| allows_software(ask, entry) && ask.candidates.allow(entry))
         .filter(|entry| ask.shares.is_none_or(|shares| has_room(shares, entry)))
         .collect();
     let preferred = preferred_engine(&candidates, ask);
@@ -240,6 +243,15 @@
     }
 }
 
+/// Returns the time until the first event of a call at an idle engine that has nothing of its prompt cached, or until
+/// the answer of a back end that is no model engine.
+pub fn nominal_time(prompt_tokens: Option<u32>) -> Duration {
+    millis(match prompt_tokens {
+        Some(tokens) => f64::from(tokens) / PREFILL_TOKENS_PER_MS + FIRST_EVENT_MS,
+        None => DEFAULT_SLOT_TIME_MS,
+    })
+}
+
 /// Returns the tokens of all parts but the last, which is specific to the call.
 fn shared_tokens(parts: &[Part]) -> f64 {
     let shared = parts.len().saturating_sub(1);
@@ -285,7 +297,9 @@
     let mut staying = backends
         .of_service(ask.service)
         .filter(|entry| !entry.is_gone(now) && !entry.is_leaving());
-    match ask.software == AllowedSoftware::Any || staying.any(|entry| allows_software(ask, entry)) {
+    let may_open =
+        |entry: &Entry| allows_software(ask, entry) && !ask.candidates.exclude_for_good(entry);
+    match ask.software == AllowedSoftware::Any || staying.any(may_open) {
         true => RefusalCause::NoBackend,
         false => RefusalCause::NoSuchSoftware,
     }
--- a/src/node/gateway.rs
+++ b/src/node/gateway.rs
@@ -20,7 +20,7 @@
 use crate::ops::gateway::register::Registration;
 use crate::ops::gateway::state::{GatewayState, Phase};
 use crate::ops::gateway::{
-    follow_store, install, quarantine, quota, reach, resume, snapshot, software,
+    follow_store, install, quarantine, quota, reach, resume, rollout, snapshot, software,
 };
 use crate::sources::http::{ConnectOptions, HttpClient};
 use crate::sources::store::Store;
@@ -129,6 +129,10 @@
                 Arc::clone(&state),
                 Arc::clone(&platform.store),
             ));
+            tokio::spawn(rollout::run(
+                Arc::clone(&state),
+                Arc::clone(&platform.store),
+            ));
             tokio::spawn(origin_archive::run(
                 Arc::clone(&state),
                 Arc::clone(&platform.store),
--- a/src/ops/gateway/attempt.rs
+++ b/src/ops/gateway/attempt.rs
@@ -321,6 +321,14 @@
             backend: running.backend().into(),
         });
     }
+    let backend = &running.place.backend;
+    let rollouts = cx.state.rollouts.lock();
+    if !rollouts.may_send(&backend.service, backend.software.as_deref()) {
+        return Err(AttemptError::NotAccepting {
+            backend: running.backend().into(),
+        });
+    }
+    drop(rollouts);
     if !running.is_probe && cx.state.quarantine.lock().blocks(&running.suspects) {
         return Err(AttemptError::Quarantined);
     }
--- a/src/ops/gateway/dialect.rs
+++ b/src/ops/gateway/dialect.rs
@@ -15,6 +15,7 @@
 use crate::core::gateway::cache::Part;
 use crate::core::gateway::listed_process::ProcessStart;
 use crate::core::gateway::members::NodeName;
+use crate::core::gateway::rollout::lifecycle::{PublishedRollout, RolloutOrder};
 use crate::core::gateway::routes::RouteTable;
 use crate::core::gateway::scaling::Order;
 use crate::core::gateway::usage::{Counts, Window};
@@ -128,6 +129,29 @@
     /// Fails if the text does not have the platform's format, naming the field.
     fn decode_backend(&self, id: &str, text: &[u8]) -> Result<Backend>;
 
+    /// Returns the prefix of the keys of operators' orders to move a service to another software version.
+    fn rollout_prefix(&self) -> &'static str;
+
+    /// Decodes such an order. `service` is the part of its key after the prefix.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the text does not have the platform's format, naming the field.
+    fn decode_rollout_order(&self, service: &str, text: &[u8]) -> Result<RolloutOrder>;
+
+    /// Returns the store's key of what operators read of a service's rollout.
+    fn rollout_status_key(&self, service: &str) -> String;
+
+    /// Encodes what operators read of a rollout.
+    fn encode_rollout_status(&self, status: &PublishedRollout) -> Vec<u8>;
+
+    /// Decodes what operators read of a rollout.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the text does not have the platform's format, naming the field.
+    fn decode_rollout_status(&self, text: &[u8]) -> Result<PublishedRollout>;
+
     /// Returns the path at which a back end reports on itself.
     fn report_path(&self) -> &'static str;
 
--- a/src/ops/gateway/duties.rs
+++ b/src/ops/gateway/duties.rs
@@ -39,6 +39,17 @@
     }
 }
 
+/// Returns the revision of the holder's key if it names this process, as far as this node knows.
+pub fn claim_of(state: &GatewayState) -> Option<Revision> {
+    let view = state.view.lock();
+    let holder = view.get(keys::HOLDER)?;
+    let own = format!("{}/{}@", state.settings.name, state.incarnation);
+    holder
+        .value
+        .starts_with(own.as_bytes())
+        .then_some(holder.revision)
+}
+
 /// Interval between rounds of the holder, and between checks of the other nodes.
 const ROUND_INTERVAL: Duration = Duration::from_millis(400);
 /// Time after the first start of the whole system in which there cannot have been another holder: no
@@ -387,8 +398,13 @@
         let mut zones: BTreeMap<Box<str>, ZoneState> = priced
             .map(|zone| (zone.clone(), ZoneState::default()))
             .collect();
+        // Beside them a rollout may have started as many of another version.
+        let in_use = self.state.rollouts.lock().in_use(service);
         let backends = self.state.backends.lock();
-        for entry in backends.of_service(service) {
+        for entry in backends
+            .of_service(service)
+            .filter(|entry| in_use.allow(entry))
+        {
             let backend = &entry.backend;
             let state = zones.entry(backend.zone.clone()).or_default();
             if entry.is_leaving() || entry.listing != Listing::Listed {
--- a/src/ops/gateway/install.rs
+++ b/src/ops/gateway/install.rs
@@ -8,6 +8,7 @@
 use super::keys;
 use super::node_wire;
 use super::quarantine;
+use super::rollout;
 use super::software;
 use super::state::{GatewayState, Phase};
 use super::view::{self, Deletion, KeyHash};
@@ -43,6 +44,21 @@
     put_in_order(state, item, source, WriteOrder::Later);
 }
 
+/// Applies puts that belong together.
+pub fn put_all(state: &GatewayState, items: &[KeyValue], source: Source) {
+    put_all_in_order(state, items, source, WriteOrder::Later);
+}
+
+/// Applies puts, those of rollouts first: they restrict which calls go to the back ends that are listed beside them.
+fn put_all_in_order(state: &GatewayState, items: &[KeyValue], source: Source, order: WriteOrder) {
+    let (rollouts, others): (Vec<_>, Vec<_>) = items
+        .iter()
+        .partition(|item| is_of_rollout(state, &item.key));
+    for item in rollouts.into_iter().chain(others) {
+        put_in_order(state, item, source, order);
+    }
+}
+
 fn put_in_order(state: &GatewayState, item: &KeyValue, source: Source, order: WriteOrder) {
     let key: &str = &item.key;
     if key.starts_with(keys::STREAMS) {
@@ -61,6 +77,10 @@
         quarantine::put_entry(state, item);
     } else if let Some(service) = key.strip_prefix(keys::SOFTWARE) {
         software::put_record(state, service, item);
+    } else if let Some(service) = key.strip_prefix(state.dialect.rollout_prefix()) {
+        rollout::put_order(state, service, item);
+    } else if let Some(service) = key.strip_prefix(keys::ROLLOUTS) {
+        rollout::put_record(state, service, item);
     } else if let Some(name) = key.strip_prefix(keys::NODES) {
         // Living nodes register again; the copy may list others, or earlier processes.
         if order == WriteOrder::Unknown {
@@ -115,9 +135,7 @@
         true => WriteOrder::Unknown,
         false => WriteOrder::Later,
     };
-    for item in items {
-        put_in_order(state, item, source, order);
-    }
+    put_all_in_order(state, items, source, order);
     let missing = missing_keys(state, items, kept, revision);
     let (lost, missing): (Vec<Key>, Vec<Key>) = missing
         .into_iter()
@@ -132,12 +150,18 @@
             .lock()
             .forget_revisions_before(revision.era);
         state.software.lock().forget_revisions_before(revision.era);
+        state.rollouts.lock().forget_revisions_before(revision.era);
     }
     state.view.lock().compact_deletions(revision);
     state.set_revision(revision);
     true
 }
 
+/// Returns whether a key is that of an order or a record of a rollout.
+pub fn is_of_rollout(state: &GatewayState, key: &str) -> bool {
+    key.starts_with(keys::ROLLOUTS) || key.starts_with(state.dialect.rollout_prefix())
+}
+
 /// Returns whether a missing value was lost in a restore and stays in force nevertheless.
 fn is_lost_value(state: &GatewayState, key: &str, listed_at: Revision) -> bool {
     let known = state.view.lock().get(key).map(|known| known.revision);
@@ -145,13 +169,14 @@
 }
 
 /// Returns whether a value stays in force when the store loses it: the configuration until a newer one is
-/// written, decided counts for as long as they may be reported, and the quarantine and the software versions of
-/// services, which this node writes again.
+/// written, decided counts for as long as they may be reported, orders of rollouts, which operators write again, and
+/// the quarantine, the software versions of services and the rollouts, which this node writes again.
 fn is_kept_without_store(state: &GatewayState, key: &str) -> bool {
     let is_reportable = |window| window >= decided_counts::first_reportable_window(state);
     key == state.dialect.config_key()
         || key.starts_with(keys::QUARANTINE)
         || key.starts_with(keys::SOFTWARE)
+        || is_of_rollout(state, key)
         || keys::usage_window(key).is_some_and(is_reportable)
 }
 
@@ -223,6 +248,14 @@
         software::remove_record(state, service);
         return;
     }
+    if let Some(service) = deletion.key.strip_prefix(keys::ROLLOUTS) {
+        rollout::remove_record(state, service);
+        return;
+    }
+    if let Some(service) = deletion.key.strip_prefix(state.dialect.rollout_prefix()) {
+        rollout::remove_order(state, service);
+        return;
+    }
     if let Some(id) = deletion.key.strip_prefix(state.dialect.backend_prefix()) {
         let now = state.now();
         let contact = *state.contact.lock();
--- a/src/ops/gateway/keys.rs
+++ b/src/ops/gateway/keys.rs
@@ -18,6 +18,14 @@
     format!("{SOFTWARE}{service}")
 }
 
+/// Prefix of the keys of rollouts of software versions, followed by the service's name.
+pub const ROLLOUTS: &str = "jayhall/rollouts/";
+
+/// Returns the key of a service's rollout.
+pub fn rollout(service: &str) -> String {
+    format!("{ROLLOUTS}{service}")
+}
+
 /// Prefix of the keys of origins of streams. Nodes do not keep them in their view of the store.
 pub const STREAMS: &str = "jayhall/streams/";
 
--- a/src/ops/gateway/mesh/receive.rs
+++ b/src/ops/gateway/mesh/receive.rs
@@ -14,6 +14,7 @@
 use crate::ops::gateway::load_wire::LoadSumWire;
 use crate::ops::gateway::mesh_wire::{DatagramWire, ReportWire, ZoneSumWire};
 use crate::ops::gateway::quota;
+use crate::ops::gateway::rollout_wire::decode_counts;
 
 impl Mesh {
     /// Receives messages until the task is dropped.
@@ -148,6 +149,11 @@
             false => Observer::Fleet,
         };
         load.add_crashes_to(&mut state.quarantine.lock().crashes, observer, now);
+        {
+            let mut rollouts = state.rollouts.lock();
+            rollouts.note_report(now);
+            rollouts.apply_report(from, observer, decode_counts(&load.rollouts));
+        }
         let mut backends = state.backends.lock();
         if let Some(loads) = load.loads() {
             backends.apply_report(from, &loads, now);
--- a/src/ops/gateway/mesh/report.rs
+++ b/src/ops/gateway/mesh/report.rs
@@ -6,6 +6,7 @@
 use crate::core::time::Moment;
 use crate::ops::gateway::load_wire::LoadSumWire;
 use crate::ops::gateway::mesh_wire::{ReportWire, ZoneSumWire};
+use crate::ops::gateway::rollout_wire::encode_counts;
 use crate::ops::gateway::state::Phase;
 use crate::util::time::{as_millis_u64, unix_now};
 
@@ -100,6 +101,7 @@
         load.leaving = backends.leaving(now, LEAVING_NOTICE_PERIOD);
         load.set_call_limits(&backends, observer, now);
         drop(backends);
+        load.rollouts = encode_counts(&self.state.rollouts.lock().to_report(observer));
         let quarantine = self.state.quarantine.lock();
         load.set_crashes(&quarantine.crashes, observer, now);
     }
--- a/src/ops/gateway/mod.rs
+++ b/src/ops/gateway/mod.rs
@@ -9,6 +9,7 @@
 //! - `silence`: calls whose back ends are silent;
 //! - [`duties`]: work that is done by one elected node on behalf of all;
 //! - [`software`], [`resume`], [`origin_archive`]: the software version at which a broken stream may go on;
+//! - [`rollout`], [`rollout_wire`]: moves of services to other software versions;
 //! - [`body_memory`]: memory for the bodies of calls and answers;
 //! - [`quota`], [`quota_wire`]: customers' quotas, lent to a few nodes and charged there;
 //! - [`quarantine`]: prompts that crash back ends and are sent to none;
@@ -47,6 +48,8 @@
 pub mod register;
 pub mod relay;
 pub mod resume;
+pub mod rollout;
+pub mod rollout_wire;
 pub mod running;
 mod silence;
 pub mod snapshot;
--- a/src/ops/gateway/next_hop.rs
+++ b/src/ops/gateway/next_hop.rs
@@ -9,6 +9,7 @@
 use super::call::Call;
 use super::peer_forward;
 use super::progress::Progress;
+use super::rollout;
 use super::running::RunningAttempt;
 use super::state::GatewayState;
 use crate::core::gateway::backends::BackendId;
@@ -16,6 +17,7 @@
 use crate::core::gateway::members::Member;
 use crate::core::gateway::placement::{self, Placement, PlacementRequest, RefusalCause};
 use crate::core::gateway::quarantine::Check;
+use crate::core::gateway::rollout::candidates::Candidates;
 use crate::core::gateway::routes::RouteKind;
 use crate::core::gateway::software::AllowedSoftware;
 
@@ -139,7 +141,7 @@
         .length_hint
         .unwrap_or(answer_tokens)
         .min(answer_tokens);
-    let ask = PlacementRequest {
+    let mut ask = PlacementRequest {
         service: &call.service.name,
         engine: call.service.engine,
         parts: &call.head.parts,
@@ -151,20 +153,26 @@
         tried: &excluded,
         software: progress.allowed,
         shares: shares(state, &call.service.name),
+        candidates: &Candidates::Any,
     };
+    let mut rollouts = state.rollouts.lock();
     let mut backends = state.backends.lock();
     let now = state.now();
     backends.expire_loads(now);
-    let mut placement = placement::place(
-        &backends,
-        state.regions(),
-        &ask,
-        now,
-        &mut rand::random::<f64>,
-    );
+    let plan = rollouts.plan(&call.service.name, progress.allowed, &backends, now);
+    let mut place_among = |candidates| {
+        ask.candidates = candidates;
+        let draw = &mut rand::random::<f64>;
+        placement::place(&backends, state.regions(), &ask, now, draw)
+    };
+    let mut placement = match &plan {
+        Some(plan) => plan.place(place_among),
+        None => place_among(&Candidates::Any),
+    };
     if let Placement::Send { place, .. } = &mut placement
         && slot == Slot::Occupied
     {
+        rollout::record_send(&mut rollouts, &place.backend);
         let kv_tokens = call.service.engine.map_or(0, |engine| engine.kv_tokens);
         backends.begin(place, &call.head.parts, u64::from(kv_tokens), now);
     }
--- a/src/ops/gateway/running.rs
+++ b/src/ops/gateway/running.rs
@@ -7,6 +7,7 @@
 
 use super::attempt::GatewayContext;
 use super::call::Call;
+use super::rollout::AnswerSample;
 use crate::core::gateway::backends::{Backend, CallPlace, Outcome, process_name};
 use crate::core::gateway::crashes::Crash;
 use crate::core::gateway::listed_process::PeerProcess;
@@ -46,6 +47,8 @@
     customer: Option<Box<str>>,
     /// To which process the call was sent, as far as this node knew.
     process: PeerProcess,
+    /// How the answer counts as evidence, if a rollout of the service runs.
+    sample: Option<AnswerSample>,
     /// Set if another node forwards the call, which accounts for it then.
     forwarded_by: Option<ForwardedBy>,
 }
@@ -73,7 +76,9 @@
             0.0
         };
         state.work.lock().add(&call.service.name, work_ms, now);
+        let sample = AnswerSample::new(state, call, place.backend.software.as_deref());
         Self {
+            sample,
             cx: Arc::clone(cx),
             place,
             sent: Instant::now(),
@@ -126,6 +131,7 @@
             outcome: Outcome::Answered,
             customer: None,
             process: PeerProcess::Presumed,
+            sample: None,
             forwarded_by: Some(ForwardedBy { software }),
         }
     }
@@ -191,6 +197,9 @@
             .backends
             .lock()
             .first_event(&mut self.place, first_event_after, self.expected);
+        if let Some(sample) = &self.sample {
+            sample.record_answer(state, &self.place.backend.service, first_event_after);
+        }
         if let Some(customer) = &self.customer {
             state.count_usage(customer, ago);
         }
@@ -247,6 +256,16 @@
             }
             _ => {}
         }
+        if let Some(sample) = &self.sample {
+            let service = &self.place.backend.service;
+            match self.outcome {
+                Outcome::Failed => sample.record_failure(state, service),
+                Outcome::Silent | Outcome::Declined if !self.place.has_begun => {
+                    sample.record_unanswered(state, service, duration);
+                }
+                _ => {}
+            }
+        }
         state
             .backends
             .lock()
--- a/src/ops/gateway/snapshot.rs
+++ b/src/ops/gateway/snapshot.rs
@@ -298,9 +298,7 @@
     let Some(items) = decode_items(snapshot.items, peer) else {
         return false;
     };
-    for item in &items {
-        install::put(state, item, Source::Peer);
-    }
+    install::put_all(state, &items, Source::Peer);
     true
 }
 
@@ -314,9 +312,7 @@
     if snapshot.is_whole {
         install::apply_listing(state, &items, &snapshot.kept, revision, Source::Peer);
     } else {
-        for item in &items {
-            install::put(state, item, Source::Peer);
-        }
+        install::put_all(state, &items, Source::Peer);
         for deletion in snapshot.deletions {
             install::delete(state, deletion.into(), Source::Peer);
         }
--- a/src/ops/gateway/state.rs
+++ b/src/ops/gateway/state.rs
@@ -20,6 +20,7 @@
 use crate::core::gateway::quarantine::Quarantine;
 use crate::core::gateway::reachability::Reachability;
 use crate::core::gateway::retry_budget::RetryBudget;
+use crate::core::gateway::rollout::{RolloutBounds, Rollouts};
 use crate::core::gateway::routes::{RouteTable, ServiceName};
 use crate::core::gateway::silence::Activities;
 use crate::core::gateway::software::SoftwareHistory;
@@ -80,6 +81,8 @@
     pub reach: Mutex<Reachability>,
     /// Software versions that services have had lately.
     pub software: Mutex<SoftwareHistory>,
+    /// Rollouts of software versions. Locked before `backends`, where both are.
+    pub rollouts: Mutex<Rollouts>,
     /// Which software versions began streams.
     pub origins: Mutex<StreamOrigins>,
     /// Rate of incoming work, by service.
@@ -126,6 +129,10 @@
         let incarnation = rand::random::<u64>().max(1);
         Arc::new(Self {
             bodies: BodyMemory::new(settings.memory_bytes),
+            rollouts: Mutex::new(Rollouts::new(RolloutBounds {
+                max_exposure: settings.bounds.exposure,
+                stop_within: settings.bounds.rollback,
+            })),
             quotas: Quotas::new(settings.name.clone(), incarnation, since_boot()),
             settings,
             dialect,
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -8,6 +8,7 @@
 pub mod headers;
 mod registry;
 mod report;
+mod rollout;
 mod store;
 
 use std::net::SocketAddr;
@@ -20,6 +21,7 @@
 
 use crate::core::gateway::backends::Backend;
 use crate::core::gateway::listed_process::ProcessStart;
+use crate::core::gateway::rollout::lifecycle::{PublishedRollout, RolloutOrder};
 use crate::core::gateway::routes::RouteTable;
 use crate::ops::gateway::dialect::{CallHead, Dialect, ForwardMetadata, ResponseHead, Result};
 
@@ -83,6 +85,26 @@
         registry::decode(id, text)
     }
 
+    fn rollout_prefix(&self) -> &'static str {
+        rollout::ORDER_PREFIX
+    }
+
+    fn decode_rollout_order(&self, service: &str, text: &[u8]) -> Result<RolloutOrder> {
+        rollout::decode_order(service, text)
+    }
+
+    fn rollout_status_key(&self, service: &str) -> String {
+        rollout::status_key(service)
+    }
+
+    fn encode_rollout_status(&self, status: &PublishedRollout) -> Vec<u8> {
+        rollout::encode_status(status)
+    }
+
+    fn decode_rollout_status(&self, text: &[u8]) -> Result<PublishedRollout> {
+        rollout::decode_status(text)
+    }
+
     fn report_path(&self) -> &'static str {
         report::PATH
     }
--- a/src/util/settings/gateway.rs
+++ b/src/util/settings/gateway.rs
@@ -141,6 +141,18 @@
             "5s",
             "longest time for which callers keep an answer",
         ),
+        KeySpec::optional(
+            "exposure",
+            ValueKind::Decimal,
+            "0",
+            "part of a service's calls that a new version gets before its rollout has succeeded; 0 leaves orders out",
+        ),
+        KeySpec::optional(
+            "rollback",
+            ANY_DURATION,
+            "5s",
+            "time after which a new version that has shown to be bad gets no call",
+        ),
     ],
 };
 
@@ -217,6 +229,11 @@
     pub usage_late: Duration,
     /// Longest time for which callers cache an answer of the directory.
     pub directory_ttl: Duration,
+    /// Largest part of a service's calls that a new software version gets before its rollout has succeeded; 0 leaves
+    /// orders out.
+    pub exposure: f64,
+    /// Time after which a new version that has shown to be bad gets no call.
+    pub rollback: Duration,
 }
 
 impl GatewaySettings {
@@ -288,6 +305,8 @@
         usage_window: fields.duration("usage_window"),
         usage_late: fields.duration("usage_late"),
         directory_ttl: fields.duration("directory_ttl"),
+        exposure: fields.decimal("exposure"),
+        rollback: fields.duration("rollback"),
     });
     let seeds = read_seeds(reader, &seeds);
     let regions = read_regions(reader, &regions);
--- a/tests/testsuite/gateway/placement.rs
+++ b/tests/testsuite/gateway/placement.rs
@@ -8,6 +8,7 @@
 use jayhall::core::gateway::cache::Part;
 use jayhall::core::gateway::load::Load;
 use jayhall::core::gateway::placement::{self, Placement, PlacementRequest, RefusalCause, Regions};
+use jayhall::core::gateway::rollout::candidates::Candidates;
 use jayhall::core::gateway::routes::EngineSize;
 use jayhall::core::gateway::software::AllowedSoftware;
 use rand::rngs::ChaCha8Rng;
@@ -62,6 +63,7 @@
         tried: &[],
         software: AllowedSoftware::Any,
         shares: None,
+        candidates: &Candidates::Any,
     }
 }
 
--- a/tests/testsuite/gateway/recorded_messages.rs
+++ b/tests/testsuite/gateway/recorded_messages.rs
@@ -69,6 +69,7 @@
             per_second: Some(20.5),
             age_ms: 21,
         }],
+        rollouts: Vec::new(),
         survivors: vec![SurvivorWire {
             process: 22,
             age_ms: 23,
--- a/tests/testsuite/gateway/settings_template.rs
+++ b/tests/testsuite/gateway/settings_template.rs
@@ -74,7 +74,7 @@
     all
 }
 
-const BOUNDS: [&str; 9] = [
+const BOUNDS: [&str; 11] = [
     "drainMs",
     "graceS",
     "retryBudgetRatio",
@@ -83,6 +83,8 @@
     "leaseMs",
     "usageWindowS",
     "usageLateS",
+    "maxExposure",
+    "rollbackMs",
     "ttl_max_s",
 ];
 
