--- a/src/core/gateway/rollout/candidates.rs
+++ b/src/core/gateway/rollout/candidates.rs
@@ -107,11 +107,11 @@
     backends: &Backends,
     service: &str,
     target: &str,
-    canary_fraction: f64,
+    canary_part: f64,
     now: Moment,
 ) -> SmallVec<[BackendId; 4]> {
     let old = staying(backends, service, now).filter(|entry| version_of(entry) != target);
-    let count = (old.count() as f64 * canary_fraction).ceil().max(1.0) as usize;
+    let count = (old.count() as f64 * canary_part).ceil().max(1.0) as usize;
     let new = backends
         .accepting(service, now)
         .filter(|entry| version_of(entry) == target && !entry.is_suspect());
--- a/src/core/gateway/rollout/lifecycle.rs
+++ b/src/core/gateway/rollout/lifecycle.rs
@@ -16,7 +16,7 @@
 pub type RolloutId = u64;
 
 /// Time before the deadline at which the new version is promoted.
-const PROMOTE_BEFORE: Duration = Duration::from_millis(4500);
+const PROMOTE_BEFORE: Duration = Duration::from_millis(5000);
 /// Time before the deadline at which all calls are switched to the new version.
 const SWITCH_BEFORE: Duration = Duration::from_millis(2700);
 /// Time before the deadline at which the final state is written, so that it is in the store and at all nodes in time.
--- a/src/core/gateway/rollout/mod.rs
+++ b/src/core/gateway/rollout/mod.rs
@@ -8,14 +8,17 @@
 pub mod evidence;
 pub mod exposure;
 pub mod lifecycle;
+mod plan;
 mod service;
 pub mod verdict;
+mod writes;
 
 use std::collections::HashMap;
 use std::time::Duration;
 
 use self::candidates::{Candidates, Plan};
 use self::evidence::{CountsByRoute, Group, RouteCounts, RouteId};
+use self::exposure::{Exposure, ExposureBound};
 use self::lifecycle::{PublishedRollout, RolloutId, RolloutOrder, RolloutRecord};
 use self::service::ServiceRollout;
 use super::backends::Backends;
@@ -26,7 +29,8 @@
 use crate::core::time::{Moment, UnixMillis};
 use crate::sources::store::{Era, Revision};
 
-pub use service::{HoldReason, RolloutStatus, WriteTask};
+pub use service::{HoldReason, RolloutStatus};
+pub use writes::WriteTask;
 
 /// Age of the last report of any other node above which a node does not use the new version.
 const MAX_REPORT_AGE: Duration = Duration::from_secs(2);
@@ -34,9 +38,8 @@
 /// Bounds on rollouts, as operators configure them.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RolloutBounds {
-    /// Largest part of the calls of a service that a new version gets before its rollout has succeeded; 0 if the
-    /// settings name none, and orders are left out then.
-    pub max_exposure: f64,
+    /// Bound on the calls that a new version gets before its rollout has succeeded.
+    pub exposure: ExposureBound,
     /// Time after which a version that has shown to be bad gets no call.
     pub stop_within: Duration,
 }
@@ -73,15 +76,22 @@
         }
     }
 
-    /// Applies an order of the operators. `draw` is uniform between 0 and 1. Returns whether it is a new one.
-    pub fn put_order(&mut self, order: RolloutOrder, wall: UnixMillis, draw: f64) -> bool {
-        if self.bounds.max_exposure <= 0.0 {
+    /// Applies an order of the operators at one of `nodes` nodes. `draw` is uniform between 0 and 1. Returns whether it
+    /// is a new one.
+    pub fn put_order(
+        &mut self,
+        order: RolloutOrder,
+        nodes: usize,
+        wall: UnixMillis,
+        draw: f64,
+    ) -> bool {
+        if self.bounds.exposure.max_part <= 0.0 {
             return false;
         }
-        let max_exposure = self.bounds.max_exposure;
+        let exposure = Exposure::new(self.bounds.exposure, nodes, draw);
         let service = order.service.clone();
         let rollout = self.services.entry(service).or_default();
-        rollout.put_order(order, max_exposure, wall, draw)
+        rollout.put_order(order, exposure, wall)
     }
 
     /// Applies that the operators have withdrawn their order.
--- a/src/core/gateway/rollout/service.rs
+++ b/src/core/gateway/rollout/service.rs
@@ -3,18 +3,12 @@
 use std::time::Duration;
 
 use super::Surroundings;
-use super::candidates::{
-    Candidates, Plan, Versions, canary_backends, has_other_version, has_version, other_versions,
-};
 use super::evidence::{Evidence, Group};
-use super::exposure::{Credit, Exposure, canary_fraction};
-use super::lifecycle::{
-    Phase, PublishedRollout, RolloutId, RolloutOrder, RolloutRecord, RolloutState,
-};
+use super::exposure::Exposure;
+use super::lifecycle::{Phase, RolloutId, RolloutOrder, RolloutRecord};
 use super::verdict::{Judge, LoadLevel, Verdict};
-use crate::core::gateway::backends::Backends;
 use crate::core::gateway::routes::ServiceName;
-use crate::core::gateway::software::{AllowedSoftware, SoftwareVersion, software_id};
+use crate::core::gateway::software::SoftwareVersion;
 use crate::core::time::{Moment, UnixMillis};
 use crate::sources::store::Revision;
 
@@ -60,17 +54,6 @@
     pub report_age: Option<Duration>,
 }
 
-/// A record to be written to the store, together with the status for the operators.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct WriteTask {
-    /// The service.
-    pub service: ServiceName,
-    /// The record.
-    pub record: RolloutRecord,
-    /// Revision of the record to be replaced; [`Revision::NONE`] if there is none.
-    pub revision: Revision,
-}
-
 /// What the store has of a rollout.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Stored {
@@ -83,10 +66,9 @@
 /// An order, and when it was first seen.
 #[derive(Debug)]
 pub(super) struct SeenOrder {
-    order: RolloutOrder,
-    at: UnixMillis,
-    exposure: Exposure,
-    max_exposure: f64,
+    pub(super) order: RolloutOrder,
+    pub(super) at: UnixMillis,
+    pub(super) exposure: Exposure,
 }
 
 /// The rollout of one service.
@@ -98,19 +80,18 @@
     pub(super) stored: Option<Stored>,
     pub(super) evidence: Evidence,
     pub(super) judge: Judge,
-    verdict: Option<Verdict>,
+    pub(super) verdict: Option<Verdict>,
     /// When the new version first answered a call of any node.
-    answered_since: Option<Moment>,
-    held: Option<HoldReason>,
+    pub(super) answered_since: Option<Moment>,
+    pub(super) held: Option<HoldReason>,
 }
 
 impl ServiceRollout {
     pub(super) fn put_order(
         &mut self,
         order: RolloutOrder,
-        max_exposure: f64,
+        exposure: Exposure,
         wall: UnixMillis,
-        draw: f64,
     ) -> bool {
         let is_known = |seen: &SeenOrder| seen.order.target == order.target;
         if self.order.as_ref().is_some_and(is_known) {
@@ -119,8 +100,7 @@
         self.order = Some(SeenOrder {
             order,
             at: wall,
-            exposure: Exposure::new(max_exposure, draw),
-            max_exposure,
+            exposure,
         });
         self.held = self.hold_without_record();
         true
@@ -150,7 +130,9 @@
             self.answered_since = None;
         }
         self.record = Some(record);
-        self.held = self.hold_without_record();
+        let before = self.held.filter(|_| !is_other);
+        let before = before.filter(|reason| *reason != HoldReason::NoRecord);
+        self.held = self.hold_without_record().or(before);
         true
     }
 
@@ -173,7 +155,7 @@
     }
 
     /// Returns the record if it is that of the order, or if there is no order.
-    fn record_of_order(&self) -> Option<&RolloutRecord> {
+    pub(super) fn record_of_order(&self) -> Option<&RolloutRecord> {
         let record = self.record.as_ref()?;
         let is_ordered = |seen: &SeenOrder| seen.order.target == record.target;
         self.order.as_ref().is_none_or(is_ordered).then_some(record)
@@ -187,106 +169,6 @@
         }
     }
 
-    /// Returns the versions that get no calls: for good after a rollout, and those that wait for one to begin.
-    fn excluded(&self) -> Candidates {
-        let mut versions = Versions::new();
-        if let Some(record) = &self.record {
-            match record.phase {
-                Phase::Succeeded => versions.extend(record.replaced.iter().cloned()),
-                _ => versions.push(record.target.clone()),
-            }
-        }
-        match (&self.order, self.record_of_order()) {
-            (_, Some(record)) if record.phase.is_final() => Candidates::Except(versions),
-            (Some(seen), None) => {
-                versions.push(seen.order.target.clone());
-                Candidates::Withheld(versions)
-            }
-            _ => Candidates::Withheld(versions),
-        }
-    }
-
-    pub(super) fn plan(
-        &self,
-        service: &str,
-        allowed: AllowedSoftware,
-        backends: &Backends,
-        now: Moment,
-    ) -> Option<Plan> {
-        if self.order.is_none() && self.record.is_none() {
-            return None;
-        }
-        let excluded = self.excluded();
-        let Some(record) = self.record_of_order() else {
-            return self.plan_before_record(excluded, service, backends, now);
-        };
-        let target = &record.target;
-        match record.phase {
-            Phase::RolledBack => return Some(Plan::only(excluded)),
-            Phase::Succeeded => {
-                let has_target = has_version(backends, service, target, now);
-                return has_target.then(|| Plan::only(excluded));
-            }
-            Phase::Canary | Phase::Promoted | Phase::Switched => {}
-        }
-        if self.held == Some(HoldReason::BadEvidence) {
-            return Some(Plan::only(excluded));
-        }
-        if !has_other_version(backends, service, target, now) {
-            return None;
-        }
-        let needs_target = allowed.only() == Some(software_id(service, target));
-        if self.held.is_some() || (allowed.only().is_some() && !needs_target) {
-            return Some(Plan::only(excluded));
-        }
-        let first = match record.phase {
-            Phase::Switched => Some(Candidates::Of(target.clone())),
-            _ if needs_target || record.phase == Phase::Promoted => self
-                .has_credit(Credit::Full)
-                .then(|| Candidates::Of(target.clone())),
-            _ => self
-                .has_credit(Credit::Canary)
-                .then(|| self.canaries(service, target, backends, now)),
-        };
-        Some(match first {
-            Some(first) => Plan {
-                first,
-                otherwise: Some(excluded),
-            },
-            None => Plan::only(excluded),
-        })
-    }
-
-    /// Returns where calls are placed while the order is not on record: at the old versions, if there are any.
-    fn plan_before_record(
-        &self,
-        excluded: Candidates,
-        service: &str,
-        backends: &Backends,
-        now: Moment,
-    ) -> Option<Plan> {
-        let target = &self.order.as_ref()?.order.target;
-        let has_old = has_other_version(backends, service, target, now);
-        has_old.then(|| Plan::only(excluded))
-    }
-
-    fn canaries(
-        &self,
-        service: &str,
-        target: &str,
-        backends: &Backends,
-        now: Moment,
-    ) -> Candidates {
-        let max_exposure = self.order.as_ref().map_or(0.0, |seen| seen.max_exposure);
-        let fraction = canary_fraction(max_exposure);
-        Candidates::Among(canary_backends(backends, service, target, fraction, now))
-    }
-
-    fn has_credit(&self, credit: Credit) -> bool {
-        let seen = self.order.as_ref();
-        seen.is_some_and(|seen| seen.exposure.has_credit(credit))
-    }
-
     pub(super) fn record_send(&mut self, version: &str) {
         if let Some(seen) = &mut self.order {
             seen.exposure.record(*seen.order.target == *version);
@@ -301,24 +183,6 @@
         })
     }
 
-    pub(super) fn in_use(&self) -> Candidates {
-        match self.record_of_order() {
-            Some(record) if record.phase == Phase::Switched => {
-                Candidates::Except(record.replaced.iter().cloned().collect())
-            }
-            _ => self.excluded(),
-        }
-    }
-
-    pub(super) fn may_send(&self, version: &str) -> bool {
-        match self.record_of_order() {
-            Some(record) if *record.target == *version => {
-                record.phase != Phase::RolledBack && self.held.is_none()
-            }
-            _ => true,
-        }
-    }
-
     /// Judges the evidence. Returns whether this node begins or ceases to hold back.
     pub(super) fn update(&mut self, around: &Surroundings, lacks_reports: bool) -> bool {
         let before = self.held;
@@ -383,76 +247,4 @@
             report_age,
         }
     }
-
-    pub(super) fn write_task(
-        &self,
-        service: &str,
-        backends: &Backends,
-        around: &Surroundings,
-        published: Option<&PublishedRollout>,
-    ) -> Option<WriteTask> {
-        let record = self.next_record(service, backends, around, published)?;
-        let stored = self.stored.filter(|stored| stored.is_current);
-        let is_stored = stored.is_some() && self.record.as_ref() == Some(&record);
-        if is_stored && published == Some(&record.published()) {
-            return None;
-        }
-        Some(WriteTask {
-            service: service.into(),
-            record,
-            revision: self.stored.map_or(Revision::NONE, |stored| stored.revision),
-        })
-    }
-
-    /// Returns the record that is to be in force now.
-    fn next_record(
-        &self,
-        service: &str,
-        backends: &Backends,
-        around: &Surroundings,
-        published: Option<&PublishedRollout>,
-    ) -> Option<RolloutRecord> {
-        let Some(record) = self.record_of_order() else {
-            return self.first_record(service, backends, around, published);
-        };
-        let is_withdrawn = self.order.is_none() && !record.phase.is_final();
-        let next = match is_withdrawn {
-            true => Some(Phase::RolledBack),
-            false => {
-                let since = self.answered_since.unwrap_or(around.now);
-                let observed = around.now.saturating_sub(since);
-                let verdict = self.verdict.unwrap_or(Verdict::TooFew);
-                record.next(verdict, observed, around.wall)
-            }
-        };
-        Some(match next {
-            Some(phase) => record.in_phase(phase, around.wall),
-            None => record.clone(),
-        })
-    }
-
-    /// Returns the record with which the rollout of an order begins. If it was lost after its end, the published state
-    /// stands. There is nothing to move if the service has only back ends of the target.
-    fn first_record(
-        &self,
-        service: &str,
-        backends: &Backends,
-        around: &Surroundings,
-        published: Option<&PublishedRollout>,
-    ) -> Option<RolloutRecord> {
-        let seen = self.order.as_ref()?;
-        let target = &seen.order.target;
-        let replaced = other_versions(backends, service, target, around.now).into_vec();
-        let has_target = has_version(backends, service, target, around.now);
-        let has_only_target = has_target && replaced.is_empty();
-        let record = RolloutRecord::begin(&seen.order, seen.at, replaced, around.wall);
-        let published = published.filter(|published| published.target == *target);
-        let phase = match published.map(|published| published.state) {
-            Some(RolloutState::RolledBack) => Phase::RolledBack,
-            Some(RolloutState::Succeeded) => Phase::Succeeded,
-            _ if has_only_target => Phase::Succeeded,
-            _ => Phase::Canary,
-        };
-        Some(record.in_phase(phase, around.wall))
-    }
 }
--- a/src/ops/gateway/rollout.rs
+++ b/src/ops/gateway/rollout.rs
@@ -218,8 +218,8 @@
     };
     let wall = state.wall();
     let (target, duration) = (order.target.clone(), order.duration);
-    let draw = rand::random();
-    if state.rollouts.lock().put_order(order, wall, draw) {
+    let (nodes, draw) = (state.node_count(), rand::random());
+    if state.rollouts.lock().put_order(order, nodes, wall, draw) {
         tracing::info!(
             service,
             target = &*target,
--- a/src/ops/gateway/state.rs
+++ b/src/ops/gateway/state.rs
@@ -20,6 +20,7 @@
 use crate::core::gateway::quarantine::Quarantine;
 use crate::core::gateway::reachability::Reachability;
 use crate::core::gateway::retry_budget::RetryBudget;
+use crate::core::gateway::rollout::exposure::ExposureBound;
 use crate::core::gateway::rollout::{RolloutBounds, Rollouts};
 use crate::core::gateway::routes::{RouteTable, ServiceName};
 use crate::core::gateway::silence::Activities;
@@ -130,7 +131,10 @@
         Arc::new(Self {
             bodies: BodyMemory::new(settings.memory_bytes),
             rollouts: Mutex::new(Rollouts::new(RolloutBounds {
-                max_exposure: settings.bounds.exposure,
+                exposure: ExposureBound {
+                    max_part: settings.bounds.exposure,
+                    slack: settings.bounds.exposure_slack,
+                },
                 stop_within: settings.bounds.rollback,
             })),
             quotas: Quotas::new(settings.name.clone(), incarnation, since_boot()),
--- a/src/util/settings/gateway.rs
+++ b/src/util/settings/gateway.rs
@@ -147,6 +147,12 @@
             "0",
             "part of a service's calls that a new version gets before its rollout has succeeded; 0 leaves orders out",
         ),
+        KeySpec::optional(
+            "exposure_slack",
+            ValueKind::Decimal,
+            "0",
+            "calls of a new version besides, over all nodes",
+        ),
         KeySpec::optional(
             "rollback",
             ANY_DURATION,
@@ -232,6 +238,8 @@
     /// Largest part of a service's calls that a new software version gets before its rollout has succeeded; 0 leaves
     /// orders out.
     pub exposure: f64,
+    /// Calls of a new version allowed in addition to `exposure`, over all nodes.
+    pub exposure_slack: f64,
     /// Time after which a new version that has shown to be bad gets no call.
     pub rollback: Duration,
 }
@@ -306,6 +314,7 @@
         usage_late: fields.duration("usage_late"),
         directory_ttl: fields.duration("directory_ttl"),
         exposure: fields.decimal("exposure"),
+        exposure_slack: fields.decimal("exposure_slack"),
         rollback: fields.duration("rollback"),
     });
     let seeds = read_seeds(reader, &seeds);
