--- a/src/core/gateway/mod.rs
+++ b/src/core/gateway/mod.rs
@@ -16,6 +16,7 @@
 pub mod observed;
 pub mod origin;
 pub mod placement;
+pub mod precedence;
 pub mod quarantine;
 pub mod quota;
 pub mod reachability;
--- a/src/core/gateway/quota/bucket.rs
+++ b/src/core/gateway/quota/bucket.rs
@@ -3,8 +3,9 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::Work;
+use super::{Charge, Work};
 use crate::core::gateway::members::NodeName;
+use crate::core::gateway::precedence::{Allowance, Class, Precedence, RefusedCall};
 use crate::core::gateway::routes::Quota;
 use crate::core::time::Moment;
 
@@ -20,9 +21,10 @@
 /// Time for which a fraction counts as unused before its lease begins at a process that has just started. A part stays
 /// unused for longer while processes restart.
 const START_CREDIT: Duration = Duration::from_millis(500);
-/// Bounds of the retry delay that a refused caller is given.
-const RETRY_AFTER_BOUNDS: (Duration, Duration) =
-    (Duration::from_millis(200), Duration::from_secs(4));
+/// Shortest retry delay that a refused caller is given.
+pub const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
+/// Longest retry delay that a refused caller is given.
+pub const MAX_RETRY_AFTER: Duration = Duration::from_secs(4);
 
 /// State of the limit at the refusal of a call.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -31,6 +33,10 @@
     pub retry_after: Duration,
     /// Level of the holder's bucket, in units.
     pub level: f64,
+    /// Part of the level that is reserved for calls that go before this one, in units.
+    pub reserve: f64,
+    /// Whether the request came back as its caller was told.
+    pub is_return: bool,
     /// Refill rate of the holder's bucket, in units a second.
     pub rate: f64,
     /// Fraction of the limit that is lent to the holder.
@@ -55,6 +61,7 @@
     stable_until: Moment,
     level: f64,
     refilled_at: Moment,
+    precedence: Precedence,
 }
 
 impl Bucket {
@@ -67,6 +74,7 @@
             stable_until: Moment::MAX,
             level: 0.0,
             refilled_at: now,
+            precedence: Precedence::default(),
         }
     }
 
@@ -101,30 +109,56 @@
         }
     }
 
-    /// Charges a call of `units` if the level allows it.
+    /// Charges a call if the level, less the reserve for calls that go before it, allows it.
     ///
     /// # Errors
     ///
     /// Fails with the state of the bucket if it does not.
     pub fn charge(
         &mut self,
-        units: f64,
-        work: Work,
+        charge: &Charge<'_>,
         quota: &Quota,
         now: Moment,
     ) -> Result<(), Shortage> {
         self.advance(now);
         self.quota = *quota;
         self.limit_level();
-        let is_within = match work {
-            Work::New => self.level > 0.0 && units <= self.level + self.overdraft(units),
-            Work::Continued => self.level > -self.rate() * MAX_OVERDRAFT.as_secs_f64(),
+        match charge.work {
+            Work::New => self.charge_new(charge, now),
+            Work::Continued => self.charge_continued(charge.units),
+        }
+    }
+
+    fn charge_new(&mut self, charge: &Charge<'_>, now: Moment) -> Result<(), Shortage> {
+        let Charge {
+            units, priority, ..
+        } = *charge;
+        let class = self.precedence.record_asked(&priority, units, now);
+        let reserve = self.precedence.reserve(class, self.allowance(), now);
+        let is_within = self.level > reserve && units <= self.level + self.overdraft(units);
+        if is_within && self.fraction > 0.0 {
+            self.level -= units;
+            self.precedence
+                .record_granted(class, priority.request, units, now);
+            return Ok(());
+        }
+        self.precedence
+            .record_refused(class, units, self.allowance(), now);
+        let retry_after = match self.precedence.has_several_ranks(now) {
+            true => self.schedule_return(charge, class, reserve, now),
+            false => self.retry_after(units),
         };
+        Err(self.shortage(retry_after, reserve, class.is_return))
+    }
+
+    /// Charges a call whose work was charged before.
+    fn charge_continued(&mut self, units: f64) -> Result<(), Shortage> {
+        let is_within = self.level > -self.rate() * MAX_OVERDRAFT.as_secs_f64();
         if is_within && self.fraction > 0.0 {
             self.level -= units;
             return Ok(());
         }
-        Err(self.shortage(units))
+        Err(self.shortage(self.retry_after(units), 0.0, false))
     }
 
     /// Refunds the units of a call that was not run.
@@ -160,14 +194,50 @@
         OVERRUN * in_window * self.fraction
     }
 
-    fn shortage(&self, units: f64) -> Shortage {
-        let (min, max) = RETRY_AFTER_BOUNDS;
-        let rate = self.rate();
-        let wait = Duration::try_from_secs_f64((units * 0.1 - self.level) / rate.max(1e-9));
+    fn allowance(&self) -> Allowance {
+        Allowance {
+            rate: self.rate(),
+            capacity: self.quota.burst * self.fraction,
+        }
+    }
+
+    /// Returns the retry delay of a refused call of a customer whose calls have one rank.
+    fn retry_after(&self, units: f64) -> Duration {
+        let lack = units * 0.1 - self.level;
+        let wait = Duration::try_from_secs_f64(lack / self.rate().max(1e-9));
+        wait.unwrap_or(MAX_RETRY_AFTER)
+            .clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+    }
+
+    /// Schedules the return of a refused call, and returns its retry delay.
+    fn schedule_return(
+        &mut self,
+        charge: &Charge<'_>,
+        class: Class,
+        reserve: f64,
+        now: Moment,
+    ) -> Duration {
+        let needed = reserve.max(charge.units - self.overdraft(charge.units));
+        let max_retry_after = charge.priority.max_retry_after.min(MAX_RETRY_AFTER);
+        let refused = RefusedCall {
+            class,
+            request: charge.priority.request,
+            units: charge.units,
+            lack: needed - self.level,
+            min_retry_after: MIN_RETRY_AFTER,
+            max_retry_after,
+        };
+        let allowance = self.allowance();
+        self.precedence.schedule_return(&refused, allowance, now)
+    }
+
+    fn shortage(&self, retry_after: Duration, reserve: f64, is_return: bool) -> Shortage {
         Shortage {
-            retry_after: wait.unwrap_or(max).clamp(min, max),
+            retry_after,
             level: self.level,
-            rate,
+            reserve,
+            is_return,
+            rate: self.rate(),
             fraction: self.fraction,
         }
     }
--- a/src/core/gateway/quota/holder.rs
+++ b/src/core/gateway/quota/holder.rs
@@ -173,7 +173,7 @@
         if bucket.fraction(now) <= 0.0 {
             return Reply::NotHolder;
         }
-        match bucket.charge(charge.units, charge.work, quota, now) {
+        match bucket.charge(charge, quota, now) {
             Ok(()) => Reply::Granted,
             Err(shortage) => Reply::Refused(shortage),
         }
--- a/src/core/gateway/quota/mod.rs
+++ b/src/core/gateway/quota/mod.rs
@@ -32,7 +32,7 @@
 
 use smallvec::SmallVec;
 
-pub use self::bucket::{Bucket, Shortage};
+pub use self::bucket::{Bucket, MAX_RETRY_AFTER, MIN_RETRY_AFTER, Shortage};
 pub use self::choice::{FleetNode, HOLDERS, Pools};
 pub use self::holder::{Holder, Reply};
 pub use self::lender::Lender;
@@ -41,6 +41,7 @@
 pub use self::totals::Totals;
 
 use super::members::NodeName;
+use super::precedence::Priority;
 use super::routes::{CustomerName, Quota};
 use super::usage::Incarnation;
 use crate::core::time::Moment;
@@ -75,6 +76,8 @@
     pub units: f64,
     /// Whether its work was charged before.
     pub work: Work,
+    /// Its priority among the customer's calls.
+    pub priority: Priority,
 }
 
 /// Reading of a holder's clock.
--- a/src/ops/gateway/call.rs
+++ b/src/ops/gateway/call.rs
@@ -15,7 +15,8 @@
 use super::record;
 use super::refusal::{Cause, Refusal};
 use super::state::GatewayState;
-use crate::core::gateway::quota::Work;
+use crate::core::gateway::precedence::{self, Priority};
+use crate::core::gateway::quota::{MAX_RETRY_AFTER, MIN_RETRY_AFTER, Work};
 use crate::core::gateway::request_id::{RequestId, request_id};
 use crate::core::gateway::routes::{Customer, Route, RouteTable, Service};
 use crate::core::gateway::suspects::{Suspects, suspects_of};
@@ -34,7 +35,9 @@
 /// Time within which the body of a refused call arrives.
 const DISCARD_TIME: Duration = Duration::from_secs(1);
 /// Number of route ranks within one customer rank.
-const ROUTE_RANK_COUNT: u8 = 3;
+const ROUTE_RANK_COUNT: u8 = precedence::RANKS as u8;
+/// Largest random part by which the longest retry delays of refused callers differ, as a fraction.
+const MAX_RETRY_SPREAD: f64 = 0.25;
 
 /// A call whose head and body have been read.
 #[derive(Clone, Debug)]
@@ -140,11 +143,30 @@
     /// Returns the rank of the call, ordered by the customer's rank and then by the route's.
     pub fn rank(&self) -> u8 {
         let customer_rank = self.customer.as_ref().and_then(|customer| customer.rank);
-        let route_rank = self.route.rank.min(ROUTE_RANK_COUNT - 1);
         customer_rank
             .unwrap_or(0)
             .saturating_mul(ROUTE_RANK_COUNT)
-            .saturating_add(route_rank)
+            .saturating_add(self.route_rank())
+    }
+
+    /// Returns the rank of the call among the calls of its customer.
+    pub fn route_rank(&self) -> u8 {
+        self.route.rank.min(ROUTE_RANK_COUNT - 1)
+    }
+
+    /// Returns the priority of the call among the calls of its customer.
+    fn priority(&self) -> Priority {
+        // A retry that comes later than that would be served late.
+        let useful = match self.route.target_latency / 2 {
+            Duration::ZERO => MAX_RETRY_AFTER,
+            half => half.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER),
+        };
+        let spread = 1.0 + MAX_RETRY_SPREAD * rand::random::<f64>();
+        Priority {
+            rank: self.route_rank(),
+            request: Some(self.id),
+            max_retry_after: useful.mul_f64(spread).min(self.remaining() / 3),
+        }
     }
 
     /// Returns the units that the call is charged against its customer's quota.
@@ -178,22 +200,24 @@
             return Ok(());
         }
         let units = self.units();
-        let (cause, after) =
-            match quota::charge(state, &customer.name, units, work, self.deadline).await {
-                Ok(charged) => {
-                    self.charged = Some(charged);
-                    return Ok(());
-                }
-                Err(ChargeError::Over { holder, shortage }) => {
-                    record::over_quota(state, self, units, &holder, &shortage);
-                    (Cause::OverQuota, shortage.retry_after)
-                }
-                Err(ChargeError::NoHolder { asked }) => {
-                    record::quota_unknown(state, self, units, asked);
-                    (Cause::QuotaUnknown, NO_HOLDER_RETRY_AFTER)
-                }
-            };
-        Err(Refusal::retry_later(cause, after.min(self.remaining() / 3)))
+        let max_retry_after = self.remaining() / 3;
+        let priority = self.priority();
+        let result = quota::charge(state, &customer.name, units, work, priority, self.deadline);
+        let (cause, after) = match result.await {
+            Ok(charged) => {
+                self.charged = Some(charged);
+                return Ok(());
+            }
+            Err(ChargeError::Over { holder, shortage }) => {
+                record::over_quota(state, self, units, &holder, &shortage);
+                (Cause::OverQuota, shortage.retry_after)
+            }
+            Err(ChargeError::NoHolder { asked }) => {
+                record::quota_unknown(state, self, units, asked);
+                (Cause::QuotaUnknown, NO_HOLDER_RETRY_AFTER)
+            }
+        };
+        Err(Refusal::retry_later(cause, after.min(max_retry_after)))
     }
 }
 
--- a/src/ops/gateway/quota.rs
+++ b/src/ops/gateway/quota.rs
@@ -17,6 +17,7 @@
 use super::quota_wire::{ChargeReplyWire, ChargeWire, LendAckWire, LendWire};
 use super::state::GatewayState;
 use crate::core::gateway::members::{Member, NodeName};
+use crate::core::gateway::precedence::Priority;
 use crate::core::gateway::quota::{Charge, ChargeId, FleetNode, QuotaNode, Reply, Shortage, Work};
 use crate::core::gateway::routes::{CustomerName, RouteTable};
 use crate::core::gateway::usage::Incarnation;
@@ -209,6 +210,7 @@
     customer: &str,
     units: f64,
     work: Work,
+    mut priority: Priority,
     deadline: Instant,
 ) -> Result<Charged> {
     let quotas = &state.quotas;
@@ -224,6 +226,7 @@
             customer,
             units,
             work,
+            priority,
         };
         asked += 1;
         match ask(state, &holder, &charge, deadline).await {
@@ -237,6 +240,8 @@
                 });
             }
             Some((Reply::Refused(shortage), _)) => {
+                // Only a holder that can grant the call earlier expects it back.
+                priority.max_retry_after = priority.max_retry_after.min(shortage.retry_after);
                 let is_better = best
                     .as_ref()
                     .is_none_or(|(_, known)| shortage.retry_after < known.retry_after);
@@ -262,6 +267,7 @@
         customer,
         units: charged.units,
         work: Work::New,
+        priority: Priority::default(),
     };
     if *charged.holder == *state.settings.name {
         quotas.refund_locally(&charge, charged.incarnation, state.now());
--- a/src/ops/gateway/quota_wire.rs
+++ b/src/ops/gateway/quota_wire.rs
@@ -4,6 +4,7 @@
 
 use prost::Message;
 
+use crate::core::gateway::precedence::Priority;
 use crate::core::gateway::quota::{Charge, Lend, LendAck, Reply, Shortage, Stamp, Work};
 use crate::core::time::Moment;
 use crate::util::time::as_millis_u64;
@@ -88,6 +89,15 @@
     /// Incarnation of the process that charged the call, if the charge is to be refunded.
     #[prost(fixed64, optional, tag = "5")]
     pub refunded_by: Option<u64>,
+    /// Rank among the customer's calls. Without it, the call counts as most urgent.
+    #[prost(uint32, optional, tag = "6")]
+    pub rank: Option<u32>,
+    /// Identity of the request over its attempts.
+    #[prost(fixed64, optional, tag = "7")]
+    pub request: Option<u64>,
+    /// Longest retry delay that is of use to the caller, in milliseconds.
+    #[prost(uint64, optional, tag = "8")]
+    pub max_retry_after_ms: Option<u64>,
 }
 
 /// Answer to a [`ChargeWire`].
@@ -122,6 +132,12 @@
     /// Fraction of the limit that is lent to the holder.
     #[prost(double, tag = "4")]
     pub fraction: f64,
+    /// Part of the level that is reserved for calls that go before this one, in units.
+    #[prost(double, optional, tag = "5")]
+    pub reserve: Option<f64>,
+    /// Whether the request came back as its caller was told.
+    #[prost(bool, optional, tag = "6")]
+    pub is_return: Option<bool>,
 }
 
 impl From<Stamp> for StampWire {
@@ -213,6 +229,9 @@
             units: charge.units,
             is_continued: charge.work == Work::Continued,
             refunded_by: None,
+            rank: Some(charge.priority.rank.into()),
+            request: charge.priority.request,
+            max_retry_after_ms: Some(as_millis_u64(charge.priority.max_retry_after)),
         }
     }
 
@@ -226,6 +245,17 @@
                 true => Work::Continued,
                 false => Work::New,
             },
+            priority: self.priority(),
+        }
+    }
+
+    fn priority(&self) -> Priority {
+        let rank = self.rank.unwrap_or_default();
+        let max_retry_after = self.max_retry_after_ms.map(Duration::from_millis);
+        Priority {
+            rank: u8::try_from(rank).unwrap_or(u8::MAX),
+            request: self.request,
+            max_retry_after: max_retry_after.unwrap_or(Duration::MAX),
         }
     }
 }
@@ -261,6 +291,8 @@
             level: shortage.level,
             rate: shortage.rate,
             fraction: shortage.fraction,
+            reserve: Some(shortage.reserve),
+            is_return: Some(shortage.is_return),
         }
     }
 }
@@ -272,6 +304,8 @@
             level: wire.level,
             rate: wire.rate,
             fraction: wire.fraction,
+            reserve: wire.reserve.unwrap_or_default(),
+            is_return: wire.is_return.unwrap_or_default(),
         }
     }
 }
--- a/src/ops/gateway/record.rs
+++ b/src/ops/gateway/record.rs
@@ -108,13 +108,18 @@
     holder: &str,
     shortage: &Shortage,
 ) {
+    let rank = call.route_rank();
+    metrics::counter!("jayhall_gateway_quota_refusals", "rank" => rank.to_string()).increment(1);
     if let Some(left_out) = admit_failure_line(state) {
         tracing::info!(
             attempt = &*call.head.attempt,
             customer = call.customer_name(),
             units,
+            rank,
+            came_back = shortage.is_return,
             holder,
             level = shortage.level.round(),
+            reserve = shortage.reserve.round(),
             rate = shortage.rate.round(),
             fraction = shortage.fraction,
             retry_after_ms = as_millis_u64(shortage.retry_after),
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -19,6 +19,8 @@
 mod placement;
 mod platform_store;
 mod platform_wire;
+mod precedence;
+mod precedence_load;
 mod quarantine;
 mod quota;
 mod quota_bounds;
--- a/tests/testsuite/gateway/quota.rs
+++ b/tests/testsuite/gateway/quota.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use jayhall::core::gateway::precedence::Priority;
 use jayhall::core::gateway::quota::{Charge, FleetNode, LEASE, QuotaNode, Reply, Work};
 use jayhall::core::gateway::routes::Quota;
 
@@ -147,6 +148,7 @@
         customer: "anna",
         units,
         work: Work::New,
+        priority: Priority::default(),
     }
 }
 
--- a/tests/testsuite/gateway/quota_fleet.rs
+++ b/tests/testsuite/gateway/quota_fleet.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use jayhall::core::gateway::precedence::Priority;
 use jayhall::core::gateway::quota::{
     Charge, FleetNode, LEASE, Lend, LendAck, QuotaNode, Reply, Shortage, Work,
 };
@@ -236,6 +237,7 @@
             customer: CUSTOMER,
             units,
             work: Work::New,
+            priority: Priority::default(),
         };
         self.nodes[to].quota.charge(&charge, now)
     }
