--- a/tests/testsuite/gateway/rollouts.rs
+++ b/tests/testsuite/gateway/rollouts.rs
@@ -152,6 +152,8 @@
 /// A service with two back ends of version `v1`, and two of `v2` after the order.
 struct Rollout {
     fixture: Arc<Fixture>,
+    /// The node that holds the duties.
+    holder: Option<Node>,
     old: Vec<FakeBackend>,
     new: Vec<FakeBackend>,
     load: Load,
@@ -170,23 +172,34 @@
     backends
 }
 
+/// Starts a node that serves rollouts.
+async fn node(fixture: &Fixture, name: &str) -> Node {
+    let mut settings = node_settings(name, "z1");
+    settings.bounds.exposure = 0.1;
+    let store = Arc::clone(&fixture.store);
+    let node = fixture.node_with_settings(settings, store).await;
+    fixture.ready(&node).await;
+    node
+}
+
+/// Orders a rollout of a fleet of two nodes, one of which gets all calls.
 async fn order(new: Behaviour, duration_s: u32) -> Rollout {
     let fixture = Arc::new(Fixture::new());
     fixture.put("op/config", config(1)).await;
     let old = list(&fixture, "v1", Behaviour::Answer(200, "old")).await;
-    let mut settings = node_settings("n1", "z1");
-    settings.bounds.exposure = 0.1;
-    let store = Arc::clone(&fixture.store);
-    let node = Arc::new(fixture.node_with_settings(settings, store).await);
-    fixture.ready(&node).await;
+    let holder = node(&fixture, "n1").await;
     // Until it holds the duties.
     tokio::time::sleep(Duration::from_millis(800)).await;
-    let load = Load::spawn(&fixture, &node);
+    let serving = Arc::new(node(&fixture, "n2").await);
+    // Until the nodes exchange messages.
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    let load = Load::spawn(&fixture, &serving);
     let order = format!(r#"{{"service":"plain","target":"v2","durationS":{duration_s}}}"#);
     fixture.put("op/rollout/plain", order).await;
     let new = list(&fixture, "v2", new).await;
     Rollout {
         fixture,
+        holder: Some(holder),
         old,
         new,
         load,
@@ -219,3 +232,18 @@
     assert_eq!(total_runs(&rollout.old), old);
     assert!(total_runs(&rollout.new) > new);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_bad_version_is_rolled_back_though_the_holder_of_the_duties_leaves_halfway() {
+    let mut rollout = order(Behaviour::Answer(500, "failed"), 8).await;
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    let holder = rollout.holder.take().unwrap();
+    let left = tokio::spawn(holder.gateway.unwrap().leave());
+    let (status, _) = final_status(&rollout.fixture, Duration::from_secs(8)).await;
+    assert_eq!(status, r#"{"state":"rolled_back","target":"v2"}"#);
+    // The node that served had stopped on its own before.
+    let exposed = total_runs(&rollout.new);
+    assert!(exposed < 50, "{exposed}");
+    rollout.load.end().await;
+    left.await.unwrap();
+}
