--- a/src/core/gateway/rollout/candidates.rs
+++ b/src/core/gateway/rollout/candidates.rs
@@ -1,5 +1,7 @@
 //! Back ends at which a rollout allows a call to be placed.
 
+use std::cmp::Reverse;
+
 use smallvec::SmallVec;
 
 use crate::core::cells;
@@ -117,7 +119,7 @@
         .filter(|entry| version_of(entry) == target && !entry.is_suspect());
     let weighted = new.map(|entry| (cells::weight(target, &entry.backend.id), entry));
     let mut weighted: Vec<_> = weighted.collect();
-    weighted.sort_unstable_by(|a, b| b.0.cmp(&a.0));
+    weighted.sort_unstable_by_key(|(weight, _)| Reverse(*weight));
     let chosen = weighted.into_iter().take(count);
     chosen.map(|(_, entry)| entry.backend.id.clone()).collect()
 }
--- a/src/ops/gateway/rollout.rs
+++ b/src/ops/gateway/rollout.rs
@@ -16,7 +16,7 @@
 use crate::core::gateway::backends::Backend;
 use crate::core::gateway::placement;
 use crate::core::gateway::rollout::evidence::{Group, RouteId, route_id, time_bucket};
-use crate::core::gateway::rollout::lifecycle::{PublishedRollout, RolloutRecord};
+use crate::core::gateway::rollout::lifecycle::{Phase, PublishedRollout, RolloutRecord};
 use crate::core::gateway::rollout::{RolloutStatus, Rollouts, Surroundings, WriteTask};
 use crate::core::gateway::routes::ServiceName;
 use crate::sources::store::{
@@ -278,7 +278,7 @@
         service = &*task.service,
         target = &*record.target,
         phase = record.phase.as_str(),
-        before = status.phase.map(|phase| phase.as_str()),
+        before = status.phase.map(Phase::as_str),
         verdict = ?status.verdict,
         old_answers = status.old.0,
         old_failures = status.old.1,
@@ -299,7 +299,7 @@
     tracing::info!(
         service = &*status.service,
         target = &*status.target,
-        phase = status.phase.map(|phase| phase.as_str()),
+        phase = status.phase.map(Phase::as_str),
         reason = ?status.held,
         verdict = ?status.verdict,
         sent = status.sent,
--- a/tests/testsuite/gateway/rollout_decisions.rs
+++ b/tests/testsuite/gateway/rollout_decisions.rs
@@ -205,9 +205,12 @@
     }
 }
 
+/// A change of a node's surroundings.
+type Change = fn(&mut Surroundings);
+
 #[test]
 fn a_node_holds_back_without_reports_without_a_view_after_the_deadline_and_by_its_own_evidence() {
-    let cases: [(HoldReason, fn(&mut Surroundings)); 3] = [
+    let cases: [(HoldReason, Change); 3] = [
         (HoldReason::NoReports, |around| around.has_others = true),
         (HoldReason::NoView, |around| around.has_view = false),
         (HoldReason::DeadlinePassed, |around| around.wall += 12_000),
