--- a/src/bin/jayhall/commands/check.rs
+++ b/src/bin/jayhall/commands/check.rs
@@ -9,6 +9,9 @@
 
 pub(super) fn run(command_line: &CommandLine) -> Result<(), Failure> {
     let [path] = command_line.arguments()?;
+    if command_line.text_option("in-force").is_some() {
+        return Err(Failure::usage("--in-force needs --gateway"));
+    }
     let document = parse_document(path, &read_file(path)?)?;
     let body = json!({
         "ranks": document.ranks.len(),
--- a/src/bin/jayhall/commands/mod.rs
+++ b/src/bin/jayhall/commands/mod.rs
@@ -1,6 +1,7 @@
 //! The commands, one module each.
 
 mod check;
+mod check_gateway;
 mod completion;
 mod diff;
 mod drain;
@@ -20,6 +21,7 @@
 /// Runs the command that the command line names.
 pub(crate) async fn run(command_line: &CommandLine) -> Result<(), Failure> {
     match command_line.command.name {
+        "check" if command_line.is_gateway() => check_gateway::run(command_line),
         "check" => check::run(command_line),
         "publish" => publish::run(command_line).await,
         "show" => show::run(command_line).await,
--- a/src/bin/jayhall/failure.rs
+++ b/src/bin/jayhall/failure.rs
@@ -14,6 +14,10 @@
     Usage(String),
     /// The named file is not a valid document.
     Invalid(Box<str>, Problems),
+    /// The named file is not a configuration of gateways.
+    NotDecoded(Box<str>, Box<str>),
+    /// The named configuration of gateways has this many errors, which were printed.
+    InvalidConfig(Box<str>, usize),
     /// A request to a node failed.
     Call(ClientError),
     /// Any other error, such as an I/O error.
@@ -45,7 +49,7 @@
         ExitCode::from(match self {
             Self::Other(_) => 1,
             Self::Usage(_) => 2,
-            Self::Invalid(..) => 3,
+            Self::Invalid(..) | Self::NotDecoded(..) | Self::InvalidConfig(..) => 3,
             Self::Call(ClientError::NotReached { .. }) => 5,
             Self::Call(ClientError::AnswerLost { .. }) => 6,
             Self::Call(ClientError::Setup(_)) => 1,
@@ -71,6 +75,9 @@
         match self {
             Self::Usage(text) => write!(f, "{text}\nTry `jayhall --help`."),
             Self::Invalid(file, problems) => write_problems(f, file, problems),
+            Self::NotDecoded(file, cause) => write!(f, "{file}: {cause}"),
+            Self::InvalidConfig(file, 1) => write!(f, "1 error in {file}"),
+            Self::InvalidConfig(file, errors) => write!(f, "{errors} errors in {file}"),
             Self::Call(ClientError::Refused(problem)) => write_refusal(f, problem),
             Self::Call(e) => write!(f, "{e}"),
             Self::Other(e) => write!(f, "{e:#}"),
--- a/src/bin/jayhall/help.rs
+++ b/src/bin/jayhall/help.rs
@@ -17,7 +17,9 @@
 }
 
 /// Options that only some commands accept.
-pub(crate) const COMMAND_OPTIONS: [&str; 5] = ["base", "revision", "count", "wait", "author"];
+pub(crate) const COMMAND_OPTIONS: [&str; 7] = [
+    "base", "revision", "count", "wait", "author", "gateway", "in-force",
+];
 
 /// All commands.
 pub(crate) const COMMANDS: [CommandSpec; 11] = [
@@ -25,8 +27,8 @@
         name: "check",
         arguments: "FILE",
         summary: "Checks a document without a node and names every mistake.",
-        options: &[],
-        example: "jayhall check services.ini",
+        options: &["gateway", "in-force"],
+        example: "jayhall check services.ini; jayhall check --gateway next.json --in-force now.json",
     },
     CommandSpec {
         name: "publish",
--- a/src/bin/jayhall/options.rs
+++ b/src/bin/jayhall/options.rs
@@ -42,6 +42,13 @@
             "REVISION",
         )
         .optopt("", "revision", "revision to show", "REVISION")
+        .optopt(
+            "",
+            "in-force",
+            "configuration of gateways to compare with",
+            "FILE",
+        )
+        .optflag("", "gateway", "the file is a configuration of gateways")
         .optopt("", "count", "number of times to show", "NUMBER")
         .optflag("", "wait", "wait until the node has left")
         .optflag("", "json", "print JSON")
@@ -104,6 +111,10 @@
         self.matches.opt_present("json")
     }
 
+    pub(crate) fn is_gateway(&self) -> bool {
+        self.matches.opt_present("gateway")
+    }
+
     pub(crate) fn should_wait(&self) -> bool {
         self.matches.opt_present("wait")
     }
--- a/src/core/gateway/mod.rs
+++ b/src/core/gateway/mod.rs
@@ -8,6 +8,7 @@
 pub mod cache;
 pub mod call_limit;
 pub mod clock;
+pub mod config_check;
 pub mod crashes;
 pub mod decay;
 pub mod listed_process;
--- a/src/platform/config.rs
+++ b/src/platform/config.rs
@@ -1,11 +1,14 @@
 //! Decodes the operators' configuration from the store.
 
+mod draft;
+
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use eyre::eyre;
 use serde::Deserialize;
+use smallvec::SmallVec;
 
 use crate::core::gateway::routes::{
     CallerLimits, Customer, EngineSize, Quota, Route, RouteKind, RouteTable, ScalingRules, Service,
@@ -13,6 +16,8 @@
 };
 use crate::ops::gateway::dialect::Result;
 
+pub use draft::decode_draft;
+
 /// Key of the configuration in the store.
 pub(super) const KEY: &str = "op/config";
 /// Value of `unit` for limits that are counted in tokens.
@@ -141,6 +146,30 @@
     Duration::try_from_secs_f64(ms / 1e3).unwrap_or_default()
 }
 
+/// Returns the kind of a route, or `None` if its name is unknown.
+fn route_kind(wire: &RouteWire) -> Option<RouteKind> {
+    match &*wire.route_type {
+        "safe" => Some(RouteKind::Idempotent),
+        "unsafe" => Some(RouteKind::AtMostOnce),
+        "streaming" => Some(RouteKind::Stream {
+            resumable: wire.stream_resume,
+        }),
+        _ => None,
+    }
+}
+
+/// Returns the services of a route: those with weights, and the single one.
+fn targets(
+    weighted: Vec<WeightedServiceWire>,
+    single: Option<Box<str>>,
+) -> impl Iterator<Item = Target> {
+    let weighted = weighted.into_iter().map(|part| Target {
+        service: part.service,
+        weight: part.weight,
+    });
+    weighted.chain(single.map(|service| Target { service, weight: 1 }))
+}
+
 /// Decodes a configuration.
 pub(super) fn decode(text: &[u8]) -> Result<RouteTable> {
     let wire: ConfigWire = super::decode_object(text, "reading a configuration")?;
@@ -189,25 +218,15 @@
     type Error = eyre::Report;
 
     fn try_from(wire: RouteWire) -> Result<Self> {
-        let kind = match &*wire.route_type {
-            "safe" => RouteKind::Idempotent,
-            "unsafe" => RouteKind::AtMostOnce,
-            "streaming" => RouteKind::Stream {
-                resumable: wire.stream_resume,
-            },
-            other => {
-                return Err(eyre!(
-                    "route {}: routeType {other:?} is not known",
-                    wire.name
-                ));
-            }
-        };
-        let weighted = wire.weighted_backends.into_iter().map(|part| Target {
-            service: part.service,
-            weight: part.weight,
-        });
-        let single = wire.service.map(|service| Target { service, weight: 1 });
-        let targets: smallvec::SmallVec<[Target; 2]> = weighted.chain(single).collect();
+        let kind = route_kind(&wire).ok_or_else(|| {
+            eyre!(
+                "route {}: routeType {:?} is not known",
+                wire.name,
+                wire.route_type
+            )
+        })?;
+        let targets: SmallVec<[Target; 2]> =
+            targets(wire.weighted_backends, wire.service).collect();
         if targets.is_empty() {
             return Err(eyre!("route {}: no service is named", wire.name));
         }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -23,6 +23,7 @@
 use crate::core::gateway::routes::RouteTable;
 use crate::ops::gateway::dialect::{CallHead, Dialect, ForwardMetadata, ResponseHead, Result};
 
+pub use config::decode_draft;
 pub use duties::CloudDuties;
 pub use store::{PlatformStore, PlatformStoreConfig};
 
--- a/tests/testsuite/command_line.rs
+++ b/tests/testsuite/command_line.rs
@@ -144,6 +144,20 @@
         assert_eq!(fixture.run(args).await.code, 2, "{args:?}");
     }
     assert_eq!(fixture.run(&["explain", "r2"]).await.code, 7);
+    let in_force = fixture.write("now.json", r#"{"version":1}"#);
+    let next = fixture.write("next.json", r#"{"version":2,"services":[{"name":"s"}]}"#);
+    let (in_force, next) = (path_text(&in_force), path_text(&next));
+    let args = ["check", "--gateway", next, "--in-force", in_force];
+    let checked = fixture.run(&args).await;
+    assert_eq!(checked.code, 0, "{checked:?}");
+    assert!(checked.out.contains("+ service s\n"), "{checked:?}");
+    for (args, code) in [
+        (&["check", "--gateway", in_force, "--in-force", next][..], 3),
+        (&["check", "--gateway", path_text(&good)], 3),
+        (&["check", "--in-force", in_force, path_text(&good)], 2),
+    ] {
+        assert_eq!(fixture.run(args).await.code, code, "{args:?}");
+    }
     let other_key = fixture.write("other-key", "guess");
     let args = ["status", "--key-file", path_text(&other_key)];
     assert_eq!(fixture.run(&args).await.code, 8);
