--- a/src/core/gateway/backends/entry.rs
+++ b/src/core/gateway/backends/entry.rs
@@ -7,6 +7,7 @@
 use super::{AVERAGE_WEIGHT, Backend, Listing, Outcome};
 use crate::core::gateway::cache::PromptCache;
 use crate::core::gateway::call_limit::CallLimit;
+use crate::core::gateway::concurrency::ConcurrencyLimit;
 use crate::core::gateway::listed_process::ListedProcess;
 use crate::core::gateway::load::Load;
 use crate::core::gateway::observed::{Observation, Observed, Observer};
@@ -51,6 +52,8 @@
     pub(super) named_limit: Observed<Option<f64>>,
     /// Its limit, if the last answer of it to any node named one.
     pub(super) call_limit: Option<CallLimit>,
+    /// Calls of all nodes that it takes well; `None` if nothing has been learned of it.
+    pub(super) concurrency: Option<Box<ConcurrencyLimit>>,
     /// When this node learned, from an answer of the back end or from another node, that it is leaving.
     pub(super) leaving_since: Option<Moment>,
 }
@@ -74,6 +77,7 @@
             last_call: None,
             named_limit: Observed::default(),
             call_limit: None,
+            concurrency: None,
             leaving_since: None,
         }
     }
@@ -125,6 +129,11 @@
         self.call_limit.is_some()
     }
 
+    /// Returns what has been learned of the calls that it takes well, if anything has.
+    pub fn concurrency(&self) -> Option<&ConcurrencyLimit> {
+        self.concurrency.as_deref()
+    }
+
     /// Returns whether it accepts calls of this node: it is neither gone nor leaving nor paused.
     pub fn accepts(&self, now: Moment) -> bool {
         !self.is_gone(now) && !self.is_leaving() && now >= self.paused_until
--- a/src/core/gateway/backends/mod.rs
+++ b/src/core/gateway/backends/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Observations of calls are kept beside the entry from the registry until the back end's process restarts.
 
+mod concurrency;
 mod entry;
 
 use std::cmp::Reverse;
@@ -12,6 +13,7 @@
 
 use crate::core::gateway::brittle::{BrittleServices, REJECTED_PAUSE};
 use crate::core::gateway::cache::Part;
+use crate::core::gateway::concurrency::{ConcurrencySamples, Measured, SampleStart};
 use crate::core::gateway::listed_process::{
     ListedProcess, PeerProcess, ProcessStart, ReportChange,
 };
@@ -109,6 +111,8 @@
     pub has_begun: bool,
     /// Whether the call is charged to the back end's limit.
     pub is_charged: bool,
+    /// What its sample begins with, if limits are learned from it.
+    pub sample: Option<SampleStart>,
 }
 
 /// A back end that [`Backends::expire`] has removed.
@@ -142,6 +146,8 @@
     departed: HashMap<ProcessName, Moment>,
     /// Services whose back ends are brittle.
     brittle: BrittleServices,
+    /// Samples of calls; `None` if no limits are learned.
+    samples: Option<ConcurrencySamples>,
 }
 
 impl Backends {
@@ -310,6 +316,9 @@
                 .or_insert(occupied_ms);
             *mean += (occupied_ms - *mean) * AVERAGE_WEIGHT * 0.2;
         }
+        if matches!(outcome, Outcome::Failed | Outcome::Silent) {
+            self.record_sample(place, Measured::Failed, now);
+        }
     }
 
     /// Records that a back end is silent within a call, so that new calls go to others.
--- a/src/core/gateway/mod.rs
+++ b/src/core/gateway/mod.rs
@@ -8,6 +8,7 @@
 pub mod cache;
 pub mod call_limit;
 pub mod clock;
+pub mod concurrency;
 pub mod crashes;
 pub mod decay;
 pub mod listed_process;
--- a/src/core/gateway/placement.rs
+++ b/src/core/gateway/placement.rs
@@ -17,6 +17,7 @@
 use super::backends::{Backend, BackendId, Backends, CallPlace, Entry};
 use super::brittle::Shares;
 use super::cache::Part;
+use super::concurrency::SampleStart;
 use super::load::{CallLoad, rank_index};
 use super::routes::EngineSize;
 use super::software::AllowedSoftware;
@@ -118,10 +119,15 @@
     fn is_same_region(&self, a: &str, b: &str) -> bool;
 }
 
+#[derive(Clone, Copy)]
 struct Estimate<'a> {
     entry: &'a Entry,
     score: f64,
+    /// What the score of a back end above its learned limit has in addition.
+    limit_wait_ms: f64,
     wait_ms: f64,
+    /// Time that the back end needs for the prompts before the call and the call itself at nominal speed.
+    nominal_ms: f64,
     expected_ms: f64,
     unread: u32,
 }
@@ -141,21 +147,18 @@
         .filter(|entry| ask.shares.is_none_or(|shares| has_room(shares, entry)))
         .collect();
     let preferred = preferred_engine(&candidates, ask);
-    let best = candidates
-        .iter()
-        .map(|entry| {
-            let is_preferred = preferred.is_some_and(|engine| std::ptr::eq(engine, *entry));
-            let cached = if is_preferred {
-                PREFERRED_CACHED_PART
-            } else {
-                0.0
-            };
-            let mut estimate = estimate(entry, regions, ask, cached);
-            estimate.score *= 1.0 + SCORE_JITTER * draw();
-            estimate
-        })
-        .min_by(|a, b| a.score.total_cmp(&b.score));
-    let Some(best) = best else {
+    let estimates = candidates.iter().map(|entry| {
+        let is_preferred = preferred.is_some_and(|engine| std::ptr::eq(engine, *entry));
+        let cached = if is_preferred {
+            PREFERRED_CACHED_PART
+        } else {
+            0.0
+        };
+        let mut estimate = estimate(entry, regions, ask, cached);
+        estimate.score *= 1.0 + SCORE_JITTER * draw();
+        estimate
+    });
+    let Some(best) = choose(estimates, ask.max_wait) else {
         return Placement::Refuse {
             cause: cause_of_none_open(backends, ask, now),
             retry_after: retry_after_none_open(backends, ask.service, now, draw()),
@@ -180,12 +183,76 @@
             },
             has_begun: false,
             is_charged: false,
+            sample: backends
+                .learns_limits()
+                .then(|| sample_start(&best, regions, ask))
+                .flatten(),
         },
         expected: millis(best.expected_ms),
         wait,
     }
 }
 
+/// Chooses the back end with the lowest score. Learned limits count unless the call would be refused because of them.
+fn choose<'a>(
+    estimates: impl Iterator<Item = Estimate<'a>>,
+    max_wait: Duration,
+) -> Option<Estimate<'a>> {
+    let with_limit = |estimate: &Estimate<'_>| estimate.score + estimate.limit_wait_ms;
+    let mut within_limits: Option<Estimate<'a>> = None;
+    let mut within_places: Option<Estimate<'a>> = None;
+    for estimate in estimates {
+        if within_places
+            .as_ref()
+            .is_none_or(|best| estimate.score < best.score)
+        {
+            within_places = Some(estimate);
+        }
+        if within_limits
+            .as_ref()
+            .is_none_or(|best| with_limit(&estimate) < with_limit(best))
+        {
+            within_limits = Some(estimate);
+        }
+    }
+    match within_limits {
+        Some(best) if millis(best.wait_ms) <= max_wait => Some(best),
+        _ => within_places,
+    }
+}
+
+/// Returns what the sample of a call begins with. Calls to other regions and calls that wait for memory give none, as
+/// their time is that of the network or of the queue.
+fn sample_start(
+    estimate: &Estimate<'_>,
+    regions: &dyn Regions,
+    ask: &PlacementRequest<'_>,
+) -> Option<SampleStart> {
+    let backend = &estimate.entry.backend;
+    let load = estimate.entry.load();
+    let lacks_memory = |engine: EngineSize| kv_shortage(&engine, load.kv_tokens, ask) > 0.0;
+    if !regions.is_same_region(ask.zone, &backend.zone) || ask.engine.is_some_and(lacks_memory) {
+        return None;
+    }
+    Some(SampleStart {
+        calls: load.calls + 1,
+        nominal: millis(estimate.nominal_ms),
+    })
+}
+
+/// Returns how much longer the queue of a back end is for a new call if calls above its learned limit count as
+/// queued.
+fn limit_wait_ms(entry: &Entry, calls: u32, slot_time_ms: f64) -> f64 {
+    let Some(limit) = entry.concurrency().filter(|limit| limit.is_reduced()) else {
+        return 0.0;
+    };
+    let queue_ms = |places: u32| {
+        let over = (f64::from(calls) + 1.0 - f64::from(places)).max(0.0);
+        over * slot_time_ms / f64::from(places)
+    };
+    queue_ms(limit.calls()) - queue_ms(entry.backend.slots.max(1))
+}
+
 /// Returns the engine that all nodes prefer for a prompt: the one with the largest rendezvous hash weight for
 /// the prompt's longest shared part. The choice does not depend on load, which nodes know with different
 /// delays, so that one engine reads a part, however many nodes there are. The engine may be in another region:
@@ -217,6 +284,7 @@
     let over_slots = (f64::from(load.calls) + 1.0 - slots).max(0.0);
     let mut wait_ms = over_slots * slot_time_ms / slots;
     let mut service_ms = slot_time_ms;
+    let mut nominal_ms = DEFAULT_SLOT_TIME_MS;
     let mut unread = 0;
     let mut lower_rank_ms = 0.0;
     if let Some(engine) = ask.engine {
@@ -229,12 +297,16 @@
         wait_ms += slot_time_ms * kv_shortage(&engine, load.kv_tokens, ask);
         service_ms =
             (f64::from(unread) / PREFILL_TOKENS_PER_MS + FIRST_EVENT_MS) * entry.latency_ratio;
+        nominal_ms =
+            (read_ms(load.unread_before(rank)) + lower_rank_ms + service_ms) / entry.latency_ratio;
     }
     let expected_ms = wait_ms + lower_rank_ms + service_ms;
     Estimate {
         entry,
         score: expected_ms + distance_ms(entry, regions, ask.zone) + penalty_ms(entry),
+        limit_wait_ms: limit_wait_ms(entry, load.calls, slot_time_ms),
         wait_ms,
+        nominal_ms,
         expected_ms,
         unread,
     }
--- a/src/node/gateway.rs
+++ b/src/node/gateway.rs
@@ -20,7 +20,7 @@
 use crate::ops::gateway::register::Registration;
 use crate::ops::gateway::state::{GatewayState, Phase};
 use crate::ops::gateway::{
-    follow_store, install, quarantine, quota, reach, resume, snapshot, software,
+    concurrency, follow_store, install, quarantine, quota, reach, resume, snapshot, software,
 };
 use crate::sources::http::{ConnectOptions, HttpClient};
 use crate::sources::store::Store;
@@ -144,6 +144,9 @@
             tokio::spawn(Arc::clone(&mesh).send());
             tokio::spawn(Arc::clone(&mesh).receive());
             tokio::spawn(quota::lend(Arc::clone(&state)));
+            if state.settings.learns_limits {
+                tokio::spawn(concurrency::run(Arc::clone(&state)));
+            }
             tokio::spawn(resume::send_origins(
                 Arc::clone(&state),
                 Arc::clone(&mesh),
--- a/src/ops/gateway/forward.rs
+++ b/src/ops/gateway/forward.rs
@@ -382,7 +382,9 @@
             });
         }
     };
-    let since_start = running.age().saturating_sub(started.elapsed()) / 2;
+    let head_after = running.age().saturating_sub(started.elapsed());
+    running.record_time(head_after);
+    let since_start = head_after / 2;
     running.mark_started(since_start);
     if status.is_success() {
         running.clear_suspects();
--- a/src/ops/gateway/load_wire.rs
+++ b/src/ops/gateway/load_wire.rs
@@ -5,6 +5,7 @@
 
 use prost::Message;
 
+use super::samples_wire::SamplesWire;
 use crate::core::gateway::backends::{Backends, ProcessName};
 use crate::core::gateway::crashes::{Crash, CrashLog, Survivor, SuspectAnswer};
 use crate::core::gateway::load::{Load, RANKS};
@@ -60,6 +61,9 @@
     /// Processes of back ends that have not crashed, although a call broke off.
     #[prost(message, repeated, tag = "10")]
     pub survivors: Vec<SurvivorWire>,
+    /// Samples of calls, from which limits are learned.
+    #[prost(message, optional, tag = "11")]
+    pub samples: Option<SamplesWire>,
 }
 
 /// Process of a back end that answered a call which was under way at its supposed crash.
--- a/src/ops/gateway/mesh/receive.rs
+++ b/src/ops/gateway/mesh/receive.rs
@@ -10,6 +10,7 @@
 use crate::core::gateway::members::StoreKnowledge;
 use crate::core::gateway::observed::Observer;
 use crate::core::gateway::origin::Origin;
+use crate::core::gateway::usage::Incarnation;
 use crate::core::time::Moment;
 use crate::ops::gateway::load_wire::LoadSumWire;
 use crate::ops::gateway::mesh_wire::{DatagramWire, ReportWire, ZoneSumWire};
@@ -92,7 +93,9 @@
                     .lock()
                     .merge(report.incarnation, &report.zone, window, &counts);
             }
-            self.merge_load(&report.node[..].into(), &report.zone, load, now);
+            let from = Origin::from(&report.node[..]);
+            self.merge_load(&from, &report.zone, load, now);
+            self.merge_samples(&from, report.incarnation, &report.zone, load, now);
         }
         state.record_era_age(report.era, report.era_age_ms);
         self.announce(knowledge);
@@ -133,6 +136,7 @@
             }
             let from = Origin::Zone(sum.zone.as_str().into());
             self.merge_load(&from, &sum.zone, load, now);
+            self.merge_samples(&from, sum.incarnation, &sum.zone, load, now);
         }
         state.record_era_age(sum.era, sum.era_age_ms);
         self.announce(knowledge);
@@ -143,10 +147,7 @@
     fn merge_load(&self, from: &Origin, zone: &str, load: &LoadSumWire, now: Moment) {
         let state = &self.state;
         state.work.lock().apply_report(from, zone, load.work(), now);
-        let observer = match *zone == *state.settings.zone {
-            true => Observer::Zone,
-            false => Observer::Fleet,
-        };
+        let observer = self.observer_in(zone);
         load.add_crashes_to(&mut state.quarantine.lock().crashes, observer, now);
         let mut backends = state.backends.lock();
         if let Some(loads) = load.loads() {
@@ -166,6 +167,30 @@
         }
     }
 
+    fn merge_samples(
+        &self,
+        from: &Origin,
+        incarnation: Incarnation,
+        zone: &str,
+        load: &LoadSumWire,
+        now: Moment,
+    ) {
+        let Some(samples) = &load.samples else {
+            return;
+        };
+        let observer = self.observer_in(zone);
+        let mut backends = self.state.backends.lock();
+        backends.apply_samples(from, incarnation, &samples.samples(), observer, now);
+    }
+
+    /// Returns as whose observations those of a node of this zone count.
+    fn observer_in(&self, zone: &str) -> Observer {
+        match *zone == *self.state.settings.zone {
+            true => Observer::Zone,
+            false => Observer::Fleet,
+        }
+    }
+
     /// Announces that another node knows something of the store that this node does not. This is repeated with
     /// each message, as an earlier attempt to fetch the changes may have failed.
     fn announce(&self, knowledge: StoreKnowledge) {
--- a/src/ops/gateway/mesh/report.rs
+++ b/src/ops/gateway/mesh/report.rs
@@ -6,6 +6,7 @@
 use crate::core::time::Moment;
 use crate::ops::gateway::load_wire::LoadSumWire;
 use crate::ops::gateway::mesh_wire::{ReportWire, ZoneSumWire};
+use crate::ops::gateway::samples_wire::SamplesWire;
 use crate::ops::gateway::state::Phase;
 use crate::util::time::{as_millis_u64, unix_now};
 
@@ -25,6 +26,7 @@
             load.set_loads(&state.backends.lock().local_loads());
         }
         self.add_observations(&mut load, Observer::Node, now);
+        load.samples = SamplesWire::of_node(&state.backends.lock(), now);
         let knowledge = state.knowledge();
         ReportWire {
             node: state.settings.name.to_string(),
@@ -60,6 +62,8 @@
             load.set_loads(&state.backends.lock().node_loads());
         }
         self.add_observations(&mut load, Observer::Zone, now);
+        let zones = state.members.lock().zones().len();
+        load.samples = SamplesWire::of_zone(&state.backends.lock(), zones, now);
         let members = state.members.lock();
         let heard = members.fresh_in_zone(&settings.zone, now, NODE_TIMEOUT);
         let (ready, not_ready): (Vec<&Member>, Vec<&Member>) =
--- a/src/ops/gateway/mod.rs
+++ b/src/ops/gateway/mod.rs
@@ -12,12 +12,14 @@
 //! - [`body_memory`]: memory for the bodies of calls and answers;
 //! - [`quota`], [`quota_wire`]: customers' quotas, lent to a few nodes and charged there;
 //! - [`quarantine`]: prompts that crash back ends and are sent to none;
+//! - [`concurrency`], [`samples_wire`]: how many calls each back end takes well;
 //! - [`state`]: state of the node that is shared by all of these;
 //! - [`dialect`]: interface that the adapter of a platform implements.
 
 pub mod attempt;
 pub mod body_memory;
 pub mod call;
+pub mod concurrency;
 pub mod confirm;
 pub mod decided_counts;
 pub mod dialect;
@@ -48,6 +50,7 @@
 pub mod relay;
 pub mod resume;
 pub mod running;
+pub mod samples_wire;
 mod silence;
 pub mod snapshot;
 pub mod snapshot_wire;
--- a/src/ops/gateway/running.rs
+++ b/src/ops/gateway/running.rs
@@ -116,6 +116,7 @@
                 load: CallLoad::default(),
                 has_begun: false,
                 is_charged: false,
+                sample: None,
             },
             sent: Instant::now(),
             first_event_at: None,
@@ -178,6 +179,17 @@
         self.first_event_at.map(|at| at.elapsed())
     }
 
+    /// Records the time `took` that the back end needed until its first event or the head of its answer. Only the call
+    /// before [`Self::mark_started`] has an effect.
+    pub fn record_time(&self, took: Duration) {
+        if self.place.has_begun {
+            return;
+        }
+        let state = &self.cx.state;
+        let now = state.now();
+        state.backends.lock().record_time(&self.place, took, now);
+    }
+
     /// Records that the back end started to process the call, `ago` before now. Only the first call has
     /// an effect.
     pub fn mark_started(&mut self, ago: Duration) {
--- a/src/ops/gateway/state.rs
+++ b/src/ops/gateway/state.rs
@@ -127,11 +127,14 @@
         Arc::new(Self {
             bodies: BodyMemory::new(settings.memory_bytes),
             quotas: Quotas::new(settings.name.clone(), incarnation, since_boot()),
+            backends: Mutex::new(match settings.learns_limits {
+                true => Backends::learning_limits(),
+                false => Backends::default(),
+            }),
             settings,
             dialect,
             incarnation,
             table: RwLock::new(None),
-            backends: Mutex::default(),
             members: Mutex::default(),
             retries: Mutex::default(),
             usage: Mutex::default(),
--- a/src/ops/gateway/stream.rs
+++ b/src/ops/gateway/stream.rs
@@ -201,6 +201,8 @@
         }
         if let Some(source) = &mut self.source {
             self.progress.note_software(source.running.software());
+            let first_event_after = source.running.age().saturating_sub(waited);
+            source.running.record_time(first_event_after);
             source.running.mark_started(Duration::ZERO);
             source.running.note_progress();
             source.note_event(&self.cx);
--- a/src/util/settings/gateway.rs
+++ b/src/util/settings/gateway.rs
@@ -84,6 +84,12 @@
             "160",
             "memory that the process may use, in MB",
         ),
+        KeySpec::optional(
+            "learn_limits",
+            ValueKind::YesNo,
+            "no",
+            "whether to learn how many calls each back end takes well",
+        ),
     ],
 };
 
@@ -174,6 +180,8 @@
     pub memory_bytes: u64,
     /// Whether the whole system starts for the first time, so that no other node can hold a duty.
     pub is_first_start: bool,
+    /// Whether to learn how many calls each back end takes well.
+    pub learns_limits: bool,
     /// Operational limits.
     pub bounds: GatewayBounds,
     /// Log output.
@@ -268,9 +276,10 @@
             fields.url("store"),
             fields.url("cloud"),
             fields.yes_no("first_start"),
+            fields.yes_no("learn_limits"),
         )
     });
-    let (seeds, regions, store, cloud, is_first_start) = texts;
+    let (seeds, regions, store, cloud, is_first_start, learns_limits) = texts;
     let (cores, link_mbps, memory_mb) = reader.read_section(&GATEWAY, |fields| {
         (
             fields.decimal("cores"),
@@ -305,6 +314,7 @@
         link_mbps,
         memory_bytes: (memory_mb * BYTES_PER_MB) as u64,
         is_first_start,
+        learns_limits,
         bounds,
         log,
     })
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -3,6 +3,7 @@
 mod body_memory;
 mod brittle_backends;
 mod call_limits;
+mod concurrency_limits;
 mod crashing_fleet;
 mod crashing_prompts;
 mod crashing_requests;
--- a/tests/testsuite/gateway/placement.rs
+++ b/tests/testsuite/gateway/placement.rs
@@ -142,6 +142,7 @@
                     },
                     has_begun: false,
                     is_charged: false,
+                    sample: None,
                 };
                 placed = Placement::Send {
                     place,
--- a/tests/testsuite/gateway/recorded_messages.rs
+++ b/tests/testsuite/gateway/recorded_messages.rs
@@ -73,6 +73,7 @@
             process: 22,
             age_ms: 23,
         }],
+        samples: None,
     }
 }
 
--- a/tests/testsuite/gateway/settings_template.rs
+++ b/tests/testsuite/gateway/settings_template.rs
@@ -145,3 +145,13 @@
         assert!(problems.contains(part), "{part}: {problems}");
     }
 }
+
+#[test]
+fn limits_are_learned_only_where_a_deployment_replaces_versions_side_by_side() {
+    let learns = |bounds| {
+        let text = render(TEMPLATE, &template_values(bounds, Map::new(), true), None);
+        GatewaySettings::parse(&text).unwrap().learns_limits
+    };
+    assert!(!learns(Map::new()));
+    assert!(learns(table(&["maxExposure"], vec![Some(json!(0.1))])));
+}
