--- a/src/ops/gateway/load_wire.rs
+++ b/src/ops/gateway/load_wire.rs
@@ -6,6 +6,7 @@
 use prost::Message;
 
 use super::rollout_wire::RolloutCountWire;
+use super::samples_wire::SamplesWire;
 use crate::core::gateway::backends::{Backends, ProcessName};
 use crate::core::gateway::crashes::{Crash, CrashLog, Survivor, SuspectAnswer};
 use crate::core::gateway::load::{Load, RANKS};
@@ -64,6 +65,9 @@
     /// Answers of old and new software versions, while rollouts run.
     #[prost(message, repeated, tag = "20")]
     pub rollouts: Vec<RolloutCountWire>,
+    /// Samples of calls, from which limits are learned.
+    #[prost(message, optional, tag = "11")]
+    pub samples: Option<SamplesWire>,
 }
 
 /// Process of a back end that answered a call which was under way at its supposed crash.
--- a/src/ops/gateway/mod.rs
+++ b/src/ops/gateway/mod.rs
@@ -13,6 +13,7 @@
 //! - [`body_memory`]: memory for the bodies of calls and answers;
 //! - [`quota`], [`quota_wire`]: customers' quotas, lent to a few nodes and charged there;
 //! - [`quarantine`]: prompts that crash back ends and are sent to none;
+//! - [`concurrency`], [`samples_wire`]: how many calls each back end takes well;
 //! - [`state`]: state of the node that is shared by all of these;
 //! - [`dialect`]: interface that the adapter of a platform implements.
 
@@ -20,6 +21,7 @@
 pub mod attempt;
 pub mod body_memory;
 pub mod call;
+pub mod concurrency;
 pub mod confirm;
 pub mod decided_counts;
 pub mod dialect;
@@ -52,6 +54,7 @@
 pub mod rollout;
 pub mod rollout_wire;
 pub mod running;
+pub mod samples_wire;
 mod silence;
 pub mod snapshot;
 pub mod snapshot_wire;
