--- a/src/core/gateway/rollout/lifecycle.rs
+++ b/src/core/gateway/rollout/lifecycle.rs
@@ -1,6 +1,6 @@
 //! Life cycle of a rollout, from the operators' order to a final state.
 //!
-//! The phases are `Canary`, `Promoted`, `Switched` and `Succeeded`; each of the first three may turn into `RolledBack`.
+//! The phases are `Canary`, `Promoted` and `Succeeded`; each of the first two may turn into `RolledBack`.
 //! [`RolloutRecord::next`] is the only transition. The record is kept in the store and changed there by conditional
 //! writes, so that all nodes see the same sequence of phases.
 
@@ -16,19 +16,15 @@
 pub type RolloutId = u64;
 
 /// Time before the deadline at which the new version is promoted.
-const PROMOTE_BEFORE: Duration = Duration::from_millis(5000);
-/// Time before the deadline at which all calls are switched to the new version.
-const SWITCH_BEFORE: Duration = Duration::from_millis(2700);
+const PROMOTE_BEFORE: Duration = Duration::from_millis(2000);
 /// Time before the deadline at which the final state is written, so that it is in the store and at all nodes in time.
-const FINISH_BEFORE: Duration = Duration::from_millis(1300);
+const FINISH_BEFORE: Duration = Duration::from_millis(1000);
 /// Upper bounds of these times as fractions of the time between order and deadline.
-const MAX_PROMOTE_FRACTION: f64 = 0.5;
-const MAX_SWITCH_FRACTION: f64 = 0.3;
+const MAX_PROMOTE_FRACTION: f64 = 0.25;
 const MAX_FINISH_FRACTION: f64 = 0.12;
-/// Shortest time in `Promoted`, in which evidence under full load arrives from all nodes.
-const MIN_PROMOTED: Duration = Duration::from_millis(1200);
-/// Shortest time in `Switched`, in which calls at the old version end.
-const MIN_SWITCHED: Duration = Duration::from_millis(1000);
+/// Shortest time in `Promoted`, in which evidence under full load arrives from all nodes and calls at the old version
+/// end.
+const MIN_PROMOTED: Duration = Duration::from_millis(700);
 /// Part of the time between order and deadline over which the new version must have answered before it is promoted.
 const MIN_OBSERVED_FRACTION: f64 = 1.0 / 3.0;
 
@@ -50,8 +46,6 @@
     Canary,
     /// All calls go to the new version as long as the bound on its exposure allows it.
     Promoted,
-    /// All new calls go to the new version, and those at the old one end.
-    Switched,
     /// The old version is no longer used. Final.
     Succeeded,
     /// The new version is no longer used. Final.
@@ -67,7 +61,7 @@
     /// Returns the state that operators see.
     pub fn state(self) -> RolloutState {
         match self {
-            Self::Canary | Self::Promoted | Self::Switched => RolloutState::Running,
+            Self::Canary | Self::Promoted => RolloutState::Running,
             Self::Succeeded => RolloutState::Succeeded,
             Self::RolledBack => RolloutState::RolledBack,
         }
@@ -78,7 +72,6 @@
         match self {
             Self::Canary => "canary",
             Self::Promoted => "promoted",
-            Self::Switched => "switched",
             Self::Succeeded => "succeeded",
             Self::RolledBack => "rolled_back",
         }
@@ -181,16 +174,12 @@
         let is_past = |before: Duration, fraction: f64| now >= self.time_before(before, fraction);
         let is_late = is_past(FINISH_BEFORE, MAX_FINISH_FRACTION);
         match self.phase {
-            Phase::Switched if is_late && lasted >= MIN_SWITCHED => Some(Phase::Succeeded),
-            Phase::Switched if now >= self.deadline() => Some(Phase::Succeeded),
-            Phase::Canary | Phase::Promoted if is_late => Some(Phase::RolledBack),
-            Phase::Promoted
-                if verdict == Verdict::Good
-                    && lasted >= MIN_PROMOTED
-                    && is_past(SWITCH_BEFORE, MAX_SWITCH_FRACTION) =>
-            {
-                Some(Phase::Switched)
+            Phase::Promoted if is_late && verdict == Verdict::Good && lasted >= MIN_PROMOTED => {
+                Some(Phase::Succeeded)
             }
+            Phase::Promoted if is_late && verdict != Verdict::Good => Some(Phase::RolledBack),
+            Phase::Promoted if now >= self.deadline() => Some(Phase::RolledBack),
+            Phase::Canary if is_late => Some(Phase::RolledBack),
             Phase::Canary
                 if verdict == Verdict::Good
                     && observed >= self.duration.mul_f64(MIN_OBSERVED_FRACTION)
--- a/src/core/gateway/rollout/plan.rs
+++ b/src/core/gateway/rollout/plan.rs
@@ -28,7 +28,7 @@
                 let has_target = has_version(backends, service, &record.target, now);
                 has_target.then(|| Plan::only(self.excluded()))
             }
-            Phase::Canary | Phase::Promoted | Phase::Switched => {
+            Phase::Canary | Phase::Promoted => {
                 self.plan_of_running(record, service, allowed, backends, now)
             }
         }
@@ -61,7 +61,6 @@
             return Some(Plan::only(old));
         }
         let new = match record.phase {
-            Phase::Switched => Some(Candidates::Of(target.clone())),
             Phase::Canary if !needs_target => self
                 .has_credit(Credit::Canary)
                 .then(|| self.canaries(service, target, backends, now)),
@@ -116,12 +115,7 @@
 
     /// Returns the back ends that are in use, besides those that get canary calls.
     pub(super) fn in_use(&self) -> Candidates {
-        match self.record_of_order() {
-            Some(record) if record.phase == Phase::Switched => {
-                Candidates::Except(record.replaced.iter().cloned().collect())
-            }
-            _ => self.excluded(),
-        }
+        self.excluded()
     }
 
     /// Returns whether a call that was placed at a version may still be sent there.
@@ -130,7 +124,7 @@
         let of_target = record.filter(|record| *record.target == *version);
         match of_target.map(|record| record.phase) {
             Some(Phase::RolledBack) => false,
-            Some(Phase::Canary | Phase::Promoted | Phase::Switched) => self.held.is_none(),
+            Some(Phase::Canary | Phase::Promoted) => self.held.is_none(),
             Some(Phase::Succeeded) | None => true,
         }
     }
--- a/src/core/gateway/rollout/service.rs
+++ b/src/core/gateway/rollout/service.rs
@@ -209,9 +209,6 @@
         }
         if verdict == Verdict::Bad {
             Some(HoldReason::BadEvidence)
-        } else if phase == Phase::Switched {
-            // The old version is about to stop.
-            None
         } else if !around.has_view {
             Some(HoldReason::NoView)
         } else if lacks_reports {
--- a/src/ops/gateway/rollout_wire.rs
+++ b/src/ops/gateway/rollout_wire.rs
@@ -30,7 +30,6 @@
 enum PhaseWire {
     Canary,
     Promoted,
-    Switched,
     Succeeded,
     RolledBack,
 }
@@ -40,7 +39,6 @@
         match phase {
             Phase::Canary => Self::Canary,
             Phase::Promoted => Self::Promoted,
-            Phase::Switched => Self::Switched,
             Phase::Succeeded => Self::Succeeded,
             Phase::RolledBack => Self::RolledBack,
         }
@@ -52,7 +50,6 @@
         match phase {
             PhaseWire::Canary => Self::Canary,
             PhaseWire::Promoted => Self::Promoted,
-            PhaseWire::Switched => Self::Switched,
             PhaseWire::Succeeded => Self::Succeeded,
             PhaseWire::RolledBack => Self::RolledBack,
         }
--- a/tests/testsuite/gateway/rollout_decisions.rs
+++ b/tests/testsuite/gateway/rollout_decisions.rs
@@ -159,7 +159,6 @@
         (Some(Phase::Canary), 50, "v2", "v2"),
         (Some(Phase::Promoted), 11, "v1", "v1"),
         (Some(Phase::Promoted), 12, "v2", "v2"),
-        (Some(Phase::Switched), 0, "v2", "v2"),
         (Some(Phase::Succeeded), 0, "v2", "v2"),
         (Some(Phase::RolledBack), 1000, "v1", "v1"),
     ];
@@ -224,7 +223,7 @@
         assert_eq!(changed[0].held, Some(reason));
         assert!(!rollouts.may_send(SERVICE, Some("v2")));
     }
-    let mut rollouts = node(Some(Phase::Switched));
+    let mut rollouts = node(Some(Phase::Promoted));
     for _ in 0..10 {
         rollouts.record_answer(SERVICE, 1, Group::New, 8);
         rollouts.record_failure(SERVICE, 1, Group::New);
@@ -290,9 +289,9 @@
 fn a_good_version_succeeds_a_little_before_the_deadline_and_others_are_rolled_back() {
     let good = play_phases(Verdict::Good, Duration::from_secs(3));
     let phases: Vec<Phase> = good.iter().map(|(phase, _)| *phase).collect();
-    assert_eq!(phases, [Phase::Promoted, Phase::Switched, Phase::Succeeded]);
+    assert_eq!(phases, [Phase::Promoted, Phase::Succeeded]);
     assert!(good[0].1 >= DURATION / 2, "{good:?}");
-    assert!(good[2].1 <= DURATION - Duration::from_secs(1), "{good:?}");
+    assert!(good[1].1 <= DURATION - Duration::from_secs(1), "{good:?}");
     for verdict in [Verdict::TooFew, Verdict::Doubtful] {
         let phases = play_phases(verdict, Duration::ZERO);
         assert_eq!(phases.len(), 1);
@@ -396,7 +395,7 @@
     let backends = backends(3, 4);
     for (phase, count) in [
         (Phase::Canary, 3),
-        (Phase::Switched, 4),
+        (Phase::Promoted, 3),
         (Phase::Succeeded, 4),
         (Phase::RolledBack, 3),
     ] {
