--- a/src/core/gateway/rollout/candidates.rs
+++ b/src/core/gateway/rollout/candidates.rs
@@ -10,6 +10,9 @@
 use crate::core::gateway::software::SoftwareVersion;
 use crate::core::time::Moment;
 
+/// Work of a call at an engine that has no part of its prompt cached, as a multiple of its work at an old one.
+const UNCACHED_WORK_FACTOR: f64 = 2.5;
+
 /// Names of software versions; the empty name stands for back ends without one.
 pub type Versions = SmallVec<[SoftwareVersion; 2]>;
 
@@ -104,7 +107,7 @@
 }
 
 /// Returns the back ends of the target to which all nodes send canary calls: so few that each of them gets about the
-/// load of an old back end, as some versions are bad only under load.
+/// work of an old back end, as some versions are bad only under load.
 pub fn canary_backends(
     backends: &Backends,
     service: &str,
@@ -113,7 +116,9 @@
     now: Moment,
 ) -> SmallVec<[BackendId; 4]> {
     let old = staying(backends, service, now).filter(|entry| version_of(entry) != target);
-    let count = (old.count() as f64 * canary_part).ceil().max(1.0) as usize;
+    let count = (old.count() as f64 * canary_part * UNCACHED_WORK_FACTOR)
+        .ceil()
+        .max(1.0) as usize;
     let new = backends
         .accepting(service, now)
         .filter(|entry| version_of(entry) == target && !entry.is_suspect());
--- a/src/core/gateway/rollout/verdict.rs
+++ b/src/core/gateway/rollout/verdict.rs
@@ -44,7 +44,7 @@
     increase: 0.1,
 };
 const SLOW: TestedRate = TestedRate {
-    accepted: 0.06,
+    accepted: 0.1,
     increase: 0.2,
 };
 /// Under full load, engines that have not read shared parts of prompts yet are slow for a while.
