--- a/src/core/gateway/config_check/changes.rs
+++ b/src/core/gateway/config_check/changes.rs
@@ -70,18 +70,18 @@
 }
 
 fn compare_section(section: Section, before: Entries, after: &Entries) -> Vec<Change> {
-    let names: BTreeSet<&Box<str>> = before.keys().chain(after.keys()).collect();
-    let change = |name: &Box<str>| {
+    let names = before.keys().chain(after.keys());
+    let names: BTreeSet<&str> = names.map(|name| &**name).collect();
+    let change = |name: &str| {
         let kind = match (before.get(name), after.get(name)) {
             (None, _) => ChangeKind::Added,
             (_, None) => ChangeKind::Removed,
             (Some(before), Some(after)) if before == after => return None,
             (Some(before), Some(after)) => ChangeKind::Changed(changed_fields(before, after)),
         };
-        let name = name.clone();
         Some(Change {
             section,
-            name,
+            name: name.into(),
             kind,
         })
     };
--- a/src/core/gateway/config_check/findings.rs
+++ b/src/core/gateway/config_check/findings.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use super::{CustomerDraft, Draft, RouteDraft};
-use crate::core::gateway::routes::{ConfigVersion, CustomerName, Service, ServiceName};
+use crate::core::gateway::routes::{ConfigVersion, CustomerName, RouteKind, Service, ServiceName};
 
 /// How bad a finding is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -176,7 +176,7 @@
     } else if route.timeout < route.target_latency {
         problems.push(Problem::TimeoutBelowTarget);
     }
-    let is_stream = route.kind.is_none_or(|kind| kind.is_stream());
+    let is_stream = route.kind.is_none_or(RouteKind::is_stream);
     if !is_stream && (route.is_resumable || !route.target_pause.is_zero()) {
         problems.push(Problem::NotStreaming);
     }
--- a/src/platform/config/draft.rs
+++ b/src/platform/config/draft.rs
@@ -1,11 +1,11 @@
 //! Decodes a configuration as it was written, to check it before it is sent.
 
+use eyre::WrapErr;
 use sha2::{Digest, Sha256};
 
 use super::{ConfigWire, CustomerWire, RouteWire, UNIT_TOKENS, millis, route_kind, targets};
 use crate::core::gateway::config_check::{CustomerDraft, Draft, KeyHash, RouteDraft};
 use crate::ops::gateway::dialect::Result;
-use eyre::WrapErr;
 
 /// Bytes of a key's hash that are shown.
 const SHOWN_HASH_BYTES: usize = 8;
