--- a/src/core/gateway/concurrency/mod.rs
+++ b/src/core/gateway/concurrency/mod.rs
@@ -59,13 +59,7 @@
 impl ConcurrencySamples {
     /// Returns the samples of a service.
     pub fn service(&mut self, service: &str) -> &mut ServiceSamples {
-        if !self.services.contains_key(service) {
-            self.services
-                .insert(service.into(), ServiceSamples::default());
-        }
-        self.services
-            .get_mut(service)
-            .expect("the service has just been inserted")
+        self.services.entry(service.into()).or_default()
     }
 
     /// Forgets services without samples, and nodes that have sent none for long.
--- a/src/ops/gateway/concurrency.rs
+++ b/src/ops/gateway/concurrency.rs
@@ -6,7 +6,7 @@
 
 use super::state::GatewayState;
 use crate::core::gateway::backends::Backends;
-use crate::core::gateway::concurrency::LimitChange;
+use crate::core::gateway::concurrency::{ConcurrencyLimit, LimitChange};
 use crate::core::gateway::routes::ServiceName;
 use crate::util::time::as_millis_u64;
 
@@ -48,8 +48,8 @@
         let limit = entry.concurrency();
         let service = limits.entry(entry.backend.service.clone()).or_default();
         service.backends += 1;
-        service.reduced += u32::from(limit.is_some_and(|limit| limit.is_reduced()));
-        service.fractions += limit.map_or(1.0, |limit| limit.fraction());
+        service.reduced += u32::from(limit.is_some_and(ConcurrencyLimit::is_reduced));
+        service.fractions += limit.map_or(1.0, ConcurrencyLimit::fraction);
     }
     limits
 }
--- a/tests/testsuite/gateway/concurrency_limits.rs
+++ b/tests/testsuite/gateway/concurrency_limits.rs
@@ -9,7 +9,7 @@
 
 use jayhall::core::gateway::backends::{Backend, Backends, CallPlace, Outcome, short_name};
 use jayhall::core::gateway::cache::Part;
-use jayhall::core::gateway::concurrency::{Measured, Sample};
+use jayhall::core::gateway::concurrency::{ConcurrencyLimit, Measured, Sample};
 use jayhall::core::gateway::load::Load;
 use jayhall::core::gateway::observed::Observer;
 use jayhall::core::gateway::origin::Origin;
@@ -90,7 +90,7 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrival,
-    FirstEvent(usize),
+    Answer(usize),
     End(usize),
     Round,
 }
@@ -149,7 +149,7 @@
             }
             match event {
                 Event::Arrival => self.place_call(now_ms),
-                Event::FirstEvent(call) => self.begin_answer(call, now_ms),
+                Event::Answer(call) => self.begin_answer(call, now_ms),
                 Event::End(call) => self.end_call(call, now_ms),
                 Event::Round => self.exchange(now_ms),
             }
@@ -200,7 +200,7 @@
             0.0
         };
         let call = self.calls.len();
-        self.push(first_ms, Event::FirstEvent(call));
+        self.push(first_ms, Event::Answer(call));
         self.push(first_ms + STREAM_MS * factor + reading_ms, Event::End(call));
         self.calls.push(Call {
             node,
@@ -266,7 +266,7 @@
     /// Returns the limit of an engine as node `node` knows it.
     fn limit(&self, node: usize, engine: usize) -> u32 {
         let entry = self.views[node].get(&backend(engine).id).unwrap();
-        entry.concurrency().map_or(PLACES, |limit| limit.calls())
+        entry.concurrency().map_or(PLACES, ConcurrencyLimit::calls)
     }
 
     /// Returns the mean limit of the engines that slow down over 6 s from now on, as known by the first node.
