--- a/src/core/gateway/quota/mod.rs
+++ b/src/core/gateway/quota/mod.rs
@@ -23,7 +23,9 @@
 mod holder;
 mod lender;
 mod node_count;
+mod peer;
 mod silences;
+mod start;
 mod totals;
 
 use std::collections::HashMap;
