--- a/src/core/gateway/quota/start.rs
+++ b/src/core/gateway/quota/start.rs
@@ -13,6 +13,9 @@
 /// Time after its start before a process lends anything. Until then it may not know all other nodes, which may have
 /// started at the same time.
 const SETTLING_TIME: Duration = Duration::from_millis(1000);
+/// The same where the store lists an earlier process of the node, and so all nodes of the fleet. Buckets begin with the
+/// allowance of this time, as it was not used.
+const RESTART_SETTLING_TIME: Duration = Duration::from_millis(500);
 /// Age of another process from which the fleet is known to run.
 const MIN_RUNNING_AGE: Duration = Duration::from_secs(10);
 
@@ -79,7 +82,7 @@
     /// In a fleet that has just started for the first time, it is not known which nodes may.
     pub(super) fn advance(&mut self, neighbours: &[NodeName], now: Moment) -> Phase {
         let is_fleet_running = self.has_predecessor || self.has_old_peer;
-        let is_settled = now >= self.started + SETTLING_TIME;
+        let is_settled = now >= self.settled_at();
         if self.phase(now) == Phase::Starting
             && is_fleet_running
             && is_settled
@@ -89,4 +92,12 @@
         }
         self.phase(now)
     }
+
+    fn settled_at(&self) -> Moment {
+        self.started
+            + match self.has_predecessor {
+                true => RESTART_SETTLING_TIME,
+                false => SETTLING_TIME,
+            }
+    }
 }
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -24,6 +24,7 @@
 mod quota_bounds;
 mod quota_fleet;
 mod quota_processes;
+mod quota_starts;
 mod raw_answers;
 mod recorded_messages;
 mod restarted_backends;
--- a/tests/testsuite/gateway/quota_fleet.rs
+++ b/tests/testsuite/gateway/quota_fleet.rs
@@ -17,8 +17,11 @@
 
 /// Step of the simulation in milliseconds.
 const STEP_MS: u64 = 10;
-/// Interval at which a node renews leases, in milliseconds.
+/// Interval at which a node renews leases, in milliseconds, and the one while messages are urgent.
 const RENEWAL_MS: u64 = 500;
+const URGENT_RENEWAL_MS: u64 = 100;
+/// Time from the start of a process until it knows the other nodes and serves calls, in milliseconds.
+const VIEW_MS: u64 = 200;
 /// Time without a message after which a node counts as silent.
 const NODE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time within which a holder has to answer.
@@ -51,6 +54,9 @@
     zone: usize,
     incarnation: u64,
     quota: QuotaNode,
+    /// When its process starts, and when it knows the other nodes.
+    starts_at: Duration,
+    knows_nodes_at: Duration,
 }
 
 /// A fleet of nodes in zones, which belong in turn to regions.
@@ -94,6 +100,8 @@
                 name,
                 zone: at % zones,
                 incarnation,
+                starts_at: Duration::ZERO,
+                knows_nodes_at: Duration::ZERO,
             }
         };
         let mut fleet = Self {
@@ -136,16 +144,34 @@
         self.changed_at = Duration::from_millis(at_ms);
     }
 
-    /// Replaces the processes of nodes.
+    /// Replaces the processes of nodes, without a time in which they do not run.
     pub(super) fn restart(&mut self, nodes: impl IntoIterator<Item = usize>, at_ms: u64) {
-        let quotas = Arc::new([(CUSTOMER.into(), self.limit)].into());
         for at in nodes {
-            let node = &mut self.nodes[at];
-            node.incarnation += 1_000_000;
-            let started = Duration::from_millis(at_ms);
-            node.quota = QuotaNode::new(node.name.clone(), node.incarnation, started);
-            node.quota.set_quotas(Arc::clone(&quotas));
+            self.replace_process(at, at_ms);
+        }
+    }
+
+    /// Ends the processes of all nodes. Each starts anew at the time that `start_ms` returns, and knows the other nodes
+    /// a while later.
+    pub(super) fn lose_all(&mut self, start_ms: impl Fn(usize) -> u64) {
+        for at in 0..self.nodes.len() {
+            let starts_at = start_ms(at);
+            self.replace_process(at, starts_at);
+            self.nodes[at].knows_nodes_at = Duration::from_millis(starts_at + VIEW_MS);
         }
+        self.under_way.clear();
+    }
+
+    /// Replaces the process of a node, whose entry is still in the store.
+    fn replace_process(&mut self, at: usize, start_ms: u64) {
+        let quotas = Arc::new([(CUSTOMER.into(), self.limit)].into());
+        let node = &mut self.nodes[at];
+        node.incarnation += 1_000_000;
+        node.starts_at = Duration::from_millis(start_ms);
+        node.knows_nodes_at = node.starts_at;
+        node.quota = QuotaNode::new(node.name.clone(), node.incarnation, node.starts_at);
+        node.quota.set_quotas(quotas);
+        node.quota.lender.note_predecessor();
     }
 
     /// Lets other nodes become the holders in the first `zones` zones, as if the present ones were about to leave.
@@ -199,6 +225,9 @@
     /// Charges a call that arrives at a node, as `ops::gateway::quota` does.
     fn call(&mut self, at: usize, now: Duration) {
         self.calls += 1;
+        if now < self.nodes[at].knows_nodes_at {
+            return;
+        }
         let order = self.nodes[at]
             .quota
             .ask_order(CUSTOMER, self.calls as usize, now);
@@ -217,7 +246,7 @@
     }
 
     fn ask(&mut self, from: usize, to: usize, now: Duration) -> Option<Reply> {
-        if from != to && !self.hears(from, to) {
+        if from != to && !self.hears(from, to) || now < self.nodes[to].starts_at {
             return None;
         }
         if from != to && self.delay * 2 > ANSWER_TIMEOUT {
@@ -243,7 +272,16 @@
     fn renew(&mut self, ms: u64) {
         let now = Duration::from_millis(ms);
         let is_silent_now = now.saturating_sub(self.changed_at) > NODE_TIMEOUT;
-        let is_due = |at: &usize| (ms + *at as u64 * STEP_MS).is_multiple_of(RENEWAL_MS);
+        let is_due = |at: &usize| {
+            let node = &self.nodes[*at];
+            // Nothing is urgent in the first processes, which wait for a lease.
+            let is_restarted = node.starts_at > Duration::ZERO;
+            let interval = match is_restarted && node.quota.lender.is_urgent(now) {
+                true => URGENT_RENEWAL_MS,
+                false => RENEWAL_MS,
+            };
+            now >= node.knows_nodes_at && (ms + *at as u64 * STEP_MS).is_multiple_of(interval)
+        };
         let due: Vec<usize> = (0..self.nodes.len()).filter(is_due).collect();
         let (names, regions) = (Arc::clone(&self.names), Arc::clone(&self.region_of));
         for at in due {
@@ -269,6 +307,9 @@
             && entry.key().0 <= now
         {
             let (from, to, message) = entry.remove();
+            if now < self.nodes[to].starts_at {
+                continue;
+            }
             match message {
                 Message::Lend(lend) => {
                     let ack = self.nodes[to].quota.apply_lend(&lend, now);
