--- a/src/core/gateway/quota/lender.rs
+++ b/src/core/gateway/quota/lender.rs
@@ -126,6 +126,11 @@
         self.start.note_predecessor();
     }
 
+    /// Returns whether nodes that have started together with this one are expected to lend within the time `wait`.
+    pub fn expects_leases(&self, wait: Duration, now: Moment) -> bool {
+        self.start.expects_leases(wait, now)
+    }
+
     /// Returns whether messages are due before the usual interval has passed.
     pub fn is_urgent(&self, now: Moment) -> bool {
         self.start.phase(now) == Phase::Starting || self.peers.values().any(|peer| peer.is_urgent)
--- a/src/core/gateway/quota/start.rs
+++ b/src/core/gateway/quota/start.rs
@@ -19,6 +19,9 @@
 /// Age of another process from which the fleet is known to run.
 const MIN_RUNNING_AGE: Duration = Duration::from_secs(10);
 
+/// Time after the start of a process within which all nodes have normally started that start together.
+const FLEET_START_TIME: Duration = Duration::from_millis(1500);
+
 /// Whether a process lends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Phase {
@@ -93,6 +96,13 @@
         self.phase(now)
     }
 
+    /// Returns whether nodes that have started together with this one are expected to lend within the time `wait`.
+    pub(super) fn expects_leases(&self, wait: Duration, now: Moment) -> bool {
+        let may_begin =
+            |at: Moment| (at.saturating_sub(wait)..at + FLEET_START_TIME).contains(&now);
+        may_begin(self.lends_from) || self.has_predecessor && may_begin(self.settled_at())
+    }
+
     fn settled_at(&self) -> Moment {
         self.started
             + match self.has_predecessor {
--- a/src/ops/gateway/call.rs
+++ b/src/ops/gateway/call.rs
@@ -31,6 +31,10 @@
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(1000);
 /// `Retry-After` of a call whose quota no node holds at the moment.
 const NO_HOLDER_RETRY_AFTER: Duration = Duration::from_millis(1000);
+/// Longest wait of a call for leases of its customer's quota, as a fraction of the route's target latency.
+const MAX_LEASE_WAIT_FRACTION: f64 = 0.25;
+/// Upper bound of this wait.
+const MAX_LEASE_WAIT: Duration = Duration::from_millis(500);
 /// Time within which the body of a refused call arrives.
 const DISCARD_TIME: Duration = Duration::from_secs(1);
 /// Number of route ranks within one customer rank.
@@ -178,21 +182,31 @@
             return Ok(());
         }
         let units = self.units();
-        let (cause, after) =
-            match quota::charge(state, &customer.name, units, work, self.deadline).await {
-                Ok(charged) => {
-                    self.charged = Some(charged);
-                    return Ok(());
-                }
-                Err(ChargeError::Over { holder, shortage }) => {
-                    record::over_quota(state, self, units, &holder, &shortage);
-                    (Cause::OverQuota, shortage.retry_after)
-                }
-                Err(ChargeError::NoHolder { asked }) => {
-                    record::quota_unknown(state, self, units, asked);
-                    (Cause::QuotaUnknown, NO_HOLDER_RETRY_AFTER)
-                }
-            };
+        let latency = self.route.target_latency;
+        let lease_wait = MAX_LEASE_WAIT.min(latency.mul_f64(MAX_LEASE_WAIT_FRACTION));
+        let charged = quota::charge(
+            state,
+            &customer.name,
+            units,
+            work,
+            self.deadline,
+            lease_wait,
+        )
+        .await;
+        let (cause, after) = match charged {
+            Ok(charged) => {
+                self.charged = Some(charged);
+                return Ok(());
+            }
+            Err(ChargeError::Over { holder, shortage }) => {
+                record::over_quota(state, self, units, &holder, &shortage);
+                (Cause::OverQuota, shortage.retry_after)
+            }
+            Err(ChargeError::NoHolder { asked }) => {
+                record::quota_unknown(state, self, units, asked);
+                (Cause::QuotaUnknown, NO_HOLDER_RETRY_AFTER)
+            }
+        };
         Err(Refusal::retry_later(cause, after.min(self.remaining() / 3)))
     }
 }
--- a/src/ops/gateway/quota.rs
+++ b/src/ops/gateway/quota.rs
@@ -28,6 +28,8 @@
 const URGENT_LEND_INTERVAL: Duration = Duration::from_millis(100);
 /// Time within which a holder answers; long enough for a VM that is short of CPU time.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(350);
+/// Interval between two attempts to charge a call while leases are expected.
+const LEASE_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Time without a message of a node, also through the sums of its zone, after which it is not chosen as a holder.
 const NODE_TIMEOUT: Moment = Moment::from_secs(4);
 
@@ -113,6 +115,10 @@
         self.node.lock().lender.note_predecessor();
     }
 
+    fn expects_leases(&self, wait: Duration, now: Moment) -> bool {
+        self.node.lock().lender.expects_leases(wait, now)
+    }
+
     /// Returns the units that this node has admitted for each customer.
     pub fn totals(&self) -> Vec<(CustomerName, f64)> {
         self.node.lock().totals.totals()
@@ -199,17 +205,39 @@
     }
 }
 
-/// Charges a call at the first holder that grants it.
+/// Charges a call at the first holder that grants it. Where there is none but leases are expected within the time
+/// `lease_wait`, because this process has just started, waits for them.
 ///
 /// # Errors
 ///
-/// Fails if no holder does until `deadline`; the call has not been charged.
+/// Fails if no holder grants the call until `deadline`; it has not been charged.
 pub async fn charge(
     state: &GatewayState,
     customer: &str,
     units: f64,
     work: Work,
     deadline: Instant,
+    lease_wait: Duration,
+) -> Result<Charged> {
+    let wait_until = deadline.min(Instant::now() + lease_wait);
+    loop {
+        let charged = charge_at_holder(state, customer, units, work, deadline).await;
+        let left = wait_until.saturating_duration_since(Instant::now());
+        let is_answered = !matches!(charged, Err(ChargeError::NoHolder { .. }));
+        if is_answered || left.is_zero() || !state.quotas.expects_leases(left, state.now()) {
+            return charged;
+        }
+        tokio::time::sleep(LEASE_POLL_INTERVAL.min(left)).await;
+    }
+}
+
+/// Charges a call at the first holder that grants it.
+async fn charge_at_holder(
+    state: &GatewayState,
+    customer: &str,
+    units: f64,
+    work: Work,
+    deadline: Instant,
 ) -> Result<Charged> {
     let quotas = &state.quotas;
     let order = quotas
--- a/tests/testsuite/gateway/quota.rs
+++ b/tests/testsuite/gateway/quota.rs
@@ -141,6 +141,23 @@
     (node, LEASE + Duration::from_secs(2))
 }
 
+#[test]
+fn leases_are_expected_while_all_nodes_start_anew_and_not_later() {
+    let ms = Duration::from_millis;
+    let mut node = QuotaNode::new("n0".into(), 1, ms(0));
+    let expects = |node: &QuotaNode, at| node.lender.expects_leases(ms(250), ms(at));
+    // Without an earlier process, all wait until the leases of one must have ended.
+    assert!(!expects(&node, 400));
+    assert!(expects(&node, 3_900));
+    node.lender.note_predecessor();
+    assert!(!expects(&node, 100));
+    assert!(expects(&node, 300));
+    assert!(expects(&node, 1_500));
+    assert!(!expects(&node, 2_500));
+    assert!(expects(&node, 3_900));
+    assert!(!expects(&node, 6_000));
+}
+
 fn charge(id: u64, units: f64) -> Charge<'static> {
     Charge {
         id,
