--- a/src/ops/gateway/call.rs
+++ b/src/ops/gateway/call.rs
@@ -14,6 +14,7 @@
 use super::quota::{self, ChargeError, Charged};
 use super::record;
 use super::refusal::{Cause, Refusal};
+use super::startup;
 use super::state::GatewayState;
 use crate::core::gateway::quota::Work;
 use crate::core::gateway::request_id::{RequestId, request_id};
@@ -87,7 +88,8 @@
         req: Request<ReceivedBody>,
     ) -> Result<Self, Refusal> {
         let received = Instant::now();
-        let table = state.table().ok_or(Refusal::retry_later(
+        let table = startup::wait_for_table(state, head.deadline).await;
+        let table = table.ok_or(Refusal::retry_later(
             Cause::NoConfiguration,
             STARTUP_RETRY_AFTER,
         ))?;
--- a/src/ops/gateway/follow_store.rs
+++ b/src/ops/gateway/follow_store.rs
@@ -44,6 +44,9 @@
                 } else {
                     tracing::debug!(dependency = "store", error = %e, "store still not reached");
                 }
+                if state.view_age().is_none() {
+                    state.startup.note_isolated();
+                }
                 tokio::time::sleep(backoff.mul_f64(0.5 + rand::random::<f64>())).await;
                 backoff = (backoff * 2).min(MAX_BACKOFF);
             }
--- a/src/ops/gateway/mod.rs
+++ b/src/ops/gateway/mod.rs
@@ -6,6 +6,7 @@
 //! - [`peer_forward`], [`reach`]: calls that reach back ends only through another node;
 //! - [`follow_store`], [`register`], [`mesh`], [`snapshot`], [`relay`], [`install`]: replication of the
 //!   store's contents and of load, usage and liveness between nodes;
+//! - [`startup`]: calls that arrive before the first configuration;
 //! - `silence`: calls whose back ends are silent;
 //! - [`duties`]: work that is done by one elected node on behalf of all;
 //! - [`software`], [`resume`], [`origin_archive`]: the software version at which a broken stream may go on;
@@ -52,6 +53,7 @@
 pub mod snapshot;
 pub mod snapshot_wire;
 pub mod software;
+pub mod startup;
 pub mod state;
 pub mod stream;
 pub mod view;
--- a/src/ops/gateway/snapshot.rs
+++ b/src/ops/gateway/snapshot.rs
@@ -7,6 +7,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use http_body_util::Full;
 use hyper::Request;
 use prost::Message;
@@ -48,6 +50,10 @@
 /// Time for which a node that starts asks the nodes that its settings name for their view, before it lists the
 /// store itself.
 const MAX_SEED_COPY_TIME: Duration = Duration::from_millis(1500);
+/// Delay after which the next one of these nodes is asked while one does not answer.
+const SEED_HEDGE_DELAY: Duration = Duration::from_millis(150);
+/// Time for which one of these nodes waits for its own view, which leaves time for the answer.
+const SEED_VIEW_WAIT: Duration = Duration::from_millis(350);
 /// Mean interval between two rounds of these requests, while the nodes have no complete view either.
 const SEED_COPY_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -167,32 +173,54 @@
     let mut seeds = state.settings.seeds.clone();
     seeds.shuffle(&mut rand::rng());
     let deadline = state.now() + MAX_SEED_COPY_TIME;
-    while !seeds.is_empty() {
-        for seed in &seeds {
-            let left = deadline.saturating_sub(state.now());
-            if left.is_zero() {
-                return false;
-            }
-            if copy_view(state, client, *seed, left).await {
-                let revision = state.view.lock().revision;
-                tracing::info!(peer = %seed, %revision, "view of the store copied from a node");
-                return true;
-            }
+    while !seeds.is_empty() && state.now() < deadline {
+        if let Some(seed) = copy_from_any(state, client, &seeds, deadline).await {
+            let revision = state.view.lock().revision;
+            tracing::info!(peer = %seed, %revision, "view of the store copied from a node");
+            return true;
         }
         tokio::time::sleep(SEED_COPY_INTERVAL.mul_f64(0.5 + rand::random::<f64>())).await;
     }
     false
 }
 
-/// Copies the view of a node within the time `left`. Returns whether this node's view is complete now.
+/// Asks nodes for their views, each a while after the one before, until one of them has a complete view or all have
+/// answered. Returns that node.
+async fn copy_from_any(
+    state: &GatewayState,
+    client: &HttpClient,
+    seeds: &[SocketAddr],
+    deadline: Moment,
+) -> Option<SocketAddr> {
+    let copies = (0u32..).zip(seeds).map(async |(turn, seed)| {
+        tokio::time::sleep(SEED_HEDGE_DELAY * turn).await;
+        let left = deadline.saturating_sub(state.now());
+        let is_copied = !left.is_zero() && copy_view(state, client, *seed, left).await;
+        is_copied.then_some(*seed)
+    });
+    let mut copies: FuturesUnordered<_> = copies.collect();
+    while let Some(copied) = copies.next().await {
+        if copied.is_some() {
+            return copied;
+        }
+    }
+    None
+}
+
+/// Copies the view of a node within the time `left`; the node may wait until it has one. Returns whether this node's
+/// view is complete now.
 async fn copy_view(
     state: &GatewayState,
     client: &HttpClient,
     peer: SocketAddr,
     left: Duration,
 ) -> bool {
+    let is_first = state.knowledge().revision == Revision::NONE;
     let time = FetchTime {
-        wait: Duration::ZERO,
+        wait: match is_first {
+            true => SEED_VIEW_WAIT,
+            false => Duration::ZERO,
+        },
         timeout: FETCH_TIMEOUT.min(left),
     };
     match fetch(state, client, peer, time).await {
--- a/src/ops/gateway/state.rs
+++ b/src/ops/gateway/state.rs
@@ -12,6 +12,7 @@
 use super::body_memory::BodyMemory;
 use super::dialect::Dialect;
 use super::quota::Quotas;
+use super::startup::Startup;
 use super::view::View;
 use crate::core::gateway::backends::Backends;
 use crate::core::gateway::clock::ClockMedian;
@@ -96,6 +97,8 @@
     pub is_behind: Notify,
     /// When calls must have been answered because the process stops; `None` while it does not.
     pub stop_by: watch::Sender<Option<Instant>>,
+    /// Start of the process, until it has a configuration.
+    pub startup: Startup,
     /// Phase of the process.
     pub phase: watch::Sender<Phase>,
     /// Memory for the bodies of calls and answers.
@@ -147,6 +150,7 @@
             revision: watch::Sender::new(Revision::NONE),
             is_behind: Notify::new(),
             stop_by: watch::Sender::new(None),
+            startup: Startup::new(),
             phase: watch::Sender::new(Phase::Starting),
             active: AtomicU64::new(0),
             call_connections: AtomicU64::new(0),
--- a/tests/testsuite/gateway/starting_nodes.rs
+++ b/tests/testsuite/gateway/starting_nodes.rs
@@ -4,8 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
 use super::fixture::{Behaviour, FakeBackend, Fixture, Node, config};
-use super::watched_store::WatchedStore;
+use super::watched_store::{WatchedStore, Watches};
 
 const NODES: usize = 8;
 /// Time after a back end's departure within which it still receives calls; the default of the settings.
@@ -86,3 +90,67 @@
     fixture.ready(&started.node).await;
     assert_eq!(started.store.listings(), 1);
 }
+
+/// Starts a node without a configuration, whose store has these faults.
+async fn start_with_faults(fixture: &Fixture, faults: &watch::Sender<Watches>) -> Node {
+    let store = WatchedStore::open(fixture, faults);
+    fixture.node_with_store("n1", "z1", store).await
+}
+
+/// Guards against refusals in the first moments of a process, while its configuration is on the way.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_before_the_configuration_of_a_process_waits_for_it() {
+    let (fixture, _backend) = fixture_with_backend().await;
+    let (faults, _) = watch::channel(Watches::Unresponsive);
+    let node = start_with_faults(&fixture, &faults).await;
+    let answered = async {
+        tokio::time::sleep(Duration::from_millis(80)).await;
+        faults.send_replace(Watches::Complete);
+    };
+    let call = fixture.call(&node, "/get/x", "a1").send();
+    let (res, ()) = tokio::join!(call, answered);
+    assert_eq!(res.unwrap().status(), 200);
+}
+
+/// Guards against calls that wait although their process can learn of no configuration.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_does_not_wait_while_neither_store_nor_nodes_are_reached() {
+    let (fixture, _backend) = fixture_with_backend().await;
+    let (faults, _) = watch::channel(Watches::Unreachable);
+    let node = start_with_faults(&fixture, &faults).await;
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let asked = Instant::now();
+    let res = fixture.call(&node, "/get/x", "a1").send().await.unwrap();
+    assert_eq!(res.status(), 503);
+    assert!(
+        asked.elapsed() < Duration::from_millis(100),
+        "{:?}",
+        asked.elapsed()
+    );
+}
+
+/// Guards against a start that takes half a second for each named node whose VM is lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn nodes_whose_other_seeds_do_not_answer_start_quickly() {
+    let (fixture, _backend) = fixture_with_backend().await;
+    let seed = start(&fixture, "n0", "z1", &[]).await;
+    fixture.ready(&seed.node).await;
+    // Connections are accepted by the kernel, and never answered.
+    let silent = [
+        TcpListener::bind("127.0.0.1:0").await.unwrap(),
+        TcpListener::bind("127.0.0.1:0").await.unwrap(),
+    ];
+    let mut seeds: Vec<SocketAddr> = silent.iter().map(|it| it.local_addr().unwrap()).collect();
+    seeds.push(seed.node.settings.listen.control);
+    for index in 1..4 {
+        let asked = Instant::now();
+        let started = start(&fixture, &format!("n{index}"), "z1", &seeds).await;
+        fixture.ready(&started.node).await;
+        assert!(
+            asked.elapsed() < Duration::from_millis(490),
+            "{:?}",
+            asked.elapsed()
+        );
+        assert_eq!(started.store.listings(), 0);
+    }
+}
--- a/tests/testsuite/gateway/watched_store.rs
+++ b/tests/testsuite/gateway/watched_store.rs
@@ -31,6 +31,8 @@
     Silent,
     /// Nothing, and other calls are not answered either.
     Unresponsive,
+    /// Nothing: the store cannot be reached.
+    Unreachable,
     /// The store has compacted its history: revisions before this one are gone.
     Compacted(Revision),
 }
@@ -70,8 +72,13 @@
     async fn call<T>(&self, call: BoxFuture<'_, Result<T>>) -> Result<T> {
         let mut watches = self.watches.clone();
         let answers = watches.wait_for(|watches| *watches != Watches::Unresponsive);
-        answers.await.map(drop).expect("the test goes on");
-        call.await
+        let state = *answers.await.expect("the test goes on");
+        match state {
+            Watches::Unreachable => Err(StoreError::NotReached {
+                cause: "connection refused".into(),
+            }),
+            _ => call.await,
+        }
     }
 }
 
