--- a/tests/testsuite/gateway/quota_processes.rs
+++ b/tests/testsuite/gateway/quota_processes.rs
@@ -53,15 +53,20 @@
     admitted
 }
 
-/// Guards against a process that starts with full buckets and so adds to what its predecessor has admitted.
-#[tokio::test(flavor = "multi_thread")]
-async fn gateways_of_which_one_restarts_keep_a_customer_to_its_limit() {
+async fn fixture_with_quota() -> (Arc<Fixture>, FakeBackend) {
     let fixture = Arc::new(Fixture::new());
     let quota = format!(r#""apiKeys":["k1"],"ratePerS":{RATE},"burst":{RATE}"#);
     let config = config(1).replace(r#""apiKeys":["k1"]"#, &quota);
     fixture.put("op/config", config).await;
     let backend = FakeBackend::spawn(Behaviour::Answer(200, "done")).await;
     fixture.list_backend("b0", "plain", &backend, "ready").await;
+    (fixture, backend)
+}
+
+/// Guards against a process that starts with full buckets and so adds to what its predecessor has admitted.
+#[tokio::test(flavor = "multi_thread")]
+async fn gateways_of_which_one_restarts_keep_a_customer_to_its_limit() {
+    let (fixture, _backend) = fixture_with_quota().await;
     let n1 = fixture.node_in("n1", "z1").await;
     let n3 = fixture.node_in("n3", "z3").await;
     let (runtime, n2) = node_process(&fixture, "n2").await;
@@ -95,3 +100,33 @@
     );
     runtime.shutdown_background();
 }
+
+/// Guards against refusals while all nodes have just started and are about to lend: a call waits for that.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_waits_for_the_leases_of_gateways_that_all_start_anew() {
+    let (fixture, _backend) = fixture_with_quota().await;
+    let start_all =
+        || async { tokio::join!(node_process(&fixture, "n1"), node_process(&fixture, "n2")) };
+    let ((first, _), (second, _)) = start_all().await;
+    first.shutdown_background();
+    second.shutdown_background();
+    let ((first, n1), (second, _)) = start_all().await;
+    let mut calls = JoinSet::new();
+    for _ in 0..100 {
+        let call = numbered_call(&fixture, &n1, "/get/x");
+        calls.spawn(async move {
+            let sent = Instant::now();
+            let status = call.send().await.unwrap().status();
+            (sent, status, sent.elapsed())
+        });
+        tokio::time::sleep(CALL_INTERVAL).await;
+    }
+    let answered = calls.join_all().await;
+    let served = answered.iter().filter(|(_, status, _)| *status == 200);
+    let (_, _, waited) = served
+        .min_by_key(|(sent, ..)| *sent)
+        .expect("a call is served");
+    assert!(*waited >= Duration::from_millis(100), "{waited:?}");
+    first.shutdown_background();
+    second.shutdown_background();
+}
