--- a/tests/testsuite/gateway/quota_fleet.rs
+++ b/tests/testsuite/gateway/quota_fleet.rs
@@ -78,6 +78,7 @@
     pub(super) weights: Option<Vec<f64>>,
     due: Vec<f64>,
     admitted: Vec<(Duration, f64)>,
+    offered: Vec<(Duration, f64)>,
     calls: u64,
     pub(super) last_shortage: Option<Shortage>,
     /// Nodes that are not ready to hold quotas, but go on.
@@ -122,6 +123,7 @@
             weights: None,
             due: vec![0.0; nodes],
             admitted: Vec::new(),
+            offered: Vec::new(),
             calls: 0,
             last_shortage: None,
             unready: Vec::new(),
@@ -184,6 +186,8 @@
         }
         holders.retain(|at| self.nodes[*at].zone < zones);
         self.unready.extend(holders);
+        self.unready.sort_unstable();
+        self.unready.dedup();
     }
 
     /// Returns the positions of nine in ten nodes.
@@ -225,6 +229,7 @@
     /// Charges a call that arrives at a node, as `ops::gateway::quota` does.
     fn call(&mut self, at: usize, now: Duration) {
         self.calls += 1;
+        self.offered.push((now, self.call_units));
         if now < self.nodes[at].knows_nodes_at {
             return;
         }
@@ -362,6 +367,31 @@
         self.calls as f64 * self.call_units
     }
 
+    /// Lets the calls of nodes with equal weights arrive one after the other, and not all at the same moment.
+    pub(super) fn spread_arrivals(&mut self) {
+        let count = self.due.len();
+        for (at, due) in self.due.iter_mut().enumerate() {
+            *due = self.call_units * (at * 7919 % count) as f64 / count as f64;
+        }
+    }
+
+    /// Returns the units that one token bucket with the customer's limit, full at the beginning, admits of those that
+    /// were offered in a period.
+    pub(super) fn admitted_by_one_bucket(&self, from_ms: u64, to_ms: u64) -> f64 {
+        let period = Duration::from_millis(from_ms)..Duration::from_millis(to_ms);
+        let (mut level, mut refilled_at, mut admitted) = (self.limit.burst, period.start, 0.0);
+        for (at, units) in self.offered.iter().filter(|(at, _)| period.contains(at)) {
+            let refill = self.limit.per_second * (*at - refilled_at).as_secs_f64();
+            level = self.limit.burst.min(level + refill);
+            refilled_at = *at;
+            if *units <= level {
+                level -= units;
+                admitted += units;
+            }
+        }
+        admitted
+    }
+
     /// Returns the units admitted in a period.
     pub(super) fn admitted_in(&self, from_ms: u64, to_ms: u64) -> f64 {
         let is_inside = |at: &Duration| (from_ms..to_ms).contains(&(at.as_millis() as u64));
