--- a/src/core/gateway/quota/lender.rs
+++ b/src/core/gateway/quota/lender.rs
@@ -21,9 +21,17 @@
 const PROBE_INTERVAL: Duration = Duration::from_secs(2);
 /// Interval between two messages to a node that has not acknowledged the first one of this process.
 const FIRST_MESSAGE_INTERVAL: Duration = Duration::from_millis(300);
+/// Interval between two messages by which a part is withdrawn.
+const WITHDRAWAL_INTERVAL: Duration = Duration::from_millis(300);
+/// Time for which a part stays at a holder before it moves to another one, unless its lease ends.
+const MIN_TENURE: Duration = LEASE;
+/// Age of the process to which a part moves before its lease has ended.
+const MIN_TARGET_AGE: Duration = Duration::from_secs(4);
 
 /// Parts of the limits that are lent to one holder.
 type Parts = Vec<(CustomerName, f64)>;
+/// Leases of the two halves of a part.
+type Slots = [Option<Lent>; HOLDERS];
 /// Lend messages and their receivers.
 pub(super) type Lends = Vec<(NodeName, Lend)>;
 
@@ -33,8 +41,31 @@
     holder: NodeName,
     /// Process of the holder.
     incarnation: Incarnation,
+    /// When it was first lent to this process.
+    since: Moment,
     /// When the holder has stopped to count it, whichever messages it receives.
     until: Moment,
+    /// Number of the first message that withdraws it.
+    withdrawn_from: Option<u64>,
+}
+
+/// Next step for half of this node's part in a customer's limit.
+enum Step {
+    /// It is lent to this holder, or its lease there is renewed.
+    Lend(NodeName),
+    /// Its holder is asked to stop counting it, so that it can move.
+    Withdraw,
+    /// Nothing, until its lease ends or a message arrives.
+    Wait,
+}
+
+/// When leases are next to be renewed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NextRenewal {
+    /// At once: a part can move, or begin to be lent.
+    AtOnce,
+    /// At the end of the interval.
+    Usual,
 }
 
 /// What a node lends of its part in the limits.
@@ -46,7 +77,7 @@
     last_number: u64,
     counts: NodeCount,
     peers: HashMap<NodeName, Peer>,
-    lent: HashMap<CustomerName, [Option<Lent>; HOLDERS]>,
+    lent: HashMap<CustomerName, Slots>,
 }
 
 impl Lender {
@@ -107,6 +138,7 @@
         own.echo = Some(Echo {
             stamp: own_stamp,
             received_at: now,
+            age: self.start.age(now),
         });
         self.lent
             .retain(|name, slots| quotas.contains_key(name) || is_any_lent(slots, now));
@@ -136,13 +168,18 @@
         self.start.phase(now) == Phase::Starting || self.peers.values().any(|peer| peer.is_urgent)
     }
 
-    /// Applies the acknowledgement of a message to a holder.
-    pub fn apply_ack(&mut self, holder: &str, ack: &LendAck, now: Moment) {
+    /// Applies the acknowledgement of a message to a holder. Returns when leases are next to be renewed.
+    pub fn apply_ack(&mut self, holder: &str, ack: &LendAck, now: Moment) -> NextRenewal {
         let Some(peer) = self.peers.get_mut(holder) else {
-            return;
+            return NextRenewal::Usual;
         };
-        if ack.lender_incarnation == self.incarnation && peer.apply_ack(ack, now) {
-            self.start.note_ack(holder, ack.age);
+        if ack.lender_incarnation != self.incarnation || !peer.apply_ack(ack, now) {
+            return NextRenewal::Usual;
+        }
+        self.start.note_ack(holder, ack.age);
+        match peer.is_urgent && self.start.phase(now) == Phase::Lending {
+            true => NextRenewal::AtOnce,
+            false => NextRenewal::Usual,
         }
     }
 
@@ -154,64 +191,105 @@
         now: Moment,
         parts: &mut BTreeMap<NodeName, Parts>,
     ) {
-        let mut wanted: SmallVec<[&NodeName; HOLDERS]> = pools.own_holders(customer).collect();
-        if let [only] = wanted[..] {
-            wanted.push(only);
-        }
-        if !self.lent.contains_key(customer) {
-            self.lent.insert(customer.clone(), Default::default());
-        }
-        let slots = self
-            .lent
-            .get_mut(customer)
-            .expect("the customer was inserted above");
+        let mut slots = self.lent.remove(customer).unwrap_or_default();
         let fraction = 1.0 / (HOLDERS * self.counts.largest()) as f64;
-        let mut is_kept = [false; HOLDERS];
-        for (slot, is_kept) in slots.iter().zip(&mut is_kept) {
-            let holder = slot.as_ref().map(|lent| &lent.holder);
-            if let Some(at) = wanted.iter().position(|name| Some(*name) == holder) {
-                wanted.remove(at);
-                *is_kept = true;
+        let targets = targets(&slots, pools, customer);
+        for (slot, target) in slots.iter_mut().zip(targets) {
+            match self.next_step(slot.as_ref(), target.as_ref(), now) {
+                Step::Lend(holder) => {
+                    *slot = self.lease(slot.take(), &holder, now);
+                    if slot.as_ref().is_some_and(|lent| lent.since == now) {
+                        tracing::debug!(
+                            customer = &**customer,
+                            holder = &*holder,
+                            "allowance lent"
+                        );
+                    }
+                    add_part(parts.entry(holder).or_default(), customer, fraction);
+                }
+                Step::Withdraw => self.withdraw(slot),
+                Step::Wait => {}
             }
         }
-        for (slot, is_kept) in slots.iter_mut().zip(is_kept) {
-            let is_running = slot.as_ref().is_some_and(|lent| {
-                let holder = self.peers.get(&lent.holder);
-                lent.until > now
-                    && !holder.is_some_and(|peer| peer.has_repaid(lent.incarnation, now))
-            });
-            let holder = match (&*slot, is_kept) {
-                (Some(lent), true) => lent.holder.clone(),
-                (Some(_), false) if is_running => continue,
-                _ => match wanted.pop() {
-                    Some(name) => name.clone(),
-                    None => continue,
-                },
-            };
-            let Some(peer) = self.peers.get_mut(&holder) else {
-                // The first message asks for a stamp.
-                continue;
-            };
-            let Some(echo) = peer.echo.filter(|_| peer.can_renew(now)) else {
-                continue;
-            };
-            let lent = Lent {
-                holder: holder.clone(),
-                incarnation: echo.stamp.incarnation,
-                until: echo.received_at + LEASE,
-            };
-            let is_same = slot
-                .as_ref()
-                .is_some_and(|known| is_kept && known.incarnation == lent.incarnation);
-            if is_running && !is_same {
-                continue;
-            }
-            if !is_same {
-                peer.is_urgent = true;
-                tracing::debug!(customer = &**customer, holder = &*holder, "allowance lent");
-            }
-            *slot = Some(lent);
-            add_part(parts.entry(holder).or_default(), customer, fraction);
+        self.lent.insert(customer.clone(), slots);
+    }
+
+    /// Decides what to do with a half whose lease is `lent`, and which is to be lent to `target`.
+    fn next_step(&self, lent: Option<&Lent>, target: Option<&NodeName>, now: Moment) -> Step {
+        let Some(lent) = lent.filter(|lent| self.is_held(lent, now)) else {
+            let target = target.filter(|name| self.can_lend_to(name, now));
+            return target.map_or(Step::Wait, |name| Step::Lend(name.clone()));
+        };
+        let is_withdrawn = lent.withdrawn_from.is_some();
+        match target {
+            Some(name) if *name == lent.holder => self.renewal(lent, now),
+            _ if is_withdrawn => Step::Wait,
+            Some(name) if self.may_move(lent, name, now) => Step::Withdraw,
+            _ => self.renewal(lent, now),
+        }
+    }
+
+    fn renewal(&self, lent: &Lent, now: Moment) -> Step {
+        let is_same_process = |peer: &Peer| peer.is_process(lent.incarnation);
+        let is_possible = self.peers.get(&lent.holder).is_some_and(is_same_process)
+            && self.can_lend_to(&lent.holder, now);
+        match is_possible {
+            true => Step::Lend(lent.holder.clone()),
+            false => Step::Wait,
+        }
+    }
+
+    /// Returns whether a holder has sent a stamp that a lease can begin with.
+    fn can_lend_to(&self, holder: &str, now: Moment) -> bool {
+        self.peers
+            .get(holder)
+            .is_some_and(|peer| peer.can_renew(now))
+    }
+
+    /// Returns whether the holder of a lease may still count it.
+    fn is_held(&self, lent: &Lent, now: Moment) -> bool {
+        let has_stopped = |peer: &Peer| {
+            let withdrawn = lent.withdrawn_from;
+            peer.has_repaid(lent.incarnation, now)
+                || withdrawn.is_some_and(|first| peer.has_acknowledged(first, lent.incarnation))
+        };
+        lent.until > now && !self.peers.get(&lent.holder).is_some_and(has_stopped)
+    }
+
+    /// Returns whether a lease may move to `target` before it ends. A bucket that loses its part may be overdrawn, and
+    /// one of a process that has just started begins with some allowance, so neither may happen often.
+    fn may_move(&self, lent: &Lent, target: &str, now: Moment) -> bool {
+        let is_old = |peer: &Peer| peer.is_older_than(MIN_TARGET_AGE, now);
+        now.saturating_sub(lent.since) >= MIN_TENURE
+            && self.can_lend_to(target, now)
+            && self.peers.get(target).is_some_and(is_old)
+    }
+
+    /// Returns the lease that replaces `before` and echoes the newest stamp of the holder.
+    fn lease(&mut self, before: Option<Lent>, holder: &NodeName, now: Moment) -> Option<Lent> {
+        let peer = self.peers.get_mut(holder)?;
+        let echo = peer.echo?;
+        let incarnation = echo.stamp.incarnation;
+        let is_same = |lent: &Lent| lent.holder == *holder && lent.incarnation == incarnation;
+        let since = before.filter(is_same).map(|lent| lent.since);
+        peer.is_urgent |= since.is_none();
+        Some(Lent {
+            holder: holder.clone(),
+            incarnation,
+            since: since.unwrap_or(now),
+            until: echo.received_at + LEASE,
+            withdrawn_from: None,
+        })
+    }
+
+    /// Asks the holder of a lease to stop counting it.
+    fn withdraw(&mut self, slot: &mut Option<Lent>) {
+        let Some(lent) = slot else { return };
+        // All messages to the holder from the next one on lack the part.
+        let first = self.last_number + 1;
+        lent.withdrawn_from = Some(first);
+        if let Some(peer) = self.peers.get_mut(&lent.holder) {
+            peer.withdraw(first, lent.until);
         }
     }
 
@@ -240,12 +318,9 @@
         for (name, peer) in &mut self.peers {
             let parts = parts.remove(name).unwrap_or_default();
             let is_chosen = !parts.is_empty() || pools.own_pool().contains(name);
+            let has_echo = !parts.is_empty() || peer.is_withdrawing(now);
             let is_first = phase == Phase::Starting && !self.start.is_cleared(name);
-            let interval = match is_first {
-                true => Some(FIRST_MESSAGE_INTERVAL),
-                false => message_interval(peer, is_chosen, now),
-            };
-            let Some(interval) = interval else {
+            let Some(interval) = message_interval(peer, is_first, is_chosen, now) else {
                 peer.is_urgent = false;
                 continue;
             };
@@ -262,8 +337,8 @@
                 lender: self.own.clone(),
                 incarnation: self.incarnation,
                 number: self.last_number,
-                // Without parts, the message only asks for a stamp, and leases of an earlier process go on.
-                echo: peer.echo.map(|e| e.stamp).filter(|_| !parts.is_empty()),
+                // Without an echo, the message only asks for a stamp, and leases of an earlier process go on.
+                echo: peer.echo.map(|e| e.stamp).filter(|_| has_echo),
                 parts,
             };
             lends.push((name.clone(), lend));
@@ -273,15 +348,37 @@
 }
 
 /// Returns the interval between two messages to a holder, or `None` if it needs none.
-fn message_interval(peer: &Peer, is_chosen: bool, now: Moment) -> Option<Duration> {
+fn message_interval(peer: &Peer, is_first: bool, is_chosen: bool, now: Moment) -> Option<Duration> {
     match (is_chosen, peer.is_unresponsive(now)) {
+        _ if is_first => Some(FIRST_MESSAGE_INTERVAL),
+        _ if peer.is_withdrawing(now) => Some(WITHDRAWAL_INTERVAL),
         (true, _) => Some(RENEWAL_INTERVAL),
         (false, true) => Some(PROBE_INTERVAL),
         (false, false) => None,
     }
 }
 
-fn is_any_lent(slots: &[Option<Lent>; HOLDERS], now: Moment) -> bool {
+/// Returns for each half of a part the holder to which it is to be lent. A half stays where it is as long as its holder
+/// is one of those chosen.
+fn targets(slots: &Slots, pools: &Pools, customer: &str) -> [Option<NodeName>; HOLDERS] {
+    let mut wanted: SmallVec<[&NodeName; HOLDERS]> = pools.own_holders(customer).collect();
+    if let [only] = wanted[..] {
+        wanted.push(only);
+    }
+    let mut targets = [const { None }; HOLDERS];
+    for (slot, target) in slots.iter().zip(&mut targets) {
+        let holder = slot.as_ref().map(|lent| &lent.holder);
+        if let Some(at) = wanted.iter().position(|name| Some(*name) == holder) {
+            *target = Some(wanted.remove(at).clone());
+        }
+    }
+    for target in targets.iter_mut().filter(|target| target.is_none()) {
+        *target = wanted.pop().cloned();
+    }
+    targets
+}
+
+fn is_any_lent(slots: &Slots, now: Moment) -> bool {
     slots.iter().flatten().any(|lent| lent.until > now)
 }
 
--- a/src/core/gateway/quota/mod.rs
+++ b/src/core/gateway/quota/mod.rs
@@ -37,7 +37,7 @@
 pub use self::bucket::{Bucket, Shortage};
 pub use self::choice::{FleetNode, HOLDERS, Pools};
 pub use self::holder::{Holder, Reply};
-pub use self::lender::Lender;
+pub use self::lender::{Lender, NextRenewal};
 pub use self::node_count::NodeCount;
 pub use self::silences::Silences;
 pub use self::totals::Totals;
@@ -202,31 +202,11 @@
     /// `draw` decides.
     pub fn ask_order(&self, customer: &str, draw: usize, now: Moment) -> AskOrder {
         let mut order = AskOrder::new();
-        let mut add = |name: &NodeName| {
-            if !order.contains(name) {
-                order.push(name.clone());
-            }
-        };
-        self.lender
-            .current_holders(customer, now)
-            .for_each(&mut add);
-        let own = self.pools.own_holders(customer);
-        own.for_each(&mut add);
-        let in_region = order.len();
-        if in_region > 1 {
-            order[..in_region].rotate_left(draw % in_region);
-        }
+        let current = self.lender.current_holders(customer, now);
+        let in_region = current.chain(self.pools.own_holders(customer));
+        add_rotated(&mut order, in_region, draw);
         for region in self.pools.other_holders(customer) {
-            let begin = order.len();
-            for name in region {
-                if !order.contains(name) {
-                    order.push(name.clone());
-                }
-            }
-            let added = order.len() - begin;
-            if added > 1 {
-                order[begin..].rotate_left(draw % added);
-            }
+            add_rotated(&mut order, region, draw);
         }
         let is_silent = |name: &NodeName| self.silences.is_silent(name, now);
         match order.iter().all(is_silent) {
@@ -236,3 +216,17 @@
         order
     }
 }
+
+/// Appends the names that an order does not have yet, beginning with one that `draw` decides.
+fn add_rotated<'a>(order: &mut AskOrder, names: impl Iterator<Item = &'a NodeName>, draw: usize) {
+    let begin = order.len();
+    for name in names {
+        if !order.contains(name) {
+            order.push(name.clone());
+        }
+    }
+    let added = order.len() - begin;
+    if added > 1 {
+        order[begin..].rotate_left(draw % added);
+    }
+}
--- a/src/core/gateway/quota/peer.rs
+++ b/src/core/gateway/quota/peer.rs
@@ -22,6 +22,17 @@
 pub(super) struct Echo {
     pub(super) stamp: Stamp,
     pub(super) received_at: Moment,
+    /// Age of the holder's process at that time.
+    pub(super) age: Duration,
+}
+
+/// A part that the holder is asked to stop using.
+#[derive(Clone, Copy, Debug)]
+struct Withdrawal {
+    /// Number of the first message without the part.
+    number: u64,
+    /// End of its lease.
+    until: Moment,
 }
 
 /// State of the messages to a holder.
@@ -40,6 +51,8 @@
     pub(super) is_urgent: bool,
     /// When another process of it was first heard from.
     replaced_at: Option<Moment>,
+    /// The newest withdrawal.
+    withdrawal: Option<Withdrawal>,
 }
 
 impl Peer {
@@ -76,6 +89,29 @@
         is_replaced && since.is_some_and(|since| since >= REPAYMENT_TIME)
     }
 
+    /// Returns whether its process has been running for the time `age` at least.
+    pub(super) fn is_older_than(&self, age: Duration, now: Moment) -> bool {
+        let known = self.echo;
+        known.is_some_and(|echo| echo.age + now.saturating_sub(echo.received_at) >= age)
+    }
+
+    /// Asks it to stop using a part, by the messages from `number` on, whose lease ends at `until`.
+    pub(super) fn withdraw(&mut self, number: u64, until: Moment) {
+        self.withdrawal = Some(Withdrawal { number, until });
+        self.is_urgent = true;
+    }
+
+    /// Returns whether the process `incarnation` has acknowledged a message whose number is `number` or larger.
+    pub(super) fn has_acknowledged(&self, number: u64, incarnation: Incarnation) -> bool {
+        self.acknowledged >= number && self.is_process(incarnation)
+    }
+
+    /// Returns whether a withdrawal is not acknowledged yet.
+    pub(super) fn is_withdrawing(&self, now: Moment) -> bool {
+        let newest = self.withdrawal;
+        newest.is_some_and(|newest| newest.number > self.acknowledged && newest.until > now)
+    }
+
     /// Returns whether a message is due at the end of an interval.
     pub(super) fn is_due(&self, interval: Duration, now: Moment) -> bool {
         let since = self.sent_at.map(|at| now.saturating_sub(at));
@@ -94,6 +130,9 @@
 
     /// Records that the lender itself is the holder, and has applied the message `number` at once.
     pub(super) fn note_applied(&mut self, number: u64) {
+        self.is_urgent |= self
+            .withdrawal
+            .is_some_and(|newest| (self.acknowledged + 1..=number).contains(&newest.number));
         self.acknowledged = number;
         self.unacknowledged.clear();
     }
@@ -103,14 +142,21 @@
         if !(self.acknowledged + 1..=self.sent).contains(&ack.number) {
             return false;
         }
+        let was_withdrawing = self.is_withdrawing(now);
         self.acknowledged = ack.number;
-        self.is_urgent |= !self.can_renew(now);
-        if self.echo.is_some() && !self.is_process(ack.stamp.incarnation) {
-            self.replaced_at = Some(now);
+        self.is_urgent |= !self.can_renew(now) || was_withdrawing && !self.is_withdrawing(now);
+        let mut stamp = ack.stamp;
+        if let Some(before) = self.echo {
+            match before.stamp.incarnation == stamp.incarnation {
+                // Acknowledgements may arrive in another order than that in which they were sent.
+                true => stamp.at = stamp.at.max(before.stamp.at),
+                false => self.replaced_at = Some(now),
+            }
         }
         self.echo = Some(Echo {
-            stamp: ack.stamp,
+            stamp,
             received_at: now,
+            age: ack.age,
         });
         let sent = self.unacknowledged.iter().find(|(n, _)| *n == ack.number);
         if sent.is_some_and(|(_, at)| now.saturating_sub(*at) <= RESPONSIVE_WITHIN) {
--- a/src/core/gateway/quota/start.rs
+++ b/src/core/gateway/quota/start.rs
@@ -73,6 +73,11 @@
         self.cleared.contains(node)
     }
 
+    /// Returns the age of the process.
+    pub(super) fn age(&self, now: Moment) -> Duration {
+        now.saturating_sub(self.started)
+    }
+
     /// Returns the phase at `now`.
     pub(super) fn phase(&self, now: Moment) -> Phase {
         match now < self.lends_from {
--- a/src/node/gateway.rs
+++ b/src/node/gateway.rs
@@ -20,7 +20,7 @@
 use crate::ops::gateway::register::Registration;
 use crate::ops::gateway::state::{GatewayState, Phase};
 use crate::ops::gateway::{
-    follow_store, install, quarantine, quota, reach, resume, snapshot, software,
+    follow_store, install, quarantine, quota_lend, reach, resume, snapshot, software,
 };
 use crate::sources::http::{ConnectOptions, HttpClient};
 use crate::sources::store::Store;
@@ -143,7 +143,7 @@
             let registration_task = tokio::spawn(Arc::clone(&registration).run());
             tokio::spawn(Arc::clone(&mesh).send());
             tokio::spawn(Arc::clone(&mesh).receive());
-            tokio::spawn(quota::lend(Arc::clone(&state)));
+            tokio::spawn(quota_lend::run(Arc::clone(&state)));
             tokio::spawn(resume::send_origins(
                 Arc::clone(&state),
                 Arc::clone(&mesh),
--- a/src/ops/gateway/mod.rs
+++ b/src/ops/gateway/mod.rs
@@ -11,7 +11,7 @@
 //! - [`duties`]: work that is done by one elected node on behalf of all;
 //! - [`software`], [`resume`], [`origin_archive`]: the software version at which a broken stream may go on;
 //! - [`body_memory`]: memory for the bodies of calls and answers;
-//! - [`quota`], [`quota_wire`]: customers' quotas, lent to a few nodes and charged there;
+//! - [`quota`], [`quota_lend`], [`quota_wire`]: customers' quotas, lent to a few nodes and charged there;
 //! - [`quarantine`]: prompts that crash back ends and are sent to none;
 //! - [`state`]: state of the node that is shared by all of these;
 //! - [`dialect`]: interface that the adapter of a platform implements.
@@ -41,6 +41,7 @@
 pub mod progress;
 pub mod quarantine;
 pub mod quota;
+pub mod quota_lend;
 pub mod quota_wire;
 pub mod reach;
 pub mod record;
--- a/src/ops/gateway/quota.rs
+++ b/src/ops/gateway/quota.rs
@@ -10,28 +10,24 @@
 use parking_lot::Mutex;
 use prost::Message;
 use tokio::net::UdpSocket;
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 use tokio::time::Instant;
 
 use super::mesh_wire::DatagramWire;
-use super::quota_wire::{ChargeReplyWire, ChargeWire, LendAckWire, LendWire};
+use super::quota_wire::{ChargeReplyWire, ChargeWire, LendAckWire};
 use super::state::GatewayState;
-use crate::core::gateway::members::{Member, NodeName};
-use crate::core::gateway::quota::{Charge, ChargeId, FleetNode, QuotaNode, Reply, Shortage, Work};
+use crate::core::gateway::members::NodeName;
+use crate::core::gateway::quota::{
+    Charge, ChargeId, NextRenewal, QuotaNode, Reply, Shortage, Work,
+};
 use crate::core::gateway::routes::{CustomerName, RouteTable};
 use crate::core::gateway::usage::Incarnation;
 use crate::core::time::Moment;
 
-/// Interval between two checks of which leases are to be renewed.
-const LEND_INTERVAL: Duration = Duration::from_millis(500);
-/// Interval between two checks while a process that has just started lends nothing yet, or a message is due at once.
-const URGENT_LEND_INTERVAL: Duration = Duration::from_millis(100);
 /// Time within which a holder answers; long enough for a VM that is short of CPU time.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(350);
 /// Interval between two attempts to charge a call while leases are expected.
 const LEASE_POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Time without a message of a node, also through the sums of its zone, after which it is not chosen as a holder.
-const NODE_TIMEOUT: Moment = Moment::from_secs(4);
 
 /// Result alias of this module.
 pub type Result<T> = std::result::Result<T, ChargeError>;
@@ -68,8 +64,10 @@
 /// Quotas of customers: this node's decisions, and its charges that are under way.
 pub struct Quotas {
     incarnation: Incarnation,
-    node: Mutex<QuotaNode>,
+    pub(super) node: Mutex<QuotaNode>,
     pending: Mutex<HashMap<ChargeId, oneshot::Sender<Answer>>>,
+    /// Notified when leases are to be renewed at once.
+    pub(super) renewal: Notify,
     /// Set once the socket for datagrams is bound.
     socket: OnceLock<Arc<UdpSocket>>,
 }
@@ -93,6 +91,7 @@
             incarnation,
             node: Mutex::new(QuotaNode::new(own, incarnation, started)),
             pending: Mutex::default(),
+            renewal: Notify::new(),
             socket: OnceLock::new(),
         }
     }
@@ -145,7 +144,8 @@
         self.node.lock().totals.forget(node);
     }
 
-    fn send(&self, datagram: &DatagramWire, to: std::net::SocketAddr) {
+    /// Sends a datagram once the socket is bound.
+    pub(super) fn send(&self, datagram: &DatagramWire, to: std::net::SocketAddr) {
         let Some(socket) = self.socket.get() else {
             return;
         };
@@ -159,52 +159,6 @@
     }
 }
 
-/// Lends this node's parts of the limits until the task is dropped.
-pub async fn lend(state: Arc<GatewayState>) {
-    loop {
-        renew(&state);
-        let is_urgent = state.quotas.node.lock().lender.is_urgent(state.now());
-        tokio::time::sleep(match is_urgent {
-            true => URGENT_LEND_INTERVAL,
-            false => LEND_INTERVAL,
-        })
-        .await;
-    }
-}
-
-/// Renews the leases of this node's parts, once the nodes that may hold leases of its earlier process are known.
-fn renew(state: &GatewayState) {
-    if state.view_age().is_none() {
-        return;
-    }
-    let now = state.now();
-    let settings = &state.settings;
-    let members = state.members.lock();
-    let is_heard = |member: &Member| {
-        *member.name == *settings.name || !members.is_silent(&member.name, now, NODE_TIMEOUT)
-    };
-    let fleet: Vec<FleetNode<'_>> = members
-        .iter()
-        .map(|member| FleetNode {
-            name: &member.name,
-            region: &member.region,
-            is_able: member.is_ready && is_heard(member),
-        })
-        .collect();
-    let mut node = state.quotas.node.lock();
-    let lends = node.renew(&fleet, members.count(), &settings.region, now);
-    drop(node);
-    for (holder, lend) in lends {
-        if let Some(member) = members.get(&holder) {
-            let datagram = DatagramWire {
-                lend: Some(LendWire::from(lend)),
-                ..DatagramWire::default()
-            };
-            state.quotas.send(&datagram, member.peers);
-        }
-    }
-}
-
 /// Charges a call at the first holder that grants it. Where there is none but leases are expected within the time
 /// `lease_wait`, because this process has just started, waits for them.
 ///
@@ -392,7 +346,9 @@
         && let Some(ack) = wire.ack()
     {
         let mut node = quotas.node.lock();
-        node.lender.apply_ack(&wire.holder, &ack, now);
+        if node.lender.apply_ack(&wire.holder, &ack, now) == NextRenewal::AtOnce {
+            quotas.renewal.notify_one();
+        }
     }
     if let Some(wire) = &datagram.charge {
         handle_charge(quotas, wire, from, now);
--- a/tests/testsuite/gateway/quota_bounds.rs
+++ b/tests/testsuite/gateway/quota_bounds.rs
@@ -79,6 +79,19 @@
     });
 }
 
+/// Guards against allowance that an old holder and a new one both count, and against debts that are forgotten with
+/// each move of a part.
+#[test]
+fn holders_that_change_again_and_again_keep_a_customer_to_its_limit() {
+    check("changes", |fleet, rate| {
+        fleet.run(0, 10_000, rate);
+        for at in (10_000..24_000).step_by(2_000) {
+            fleet.move_holders(ZONES, at);
+            fleet.run(at, at + 2_000, rate);
+        }
+    });
+}
+
 #[test]
 fn late_messages_keep_a_customer_to_its_limit() {
     for late_ms in [1_500, 3_000] {
--- a/tests/testsuite/gateway/quota_fleet.rs
+++ b/tests/testsuite/gateway/quota_fleet.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use jayhall::core::gateway::quota::{
-    Charge, FleetNode, LEASE, Lend, LendAck, QuotaNode, Reply, Shortage, Work,
+    Charge, FleetNode, LEASE, Lend, LendAck, NextRenewal, QuotaNode, Reply, Shortage, Work,
 };
 use jayhall::core::gateway::routes::Quota;
 
@@ -57,6 +57,8 @@
     /// When its process starts, and when it knows the other nodes.
     starts_at: Duration,
     knows_nodes_at: Duration,
+    /// Whether an acknowledgement makes a renewal due at once.
+    is_renewal_due: bool,
 }
 
 /// A fleet of nodes in zones, which belong in turn to regions.
@@ -103,6 +105,7 @@
                 incarnation,
                 starts_at: Duration::ZERO,
                 knows_nodes_at: Duration::ZERO,
+                is_renewal_due: false,
             }
         };
         let mut fleet = Self {
@@ -285,7 +288,8 @@
                 true => URGENT_RENEWAL_MS,
                 false => RENEWAL_MS,
             };
-            now >= node.knows_nodes_at && (ms + *at as u64 * STEP_MS).is_multiple_of(interval)
+            let is_time = (ms + *at as u64 * STEP_MS).is_multiple_of(interval);
+            now >= node.knows_nodes_at && (is_time || node.is_renewal_due)
         };
         let due: Vec<usize> = (0..self.nodes.len()).filter(is_due).collect();
         let (names, regions) = (Arc::clone(&self.names), Arc::clone(&self.region_of));
@@ -298,6 +302,7 @@
                         && (at == other || self.hears(at, other) || !is_silent_now),
                 })
                 .collect();
+            self.nodes[at].is_renewal_due = false;
             let quota = &mut self.nodes[at].quota;
             let lends = quota.renew(&fleet, names.len(), &regions[at], now);
             for (holder, lend) in lends {
@@ -324,7 +329,9 @@
                 }
                 Message::Ack(ack) => {
                     let holder = self.nodes[from].name.clone();
-                    self.nodes[to].quota.lender.apply_ack(&holder, &ack, now);
+                    let node = &mut self.nodes[to];
+                    let next = node.quota.lender.apply_ack(&holder, &ack, now);
+                    node.is_renewal_due |= next == NextRenewal::AtOnce;
                 }
                 Message::Charge(units) => {
                     self.charge(to, units, now);
