--- a/src/node/gateway.rs
+++ b/src/node/gateway.rs
@@ -21,7 +21,7 @@
 use crate::ops::gateway::register::Registration;
 use crate::ops::gateway::state::{GatewayState, Phase};
 use crate::ops::gateway::{
-    concurrency, follow_store, install, quarantine, quota, reach, resume, rollout, snapshot,
+    concurrency, follow_store, install, quarantine, quota_lend, reach, resume, rollout, snapshot,
     software,
 };
 use crate::sources::http::{ConnectOptions, HttpClient};
@@ -149,7 +149,7 @@
             let registration_task = tokio::spawn(Arc::clone(&registration).run());
             tokio::spawn(Arc::clone(&mesh).send());
             tokio::spawn(Arc::clone(&mesh).receive());
-            tokio::spawn(quota::lend(Arc::clone(&state)));
+            tokio::spawn(quota_lend::run(Arc::clone(&state)));
             if state.settings.learns_limits {
                 tokio::spawn(concurrency::run(Arc::clone(&state)));
             }
--- a/src/ops/gateway/call.rs
+++ b/src/ops/gateway/call.rs
@@ -14,6 +14,7 @@
 use super::quota::{self, ChargeError, Charged};
 use super::record;
 use super::refusal::{Cause, Refusal};
+use super::startup;
 use super::state::{GatewayState, GivenUp};
 use crate::core::gateway::precedence::{self, Priority};
 use crate::core::gateway::quota::{MAX_RETRY_AFTER, MIN_RETRY_AFTER, Work};
@@ -32,6 +33,10 @@
 const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(1000);
 /// `Retry-After` of a call whose quota no node holds at the moment.
 const NO_HOLDER_RETRY_AFTER: Duration = Duration::from_millis(1000);
+/// Longest wait of a call for leases of its customer's quota, as a fraction of the route's target latency.
+const MAX_LEASE_WAIT_FRACTION: f64 = 0.25;
+/// Upper bound of this wait.
+const MAX_LEASE_WAIT: Duration = Duration::from_millis(500);
 /// Time within which the body of a refused call arrives.
 const DISCARD_TIME: Duration = Duration::from_secs(1);
 /// Number of route ranks within one customer rank.
@@ -86,7 +91,8 @@
         req: Request<ReceivedBody>,
     ) -> Result<Self, Refusal> {
         let received = Instant::now();
-        let table = state.table().ok_or(Refusal::retry_later(
+        let table = startup::wait_for_table(state, head.deadline).await;
+        let table = table.ok_or(Refusal::retry_later(
             Cause::NoConfiguration,
             STARTUP_RETRY_AFTER,
         ))?;
@@ -200,10 +206,20 @@
             return Ok(());
         }
         let units = self.units();
-        let max_retry_after = self.remaining() / 3;
+        let latency = self.route.target_latency;
+        let lease_wait = MAX_LEASE_WAIT.min(latency.mul_f64(MAX_LEASE_WAIT_FRACTION));
         let priority = self.priority();
-        let result = quota::charge(state, &customer.name, units, work, priority, self.deadline);
-        let (cause, after) = match result.await {
+        let charged = quota::charge(
+            state,
+            &customer.name,
+            units,
+            work,
+            priority,
+            self.deadline,
+            lease_wait,
+        )
+        .await;
+        let (cause, after) = match charged {
             Ok(charged) => {
                 self.charged = Some(charged);
                 return Ok(());
@@ -217,7 +233,7 @@
                 (Cause::QuotaUnknown, NO_HOLDER_RETRY_AFTER)
             }
         };
-        Err(Refusal::retry_later(cause, after.min(max_retry_after)))
+        Err(Refusal::retry_later(cause, after.min(self.remaining() / 3)))
     }
 }
 
--- a/src/ops/gateway/install.rs
+++ b/src/ops/gateway/install.rs
@@ -49,12 +49,15 @@
     put_all_in_order(state, items, source, WriteOrder::Later);
 }
 
-/// Applies puts, those of rollouts first: they restrict which calls go to the back ends that are listed beside them.
+/// Applies puts in the order in which they depend on each other: rollouts restrict which calls go to the back ends that
+/// are listed beside them, and with the configuration this node begins to serve calls, for which it needs back ends.
 fn put_all_in_order(state: &GatewayState, items: &[KeyValue], source: Source, order: WriteOrder) {
-    let (rollouts, others): (Vec<_>, Vec<_>) = items
-        .iter()
+    let is_config = |item: &&KeyValue| *item.key == *state.dialect.config_key();
+    let (config, others): (Vec<_>, Vec<_>) = items.iter().partition(is_config);
+    let (rollouts, others): (Vec<_>, Vec<_>) = others
+        .into_iter()
         .partition(|item| is_of_rollout(state, &item.key));
-    for item in rollouts.into_iter().chain(others) {
+    for item in rollouts.into_iter().chain(others).chain(config) {
         put_in_order(state, item, source, order);
     }
 }
--- a/tests/testsuite/gateway/concurrency_limits.rs
+++ b/tests/testsuite/gateway/concurrency_limits.rs
@@ -14,6 +14,7 @@
 use jayhall::core::gateway::observed::Observer;
 use jayhall::core::gateway::origin::Origin;
 use jayhall::core::gateway::placement::{self, Placement, PlacementRequest, Regions};
+use jayhall::core::gateway::rollout::candidates::Candidates;
 use jayhall::core::gateway::routes::EngineSize;
 use jayhall::core::gateway::software::AllowedSoftware;
 use jayhall::ops::gateway::samples_wire::SamplesWire;
@@ -326,6 +327,7 @@
         zone: "z",
         tried: &[],
         software: AllowedSoftware::Any,
+        candidates: &Candidates::Any,
         shares: None,
     }
 }
--- a/tests/testsuite/gateway/early_answers.rs
+++ b/tests/testsuite/gateway/early_answers.rs
@@ -22,8 +22,6 @@
 const KEEP_TIME: Duration = Duration::from_secs(3);
 /// Deadline of calls in milliseconds, for a busy machine.
 const DEADLINE_MS: &str = "4000";
-/// Time after which a ready node has its list of back ends, too: it is ready with its configuration.
-const LISTED_AFTER: Duration = Duration::from_millis(100);
 /// Part of a plain answer.
 const PART: &str = "the first half of an answer";
 /// Part of a stream: one event of several.
@@ -132,7 +130,6 @@
     }
     let node = fixture.node("n1").await;
     fixture.ready(&node).await;
-    tokio::time::sleep(LISTED_AFTER).await;
     (fixture, node)
 }
 
--- a/tests/testsuite/gateway/quota_fleet.rs
+++ b/tests/testsuite/gateway/quota_fleet.rs
@@ -6,7 +6,7 @@
 
 use jayhall::core::gateway::precedence::Priority;
 use jayhall::core::gateway::quota::{
-    Charge, FleetNode, LEASE, Lend, LendAck, QuotaNode, Reply, Shortage, Work,
+    Charge, FleetNode, LEASE, Lend, LendAck, NextRenewal, QuotaNode, Reply, Shortage, Work,
 };
 use jayhall::core::gateway::routes::Quota;
 
@@ -18,8 +18,11 @@
 
 /// Step of the simulation in milliseconds.
 const STEP_MS: u64 = 10;
-/// Interval at which a node renews leases, in milliseconds.
+/// Interval at which a node renews leases, in milliseconds, and the one while messages are urgent.
 const RENEWAL_MS: u64 = 500;
+const URGENT_RENEWAL_MS: u64 = 100;
+/// Time from the start of a process until it knows the other nodes and serves calls, in milliseconds.
+const VIEW_MS: u64 = 200;
 /// Time without a message after which a node counts as silent.
 const NODE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time within which a holder has to answer.
@@ -52,6 +55,11 @@
     zone: usize,
     incarnation: u64,
     quota: QuotaNode,
+    /// When its process starts, and when it knows the other nodes.
+    starts_at: Duration,
+    knows_nodes_at: Duration,
+    /// Whether an acknowledgement makes a renewal due at once.
+    is_renewal_due: bool,
 }
 
 /// A fleet of nodes in zones, which belong in turn to regions.
@@ -73,6 +81,7 @@
     pub(super) weights: Option<Vec<f64>>,
     due: Vec<f64>,
     admitted: Vec<(Duration, f64)>,
+    offered: Vec<(Duration, f64)>,
     calls: u64,
     pub(super) last_shortage: Option<Shortage>,
     /// Nodes that are not ready to hold quotas, but go on.
@@ -95,6 +104,9 @@
                 name,
                 zone: at % zones,
                 incarnation,
+                starts_at: Duration::ZERO,
+                knows_nodes_at: Duration::ZERO,
+                is_renewal_due: false,
             }
         };
         let mut fleet = Self {
@@ -115,6 +127,7 @@
             weights: None,
             due: vec![0.0; nodes],
             admitted: Vec::new(),
+            offered: Vec::new(),
             calls: 0,
             last_shortage: None,
             unready: Vec::new(),
@@ -137,16 +150,34 @@
         self.changed_at = Duration::from_millis(at_ms);
     }
 
-    /// Replaces the processes of nodes.
+    /// Replaces the processes of nodes, without a time in which they do not run.
     pub(super) fn restart(&mut self, nodes: impl IntoIterator<Item = usize>, at_ms: u64) {
-        let quotas = Arc::new([(CUSTOMER.into(), self.limit)].into());
         for at in nodes {
-            let node = &mut self.nodes[at];
-            node.incarnation += 1_000_000;
-            let started = Duration::from_millis(at_ms);
-            node.quota = QuotaNode::new(node.name.clone(), node.incarnation, started);
-            node.quota.set_quotas(Arc::clone(&quotas));
+            self.replace_process(at, at_ms);
+        }
+    }
+
+    /// Ends the processes of all nodes. Each starts anew at the time that `start_ms` returns, and knows the other nodes
+    /// a while later.
+    pub(super) fn lose_all(&mut self, start_ms: impl Fn(usize) -> u64) {
+        for at in 0..self.nodes.len() {
+            let starts_at = start_ms(at);
+            self.replace_process(at, starts_at);
+            self.nodes[at].knows_nodes_at = Duration::from_millis(starts_at + VIEW_MS);
         }
+        self.under_way.clear();
+    }
+
+    /// Replaces the process of a node, whose entry is still in the store.
+    fn replace_process(&mut self, at: usize, start_ms: u64) {
+        let quotas = Arc::new([(CUSTOMER.into(), self.limit)].into());
+        let node = &mut self.nodes[at];
+        node.incarnation += 1_000_000;
+        node.starts_at = Duration::from_millis(start_ms);
+        node.knows_nodes_at = node.starts_at;
+        node.quota = QuotaNode::new(node.name.clone(), node.incarnation, node.starts_at);
+        node.quota.set_quotas(quotas);
+        node.quota.lender.note_predecessor();
     }
 
     /// Lets other nodes become the holders in the first `zones` zones, as if the present ones were about to leave.
@@ -159,6 +190,8 @@
         }
         holders.retain(|at| self.nodes[*at].zone < zones);
         self.unready.extend(holders);
+        self.unready.sort_unstable();
+        self.unready.dedup();
     }
 
     /// Returns the positions of nine in ten nodes.
@@ -200,6 +233,10 @@
     /// Charges a call that arrives at a node, as `ops::gateway::quota` does.
     fn call(&mut self, at: usize, now: Duration) {
         self.calls += 1;
+        self.offered.push((now, self.call_units));
+        if now < self.nodes[at].knows_nodes_at {
+            return;
+        }
         let order = self.nodes[at]
             .quota
             .ask_order(CUSTOMER, self.calls as usize, now);
@@ -218,7 +255,7 @@
     }
 
     fn ask(&mut self, from: usize, to: usize, now: Duration) -> Option<Reply> {
-        if from != to && !self.hears(from, to) {
+        if from != to && !self.hears(from, to) || now < self.nodes[to].starts_at {
             return None;
         }
         if from != to && self.delay * 2 > ANSWER_TIMEOUT {
@@ -245,7 +282,17 @@
     fn renew(&mut self, ms: u64) {
         let now = Duration::from_millis(ms);
         let is_silent_now = now.saturating_sub(self.changed_at) > NODE_TIMEOUT;
-        let is_due = |at: &usize| (ms + *at as u64 * STEP_MS).is_multiple_of(RENEWAL_MS);
+        let is_due = |at: &usize| {
+            let node = &self.nodes[*at];
+            // Nothing is urgent in the first processes, which wait for a lease.
+            let is_restarted = node.starts_at > Duration::ZERO;
+            let interval = match is_restarted && node.quota.lender.is_urgent(now) {
+                true => URGENT_RENEWAL_MS,
+                false => RENEWAL_MS,
+            };
+            let is_time = (ms + *at as u64 * STEP_MS).is_multiple_of(interval);
+            now >= node.knows_nodes_at && (is_time || node.is_renewal_due)
+        };
         let due: Vec<usize> = (0..self.nodes.len()).filter(is_due).collect();
         let (names, regions) = (Arc::clone(&self.names), Arc::clone(&self.region_of));
         for at in due {
@@ -257,6 +304,7 @@
                         && (at == other || self.hears(at, other) || !is_silent_now),
                 })
                 .collect();
+            self.nodes[at].is_renewal_due = false;
             let quota = &mut self.nodes[at].quota;
             let lends = quota.renew(&fleet, names.len(), &regions[at], now);
             for (holder, lend) in lends {
@@ -271,6 +319,9 @@
             && entry.key().0 <= now
         {
             let (from, to, message) = entry.remove();
+            if now < self.nodes[to].starts_at {
+                continue;
+            }
             match message {
                 Message::Lend(lend) => {
                     let ack = self.nodes[to].quota.apply_lend(&lend, now);
@@ -280,7 +331,9 @@
                 }
                 Message::Ack(ack) => {
                     let holder = self.nodes[from].name.clone();
-                    self.nodes[to].quota.lender.apply_ack(&holder, &ack, now);
+                    let node = &mut self.nodes[to];
+                    let next = node.quota.lender.apply_ack(&holder, &ack, now);
+                    node.is_renewal_due |= next == NextRenewal::AtOnce;
                 }
                 Message::Charge(units) => {
                     self.charge(to, units, now);
@@ -323,6 +376,31 @@
         self.calls as f64 * self.call_units
     }
 
+    /// Lets the calls of nodes with equal weights arrive one after the other, and not all at the same moment.
+    pub(super) fn spread_arrivals(&mut self) {
+        let count = self.due.len();
+        for (at, due) in self.due.iter_mut().enumerate() {
+            *due = self.call_units * (at * 7919 % count) as f64 / count as f64;
+        }
+    }
+
+    /// Returns the units that one token bucket with the customer's limit, full at the beginning, admits of those that
+    /// were offered in a period.
+    pub(super) fn admitted_by_one_bucket(&self, from_ms: u64, to_ms: u64) -> f64 {
+        let period = Duration::from_millis(from_ms)..Duration::from_millis(to_ms);
+        let (mut level, mut refilled_at, mut admitted) = (self.limit.burst, period.start, 0.0);
+        for (at, units) in self.offered.iter().filter(|(at, _)| period.contains(at)) {
+            let refill = self.limit.per_second * (*at - refilled_at).as_secs_f64();
+            level = self.limit.burst.min(level + refill);
+            refilled_at = *at;
+            if *units <= level {
+                level -= units;
+                admitted += units;
+            }
+        }
+        admitted
+    }
+
     /// Returns the units admitted in a period.
     pub(super) fn admitted_in(&self, from_ms: u64, to_ms: u64) -> f64 {
         let is_inside = |at: &Duration| (from_ms..to_ms).contains(&(at.as_millis() as u64));
