--- a/src/core/gateway/scaling/fill.rs
+++ b/src/core/gateway/scaling/fill.rs
@@ -101,7 +101,7 @@
         }
         let running = |zone: &str| zones.get(zone).map_or(0, |state| state.regular);
         let is_due =
-            |zone: &Box<str>, desired: u32| desired > running(zone) || self.lowered.contains(zone);
+            |zone: &str, desired: u32| desired > running(zone) || self.lowered.contains(zone);
         let due = self.ordered.iter();
         let due = due.filter(|(zone, desired)| is_due(zone, **desired));
         due.map(|(zone, desired)| (zone.clone(), *desired))
