--- a/src/core/gateway/precedence/mod.rs
+++ b/src/core/gateway/precedence/mod.rs
@@ -4,7 +4,8 @@
 //! call is charged only while the level of the bucket is above a reserve for the classes before its own: one for more
 //! urgent ranks, in proportion to the rate at which they have asked lately, and one for requests that are about to come
 //! back. The reserve decides only who is charged: a bucket admits no more than without it. It does not depend on the
-//! size of the call, so that large calls of a rank are charged as often as small ones.
+//! size of the call, so that large calls of a rank are charged as often as small ones. Only calls of a small fraction of
+//! the mean size, such as orders beside prompts, have a smaller one: to refuse them leaves hardly more for the others.
 //!
 //! Each rank keeps a minimum share, so that more urgent calls beyond the limit do not stop the others. A customer whose
 //! calls all have one rank has no reserve, and its requests come back without precedence.
@@ -37,6 +38,9 @@
 /// customer beyond its limit for long would otherwise be served only after a delay.
 const RETURN_SHARE: f64 = 0.5;
 
+/// Size below which the reserve for a call is smaller, as a fraction of the mean size of the customer's calls.
+const SMALL_CALL: f64 = 0.25;
+
 /// Priority of a call among the calls of its customer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Priority {
@@ -128,6 +132,8 @@
 #[derive(Debug, Default)]
 pub struct Precedence {
     ranks: [RankUse; RANKS],
+    /// Number of calls of all ranks.
+    calls: DecayingSum,
     /// Units of all ranks that were granted.
     granted: DecayingSum,
     returns: Returns,
@@ -140,6 +146,7 @@
             rank: rank_index(priority),
             is_return: self.returns.is_due(priority.request, now),
         };
+        self.calls.add(1.0, RATE_WINDOW, now);
         let rank = &mut self.ranks[class.rank];
         rank.last_asked = Some(now);
         rank.asked.add(units, RATE_WINDOW, now);
@@ -166,8 +173,8 @@
         rank.owed = (rank.owed + earned).min(units);
     }
 
-    /// Returns the level above which a call of a class is granted.
-    pub fn reserve(&self, class: Class, allowance: Allowance, now: Moment) -> f64 {
+    /// Returns the level above which a call of a class and of this size is granted.
+    pub fn reserve(&self, class: Class, units: f64, allowance: Allowance, now: Moment) -> f64 {
         let Allowance { rate, capacity } = allowance;
         if rate <= 0.0 {
             return 0.0;
@@ -183,7 +190,15 @@
             false => class.rank + 1,
         };
         let returning = self.returns.expected_units(ranks_before, now);
-        full_reserve * urgent / rate + returning.min(capacity * MAX_RETURN_RESERVE)
+        let reserve = full_reserve * urgent / rate + returning.min(capacity * MAX_RETURN_RESERVE);
+        reserve * self.size_factor(units, now)
+    }
+
+    /// Returns the fraction of the reserve that applies to a call of this size.
+    fn size_factor(&self, units: f64, now: Moment) -> f64 {
+        let asked: f64 = self.ranks.iter().map(|rank| rank.asked(now)).sum();
+        let mean = asked / self.calls.value(RATE_WINDOW, now).max(1.0);
+        (units / (mean * SMALL_CALL).max(1.0)).min(1.0)
     }
 
     /// Returns whether calls of several ranks are made, so that some go before others.
--- a/src/core/gateway/quota/bucket.rs
+++ b/src/core/gateway/quota/bucket.rs
@@ -134,7 +134,7 @@
             units, priority, ..
         } = *charge;
         let class = self.precedence.record_asked(&priority, units, now);
-        let reserve = self.precedence.reserve(class, self.allowance(), now);
+        let reserve = self.precedence.reserve(class, units, self.allowance(), now);
         let is_within = self.level > reserve && units <= self.level + self.overdraft(units);
         if is_within && self.fraction > 0.0 {
             self.level -= units;
--- a/tests/testsuite/gateway/precedence.rs
+++ b/tests/testsuite/gateway/precedence.rs
@@ -112,6 +112,27 @@
     assert!(large.served >= 0.5 * small.served, "{large:?} {small:?}");
 }
 
+/// Guards against orders that are refused for the sake of prompts, although they use next to nothing of the limit.
+#[test]
+fn orders_are_served_beside_a_flood_of_prompts_whatever_their_rank() {
+    const ORDER_TOKENS: f64 = 200.0;
+    let [_, by_rank] = play(|customer| {
+        customer.add(2..22, FLOOD);
+        for order in 0..20 * 50 {
+            let at = Duration::from_millis(2_000 + order * 20);
+            customer.add_one(2, ORDER_TOKENS, at);
+        }
+    });
+    let batch = by_rank.of_rank(2, 4..20);
+    let orders: Vec<_> = batch
+        .into_iter()
+        .filter(|call| call.tokens == ORDER_TOKENS)
+        .collect();
+    let orders = service(&orders);
+    assert!(orders.in_time >= 0.95, "{orders:?}");
+    assert!(by_rank.services(4..20)[0].in_time >= 0.99);
+}
+
 #[test]
 fn requests_that_come_back_are_served_more_often_than_new_ones_of_their_rank() {
     // Some of the calls of these ranks find room.
