--- a/src/core/gateway/rollout/lifecycle.rs
+++ b/src/core/gateway/rollout/lifecycle.rs
@@ -9,6 +9,7 @@
 use crate::core::gateway::routes::ServiceName;
 use crate::core::gateway::software::SoftwareVersion;
 use crate::core::time::UnixMillis;
+use crate::util::time::as_millis_u64;
 
 use super::verdict::Verdict;
 
@@ -158,7 +159,7 @@
 
     /// Returns the deadline of the order.
     pub fn deadline(&self) -> UnixMillis {
-        self.ordered_at.saturating_add(millis(self.duration))
+        self.ordered_at.saturating_add(as_millis_u64(self.duration))
     }
 
     /// Returns the phase that follows now, if another one does. `observed` is the time for which the new version has
@@ -200,10 +201,6 @@
     /// Returns the time that lies `before` the deadline, or a fraction of the whole time if that is shorter.
     fn time_before(&self, before: Duration, max_fraction: f64) -> UnixMillis {
         let before = before.min(self.duration.mul_f64(max_fraction));
-        self.deadline().saturating_sub(millis(before))
+        self.deadline().saturating_sub(as_millis_u64(before))
     }
 }
-
-fn millis(time: Duration) -> u64 {
-    crate::util::time::as_millis_u64(time)
-}
--- a/src/core/gateway/rollout/plan.rs
+++ b/src/core/gateway/rollout/plan.rs
@@ -23,10 +23,10 @@
             return self.plan_before_record(service, backends, now);
         };
         match record.phase {
-            Phase::RolledBack => Some(Plan::only(self.excluded())),
+            Phase::RolledBack => Some(Plan::only(self.in_use())),
             Phase::Succeeded => {
                 let has_target = has_version(backends, service, &record.target, now);
-                has_target.then(|| Plan::only(self.excluded()))
+                has_target.then(|| Plan::only(self.in_use()))
             }
             Phase::Canary | Phase::Promoted => {
                 self.plan_of_running(record, service, allowed, backends, now)
@@ -38,7 +38,7 @@
     fn plan_before_record(&self, service: &str, backends: &Backends, now: Moment) -> Option<Plan> {
         let target = &self.order.as_ref()?.order.target;
         let has_old = has_other_version(backends, service, target, now);
-        has_old.then(|| Plan::only(self.excluded()))
+        has_old.then(|| Plan::only(self.in_use()))
     }
 
     fn plan_of_running(
@@ -54,7 +54,7 @@
         if !is_bad && !has_other_version(backends, service, target, now) {
             return None;
         }
-        let old = self.excluded();
+        let old = self.in_use();
         let only = allowed.only();
         let needs_target = only == Some(software_id(service, target));
         if self.held.is_some() || (only.is_some() && !needs_target) {
@@ -77,8 +77,9 @@
         })
     }
 
-    /// Returns the versions that get no calls: for good after a rollout, and those that wait for one to begin.
-    fn excluded(&self) -> Candidates {
+    /// Returns the back ends in use besides those that get canary calls. Versions get no calls for good after a rollout,
+    /// or while they wait for one to begin or succeed.
+    pub(super) fn in_use(&self) -> Candidates {
         let mut versions = Versions::new();
         if let Some(record) = &self.record {
             match record.phase {
@@ -113,11 +114,6 @@
         seen.is_some_and(|seen| seen.exposure.has_credit(credit))
     }
 
-    /// Returns the back ends that are in use, besides those that get canary calls.
-    pub(super) fn in_use(&self) -> Candidates {
-        self.excluded()
-    }
-
     /// Returns whether a call that was placed at a version may still be sent there.
     pub(super) fn may_send(&self, version: &str) -> bool {
         let record = self.record.as_ref();
