--- a/review/drive-2/src/main.rs
+++ b/review/drive-2/src/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod http;
 mod json;
+mod restarted;
 mod setup;
 mod store;
 
@@ -38,6 +39,7 @@
     let record = fleet::Record::new();
     let outcome = match case.as_str() {
         "crash-parts" => crash_parts::run(&record, trouble),
+        "restarted" => restarted::run(&record, trouble),
         _ => {
             eprintln!("no such case: {case}");
             return ExitCode::from(2);
