--- a/review/drive-2/src/crash_parts.rs
+++ b/review/drive-2/src/crash_parts.rs
@@ -8,7 +8,9 @@
 use crate::Outcome;
 use crate::client::{Seen, ask};
 use crate::engine::Engine;
-use crate::fleet::{Gateway, Place, Process, Record, free_port, ip, start_cloud, start_engine, unix_ms};
+use crate::fleet::{
+    Gateway, Place, Process, Record, free_port, ip, start_cloud, start_engine, unix_ms,
+};
 use crate::setup::{ZONES, config, folder, headers};
 use crate::store::Store;
 
@@ -69,11 +71,16 @@
             first_ms: if is_plain { 20 } else { FIRST_MS },
             events: if is_plain { 0 } else { EVENTS },
             event_ms: 15,
+            grey_from_ms: 0,
+            grey_ms: 0,
         };
         let process = start_engine(&engine, record);
         let service = if is_plain { "orders" } else { "advisor" };
         let zone = ZONES[usize::from(number) % 3].0;
-        store.put(&format!("servers/{}", engine.id), &engine.entry(service, zone, "ready"));
+        store.put(
+            &format!("servers/{}", engine.id),
+            &engine.entry(service, zone, "ready"),
+        );
         engines.push((engine, Some(process)));
     }
     let count = ZONES.len() as u8;
@@ -95,7 +102,10 @@
         gateway.start();
         gateways.push(gateway);
     }
-    if !gateways.iter().all(|gateway| gateway.wait_ready(Duration::from_secs(15))) {
+    if !gateways
+        .iter()
+        .all(|gateway| gateway.wait_ready(Duration::from_secs(15)))
+    {
         record.say("the gateways did not become ready");
         return Outcome::CouldNotRun;
     }
@@ -121,8 +131,20 @@
         senders.push(every(Duration::from_millis(100), &stop, move |number| {
             let sent = record.now();
             let headers = headers(&format!("l{name}x{number}"), 3000);
-            let seen = ask(address, "GET", "/look/2f", &headers, b"", Duration::from_secs(15));
-            let Seen { status, took, error, .. } = seen;
+            let seen = ask(
+                address,
+                "GET",
+                "/look/2f",
+                &headers,
+                b"",
+                Duration::from_secs(15),
+            );
+            let Seen {
+                status,
+                took,
+                error,
+                ..
+            } = seen;
             record.add(format!(
                 "look at {name}, sent {:.3}: status {status} after {} ms {error}",
                 sent.as_secs_f64(),
@@ -146,7 +168,10 @@
             engine.id = format!("i-{number}b");
             engine.born = unix_ms();
             *process = Some(start_engine(engine, record));
-            store.put(&format!("servers/{}", engine.id), &engine.entry("advisor", ZONES[number % 3].0, "ready"));
+            store.put(
+                &format!("servers/{}", engine.id),
+                &engine.entry("advisor", ZONES[number % 3].0, "ready"),
+            );
             record.say(format!("engine {} is started in its place", engine.id));
         }
     }
@@ -155,7 +180,10 @@
         let streams = streams.lock().unwrap();
         record.say(format!(
             "streams: {} begun, {} complete, {} refused, {} broken off; {}",
-            streams.begun, streams.complete, streams.refused, streams.broken,
+            streams.begun,
+            streams.complete,
+            streams.refused,
+            streams.broken,
             summary(&looks.lock().unwrap())
         ));
     }
@@ -175,7 +203,10 @@
     // CONFIG: eight or more that last longer than their route's timeoutMs, and over a quarter (here: over half) of them
     // have no final answer 0.5 s after it.
     let late = looks.iter().filter(|look| look.took > TIMEOUT).count();
-    let unanswered = looks.iter().filter(|look| look.took > TIMEOUT + SLACK).count();
+    let unanswered = looks
+        .iter()
+        .filter(|look| look.took > TIMEOUT + SLACK)
+        .count();
     match unanswered >= 8 && unanswered * 2 > late {
         true => Outcome::Broken,
         false => Outcome::Held,
@@ -184,7 +215,10 @@
 
 fn summary(looks: &[Look]) -> String {
     let late = looks.iter().filter(|look| look.took > TIMEOUT).count();
-    let unanswered = looks.iter().filter(|look| look.took > TIMEOUT + SLACK).count();
+    let unanswered = looks
+        .iter()
+        .filter(|look| look.took > TIMEOUT + SLACK)
+        .count();
     let longest = looks.iter().map(|look| look.took).max().unwrap_or_default();
     let served = looks.iter().filter(|look| look.status == 200).count();
     let last = looks.iter().map(|look| look.sent).max().unwrap_or_default();
@@ -232,7 +266,10 @@
     let contract = session.wrapping_mul(2_654_435_761) % CONTRACTS;
     let shared = (0..SHARED_PARTS).map(|part| 0x1000_0000 + contract * 0x1_0000 + part);
     let own = (0..OWN_PARTS).map(|part| 0x2000_0000 + session * 0x100 + part);
-    let parts: Vec<String> = shared.chain(own).map(|id| format!("{id:x}:{TOKENS_PER_PART}")).collect();
+    let parts: Vec<String> = shared
+        .chain(own)
+        .map(|id| format!("{id:x}:{TOKENS_PER_PART}"))
+        .collect();
     let tokens = (SHARED_PARTS + OWN_PARTS) * TOKENS_PER_PART;
     streams.lock().unwrap().begun += 1;
     for attempt in 0..2 {
@@ -241,7 +278,14 @@
         headers.push(("X-Jayhall-Token-Counts".into(), format!("{tokens},120")));
         headers.push(("X-Jayhall-Prompt-Prefix".into(), parts.join(",")));
         let body = session.to_string();
-        let seen = ask(address, "POST", "/contract/2f", &headers, body.as_bytes(), Duration::from_secs(12));
+        let seen = ask(
+            address,
+            "POST",
+            "/contract/2f",
+            &headers,
+            body.as_bytes(),
+            Duration::from_secs(12),
+        );
         let mut streams = streams.lock().unwrap();
         if seen.is_complete && seen.events.len() as u64 == EVENTS {
             streams.complete += 1;
--- a/review/drive-2/src/engine.rs
+++ b/review/drive-2/src/engine.rs
@@ -4,7 +4,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::http::{Message, query, read_request, respond};
 
@@ -23,6 +23,9 @@
     /// Events of a stream; a plain engine sends none.
     pub events: u64,
     pub event_ms: u64,
+    /// Time from its start after which it fails four in ten of the requests that it has run, and for how long.
+    pub grey_from_ms: u64,
+    pub grey_ms: u64,
 }
 
 impl Engine {
@@ -35,6 +38,8 @@
             self.first_ms,
             self.events,
             self.event_ms,
+            self.grey_from_ms,
+            self.grey_ms,
         ];
         let mut args = vec![
             "engine".into(),
@@ -58,6 +63,8 @@
             first_ms: number(6)?,
             events: number(7)?,
             event_ms: number(8)?,
+            grey_from_ms: number(9)?,
+            grey_ms: number(10)?,
         })
     }
 
@@ -73,6 +80,12 @@
 struct Running {
     engine: Engine,
     busy: AtomicU64,
+    served: AtomicU64,
+    started: Instant,
+}
+
+fn echo_of(attempt: &str) -> (&str, &str) {
+    ("X-Jayhall-Attempt-Id", attempt)
 }
 
 /// Serves until the process is killed.
@@ -82,6 +95,8 @@
     let running = Arc::new(Running {
         engine,
         busy: AtomicU64::new(0),
+        served: AtomicU64::new(0),
+        started: Instant::now(),
     });
     for stream in listener.incoming().flatten() {
         let running = Arc::clone(&running);
@@ -125,9 +140,16 @@
             _ => {}
         }
         let attempt = request.header("x-jayhall-attempt-id").unwrap_or_default();
-        let echo = ("X-Jayhall-Attempt-Id", attempt);
-        if request.header("x-jayhall-expect-instance").is_some_and(|expected| expected != id) {
-            let headers = [echo, ("X-Jayhall-Instance-Id", id), ("X-Jayhall-Not-Executed", "1")];
+        let echo = echo_of(attempt);
+        if request
+            .header("x-jayhall-expect-instance")
+            .is_some_and(|expected| expected != id)
+        {
+            let headers = [
+                echo,
+                ("X-Jayhall-Instance-Id", id),
+                ("X-Jayhall-Not-Executed", "1"),
+            ];
             return respond(stream, "421 Misdirected Request", &headers, b"");
         }
         let before = self.busy.fetch_add(1, Ordering::Relaxed);
@@ -145,17 +167,30 @@
     fn work(&self, stream: &mut TcpStream, request: &Message, attempt: &str) -> io::Result<()> {
         let engine = &self.engine;
         let key = query(request.target(), "work").unwrap_or_default();
-        say(&format!("run {} {} {attempt} {key}", engine.id, engine.version));
+        say(&format!(
+            "run {} {} {attempt} {key}",
+            engine.id, engine.version
+        ));
         std::thread::sleep(Duration::from_millis(engine.first_ms));
         let seal = format!("{}.{}", engine.id, engine.version);
+        let age_ms = self.started.elapsed().as_millis() as u64;
+        let is_grey = (engine.grey_from_ms..engine.grey_from_ms + engine.grey_ms).contains(&age_ms);
+        if is_grey && self.served.fetch_add(1, Ordering::Relaxed) % 5 < 2 {
+            let headers = [echo_of(attempt), ("X-Jayhall-Response-Seal", seal.as_str())];
+            return respond(
+                stream,
+                "503 Service Unavailable",
+                &headers,
+                b"the database went away",
+            );
+        }
         if engine.events == 0 {
-            let headers = [
-                ("X-Jayhall-Attempt-Id", attempt),
-                ("X-Jayhall-Response-Seal", seal.as_str()),
-            ];
+            let headers = [echo_of(attempt), ("X-Jayhall-Response-Seal", seal.as_str())];
             return respond(stream, "200 OK", &headers, attempt.as_bytes());
         }
-        let last = request.header("last-event-id").and_then(|id| id.parse::<u64>().ok());
+        let last = request
+            .header("last-event-id")
+            .and_then(|id| id.parse::<u64>().ok());
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\
              X-Jayhall-Attempt-Id: {attempt}\r\nX-Jayhall-Response-Seal: {seal}\r\n\r\n"
--- a/review/drive-2/src/fleet.rs
+++ b/review/drive-2/src/fleet.rs
@@ -225,7 +225,9 @@
             .stdout(log.try_clone().expect("a log file"))
             .stderr(log)
             .spawn();
-        self.process = Some(Process(child.expect("target/release/jayhalld; build it first")));
+        self.process = Some(Process(
+            child.expect("target/release/jayhalld; build it first"),
+        ));
     }
 
     pub fn process(&mut self) -> &mut Process {
@@ -233,7 +235,14 @@
     }
 
     pub fn is_ready(&self) -> bool {
-        let answer = call(self.readiness, "GET", "/readyz", &[], b"", Duration::from_millis(1000));
+        let answer = call(
+            self.readiness,
+            "GET",
+            "/readyz",
+            &[],
+            b"",
+            Duration::from_millis(1000),
+        );
         answer.is_ok_and(|answer| answer.status() == 200)
     }
 
@@ -251,6 +260,9 @@
     /// Lines of its log that hold a text.
     pub fn log_lines(&self, text: &str) -> Vec<String> {
         let log = std::fs::read_to_string(&self.log).unwrap_or_default();
-        log.lines().filter(|line| line.contains(text)).map(Into::into).collect()
+        log.lines()
+            .filter(|line| line.contains(text))
+            .map(Into::into)
+            .collect()
     }
 }
--- a/review/drive-2/src/http.rs
+++ b/review/drive-2/src/http.rs
@@ -60,7 +60,9 @@
             return Ok(message);
         }
         let (name, value) = text.split_once(':').ok_or_else(|| invalid("a header"))?;
-        message.headers.push((name.trim().into(), value.trim().into()));
+        message
+            .headers
+            .push((name.trim().into(), value.trim().into()));
     }
 }
 
@@ -169,7 +171,9 @@
     let started = Instant::now();
     let mut stream = connect(address, timeout)?;
     send(&mut stream, method, target, headers, body)?;
-    let left = timeout.saturating_sub(started.elapsed()).max(Duration::from_millis(1));
+    let left = timeout
+        .saturating_sub(started.elapsed())
+        .max(Duration::from_millis(1));
     stream.get_ref().set_read_timeout(Some(left))?;
     let mut answer = read_head(&mut stream)?;
     read_body(&mut stream, &mut answer)?;
--- a/review/drive-2/src/json.rs
+++ b/review/drive-2/src/json.rs
@@ -169,7 +169,8 @@
 pub fn base64(bytes: &[u8]) -> String {
     let mut text = String::new();
     for chunk in bytes.chunks(3) {
-        let group = chunk.iter().fold(0u32, |sum, b| sum << 8 | u32::from(*b)) << (8 * (3 - chunk.len()));
+        let group =
+            chunk.iter().fold(0u32, |sum, b| sum << 8 | u32::from(*b)) << (8 * (3 - chunk.len()));
         for at in 0..4 {
             if at <= chunk.len() {
                 text.push(DIGITS[(group >> (18 - 6 * at)) as usize & 63] as char);
--- a/review/drive-2/src/main.rs
+++ b/review/drive-2/src/main.rs
@@ -4,6 +4,7 @@
 mod crash_parts;
 mod engine;
 mod fleet;
+mod grey;
 mod http;
 mod json;
 mod restarted;
@@ -39,6 +40,7 @@
     let record = fleet::Record::new();
     let outcome = match case.as_str() {
         "crash-parts" => crash_parts::run(&record, trouble),
+        "grey" => grey::run(&record, trouble),
         "restarted" => restarted::run(&record, trouble),
         _ => {
             eprintln!("no such case: {case}");
--- a/review/drive-2/src/restarted.rs
+++ b/review/drive-2/src/restarted.rs
@@ -7,7 +7,9 @@
 use crate::Outcome;
 use crate::client::{Seen, ask};
 use crate::engine::Engine;
-use crate::fleet::{Gateway, Place, Process, Record, free_port, ip, start_cloud, start_engine, unix_ms};
+use crate::fleet::{
+    Gateway, Place, Process, Record, free_port, ip, start_cloud, start_engine, unix_ms,
+};
 use crate::setup::{ZONES, config, folder, headers};
 use crate::store::Store;
 
@@ -43,10 +45,15 @@
             first_ms: 50,
             events: EVENTS,
             event_ms: 75,
+            grey_from_ms: 0,
+            grey_ms: 0,
         };
         let process = start_engine(&engine, record);
         let zone = ZONES[usize::from(number) % 3].0;
-        store.put(&format!("servers/{}", engine.id), &engine.entry("advisor", zone, "ready"));
+        store.put(
+            &format!("servers/{}", engine.id),
+            &engine.entry("advisor", zone, "ready"),
+        );
         engines.push((engine, Some(process)));
     }
     let controls: Vec<_> = (0..3).map(|number| free_port(ip(1 + number))).collect();
@@ -67,7 +74,10 @@
         gateway.start();
         gateways.push(gateway);
     }
-    if !gateways.iter().all(|gateway| gateway.wait_ready(Duration::from_secs(15))) {
+    if !gateways
+        .iter()
+        .all(|gateway| gateway.wait_ready(Duration::from_secs(15)))
+    {
         record.say("the gateways did not become ready");
         return Outcome::CouldNotRun;
     }
@@ -94,8 +104,18 @@
             let mut headers = headers(&attempt, 15_000);
             headers.push(("X-Jayhall-Model".into(), "m".into()));
             headers.push(("X-Jayhall-Token-Counts".into(), "1110,120".into()));
-            headers.push(("X-Jayhall-Prompt-Prefix".into(), format!("{:x}:1110", 0x5000 + number)));
-            let seen = ask(address, "POST", "/shop/2f", &headers, attempt.as_bytes(), Duration::from_secs(15));
+            headers.push((
+                "X-Jayhall-Prompt-Prefix".into(),
+                format!("{:x}:1110", 0x5000 + number),
+            ));
+            let seen = ask(
+                address,
+                "POST",
+                "/shop/2f",
+                &headers,
+                attempt.as_bytes(),
+                Duration::from_secs(15),
+            );
             record.add(format!("stream {attempt}: {}", describe(&seen)));
             all.lock().unwrap().push(seen);
         }));
@@ -116,8 +136,14 @@
     std::thread::sleep((CUT_AT + CUT).saturating_sub(record.now()));
     let all = all.lock().unwrap();
     let mixed = all.iter().filter(|seen| versions(seen).len() > 1).count();
-    let complete = all.iter().filter(|seen| seen.is_complete && seen.events.len() as u64 == EVENTS).count();
-    record.say(format!("{} streams, {complete} complete, {mixed} with events of two software versions", all.len()));
+    let complete = all
+        .iter()
+        .filter(|seen| seen.is_complete && seen.events.len() as u64 == EVENTS)
+        .count();
+    record.say(format!(
+        "{} streams, {complete} complete, {mixed} with events of two software versions",
+        all.len()
+    ));
     if all.len() < 50 || complete < 40 {
         return Outcome::CouldNotRun;
     }
@@ -147,6 +173,15 @@
             _ => runs.push((data.clone(), *id, *id)),
         }
     }
-    let runs: Vec<String> = runs.iter().map(|(data, a, b)| format!("{a}-{b} of {data}")).collect();
-    format!("status {}, {} {}, complete: {}", seen.status, runs.join(", "), seen.error, seen.is_complete)
+    let runs: Vec<String> = runs
+        .iter()
+        .map(|(data, a, b)| format!("{a}-{b} of {data}"))
+        .collect();
+    format!(
+        "status {}, {} {}, complete: {}",
+        seen.status,
+        runs.join(", "),
+        seen.error,
+        seen.is_complete
+    )
 }
--- a/review/drive-2/src/store.rs
+++ b/review/drive-2/src/store.rs
@@ -46,7 +46,10 @@
 
 impl Data {
     fn write(&mut self, key: &str, value: String, lease: u64) {
-        let created = self.items.get(key).map_or(self.revision, |item| item.created);
+        let created = self
+            .items
+            .get(key)
+            .map_or(self.revision, |item| item.created);
         let item = Item {
             value,
             revision: self.revision,
@@ -71,7 +74,9 @@
             .filter(|(_, (_, until))| *until <= now)
             .map(|(id, _)| *id)
             .collect();
-        ended.iter().fold(false, |any, id| self.end_lease(*id) || any)
+        ended
+            .iter()
+            .fold(false, |any, id| self.end_lease(*id) || any)
     }
 
     fn end_lease(&mut self, id: u64) -> bool {
@@ -182,7 +187,10 @@
         let path = target.split('?').next().unwrap_or_default();
         let number = |name| query(target, name).and_then(|value| value.parse::<u64>().ok());
         let text = |name| query(target, name).unwrap_or_default();
-        let id = path.rsplit('/').next().and_then(|id| id.parse::<u64>().ok());
+        let id = path
+            .rsplit('/')
+            .next()
+            .and_then(|id| id.parse::<u64>().ok());
         let body = Json::parse(&String::from_utf8_lossy(&request.body)).unwrap_or(Json::Null);
         match path.split('/').nth(1).unwrap_or_default() {
             "kv-key" => {
@@ -200,14 +208,23 @@
             "kv-range" => {
                 let data = self.data.lock().unwrap();
                 let (prefix, after) = (text("pathPrefix"), text("after"));
-                let all = data.items.iter().filter(|(key, _)| key.starts_with(&prefix));
+                let all = data
+                    .items
+                    .iter()
+                    .filter(|(key, _)| key.starts_with(&prefix));
                 let rest: Vec<_> = all.filter(|(key, _)| **key > after).collect();
-                let items: Vec<String> =
-                    rest.iter().take(PAGE).map(|(key, item)| item_json(key, item)).collect();
+                let items: Vec<String> = rest
+                    .iter()
+                    .take(PAGE)
+                    .map(|(key, item)| item_json(key, item))
+                    .collect();
                 let truncated = rest.len() > PAGE;
                 let items = items.join(",");
                 let as_of = data.revision;
-                ("200 OK", format!(r#"{{"items":[{items}],"truncated":{truncated},"asOf":{as_of}}}"#))
+                (
+                    "200 OK",
+                    format!(r#"{{"items":[{items}],"truncated":{truncated},"asOf":{as_of}}}"#),
+                )
             }
             "kv-watch" => self.watch(
                 &text("pathPrefix"),
@@ -222,7 +239,10 @@
                 data.last_lease += 1;
                 let id = data.last_lease;
                 data.leases.insert(id, (ttl, Instant::now() + ttl));
-                ("200 OK", format!(r#"{{"lease":{id},"ttlMs":{}}}"#, ttl.as_millis()))
+                (
+                    "200 OK",
+                    format!(r#"{{"lease":{id},"ttlMs":{}}}"#, ttl.as_millis()),
+                )
             }
             "kv-keep" => {
                 let mut data = self.data.lock().unwrap();
@@ -252,7 +272,9 @@
         let deadline = Instant::now() + wait;
         let mut data = self.data.lock().unwrap();
         loop {
-            let first = data.events.partition_point(|(revision, ..)| *revision <= after);
+            let first = data
+                .events
+                .partition_point(|(revision, ..)| *revision <= after);
             let events: Vec<String> = data.events[first..]
                 .iter()
                 .filter(|(_, key, _)| key.starts_with(prefix))
@@ -265,7 +287,10 @@
             if !events.is_empty() || left.is_zero() {
                 let events = events.join(",");
                 let as_of = data.revision;
-                return ("200 OK", format!(r#"{{"events":[{events}],"asOf":{as_of}}}"#));
+                return (
+                    "200 OK",
+                    format!(r#"{{"events":[{events}],"asOf":{as_of}}}"#),
+                );
             }
             data = self.changed.wait_timeout(data, left).unwrap().0;
         }
@@ -284,11 +309,17 @@
             found.extend(item.map(|item| item_json(key, item)));
         }
         if !holds {
-            return ("412 Precondition Failed", format!(r#"{{"items":[{}]}}"#, found.join(",")));
+            return (
+                "412 Precondition Failed",
+                format!(r#"{{"items":[{}]}}"#, found.join(",")),
+            );
         }
         let lease_of = |write: &Json| write.get("lease").and_then(Json::number).unwrap_or(0);
         let leases = body.list("writes").iter().map(lease_of);
-        if leases.filter(|id| *id != 0).any(|id| !data.leases.contains_key(&id)) {
+        if leases
+            .filter(|id| *id != 0)
+            .any(|id| !data.leases.contains_key(&id))
+        {
             return ("404 Not Found", "{}".into());
         }
         data.revision += 1;
