--- a/review/drive-2/src/crash_parts.rs
+++ b/review/drive-2/src/crash_parts.rs
@@ -97,6 +97,7 @@
             store: door.address,
             cloud,
             seeds: &controls,
+            memory_mb: 260,
         };
         let mut gateway = Gateway::new(&place, controls[usize::from(number)], &dir);
         gateway.start();
--- a/review/drive-2/src/fleet.rs
+++ b/review/drive-2/src/fleet.rs
@@ -84,6 +84,15 @@
         let _ = Command::new("kill").args([name, &id]).status();
     }
 
+    /// Memory that the process holds, in kB.
+    pub fn resident_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.0.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let number = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+        number.unwrap_or(0)
+    }
+
     pub fn has_ended(&mut self) -> bool {
         !matches!(self.0.try_wait(), Ok(None))
     }
@@ -168,6 +177,8 @@
     pub store: SocketAddr,
     pub cloud: SocketAddr,
     pub seeds: &'a [SocketAddr],
+    /// `memoryMb` of the machine.
+    pub memory_mb: u64,
 }
 
 /// Zones of the deployment with their regions.
@@ -186,7 +197,7 @@
             "[node]\nvm = {}\nregion = {}\nzone = {}\n\n\
              [gateway]\ncallers = {callers}\nreadiness = {readiness}\ndirectory = {directory}\n\
              control = {control}\npeers = {peers}\nseeds = {}\nfirst_start = yes\nregions = {REGIONS}\n\
-             store = http://{}\ncloud = http://{}\ncores = 0.25\nlink = 1000.0\nmemory = 260\n\n\
+             store = http://{}\ncloud = http://{}\ncores = 0.25\nlink = 1000.0\nmemory = {}\n\n\
              [bounds]\ndrain = 2500ms\nstop = 8s\nretry_ratio = 0.2\nretry_slack = 52\n\
              retry_window = 10s\nlease = 3000ms\nusage_window = 5s\nusage_late = 10s\n\
              directory_ttl = 5s\n\n\
@@ -197,6 +208,7 @@
             seeds.join(","),
             place.store,
             place.cloud,
+            place.memory_mb,
         );
         let settings = dir.join(format!("{}.ini", place.name));
         std::fs::write(&settings, text).expect("a settings file");
