--- a/review/drive-2/src/client.rs
+++ b/review/drive-2/src/client.rs
@@ -50,12 +50,26 @@
     let deadline = Instant::now() + timeout;
     let mut stream = connect(address, timeout)?;
     send(&mut stream, method, target, headers, body)?;
-    allow(&stream, deadline)?;
-    let mut answer = read_head(&mut stream)?;
+    receive(
+        &mut stream,
+        deadline.saturating_duration_since(Instant::now()),
+        seen,
+    )
+}
+
+/// Reads the answer to a request until it ends or `timeout` has passed.
+pub fn receive(
+    stream: &mut BufReader<TcpStream>,
+    timeout: Duration,
+    seen: &mut Seen,
+) -> io::Result<()> {
+    let deadline = Instant::now() + timeout;
+    allow(stream, deadline)?;
+    let mut answer = read_head(stream)?;
     seen.status = answer.status();
     let kind = answer.header("content-type").unwrap_or_default();
     if seen.status != 200 || !kind.starts_with("text/event-stream") {
-        read_body(&mut stream, &mut answer)?;
+        read_body(stream, &mut answer)?;
         seen.body = answer.body;
         seen.is_complete = true;
         return Ok(());
@@ -65,8 +79,8 @@
     }
     let mut text = Vec::new();
     loop {
-        allow(&stream, deadline)?;
-        let chunk = read_chunk(&mut stream)?;
+        allow(stream, deadline)?;
+        let chunk = read_chunk(stream)?;
         if chunk.is_empty() {
             seen.is_complete = text.is_empty();
             return Ok(());
--- a/review/drive-2/src/engine.rs
+++ b/review/drive-2/src/engine.rs
@@ -79,6 +79,7 @@
 
 struct Running {
     engine: Engine,
+    writes: bool,
     busy: AtomicU64,
     served: AtomicU64,
     started: Instant,
@@ -88,12 +89,24 @@
     ("X-Jayhall-Attempt-Id", attempt)
 }
 
-/// Serves until the process is killed.
+/// Serves until the process is killed, and writes its runs to the standard output.
 pub fn run(engine: Engine) {
+    serve(engine, true);
+}
+
+/// Serves as a thread of a case.
+pub fn run_quietly(engine: Engine) {
+    serve(engine, false);
+}
+
+fn serve(engine: Engine, writes: bool) {
     let listener = TcpListener::bind(engine.listen).expect("the engine's port");
-    say(&format!("up {}", engine.id));
+    if writes {
+        say(&format!("up {}", engine.id));
+    }
     let running = Arc::new(Running {
         engine,
+        writes,
         busy: AtomicU64::new(0),
         served: AtomicU64::new(0),
         started: Instant::now(),
@@ -166,11 +179,13 @@
 
     fn work(&self, stream: &mut TcpStream, request: &Message, attempt: &str) -> io::Result<()> {
         let engine = &self.engine;
-        let key = query(request.target(), "work").unwrap_or_default();
-        say(&format!(
-            "run {} {} {attempt} {key}",
-            engine.id, engine.version
-        ));
+        if self.writes {
+            let key = query(request.target(), "work").unwrap_or_default();
+            say(&format!(
+                "run {} {} {attempt} {key}",
+                engine.id, engine.version
+            ));
+        }
         std::thread::sleep(Duration::from_millis(engine.first_ms));
         let seal = format!("{}.{}", engine.id, engine.version);
         let age_ms = self.started.elapsed().as_millis() as u64;
--- a/review/drive-2/src/main.rs
+++ b/review/drive-2/src/main.rs
@@ -7,6 +7,8 @@
 mod grey;
 mod http;
 mod json;
+mod late_request;
+mod memory;
 mod restarted;
 mod setup;
 mod store;
@@ -41,6 +43,8 @@
     let outcome = match case.as_str() {
         "crash-parts" => crash_parts::run(&record, trouble),
         "grey" => grey::run(&record, trouble),
+        "memory" => memory::run(&record, trouble),
+        "late-request" => late_request::run(&record, trouble),
         "restarted" => restarted::run(&record, trouble),
         _ => {
             eprintln!("no such case: {case}");
