--- a/review/drive-2/src/fleet.rs
+++ b/review/drive-2/src/fleet.rs
@@ -162,7 +162,6 @@
     pub name: String,
     pub callers: SocketAddr,
     pub readiness: SocketAddr,
-    pub control: SocketAddr,
     settings: PathBuf,
     log: PathBuf,
     process: Option<Process>,
@@ -216,7 +215,6 @@
             name: place.name.into(),
             callers,
             readiness,
-            control,
             settings,
             log: dir.join(format!("{}.log", place.name)),
             process: None,
@@ -268,13 +266,4 @@
         }
         false
     }
-
-    /// Lines of its log that hold a text.
-    pub fn log_lines(&self, text: &str) -> Vec<String> {
-        let log = std::fs::read_to_string(&self.log).unwrap_or_default();
-        log.lines()
-            .filter(|line| line.contains(text))
-            .map(Into::into)
-            .collect()
-    }
 }
--- a/review/drive-2/src/http.rs
+++ b/review/drive-2/src/http.rs
@@ -20,10 +20,6 @@
             .map(|(_, value)| value.as_str())
     }
 
-    pub fn method(&self) -> &str {
-        self.first.split(' ').next().unwrap_or_default()
-    }
-
     pub fn target(&self) -> &str {
         self.first.split(' ').nth(1).unwrap_or_default()
     }
--- a/review/drive-2/src/main.rs
+++ b/review/drive-2/src/main.rs
@@ -56,6 +56,7 @@
         Outcome::Broken => 1,
         Outcome::CouldNotRun => 2,
     };
+    setup::remove_folder();
     record.say(format!("exit {code}"));
     record.write(&PathBuf::from(folder).join("record.txt"));
     ExitCode::from(code)
--- a/review/drive-2/src/memory.rs
+++ b/review/drive-2/src/memory.rs
@@ -68,13 +68,12 @@
     let mut gateways = Vec::new();
     for number in 0..2u8 {
         let (zone, region) = ZONES[usize::from(number)];
-        let door = store.open_door(ip(200 + number));
         let place = Place {
             name: &format!("front-{zone}-1"),
             party: 1 + number,
             zone,
             region,
-            store: door.address,
+            store: store.listen(ip(200 + number)),
             cloud,
             seeds: &controls,
             memory_mb: MEMORY_MB,
--- a/review/drive-2/src/setup.rs
+++ b/review/drive-2/src/setup.rs
@@ -33,13 +33,22 @@
     )
 }
 
-/// Folder for settings and logs of this run.
+/// Creates a folder for the settings and logs of this run.
 pub fn folder() -> PathBuf {
-    let dir = std::env::temp_dir().join(format!("drive-2-{}", std::process::id()));
+    let dir = path();
     std::fs::create_dir_all(&dir).expect("a temporary folder");
     dir
 }
 
+/// Removes the folder of this run.
+pub fn remove_folder() {
+    let _ = std::fs::remove_dir_all(path());
+}
+
+fn path() -> PathBuf {
+    std::env::temp_dir().join(format!("drive-2-{}", std::process::id()))
+}
+
 /// Headers of a request.
 pub fn headers(attempt: &str, deadline_ms: u64) -> Vec<(String, String)> {
     vec![
--- a/review/drive-2/src/store.rs
+++ b/review/drive-2/src/store.rs
@@ -1,10 +1,8 @@
-//! Stand-in for the platform's store. It is served at several addresses, one for each machine, so that single machines
-//! can be partitioned from it.
+//! Stand-in for the platform's store.
 
 use std::collections::{BTreeMap, HashMap};
 use std::io::BufReader;
 use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -37,13 +35,6 @@
     changed: Condvar,
 }
 
-/// Address of the store for one machine.
-pub struct Door {
-    pub address: SocketAddr,
-    /// While it is set, nothing is answered here.
-    pub is_cut: Arc<AtomicBool>,
-}
-
 impl Data {
     fn write(&mut self, key: &str, value: String, lease: u64) {
         let created = self
@@ -146,40 +137,30 @@
         self.changed.notify_all();
     }
 
-    pub fn open_door(self: &Arc<Self>, ip: IpAddr) -> Door {
+    /// Serves the store at a free port, and returns its address.
+    pub fn listen(self: &Arc<Self>, ip: IpAddr) -> SocketAddr {
         let listener = TcpListener::bind((ip, 0)).expect("a free port");
         let address = listener.local_addr().expect("an address");
-        let is_cut = Arc::new(AtomicBool::new(false));
-        let (store, cut) = (Arc::clone(self), Arc::clone(&is_cut));
+        let store = Arc::clone(self);
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let (store, cut) = (Arc::clone(&store), Arc::clone(&cut));
-                std::thread::spawn(move || store.serve(stream, &cut));
+                let store = Arc::clone(&store);
+                std::thread::spawn(move || store.serve(stream));
             }
         });
-        Door { address, is_cut }
+        address
     }
 
-    fn serve(&self, stream: TcpStream, is_cut: &AtomicBool) {
+    fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut stream = BufReader::new(stream);
         while let Ok(request) = read_request(&mut stream) {
-            if is_cut.load(Ordering::Relaxed) {
-                break;
-            }
             let (status, body) = self.answer(&request);
-            if is_cut.load(Ordering::Relaxed) {
-                break;
-            }
             let headers = [("Content-Type", "application/json"), ("Store-Era", "1")];
             if respond(stream.get_mut(), status, &headers, body.as_bytes()).is_err() {
                 return;
             }
         }
-        // Whoever is cut off gets no answer and no end of the connection either.
-        while is_cut.load(Ordering::Relaxed) {
-            std::thread::sleep(Duration::from_millis(50));
-        }
     }
 
     fn answer(&self, request: &Message) -> (&'static str, String) {
