Gateway: a status that callers read as "not run" needs the back end's statement

What callers saw: a back end that ran an order and failed with 503, without the header that says "not run", had its 503 passed on. Callers read 408, 421, 429 and 503 as a guarantee and sent the order again.

Cause: what a back end states (its header) and what callers read into a status were taken for one. handle_response passed on each response without the header, whatever its status; response_head took a 421 for the statement itself. Streams whose answer is no stream, streams that go on elsewhere and forwarded calls met the same answers.

Change: the adapter decodes a RunStatement. attempt::receive, through which all of these go, ends the attempt as declined (stated) or failed (implied by the status only). The verdict of the error alone says whether the call may have run: another back end where the call may be repeated, else a 502 of the gateway's own, unsigned, with may_have_run. The failure counts for the back end, and its Retry-After holds.

Why this works: whatever receive returns has a status that promises nothing, so that no later step can pass on a promise.

--- a/src/ops/gateway/attempt.rs
+++ b/src/ops/gateway/attempt.rs
@@ -13,7 +13,7 @@
 
 use super::call::Call;
 use super::confirm;
-use super::dialect::{ForwardMetadata, ResponseHead};
+use super::dialect::{ForwardMetadata, ResponseHead, RunStatement};
 use super::origin_archive::OriginArchive;
 use super::pool::{BackendPool, Connection, SendError};
 use super::reach;
@@ -62,6 +62,22 @@
         /// The timeout.
         after: Duration,
     },
+    /// The back end states that it did not run the call.
+    #[error("{backend} declined the call with status {status}")]
+    Declined {
+        /// The back end.
+        backend: Box<str>,
+        /// Status of its response.
+        status: StatusCode,
+    },
+    /// The back end failed with a status that callers read as "not run", which the back end does not state.
+    #[error("{backend} failed with status {status} and does not state that the call has not run")]
+    Failed {
+        /// The back end.
+        backend: Box<str>,
+        /// Status of its response.
+        status: StatusCode,
+    },
     /// The back end stopped accepting calls while the connection was opened.
     #[error("{backend} no longer accepts calls")]
     NotAccepting {
@@ -101,13 +117,21 @@
         match self {
             Self::Send(e) => e.verdict(),
             Self::NodeRefused { verdict, .. } => *verdict,
-            Self::Unusable { .. } | Self::ResponseTimeout { .. } => Verdict::MayHaveRun,
-            Self::NotAccepting { .. }
+            Self::Unusable { .. } | Self::ResponseTimeout { .. } | Self::Failed { .. } => {
+                Verdict::MayHaveRun
+            }
+            Self::Declined { .. }
+            | Self::NotAccepting { .. }
             | Self::NotConfirmed { .. }
             | Self::Quarantined
             | Self::NoCandidate { .. } => Verdict::NotRun,
         }
     }
+
+    /// Returns whether the back end has responded to the call.
+    pub fn is_response(&self) -> bool {
+        matches!(self, Self::Declined { .. } | Self::Failed { .. })
+    }
 }
 
 /// Statuses that an answer may have. Lower ones are interim, and higher ones are none of HTTP.
@@ -126,7 +150,7 @@
     pub gives_up: &'a mut (dyn FnMut(Duration) -> bool + Send),
 }
 
-/// A back end's response whose body has not been read yet.
+/// A back end's response whose body has not been read yet. The call may have run, and the status may be passed on.
 pub struct BackendResponse {
     /// Status.
     pub status: StatusCode,
@@ -182,11 +206,12 @@
 ///
 /// # Errors
 ///
-/// Fails if the response is not usable.
+/// Fails if the response is not usable, if the back end declines the call, or if callers would read "not run" into the
+/// response though the back end does not state it.
 pub fn receive(
     cx: &GatewayContext,
     call: &Call,
-    running: RunningAttempt,
+    mut running: RunningAttempt,
     connection: Connection,
     res: hyper::Response<ReceivedBody>,
 ) -> Result<BackendResponse, AttemptError> {
@@ -202,6 +227,7 @@
     if let Some(problem) = find_problem(call, &connection, parts.status, &head) {
         return Err(unusable(running, problem));
     }
+    check_run_statement(&mut running, parts.status, head.run_statement)?;
     Ok(BackendResponse {
         status: parts.status,
         headers: parts.headers,
@@ -212,6 +238,28 @@
     })
 }
 
+/// Checks that a response may be passed on: what callers read into its status about the run of the call has to be true.
+fn check_run_statement(
+    running: &mut RunningAttempt,
+    status: StatusCode,
+    statement: RunStatement,
+) -> Result<(), AttemptError> {
+    let backend = running.backend().into();
+    match statement {
+        RunStatement::None => Ok(()),
+        RunStatement::NotRun => {
+            running.set_outcome(Outcome::Declined);
+            Err(AttemptError::Declined { backend, status })
+        }
+        RunStatement::ImpliedByStatus => {
+            // As for any failure, half of the time is taken for waiting.
+            running.mark_started(running.age() / 2);
+            running.set_outcome(Outcome::Failed);
+            Err(AttemptError::Failed { backend, status })
+        }
+    }
+}
+
 /// Ends an attempt whose response cannot be used.
 fn unusable(mut running: RunningAttempt, problem: &'static str) -> AttemptError {
     running.set_outcome(Outcome::Unreachable);
@@ -261,7 +309,7 @@
         );
     }
     if let Some(bearable) = head.bearable_rejections {
-        let is_rejected = head.not_run;
+        let is_rejected = head.run_statement == RunStatement::NotRun;
         let is_new = state
             .backends
             .lock()
--- a/src/ops/gateway/dialect.rs
+++ b/src/ops/gateway/dialect.rs
@@ -61,13 +61,25 @@
     pub last_event: Option<u64>,
 }
 
+/// What a back end's response says about whether its call has run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RunStatement {
+    /// The back end states that it did not run the call.
+    NotRun,
+    /// The back end states nothing, but callers read the status as a guarantee that the call has not run and never will.
+    ImpliedByStatus,
+    /// Nothing. The call may have run.
+    #[default]
+    None,
+}
+
 /// Decoded head of a back end's response.
 #[derive(Clone, Debug, Default)]
 pub struct ResponseHead {
     /// Attempt that the response belongs to, if named.
     pub attempt: Option<Box<str>>,
-    /// Whether the back end declares that it did not run the call.
-    pub not_run: bool,
+    /// What the response says about whether the call has run.
+    pub run_statement: RunStatement,
     /// Whether the response carries the back end's signature.
     pub is_signed: bool,
     /// Idle timeout of the connection at the back end, if named.
--- a/src/ops/gateway/forward.rs
+++ b/src/ops/gateway/forward.rs
@@ -244,16 +244,19 @@
     };
     if let Err(e) = &result {
         if e.verdict() == Verdict::NotRun {
-            progress.sends = sends_before;
-            progress.unreached += 1;
             progress.may_have_run = may_have_run;
+            if !e.is_response() {
+                progress.sends = sends_before;
+                progress.unreached += 1;
+            }
         }
         record::attempt_failed(&cx.state, call, progress, e);
-    } else if result.as_ref().is_ok_and(|response| response.head.not_run) {
-        progress.may_have_run = may_have_run;
     }
-    if let Ok(response) = &result {
-        silence::note_went_on(cx, call, progress, response.running.backend());
+    let has_responded = result
+        .as_ref()
+        .map_or_else(AttemptError::is_response, |_| true);
+    if has_responded && let Some(backend) = progress.tried.last().cloned() {
+        silence::note_went_on(cx, call, progress, &backend);
     }
     result
 }
@@ -265,9 +268,6 @@
     progress: &mut Progress,
     response: BackendResponse,
 ) -> NextStep {
-    if response.head.not_run {
-        return handle_decline(cx, call, progress, response);
-    }
     if call.route.kind.is_stream() && response.status == StatusCode::OK {
         return NextStep::Respond(CallerResponse::Stream(Box::new(response)));
     }
@@ -285,23 +285,6 @@
     }
 }
 
-fn handle_decline(
-    cx: &Arc<GatewayContext>,
-    call: &Call,
-    progress: &mut Progress,
-    mut response: BackendResponse,
-) -> NextStep {
-    response.running.set_outcome(Outcome::Declined);
-    record::declined(&cx.state, call, response.running.backend(), response.status);
-    drop(response);
-    if progress::may_retry(cx, call, progress) {
-        NextStep::TryAnother
-    } else {
-        let retry_after = call.route.target_latency / 2;
-        NextStep::GiveUp(Refusal::retry_later(Cause::Declined, retry_after))
-    }
-}
-
 fn handle_failure(
     cx: &Arc<GatewayContext>,
     call: &Call,
@@ -325,12 +308,17 @@
     if may_repeat && progress::may_retry(cx, call, progress) {
         return NextStep::TryAnother;
     }
-    if call.remaining().is_zero() {
-        return NextStep::GiveUp(Refusal::with_verdict(Cause::TimedOut, e.verdict()));
-    }
-    NextStep::GiveUp(match e.verdict() {
-        Verdict::NotRun => Refusal::retry_later(Cause::NoBackend, call.route.target_latency / 2),
-        verdict => Refusal::with_verdict(Cause::AnswerLost, verdict),
+    let retry_after = call.route.target_latency / 2;
+    NextStep::GiveUp(match (e, e.verdict()) {
+        (AttemptError::Declined { .. }, _) => Refusal::retry_later(Cause::Declined, retry_after),
+        (_, verdict) if call.remaining().is_zero() => {
+            Refusal::with_verdict(Cause::TimedOut, verdict)
+        }
+        (AttemptError::Failed { .. }, verdict) => {
+            Refusal::with_verdict(Cause::BackendFailed, verdict)
+        }
+        (_, Verdict::NotRun) => Refusal::retry_later(Cause::NoBackend, retry_after),
+        (_, verdict) => Refusal::with_verdict(Cause::AnswerLost, verdict),
     })
 }
 
--- a/src/ops/gateway/record.rs
+++ b/src/ops/gateway/record.rs
@@ -172,6 +172,9 @@
 
 /// Records an attempt without a usable response.
 pub fn attempt_failed(state: &GatewayState, call: &Call, progress: &Progress, e: &AttemptError) {
+    if let AttemptError::Declined { backend, status } = e {
+        return declined(state, call, backend, *status);
+    }
     metrics::counter!("jayhall_gateway_failed_sends", "service" => call.service.name.to_string())
         .increment(1);
     if let Some(left_out) = admit_failure_line(state) {
--- a/src/ops/gateway/refusal.rs
+++ b/src/ops/gateway/refusal.rs
@@ -45,6 +45,8 @@
     Declined,
     /// The call was sent to a back end, and there was no usable response.
     AnswerLost,
+    /// The back end failed, and does not state whether the call has run.
+    BackendFailed,
     /// The call's deadline has passed.
     TimedOut,
     /// The node stops before the call has ended.
@@ -92,6 +94,7 @@
             Self::Overloaded => "overloaded",
             Self::Declined => "declined",
             Self::AnswerLost => "answer_lost",
+            Self::BackendFailed => "backend_failed",
             Self::TimedOut => "timed_out",
             Self::Stopping => "stopping",
             Self::Quarantined => "quarantined",
@@ -120,6 +123,7 @@
             }
             Self::Declined => "all back ends are full; come back later",
             Self::AnswerLost => "the back end broke off; it may have done the work",
+            Self::BackendFailed => "the back end failed; it may have done the work",
             Self::Quarantined => {
                 "this request, or a part of its prompt, has crashed several engines; it is not sent to any more, and asking again does not help"
             }
--- a/src/ops/gateway/stream/takeover.rs
+++ b/src/ops/gateway/stream/takeover.rs
@@ -194,7 +194,7 @@
     result: Result<Box<BackendResponse>, AttemptError>,
 ) -> Option<Box<BackendResponse>> {
     let response = result.ok()?;
-    if response.status == StatusCode::OK && !response.head.not_run {
+    if response.status == StatusCode::OK {
         return Some(response);
     }
     let backend = response.running.backend();
--- a/src/platform/headers.rs
+++ b/src/platform/headers.rs
@@ -10,7 +10,7 @@
 use smallvec::SmallVec;
 
 use crate::core::gateway::cache::Part;
-use crate::ops::gateway::dialect::{CallHead, ForwardMetadata, ResponseHead};
+use crate::ops::gateway::dialect::{CallHead, ForwardMetadata, ResponseHead, RunStatement};
 use crate::util::value::parse_decimal;
 
 /// Identifies one attempt of a caller.
@@ -33,7 +33,7 @@
 pub const CUSTOMER: HeaderName = HeaderName::from_static("x-jayhall-tenant");
 /// The back end to which a call is sent. Another back end that now has its address answers with status 421.
 pub const EXPECTED_BACKEND: HeaderName = HeaderName::from_static("x-jayhall-expect-instance");
-/// Present if a back end did not run the call.
+/// Present if a back end did not run the call. Without it the call may have run, whatever the status.
 pub const NOT_RUN: HeaderName = HeaderName::from_static("x-jayhall-not-executed");
 /// Rank of a call at a back end.
 pub const PRIORITY: HeaderName = HeaderName::from_static("x-jayhall-request-priority");
@@ -55,8 +55,8 @@
 const UNAVAILABLE: u16 = 503;
 /// Longest pause that a back end can ask for with `Retry-After`.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(3600);
-/// Status of a back end that is not the expected one.
-const MISDIRECTED: u16 = 421;
+/// Statuses after which callers repeat a call that may run at most once.
+const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 /// Least urgent priority.
 const LOWEST_PRIORITY: u8 = 9;
 
@@ -191,7 +191,7 @@
 pub(super) fn response_head(status: u16, headers: &HeaderMap) -> ResponseHead {
     ResponseHead {
         attempt: header_text(headers, &ATTEMPT).map(Into::into),
-        not_run: headers.contains_key(&NOT_RUN) || status == MISDIRECTED,
+        run_statement: run_statement(status, headers),
         is_signed: headers.contains_key(&SIGNATURE),
         idle_timeout: header_text(headers, &KEEP_ALIVE).and_then(parse_keep_alive_timeout),
         is_leaving: header_text(headers, &LEAVING).is_some_and(|value| value.trim() == "1"),
@@ -204,6 +204,16 @@
     }
 }
 
+fn run_statement(status: u16, headers: &HeaderMap) -> RunStatement {
+    if headers.contains_key(&NOT_RUN) {
+        return RunStatement::NotRun;
+    }
+    match NOT_RUN_STATUSES.contains(&status) {
+        true => RunStatement::ImpliedByStatus,
+        false => RunStatement::None,
+    }
+}
+
 /// Parses `Retry-After` as a number of seconds with an optional fraction. The platform does not use dates.
 fn parse_retry_after(text: &str) -> Option<Duration> {
     match parse_decimal(text.trim()) {
--- a/tests/testsuite/gateway/cut_nodes.rs
+++ b/tests/testsuite/gateway/cut_nodes.rs
@@ -226,6 +226,29 @@
     assert_eq!(total_runs(&fleet.backends) - runs, served);
 }
 
+/// Guards against an order that is applied twice because the node that forwards it passes on a 503 of a back end that
+/// has run it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_failure_at_a_node_that_forwards_the_call_is_not_reported_as_not_run() {
+    let fleet = Fleet::start("plain", &Behaviour::Answer(503, "failed")).await;
+    let refused: SocketAddr = "127.0.0.1:1".parse().unwrap();
+    let cut = fleet.node_reaching("n1", "z1", &[refused; BACKENDS]).await;
+    let _sound = fleet.sound_node("n2", "z2").await;
+    tokio::time::sleep(Duration::from_millis(1500)).await;
+    let mut forwarded = 0;
+    for _ in 0..CALLS {
+        let runs = total_runs(&fleet.backends);
+        let call = numbered_call(&fleet.fixture, &cut, "/once/x");
+        let status = call.send().await.unwrap().status();
+        let runs = total_runs(&fleet.backends) - runs;
+        let has_run = runs > 0;
+        assert_eq!(runs, usize::from(has_run), "{status}");
+        assert!(!has_run || status == 502, "{status}");
+        forwarded += runs;
+    }
+    assert_ne!(forwarded, 0, "no call was forwarded");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_call_that_another_node_forwards_waits_for_its_back_end() {
     let slow = Behaviour::AnswerAfter(Duration::from_millis(1000));
--- a/tests/testsuite/gateway/fixture.rs
+++ b/tests/testsuite/gateway/fixture.rs
@@ -72,6 +72,10 @@
     Decline,
     /// Declines the call with a `Retry-After` in seconds.
     DeclineFor(f64),
+    /// Declines the call with this status.
+    DeclineAs(u16),
+    /// Runs the call and answers with status 503 and a `Retry-After` in seconds.
+    FailFor(f64),
     /// Runs the call and closes the connection without an answer.
     Disconnect,
     /// Runs the call and closes the connection without an answer if the body is this one; else answers.
@@ -313,6 +317,14 @@
     )
 }
 
+/// Returns the response of a back end that does not run a call.
+fn decline(status: u16) -> Response<Body> {
+    let res = Response::builder()
+        .status(status)
+        .header("x-jayhall-not-executed", "1");
+    res.body(full_body("")).unwrap()
+}
+
 async fn answer(
     req: Request<Incoming>,
     backend: FakeBackend,
@@ -364,7 +376,10 @@
             .header("server-brittle", bearable.to_string());
         return Ok(res.body(full_body("")).unwrap());
     }
-    if !matches!(behaviour, Behaviour::Decline | Behaviour::DeclineFor(_)) {
+    if !matches!(
+        behaviour,
+        Behaviour::Decline | Behaviour::DeclineFor(_) | Behaviour::DeclineAs(_)
+    ) {
         seen.lock().push(ReceivedCall {
             at: Instant::now(),
             path: head.uri.to_string(),
@@ -389,6 +404,9 @@
             Behaviour::Brittle { bearable, .. } => {
                 headers.insert("server-brittle", (*bearable).into());
             }
+            Behaviour::FailFor(seconds) => {
+                headers.insert("retry-after", seconds.to_string().parse().unwrap());
+            }
             Behaviour::AnswerLimited(limit) => {
                 headers.insert("server-limit", limit.to_string().parse().unwrap());
             }
@@ -423,12 +441,9 @@
                 .header("x-jayhall-not-executed", "1");
             return Ok(res.body(full_body("")).unwrap());
         }
-        Behaviour::Decline => {
-            let res = Response::builder()
-                .status(503)
-                .header("x-jayhall-not-executed", "1");
-            return Ok(res.body(full_body("")).unwrap());
-        }
+        Behaviour::Decline => return Ok(decline(503)),
+        Behaviour::DeclineAs(status) => return Ok(decline(status)),
+        Behaviour::FailFor(_) => (503, full_body("failed")),
         Behaviour::Disconnect | Behaviour::DisconnectOn(_) => {
             return Err(std::io::ErrorKind::ConnectionReset.into());
         }
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -37,6 +37,7 @@
 mod rollout_decisions;
 mod rollout_evidence;
 mod rollouts;
+mod run_statements;
 mod scaling;
 mod serving;
 mod settings_template;
--- a/tests/testsuite/gateway/platform_wire.rs
+++ b/tests/testsuite/gateway/platform_wire.rs
@@ -6,7 +6,7 @@
 use hyper::header::{HeaderName, HeaderValue};
 use jayhall::core::gateway::cache::Part;
 use jayhall::core::gateway::routes::RouteKind;
-use jayhall::ops::gateway::dialect::{Dialect, ForwardMetadata};
+use jayhall::ops::gateway::dialect::{Dialect, ForwardMetadata, RunStatement};
 use jayhall::platform::PlatformDialect;
 
 fn headers(pairs: &[(&'static str, &str)]) -> HeaderMap {
@@ -108,10 +108,19 @@
 #[test]
 fn only_explicit_answers_count_as_not_run() {
     let head = |status, pairs: &[_]| PlatformDialect.response_head(status, &headers(pairs));
-    assert!(head(503, &[("x-jayhall-not-executed", "1")]).not_run);
-    assert!(head(421, &[]).not_run);
-    assert!(!head(503, &[]).not_run);
-    assert!(!head(429, &[]).not_run);
+    let statement = |status, pairs: &[_]| head(status, pairs).run_statement;
+    for status in [200, 400, 408, 421, 429, 500, 503] {
+        let stated = statement(status, &[("x-jayhall-not-executed", "1")]);
+        assert_eq!(stated, RunStatement::NotRun, "{status}");
+    }
+    // Callers repeat calls after these, but only the header says that a call has not run.
+    for status in [408, 421, 429, 503] {
+        let implied = statement(status, &[]);
+        assert_eq!(implied, RunStatement::ImpliedByStatus, "{status}");
+    }
+    for status in [200, 302, 400, 404, 409, 425, 500, 502, 504] {
+        assert_eq!(statement(status, &[]), RunStatement::None, "{status}");
+    }
     let kept = head(200, &[("keep-alive", "timeout=7, max=100")]);
     assert_eq!(kept.idle_timeout, Some(Duration::from_secs(7)));
 }
