Gateway: the checks of a back end's response in a module of their own

attempt.rs had over 400 lines and two jobs: sending a call, and judging what came back. response.rs has the second, with the reading of whole bodies that stood in forward.rs. Nothing else changes.

--- a/src/ops/gateway/attempt.rs
+++ b/src/ops/gateway/attempt.rs
@@ -1,6 +1,5 @@
 //! One attempt: a call sent to one back end.
 
-use std::ops::RangeInclusive;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,10 +12,11 @@
 
 use super::call::Call;
 use super::confirm;
-use super::dialect::{ForwardMetadata, ResponseHead, RunStatement};
+use super::dialect::ForwardMetadata;
 use super::origin_archive::OriginArchive;
 use super::pool::{BackendPool, Connection, SendError};
 use super::reach;
+use super::response::{self, BackendResponse};
 use super::running::RunningAttempt;
 use super::state::GatewayState;
 use crate::core::gateway::backends::Outcome;
@@ -134,8 +134,6 @@
     }
 }
 
-/// Statuses that an answer may have. Lower ones are interim, and higher ones are none of HTTP.
-const ANSWER_STATUSES: RangeInclusive<u16> = 200..=599;
 /// Interval between two decisions whether to go on waiting for a silent back end.
 pub const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -150,22 +148,6 @@
     pub gives_up: &'a mut (dyn FnMut(Duration) -> bool + Send),
 }
 
-/// A back end's response whose body has not been read yet. The call may have run, and the status may be passed on.
-pub struct BackendResponse {
-    /// Status.
-    pub status: StatusCode,
-    /// Headers.
-    pub headers: HeaderMap,
-    /// Decoded head.
-    pub head: ResponseHead,
-    /// Body.
-    pub body: ReceivedBody,
-    /// Connection that the body is read from.
-    pub connection: Connection,
-    /// Accounting of the call at the back end.
-    pub running: RunningAttempt,
-}
-
 /// Sends a call to the chosen back end and waits for the head of the response. A stream goes on at the software version
 /// that `allowed` names.
 ///
@@ -199,142 +181,7 @@
         }
     };
     reach::note_reached(cx, &call.service.name);
-    receive(cx, call, running, connection, res)
-}
-
-/// Decodes and checks the head of the response to a call.
-///
-/// # Errors
-///
-/// Fails if the response is not usable, if the back end declines the call, or if callers would read "not run" into the
-/// response though the back end does not state it.
-pub fn receive(
-    cx: &GatewayContext,
-    call: &Call,
-    mut running: RunningAttempt,
-    connection: Connection,
-    res: hyper::Response<ReceivedBody>,
-) -> Result<BackendResponse, AttemptError> {
-    let (parts, body) = res.into_parts();
-    let status = parts.status.as_u16();
-    if !ANSWER_STATUSES.contains(&status) {
-        return Err(unusable(running, "its status is none of an answer"));
-    }
-    let head = cx.state.dialect.response_head(status, &parts.headers);
-    if !running.is_forwarded() {
-        apply_backend_hints(cx, &running, &head);
-    }
-    if let Some(problem) = find_problem(call, &connection, parts.status, &head) {
-        return Err(unusable(running, problem));
-    }
-    check_run_statement(&mut running, parts.status, head.run_statement)?;
-    Ok(BackendResponse {
-        status: parts.status,
-        headers: parts.headers,
-        head,
-        body,
-        connection,
-        running,
-    })
-}
-
-/// Checks that a response may be passed on: what callers read into its status about the run of the call has to be true.
-fn check_run_statement(
-    running: &mut RunningAttempt,
-    status: StatusCode,
-    statement: RunStatement,
-) -> Result<(), AttemptError> {
-    let backend = running.backend().into();
-    match statement {
-        RunStatement::None => Ok(()),
-        RunStatement::NotRun => {
-            running.set_outcome(Outcome::Declined);
-            Err(AttemptError::Declined { backend, status })
-        }
-        RunStatement::ImpliedByStatus => {
-            // As for any failure, half of the time is taken for waiting.
-            running.mark_started(running.age() / 2);
-            running.set_outcome(Outcome::Failed);
-            Err(AttemptError::Failed { backend, status })
-        }
-    }
-}
-
-/// Ends an attempt whose response cannot be used.
-fn unusable(mut running: RunningAttempt, problem: &'static str) -> AttemptError {
-    running.set_outcome(Outcome::Unreachable);
-    AttemptError::Unusable {
-        backend: running.backend().into(),
-        problem,
-    }
-}
-
-/// Returns why a response cannot be that of the back end to this call, if so.
-fn find_problem(
-    call: &Call,
-    connection: &Connection,
-    status: StatusCode,
-    head: &ResponseHead,
-) -> Option<&'static str> {
-    match &head.attempt {
-        Some(attempt) if *attempt != call.head.attempt => Some("it belongs to another attempt"),
-        None if connection.is_reused() => Some("it names no attempt on a reused connection"),
-        _ if status.is_success() && !head.is_signed => {
-            Some("it is a success without the back end's signature")
-        }
-        _ => None,
-    }
-}
-
-/// Applies hints about the back end itself that its response carries: that it is leaving, or that it
-/// asks for a pause without calls.
-fn apply_backend_hints(cx: &GatewayContext, running: &RunningAttempt, head: &ResponseHead) {
-    let backend = &running.place.backend;
-    let state = &cx.state;
-    let now = state.now();
-    if head.is_leaving && state.backends.lock().record_leaving(backend, now) {
-        tracing::info!(
-            backend = &*backend.id,
-            source = "answer",
-            "back end leaving"
-        );
-    }
-    let limit = head.call_limit;
-    if state.backends.lock().record_call_limit(backend, limit, now) {
-        tracing::info!(
-            backend = &*backend.id,
-            per_second = limit,
-            source = "answer",
-            "call limit of a back end changed"
-        );
-    }
-    if let Some(bearable) = head.bearable_rejections {
-        let is_rejected = head.run_statement == RunStatement::NotRun;
-        let is_new = state
-            .backends
-            .lock()
-            .record_brittle(backend, is_rejected, now);
-        if is_new {
-            tracing::info!(
-                backend = &*backend.id,
-                service = &*backend.service,
-                bearable,
-                "the back ends of a service are brittle"
-            );
-        }
-    }
-    if let Some(pause_calls_for) = head.pause_calls_for {
-        state
-            .backends
-            .lock()
-            .record_pause(backend, pause_calls_for, now);
-        let ms = pause_calls_for.as_millis() as u64;
-        tracing::info!(
-            backend = &*backend.id,
-            ms,
-            "back end wants no calls for a while"
-        );
-    }
+    response::receive(cx, call, running, connection, res)
 }
 
 async fn send_to_backend(
--- a/src/ops/gateway/forward.rs
+++ b/src/ops/gateway/forward.rs
@@ -4,11 +4,9 @@
 use std::sync::Arc;
 
 use hyper::{Request, Response, StatusCode};
-use tokio::time::Instant;
 
 use super::active::{ActiveCall, Stage};
-use super::attempt::{self, AttemptError, BackendResponse, GatewayContext, HeadWait};
-use super::body_memory::{self, MAX_ANSWER_BYTES, ReadError};
+use super::attempt::{self, AttemptError, GatewayContext, HeadWait};
 use super::call::Call;
 use super::dialect::CallHead;
 use super::next_hop::{self, Hop};
@@ -16,12 +14,12 @@
 use super::progress::{self, Progress};
 use super::quota;
 use super::record::{self, CallEnd};
-use super::refusal::{self, Body, Cause, Refusal};
+use super::refusal::{Body, Cause, Refusal};
+use super::response::{self, BackendResponse};
 use super::resume::{self, KnownFrom};
 use super::silence;
 use super::state::GivenUp;
 use super::stream;
-use crate::core::gateway::backends::Outcome;
 use crate::core::gateway::placement::RefusalCause;
 use crate::core::gateway::quota::Work;
 use crate::core::gateway::routes::RouteKind;
@@ -275,7 +273,7 @@
     let retry = failed
         && call.route.kind == RouteKind::Idempotent
         && progress::may_retry(cx, call, progress);
-    match read_full_response(cx, call, response).await {
+    match response::read_whole(cx, call, response).await {
         Ok(_) if retry => NextStep::TryAnother,
         Ok(res) => NextStep::Respond(CallerResponse::Unary(res)),
         Err(e) => {
@@ -321,55 +319,3 @@
         (_, verdict) => Refusal::with_verdict(Cause::AnswerLost, verdict),
     })
 }
-
-/// Reads the whole body of a response that is not a stream.
-async fn read_full_response(
-    cx: &GatewayContext,
-    call: &Call,
-    response: BackendResponse,
-) -> Result<Response<Body>, AttemptError> {
-    let BackendResponse {
-        status,
-        headers,
-        head,
-        mut body,
-        connection,
-        mut running,
-    } = response;
-    let started = Instant::now();
-    let budget = &cx.state.bodies.answers;
-    // The work has been done, so the answer waits for memory as long as its call may.
-    let wait = call.remaining();
-    let body = match body_memory::read_body(&mut body, budget, MAX_ANSWER_BYTES, wait).await {
-        Ok(body) => body,
-        Err(e) => {
-            tracing::debug!(backend = running.backend(), error = %e, "failed to read the body of a response");
-            let (outcome, problem) = match e {
-                ReadError::NoMemory => (Outcome::Answered, "there is no memory for it"),
-                ReadError::TooLarge { .. } => (Outcome::BrokeOff, "it is too large"),
-                ReadError::Incomplete(_) => (Outcome::BrokeOff, "it broke off"),
-            };
-            running.set_outcome(outcome);
-            return Err(AttemptError::Unusable {
-                backend: running.backend().into(),
-                problem,
-            });
-        }
-    };
-    let head_after = running.age().saturating_sub(started.elapsed());
-    running.record_time(head_after);
-    let since_start = head_after / 2;
-    running.mark_started(since_start);
-    if status.is_success() {
-        running.clear_suspects();
-    }
-    running.set_outcome(match status.is_server_error() {
-        true => Outcome::Failed,
-        false => Outcome::Answered,
-    });
-    cx.pool.release(connection, head.idle_timeout);
-    let mut res = Response::new(refusal::full_body(body));
-    *res.status_mut() = status;
-    *res.headers_mut() = cx.state.dialect.response_for_caller(headers);
-    Ok(res)
-}
--- a/src/ops/gateway/mod.rs
+++ b/src/ops/gateway/mod.rs
@@ -52,6 +52,7 @@
 pub mod refusal;
 pub mod register;
 pub mod relay;
+pub mod response;
 pub mod resume;
 pub mod rollout;
 pub mod rollout_wire;
--- a/src/ops/gateway/peer_forward.rs
+++ b/src/ops/gateway/peer_forward.rs
@@ -10,11 +10,12 @@
 use hyper::{HeaderMap, Request, Response};
 use rand::seq::IndexedRandom;
 
-use super::attempt::{self, AttemptError, BackendResponse, GatewayContext, HeadWait};
+use super::attempt::{self, AttemptError, GatewayContext, HeadWait};
 use super::call::Call;
 use super::forward;
 use super::progress::Progress;
 use super::refusal::Body;
+use super::response::{self, BackendResponse};
 use super::running::RunningAttempt;
 use crate::core::gateway::backends::Entry;
 use crate::core::gateway::members::Member;
@@ -108,7 +109,7 @@
         });
     }
     let running = RunningAttempt::begin_forwarded(cx, call, node, software(res.headers()));
-    attempt::receive(cx, call, running, connection, res)
+    response::receive(cx, call, running, connection, res)
 }
 
 fn node_headers(
--- a/src/ops/gateway/stream.rs
+++ b/src/ops/gateway/stream.rs
@@ -19,7 +19,7 @@
 use tokio::time::Instant;
 
 use self::event_source::EventSource;
-use super::attempt::{BackendResponse, GatewayContext};
+use super::attempt::GatewayContext;
 use super::body_memory::ReadError;
 use super::call::Call;
 use super::event_buffer::EventBuffer;
@@ -27,6 +27,7 @@
 use super::progress::Progress;
 use super::record::{self, CallEnd};
 use super::refusal::{Body, BodyError};
+use super::response::BackendResponse;
 use super::resume;
 use super::silence;
 use super::state::GivenUp;
--- a/src/ops/gateway/stream/event_source.rs
+++ b/src/ops/gateway/stream/event_source.rs
@@ -11,9 +11,10 @@
 
 use super::event_timeout;
 use crate::core::gateway::silence::Activity;
-use crate::ops::gateway::attempt::{BackendResponse, GatewayContext, SILENCE_CHECK_INTERVAL};
+use crate::ops::gateway::attempt::{GatewayContext, SILENCE_CHECK_INTERVAL};
 use crate::ops::gateway::call::Call;
 use crate::ops::gateway::pool::Connection;
+use crate::ops::gateway::response::BackendResponse;
 use crate::ops::gateway::running::RunningAttempt;
 use crate::sources::http::{ReceiveError, ReceivedBody};
 
