Gateway: a back end that fails to go on with a stream has failed

What callers saw: a stream that broke off, and the next one sent to the same failing back end.

Cause: accepted() in stream/takeover.rs recorded each answer but 200 as declined, which says nothing against a back end, also 500 to 599.

Change: such an answer counts as a failure, as it does for a call that begins. The log has its own message for it, "back end did not go on with a stream", in place of "back end declined".

--- a/src/ops/gateway/record.rs
+++ b/src/ops/gateway/record.rs
@@ -230,8 +230,23 @@
     }
 }
 
-/// Records a response that declares that the call was not run.
-pub fn declined(state: &GatewayState, call: &Call, backend: &str, status: StatusCode) {
+/// Records a response that does not go on with a stream.
+pub fn not_continued(state: &GatewayState, call: &Call, backend: &str, status: StatusCode) {
+    metrics::counter!("jayhall_gateway_failed_sends", "service" => call.service.name.to_string())
+        .increment(1);
+    if let Some(left_out) = admit_failure_line(state) {
+        tracing::info!(
+            attempt = &*call.head.attempt,
+            backend,
+            status = status.as_u16(),
+            left_out,
+            "back end did not go on with a stream"
+        );
+    }
+}
+
+/// Records a response which states that the call was not run.
+fn declined(state: &GatewayState, call: &Call, backend: &str, status: StatusCode) {
     metrics::counter!("jayhall_gateway_declined_sends", "service" => call.service.name.to_string())
         .increment(1);
     if let Some(left_out) = admit_failure_line(state) {
--- a/src/ops/gateway/stream/takeover.rs
+++ b/src/ops/gateway/stream/takeover.rs
@@ -194,12 +194,15 @@
     call: &Call,
     result: Result<Box<BackendResponse>, AttemptError>,
 ) -> Option<Box<BackendResponse>> {
-    let response = result.ok()?;
+    let mut response = result.ok()?;
     if response.status == StatusCode::OK {
         return Some(response);
     }
+    if response.status.is_server_error() {
+        response.running.set_outcome(Outcome::Failed);
+    }
     let backend = response.running.backend();
-    record::declined(&cx.state, call, backend, response.status);
+    record::not_continued(&cx.state, call, backend, response.status);
     None
 }
 
--- a/tests/testsuite/gateway/raw_answers.rs
+++ b/tests/testsuite/gateway/raw_answers.rs
@@ -239,6 +239,32 @@
     }
 }
 
+/// Guards against streams that begin at a back end which has just failed to go on with one: its failure was taken for a
+/// refusal, which says nothing against it.
+#[tokio::test]
+async fn a_back_end_that_fails_to_go_on_with_a_stream_is_avoided_by_the_next_call() {
+    for round in 0..6 {
+        let failing = Behaviour::Answer(500, "failed");
+        let started = start("llm", breaks_off_stream, Some(failing)).await;
+        let call = numbered_call(&started.fixture, &started.node, "/resume/x");
+        let res = call.send().await.unwrap();
+        started.list_sound("llm").await;
+        assert!(res.bytes().await.is_err(), "{round}");
+        assert_eq!(started.sound.as_ref().unwrap().runs(), 1, "{round}");
+        let other = FakeBackend::spawn(Behaviour::Events {
+            to: 1,
+            ends_normally: true,
+        })
+        .await;
+        started
+            .fixture
+            .list_backend("b2", "llm", &other, "ready")
+            .await;
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        assert_eq!(started.status("/stream/x").await, 200, "{round}");
+    }
+}
+
 fn breaks_off_in_status_line(_: &RawCall) -> (String, Then) {
     ("HTTP/1.1 200 O".into(), Then::Close)
 }
