--- a/src/ops/gateway/attempt.rs
+++ b/src/ops/gateway/attempt.rs
@@ -129,7 +129,7 @@
     }
 
     /// Returns whether the back end has responded to the call.
-    pub fn is_response(&self) -> bool {
+    pub fn has_response(&self) -> bool {
         matches!(self, Self::Declined { .. } | Self::Failed { .. })
     }
 }
--- a/src/ops/gateway/forward.rs
+++ b/src/ops/gateway/forward.rs
@@ -243,7 +243,7 @@
     if let Err(e) = &result {
         if e.verdict() == Verdict::NotRun {
             progress.may_have_run = may_have_run;
-            if !e.is_response() {
+            if !e.has_response() {
                 progress.sends = sends_before;
                 progress.unreached += 1;
             }
@@ -252,8 +252,9 @@
     }
     let has_responded = result
         .as_ref()
-        .map_or_else(AttemptError::is_response, |_| true);
-    if has_responded && let Some(backend) = progress.tried.last().cloned() {
+        .map_or_else(AttemptError::has_response, |_| true);
+    if has_responded && progress.silence.is_some() {
+        let backend = progress.tried.last().cloned().unwrap_or_default();
         silence::note_went_on(cx, call, progress, &backend);
     }
     result
--- a/src/ops/gateway/response.rs
+++ b/src/ops/gateway/response.rs
@@ -1,4 +1,4 @@
-//! The response of a back end to a call: checks that it is one, and that callers may read what its status says.
+//! The response of a back end to a call: whether it can be used, and whether what its status says to callers holds.
 
 use std::ops::RangeInclusive;
 
@@ -20,6 +20,7 @@
 
 /// Statuses that an answer may have. Lower ones are interim, and higher ones are none of HTTP.
 const ANSWER_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// A back end's response whose body has not been read yet. The call may have run, and the status may be passed on.
 pub struct BackendResponse {
     /// Status.
@@ -86,7 +87,7 @@
             Err(AttemptError::Declined { backend, status })
         }
         RunStatement::ImpliedByStatus => {
-            // As for any failure, half of the time is taken for waiting.
+            // Charged to the customer like other failures. When the run began is not known.
             running.mark_started(running.age() / 2);
             running.set_outcome(Outcome::Failed);
             Err(AttemptError::Failed { backend, status })
