--- a/crates/jayhall-soak/src/backend.rs
+++ b/crates/jayhall-soak/src/backend.rs
@@ -33,12 +33,16 @@
 /// Calls that a back end accepts beyond its slots.
 const QUEUE_CAPACITY: u32 = 4;
 
+/// Statuses of failures after the execution. Callers read all but the first as "not executed", which a back end states
+/// with a header only.
+const FAILURE_STATUSES: [u16; 5] = [500, 408, 421, 429, 503];
+
 /// Failure mode of a back end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Mode {
     /// Operates correctly.
     Sound,
-    /// Answers the first execution of about a third of the attempts with status 500.
+    /// Answers the first execution of about a third of the attempts with one of [`FAILURE_STATUSES`].
     Failing,
     /// Executes calls and closes their connections without a response.
     LosesAnswers,
@@ -324,7 +328,10 @@
         }
         if mode == Mode::Failing && running.run_index + usize::from(attempt.as_bytes()[0]) % 3 == 0
         {
-            return build(res.status(500), full_body("failed".into()));
+            return build(
+                res.status(failure_status(&attempt)),
+                full_body("failed".into()),
+            );
         }
         if let Content::Events { after, interval } = content {
             let breaks_at = match mode {
@@ -357,6 +364,12 @@
     res.body(body).map_err(std::io::Error::other)
 }
 
+/// Returns the status with which the first execution of an attempt fails.
+fn failure_status(attempt: &str) -> u16 {
+    let sum: usize = attempt.bytes().map(usize::from).sum();
+    FAILURE_STATUSES[sum % FAILURE_STATUSES.len()]
+}
+
 fn not_run_response(status: u16) -> Response<Body> {
     let mut res = Response::new(full_body(String::new()));
     *res.status_mut() = status.try_into().unwrap_or_default();
