Gateway: the search for the cause of crashes is linear in the parts of prompts

Cause: for each suspect of each call that was under way, the search intersected lists by linear search: cubic in the parts. It ran every 200 ms for the 120 s for which a crash is kept, under the lock that each call takes. An answer was compared with each part of each crash.

Change: suspects that were under way at the same crashes have the same cause, so one look at each set of crashes is enough, at most 64 of them. The search works on a copy, without the lock, and only while the last crash is recent enough to have a cause at all (6 s). The log keeps the last crash of each suspect, so that an answer costs one look for each of its parts.

--- a/src/core/gateway/crashes/cause.rs
+++ b/src/core/gateway/crashes/cause.rs
@@ -1,9 +1,12 @@
 //! Finds the calls that crash back ends.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
-use super::{ANSWER_REPORT_PERIOD, CallKind, Crash, CrashLog, KnownCrash};
+use smallvec::SmallVec;
+
+use super::{ANSWER_REPORT_PERIOD, CallKind, CrashLog, KnownCrash};
+use crate::core::gateway::backends::ProcessName;
 use crate::core::gateway::suspects::{Suspect, Suspects, request_of};
 use crate::core::time::Moment;
 
@@ -17,6 +20,9 @@
 /// Time after the last of these crashes within which answered prompts of all nodes are known.
 const SETTLING_TIME: Duration = Duration::from_millis(1500);
 
+/// Limit on the sets of crashes that are compared at a time; callers decide how many there are.
+const MAX_CRASH_SETS: usize = 64;
+
 /// Suspects that are taken for the cause of crashes, and why.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CrashCause {
@@ -31,15 +37,27 @@
 }
 
 /// A crash of which some suspects have not been answered since.
-struct OpenCrash<'a> {
-    known: &'a KnownCrash,
+struct OpenCrash {
+    /// These suspects, sorted.
     suspects: Suspects,
+    kind: CallKind,
+    process: ProcessName,
+    sent: Moment,
+    ended: Moment,
+    is_explained: bool,
 }
 
-impl OpenCrash<'_> {
-    fn crash(&self) -> &Crash {
-        &self.known.crash
-    }
+/// Indices of crashes, in the order of their ends.
+type CrashSet = SmallVec<[usize; 4]>;
+
+/// The crashes of a log of which some suspects have not been answered since, as they were at one moment. The search for
+/// their cause needs no lock on the log.
+pub struct OpenCrashes {
+    at: Moment,
+    /// In the order of their ends.
+    crashes: Vec<OpenCrash>,
+    /// When this node last saw a call answered, by its kind.
+    last_answers: HashMap<CallKind, Moment>,
 }
 
 impl CrashLog {
@@ -47,37 +65,60 @@
     /// considered again, except that other crashes under the parts of a request's prompt may show a wider
     /// cause.
     pub fn take_causes(&mut self, now: Moment) -> Vec<CrashCause> {
-        self.expire(now);
         let mut causes = Vec::new();
-        while let Some(cause) = self.find_cause(now) {
+        while let Some(cause) = self.open_crashes(now).find_cause() {
             self.explain(&cause.suspects);
             causes.push(cause);
         }
         causes
     }
 
+    /// Returns the crashes that may have a cause which is not known yet: none if the last one is long ago.
+    pub fn open_crashes(&mut self, now: Moment) -> OpenCrashes {
+        self.expire(now);
+        let is_recent = |known: &KnownCrash| is_recent(known.crash.ended, now);
+        let mut crashes: Vec<OpenCrash> = match self.crashes.iter().any(is_recent) {
+            true => self.crashes.iter().filter_map(|k| self.open(k)).collect(),
+            false => Vec::new(),
+        };
+        crashes.sort_by_key(|open| open.ended);
+        OpenCrashes {
+            at: now,
+            crashes,
+            last_answers: self.last_answers.clone(),
+        }
+    }
+
+    fn open(&self, known: &KnownCrash) -> Option<OpenCrash> {
+        let crash = &known.crash;
+        if self.is_refuted(crash) {
+            return None;
+        }
+        let suspects: Suspects = self.open_suspects(crash).collect();
+        (!suspects.is_empty()).then(|| OpenCrash {
+            suspects,
+            kind: CallKind::of(&crash.suspects),
+            process: crash.process,
+            sent: crash.sent,
+            ended: crash.ended,
+            is_explained: known.is_explained,
+        })
+    }
+}
+
+/// Returns whether all answers that clear a crash are still reported. This node may have missed earlier ones.
+fn is_recent(ended: Moment, now: Moment) -> bool {
+    now.saturating_sub(ended) <= ANSWER_REPORT_PERIOD
+}
+
+impl OpenCrashes {
     /// Returns the cause that excludes the fewest calls: a request, unless parts of prompts explain the crashes
     /// under several others as well.
-    fn find_cause(&self, now: Moment) -> Option<CrashCause> {
-        let open: Vec<OpenCrash<'_>> = self
-            .crashes
-            .iter()
-            .filter(|known| !self.is_refuted(&known.crash))
-            .map(|known| OpenCrash {
-                known,
-                suspects: self.open_suspects(&known.crash),
-            })
-            .filter(|open| !open.suspects.is_empty())
-            .collect();
-        let suspects: HashSet<Suspect> = open
-            .iter()
-            .flat_map(|open| &open.suspects)
-            .copied()
-            .collect();
-        let causes = suspects.into_iter().filter_map(|suspect| {
-            let crashes = open.iter().filter(|open| open.suspects.contains(&suspect));
-            self.cause_of(crashes, now)
-        });
+    ///
+    /// Its time grows with the number of all suspects, and with [`MAX_CRASH_SETS`] times those of one call.
+    pub fn find_cause(&self) -> Option<CrashCause> {
+        let sets = self.crash_sets();
+        let causes = sets.iter().filter_map(|set| self.cause_of(set));
         let (requests, parts): (Vec<CrashCause>, Vec<CrashCause>) =
             causes.partition(|cause| request_of(&cause.suspects).is_some());
         let request = requests.into_iter().max_by_key(|cause| cause.processes);
@@ -94,51 +135,63 @@
         }
     }
 
-    /// Returns the suspects that crashes have in common, if the crashes show that these are the cause.
-    fn cause_of<'a>(
-        &self,
-        crashes: impl Iterator<Item = &'a OpenCrash<'a>>,
-        now: Moment,
-    ) -> Option<CrashCause> {
-        let mut crashes: Vec<_> = crashes.collect();
-        crashes.sort_unstable_by_key(|open| open.crash().ended);
-        let first = crashes.first()?;
-        let mut suspects = first.suspects.clone();
+    /// Returns the sets of crashes at which a suspect was under way, up to [`MAX_CRASH_SETS`], those with the most
+    /// crashes first. Suspects with the same set have the same cause.
+    fn crash_sets(&self) -> Vec<CrashSet> {
+        let mut by_suspect: HashMap<Suspect, CrashSet> = HashMap::new();
+        for (index, crash) in self.crashes.iter().enumerate() {
+            for suspect in &crash.suspects {
+                by_suspect.entry(*suspect).or_default().push(index);
+            }
+        }
+        let sets = by_suspect.into_values();
+        let sets: HashSet<CrashSet> = sets.filter(|set| set.len() >= MIN_PROCESSES).collect();
+        let mut sets: Vec<CrashSet> = sets.into_iter().collect();
+        sets.sort_unstable_by(|a, b| b.len().cmp(&a.len()).then_with(|| a.cmp(b)));
+        sets.truncate(MAX_CRASH_SETS);
+        sets
+    }
+
+    /// Returns the suspects that a set of crashes has in common, if the crashes show that these are the cause.
+    fn cause_of(&self, set: &CrashSet) -> Option<CrashCause> {
+        let crashes = || set.iter().map(|index| &self.crashes[*index]);
+        let first = crashes().next()?;
+        let last = crashes().next_back()?;
         let mut processes = HashSet::new();
         let mut unexplained = HashSet::new();
         let mut shown_at = None;
-        for open in &crashes {
-            let crash = open.crash();
-            suspects.retain(|suspect| open.suspects.contains(suspect));
-            if !open.known.is_explained {
+        for crash in crashes() {
+            if !crash.is_explained {
                 unexplained.insert(crash.process);
             }
             if processes.insert(crash.process) && processes.len() == MIN_PROCESSES {
                 shown_at = Some(crash.ended);
             }
         }
-        let has_settled = now.saturating_sub(shown_at?) >= SETTLING_TIME;
-        let first_ended = first.crash().ended;
-        let is_repeated = crashes
-            .iter()
-            .any(|open| open.crash().sent >= first_ended + MIN_REPEAT_DELAY);
-        let last_answer = self
-            .last_answers
-            .get(&CallKind::of(&first.crash().suspects));
-        let others_are_answered = last_answer.is_some_and(|at| *at >= first_ended);
-        // Answers that clear older crashes are no longer reported; this node may have missed them.
-        let last = crashes
-            .last()
-            .map_or(first_ended, |open| open.crash().ended);
-        let is_recent = now.saturating_sub(last) <= ANSWER_REPORT_PERIOD;
+        let has_settled = self.at.saturating_sub(shown_at?) >= SETTLING_TIME;
+        let is_repeated = crashes().any(|crash| crash.sent >= first.ended + MIN_REPEAT_DELAY);
+        let last_answer = self.last_answers.get(&first.kind);
+        let others_are_answered = last_answer.is_some_and(|at| *at >= first.ended);
         let is_unexplained = unexplained.len() >= MIN_UNEXPLAINED_PROCESSES;
-        let is_shown =
-            has_settled && is_repeated && others_are_answered && is_recent && is_unexplained;
+        let is_shown = has_settled
+            && is_repeated
+            && others_are_answered
+            && is_recent(last.ended, self.at)
+            && is_unexplained;
         is_shown.then(|| CrashCause {
-            suspects,
+            suspects: self.common_suspects(set),
             processes: processes.len(),
-            first: first_ended,
-            last,
+            first: first.ended,
+            last: last.ended,
         })
     }
+
+    fn common_suspects(&self, set: &CrashSet) -> Suspects {
+        let mut crashes = set.iter().map(|index| &self.crashes[*index].suspects);
+        let mut common = crashes.next().cloned().unwrap_or_default();
+        for suspects in crashes {
+            common.retain(|suspect| suspects.binary_search(suspect).is_ok());
+        }
+        common
+    }
 }
--- a/src/core/gateway/crashes/mod.rs
+++ b/src/core/gateway/crashes/mod.rs
@@ -25,7 +25,7 @@
 use crate::core::gateway::suspects::{Suspect, Suspects, contains_all, request_of};
 use crate::core::time::Moment;
 
-pub use cause::CrashCause;
+pub use cause::{CrashCause, OpenCrashes};
 
 /// Number of processes that crashed under a request from which it is sent only once for each attempt of a caller.
 const MIN_PROCESSES_FOR_CAUTION: usize = 2;
@@ -37,6 +37,8 @@
 const SURVIVAL_MARGIN: Duration = Duration::from_millis(100);
 /// Time for which crashes are kept.
 const RETENTION: Duration = Duration::from_secs(120);
+/// Interval at which suspects of crashes that are no longer kept are removed.
+const CLEANING_INTERVAL: Duration = Duration::from_secs(2);
 /// Limit on the crashes that are kept; the oldest ones are dropped.
 const MAX_CRASHES: usize = 512;
 /// Time for which an answered part or a refuted crash is reported to other nodes. Reports may be lost, and are repeated.
@@ -106,6 +108,15 @@
     }
 }
 
+/// What is known of a suspect of the crashes in a log.
+#[derive(Debug, Default)]
+struct SuspectRecord {
+    /// When it was last answered.
+    answered: Observed<()>,
+    /// End of the last crash at which it was under way.
+    last_crash: Option<Moment>,
+}
+
 #[derive(Debug)]
 struct KnownCrash {
     crash: Crash,
@@ -119,8 +130,10 @@
 pub struct CrashLog {
     crashes: Vec<KnownCrash>,
     known: HashSet<(ProcessName, Suspects)>,
-    /// When suspects of these crashes were last answered.
-    answers: HashMap<Suspect, Observed<()>>,
+    /// Suspects of these crashes.
+    suspects: HashMap<Suspect, SuspectRecord>,
+    /// When suspects of crashes that are no longer kept were last removed.
+    cleaned_at: Moment,
     /// Calls that back ends answered to this node lately, in the order of their answers.
     calls: VecDeque<AnsweredCall>,
     /// Processes that have not crashed at the time of a crash in this log.
@@ -155,7 +168,8 @@
             self.known.remove(&(oldest.process, oldest.suspects));
         }
         for suspect in &crash.suspects {
-            self.answers.entry(*suspect).or_default();
+            let record = self.suspects.entry(*suspect).or_default();
+            record.last_crash = record.last_crash.max(Some(crash.ended));
         }
         self.crashes.push(KnownCrash {
             crash,
@@ -216,11 +230,9 @@
             return;
         }
         for suspect in suspects {
-            let is_open = self.crashes.iter().any(|known| {
-                known.crash.suspects.contains(suspect)
-                    && !self.is_cleared(*suspect, known.crash.ended)
-            });
-            if is_open {
+            let record = self.suspects.get(suspect);
+            let last_crash = record.and_then(|record| record.last_crash);
+            if last_crash.is_some_and(|ended| !self.is_cleared(*suspect, ended)) {
                 let answer = SuspectAnswer {
                     suspect: *suspect,
                     at: now,
@@ -236,8 +248,8 @@
             at: answer.at,
             value: (),
         };
-        let last = self.answers.entry(answer.suspect).or_default();
-        last.record(answered, observer);
+        let record = self.suspects.entry(answer.suspect).or_default();
+        record.answered.record(answered, observer);
     }
 
     /// Returns whether a request was under way at so many crashes that it is sent only once for each attempt of a
@@ -246,7 +258,7 @@
         let suspect = Suspect::Request(request);
         let crashes = self.crashes.iter().map(|known| &known.crash);
         let open = crashes.filter(|crash| {
-            crash.suspects.contains(&suspect)
+            request_of(&crash.suspects) == Some(request)
                 && !self.is_refuted(crash)
                 && !self.is_cleared(suspect, crash.ended)
         });
@@ -277,15 +289,14 @@
     }
 
     /// Returns the suspects of a crash that have not been answered since.
-    fn open_suspects(&self, crash: &Crash) -> Suspects {
+    fn open_suspects(&self, crash: &Crash) -> impl Iterator<Item = Suspect> {
         let suspects = crash.suspects.iter().copied();
-        suspects
-            .filter(|suspect| !self.is_cleared(*suspect, crash.ended))
-            .collect()
+        suspects.filter(|suspect| !self.is_cleared(*suspect, crash.ended))
     }
 
     fn is_cleared(&self, suspect: Suspect, crashed: Moment) -> bool {
-        let last = self.answers.get(&suspect).and_then(Observed::last);
+        let record = self.suspects.get(&suspect);
+        let last = record.and_then(|record| record.answered.last());
         last.is_some_and(|answered| answered.at >= crashed)
     }
 
@@ -300,12 +311,21 @@
             is_kept
         });
         self.explained.retain(|_, ended| is_recent(*ended));
-        let crashes = &self.crashes;
-        let mut suspects: HashSet<Suspect> = HashSet::new();
-        suspects.extend(crashes.iter().flat_map(|known| &known.crash.suspects));
-        self.answers.retain(|suspect, _| suspects.contains(suspect));
-        let processes: HashSet<ProcessName> = crashes.iter().map(|k| k.crash.process).collect();
+        if now.saturating_sub(self.cleaned_at) >= CLEANING_INTERVAL {
+            self.cleaned_at = now;
+            self.remove_unused_suspects();
+        }
+        let crashes = self.crashes.iter();
+        let processes: HashSet<ProcessName> = crashes.map(|known| known.crash.process).collect();
         self.survivors
             .retain(|process, _| processes.contains(process));
     }
+
+    fn remove_unused_suspects(&mut self) {
+        let crashes = self.crashes.iter();
+        let used: HashSet<Suspect> = crashes
+            .flat_map(|known| known.crash.suspects.iter().copied())
+            .collect();
+        self.suspects.retain(|suspect, _| used.contains(suspect));
+    }
 }
--- a/src/core/gateway/crashes/report.rs
+++ b/src/core/gateway/crashes/report.rs
@@ -39,7 +39,7 @@
         let mut open: Vec<&Crash> = known
             .filter(|known| known.observer <= observer && !known.is_explained)
             .map(|known| &known.crash)
-            .filter(|crash| !self.is_refuted(crash) && !self.open_suspects(crash).is_empty())
+            .filter(|crash| !self.is_refuted(crash) && self.open_suspects(crash).next().is_some())
             .collect();
         let requests = self.crashes.iter();
         let requests = requests.filter_map(|known| request_of(&known.crash.suspects));
@@ -62,10 +62,10 @@
         limit: usize,
         now: Moment,
     ) -> Vec<SuspectAnswer> {
-        let answers = self.answers.iter();
-        let mut answers: Vec<SuspectAnswer> = answers
-            .filter_map(|(suspect, last)| {
-                let at = last.last_of(observer)?.at;
+        let suspects = self.suspects.iter();
+        let mut answers: Vec<SuspectAnswer> = suspects
+            .filter_map(|(suspect, record)| {
+                let at = record.answered.last_of(observer)?.at;
                 Some(SuspectAnswer {
                     suspect: *suspect,
                     at,
--- a/src/ops/gateway/quarantine.rs
+++ b/src/ops/gateway/quarantine.rs
@@ -92,12 +92,19 @@
     }
 }
 
-/// Quarantines the causes of crashes that the known crashes show.
+/// Quarantines the causes of crashes that the known crashes show. The search holds no lock, as each call takes that of
+/// the quarantine.
 fn find_causes(state: &GatewayState) {
-    let wall = state.wall();
-    let mut quarantine = state.quarantine.lock();
-    for cause in quarantine.crashes.take_causes(state.now()) {
-        let is_new = quarantine.add(EntryValue::new(cause.suspects.clone(), wall));
+    loop {
+        let open = state.quarantine.lock().crashes.open_crashes(state.now());
+        let Some(cause) = open.find_cause() else {
+            return;
+        };
+        let value = EntryValue::new(cause.suspects.clone(), state.wall());
+        let mut quarantine = state.quarantine.lock();
+        quarantine.crashes.explain(&cause.suspects);
+        let is_new = quarantine.add(value);
+        drop(quarantine);
         log_cause(state, &cause, is_new);
     }
 }
--- a/tests/testsuite/gateway/quarantine.rs
+++ b/tests/testsuite/gateway/quarantine.rs
@@ -1,7 +1,7 @@
 //! How the cause of crashes is found, and what is quarantined.
 
 use std::collections::{HashMap, HashSet};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use jayhall::core::gateway::cache::PartId;
 use jayhall::core::gateway::crashes::{Crash, CrashLog};
@@ -572,3 +572,117 @@
     assert_eq!(quarantine.store_tasks(0), []);
     assert_eq!(quarantine.check(&suspects, 0), Check::Block);
 }
+
+/// Parts of the longest prompts that a head of 16 kB names, and those of one whose parts are blocks of 16 tokens.
+const PART_COUNTS: [u64; 2] = [4_000, 1_064];
+/// Longest time for which the search for a cause may hold the lock that each call takes: calls have to be answered 0.5 s
+/// after the timeout of their route.
+const MAX_LOCK_TIME: Duration = Duration::from_millis(500);
+/// Longest time of a search, during which the thread for control renews no lease: a third of a lease of 3 s.
+const MAX_SEARCH_TIME: Duration = Duration::from_secs(1);
+
+/// Returns the suspects of a prompt with many parts: all but the last 64 are those of other prompts, too.
+fn long_prompt(parts: u64, number: u64) -> Suspects {
+    let own = (0..64).map(|part| 1_000_000 + 64 * number + part);
+    let shared = 100..100 + parts - 64;
+    let parts = shared.chain(own).map(Suspect::Part);
+    parts.chain([Suspect::Request(number)]).collect()
+}
+
+/// Guards against gateways that answer nothing for seconds after a crash under prompts of many parts, as the search for
+/// its cause compares each part with each other one, while it holds the lock that each call takes (`review/6`).
+#[test]
+fn prompts_of_many_parts_do_not_hold_up_other_calls() {
+    for parts in PART_COUNTS {
+        let mut log = CrashLog::default();
+        // The calls under way at three back ends, which crash one after the other.
+        for number in 0..48 {
+            let process = (number / 16) as u32;
+            let sent = 1_000 + 1_000 * u64::from(process);
+            let crash = crash_under(&long_prompt(parts, number), process, sent, sent + 500);
+            log.record_crash(crash, Observer::Node);
+        }
+        log.record_answer(&of_parts(&[OTHER]), at(3_600));
+        let began = Instant::now();
+        let open = log.open_crashes(at(5_000));
+        let locked = began.elapsed();
+        let cause = open.find_cause().unwrap();
+        let searched = began.elapsed();
+        assert_eq!(cause.suspects.len() as u64, parts - 64, "{parts}");
+        assert!(searched < MAX_SEARCH_TIME, "{parts}: {searched:?}");
+        let began = Instant::now();
+        log.explain(&cause.suspects);
+        let locked = locked + began.elapsed();
+        assert!(locked < MAX_LOCK_TIME, "{parts}: {locked:?}");
+        assert_eq!(log.take_causes(at(5_000)), []);
+    }
+}
+
+/// Guards against the same in the calls themselves: an answer was compared with each part of each crash.
+#[test]
+fn answers_to_prompts_of_many_parts_are_recorded_quickly() {
+    for parts in PART_COUNTS {
+        let mut log = CrashLog::default();
+        for number in 0..48 {
+            let crash = crash_under(&long_prompt(parts, number), 1, 1_000, 1_500);
+            log.record_crash(crash, Observer::Node);
+        }
+        let unrelated: Suspects = (0..parts)
+            .map(|part| Suspect::Part(2_000_000 + part))
+            .collect();
+        let began = Instant::now();
+        log.record_answer(&unrelated, at(1_600));
+        log.record_answer(&long_prompt(parts, 0), at(1_600));
+        let recorded = began.elapsed();
+        assert!(recorded < MAX_LOCK_TIME / 10, "{parts}: {recorded:?}");
+        let answers = log.answers_to_report(Observer::Node, usize::MAX, at(1_700));
+        assert_eq!(answers.len() as u64, parts + 1, "{parts}");
+    }
+}
+
+/// Returns the cause of crashes by comparing each suspect with each crash, as the smallest statement of the rule: the
+/// suspects that the crashes of one suspect have in common, if three processes have crashed under it one after the other.
+/// Prompts have no requests here, and all crashes are settled and recent.
+fn naive_cause(crashes: &[Crash]) -> Option<usize> {
+    let suspects: HashSet<Suspect> = crashes.iter().flat_map(|c| c.suspects.clone()).collect();
+    let sizes = suspects.into_iter().filter_map(|suspect| {
+        let mut under: Vec<&Crash> = crashes
+            .iter()
+            .filter(|crash| crash.suspects.contains(&suspect))
+            .collect();
+        under.sort_by_key(|crash| crash.ended);
+        let processes: HashSet<u32> = under.iter().map(|crash| crash.process).collect();
+        let is_repeated = under.iter().any(|c| c.sent >= under[0].ended + at(700));
+        let common = under[0].suspects.iter();
+        let common = common.filter(|s| under.iter().all(|crash| crash.suspects.contains(s)));
+        (processes.len() >= 3 && is_repeated).then(|| common.count())
+    });
+    sizes.max()
+}
+
+/// Guards against a search that finds other causes than the rule, for the sake of its speed.
+#[test]
+fn the_cause_is_that_of_a_naive_search() {
+    let mut found = 0;
+    for seed in 0..400 {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let crashes: Vec<Crash> = (0..rng.random_range(3..12))
+            .map(|_| {
+                let mut parts: Vec<PartId> = (0..8).filter(|_| rng.random_bool(0.5)).collect();
+                parts.push(100 + rng.random_range(0..1_000));
+                let sent = rng.random_range(1_000..3_000);
+                crash(&parts, rng.random_range(0..6), sent, sent + 200)
+            })
+            .collect();
+        let mut log = CrashLog::default();
+        for crash in &crashes {
+            log.record_crash(crash.clone(), Observer::Node);
+        }
+        log.record_answer(&of_parts(&[OTHER + 5_000]), at(3_600));
+        let cause = log.open_crashes(at(5_000)).find_cause();
+        let size = cause.map(|cause| cause.suspects.len());
+        assert_eq!(size, naive_cause(&crashes), "seed {seed}");
+        found += usize::from(size.is_some());
+    }
+    assert!((50..400).contains(&found), "{found}");
+}
