Gateway: crashes under prompts of many parts fit into a datagram

What went wrong: from some 960 parts on, the eight crashes in a node's report made a datagram of more than the 60 KB that receivers read. All of the report was lost while the crashes were open, the load of back ends included.

Cause: the number of crashes in a report was bounded, and their size was not.

Change: a report holds crashes with 4,096 parts in all, as many as a head of 16,384 bytes can name. If not all crashes fit, reports hold them in turn.

Evidence: crashes_under_prompts_of_many_parts_fit_into_a_datagram failed before (256,224 bytes at 4,000 parts) and passes; 47 tests of crashes, sums and recorded messages pass.

--- a/src/ops/gateway/load_wire.rs
+++ b/src/ops/gateway/load_wire.rs
@@ -20,6 +20,11 @@
 /// Limits on the crashes and on the answered parts in the report of a node.
 const MAX_NODE_CRASHES: usize = 8;
 const MAX_NODE_ANSWERS: usize = 16;
+/// Limit on the parts of prompts in the crashes of a report, which has to fit into a datagram. The head of a call names
+/// no more of them.
+const MAX_REPORTED_PARTS: usize = 4096;
+/// Time after which a report begins with another crash if it cannot hold them all.
+const CRASH_TURN: Duration = Duration::from_millis(200);
 /// Limits on the crashes and on the answered parts in the sums over an availability zone.
 const MAX_ZONE_CRASHES: usize = 48;
 const MAX_ZONE_ANSWERS: usize = 64;
@@ -185,6 +190,23 @@
     pub unread: Vec<u32>,
 }
 
+/// Returns those of the crashes that fit into a report at `now`. If not all do, reports hold them in turn.
+fn fitting_crashes(mut crashes: Vec<&Crash>, now: Moment) -> Vec<&Crash> {
+    crashes.retain(|crash| crash.suspects.len() <= MAX_REPORTED_PARTS);
+    let parts: usize = crashes.iter().map(|crash| crash.suspects.len()).sum();
+    if parts > MAX_REPORTED_PARTS {
+        let turn = now.as_millis() / CRASH_TURN.as_millis();
+        let first = turn % crashes.len() as u128;
+        crashes.rotate_left(first as usize);
+    }
+    let mut parts = 0;
+    let fits = |crash: &&Crash| {
+        parts += crash.suspects.len();
+        parts <= MAX_REPORTED_PARTS
+    };
+    crashes.into_iter().take_while(fits).collect()
+}
+
 impl LoadSumWire {
     /// Sets the crashes of back ends that `observer` or a smaller group of nodes has observed, and the parts of
     /// prompts that it has seen answered since.
@@ -194,8 +216,9 @@
             Observer::Zone | Observer::Fleet => (MAX_ZONE_CRASHES, MAX_ZONE_ANSWERS),
         };
         let age_ms = |at: Moment| as_millis_u64(now.saturating_sub(at));
-        let crashes = log.crashes_to_report(observer, max_crashes).into_iter();
+        let crashes = fitting_crashes(log.crashes_to_report(observer, max_crashes), now);
         self.crashes = crashes
+            .into_iter()
             .map(|crash| CrashWire {
                 parts: parts_of(&crash.suspects).to_vec(),
                 request: request_of(&crash.suspects),
--- a/tests/testsuite/gateway/quarantine.rs
+++ b/tests/testsuite/gateway/quarantine.rs
@@ -640,6 +640,32 @@
     }
 }
 
+/// Guards against reports that other nodes drop because they are larger than a datagram: with them went all that the
+/// node had seen, the load of back ends included.
+#[test]
+fn crashes_under_prompts_of_many_parts_fit_into_a_datagram() {
+    for parts in PART_COUNTS {
+        let mut log = CrashLog::default();
+        for number in 0..8 {
+            let crash = crash_under(&long_prompt(parts, number), 1, 1_000, 1_500);
+            log.record_crash(crash, Observer::Node);
+        }
+        let mut reported = HashSet::new();
+        for ms in (2_000..6_000).step_by(200) {
+            let mut report = LoadSumWire::default();
+            report.set_crashes(&log, Observer::Node, at(ms));
+            assert!(
+                report.encoded_len() < 50 * 1024,
+                "{parts}: {}",
+                report.encoded_len()
+            );
+            assert!(!report.crashes.is_empty(), "{parts}");
+            reported.extend(report.crashes.iter().map(|crash| crash.request));
+        }
+        assert_eq!(reported.len(), 8, "{parts}");
+    }
+}
+
 /// Returns the cause of crashes by comparing each suspect with each crash, as the smallest statement of the rule: the
 /// suspects that the crashes of one suspect have in common, if three processes have crashed under it one after the other.
 /// Prompts have no requests here, and all crashes are settled and recent.
