--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -1,10 +1,13 @@
-//! Benchmarks of the decisions on the request path: queueing, admission, routing and quotas.
+//! Benchmarks of the decisions on the request path (queueing, admission, routing and quotas) and beside it.
 
 use std::hint::black_box;
 use std::time::Duration;
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use jayhall::core::admission::{CustomerLimits, LimitRule};
+use jayhall::core::gateway::crashes::{Crash, CrashLog};
+use jayhall::core::gateway::observed::Observer;
+use jayhall::core::gateway::suspects::Suspect;
 use jayhall::core::queue::{Dequeued, FairQueue, QueueRules, QueuedRequest};
 use jayhall::core::routing::{
     Candidate, Distance, LinkBudget, LinkShares, NEAR_EQUAL_ENGINES, PrefixIndex, PromptBlocks,
@@ -18,6 +21,8 @@
 const ENGINE_COUNTS: [u64; 4] = [10, 100, 1_000, 5_400];
 const CUSTOMERS: u64 = 50;
 const PROMPT_BLOCKS: u64 = 64;
+/// Parts of prompts, up to the most that a head of 16,384 bytes names.
+const PROMPT_PARTS: [u64; 4] = [1, 64, 1_064, 4_096];
 
 fn item(id: u64) -> QueuedRequest {
     QueuedRequest {
@@ -136,12 +141,51 @@
     });
 }
 
+/// Returns the crashes of three back ends, one after the other, with 16 calls each. The prompts have this many parts, of
+/// which up to 64 are in no other prompt.
+fn crashes_under_prompts(parts: u64) -> CrashLog {
+    let own = parts.min(64);
+    let mut log = CrashLog::default();
+    for number in 0..48 {
+        let shared = 0..parts - own;
+        let ids = shared.chain((0..own).map(|id| 1_000_000 + own * number + id));
+        let suspects = ids.map(Suspect::Part);
+        let sent = Moment::from_secs(1 + number / 16);
+        let crash = Crash {
+            suspects: suspects.chain([Suspect::Request(number)]).collect(),
+            process: (number / 16) as u32,
+            sent,
+            ended: sent + Duration::from_millis(500),
+        };
+        log.record_crash(crash, Observer::Node);
+    }
+    log.record_answer(&[Suspect::Part(u64::MAX)], Moment::from_millis(3_600));
+    log
+}
+
+/// Searches for the cause of crashes: under the lock that calls take, and without it.
+fn crash_cause(c: &mut Criterion) {
+    let now = Moment::from_secs(5);
+    let mut group = c.benchmark_group("crash_cause");
+    for parts in PROMPT_PARTS {
+        let mut log = crashes_under_prompts(parts);
+        group.bench_function(BenchmarkId::new("locked", parts), |b| {
+            b.iter(|| black_box(log.open_crashes(now)));
+        });
+        let open = log.open_crashes(now);
+        group.bench_function(BenchmarkId::new("search", parts), |b| {
+            b.iter(|| black_box(open.find_cause()));
+        });
+    }
+    group.finish();
+}
+
 criterion_group! {
     name = benches;
     config = Criterion::default()
         .sample_size(20)
         .warm_up_time(Duration::from_millis(300))
         .measurement_time(Duration::from_millis(700));
-    targets = dispatch, work_ahead, route, limits
+    targets = dispatch, work_ahead, route, limits, crash_cause
 }
 criterion_main!(benches);
