Gateway: a cause of crashes is not hidden by sets of crashes that show none

What went wrong: the limit of 64 sets of crashes, added with the linear search, was applied before it was known which sets show a cause. Calls that were sent again at many crashes of one moment make more sets than that, and larger ones.

Change: all sets are looked at, which is linear; the limit holds for those that show a cause, the most processes first.

--- a/src/core/gateway/crashes/cause.rs
+++ b/src/core/gateway/crashes/cause.rs
@@ -20,8 +20,8 @@
 /// Time after the last of these crashes within which answered prompts of all nodes are known.
 const SETTLING_TIME: Duration = Duration::from_millis(1500);
 
-/// Limit on the sets of crashes that are compared at a time; callers decide how many there are.
-const MAX_CRASH_SETS: usize = 64;
+/// Limit on the sets of crashes whose calls are compared at a time; callers decide how many sets there are.
+const MAX_COMPARED_SETS: usize = 64;
 
 /// Suspects that are taken for the cause of crashes, and why.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -115,10 +115,23 @@
     /// Returns the cause that excludes the fewest calls: a request, unless parts of prompts explain the crashes
     /// under several others as well.
     ///
-    /// Its time grows with the number of all suspects, and with [`MAX_CRASH_SETS`] times those of one call.
+    /// Its time is linear in the number of all suspects: each set of crashes is looked at once, and the calls of up to
+    /// [`MAX_COMPARED_SETS`] sets are compared, those with the most processes first.
     pub fn find_cause(&self) -> Option<CrashCause> {
-        let sets = self.crash_sets();
-        let causes = sets.iter().filter_map(|set| self.cause_of(set));
+        let sets = self.crash_sets().into_iter();
+        let mut shown: Vec<(usize, CrashSet)> = sets
+            .filter_map(|set| Some((self.processes_of_cause(&set)?, set)))
+            .collect();
+        shown.sort_unstable_by(|a, b| b.cmp(a));
+        shown.truncate(MAX_COMPARED_SETS);
+        let causes = shown.iter().filter_map(|(processes, set)| {
+            Some(CrashCause {
+                suspects: self.common_suspects(set),
+                processes: *processes,
+                first: self.crashes[*set.first()?].ended,
+                last: self.crashes[*set.last()?].ended,
+            })
+        });
         let (requests, parts): (Vec<CrashCause>, Vec<CrashCause>) =
             causes.partition(|cause| request_of(&cause.suspects).is_some());
         let request = requests.into_iter().max_by_key(|cause| cause.processes);
@@ -135,9 +148,8 @@
         }
     }
 
-    /// Returns the sets of crashes at which a suspect was under way, up to [`MAX_CRASH_SETS`], those with the most
-    /// crashes first. Suspects with the same set have the same cause.
-    fn crash_sets(&self) -> Vec<CrashSet> {
+    /// Returns the sets of crashes at which a suspect was under way. Suspects with the same set have the same cause.
+    fn crash_sets(&self) -> HashSet<CrashSet> {
         let mut by_suspect: HashMap<Suspect, CrashSet> = HashMap::new();
         for (index, crash) in self.crashes.iter().enumerate() {
             for suspect in &crash.suspects {
@@ -145,15 +157,12 @@
             }
         }
         let sets = by_suspect.into_values();
-        let sets: HashSet<CrashSet> = sets.filter(|set| set.len() >= MIN_PROCESSES).collect();
-        let mut sets: Vec<CrashSet> = sets.into_iter().collect();
-        sets.sort_unstable_by(|a, b| b.len().cmp(&a.len()).then_with(|| a.cmp(b)));
-        sets.truncate(MAX_CRASH_SETS);
-        sets
+        sets.filter(|set| set.len() >= MIN_PROCESSES).collect()
     }
 
-    /// Returns the suspects that a set of crashes has in common, if the crashes show that these are the cause.
-    fn cause_of(&self, set: &CrashSet) -> Option<CrashCause> {
+    /// Returns the number of processes that crashed, if a set of crashes shows that what their calls have in common is
+    /// the cause.
+    fn processes_of_cause(&self, set: &CrashSet) -> Option<usize> {
         let crashes = || set.iter().map(|index| &self.crashes[*index]);
         let first = crashes().next()?;
         let last = crashes().next_back()?;
@@ -178,14 +187,10 @@
             && others_are_answered
             && is_recent(last.ended, self.at)
             && is_unexplained;
-        is_shown.then(|| CrashCause {
-            suspects: self.common_suspects(set),
-            processes: processes.len(),
-            first: first.ended,
-            last: last.ended,
-        })
+        is_shown.then_some(processes.len())
     }
 
+    /// Returns the suspects that all calls of a set of crashes have.
     fn common_suspects(&self, set: &CrashSet) -> Suspects {
         let mut crashes = set.iter().map(|index| &self.crashes[*index].suspects);
         let mut common = crashes.next().cloned().unwrap_or_default();
