Gateway: suspects of crashes are looked through only when some are unused

The removal of unused suspects built a set of all suspects under the lock every 2 s, whether or not a crash had been dropped since. It is done only after one was, or after an answer of a suspect of no crash.

--- a/src/core/gateway/crashes/mod.rs
+++ b/src/core/gateway/crashes/mod.rs
@@ -132,7 +132,9 @@
     known: HashSet<(ProcessName, Suspects)>,
     /// Suspects of these crashes.
     suspects: HashMap<Suspect, SuspectRecord>,
-    /// When suspects of crashes that are no longer kept were last removed.
+    /// Whether some of these suspects may be of crashes that are no longer kept.
+    has_unused_suspects: bool,
+    /// When such suspects were last removed.
     cleaned_at: Moment,
     /// Calls that back ends answered to this node lately, in the order of their answers.
     calls: VecDeque<AnsweredCall>,
@@ -166,6 +168,7 @@
         if self.crashes.len() >= MAX_CRASHES {
             let oldest = self.crashes.remove(0).crash;
             self.known.remove(&(oldest.process, oldest.suspects));
+            self.has_unused_suspects = true;
         }
         for suspect in &crash.suspects {
             let record = self.suspects.entry(*suspect).or_default();
@@ -215,6 +218,7 @@
                 && crash.ended > known.crash.ended
                 && self.is_refuted(&known.crash)
         });
+        // The new crash has the same suspects.
         refuted.map(|at| self.crashes.remove(at)).is_some()
     }
 
@@ -250,6 +254,7 @@
         };
         let record = self.suspects.entry(answer.suspect).or_default();
         record.answered.record(answered, observer);
+        self.has_unused_suspects |= record.last_crash.is_none();
     }
 
     /// Returns whether a request was under way at so many crashes that it is sent only once for each attempt of a
@@ -277,6 +282,7 @@
                 known.is_explained = is_of_request;
             }
         }
+        self.has_unused_suspects = true;
         let (explained, known_crashes) = (&self.explained, &mut self.known);
         self.crashes.retain(|known| {
             let crash = &known.crash;
@@ -302,16 +308,19 @@
 
     fn expire(&mut self, now: Moment) {
         let is_recent = |at: Moment| now.saturating_sub(at) <= RETENTION;
-        let known = &mut self.known;
+        let (known, has_unused) = (&mut self.known, &mut self.has_unused_suspects);
         self.crashes.retain(|KnownCrash { crash, .. }| {
             let is_kept = is_recent(crash.ended);
             if !is_kept {
                 known.remove(&(crash.process, crash.suspects.clone()));
+                *has_unused = true;
             }
             is_kept
         });
         self.explained.retain(|_, ended| is_recent(*ended));
-        if now.saturating_sub(self.cleaned_at) >= CLEANING_INTERVAL {
+        let is_due = now.saturating_sub(self.cleaned_at) >= CLEANING_INTERVAL;
+        if self.has_unused_suspects && is_due {
+            self.has_unused_suspects = false;
             self.cleaned_at = now;
             self.remove_unused_suspects();
         }
