Gateway: an answer during the search for the cause of crashes refutes it

Change: the cause is confirmed under the lock; if a suspect of it was answered meanwhile, the search begins anew.

--- a/src/core/gateway/crashes/mod.rs
+++ b/src/core/gateway/crashes/mod.rs
@@ -271,6 +271,17 @@
         processes.len() >= MIN_PROCESSES_FOR_CAUTION
     }
 
+    /// Records a cause that was found, unless one of its suspects was answered while the search ran without a lock on
+    /// the log. Returns whether it was recorded.
+    pub fn confirm(&mut self, cause: &CrashCause) -> bool {
+        let mut suspects = cause.suspects.iter();
+        let holds = !suspects.any(|suspect| self.is_cleared(*suspect, cause.first));
+        if holds {
+            self.explain(&cause.suspects);
+        }
+        holds
+    }
+
     /// Records the cause of the crashes of processes that crashed under calls with all of these suspects. Other
     /// calls that were under way at these crashes are not suspected any more.
     pub fn explain(&mut self, suspects: &[Suspect]) {
--- a/src/ops/gateway/quarantine.rs
+++ b/src/ops/gateway/quarantine.rs
@@ -102,7 +102,9 @@
         };
         let value = EntryValue::new(cause.suspects.clone(), state.wall());
         let mut quarantine = state.quarantine.lock();
-        quarantine.crashes.explain(&cause.suspects);
+        if !quarantine.crashes.confirm(&cause) {
+            continue;
+        }
         let is_new = quarantine.add(value);
         drop(quarantine);
         log_cause(state, &cause, is_new);
--- a/tests/testsuite/gateway/quarantine.rs
+++ b/tests/testsuite/gateway/quarantine.rs
@@ -697,6 +697,25 @@
     assert_eq!(&*cause.suspects, [CRASHING_REQUEST]);
 }
 
+/// Guards against sound calls that are quarantined because one of them was answered while the search for the cause ran,
+/// which holds no lock.
+#[test]
+fn an_answer_during_the_search_refutes_the_cause() {
+    for answered in [SHARED, CRASHING] {
+        let mut log = log_of_three_crashes(&[SHARED, CRASHING]);
+        let cause = log.open_crashes(at(5_000)).find_cause().unwrap();
+        log.record_answer(&of_parts(&[answered]), at(5_000));
+        assert!(!log.confirm(&cause));
+        let left = SHARED + CRASHING - answered;
+        assert_eq!(causes(&mut log, 5_000), [[left]]);
+        assert_eq!(causes(&mut log, 5_000), Vec::<Vec<PartId>>::new());
+    }
+    let mut log = log_of_three_crashes(&[SHARED, CRASHING]);
+    let cause = log.open_crashes(at(5_000)).find_cause().unwrap();
+    log.record_answer(&of_parts(&[OTHER]), at(5_000));
+    assert!(log.confirm(&cause));
+}
+
 /// Returns the cause of crashes by comparing each suspect with each crash, as the smallest statement of the rule: the
 /// suspects that the crashes of one suspect have in common, if three processes have crashed under it one after the other.
 /// Prompts have no requests here, and all crashes are settled and recent.
