Gateway: one function ends an attempt whose response cannot be used

read_whole built the error by hand beside unusable(), which does so in receive; the outcome is an argument now.

--- a/src/ops/gateway/forward.rs
+++ b/src/ops/gateway/forward.rs
@@ -188,7 +188,8 @@
 ///
 /// # Errors
 ///
-/// Fails if no back end can be tried, or if there is no usable response.
+/// Fails if no back end can be tried, if there is no usable response, or if the back end declines the call or fails with a
+/// status that callers would misread.
 pub async fn try_backend(
     cx: &Arc<GatewayContext>,
     call: &Call,
--- a/src/ops/gateway/response.rs
+++ b/src/ops/gateway/response.rs
@@ -53,14 +53,15 @@
     let (parts, body) = res.into_parts();
     let status = parts.status.as_u16();
     if !ANSWER_STATUSES.contains(&status) {
-        return Err(unusable(running, "its status is none of an answer"));
+        let problem = "its status is none of an answer";
+        return Err(unusable(running, Outcome::Unreachable, problem));
     }
     let head = cx.state.dialect.response_head(status, &parts.headers);
     if !running.is_forwarded() {
         apply_backend_hints(cx, &running, &head);
     }
     if let Some(problem) = find_problem(call, &connection, parts.status, &head) {
-        return Err(unusable(running, problem));
+        return Err(unusable(running, Outcome::Unreachable, problem));
     }
     check_run_statement(&mut running, parts.status, head.run_statement)?;
     Ok(BackendResponse {
@@ -96,8 +97,8 @@
 }
 
 /// Ends an attempt whose response cannot be used.
-fn unusable(mut running: RunningAttempt, problem: &'static str) -> AttemptError {
-    running.set_outcome(Outcome::Unreachable);
+fn unusable(mut running: RunningAttempt, outcome: Outcome, problem: &'static str) -> AttemptError {
+    running.set_outcome(outcome);
     AttemptError::Unusable {
         backend: running.backend().into(),
         problem,
@@ -203,11 +204,7 @@
                 ReadError::TooLarge { .. } => (Outcome::BrokeOff, "it is too large"),
                 ReadError::Incomplete(_) => (Outcome::BrokeOff, "it broke off"),
             };
-            running.set_outcome(outcome);
-            return Err(AttemptError::Unusable {
-                backend: running.backend().into(),
-                problem,
-            });
+            return Err(unusable(running, outcome, problem));
         }
     };
     let head_after = running.age().saturating_sub(started.elapsed());
