Gateway: the loop over causes of crashes stands once

CrashLog::take_causes repeated the loop of ops::gateway::quarantine::find_causes, and only tests called it since the search runs without the lock.

--- a/src/core/gateway/crashes/cause.rs
+++ b/src/core/gateway/crashes/cause.rs
@@ -61,19 +61,9 @@
 }
 
 impl CrashLog {
-    /// Returns the suspects that are taken for the cause of crashes. The crashes that they explain are not
-    /// considered again, except that other crashes under the parts of a request's prompt may show a wider
-    /// cause.
-    pub fn take_causes(&mut self, now: Moment) -> Vec<CrashCause> {
-        let mut causes = Vec::new();
-        while let Some(cause) = self.open_crashes(now).find_cause() {
-            self.explain(&cause.suspects);
-            causes.push(cause);
-        }
-        causes
-    }
-
-    /// Returns the crashes that may have a cause which is not known yet: none if the last one is long ago.
+    /// Returns the crashes that may have a cause which is not known yet: none if the last one is long ago. Those that a
+    /// cause explains are not considered again, except that other crashes under the parts of a request's prompt may
+    /// show a wider cause.
     pub fn open_crashes(&mut self, now: Moment) -> OpenCrashes {
         self.expire(now);
         let is_recent = |known: &KnownCrash| is_recent(known.crash.ended, now);
--- a/tests/testsuite/gateway/quarantine.rs
+++ b/tests/testsuite/gateway/quarantine.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use jayhall::core::gateway::cache::PartId;
-use jayhall::core::gateway::crashes::{Crash, CrashLog};
+use jayhall::core::gateway::crashes::{Crash, CrashCause, CrashLog};
 use jayhall::core::gateway::observed::Observer;
 use jayhall::core::gateway::quarantine::{Check, EntryValue, Quarantine, StoreTask};
 use jayhall::core::gateway::suspects::{Suspect, Suspects, parts_of};
@@ -55,8 +55,18 @@
     log
 }
 
+/// Searches for causes until there are no more, as the gateway does.
+fn take_causes(log: &mut CrashLog, now: Duration) -> Vec<CrashCause> {
+    let mut causes = Vec::new();
+    while let Some(cause) = log.open_crashes(now).find_cause() {
+        assert!(log.confirm(&cause));
+        causes.push(cause);
+    }
+    causes
+}
+
 fn causes(log: &mut CrashLog, ms: u64) -> Vec<Vec<PartId>> {
-    let causes = log.take_causes(at(ms));
+    let causes = take_causes(log, at(ms));
     causes
         .iter()
         .map(|cause| parts_of(&cause.suspects).to_vec())
@@ -364,7 +374,7 @@
             }
             if ms % 200 == 0 {
                 for node in &mut self.nodes {
-                    for cause in node.crashes.take_causes(at(ms)) {
+                    for cause in take_causes(&mut node.crashes, at(ms)) {
                         node.add(EntryValue::new(cause.suspects, ms));
                     }
                 }
@@ -531,7 +541,7 @@
     // A sound prompt with this part is under way at a crash for another reason.
     let other = [Suspect::Part(SHARED), Suspect::Request(6)];
     log.record_crash(crash_under(&other, 9, 3_000, 3_300), Observer::Node);
-    let causes = log.take_causes(at(5_100));
+    let causes = take_causes(&mut log, at(5_100));
     assert_eq!(causes.len(), 1);
     assert_eq!(&*causes[0].suspects, suspects);
 }
@@ -542,7 +552,7 @@
     assert!(!log.demands_caution(5));
     record_crashes(&mut log, &[CRASHING_REQUEST], 0, 3);
     assert!(log.demands_caution(5));
-    let causes = log.take_causes(at(5_100));
+    let causes = take_causes(&mut log, at(5_100));
     assert_eq!(&*causes[0].suspects, [CRASHING_REQUEST]);
 }
 
@@ -551,11 +561,11 @@
     let request = |number| [Suspect::Part(CRASHING), Suspect::Request(number)];
     let mut log = CrashLog::default();
     record_crashes(&mut log, &request(5), 0, 3);
-    assert_eq!(&*log.take_causes(at(5_100))[0].suspects, request(5));
+    assert_eq!(&*take_causes(&mut log, at(5_100))[0].suspects, request(5));
     record_crashes(&mut log, &request(6), 4, 1);
-    assert_eq!(log.take_causes(at(7_500)), []);
+    assert_eq!(take_causes(&mut log, at(7_500)), []);
     record_crashes(&mut log, &request(7), 5, 1);
-    let causes = log.take_causes(at(8_100));
+    let causes = take_causes(&mut log, at(8_100));
     assert_eq!(causes.len(), 1, "{causes:?}");
     assert_eq!(causes[0].suspects, of_parts(&[CRASHING]));
 }
@@ -620,7 +630,7 @@
         log.explain(&cause.suspects);
         let locked = locked + processor_time() - began;
         assert!(locked < MAX_LOCK_TIME, "{parts}: {locked:?}");
-        assert_eq!(log.take_causes(at(5_000)), []);
+        assert_eq!(take_causes(&mut log, at(5_000)), []);
     }
 }
 
