Tests: forwarded calls, declines and pairs of back ends that behave alike stand once

run_statements and early_answers built the call of another node each by themselves; the fixture does so now, with the headers that it gives any caller. Declines of the fixture's back ends come from one function. run_statements sends a call to two back ends alike in one place.

--- a/tests/testsuite/gateway/early_answers.rs
+++ b/tests/testsuite/gateway/early_answers.rs
@@ -157,16 +157,11 @@
     with_deadline(call, DEADLINE_MS)
 }
 
-/// Sends a call to the control listener, as another node forwards it.
 fn forwarded(fixture: &Fixture, node: &Node, path: &str) -> reqwest::RequestBuilder {
-    let control = node.settings.listen.control;
-    let call = fixture.client.post(format!("http://{control}{path}"));
-    call.header("host", "h.example")
-        .header("authorization", "Bearer k1")
-        .header("x-jayhall-attempt-id", "f1")
-        .header("x-jayhall-deadline-ms", DEADLINE_MS)
-        .header("jayhall-max-sends", "2")
-        .body(vec![b'u'; UPLOAD_BYTES])
+    let call = fixture
+        .forwarded_call(node, path)
+        .body(vec![b'u'; UPLOAD_BYTES]);
+    with_deadline(call, DEADLINE_MS)
 }
 
 const BREAKS: [Ending; 4] = [
--- a/tests/testsuite/gateway/fixture.rs
+++ b/tests/testsuite/gateway/fixture.rs
@@ -370,11 +370,10 @@
         && slot.others >= *room
     {
         rejected.lock().push(Instant::now());
-        let res = Response::builder()
-            .status(503)
-            .header("x-jayhall-not-executed", "1")
-            .header("server-brittle", bearable.to_string());
-        return Ok(res.body(full_body("")).unwrap());
+        let mut res = decline(503);
+        res.headers_mut()
+            .insert("server-brittle", (*bearable).into());
+        return Ok(res);
     }
     if !matches!(
         behaviour,
@@ -435,11 +434,10 @@
         }
         Behaviour::DeclineFor(seconds) => {
             *declined_with_delay.lock() += 1;
-            let res = Response::builder()
-                .status(503)
-                .header("retry-after", seconds.to_string())
-                .header("x-jayhall-not-executed", "1");
-            return Ok(res.body(full_body("")).unwrap());
+            let delay = seconds.to_string().parse().unwrap();
+            let mut res = decline(503);
+            res.headers_mut().insert("retry-after", delay);
+            return Ok(res);
         }
         Behaviour::Decline => return Ok(decline(503)),
         Behaviour::DeclineAs(status) => return Ok(decline(status)),
@@ -762,13 +760,23 @@
     }
 
     pub(super) fn call(&self, node: &Node, path: &str, attempt: &str) -> reqwest::RequestBuilder {
-        self.client
-            .post(node.url(path))
-            .header("host", "h.example")
-            .header("authorization", "Bearer k1")
-            .header("x-jayhall-attempt-id", attempt)
-            .header("x-jayhall-deadline-ms", "1400")
+        headed(self.client.post(node.url(path)), attempt)
     }
+
+    /// Returns a call to the control listener, as another node forwards it.
+    pub(super) fn forwarded_call(&self, node: &Node, path: &str) -> reqwest::RequestBuilder {
+        let control = node.settings.listen.control;
+        let call = self.client.post(format!("http://{control}{path}"));
+        headed(call, "f1").header("jayhall-max-sends", "2")
+    }
+}
+
+/// Adds the headers of a caller.
+fn headed(call: reqwest::RequestBuilder, attempt: &str) -> reqwest::RequestBuilder {
+    call.header("host", "h.example")
+        .header("authorization", "Bearer k1")
+        .header("x-jayhall-attempt-id", attempt)
+        .header("x-jayhall-deadline-ms", "1400")
 }
 
 /// Returns a call with an attempt id of its own.
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -18,6 +18,7 @@
 mod gateway_process;
 mod late_calls;
 mod listed_process;
+mod long_prompts;
 mod odd_entries;
 mod placement;
 mod platform_store;
--- a/tests/testsuite/gateway/run_statements.rs
+++ b/tests/testsuite/gateway/run_statements.rs
@@ -5,9 +5,7 @@
 
 use std::time::Duration;
 
-use super::fixture::{
-    Behaviour, Fixture, Node, fixture_with_node, header_value, numbered_call, total_runs,
-};
+use super::fixture::{Behaviour, fixture_with_node, header_value, numbered_call, total_runs};
 
 /// Statuses that callers read as "not run".
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
@@ -70,15 +68,12 @@
     }
 }
 
-/// Sends a call to the control listener, as another node forwards it.
-fn forwarded(fixture: &Fixture, node: &Node, path: &str) -> reqwest::RequestBuilder {
-    let control = node.settings.listen.control;
-    let call = fixture.client.post(format!("http://{control}{path}"));
-    call.header("host", "h.example")
-        .header("authorization", "Bearer k1")
-        .header("x-jayhall-attempt-id", "f1")
-        .header("x-jayhall-deadline-ms", "1400")
-        .header("jayhall-max-sends", "2")
+/// Returns what the caller of a route receives if both back ends behave alike, and how often these have run the call.
+async fn received_from_two(route: &Route, behaviour: Behaviour) -> (Received, usize) {
+    let both = [behaviour.clone(), behaviour];
+    let (fixture, node, backends) = fixture_with_node(route.service, &both).await;
+    let received = Received::from(numbered_call(&fixture, &node, route.path)).await;
+    (received, total_runs(&backends))
 }
 
 /// Guards against an order that is applied twice: a back end runs it and fails with a status that callers read as "not
@@ -88,16 +83,11 @@
     for status in NOT_RUN_STATUSES {
         for route in &ROUTES {
             let cx = format!("{status} {}", route.path);
-            let both = [
-                Behaviour::Answer(status, "failed"),
-                Behaviour::Answer(status, "failed"),
-            ];
-            let (fixture, node, backends) = fixture_with_node(route.service, &both).await;
-            let received = Received::from(numbered_call(&fixture, &node, route.path)).await;
+            let (received, runs) =
+                received_from_two(route, Behaviour::Answer(status, "failed")).await;
             received.assert_may_have_run(&cx);
             assert_eq!(received.retry_after, None, "{cx}");
-            let runs = if route.may_repeat { 2 } else { 1 };
-            assert_eq!(total_runs(&backends), runs, "{cx}");
+            assert_eq!(runs, if route.may_repeat { 2 } else { 1 }, "{cx}");
         }
     }
 }
@@ -110,7 +100,8 @@
             let cx = format!("{status} {}", route.path);
             let one = [Behaviour::Answer(status, "failed")];
             let (fixture, node, _backends) = fixture_with_node(route.service, &one).await;
-            let res = forwarded(&fixture, &node, route.path).send().await.unwrap();
+            let res = fixture.forwarded_call(&node, route.path).send();
+            let res = res.await.unwrap();
             let verdict = header_value(&res, "jayhall-verdict");
             assert_eq!(verdict.as_deref(), Some("may_have_run"), "{cx}: {res:?}");
             assert_eq!(res.status(), 502, "{cx}: {res:?}");
@@ -188,13 +179,11 @@
     for status in [400, 408, 421, 429, 500, 503] {
         for route in &ROUTES {
             let cx = format!("{status} {}", route.path);
-            let both = [Behaviour::DeclineAs(status), Behaviour::DeclineAs(status)];
-            let (fixture, node, backends) = fixture_with_node(route.service, &both).await;
-            let received = Received::from(numbered_call(&fixture, &node, route.path)).await;
+            let (received, runs) = received_from_two(route, Behaviour::DeclineAs(status)).await;
             assert_eq!(received.status, 503, "{cx}: {received:?}");
             assert!(received.body.contains("not_run"), "{cx}: {received:?}");
             assert!(received.retry_after.is_some(), "{cx}: {received:?}");
-            assert_eq!(total_runs(&backends), 0, "{cx}");
+            assert_eq!(runs, 0, "{cx}");
         }
     }
 }
@@ -205,12 +194,7 @@
     for status in [302, 400, 404, 409, 413, 422, 431, 500, 502, 504] {
         for route in &ROUTES {
             let cx = format!("{status} {}", route.path);
-            let both = [
-                Behaviour::Answer(status, "failed"),
-                Behaviour::Answer(status, "failed"),
-            ];
-            let (fixture, node, _backends) = fixture_with_node(route.service, &both).await;
-            let received = Received::from(numbered_call(&fixture, &node, route.path)).await;
+            let (received, _) = received_from_two(route, Behaviour::Answer(status, "failed")).await;
             assert_eq!(received.status, status, "{cx}: {received:?}");
             assert!(received.is_signed, "{cx}: {received:?}");
             assert_eq!(received.body, "failed", "{cx}");
