--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,8 +1,10 @@
-"""The store comes back from an older copy while all gateways are killed; is a usage window reported twice?"""
+"""The store comes back from an older copy while the gateways are restarted as planned, one after the other; is a usage
+window reported twice?"""
 
 import asyncio
 import json
 import pathlib
+import signal
 import sys
 import time
 
@@ -12,9 +14,13 @@
 import harness as h  # noqa: E402
 
 WINDOW_S = 5.0
-# Time from a report until the drill begins, for which the store is away, and the age of the copy beyond the report.
-DRILL_AFTER_S = 1.0
+# Time from a report, when the gateways begin to be restarted, until the drill begins, for which the store is away, and
+# the age of the copy beyond the report.
+DRILL_AFTER_S = 1.5
 AWAY_S = 1.0
+# Time between two stops, and from SIGTERM to SIGKILL.
+GAP_S = 1.0
+GRACE_S = 8.0
 COPY_BEFORE_REPORT_S = 1.0
 # Time for which the fleet is watched afterwards.
 WATCH_S = 30.0
@@ -43,20 +49,40 @@
     raise h.CannotRun("no report of usage")
 
 
+async def roll(world, node):
+    """Stops a gateway as planned, and starts it again."""
+    node.signal(signal.SIGTERM)
+    process, began = node.process, time.monotonic()
+    while process.poll() is None and time.monotonic() - began < GRACE_S:
+        await asyncio.sleep(0.02)
+    if process.poll() is None:
+        node.signal(signal.SIGKILL)
+    process.wait()
+    world.record.write(node.name, f"ended {time.monotonic() - began:.2f} s after SIGTERM")
+    node.process = None
+    await asyncio.sleep(0.3)
+    node.start()
+
+
+async def roll_all(world):
+    world.record.write("planned work: the gateways are stopped and started, one each", GAP_S, "s")
+    rolls = []
+    for node in world.nodes:
+        rolls.append(asyncio.create_task(roll(world, node)))
+        await asyncio.sleep(GAP_S)
+    await asyncio.gather(*rolls)
+
+
 async def drill(world, report):
     await asyncio.sleep(DRILL_AFTER_S)
-    world.record.write("trouble: the store is away, and all gateways lose power")
+    world.record.write("trouble: the store is away")
     world.store.is_away = True
-    for node in world.nodes:
-        node.kill()
     await asyncio.sleep(AWAY_S)
     world.store.restore(time.monotonic() - report[0] + COPY_BEFORE_REPORT_S)
     world.store.is_away = False
     world.write_config()
     for backend in world.backends:
         backend.beat()
-    for node in world.nodes:
-        node.start()
 
 
 def check(world):
@@ -80,8 +106,10 @@
         # A window that began with calls, so that all of its calls are counted.
         report = await wait_for_report(world, time.monotonic() + WINDOW_S, 40)
         world.record.write("window", report[1], "was reported by", report[3])
+        work = [roll_all(world)]
         if trouble:
-            await drill(world, report)
+            work.append(drill(world, report))
+        await asyncio.gather(*work)
         await asyncio.sleep(WATCH_S)
         calls.cancel()
         world.record.write("answers:", dict(world.results))
