--- a/review/11/case.py
+++ b/review/11/case.py
@@ -149,9 +149,8 @@
         self.start()
 
 
-async def new_streams(world, nodes, clients):
+async def new_streams(world, nodes, clients, tasks):
     """Clients begin new streams at gateways that are in touch."""
-    tasks = []
     number = 0
     while True:
         await asyncio.sleep(1 / NEW_PER_S)
@@ -182,8 +181,8 @@
         for node in restarted:
             restarts.append(asyncio.create_task(node.restart_as_planned()))
             await asyncio.sleep(GAP_S)
-        new = []
-        beginnings = asyncio.create_task(new_streams(world, others, new))
+        new, tasks = [], []
+        beginnings = asyncio.create_task(new_streams(world, others, new, tasks))
         await asyncio.gather(*restarts, *streams)
         beginnings.cancel()
         await asyncio.sleep(1)
@@ -192,6 +191,9 @@
         begun = sum(bool(client.ids) for client in new)
         world.record.write(f"taken up again at gateways in touch: {len(taken_up)}, of which {went_on} went on;",
                            f"new at gateways in touch: {len(new)}, of which {begun} began")
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         if len(taken_up) < 12:
             return True
         return went_on / len(taken_up) >= 0.5 * begun / max(len(new), 1)
