Duties: a holder decides only on windows that cannot have been decided before

Cause: the counts of a window are decided by a write on the condition that the store has none. A restore undoes the write, and a process that knows nothing of the window takes the missing key for an undecided window. Nodes that know the counts write them again only while they serve; here all of them were leaving.

Change: core/gateway/absence.rs says what a missing record shows. A holder decides on a window only if it ended after the store's era began, and on the condition that the store still has its claim; else it reports what the store has, or nothing. Nodes that leave write lost counts again, too. A log line names the ages from which the holder concludes.

--- /dev/null
+++ b/src/core/gateway/absence.rs
@@ -0,0 +1,34 @@
+//! What a node may conclude from a record that it does not find.
+//!
+//! A record may be missing because nobody wrote it, or because it was lost: the store came back from an older copy, or
+//! the processes that kept it in memory have ended. Its absence shows that nobody wrote it only if the place where it
+//! was sought has lost nothing since the record may have been written first.
+
+use super::store_contact::StoreContact;
+use crate::core::time::Moment;
+use crate::sources::store::Era;
+
+/// What the absence of a record shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Absence {
+    /// Nobody wrote the record.
+    NeverWritten,
+    /// The record may have been written and lost.
+    MaybeLost,
+}
+
+impl Absence {
+    /// Returns what it shows that a place lacks a record which was written at `earliest` or later, if it was. The place
+    /// has lost nothing since `complete_since`; `None` if that is not known.
+    fn new(complete_since: Option<Moment>, earliest: Moment) -> Self {
+        match complete_since.is_some_and(|since| since <= earliest) {
+            true => Self::NeverWritten,
+            false => Self::MaybeLost,
+        }
+    }
+
+    /// Returns what it shows that the store lacks a record in `era`. The store loses nothing within an era.
+    pub fn in_store(contact: &StoreContact, era: Era, earliest: Moment) -> Self {
+        Self::new(contact.era_began_at(era), earliest)
+    }
+}
--- a/src/core/gateway/mod.rs
+++ b/src/core/gateway/mod.rs
@@ -3,6 +3,7 @@
 //! The gateway routes calls by host and path prefix to the back ends listed in a registry. The code here
 //! depends only on its state, the event and the time passed in; [`crate::ops::gateway`] does the I/O.
 
+pub mod absence;
 pub mod backends;
 pub mod brittle;
 pub mod cache;
--- a/src/core/gateway/store_contact.rs
+++ b/src/core/gateway/store_contact.rs
@@ -106,10 +106,17 @@
         }
     }
 
+    /// Returns when an era began at the latest, as far as known: at the store's first answer in it to any node. Returns
+    /// `None` if it is not the last known one.
+    pub fn era_began_at(&self, era: Era) -> Option<Moment> {
+        let known = self.era.filter(|known| known.era == era)?;
+        Some(known.began_at)
+    }
+
     /// Returns the time since an era began, for other nodes; `None` if it is not the last known one.
     pub fn era_age(&self, era: Era, now: Moment) -> Option<Duration> {
-        let known = self.era.filter(|known| known.era == era)?;
-        Some(now.saturating_sub(known.began_at))
+        let began_at = self.era_began_at(era)?;
+        Some(now.saturating_sub(began_at))
     }
 
     /// Returns the time for which this node's view has not been confirmed, or `None` if it never was.
--- a/src/ops/gateway/decided_counts.rs
+++ b/src/ops/gateway/decided_counts.rs
@@ -2,7 +2,9 @@
 //!
 //! Holders may change before all have seen a report, so the counts of a window are written to the store first.
 //! A store that comes back from an older copy lacks the last ones. Each node keeps those that any holder may still
-//! report, and writes them again, so that no holder decides differently.
+//! report, and writes them again, also while it leaves. If nobody is left who knows them, no holder can tell whether a
+//! window was decided and reported before. So a holder decides only on windows that cannot have been decided before the
+//! store's era began; a window that is not reported costs less than one that is reported twice.
 
 use std::collections::BTreeMap;
 use std::ops::Range;
@@ -12,11 +14,13 @@
 use super::duties::{FOLLOWER_CLAIM_DELAY, MAX_CLAIM_JITTER};
 use super::keys;
 use super::relay;
-use super::state::GatewayState;
+use super::state::{GatewayState, Phase};
+use crate::core::gateway::absence::Absence;
 use crate::core::gateway::usage::{Counts, Window};
 use crate::core::time::Moment;
 use crate::sources::store::{
-    Era, KeyRange, Op, RangeRequest, Result, Revision, Store, StoreError, Transaction,
+    Compare, Condition, Era, KeyRange, Op, RangeRequest, Result, Revision, Store, StoreError,
+    Transaction,
 };
 use crate::util::time::as_millis_u64;
 
@@ -115,7 +119,9 @@
             return Ok(());
         }
         let lost_for = now.saturating_sub(*self.lost_since.get_or_insert(now));
-        if relay::is_follower(&self.state) && lost_for < FOLLOWER_CLAIM_DELAY {
+        // What a node that leaves knows goes with it.
+        let may_wait = self.state.phase() == Phase::Serving && relay::is_follower(&self.state);
+        if may_wait && lost_for < FOLLOWER_CLAIM_DELAY {
             return Ok(());
         }
         tokio::time::sleep(MAX_CLAIM_JITTER.mul_f64(rand::random())).await;
@@ -149,40 +155,70 @@
         Ok(())
     }
 
-    /// Returns the decided counts of a window. If the store has none, the counts that this node knows
-    /// are written there first. Returns `None` if the decided counts cannot be decoded or have been
-    /// removed meanwhile.
-    pub async fn decide(&self, window: Window) -> Result<Option<Counts>> {
+    /// Returns the decided counts of a window to the holder whose claim to the duties is at the revision `claim`. If
+    /// the store has none, those that this node knows are written there first: the ones that the store has lost, or else
+    /// the total of this node's counts.
+    ///
+    /// Returns `None` if the decided counts are not known: they cannot be decoded, have been removed meanwhile, or may
+    /// have been lost; or the store no longer has the claim.
+    pub async fn decide(&self, window: Window, claim: Revision) -> Result<Option<Counts>> {
         let key = keys::usage(window);
         let counts = match self.known_counts(&key) {
             KnownCounts::InStore(counts) => return Ok(counts),
             KnownCounts::Lost(counts) => counts,
-            KnownCounts::None => self.state.usage.lock().total(window),
+            KnownCounts::None => match self.absence(window, claim.era) {
+                Absence::NeverWritten => self.state.usage.lock().total(window),
+                Absence::MaybeLost => return self.read(window).await,
+            },
         };
-        let value = encode_counts(&counts)?;
-        let mut decide = Transaction::compare_and_swap(&key, Revision::NONE, value);
+        let decide = self.decision(window, claim, encode_counts(&counts)?);
+        match self.store.transact(decide).await?.succeeded {
+            true => Ok(Some(counts)),
+            false => self.read(window).await,
+        }
+    }
+
+    /// Returns what it shows that the store lacks the counts of a window in `era`. Holders decide on a window when its
+    /// counts have arrived from all nodes, so that those whose clocks differ by up to that time do so after its end.
+    fn absence(&self, window: Window, era: Era) -> Absence {
+        let state = &self.state;
+        let (now, wall) = (state.now(), state.wall());
+        let ended_ago = Duration::from_millis(wall.saturating_sub(state.end_of(window)));
+        let ended_at = now.saturating_sub(ended_ago);
+        let contact = *state.contact.lock();
+        let absence = Absence::in_store(&contact, era, ended_at);
+        tracing::info!(
+            window,
+            era,
+            era_age_ms = contact.era_age(era, now).map(as_millis_u64),
+            ended_ago_ms = as_millis_u64(ended_ago),
+            ?absence,
+            "the decided counts of a usage window are not known"
+        );
+        absence
+    }
+
+    /// Returns the transaction by which a holder decides on the counts of a window, unless the store has some or
+    /// lacks the holder's claim: the store may have been restored, or another holder may act.
+    fn decision(&self, window: Window, claim: Revision, counts: bytes::Bytes) -> Transaction {
+        let mut decide =
+            Transaction::compare_and_swap(&keys::usage(window), Revision::NONE, counts);
+        decide.compares.push(Compare {
+            key: keys::HOLDER.into(),
+            condition: Condition::ModRevision(claim),
+        });
         let old = keys::usage(window.saturating_sub(WINDOWS_RETAINED));
         if self.state.view.lock().get(&old).is_some() {
             decide.then.push(Op::Delete(KeyRange::One(old.into())));
         }
-        let reply = self.store.transact(decide).await?;
-        if reply.succeeded {
-            return Ok(Some(counts));
-        }
-        let found = match reply.found().and_then(|found| found.first()) {
-            Some(found) => found.clone(),
-            None => match self
-                .store
-                .range(RangeRequest::one(&key))
-                .await?
-                .entries
-                .pop()
-            {
-                Some(found) => found,
-                None => return Ok(None),
-            },
-        };
-        Ok(decode_counts(&found.value))
+        decide
+    }
+
+    /// Reads the decided counts of a window from the store.
+    async fn read(&self, window: Window) -> Result<Option<Counts>> {
+        let req = RangeRequest::one(&keys::usage(window));
+        let found = self.store.range(req).await?.entries.pop();
+        Ok(found.and_then(|found| decode_counts(&found.value)))
     }
 }
 
--- a/src/ops/gateway/duties.rs
+++ b/src/ops/gateway/duties.rs
@@ -113,13 +113,16 @@
     pub async fn run(mut self) {
         loop {
             tokio::time::sleep(ROUND_INTERVAL).await;
-            if self.state.phase() != Phase::Serving {
+            let is_serving = self.state.phase() == Phase::Serving;
+            if !is_serving {
                 self.release("this node leaves").await;
-                continue;
             }
             if let Err(e) = self.counts.rewrite_lost().await {
                 tracing::warn!(error = %e, "failed to write decided counts again; retrying");
             }
+            if !is_serving {
+                continue;
+            }
             match self.tenure {
                 None => self.try_claim().await,
                 Some(tenure) => self.perform_duties(tenure).await,
@@ -302,7 +305,7 @@
             if self.counts.is_reported(window) {
                 continue;
             }
-            let Some(counts) = self.counts.decide(window).await? else {
+            let Some(counts) = self.counts.decide(window, tenure.claim).await? else {
                 continue;
             };
             if !self.may_act(tenure) {
--- a/src/ops/gateway/state.rs
+++ b/src/ops/gateway/state.rs
@@ -260,7 +260,18 @@
 
     /// Returns the usage window that contains a time.
     pub fn window_at(&self, at: UnixMillis) -> Window {
-        at / self.settings.bounds.usage_window.as_millis().max(1) as u64
+        at / self.usage_window_ms()
+    }
+
+    /// Returns when a usage window ends.
+    pub fn end_of(&self, window: Window) -> UnixMillis {
+        window
+            .saturating_add(1)
+            .saturating_mul(self.usage_window_ms())
+    }
+
+    fn usage_window_ms(&self) -> u64 {
+        as_millis_u64(self.settings.bounds.usage_window).max(1)
     }
 
     /// Returns the counts of this process in the newest windows.
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod crashing_prompts;
 mod crashing_requests;
 mod cut_nodes;
+mod decided_windows;
 mod decisions;
 mod departed_backends;
 mod duties;
