--- a/src/node/gateway.rs
+++ b/src/node/gateway.rs
@@ -21,8 +21,8 @@
 use crate::ops::gateway::register::Registration;
 use crate::ops::gateway::state::{GatewayState, Phase};
 use crate::ops::gateway::{
-    concurrency, follow_store, install, quarantine, quota_lend, reach, resume, rollout, snapshot,
-    software,
+    concurrency, follow_store, install, origin_keepers, quarantine, quota_lend, reach, rollout,
+    snapshot, software,
 };
 use crate::sources::http::{ConnectOptions, HttpClient};
 use crate::sources::store::Store;
@@ -85,7 +85,7 @@
     ) -> Result<Self> {
         let state = GatewayState::new(settings, platform.dialect);
         let peers = HttpClient::new(PEER_CONNECT_OPTIONS);
-        let (new_origins, origin_queue) = resume::origin_queue();
+        let (new_origins, origin_queue) = origin_keepers::origin_queue();
         let cx = Arc::new(GatewayContext {
             state: Arc::clone(&state),
             pool: BackendPool::default(),
@@ -153,7 +153,7 @@
             if state.settings.learns_limits {
                 tokio::spawn(concurrency::run(Arc::clone(&state)));
             }
-            tokio::spawn(resume::send_origins(
+            tokio::spawn(origin_keepers::send_origins(
                 Arc::clone(&state),
                 Arc::clone(&mesh),
                 origin_queue,
--- a/src/ops/gateway/listen.rs
+++ b/src/ops/gateway/listen.rs
@@ -20,10 +20,10 @@
 use tokio::sync::watch;
 
 use super::attempt::GatewayContext;
+use super::origin_keepers::{self, Kept};
 use super::refusal::{Body, full_body};
-use super::resume::Kept;
 use super::state::{GatewayState, Phase};
-use super::{forward, peer_forward, resume, snapshot};
+use super::{forward, peer_forward, snapshot};
 
 use crate::sources::http::{MAX_HEAD_BYTES, MeteredStream, ReceivedBody};
 
@@ -231,19 +231,19 @@
             "application/octet-stream",
             snapshot::respond(&cx.state, query).await,
         ),
-        resume::PATH => origin_response(cx, query).await,
+        origin_keepers::PATH => origin_response(cx, query).await,
         "/metrics" => with_body("text/plain; version=0.0.4", metrics.render()),
         _ => status(StatusCode::NOT_FOUND),
     }
 }
 
 async fn origin_response(cx: &GatewayContext, query: &str) -> Response<Body> {
-    let mut res = match resume::respond(cx, query).await {
+    let mut res = match origin_keepers::respond(cx, query).await {
         Kept::At(software) => with_body("text/plain", format!("{software:x}")),
         Kept::Nowhere => status(StatusCode::NOT_FOUND),
         Kept::NotKnown => status(StatusCode::SERVICE_UNAVAILABLE),
     };
-    resume::mark_seen(&cx.state, res.headers_mut());
+    origin_keepers::mark_seen(&cx.state, res.headers_mut());
     res
 }
 
