Gateway: origins of streams outlast the planned stops of the nodes that keep them

Cause: what a node keeps for others was bound to its life. Its origins in the store were under the lease of its registration, which a planned stop revokes; those in memory were handed to nobody; and the "not kept here" of processes that are younger than the stream made the refusal final.

Change: origins in the store are under a lease that is never revoked, and are written again after a restore. A node that leaves hands over what it keeps, with its age. A refusal is final only if no node that was not asked can know the origin; otherwise it is 503 with a time to return.

--- a/src/core/gateway/absence.rs
+++ b/src/core/gateway/absence.rs
@@ -31,4 +31,9 @@
     pub fn in_store(contact: &StoreContact, era: Era, earliest: Moment) -> Self {
         Self::new(contact.era_began_at(era), earliest)
     }
+
+    /// Returns what it shows that a process which started at `started_at` does not keep a record in memory.
+    pub fn in_memory(started_at: Option<Moment>, earliest: Moment) -> Self {
+        Self::new(started_at, earliest)
+    }
 }
--- a/src/core/gateway/stream_origins.rs
+++ b/src/core/gateway/stream_origins.rs
@@ -1,7 +1,9 @@
 //! Which software version began a stream that its caller may resume at another node.
 //!
-//! A node keeps the origins of the streams that it began and of those that other nodes have given it to keep.
+//! A node keeps the origins of the streams that it began and of those that other nodes have given it to keep, and hands
+//! them over when it leaves. Beside them it knows some that are in the store.
 
+use std::collections::hash_map::Entry;
 use std::collections::{HashMap, VecDeque};
 
 use super::software::{STREAM_LIFETIME, SoftwareId};
@@ -25,7 +27,7 @@
     pub stream: StreamId,
     /// Software version that began it.
     pub software: SoftwareId,
-    /// When this node began it or was given its origin.
+    /// When this node began it or was given its origin, less the time for which the giver had it.
     pub at: Moment,
 }
 
@@ -33,8 +35,10 @@
 #[derive(Debug, Default)]
 pub struct StreamOrigins {
     software: HashMap<StreamId, SoftwareId>,
-    /// All origins, the oldest ones first.
-    known: VecDeque<StreamOrigin>,
+    /// Those that this node keeps, the oldest ones first.
+    kept: VecDeque<StreamOrigin>,
+    /// Others, which are in the store or are to be written there, the oldest ones first.
+    stored: VecDeque<StreamOrigin>,
     /// Those of streams that this node began, the oldest ones first.
     begun: VecDeque<StreamOrigin>,
     /// Those that this node writes to the store, the oldest ones first.
@@ -48,18 +52,27 @@
         self.record(origin);
     }
 
-    /// Records the origin of a stream. The first one that is known of a stream stays.
+    /// Records the origin of a stream, which this node keeps. The first one that is known of a stream stays.
     pub fn record(&mut self, origin: StreamOrigin) {
-        if self.software.contains_key(&origin.stream) {
-            return;
+        if insert(&mut self.software, origin) {
+            self.kept.push_back(origin);
+            forget_beyond_limit(&mut self.kept, &mut self.software);
         }
-        self.software.insert(origin.stream, origin.software);
-        self.known.push_back(origin);
-        if self.known.len() > MAX_ORIGINS {
-            self.forget_oldest();
+    }
+
+    /// Records the origin of a stream that is in the store.
+    pub fn record_stored(&mut self, origin: StreamOrigin) {
+        if insert(&mut self.software, origin) {
+            self.stored.push_back(origin);
+            forget_beyond_limit(&mut self.stored, &mut self.software);
         }
     }
 
+    /// Returns the origins that this node keeps and would be lost with it.
+    pub fn kept(&self) -> impl Iterator<Item = &StreamOrigin> {
+        self.kept.iter()
+    }
+
     /// Returns the software version that began a stream.
     pub fn get(&self, stream: StreamId) -> Option<SoftwareId> {
         self.software.get(&stream).copied()
@@ -76,7 +89,7 @@
         if self.archived.len() > MAX_ORIGINS {
             self.archived.pop_front();
         }
-        self.record(origin);
+        self.record_stored(origin);
     }
 
     /// Returns the origins to be written to the store that were recorded at `since` or later, the oldest ones first.
@@ -87,8 +100,10 @@
     /// Forgets streams that are too old to be resumed.
     pub fn expire(&mut self, now: Moment) {
         let is_over = |origin: &StreamOrigin| now.saturating_sub(origin.at) > STREAM_LIFETIME;
-        while self.known.front().is_some_and(is_over) {
-            self.forget_oldest();
+        for origins in [&mut self.kept, &mut self.stored] {
+            while origins.front().is_some_and(is_over) {
+                forget_oldest(origins, &mut self.software);
+            }
         }
         for origins in [&mut self.begun, &mut self.archived] {
             while origins.front().is_some_and(is_over) {
@@ -96,14 +111,37 @@
             }
         }
     }
+}
 
-    fn forget_oldest(&mut self) {
-        if let Some(oldest) = self.known.pop_front() {
-            self.software.remove(&oldest.stream);
+/// Inserts an origin, unless one is known of its stream. Returns whether it was inserted.
+fn insert(software: &mut HashMap<StreamId, SoftwareId>, origin: StreamOrigin) -> bool {
+    match software.entry(origin.stream) {
+        Entry::Occupied(_) => false,
+        Entry::Vacant(entry) => {
+            entry.insert(origin.software);
+            true
         }
     }
 }
 
+fn forget_beyond_limit(
+    origins: &mut VecDeque<StreamOrigin>,
+    software: &mut HashMap<StreamId, SoftwareId>,
+) {
+    if origins.len() > MAX_ORIGINS {
+        forget_oldest(origins, software);
+    }
+}
+
+fn forget_oldest(
+    origins: &mut VecDeque<StreamOrigin>,
+    software: &mut HashMap<StreamId, SoftwareId>,
+) {
+    if let Some(oldest) = origins.pop_front() {
+        software.remove(&oldest.stream);
+    }
+}
+
 fn since_moment(
     origins: &VecDeque<StreamOrigin>,
     since: Moment,
--- a/src/node/gateway.rs
+++ b/src/node/gateway.rs
@@ -16,13 +16,13 @@
 use crate::ops::gateway::duties::DutyRunner;
 use crate::ops::gateway::listen::{self, Listening, Purpose};
 use crate::ops::gateway::mesh::Mesh;
-use crate::ops::gateway::origin_archive::{self, OriginArchive};
+use crate::ops::gateway::origin_archive::{OriginArchive, OriginWriter};
 use crate::ops::gateway::pool::BackendPool;
 use crate::ops::gateway::register::Registration;
 use crate::ops::gateway::state::{GatewayState, Phase};
 use crate::ops::gateway::{
-    concurrency, follow_store, install, origin_keepers, quarantine, quota_lend, reach, rollout,
-    snapshot, software,
+    concurrency, follow_store, install, origin_hand_over, origin_keepers, quarantine, quota_lend,
+    reach, rollout, snapshot, software,
 };
 use crate::sources::http::{ConnectOptions, HttpClient};
 use crate::sources::store::Store;
@@ -135,12 +135,13 @@
                 Arc::clone(&state),
                 Arc::clone(&platform.store),
             ));
-            tokio::spawn(origin_archive::run(
+            let origin_writer = OriginWriter::new(
                 Arc::clone(&state),
                 Arc::clone(&platform.store),
-                Arc::clone(&registration),
                 Arc::clone(&mesh),
-            ));
+            );
+            tokio::spawn(origin_writer.run());
+            tokio::spawn(origin_hand_over::run(Arc::clone(&state), Arc::clone(&mesh)));
             tokio::spawn(follow_store::run(
                 Arc::clone(&state),
                 platform.store,
--- a/src/ops/gateway/listen.rs
+++ b/src/ops/gateway/listen.rs
@@ -243,7 +243,7 @@
         Kept::Nowhere => status(StatusCode::NOT_FOUND),
         Kept::NotKnown => status(StatusCode::SERVICE_UNAVAILABLE),
     };
-    origin_keepers::mark_seen(&cx.state, res.headers_mut());
+    origin_keepers::add_evidence(&cx.state, res.headers_mut());
     res
 }
 
--- a/src/ops/gateway/mesh/mod.rs
+++ b/src/ops/gateway/mesh/mod.rs
@@ -22,7 +22,7 @@
 use prost::Message;
 use tokio::net::UdpSocket;
 
-use super::mesh_wire::{DatagramWire, ZoneSumWire};
+use super::mesh_wire::{DatagramWire, StreamOriginWire, ZoneSumWire};
 use super::state::GatewayState;
 use crate::core::gateway::members::Member;
 use crate::core::gateway::origin::ZoneName;
@@ -63,7 +63,7 @@
 /// Time for which a back end's announcement that it is leaving is passed on to other nodes.
 const LEAVING_NOTICE_PERIOD: Duration = Duration::from_secs(8);
 /// Limit on the origins of streams in one datagram.
-const MAX_ORIGINS_PER_DATAGRAM: usize = 1000;
+pub(super) const MAX_ORIGINS_PER_DATAGRAM: usize = 1000;
 /// Largest datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 60 * 1024;
 
@@ -343,11 +343,12 @@
 
     /// Sends origins of streams to the nodes at the addresses that keep each of them.
     pub async fn send_origins(&self, origins: &[(StreamOrigin, Vec<SocketAddr>)]) {
+        let now = self.state.now();
         let mut datagrams: HashMap<SocketAddr, DatagramWire> = HashMap::new();
         for (origin, keepers) in origins {
             for keeper in keepers {
                 let datagram = datagrams.entry(*keeper).or_default();
-                datagram.origins.push((*origin).into());
+                datagram.origins.push(StreamOriginWire::new(origin, now));
             }
         }
         for (keeper, datagram) in datagrams {
@@ -359,9 +360,11 @@
 
     /// Sends origins of streams to the node that writes them to the store.
     pub async fn send_archived_origins(&self, origins: &[StreamOrigin], archivist: &Member) {
+        let now = self.state.now();
         for origins in origins.chunks(MAX_ORIGINS_PER_DATAGRAM) {
+            let origins = origins.iter();
             let datagram = DatagramWire {
-                archived_origins: origins.iter().copied().map(Into::into).collect(),
+                archived_origins: origins.map(|o| StreamOriginWire::new(o, now)).collect(),
                 ..DatagramWire::default()
             };
             self.send_to(archivist, &datagram.encode_to_vec()).await;
--- a/src/ops/gateway/mesh_wire.rs
+++ b/src/ops/gateway/mesh_wire.rs
@@ -1,5 +1,7 @@
 //! Encoding of the messages between nodes.
 
+use std::time::Duration;
+
 use prost::Message;
 
 use super::load_wire::LoadSumWire;
@@ -8,6 +10,7 @@
 use crate::core::gateway::stream_origins::StreamOrigin;
 use crate::core::time::Moment;
 use crate::sources::store::Revision;
+use crate::util::time::as_millis_u64;
 
 /// One datagram.
 #[derive(Clone, PartialEq, Message)]
@@ -47,6 +50,9 @@
     /// Identifier of the software version.
     #[prost(fixed64, tag = "2")]
     pub software: u64,
+    /// Time for which the sender has had the origin, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub age_ms: u64,
 }
 
 /// Report of a node about itself.
@@ -164,21 +170,21 @@
 }
 
 impl StreamOriginWire {
-    /// Returns the origin, which was received at `at`.
-    pub fn received(&self, at: Moment) -> StreamOrigin {
-        StreamOrigin {
-            stream: self.stream,
-            software: self.software,
-            at,
-        }
-    }
-}
-
-impl From<StreamOrigin> for StreamOriginWire {
-    fn from(origin: StreamOrigin) -> Self {
+    /// Returns the message for an origin that is sent at `now`.
+    pub fn new(origin: &StreamOrigin, now: Moment) -> Self {
         Self {
             stream: origin.stream,
             software: origin.software,
+            age_ms: as_millis_u64(now.saturating_sub(origin.at)),
+        }
+    }
+
+    /// Returns the origin, which was received at `now`.
+    pub fn received(&self, now: Moment) -> StreamOrigin {
+        StreamOrigin {
+            stream: self.stream,
+            software: self.software,
+            at: now.saturating_sub(Duration::from_millis(self.age_ms)),
         }
     }
 }
--- a/src/ops/gateway/mod.rs
+++ b/src/ops/gateway/mod.rs
@@ -9,7 +9,7 @@
 //! - [`startup`]: calls that arrive before the first configuration;
 //! - `silence`: calls whose back ends are silent;
 //! - [`duties`]: work that is done by one elected node on behalf of all;
-//! - [`software`], [`resume`], [`origin_keepers`], [`origin_archive`]: the software version at which a broken stream may go on;
+//! - [`software`], [`resume`], [`origin_keepers`], [`origin_hand_over`], [`origin_archive`]: the software version at which a broken stream may go on;
 //! - [`rollout`], [`rollout_wire`]: moves of services to other software versions;
 //! - [`body_memory`]: memory for the bodies of calls and answers;
 //! - [`quota`], [`quota_lend`], [`quota_wire`]: customers' quotas, lent to a few nodes and charged there;
@@ -40,6 +40,7 @@
 pub mod next_hop;
 pub mod node_wire;
 pub mod origin_archive;
+pub mod origin_hand_over;
 pub mod origin_keepers;
 pub mod peer_forward;
 pub mod pool;
--- a/src/ops/gateway/origin_archive.rs
+++ b/src/ops/gateway/origin_archive.rs
@@ -2,9 +2,10 @@
 //!
 //! Nodes keep origins in memory, and may all be lost at the same moment. If the service has had one version only, the
 //! nodes that start anew need no origins. Otherwise one node of each availability zone writes those of the streams that
-//! the zone's nodes began, so that the number of writes does not grow with the fleet. They are bound to the lease of the
-//! node's registration, which outlasts it. They are in no node's view of the store: the same node reads them when a
-//! stream is resumed whose origin no node keeps.
+//! the zone's nodes began, so that the number of writes does not grow with the fleet. They are bound to a lease that is
+//! never revoked: other nodes need them after the writer has left, for as long as a stream may last. If the store has
+//! come back from an older copy, they are written again. They are in no node's view of the store: the same node reads
+//! them when a stream is resumed whose origin no node keeps.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -14,14 +15,17 @@
 use tokio::sync::Mutex;
 
 use super::keys;
+use super::lease::{Lease, LeaseKeeper};
 use super::mesh::Mesh;
 use super::mesh_wire::StreamOriginWire;
-use super::register::Registration;
 use super::state::GatewayState;
 use crate::core::gateway::members::Member;
+use crate::core::gateway::software::STREAM_LIFETIME;
 use crate::core::gateway::stream_origins::StreamOrigin;
 use crate::core::time::Moment;
-use crate::sources::store::{LeaseId, Op, RangeRequest, Result, Revision, Store, Transaction};
+use crate::sources::store::{
+    LeaseId, Op, RangeRequest, Result, Revision, Store, StoreError, Transaction,
+};
 
 /// Interval between two writes, and between two messages to the node that writes.
 const INTERVAL: Duration = Duration::from_millis(400);
@@ -116,7 +120,7 @@
                     count += segment.origins.len();
                     let mut known = self.state.origins.lock();
                     for origin in &segment.origins {
-                        known.record(origin.received(now));
+                        known.record_stored(origin.received(now));
                     }
                 }
                 Err(e) => {
@@ -134,34 +138,91 @@
     }
 }
 
-/// Brings the origins of streams that this node began to the store while a service has several software versions, until
-/// the task is dropped.
-pub async fn run(
+/// Brings the origins of streams that this node began to the store while a service has several software versions.
+pub struct OriginWriter {
     state: Arc<GatewayState>,
     store: Arc<dyn Store>,
-    registration: Arc<Registration>,
     mesh: Arc<Mesh>,
-) {
-    let mut collected_to = None;
-    let mut written_to = None;
-    loop {
-        tokio::time::sleep(INTERVAL).await;
-        let now = state.now();
-        if !state.software.lock().has_several(now) {
-            collected_to = None;
-            continue;
+    /// Lease on what this node has written.
+    lease: Option<LeaseKeeper>,
+    /// Up to when the origins of this node's streams have been passed on to the node that writes them.
+    collected_to: Option<Moment>,
+    /// Up to when the origins that this node was given have been written under the lease.
+    written_to: Option<Moment>,
+}
+
+impl OriginWriter {
+    /// Creates a writer that has written nothing.
+    pub fn new(state: Arc<GatewayState>, store: Arc<dyn Store>, mesh: Arc<Mesh>) -> Self {
+        Self {
+            state,
+            store,
+            mesh,
+            lease: None,
+            collected_to: None,
+            written_to: None,
         }
-        let since = collected_to.unwrap_or(now.saturating_sub(INITIAL_PERIOD));
-        collect(&state, &mesh, since).await;
-        collected_to = Some(now);
-        let Some(lease) = registration.lease().await else {
-            continue;
-        };
-        match write(&state, &store, lease, written_to.unwrap_or_default()).await {
-            Ok(()) => written_to = Some(now),
-            Err(e) => tracing::warn!(error = %e, "failed to write origins of streams; retrying"),
+    }
+
+    /// Brings origins to the store until the task is dropped.
+    pub async fn run(mut self) {
+        loop {
+            tokio::time::sleep(INTERVAL).await;
+            let now = self.state.now();
+            if !self.state.software.lock().has_several(now) {
+                self.collected_to = None;
+                self.lease = None;
+                continue;
+            }
+            let since = self
+                .collected_to
+                .unwrap_or(now.saturating_sub(INITIAL_PERIOD));
+            collect(&self.state, &self.mesh, since).await;
+            self.collected_to = Some(now);
+            match self.write().await {
+                Ok(()) => self.written_to = Some(now),
+                Err(e) => {
+                    if matches!(e, StoreError::LeaseNotFound) {
+                        self.lease = None;
+                    }
+                    tracing::warn!(error = %e, "failed to write origins of streams; retrying");
+                }
+            }
         }
     }
+
+    /// Writes the segments with origins that have not been written under the present lease.
+    async fn write(&mut self) -> Result<()> {
+        let known = self.known_lease();
+        let since = known.and(self.written_to).unwrap_or_default();
+        let segments = segments_since(&self.state, since);
+        if segments.is_empty() {
+            return Ok(());
+        }
+        let lease = match known {
+            Some(known) => known.id,
+            None => self.open_lease().await?,
+        };
+        let put = puts(&self.state, segments, lease);
+        self.store.transact(put).await.map(drop)
+    }
+
+    /// Returns the lease, unless the store may have lost it.
+    fn known_lease(&self) -> Option<Lease> {
+        let era = self.state.view.lock().revision.era;
+        let lease = self.lease.as_ref().and_then(LeaseKeeper::get);
+        lease.filter(|lease| lease.era == era)
+    }
+
+    /// Obtains a new lease. What was written under an earlier one may be lost.
+    async fn open_lease(&mut self) -> Result<LeaseId> {
+        self.written_to = None;
+        let (state, store) = (Arc::clone(&self.state), Arc::clone(&self.store));
+        let lease = LeaseKeeper::open(state, store, STREAM_LIFETIME).await?;
+        let id = lease.get().map_or(0, |granted| granted.id);
+        self.lease = Some(lease);
+        Ok(id)
+    }
 }
 
 /// Returns the node of this availability zone that writes and reads origins; `None` stands for this node.
@@ -193,27 +254,17 @@
     }
 }
 
-/// Writes the segments with origins that were recorded at `since` or later.
-async fn write(
-    state: &GatewayState,
-    store: &Arc<dyn Store>,
-    lease: LeaseId,
-    since: Moment,
-) -> Result<()> {
-    let segments = segments_since(state, since);
-    if segments.is_empty() {
-        return Ok(());
-    }
+/// Returns the transaction that writes segments under a lease.
+fn puts(state: &GatewayState, segments: BTreeMap<u64, SegmentWire>, lease: LeaseId) -> Transaction {
     let puts = segments.into_iter().map(|(number, segment)| Op::Put {
         key: keys::streams(state.incarnation, number).into(),
         value: segment.encode_to_vec().into(),
         lease: Some(lease),
     });
-    let put = Transaction {
+    Transaction {
         then: puts.collect(),
         ..Transaction::default()
-    };
-    store.transact(put).await.map(drop)
+    }
 }
 
 /// Returns the segments with origins that were recorded at `since` or later, each as a whole.
@@ -227,7 +278,9 @@
     let mut segments: BTreeMap<u64, SegmentWire> = BTreeMap::new();
     for origin in origins.archived_since(Moment::from_secs(first * SEGMENT.as_secs())) {
         let segment = segments.entry(number_of(origin.at)).or_default();
-        segment.origins.push((*origin).into());
+        segment
+            .origins
+            .push(StreamOriginWire::new(origin, origin.at));
     }
     segments
 }
--- a/src/ops/gateway/origin_keepers.rs
+++ b/src/ops/gateway/origin_keepers.rs
@@ -1,7 +1,8 @@
 //! Which nodes keep the origin of a stream: how they get it, and how it is asked for.
 //!
 //! The node that passes on the first event of a stream sends its origin to a few nodes, which are chosen by rendezvous
-//! hashing, and a node at which the stream is resumed asks these. While a service has several software versions, the
+//! hashing, and a node at which the stream is resumed asks these. A node that leaves hands its origins over (see
+//! [`super::origin_hand_over`]). While a service has several software versions, the
 //! origins are in the store, too (see [`super::origin_archive`]).
 
 use std::net::SocketAddr;
@@ -19,19 +20,23 @@
 use super::mesh::Mesh;
 use super::origin_archive;
 use super::state::GatewayState;
+use crate::core::gateway::absence::Absence;
 use crate::core::gateway::members::Member;
-use crate::core::gateway::software::{SeenSoftware, SoftwareId};
+use crate::core::gateway::software::{STREAM_LIFETIME, SeenSoftware, SoftwareId};
 use crate::core::gateway::stream_origins::{StreamId, StreamOrigin};
 use crate::core::time::Moment;
 use crate::sources::http::AnswerLimits;
 use crate::util::query;
+use crate::util::time::as_millis_u64;
 
 /// Path on the control listener at which nodes ask for the origin of a stream.
 pub const PATH: &str = "/stream-origin";
 /// In the answer to a question: software versions that the node has seen, each as the hashes of service and version.
 const SEEN_SOFTWARE: HeaderName = HeaderName::from_static("jayhall-software-seen");
+/// In the answer to a question: time since the process started, in milliseconds.
+const PROCESS_AGE: HeaderName = HeaderName::from_static("jayhall-process-age-ms");
 /// Number of nodes that keep the origin of a stream.
-const KEEPERS: usize = 3;
+pub(super) const KEEPERS: usize = 3;
 /// Number of nodes that are asked for it: more than keep it, as nodes come and go.
 const ASKED: usize = 4;
 /// Number of these that have to answer, if there are as many: one of them keeps the origin if any node does.
@@ -43,7 +48,7 @@
 /// Size limit for a node's answer.
 const MAX_ORIGIN_BYTES: usize = 1024;
 /// Time without a message of a node after which it keeps no origins and is not asked.
-const NODE_TIMEOUT: Moment = Moment::from_millis(2000);
+pub(super) const NODE_TIMEOUT: Moment = Moment::from_millis(2000);
 /// Limit on origins that wait to be sent to the nodes that keep them.
 const MAX_UNSENT_ORIGINS: usize = 1024;
 /// Limit on the origins that are sent together.
@@ -64,6 +69,8 @@
 struct Answer {
     kept: Kept,
     seen: Vec<SeenSoftware>,
+    /// When the process of the node started, if it says so.
+    started_at: Option<Moment>,
 }
 
 impl Answer {
@@ -72,6 +79,7 @@
         Self {
             kept: Kept::NotKnown,
             seen: Vec::new(),
+            started_at: None,
         }
     }
 }
@@ -81,9 +89,9 @@
 pub enum Kept {
     /// It began at this software version.
     At(SoftwareId),
-    /// They do not keep it.
+    /// They do not keep it, and no other place does.
     Nowhere,
-    /// Some did not answer, and the others do not keep it.
+    /// They do not keep it, but some did not answer, or others may keep it.
     NotKnown,
 }
 
@@ -108,7 +116,9 @@
     let kept = answers.iter().map(|answer| answer.kept);
     let answered = kept.clone().filter(|kept| *kept != Kept::NotKnown).count();
     let suffice = answered >= enough;
-    let without_origin = match suffice && answered == answers.len() {
+    let is_lost =
+        suffice && answered == answers.len() && are_all_keepers_among(&cx.state, &answers);
+    let without_origin = match is_lost {
         true => Kept::Nowhere,
         false => Kept::NotKnown,
     };
@@ -120,6 +130,22 @@
     }
 }
 
+/// Returns whether no node but those that answered can keep the origin of a stream: they are all other nodes that run,
+/// or one of them has run for longer than the stream. All nodes that were chosen to keep the origin come before that one
+/// in the order in which nodes are asked, or have ended.
+fn are_all_keepers_among(state: &GatewayState, answers: &[Answer]) -> bool {
+    let now = state.now();
+    let began_at = now.saturating_sub(STREAM_LIFETIME);
+    let oldest = answers.iter().filter_map(|answer| answer.started_at).min();
+    let own = &state.settings.name;
+    let members = state.members.lock();
+    let others = members.iter().filter(|member| member.name != *own);
+    // A node that leaves counts, as it may still hand the origin over.
+    let running = others.filter(|member| !members.is_silent(&member.name, now, NODE_TIMEOUT));
+    running.count() <= answers.len()
+        || Absence::in_memory(oldest, began_at) == Absence::NeverWritten
+}
+
 /// Returns an address of each node other than this one that keeps the origin of a stream.
 fn keepers<T>(
     state: &GatewayState,
@@ -171,12 +197,26 @@
             }
         },
     };
-    Answer { kept, seen }
+    let started_at = age_in(res.headers()).map(|age| cx.state.now().saturating_sub(age));
+    Answer {
+        kept,
+        seen,
+        started_at,
+    }
+}
+
+/// Returns the age of the process that answered.
+fn age_in(headers: &HeaderMap) -> Option<Duration> {
+    let text = headers.get(PROCESS_AGE)?.to_str().ok()?;
+    text.parse().ok().map(Duration::from_millis)
 }
 
-/// Adds to the answer to another node which software versions this node has seen.
-pub fn mark_seen(state: &GatewayState, headers: &mut HeaderMap) {
-    let seen = state.software.lock().seen(state.now());
+/// Adds to the answer to another node what it is worth: the age of this process, and which software versions it has seen.
+pub fn add_evidence(state: &GatewayState, headers: &mut HeaderMap) {
+    let now = state.now();
+    let age = now.saturating_sub(state.started_at);
+    headers.insert(PROCESS_AGE, as_millis_u64(age).into());
+    let seen = state.software.lock().seen(now);
     let texts = seen
         .iter()
         .map(|seen| format!("{:x}.{:x}", seen.service, seen.software));
--- a/src/ops/gateway/register.rs
+++ b/src/ops/gateway/register.rs
@@ -44,15 +44,6 @@
         })
     }
 
-    /// Returns the lease of the entry, or `None` while there is none.
-    pub async fn lease(&self) -> Option<LeaseId> {
-        let lease = self.lease.lock().await;
-        lease
-            .as_ref()
-            .and_then(LeaseKeeper::get)
-            .map(|lease| lease.id)
-    }
-
     /// Maintains the entry until the task is dropped.
     pub async fn run(self: Arc<Self>) {
         let mut phase = self.state.phase.subscribe();
--- a/src/ops/gateway/state.rs
+++ b/src/ops/gateway/state.rs
@@ -64,6 +64,8 @@
     pub dialect: Arc<dyn Dialect>,
     /// Random number that identifies this run of the process.
     pub incarnation: u64,
+    /// When the process started.
+    pub started_at: Moment,
     /// Configuration in force.
     pub table: RwLock<Option<Arc<RouteTable>>>,
     /// Back ends.
@@ -146,6 +148,7 @@
                 true => Backends::learning_limits(),
                 false => Backends::default(),
             }),
+            started_at: since_boot(),
             settings,
             dialect,
             incarnation,
--- a/tests/testsuite/gateway/fixture.rs
+++ b/tests/testsuite/gateway/fixture.rs
@@ -656,6 +656,15 @@
         self.store.transact(delete).await.unwrap();
     }
 
+    /// Removes all keys with a prefix.
+    pub(super) async fn remove_all(&self, prefix: &str) {
+        let delete = Transaction {
+            then: vec![Op::Delete(KeyRange::Prefix(prefix.into()))],
+            ..Transaction::default()
+        };
+        self.store.transact(delete).await.unwrap();
+    }
+
     pub(super) async fn list_backend(
         &self,
         id: &str,
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod listed_process;
 mod long_prompts;
 mod odd_entries;
+mod origins_in_stops;
 mod placement;
 mod platform_store;
 mod platform_wire;
--- a/tests/testsuite/gateway/recorded_messages.rs
+++ b/tests/testsuite/gateway/recorded_messages.rs
@@ -80,7 +80,11 @@
 
 /// A datagram with a value in each field that the landing before knows.
 fn datagram() -> DatagramWire {
-    let origin = |stream, software| StreamOriginWire { stream, software };
+    let origin = |stream, software| StreamOriginWire {
+        stream,
+        software,
+        age_ms: 0,
+    };
     DatagramWire {
         report: Some(ReportWire {
             node: "n1".into(),
--- a/tests/testsuite/gateway/software_versions.rs
+++ b/tests/testsuite/gateway/software_versions.rs
@@ -8,7 +8,6 @@
 use futures::future::join_all;
 use hyper::StatusCode;
 use jayhall::core::gateway::quota::LEASE;
-use jayhall::sources::store::{KeyRange, Op, Transaction};
 
 use tokio::sync::watch;
 
@@ -16,18 +15,18 @@
 use super::watched_store::{WatchedStore, Watches};
 
 /// Events of a complete stream.
-const EVENTS: u64 = 40;
+pub(super) const EVENTS: u64 = 40;
 /// Back ends of the other version, so that a choice among all back ends hardly ever hits the right one.
-const OTHERS: usize = 5;
+pub(super) const OTHERS: usize = 5;
 /// Software versions, as JSON.
-const FIRST: &str = r#""v1""#;
-const SECOND: &str = r#""v2""#;
+pub(super) const FIRST: &str = r#""v1""#;
+pub(super) const SECOND: &str = r#""v2""#;
 /// Time within which the nodes know a new back end.
 const LISTED_WITHIN: Duration = Duration::from_millis(200);
 /// Time within which a call that cannot be served is answered.
 const REFUSED_WITHIN: Duration = Duration::from_millis(1100);
 
-fn complete() -> Behaviour {
+pub(super) fn complete() -> Behaviour {
     Behaviour::Events {
         to: EVENTS,
         ends_normally: true,
@@ -52,7 +51,7 @@
     fixture.put(&format!("servers/{id}"), entry).await;
 }
 
-async fn spawn_listed(
+pub(super) async fn spawn_listed(
     fixture: &Fixture,
     id: &str,
     behaviour: Behaviour,
@@ -64,7 +63,7 @@
 }
 
 /// Lists [`OTHERS`] back ends of a version whose streams are complete.
-async fn list_others(fixture: &Fixture, version: &str) -> Vec<FakeBackend> {
+pub(super) async fn list_others(fixture: &Fixture, version: &str) -> Vec<FakeBackend> {
     let mut others = Vec::new();
     for index in 0..OTHERS {
         others.push(spawn_listed(fixture, &format!("other{index}"), complete(), version).await);
@@ -73,13 +72,13 @@
     others
 }
 
-async fn fixture() -> Fixture {
+pub(super) async fn fixture() -> Fixture {
     let fixture = Fixture::new();
     fixture.put("op/config", config(1)).await;
     fixture
 }
 
-async fn ready_node(fixture: &Fixture, name: &str, zone: &str) -> Node {
+pub(super) async fn ready_node(fixture: &Fixture, name: &str, zone: &str) -> Node {
     let node = fixture.node_in(name, zone).await;
     fixture.ready(&node).await;
     node
@@ -92,7 +91,7 @@
 }
 
 /// A call that resumes the stream that `attempt` began, after event 10.
-fn resumed(fixture: &Fixture, node: &Node, attempt: &str) -> reqwest::RequestBuilder {
+pub(super) fn resumed(fixture: &Fixture, node: &Node, attempt: &str) -> reqwest::RequestBuilder {
     fixture
         .call(node, "/long/x", &format!("{attempt}-again"))
         .header("last-event-id", "10")
@@ -101,14 +100,14 @@
 }
 
 /// Begins a stream and leaves it after its first event.
-async fn begin(fixture: &Fixture, node: &Node, attempt: &str) {
+pub(super) async fn begin(fixture: &Fixture, node: &Node, attempt: &str) {
     let res = stream(fixture, node, attempt).send().await.unwrap();
     assert_eq!(res.status(), 200);
     res.bytes_stream().next().await.unwrap().unwrap();
 }
 
 /// Reads a stream to its end. Returns the number of its events, and whether it ended normally.
-async fn read(res: reqwest::Response) -> (usize, bool) {
+pub(super) async fn read(res: reqwest::Response) -> (usize, bool) {
     let mut text = Vec::new();
     let mut chunks = res.bytes_stream();
     let ended_normally = loop {
@@ -246,7 +245,7 @@
 }
 
 /// Nodes that a caller's next node cannot reach any more. As many that it keeps the origins of some streams only.
-const OTHER_NODES: [&str; 6] = ["n2", "n3", "n4", "n5", "n6", "n7"];
+pub(super) const OTHER_NODES: [&str; 6] = ["n2", "n3", "n4", "n5", "n6", "n7"];
 
 /// Guards against a node that is out of step during a release: it reaches neither the store nor the nodes that keep the
 /// origins of streams, takes the version that it knows for the only one, and continues streams of a newer version there.
@@ -341,7 +340,7 @@
 }
 
 /// Runs nodes in a runtime of their own, so that they all end at the same moment.
-fn spawn_doomed_nodes(
+pub(super) fn spawn_doomed_nodes(
     fixture: &Fixture,
     names: &[&'static str],
 ) -> (tokio::runtime::Runtime, Vec<Node>) {
@@ -365,13 +364,7 @@
 
 /// Removes the entries of nodes from the store, as when their leases expire.
 async fn expire_nodes(fixture: &Fixture) {
-    let delete = Transaction {
-        then: vec![Op::Delete(KeyRange::Prefix("jayhall/nodes/".into()))],
-        ..Transaction::default()
-    };
-    jayhall::sources::store::Store::transact(&*fixture.store, delete)
-        .await
-        .unwrap();
+    fixture.remove_all("jayhall/nodes/").await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
