Gateway: one software version counts as the only one only in a settled era of the store

Cause: if no node keeps the origin of a stream, it goes on at the only version that the registry and the record of versions show. Both are of the copy, and all processes are younger than the stream, so that neither shows what has been written since.

Change: a node that has known an era for 2.2 s, within which back ends write their entries again, writes the number of the era to the store. Without this mark of the present era in its view a node concludes nothing from a missing version; the call gets 503 with the time until the era is settled. Values that arrive together are applied in an explicit order, the mark after what it stands for. Tests write their log to nowhere, so that fields of log lines are computed.

streams::a_caller_that_resumes_gets_the_events_after_its_last_one resumed at a process of less than a second, with a store that nobody had seen before. It is about the events, which it checks as before; its store has the mark now.

--- a/src/core/gateway/absence.rs
+++ b/src/core/gateway/absence.rs
@@ -32,6 +32,15 @@
         Self::new(contact.era_began_at(era), earliest)
     }
 
+    /// Returns what it shows that the registry lacks a back end that runs, in a view of the store in `era`. A mark in the
+    /// view names the last era known to be settled: back ends had the time to write their entries again.
+    pub fn in_registry(era: Era, settled_era: Option<Era>) -> Self {
+        match settled_era == Some(era) {
+            true => Self::NeverWritten,
+            false => Self::MaybeLost,
+        }
+    }
+
     /// Returns what it shows that a process which started at `started_at` does not keep a record in memory.
     pub fn in_memory(started_at: Option<Moment>, earliest: Moment) -> Self {
         Self::new(started_at, earliest)
--- a/src/core/gateway/store_contact.rs
+++ b/src/core/gateway/store_contact.rs
@@ -15,7 +15,7 @@
 /// longer.
 const MIN_OUTAGE: Duration = Duration::from_millis(3500);
 /// Time after an outage in which back ends whose lease expired meanwhile register again.
-const REREGISTRATION_GRACE: Duration = Duration::from_millis(2200);
+pub const REREGISTRATION_GRACE: Duration = Duration::from_millis(2200);
 
 /// Time within which the store answers a node that waits for changes: the longest wait for a change, the pause after
 /// changes, and the way there and back.
--- a/src/node/gateway.rs
+++ b/src/node/gateway.rs
@@ -22,7 +22,7 @@
 use crate::ops::gateway::state::{GatewayState, Phase};
 use crate::ops::gateway::{
     concurrency, follow_store, install, origin_hand_over, origin_keepers, quarantine, quota_lend,
-    reach, rollout, snapshot, software,
+    reach, rollout, settled_era, snapshot, software,
 };
 use crate::sources::http::{ConnectOptions, HttpClient};
 use crate::sources::store::Store;
@@ -131,6 +131,10 @@
                 Arc::clone(&state),
                 Arc::clone(&platform.store),
             ));
+            tokio::spawn(settled_era::run(
+                Arc::clone(&state),
+                Arc::clone(&platform.store),
+            ));
             tokio::spawn(rollout::run(
                 Arc::clone(&state),
                 Arc::clone(&platform.store),
--- a/src/ops/gateway/install.rs
+++ b/src/ops/gateway/install.rs
@@ -39,6 +39,32 @@
     Unknown,
 }
 
+/// Order in which values are applied that arrive together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum ApplyOrder {
+    /// Rollouts restrict which calls go to the back ends that are listed beside them.
+    Rollout,
+    Other,
+    /// The mark says that the view has what was written before it.
+    SettledEra,
+    /// With the configuration this node begins to serve calls, for which it needs back ends.
+    Config,
+}
+
+impl ApplyOrder {
+    fn of(state: &GatewayState, key: &str) -> Self {
+        if key == state.dialect.config_key() {
+            Self::Config
+        } else if key == keys::SETTLED_ERA {
+            Self::SettledEra
+        } else if is_of_rollout(state, key) {
+            Self::Rollout
+        } else {
+            Self::Other
+        }
+    }
+}
+
 /// Applies a put.
 pub fn put(state: &GatewayState, item: &KeyValue, source: Source) {
     put_in_order(state, item, source, WriteOrder::Later);
@@ -49,15 +75,11 @@
     put_all_in_order(state, items, source, WriteOrder::Later);
 }
 
-/// Applies puts in the order in which they depend on each other: rollouts restrict which calls go to the back ends that
-/// are listed beside them, and with the configuration this node begins to serve calls, for which it needs back ends.
+/// Applies puts in the order in which they depend on each other.
 fn put_all_in_order(state: &GatewayState, items: &[KeyValue], source: Source, order: WriteOrder) {
-    let is_config = |item: &&KeyValue| *item.key == *state.dialect.config_key();
-    let (config, others): (Vec<_>, Vec<_>) = items.iter().partition(is_config);
-    let (rollouts, others): (Vec<_>, Vec<_>) = others
-        .into_iter()
-        .partition(|item| is_of_rollout(state, &item.key));
-    for item in rollouts.into_iter().chain(others).chain(config) {
+    let mut items: Vec<&KeyValue> = items.iter().collect();
+    items.sort_by_key(|item| ApplyOrder::of(state, &item.key));
+    for item in items {
         put_in_order(state, item, source, order);
     }
 }
--- a/src/ops/gateway/keys.rs
+++ b/src/ops/gateway/keys.rs
@@ -7,6 +7,9 @@
 /// Prefix of the keys of decided usage windows, followed by the window's number.
 pub const USAGE: &str = "jayhall/usage/";
 
+/// Key of the mark that names the last era of the store that is settled.
+pub const SETTLED_ERA: &str = "jayhall/settled-era";
+
 /// Prefix of the keys of quarantined calls, followed by the entry's id.
 pub const QUARANTINE: &str = "jayhall/quarantine/";
 
--- a/src/ops/gateway/mod.rs
+++ b/src/ops/gateway/mod.rs
@@ -10,6 +10,7 @@
 //! - `silence`: calls whose back ends are silent;
 //! - [`duties`]: work that is done by one elected node on behalf of all;
 //! - [`software`], [`resume`], [`origin_keepers`], [`origin_hand_over`], [`origin_archive`]: the software version at which a broken stream may go on;
+//! - [`settled_era`]: when the registry is complete again after a restore of the store;
 //! - [`rollout`], [`rollout_wire`]: moves of services to other software versions;
 //! - [`body_memory`]: memory for the bodies of calls and answers;
 //! - [`quota`], [`quota_lend`], [`quota_wire`]: customers' quotas, lent to a few nodes and charged there;
@@ -60,6 +61,7 @@
 pub mod rollout_wire;
 pub mod running;
 pub mod samples_wire;
+pub mod settled_era;
 mod silence;
 pub mod snapshot;
 pub mod snapshot_wire;
--- a/src/ops/gateway/origin_keepers.rs
+++ b/src/ops/gateway/origin_keepers.rs
@@ -19,6 +19,7 @@
 use super::attempt::GatewayContext;
 use super::mesh::Mesh;
 use super::origin_archive;
+use super::settled_era;
 use super::state::GatewayState;
 use crate::core::gateway::absence::Absence;
 use crate::core::gateway::members::Member;
@@ -132,7 +133,8 @@
 
 /// Returns whether no node but those that answered can keep the origin of a stream: they are all other nodes that run,
 /// or one of them has run for longer than the stream. All nodes that were chosen to keep the origin come before that one
-/// in the order in which nodes are asked, or have ended.
+/// in the order in which nodes are asked, or have ended. After a restore, nodes that were not asked may still have to
+/// write origins to the store again.
 fn are_all_keepers_among(state: &GatewayState, answers: &[Answer]) -> bool {
     let now = state.now();
     let began_at = now.saturating_sub(STREAM_LIFETIME);
@@ -142,8 +144,15 @@
     let others = members.iter().filter(|member| member.name != *own);
     // A node that leaves counts, as it may still hand the origin over.
     let running = others.filter(|member| !members.is_silent(&member.name, now, NODE_TIMEOUT));
-    running.count() <= answers.len()
-        || Absence::in_memory(oldest, began_at) == Absence::NeverWritten
+    if running.count() <= answers.len() {
+        return true;
+    }
+    drop(members);
+    let absences = [
+        Absence::in_memory(oldest, began_at),
+        settled_era::absence_in_registry(state),
+    ];
+    absences == [Absence::NeverWritten; 2]
 }
 
 /// Returns an address of each node other than this one that keeps the origin of a stream.
--- a/src/ops/gateway/resume.rs
+++ b/src/ops/gateway/resume.rs
@@ -7,7 +7,9 @@
 //!
 //! A node that is cut off knows only the versions from before. So a single version counts only if enough of the other
 //! nodes answer and have seen no other one, or if the store confirms that this node's view has all that the store had
-//! when the call arrived: a stream that is resumed began before that, at a back end that was listed.
+//! when the call arrived: a stream that is resumed began before that, at a back end that was listed. After a restore of
+//! the store both may lack a version that has joined lately, so that a single version counts only once the store's era
+//! is settled (see [`super::settled_era`]). Until then the call is refused with a time to return.
 
 use std::time::Duration;
 
@@ -16,10 +18,13 @@
 use super::origin_keepers::{Answers, Kept, ask_archive, ask_keepers, kept_here};
 use super::record;
 use super::refusal::{Cause, Refusal};
+use super::settled_era;
 use super::state::GatewayState;
+use crate::core::gateway::absence::Absence;
 use crate::core::gateway::routes::{RouteKind, ServiceName};
 use crate::core::gateway::software::{RecentSoftware, SoftwareId};
 use crate::core::gateway::stream_origins::{StreamOrigin, stream_id};
+use crate::util::time::as_millis_u64;
 
 /// Timeout of a question to the store.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(400);
@@ -78,7 +83,18 @@
             tokio::time::sleep(LOOKUP_PAUSE).await;
         }
     }
-    Err(Refusal::retry_later(Cause::StreamUnknown, RETRY_AFTER))
+    Err(Refusal::retry_later(
+        Cause::StreamUnknown,
+        retry_after(&cx.state),
+    ))
+}
+
+/// Returns the time after which the origin of a stream may be known.
+fn retry_after(state: &GatewayState) -> Duration {
+    match settled_era::absence_in_registry(state) {
+        Absence::NeverWritten => RETRY_AFTER,
+        Absence::MaybeLost => settled_era::settles_in(state).max(RETRY_AFTER),
+    }
 }
 
 async fn look_up(cx: &GatewayContext, call: &Call) -> Lookup {
@@ -94,6 +110,7 @@
         return Lookup::Found(software, KnownFrom::Keeper);
     }
     match (recent_software(state, call, &answers), stream) {
+        (RecentSoftware::One(_), _) if !is_registry_settled(state, call) => Lookup::NotYet,
         (RecentSoftware::One(software), _) if is_view_complete(cx, call, &answers).await => {
             Lookup::Found(software, KnownFrom::OnlyVersion)
         }
@@ -127,6 +144,22 @@
     call.route.targets.iter().map(|target| &target.service)
 }
 
+/// Returns whether a version that the registry does not show has no back ends.
+fn is_registry_settled(state: &GatewayState, call: &Call) -> bool {
+    let is_settled = settled_era::absence_in_registry(state) == Absence::NeverWritten;
+    if !is_settled {
+        let revision = state.view.lock().revision;
+        let settles_in = settled_era::settles_in(state);
+        tracing::info!(
+            attempt = &*call.head.attempt,
+            %revision,
+            settles_in_ms = as_millis_u64(settles_in),
+            "the registry may lack software versions of a service: the era of the store is not settled"
+        );
+    }
+    is_settled
+}
+
 /// Returns whether this node knows all versions at which the call's stream may have begun, together with the nodes that
 /// answered.
 async fn is_view_complete(cx: &GatewayContext, call: &Call, answers: &Answers) -> bool {
--- a/tests/testsuite/gateway/fixture.rs
+++ b/tests/testsuite/gateway/fixture.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::convert::Infallible;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Once};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -635,8 +635,19 @@
     )
 }
 
+/// Has log lines written, to nowhere: their fields are computed only if somebody listens, and may take locks.
+fn write_logs() {
+    static SUBSCRIBER: Once = Once::new();
+    SUBSCRIBER.call_once(|| {
+        let subscriber = tracing_subscriber::fmt().with_writer(std::io::sink);
+        // Fails if a test has set another subscriber, which computes the fields as well.
+        let _ = subscriber.try_init();
+    });
+}
+
 impl Fixture {
     pub(super) fn new() -> Self {
+        write_logs();
         Self {
             store: Arc::new(MemoryStore::new()),
             duties: Arc::default(),
--- a/tests/testsuite/gateway/mod.rs
+++ b/tests/testsuite/gateway/mod.rs
@@ -44,6 +44,7 @@
 mod scaling;
 mod serving;
 mod settings_template;
+mod settled_registry;
 mod silent_backends;
 mod slow_readers;
 mod snapshots;
--- a/tests/testsuite/gateway/streams.rs
+++ b/tests/testsuite/gateway/streams.rs
@@ -90,7 +90,15 @@
 
 #[tokio::test]
 async fn a_caller_that_resumes_gets_the_events_after_its_last_one() {
-    let (fixture, node, _backends) = fixture_with_node("llm", &[COMPLETE]).await;
+    let fixture = Fixture::new();
+    fixture.put("op/config", config(1)).await;
+    // Earlier nodes have known the era of the store for long enough. Otherwise a process that has just started cannot
+    // tell whether the service has had other software versions.
+    fixture.put("jayhall/settled-era", "0").await;
+    let backend = FakeBackend::spawn(COMPLETE).await;
+    fixture.list_backend("b0", "llm", &backend, "ready").await;
+    let node = fixture.node("n1").await;
+    fixture.ready(&node).await;
     let call = fixture
         .call(&node, "/resume/x", "a1")
         .header("last-event-id", "4");
