Gateway: claims to the duties have a module of their own; doc comments of the last changes

The value of the holder's key and when a node may claim it move to claim.rs as functions of the node's state, which now has the start of the process.

--- a/src/core/gateway/absence.rs
+++ b/src/core/gateway/absence.rs
@@ -18,8 +18,8 @@
 }
 
 impl Absence {
-    /// Returns what it shows that a place lacks a record which was written at `earliest` or later, if it was. The place
-    /// has lost nothing since `complete_since`; `None` if that is not known.
+    /// Judges the absence of a record from a place that has lost nothing since `complete_since`; `None` if that is not
+    /// known. If the record was written, it was at `earliest` or later.
     fn new(complete_since: Option<Moment>, earliest: Moment) -> Self {
         match complete_since.is_some_and(|since| since <= earliest) {
             true => Self::NeverWritten,
@@ -27,13 +27,13 @@
         }
     }
 
-    /// Returns what it shows that the store lacks a record in `era`. The store loses nothing within an era.
+    /// Judges the absence of a record from the store in `era`. The store loses nothing within an era.
     pub fn in_store(contact: &StoreContact, era: Era, earliest: Moment) -> Self {
         Self::new(contact.era_began_at(era), earliest)
     }
 
-    /// Returns what it shows that the registry lacks a back end that runs, in a view of the store in `era`. A mark in the
-    /// view names the last era known to be settled: back ends had the time to write their entries again.
+    /// Judges the absence of a back end from the registry, in a view of the store in `era`. `settled_era` is the last era
+    /// in which running back ends are known to have written lost entries again.
     pub fn in_registry(era: Era, settled_era: Option<Era>) -> Self {
         match settled_era == Some(era) {
             true => Self::NeverWritten,
@@ -41,7 +41,8 @@
         }
     }
 
-    /// Returns what it shows that a process which started at `started_at` does not keep a record in memory.
+    /// Judges the absence of a record from the memory of a process that started at `started_at`; `None` if that is not
+    /// known.
     pub fn in_memory(started_at: Option<Moment>, earliest: Moment) -> Self {
         Self::new(started_at, earliest)
     }
--- a/src/ops/gateway/decided_counts.rs
+++ b/src/ops/gateway/decided_counts.rs
@@ -178,8 +178,8 @@
         }
     }
 
-    /// Returns what it shows that the store lacks the counts of a window in `era`. Holders decide on a window when its
-    /// counts have arrived from all nodes, so that those whose clocks differ by up to that time do so after its end.
+    /// Judges the absence of a window's counts from the store in `era`. They are decided [`USAGE_COLLECTION_DELAY`] after
+    /// the end of the window at the earliest, so that the clocks of two holders may differ by as much.
     fn absence(&self, window: Window, era: Era) -> Absence {
         let state = &self.state;
         let (now, wall) = (state.now(), state.wall());
--- a/src/ops/gateway/duties.rs
+++ b/src/ops/gateway/duties.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::claim::{self, Claim};
 use super::decided_counts::{self, DecidedCounts};
 use super::dialect::{Duties, DutyReply, Holder};
 use super::keys;
@@ -16,45 +17,13 @@
 use crate::core::gateway::backends::Listing;
 use crate::core::gateway::routes::ServiceName;
 use crate::core::gateway::scaling::{Order, ServiceScaling, ZoneState};
-use crate::core::gateway::tenure::{MayAct, SETTLE_AFTER_RESTART, SETTLE_BEYOND_LEASE, Tenure};
+use crate::core::gateway::tenure::{MayAct, Tenure};
 use crate::core::gateway::usage::Window;
 use crate::core::time::Moment;
-use crate::sources::store::{Era, Op, Result, Revision, Store, StoreError, Transaction};
-
-/// The value of the holder's key.
-struct HolderName<'a> {
-    /// Name of the node.
-    node: &'a str,
-    /// Era of the store in which it claimed the duties, if given.
-    era: Option<Era>,
-}
-
-impl<'a> HolderName<'a> {
-    fn parse(value: &'a [u8]) -> Option<Self> {
-        let (node, process) = std::str::from_utf8(value).ok()?.rsplit_once('/')?;
-        let era = process
-            .split_once('@')
-            .and_then(|(_, era)| era.parse().ok());
-        Some(Self { node, era })
-    }
-}
-
-/// Returns the revision of the holder's key if it names this process, as far as this node knows.
-pub fn claim_of(state: &GatewayState) -> Option<Revision> {
-    let view = state.view.lock();
-    let holder = view.get(keys::HOLDER)?;
-    let own = format!("{}/{}@", state.settings.name, state.incarnation);
-    holder
-        .value
-        .starts_with(own.as_bytes())
-        .then_some(holder.revision)
-}
+use crate::sources::store::{Op, Result, Revision, Store, StoreError, Transaction};
 
 /// Interval between rounds of the holder, and between checks of the other nodes.
 const ROUND_INTERVAL: Duration = Duration::from_millis(400);
-/// Time after the first start of the whole system in which there cannot have been another holder: no
-/// lease granted since then can have expired.
-const FIRST_START_PERIOD: Duration = Duration::from_secs(3);
 /// Age of a node's last message up to which its counts are taken as current.
 const MAX_COUNTS_AGE: Duration = Duration::from_millis(2000);
 /// Time to live of the lease on the holder's key.
@@ -65,16 +34,6 @@
 /// Upper bound of the jitter before a node claims the duties.
 pub(super) const MAX_CLAIM_JITTER: Duration = Duration::from_millis(250);
 
-/// A possible claim to the duties.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Claim {
-    /// Expected revision of the holder's key for the compare-and-swap; [`Revision::NONE`] if the key must not
-    /// exist.
-    expected: Revision,
-    /// Time for which the new holder waits before its first call.
-    settle: Duration,
-}
-
 /// Claims the duties for this node, and performs them while it is the holder.
 pub struct DutyRunner {
     state: Arc<GatewayState>,
@@ -89,14 +48,12 @@
     counts: DecidedCounts,
     /// All windows before this one have been reported in the current tenure.
     reported_before: Option<Window>,
-    started: Moment,
 }
 
 impl DutyRunner {
     /// Creates a runner for a node that is not the holder.
     pub fn new(state: Arc<GatewayState>, store: Arc<dyn Store>, duties: Arc<dyn Duties>) -> Self {
         Self {
-            started: state.now(),
             counts: DecidedCounts::new(Arc::clone(&state), Arc::clone(&store)),
             state,
             store,
@@ -131,7 +88,7 @@
     }
 
     async fn try_claim(&mut self) {
-        let Some(claim) = self.possible_claim() else {
+        let Some(claim) = claim::possible_claim(&self.state) else {
             self.vacant_since = None;
             return;
         };
@@ -141,7 +98,7 @@
             return;
         }
         tokio::time::sleep(MAX_CLAIM_JITTER.mul_f64(rand::random())).await;
-        if self.possible_claim() != Some(claim) {
+        if claim::possible_claim(&self.state) != Some(claim) {
             return;
         }
         if let Err(e) = self.claim(claim).await {
@@ -159,7 +116,7 @@
         let mut req = Transaction::compare_and_swap(
             keys::HOLDER,
             claim.expected,
-            self.claim_value(lease.era),
+            claim::claim_value(&self.state, lease.era),
         );
         if let Some(Op::Put { lease: of, .. }) = req.then.first_mut() {
             *of = Some(lease.id);
@@ -199,46 +156,6 @@
         }
     }
 
-    /// Returns the claim that this node can make now. Either the duties are vacant, or the store names
-    /// this node although this process is not the holder. In the second case the holder was an earlier
-    /// process of the node, which has ended as a node runs only one, or the claim is an earlier one of
-    /// this process that it gave up; only a last call may still be in flight. If the claim was made in an earlier
-    /// era of the store, it may be older than that of another node, which still acts.
-    fn possible_claim(&self) -> Option<Claim> {
-        self.state.view_age()?;
-        let view = self.state.view.lock();
-        let after_other = self.state.settings.bounds.lease + SETTLE_BEYOND_LEASE;
-        let Some(holder) = view.get(keys::HOLDER) else {
-            return Some(Claim {
-                expected: Revision::NONE,
-                settle: match self.is_first_start() {
-                    true => Duration::ZERO,
-                    false => after_other,
-                },
-            });
-        };
-        let named = HolderName::parse(&holder.value)?;
-        let is_of_this_era = named.era == Some(holder.revision.era);
-        (named.node == &*self.state.settings.name).then_some(Claim {
-            expected: holder.revision,
-            settle: match is_of_this_era {
-                true => SETTLE_AFTER_RESTART,
-                false => after_other,
-            },
-        })
-    }
-
-    /// Returns whether the whole system has just started for the first time.
-    fn is_first_start(&self) -> bool {
-        let age = self.state.now().saturating_sub(self.started);
-        self.state.settings.is_first_start && age < FIRST_START_PERIOD
-    }
-
-    fn claim_value(&self, era: Era) -> bytes::Bytes {
-        let (node, incarnation) = (&self.state.settings.name, self.state.incarnation);
-        format!("{node}/{incarnation}@{era}").into()
-    }
-
     fn begin_tenure(&mut self, claim: Revision, settle: Duration) {
         tracing::info!(
             fence = claim.fencing_token(),
--- a/src/ops/gateway/mod.rs
+++ b/src/ops/gateway/mod.rs
@@ -8,7 +8,7 @@
 //!   store's contents and of load, usage and liveness between nodes;
 //! - [`startup`]: calls that arrive before the first configuration;
 //! - `silence`: calls whose back ends are silent;
-//! - [`duties`]: work that is done by one elected node on behalf of all;
+//! - [`claim`], [`duties`], [`decided_counts`]: work that is done by one elected node on behalf of all;
 //! - [`software`], [`resume`], [`origin_keepers`], [`origin_hand_over`], [`origin_archive`]: the software version at which a broken stream may go on;
 //! - [`settled_era`]: when the registry is complete again after a restore of the store;
 //! - [`rollout`], [`rollout_wire`]: moves of services to other software versions;
@@ -23,6 +23,7 @@
 pub mod attempt;
 pub mod body_memory;
 pub mod call;
+pub mod claim;
 pub mod concurrency;
 pub mod confirm;
 pub mod decided_counts;
--- a/src/ops/gateway/origin_keepers.rs
+++ b/src/ops/gateway/origin_keepers.rs
@@ -2,8 +2,8 @@
 //!
 //! The node that passes on the first event of a stream sends its origin to a few nodes, which are chosen by rendezvous
 //! hashing, and a node at which the stream is resumed asks these. A node that leaves hands its origins over (see
-//! [`super::origin_hand_over`]). While a service has several software versions, the
-//! origins are in the store, too (see [`super::origin_archive`]).
+//! [`super::origin_hand_over`]). While a service has several software versions, the origins are in the store, too (see
+//! [`super::origin_archive`]).
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/src/ops/gateway/rollout.rs
+++ b/src/ops/gateway/rollout.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use super::call::Call;
-use super::duties;
+use super::claim;
 use super::keys;
 use super::rollout_wire::{decode_record, encode_record};
 use super::state::{GatewayState, Phase as NodePhase};
@@ -114,7 +114,7 @@
 async fn write_records(state: &GatewayState, store: &Arc<dyn Store>) {
     loop {
         tokio::time::sleep(WRITE_INTERVAL).await;
-        let Some(claim) = duties::claim_of(state) else {
+        let Some(claim) = claim::claim_of(state) else {
             continue;
         };
         if state.phase() != NodePhase::Serving {
--- a/src/ops/gateway/settled_era.rs
+++ b/src/ops/gateway/settled_era.rs
@@ -53,7 +53,7 @@
     }
 }
 
-/// Returns what it shows that the registry, in this node's view of the store, lacks a back end that runs.
+/// Judges the absence of a back end from the registry, in this node's view of the store.
 pub fn absence_in_registry(state: &GatewayState) -> Absence {
     let view = state.view.lock();
     Absence::in_registry(view.revision.era, settled_era(&view))
