Gateway: a stream whose origin young nodes do not keep is looked for at more nodes before it is refused

Change: if the four nodes that are asked first are all young, up to 12 are asked. Then the origin is found, or so many nodes have started since that those which kept it have been lost, too, and the refusal is final. A process of less than 2 s waits for nodes that leave, which may still hand origins over.

--- a/src/ops/gateway/origin_keepers.rs
+++ b/src/ops/gateway/origin_keepers.rs
@@ -40,7 +40,10 @@
 pub(super) const KEEPERS: usize = 3;
 /// Number of nodes that are asked for it: more than keep it, as nodes come and go.
 const ASKED: usize = 4;
-/// Number of these that have to answer, if there are as many: one of them keeps the origin if any node does.
+/// Number of nodes that are asked in all if the first ones have started after the stream may have begun. If so many have
+/// started since, the nodes that kept the origin have been lost, too.
+const WIDELY_ASKED: usize = 12;
+/// Number of the first ones that have to answer, if there are as many: one of them keeps the origin if any node does.
 const ENOUGH_ANSWERS: usize = 1 + ASKED - KEEPERS;
 /// Timeout of a question to a node.
 const ASK_TIMEOUT: Duration = Duration::from_millis(250);
@@ -50,6 +53,8 @@
 const MAX_ORIGIN_BYTES: usize = 1024;
 /// Time without a message of a node after which it keeps no origins and is not asked.
 pub(super) const NODE_TIMEOUT: Moment = Moment::from_millis(2000);
+/// Time after its start within which a node receives the origins of nodes that leave.
+const HAND_OVER_TIME: Duration = Duration::from_secs(2);
 /// Limit on origins that wait to be sent to the nodes that keep them.
 const MAX_UNSENT_ORIGINS: usize = 1024;
 /// Limit on the origins that are sent together.
@@ -63,6 +68,11 @@
     pub(super) suffice: bool,
     /// Versions that services have had lately.
     pub(super) seen: Vec<SeenSoftware>,
+    /// Number of nodes that were asked.
+    asked: usize,
+    /// Whether one of them has run for longer than a stream lasts. All nodes that were chosen to keep the origin then
+    /// come before that one in the order in which nodes are asked, or have ended.
+    has_old: bool,
 }
 
 /// What one node or the store answers.
@@ -90,9 +100,9 @@
 pub enum Kept {
     /// It began at this software version.
     At(SoftwareId),
-    /// They do not keep it, and no other place does.
+    /// They do not keep it.
     Nowhere,
-    /// They do not keep it, but some did not answer, or others may keep it.
+    /// Some did not answer, and the others do not keep it.
     NotKnown,
 }
 
@@ -105,54 +115,74 @@
     Archive,
 }
 
-/// Asks the nodes that may keep the origin of a stream.
+/// Asks the nodes that would keep the origin of a stream if it began now.
 pub(super) async fn ask_keepers(cx: &GatewayContext, stream: StreamId) -> Answers {
     let asked = keepers(&cx.state, stream, ASKED, |member| member.control);
     let is_alone = cx.state.node_count() <= 1;
     let enough = ENOUGH_ANSWERS.min(asked.len()).max(usize::from(!is_alone));
-    let answers = asked
-        .into_iter()
-        .map(|control| ask(cx, control, stream, Question::Memory));
-    let answers = join_all(answers).await;
-    let kept = answers.iter().map(|answer| answer.kept);
-    let answered = kept.clone().filter(|kept| *kept != Kept::NotKnown).count();
+    let answers = ask_all(cx, asked, stream).await;
+    let answered = answers.iter().filter(|a| a.kept != Kept::NotKnown).count();
     let suffice = answered >= enough;
-    let is_lost =
-        suffice && answered == answers.len() && are_all_keepers_among(&cx.state, &answers);
-    let without_origin = match is_lost {
-        true => Kept::Nowhere,
-        false => Kept::NotKnown,
+    let kept = match combine(&answers) {
+        Kept::Nowhere if !suffice => Kept::NotKnown,
+        kept => kept,
     };
-    let kept_at = kept.into_iter().find(|kept| matches!(kept, Kept::At(_)));
+    let oldest = answers.iter().filter_map(|answer| answer.started_at).min();
+    let began_at = cx.state.now().saturating_sub(STREAM_LIFETIME);
     Answers {
-        kept: kept_at.unwrap_or(without_origin),
+        kept,
         suffice,
+        asked: answers.len(),
         seen: answers.into_iter().flat_map(|answer| answer.seen).collect(),
+        has_old: Absence::in_memory(oldest, began_at) == Absence::NeverWritten,
+    }
+}
+
+/// Asks the nodes that come next for the origin of a stream that the first ones do not keep, as far as these cannot know
+/// that nobody does. The store does not have the origin either.
+pub(super) async fn ask_others(cx: &GatewayContext, stream: StreamId, first: &Answers) -> Kept {
+    let state = &cx.state;
+    let is_settled = settled_era::absence_in_registry(state) == Absence::NeverWritten;
+    if first.has_old && is_settled {
+        return Kept::Nowhere;
+    }
+    let mut others = keepers(state, stream, WIDELY_ASKED, |member| member.control);
+    let others = others.split_off(first.asked.min(others.len()));
+    let kept = combine(&ask_all(cx, others, stream).await);
+    match kept {
+        Kept::Nowhere if !is_settled && state.node_count() > WIDELY_ASKED => Kept::NotKnown,
+        Kept::Nowhere if is_hand_over_due(state) => Kept::NotKnown,
+        kept => kept,
     }
 }
 
-/// Returns whether no node but those that answered can keep the origin of a stream: they are all other nodes that run,
-/// or one of them has run for longer than the stream. All nodes that were chosen to keep the origin come before that one
-/// in the order in which nodes are asked, or have ended. After a restore, nodes that were not asked may still have to
-/// write origins to the store again.
-fn are_all_keepers_among(state: &GatewayState, answers: &[Answer]) -> bool {
+/// Returns whether a node that leaves may still have to hand its origins over to this one, which has just started.
+fn is_hand_over_due(state: &GatewayState) -> bool {
     let now = state.now();
-    let began_at = now.saturating_sub(STREAM_LIFETIME);
-    let oldest = answers.iter().filter_map(|answer| answer.started_at).min();
-    let own = &state.settings.name;
-    let members = state.members.lock();
-    let others = members.iter().filter(|member| member.name != *own);
-    // A node that leaves counts, as it may still hand the origin over.
-    let running = others.filter(|member| !members.is_silent(&member.name, now, NODE_TIMEOUT));
-    if running.count() <= answers.len() {
-        return true;
+    if now.saturating_sub(state.started_at) > HAND_OVER_TIME {
+        return false;
     }
-    drop(members);
-    let absences = [
-        Absence::in_memory(oldest, began_at),
-        settled_era::absence_in_registry(state),
-    ];
-    absences == [Absence::NeverWritten; 2]
+    let members = state.members.lock();
+    let mut leaving = members.iter().filter(|member| !member.is_ready);
+    leaving.any(|member| {
+        *member.name != *state.settings.name && !members.is_silent(&member.name, now, NODE_TIMEOUT)
+    })
+}
+
+async fn ask_all(cx: &GatewayContext, asked: Vec<SocketAddr>, stream: StreamId) -> Vec<Answer> {
+    let asked = asked.into_iter();
+    join_all(asked.map(|control| ask(cx, control, stream, Question::Memory))).await
+}
+
+/// Returns what all answers show together.
+fn combine(answers: &[Answer]) -> Kept {
+    let kept = || answers.iter().map(|answer| answer.kept);
+    let at = kept().find(|kept| matches!(kept, Kept::At(_)));
+    let without_origin = match kept().all(|kept| kept == Kept::Nowhere) {
+        true => Kept::Nowhere,
+        false => Kept::NotKnown,
+    };
+    at.unwrap_or(without_origin)
 }
 
 /// Returns an address of each node other than this one that keeps the origin of a stream.
--- a/src/ops/gateway/resume.rs
+++ b/src/ops/gateway/resume.rs
@@ -15,7 +15,7 @@
 
 use super::attempt::GatewayContext;
 use super::call::Call;
-use super::origin_keepers::{Answers, Kept, ask_archive, ask_keepers, kept_here};
+use super::origin_keepers::{Answers, Kept, ask_archive, ask_keepers, ask_others, kept_here};
 use super::record;
 use super::refusal::{Cause, Refusal};
 use super::settled_era;
@@ -23,7 +23,7 @@
 use crate::core::gateway::absence::Absence;
 use crate::core::gateway::routes::{RouteKind, ServiceName};
 use crate::core::gateway::software::{RecentSoftware, SoftwareId};
-use crate::core::gateway::stream_origins::{StreamOrigin, stream_id};
+use crate::core::gateway::stream_origins::{StreamId, StreamOrigin, stream_id};
 use crate::util::time::as_millis_u64;
 
 /// Timeout of a question to the store.
@@ -116,17 +116,25 @@
         }
         // Nobody can tell which of the versions it was.
         (RecentSoftware::Several, None) => Lookup::Lost,
-        (RecentSoftware::Several, Some(stream)) => {
-            match (ask_archive(cx, stream).await, answers.kept) {
-                (Kept::At(software), _) => Lookup::Found(software, KnownFrom::Archive),
-                (Kept::Nowhere, Kept::Nowhere) => Lookup::Lost,
-                _ => Lookup::NotYet,
-            }
-        }
+        (RecentSoftware::Several, Some(stream)) => look_further(cx, stream, &answers).await,
         (RecentSoftware::One(_) | RecentSoftware::NoRecord, _) => Lookup::NotYet,
     }
 }
 
+/// Looks for the origin of a stream that the first nodes do not keep, and whose service has had several versions.
+async fn look_further(cx: &GatewayContext, stream: StreamId, answers: &Answers) -> Lookup {
+    match (ask_archive(cx, stream).await, answers.kept) {
+        (Kept::At(software), _) => return Lookup::Found(software, KnownFrom::Archive),
+        (Kept::Nowhere, Kept::Nowhere) => {}
+        _ => return Lookup::NotYet,
+    }
+    match ask_others(cx, stream, answers).await {
+        Kept::At(software) => Lookup::Found(software, KnownFrom::Keeper),
+        Kept::Nowhere => Lookup::Lost,
+        Kept::NotKnown => Lookup::NotYet,
+    }
+}
+
 /// Returns the versions that the services of a call's route have had lately, as far as this node or those that answered
 /// have seen.
 fn recent_software(state: &GatewayState, call: &Call, answers: &Answers) -> RecentSoftware {
