Gateway: origins of streams are in one queue again, with a mark on those that are in the store

Change: one queue whose entries say whether they are in the store; `archive` sets the time itself, as both callers did.

--- a/src/core/gateway/stream_origins.rs
+++ b/src/core/gateway/stream_origins.rs
@@ -3,7 +3,6 @@
 //! A node keeps the origins of the streams that it began and of those that other nodes have given it to keep, and hands
 //! them over when it leaves. Beside them it knows some that are in the store.
 
-use std::collections::hash_map::Entry;
 use std::collections::{HashMap, VecDeque};
 
 use super::software::{STREAM_LIFETIME, SoftwareId};
@@ -31,14 +30,20 @@
     pub at: Moment,
 }
 
+/// An origin, and whether others depend on this node for it.
+#[derive(Debug)]
+struct KnownOrigin {
+    origin: StreamOrigin,
+    /// Whether it is in the store, or this node is to write it there.
+    is_stored: bool,
+}
+
 /// Origins of streams, kept for as long as their callers may resume them.
 #[derive(Debug, Default)]
 pub struct StreamOrigins {
     software: HashMap<StreamId, SoftwareId>,
-    /// Those that this node keeps, the oldest ones first.
-    kept: VecDeque<StreamOrigin>,
-    /// Others, which are in the store or are to be written there, the oldest ones first.
-    stored: VecDeque<StreamOrigin>,
+    /// All origins, the oldest ones first.
+    known: VecDeque<KnownOrigin>,
     /// Those of streams that this node began, the oldest ones first.
     begun: VecDeque<StreamOrigin>,
     /// Those that this node writes to the store, the oldest ones first.
@@ -54,23 +59,29 @@
 
     /// Records the origin of a stream, which this node keeps. The first one that is known of a stream stays.
     pub fn record(&mut self, origin: StreamOrigin) {
-        if insert(&mut self.software, origin) {
-            self.kept.push_back(origin);
-            forget_beyond_limit(&mut self.kept, &mut self.software);
-        }
+        self.insert(origin, false);
     }
 
     /// Records the origin of a stream that is in the store.
     pub fn record_stored(&mut self, origin: StreamOrigin) {
-        if insert(&mut self.software, origin) {
-            self.stored.push_back(origin);
-            forget_beyond_limit(&mut self.stored, &mut self.software);
+        self.insert(origin, true);
+    }
+
+    fn insert(&mut self, origin: StreamOrigin, is_stored: bool) {
+        if self.software.contains_key(&origin.stream) {
+            return;
+        }
+        self.software.insert(origin.stream, origin.software);
+        self.known.push_back(KnownOrigin { origin, is_stored });
+        if self.known.len() > MAX_ORIGINS {
+            self.forget_oldest();
         }
     }
 
     /// Returns the origins that this node keeps and would be lost with it.
     pub fn kept(&self) -> impl Iterator<Item = &StreamOrigin> {
-        self.kept.iter()
+        let kept = self.known.iter().filter(|known| !known.is_stored);
+        kept.map(|known| &known.origin)
     }
 
     /// Returns the software version that began a stream.
@@ -83,8 +94,9 @@
         since_moment(&self.begun, since)
     }
 
-    /// Records the origin of a stream that this node is to write to the store.
-    pub fn archive(&mut self, origin: StreamOrigin) {
+    /// Records the origin of a stream that this node is to write to the store from now on.
+    pub fn archive(&mut self, origin: StreamOrigin, now: Moment) {
+        let origin = StreamOrigin { at: now, ..origin };
         self.archived.push_back(origin);
         if self.archived.len() > MAX_ORIGINS {
             self.archived.pop_front();
@@ -100,10 +112,12 @@
     /// Forgets streams that are too old to be resumed.
     pub fn expire(&mut self, now: Moment) {
         let is_over = |origin: &StreamOrigin| now.saturating_sub(origin.at) > STREAM_LIFETIME;
-        for origins in [&mut self.kept, &mut self.stored] {
-            while origins.front().is_some_and(is_over) {
-                forget_oldest(origins, &mut self.software);
-            }
+        while self
+            .known
+            .front()
+            .is_some_and(|known| is_over(&known.origin))
+        {
+            self.forget_oldest();
         }
         for origins in [&mut self.begun, &mut self.archived] {
             while origins.front().is_some_and(is_over) {
@@ -111,37 +125,14 @@
             }
         }
     }
-}
 
-/// Inserts an origin, unless one is known of its stream. Returns whether it was inserted.
-fn insert(software: &mut HashMap<StreamId, SoftwareId>, origin: StreamOrigin) -> bool {
-    match software.entry(origin.stream) {
-        Entry::Occupied(_) => false,
-        Entry::Vacant(entry) => {
-            entry.insert(origin.software);
-            true
+    fn forget_oldest(&mut self) {
+        if let Some(oldest) = self.known.pop_front() {
+            self.software.remove(&oldest.origin.stream);
         }
     }
 }
 
-fn forget_beyond_limit(
-    origins: &mut VecDeque<StreamOrigin>,
-    software: &mut HashMap<StreamId, SoftwareId>,
-) {
-    if origins.len() > MAX_ORIGINS {
-        forget_oldest(origins, software);
-    }
-}
-
-fn forget_oldest(
-    origins: &mut VecDeque<StreamOrigin>,
-    software: &mut HashMap<StreamId, SoftwareId>,
-) {
-    if let Some(oldest) = origins.pop_front() {
-        software.remove(&oldest.stream);
-    }
-}
-
 fn since_moment(
     origins: &VecDeque<StreamOrigin>,
     since: Moment,
--- a/src/ops/gateway/mesh/receive.rs
+++ b/src/ops/gateway/mesh/receive.rs
@@ -10,7 +10,6 @@
 use crate::core::gateway::members::StoreKnowledge;
 use crate::core::gateway::observed::Observer;
 use crate::core::gateway::origin::Origin;
-use crate::core::gateway::stream_origins::StreamOrigin;
 use crate::core::gateway::usage::Incarnation;
 use crate::core::time::Moment;
 use crate::ops::gateway::load_wire::LoadSumWire;
@@ -50,11 +49,7 @@
             origins.record(origin.received(now));
         }
         for origin in &datagram.archived_origins {
-            let at = now;
-            origins.archive(StreamOrigin {
-                at,
-                ..origin.received(now)
-            });
+            origins.archive(origin.received(now), now);
         }
     }
 
--- a/src/ops/gateway/origin_archive.rs
+++ b/src/ops/gateway/origin_archive.rs
@@ -242,9 +242,9 @@
         let mut origins = state.origins.lock();
         let begun: Vec<StreamOrigin> = origins.begun_since(since).copied().collect();
         if archivist.is_none() {
-            let at = state.now();
+            let now = state.now();
             for origin in &begun {
-                origins.archive(StreamOrigin { at, ..*origin });
+                origins.archive(*origin, now);
             }
         }
         begun
