Gateway: the hand-over of origins chooses nodes by the functions that the origins are sent by

Cause: `next_keepers` and the filter of nodes that are ready and not silent stood twice. Change: `origin_keepers::keepers` and `Members::is_able` serve both.

--- a/src/core/gateway/members.rs
+++ b/src/core/gateway/members.rs
@@ -298,7 +298,7 @@
     }
 
     /// Returns whether a node is `own`, or is ready and not silent.
-    fn is_able(&self, member: &Member, own: &str, now: Moment, silence: Moment) -> bool {
+    pub fn is_able(&self, member: &Member, own: &str, now: Moment, silence: Moment) -> bool {
         let is_silent = || self.is_silent(&member.name, now, silence);
         *member.name == *own || (member.is_ready && !is_silent())
     }
--- a/src/ops/gateway/origin_hand_over.rs
+++ b/src/ops/gateway/origin_hand_over.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use super::mesh::{MAX_ORIGINS_PER_DATAGRAM, Mesh};
-use super::origin_keepers::{KEEPERS, NODE_TIMEOUT};
+use super::origin_keepers::{KEEPERS, NODE_TIMEOUT, keepers};
 use super::state::{GatewayState, Phase};
 use crate::core::gateway::stream_origins::StreamOrigin;
 use crate::core::gateway::usage::Incarnation;
@@ -50,7 +50,7 @@
     let now = state.now();
     let members = state.members.lock();
     let others = members.iter().filter(|member| member.name != *own);
-    let able = others.filter(|m| m.is_ready && !members.is_silent(&m.name, now, NODE_TIMEOUT));
+    let able = others.filter(|member| members.is_able(member, own, now, NODE_TIMEOUT));
     let mut due = HashMap::new();
     for member in able {
         let count = sends.entry(member.incarnation).or_default();
@@ -85,12 +85,10 @@
 
 /// Returns the processes that keep an origin once this node has left.
 fn next_keepers(state: &GatewayState, origin: &StreamOrigin) -> Vec<Incarnation> {
-    let own = &state.settings.name;
-    let members = state.members.lock();
     // This node itself may be one of them.
-    let count = KEEPERS + 1;
-    let keepers = members.keepers(origin.stream, own, count, state.now(), NODE_TIMEOUT);
-    let others = keepers.into_iter().filter(|member| member.name != *own);
-    let incarnations = others.map(|member| member.incarnation);
-    incarnations.take(KEEPERS).collect()
+    let mut others = keepers(state, origin.stream, KEEPERS + 1, |member| {
+        member.incarnation
+    });
+    others.truncate(KEEPERS);
+    others
 }
--- a/src/ops/gateway/origin_keepers.rs
+++ b/src/ops/gateway/origin_keepers.rs
@@ -185,18 +185,18 @@
     at.unwrap_or(without_origin)
 }
 
-/// Returns an address of each node other than this one that keeps the origin of a stream.
-fn keepers<T>(
+/// Returns what is wanted of each node among the first `count` for the origin of a stream, without this one.
+pub(super) fn keepers<T>(
     state: &GatewayState,
     stream: StreamId,
     count: usize,
-    address: impl Fn(&Member) -> T,
+    wanted: impl Fn(&Member) -> T,
 ) -> Vec<T> {
     let own = &state.settings.name;
     let members = state.members.lock();
     let keepers = members.keepers(stream, own, count, state.now(), NODE_TIMEOUT);
     let others = keepers.into_iter().filter(|member| member.name != *own);
-    others.map(address).collect()
+    others.map(wanted).collect()
 }
 
 /// Asks a node for the origin of a stream. Records it at this node, too.
