Duties: a refused decision is read from the reply to it

Cause: since the store was asked once more for counts that the refused transaction had already returned. Change: the reply's item with the window's key is used, and the store read only if there is none.

--- a/src/ops/gateway/decided_counts.rs
+++ b/src/ops/gateway/decided_counts.rs
@@ -172,9 +172,14 @@
             },
         };
         let decide = self.decision(window, claim, encode_counts(&counts)?);
-        match self.store.transact(decide).await?.succeeded {
-            true => Ok(Some(counts)),
-            false => self.read(window).await,
+        let reply = self.store.transact(decide).await?;
+        if reply.succeeded {
+            return Ok(Some(counts));
+        }
+        let found = reply.found().unwrap_or_default();
+        match found.iter().find(|item| *item.key == *key) {
+            Some(found) => Ok(decode_counts(&found.value)),
+            None => self.read(window).await,
         }
     }
 
