Tests: reading keys of the store, listing a back end and a service with streams stand once

Cause: five tests read keys of the store in their own words, and settled_registry wrote a back end's entry and the same beginning twice. Change: `fixture::entries`, `software_versions::list` and `service_with_streams`. All assertions stay.

--- a/tests/testsuite/gateway/decided_windows.rs
+++ b/tests/testsuite/gateway/decided_windows.rs
@@ -8,9 +8,9 @@
 use jayhall::core::gateway::usage::{Counts, Window};
 use jayhall::ops::gateway::decided_counts::DecidedCounts;
 use jayhall::ops::gateway::state::GatewayState;
-use jayhall::sources::store::{KeyRange, MemoryStore, RangeRequest, Revision, Store};
+use jayhall::sources::store::{KeyRange, MemoryStore, Revision, Store};
 
-use super::fixture::{Fixture, Node, config, gateway_state, put};
+use super::fixture::{Fixture, Node, config, entries, gateway_state, put};
 
 const HOLDER: &str = "jayhall/holder";
 
@@ -52,9 +52,7 @@
 
     async fn stored(&self, window: Window) -> usize {
         let key = format!("jayhall/usage/{window:012}");
-        let range = KeyRange::One(key.into());
-        let reply = self.store.range(RangeRequest { range }).await.unwrap();
-        reply.entries.len()
+        entries(&self.store, KeyRange::One(key.into())).await.len()
     }
 }
 
@@ -114,8 +112,7 @@
     for stop in stops {
         stop.await.unwrap();
     }
-    let range = KeyRange::One(key.into());
-    let found = fixture.store.range(RangeRequest { range }).await.unwrap();
-    assert_eq!(found.entries.len(), 1);
-    assert_eq!(&*found.entries[0].value, br#"{"anna":7}"#);
+    let found = entries(&fixture.store, KeyRange::One(key.into())).await;
+    assert_eq!(found.len(), 1);
+    assert_eq!(&*found[0].value, br#"{"anna":7}"#);
 }
--- a/tests/testsuite/gateway/fixture.rs
+++ b/tests/testsuite/gateway/fixture.rs
@@ -25,7 +25,9 @@
 use jayhall::ops::gateway::dialect::{Duties, DutyReply, Holder};
 use jayhall::ops::gateway::state::GatewayState;
 use jayhall::platform::PlatformDialect;
-use jayhall::sources::store::{KeyRange, MemoryStore, Op, Store, Transaction};
+use jayhall::sources::store::{
+    KeyRange, KeyValue, MemoryStore, Op, RangeRequest, Store, Transaction,
+};
 use jayhall::util::settings::GatewaySettings;
 use jayhall_harness::GatewaySettingsText;
 use metrics_exporter_prometheus::PrometheusBuilder;
@@ -579,6 +581,11 @@
     }
 }
 
+/// Reads keys of a store.
+pub(super) async fn entries(store: &MemoryStore, range: KeyRange) -> Vec<KeyValue> {
+    store.range(RangeRequest { range }).await.unwrap().entries
+}
+
 /// Returns the entry of a back end of version `v1` in the availability zone `z1`.
 pub(super) fn backend_entry(service: &str, address: SocketAddr, state: &str) -> String {
     format!(
--- a/tests/testsuite/gateway/origins_in_stops.rs
+++ b/tests/testsuite/gateway/origins_in_stops.rs
@@ -4,10 +4,10 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
-use jayhall::sources::store::{KeyRange, RangeRequest, Store};
+use jayhall::sources::store::KeyRange;
 use tokio::runtime::Runtime;
 
-use super::fixture::{FakeBackend, Fixture, Node, total_runs};
+use super::fixture::{FakeBackend, Fixture, Node, entries, total_runs};
 use super::software_versions::{
     EVENTS, FIRST, OTHER_NODES, SECOND, begin, complete, fixture, list_others, read, ready_node,
     resumed, spawn_doomed_nodes, spawn_listed,
@@ -46,8 +46,7 @@
 
     async fn stored_origins(&self) -> usize {
         let range = KeyRange::Prefix("jayhall/streams/".into());
-        let reply = self.fixture.store.range(RangeRequest { range });
-        reply.await.unwrap().entries.len()
+        entries(&self.fixture.store, range).await.len()
     }
 
     /// Resumes all streams at a node. They must go on at the version that began them.
--- a/tests/testsuite/gateway/restored_store.rs
+++ b/tests/testsuite/gateway/restored_store.rs
@@ -13,7 +13,9 @@
 use jayhall::ops::gateway::state::Phase;
 use jayhall::sources::store::{KeyRange, KeyValue, MemoryStore, RangeRequest, Revision, Store};
 
-use super::fixture::{Behaviour, FakeBackend, Fixture, Node, config, gateway_state, numbered_call};
+use super::fixture::{
+    Behaviour, FakeBackend, Fixture, Node, config, entries, gateway_state, numbered_call,
+};
 use super::watched_store::{WatchedStore, Watches};
 
 /// Time after its acknowledgement within which a configuration is in force, and after the report of a departure
@@ -78,11 +80,6 @@
     }
 }
 
-async fn read(fixture: &Fixture, range: KeyRange) -> Vec<KeyValue> {
-    let reply = fixture.store.range(RangeRequest { range }).await.unwrap();
-    reply.entries
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn a_configuration_written_after_a_restore_is_in_force_in_time_at_all_nodes() {
     let (fixture, _backend) = fixture_with_backend().await;
@@ -228,12 +225,16 @@
     write_lost_changes(&fixture).await;
     fixture.store.restore(&copy);
     tokio::time::sleep(Duration::from_secs(6)).await;
-    let nodes = read(&fixture, KeyRange::Prefix("jayhall/nodes/".into())).await;
+    let nodes = entries(&fixture.store, KeyRange::Prefix("jayhall/nodes/".into())).await;
     assert_eq!(nodes.len(), 4, "{nodes:?}");
     assert!(nodes.iter().all(|node| node.version == 1), "{nodes:?}");
-    let holder = read(&fixture, KeyRange::One("jayhall/holder".into())).await;
+    let holder = entries(&fixture.store, KeyRange::One("jayhall/holder".into())).await;
     assert_eq!(holder.len(), 1);
-    let entries = read(&fixture, KeyRange::Prefix("jayhall/quarantine/".into())).await;
+    let entries = entries(
+        &fixture.store,
+        KeyRange::Prefix("jayhall/quarantine/".into()),
+    )
+    .await;
     assert_eq!(entries.len(), 1);
     assert_eq!(entries[0].version, 1);
 }
@@ -296,7 +297,7 @@
     tokio::time::sleep(Duration::from_millis(800)).await;
     fixture.store.restore(&copy);
     tokio::time::sleep(Duration::from_millis(1500)).await;
-    let found = read(&fixture, KeyRange::One(key.as_str().into())).await;
+    let found = entries(&fixture.store, KeyRange::One(key.as_str().into())).await;
     assert_eq!(found.len(), 1);
     assert_eq!(&*found[0].value, br#"{"anna":7}"#);
     assert_eq!(found[0].version, 1);
--- a/tests/testsuite/gateway/settled_registry.rs
+++ b/tests/testsuite/gateway/settled_registry.rs
@@ -4,11 +4,12 @@
 use std::time::Duration;
 
 use hyper::StatusCode;
-use jayhall::sources::store::{KeyRange, RangeRequest, Store};
+use jayhall::sources::store::KeyRange;
+use tokio::runtime::Runtime;
 
-use super::fixture::{Fixture, Node, header_value, total_runs};
+use super::fixture::{Fixture, Node, entries, header_value, total_runs};
 use super::software_versions::{
-    EVENTS, FIRST, SECOND, begin, complete, fixture, list_others, read, ready_node, resumed,
+    EVENTS, FIRST, SECOND, begin, complete, fixture, list, list_others, read, ready_node, resumed,
     spawn_doomed_nodes, spawn_listed,
 };
 use super::watched_store::WatchedStore;
@@ -17,6 +18,15 @@
 /// Time within which an era is settled.
 const SETTLED_WITHIN: Duration = Duration::from_millis(3200);
 
+/// Starts a service with one software version and nodes that have its streams.
+async fn service_with_streams() -> (Fixture, Runtime) {
+    let fixture = fixture().await;
+    spawn_listed(&fixture, "b0", complete(), FIRST).await;
+    let (runtime, nodes) = spawn_doomed_nodes(&fixture, &["n1", "n2"]);
+    begin_streams(&fixture, &nodes).await;
+    (fixture, runtime)
+}
+
 async fn begin_streams(fixture: &Fixture, nodes: &[Node]) {
     for index in 0..STREAMS {
         let node = &nodes[index % nodes.len()];
@@ -52,11 +62,7 @@
     }
     // The back ends of the new version write their entries again.
     for (index, backend) in second.iter().enumerate() {
-        let entry = format!(
-            r#"{{"service":"llm","address":"{}","zone":"z1","slots":64,"state":"ready","born":1,"version":{SECOND}}}"#,
-            backend.address
-        );
-        fixture.put(&format!("servers/other{index}"), entry).await;
+        list(&fixture, &format!("other{index}"), backend, SECOND).await;
     }
     tokio::time::sleep(SETTLED_WITHIN).await;
     resume_streams(&fixture, &node).await;
@@ -67,10 +73,7 @@
 /// as a stream may last, because the store was restored.
 #[tokio::test(flavor = "multi_thread")]
 async fn streams_of_the_only_version_go_on_once_the_era_is_settled() {
-    let fixture = fixture().await;
-    spawn_listed(&fixture, "b0", complete(), FIRST).await;
-    let (runtime, nodes) = spawn_doomed_nodes(&fixture, &["n1", "n2"]);
-    begin_streams(&fixture, &nodes).await;
+    let (fixture, runtime) = service_with_streams().await;
     let copy = fixture.store.copy();
     runtime.shutdown_background();
     fixture.store.restore(&copy);
@@ -87,10 +90,7 @@
 /// Guards against calls that wait after the loss of all nodes although the store has lost nothing.
 #[tokio::test(flavor = "multi_thread")]
 async fn nodes_that_start_in_a_settled_era_resume_streams_at_once() {
-    let fixture = fixture().await;
-    spawn_listed(&fixture, "b0", complete(), FIRST).await;
-    let (runtime, nodes) = spawn_doomed_nodes(&fixture, &["n1", "n2"]);
-    begin_streams(&fixture, &nodes).await;
+    let (fixture, runtime) = service_with_streams().await;
     tokio::time::sleep(SETTLED_WITHIN.saturating_sub(Duration::from_millis(2500))).await;
     runtime.shutdown_background();
     fixture.remove_all("jayhall/nodes/").await;
@@ -106,9 +106,8 @@
     let fixture = fixture().await;
     let (runtime, _nodes) = spawn_doomed_nodes(&fixture, &["n1", "n2", "n3"]);
     tokio::time::sleep(SETTLED_WITHIN).await;
-    let range = KeyRange::One("jayhall/settled-era".into());
-    let found = fixture.store.range(RangeRequest { range }).await.unwrap();
-    assert_eq!(found.entries.len(), 1);
-    assert_eq!(found.entries[0].version, 1);
+    let found = entries(&fixture.store, KeyRange::One("jayhall/settled-era".into())).await;
+    assert_eq!(found.len(), 1);
+    assert_eq!(found[0].version, 1);
     runtime.shutdown_background();
 }
--- a/tests/testsuite/gateway/software_versions.rs
+++ b/tests/testsuite/gateway/software_versions.rs
@@ -42,7 +42,7 @@
 }
 
 /// Lists a back end. Those of the first version are far away, so that the nodes prefer the others.
-async fn list(fixture: &Fixture, id: &str, backend: &FakeBackend, version: &str) {
+pub(super) async fn list(fixture: &Fixture, id: &str, backend: &FakeBackend, version: &str) {
     let zone = if version == FIRST { "z3" } else { "z1" };
     let entry = format!(
         r#"{{"service":"llm","address":"{}","zone":"{zone}","slots":64,"state":"ready","born":1,"version":{version}}}"#,
